Settle the seams between decisions, calls, membership and weights

Cause: several people will build into the thin path side by side, so what one part asks of another must stand still first. Traffic and Placement are where calls ask the decisions; Membership is where weights and calls ask who is there; benches end in one report.

Conclusion: behaviour unchanged, the parts can now change alone.

--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,42 @@
+"""How every bench ends: one JSON line with what was measured beside what was aimed at."""
+
+import json
+import os
+import pathlib
+
+import msgspec
+
+OUTPUT_FOLDER = pathlib.Path(__file__).resolve().parent.parent / "out"
+
+
+class Aim(msgspec.Struct, frozen=True):
+    """One figure. It is met where the value is on the right side of the aim."""
+
+    name: str
+    value: float
+    unit: str
+    aim: float
+    baseline: float | None = None
+    at_least: bool = False
+
+    @property
+    def met(self) -> bool:
+        """Whether the value reaches the aim."""
+        return self.value >= self.aim if self.at_least else self.value <= self.aim
+
+
+def is_quick() -> bool:
+    """Returns whether the bench was asked for its short form with QUICK=1."""
+    return os.environ.get("QUICK") == "1"
+
+
+def print_report(bench: str, aims: list[Aim], details: dict[str, object] | None = None) -> None:
+    """Prints the last line of a bench and keeps it, with its details, under out/."""
+    lines = [msgspec.to_builtins(aim) | {"met": aim.met} for aim in aims]
+    for line in lines:
+        line.pop("at_least")
+    report = {"bench": bench, "aims": lines}
+    OUTPUT_FOLDER.mkdir(exist_ok=True)
+    whole = report | {"quick": is_quick(), "details": details or {}}
+    (OUTPUT_FOLDER / f"{bench}.json").write_text(json.dumps(whole, indent=1), encoding="utf-8")
+    print(json.dumps(report), flush=True)
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -20,6 +20,7 @@
 from .endpoint_table import EndpointTable
 from .model_call import ModelCaller
 from .service_call import ServiceCaller
+from .traffic import Traffic
 
 BODY_TIMEOUT_SECONDS = 20.0
 IDLE_CONNECTION_SECONDS = 120.0
@@ -55,8 +56,9 @@
         directory = make_instance_directory(client, settings.platform.instances)
         self.follower = ConfigurationFollower(service, settings.site, log)
         self.table = EndpointTable(client, directory)
-        self.models = ModelCaller(client, self.table, log)
-        self.services = ServiceCaller(client, self.table, log)
+        traffic = Traffic(self.table, log)
+        self.models = ModelCaller(client, traffic)
+        self.services = ServiceCaller(client, traffic)
 
     async def start(self) -> None:
         """Listens and starts the background tasks."""
--- a/wasabidrum/entry/model_call.py
+++ b/wasabidrum/entry/model_call.py
@@ -11,13 +11,13 @@
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
 from ..endpoints.generate_request import GenerateRequest
-from ..observe.event import Event
-from ..observe.event_log import EventLog
 from ..wire import headers, http_client
 from .caller_request import CallerRequest
-from .endpoint_table import EndpointTable, EndpointView
+from .endpoint_table import EndpointView
+from .placement import Placement
+from .traffic import Traffic
+from .work_item import Priority, WorkItem
 
-NO_ENDPOINT_RETRY_AFTER_SECONDS = 1.0
 CANCEL_TIMEOUT_SECONDS = 2.0
 
 
@@ -44,14 +44,11 @@
 class ModelCaller:
     """Runs requests to models for the callers of one entry."""
 
-    __slots__ = ("_client", "_table", "_log")
+    __slots__ = ("_client", "_traffic")
 
-    def __init__(
-        self, client: httpclient.AsyncHTTPClient, table: EndpointTable, log: EventLog
-    ) -> None:
+    def __init__(self, client: httpclient.AsyncHTTPClient, traffic: Traffic) -> None:
         self._client = client
-        self._table = table
-        self._log = log
+        self._traffic = traffic
 
     async def generate(
         self, caller: CallerRequest, model: str, prompt: str, max_tokens: int
@@ -61,41 +58,46 @@
         Raises:
           CodedError: The answer will not become whole.
         """
-        view = self._choose(model)
-        attempt_id = f"{caller.request_id}.{secrets.token_hex(6)}"
-        self._log.write(
-            Event.REQUEST_PLACED,
-            request=caller.request_id,
+        item = WorkItem(
+            request_id=caller.request_id,
             workspace=caller.workspace,
-            endpoint=view.instance.name,
+            priority=Priority.GENERATE,
+            deadline=caller.deadline,
+            idempotent=True,
+            model=model,
+            prompt=prompt,
+            max_tokens=max_tokens,
         )
-        order = GenerateRequest(attempt_id, prompt, max_tokens)
-        view.in_progress += 1
-        finished = False
+        permit = await self._traffic.admit(item)
         try:
-            async for generation in self._attempt(view, order, caller.deadline):
-                finished = generation.finished
+            async for generation in self._run(item):
                 yield generation
         finally:
-            view.in_progress -= 1
-            if not finished:
-                asyncio.ensure_future(self._cancel(view, attempt_id))
-
-    def _choose(self, model: str) -> EndpointView:
-        candidates = self._table.candidates(model, "")
-        if not candidates:
-            raise CodedError(
-                "no_endpoint",
-                "no endpoint can answer now",
-                503,
-                retry_after=NO_ENDPOINT_RETRY_AFTER_SECONDS,
-            )
-        return min(candidates, key=lambda view: view.in_progress)
+            permit.release()
+
+    async def _run(self, item: WorkItem) -> collections.abc.AsyncIterator[Generation]:
+        placement = self._traffic.place(item)
+        attempt_id = f"{item.request_id}.{secrets.token_hex(6)}"
+        order = GenerateRequest(attempt_id, item.prompt, item.max_tokens)
+        code = "cancelled"
+        try:
+            async for generation in self._attempt(placement, order):
+                if generation.finished:
+                    code = ""
+                yield generation
+        except CodedError as error:
+            code = error.code
+            raise
+        finally:
+            placement.ended(code)
+            if code:
+                asyncio.ensure_future(self._cancel(placement.view, attempt_id))
 
     async def _attempt(
-        self, view: EndpointView, order: GenerateRequest, deadline: float
+        self, placement: Placement, order: GenerateRequest
     ) -> collections.abc.AsyncIterator[Generation]:
-        remaining = deadline - asyncio.get_running_loop().time()
+        view = placement.view
+        remaining = placement.item.deadline - asyncio.get_running_loop().time()
         request = httpclient.HTTPRequest(
             view.url + "/internal/generate",
             method="POST",
@@ -106,6 +108,7 @@
         if stream.status != 200:
             body = b"".join([chunk async for chunk in stream.chunks()])
             raise refusal_from(stream.status, stream.headers, body)
+        placement.head_arrived(stream.headers)
         rest = b""
         version = ""
         next_token = order.resume_from
@@ -127,6 +130,7 @@
                     tokens.append(event.t)
                 else:
                     raise CodedError("answer_broken", "a token is missing", 502, Outcome.FAILED)
+            placement.progressed(len(tokens))
             if tokens or finished:
                 yield Generation(version, tokens, finished)
             if finished:
--- a/wasabidrum/entry/service_call.py
+++ b/wasabidrum/entry/service_call.py
@@ -6,26 +6,35 @@
 from tornado import httpclient
 
 from ..core.errors import CodedError
+from ..core.fleet import Fleet, ServiceCall
+from ..core.outcome import Outcome
 from ..endpoints.service_reply import ServiceReply
-from ..observe.event import Event
-from ..observe.event_log import EventLog
 from ..wire import headers, http_client
 from .caller_request import CallerRequest
-from .endpoint_table import EndpointTable
-from .model_call import NO_ENDPOINT_RETRY_AFTER_SECONDS, refusal_from
+from .model_call import refusal_from
+from .placement import Placement
+from .traffic import Traffic
+from .work_item import Priority, WorkItem
+
+
+def find_call(fleet: Fleet, service: str, method: str, path: str) -> ServiceCall:
+    """Returns what the files say of a call; one that they do not list is not idempotent."""
+    spec = fleet.services.get(service)
+    plain_path = path.partition("?")[0]
+    for call in spec.calls if spec else ():
+        if call.path == plain_path and call.method == method:
+            return call
+    return ServiceCall(path=plain_path, method=method)
 
 
 class ServiceCaller:
     """Makes calls to plain services for the callers of one entry."""
 
-    __slots__ = ("_client", "_table", "_log")
+    __slots__ = ("_client", "_traffic")
 
-    def __init__(
-        self, client: httpclient.AsyncHTTPClient, table: EndpointTable, log: EventLog
-    ) -> None:
+    def __init__(self, client: httpclient.AsyncHTTPClient, traffic: Traffic) -> None:
         self._client = client
-        self._table = table
-        self._log = log
+        self._traffic = traffic
 
     async def call(
         self,
@@ -41,22 +50,37 @@
         Raises:
           CodedError: No whole answer came; the outcome says what that means.
         """
-        candidates = self._table.candidates("", service)
-        if not candidates:
-            raise CodedError(
-                "no_endpoint",
-                "no endpoint can answer now",
-                503,
-                retry_after=NO_ENDPOINT_RETRY_AFTER_SECONDS,
-            )
-        view = min(candidates, key=lambda candidate: candidate.in_progress)
-        self._log.write(
-            Event.REQUEST_PLACED,
-            request=caller.request_id,
+        listed = find_call(caller.revision.fleet, service, method, path)
+        item = WorkItem(
+            request_id=caller.request_id,
             workspace=caller.workspace,
-            endpoint=view.instance.name,
+            priority=Priority.READ if listed.priority == "read" else Priority.CHARGE,
+            deadline=caller.deadline,
+            idempotent=listed.idempotent,
+            service=service,
         )
-        remaining = max(0.001, caller.deadline - asyncio.get_running_loop().time())
+        permit = await self._traffic.admit(item)
+        try:
+            placement = self._traffic.place(item)
+            code = "cancelled"
+            try:
+                reply = await self._attempt(placement, method, path, content_type, body)
+                code = ""
+                return reply
+            except CodedError as error:
+                code = error.code
+                raise
+            finally:
+                placement.ended(code)
+        finally:
+            permit.release()
+
+    async def _attempt(
+        self, placement: Placement, method: str, path: str, content_type: str, body: bytes
+    ) -> ServiceReply:
+        view = placement.view
+        remaining = max(0.001, placement.item.deadline - asyncio.get_running_loop().time())
+        attempt_id = f"{placement.item.request_id}.{secrets.token_hex(6)}"
         request = httpclient.HTTPRequest(
             view.url + "/internal/service",
             method="POST",
@@ -66,19 +90,16 @@
                 headers.FORWARDED_METHOD: method,
                 headers.FORWARDED_PATH: path,
                 headers.DEADLINE_MILLISECONDS: str(int(remaining * 1000)),
-                headers.ATTEMPT_ID: f"{caller.request_id}.{secrets.token_hex(6)}",
-                headers.WORKSPACE: caller.workspace,
+                headers.ATTEMPT_ID: attempt_id,
+                headers.WORKSPACE: placement.item.workspace,
             },
             request_timeout=remaining,
         )
-        view.in_progress += 1
-        try:
-            response = await http_client.fetch(self._client, request, view.instance.name)
-        finally:
-            view.in_progress -= 1
+        response = await http_client.fetch(self._client, request, view.instance.name)
+        placement.head_arrived(response.headers)
         if headers.ERROR_CODE in response.headers:
             raise refusal_from(response.code, response.headers, response.body)
-        if response.headers.get(headers.ATTEMPT_ID) != request.headers[headers.ATTEMPT_ID]:
-            raise CodedError("answer_crossed", "not the answer to this call", 502)
+        if response.headers.get(headers.ATTEMPT_ID) != attempt_id:
+            raise CodedError("answer_crossed", "not this call's answer", 502, Outcome.UNKNOWN)
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return ServiceReply(response.code, content_type, response.body)
--- /dev/null
+++ b/wasabidrum/peers/member_view.py
@@ -0,0 +1,38 @@
+"""One daemon of the fleet as another daemon sees it."""
+
+import dataclasses
+
+from ..core.instance import Instance, InstanceState
+from ..core.status import Status
+
+
+@dataclasses.dataclass(slots=True)
+class MemberView:
+    """What is known of a daemon: what the platform lists, and what it says of itself.
+
+    Attributes:
+      status: Its latest account of itself, or None where none was heard.
+      seen_at: When it was last heard, by the event loop's clock.
+      suspected: Whether there is evidence that it is dead; cleared when it is heard again.
+    """
+
+    instance: Instance
+    status: Status | None = None
+    seen_at: float = 0.0
+    suspected: bool = False
+
+    @property
+    def name(self) -> str:
+        """The slot that the daemon fills."""
+        return self.instance.name
+
+    @property
+    def url(self) -> str:
+        """Where the daemon takes the fleet's HTTP requests."""
+        return f"http://{self.instance.host}:{self.instance.http_port}"
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the list or the daemon itself says that it takes no new work."""
+        says_so = self.status is not None and self.status.leaving
+        return says_so or self.instance.state is InstanceState.LEAVING
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -20,8 +20,10 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.configuration_follower import ConfigurationFollower
+from ..peers.listed_membership import ListedMembership
 from ..platform.http_blob_source import make_blob_source
 from ..platform.http_configuration_service import make_configuration_service
+from ..platform.http_instance_directory import make_instance_directory
 from ..wire import http_client
 from . import call_handlers
 from .version_keeper import VersionKeeper
@@ -49,6 +51,8 @@
         self.tasks = BackgroundTasks(self._report_failure)
         service = make_configuration_service(self._client, settings.platform.configuration)
         self.follower = ConfigurationFollower(service, settings.site, log)
+        directory = make_instance_directory(self._client, settings.platform.instances)
+        self.membership = ListedMembership(directory)
         if settings.endpoint.kind == "engine":
             self._make_engine_side(settings)
         else:
@@ -77,6 +81,7 @@
         self._port = sockets[0].getsockname()[1]
         httpserver.HTTPServer(application).add_sockets(sockets)
         self.tasks.start("configuration", self.follower.run())
+        self.tasks.start("membership", self.membership.run())
         if self.versions is not None:
             self.tasks.start("versions", self.versions.run())
             self.tasks.start("load", self._read_load())
