Carry configuration and membership between daemons over gRPC streams

Every process watched the platform's service and polled every sidecar, so calls and messages grew with the fleet. Small edits in entry/daemon.py and sidecar/daemon.py wire it in; settings gains control.

--- a/wasabidrum/config/settings.py
+++ b/wasabidrum/config/settings.py
@@ -45,6 +45,8 @@
       chunk_memory_bytes: The most that a sidecar holds of weights for its peers.
       drain_seconds: How long a graceful shutdown waits for requests in progress.
       log_file: Where log lines go; empty for standard error.
+      control: "peers" hears of changes from other daemons; "service" has this daemon watch
+        the platform's service itself, as a baseline for measurements.
     """
 
     name: str
@@ -59,3 +61,4 @@
     chunk_memory_bytes: int = 268_435_456
     drain_seconds: float = 60.0
     log_file: str = ""
+    control: str = "peers"
--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -22,6 +22,10 @@
       leaving: Whether the daemon takes no new work.
       load: The endpoint's load as this daemon sees it.
       failed_version: The version that the endpoint could not load, or empty.
+      refused_revision: The highest invalid revision known above the one in force, or zero.
+      refused_reason: Every fault of that revision.
+      alarm: What is wrong with the revisions themselves, such as one with two contents.
+      reads_service: Whether the daemon reads the platform's service for its data centre.
     """
 
     name: str
@@ -44,3 +48,7 @@
     leaving: bool = False
     load: Load = Load()
     failed_version: str = ""
+    refused_revision: int = 0
+    refused_reason: str = ""
+    alarm: str = ""
+    reads_service: bool = False
--- /dev/null
+++ b/wasabidrum/decisions/member_readers_test.py
@@ -0,0 +1,68 @@
+"""Tests of who reads the service and who hears it from whom."""
+
+import collections
+import unittest
+
+from ..core.instance import Instance, InstanceRole
+from .member_readers import FAN_OUT, ReaderPlan
+
+
+def make_members(centres: int, each: int) -> list[Instance]:
+    """Returns members spread over data centres."""
+    return [
+        Instance(f"m{i}-{c}", InstanceRole.SIDECAR, f"r{c % 3}", f"c{c}", "127.0.0.1", 1, 1)
+        for c in range(centres)
+        for i in range(each)
+    ]
+
+
+def reached_from(plan: ReaderPlan, members: list[Instance], start: set[str], dead: set) -> set[str]:
+    """Returns who is connected to the start when links carry both ways."""
+    links = collections.defaultdict(set)
+    for member in members:
+        for parent in plan.parents(member.name):
+            links[member.name].add(parent)
+            links[parent].add(member.name)
+    seen = set()
+    edge = list(start - dead)
+    while edge:
+        name = edge.pop()
+        if name not in seen:
+            seen.add(name)
+            edge += [other for other in links[name] if other not in dead]
+    return seen
+
+
+class ReaderPlanTest(unittest.TestCase):
+    """The plan is the same for all, bounded, and survives any one death."""
+
+    def test_fan_out_and_readers_are_bounded_at_the_two_year_size(self) -> None:
+        members = make_members(9, 256)
+        plan = ReaderPlan(reversed(members))
+        children = collections.Counter(p for m in members for p in plan.parents(m.name))
+        self.assertEqual(sum(plan.is_reader(m.name) for m in members), 18)
+        self.assertLessEqual(max(children.values()), 2 * FAN_OUT + 9)
+        for member in members:
+            self.assertNotIn(member.name, plan.parents(member.name))
+            if not plan.is_reader(member.name):
+                self.assertEqual(len(set(plan.parents(member.name))), 2)
+
+    def test_any_one_death_leaves_everyone_connected(self) -> None:
+        """A reader or an inner process dies. With one tree, all that hung below it would stay
+        on the old revision until the plan is made anew, and operators would see a site that
+        lags for no visible reason."""
+        for each in (2, 3, 7, 40):
+            members = make_members(3, each)
+            plan = ReaderPlan(members)
+            names = {member.name for member in members}
+            for dead in names:
+                start = {next(iter(sorted(names - {dead})))}
+                self.assertEqual(reached_from(plan, members, start, {dead}), names - {dead})
+
+    def test_one_departure_moves_few_readers(self) -> None:
+        members = make_members(9, 30)
+        before = ReaderPlan(members)
+        after = ReaderPlan([m for m in members if m.name != before.readers("c0")[0]])
+        for centre in range(1, 9):
+            self.assertEqual(before.readers(f"c{centre}"), after.readers(f"c{centre}"))
+        self.assertEqual(before.readers("c0")[1], after.readers("c0")[0])
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -13,11 +13,13 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.configuration_follower import ConfigurationFollower
+from ..peers.peer_node import PeerNode
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
 from ..wire import http_client
 from . import caller_handlers
 from .endpoint_table import EndpointTable
+from .endpoint_watcher import EndpointWatcher
 from .model_call import ModelCaller
 from .service_call import ServiceCaller
 from .traffic import Traffic
@@ -56,6 +58,9 @@
         directory = make_instance_directory(client, settings.platform.instances)
         self.follower = ConfigurationFollower(service, settings.site, log)
         self.table = EndpointTable(client, directory)
+        self.node = PeerNode(
+            settings, directory, self.follower, self.status, log, self._report_failure
+        )
         traffic = Traffic(self.table, log)
         self.models = ModelCaller(client, traffic)
         self.services = ServiceCaller(client, traffic)
@@ -77,22 +82,32 @@
         listen = self._settings.listen
         caller_port = self._listen(callers, listen.caller_port)
         self._http_port = self._listen(internal, listen.http_port)
-        self.tasks.start("configuration", self.follower.run())
-        self.tasks.start("endpoints", self.table.run())
+        if self._settings.control == "service":
+            self.tasks.start("configuration", self.follower.run())
+            self.tasks.start("endpoints", self.table.run())
+        else:
+            await self.node.start()
+            watcher = EndpointWatcher(
+                self._settings, self.node, self.table, self.follower, self.log
+            )
+            self.tasks.start("endpoints", watcher.run())
         self.log.write(
             Event.DAEMON_STARTED,
             role="entry",
             caller_port=caller_port,
             port=self._http_port,
+            peer_port=self.node.peer_port,
             incarnation=self._incarnation,
         )
 
     async def stop(self) -> None:
         """Leaves gracefully: refuses new requests, ends those in progress, then stops."""
         self.leaving = True
+        self.node.wake_all()
         self.log.write(Event.DAEMON_LEAVING, in_progress=self.requests.count)
         await self.requests.wait_until_idle(self._settings.drain_seconds)
         await self.tasks.cancel_all()
+        await self.node.stop()
         self.log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
 
     def status(self) -> Status:
@@ -108,9 +123,14 @@
             data_centre=self._settings.data_centre,
             host=self._settings.listen.host,
             http_port=self._http_port,
+            peer_port=self.node.peer_port,
             revision=self.follower.revision,
             config_digest=current.digest if current else "",
             leaving=self.leaving,
+            refused_revision=self.follower.refused_revision,
+            refused_reason=self.follower.refused_reason,
+            alarm=self.follower.book.alarm,
+            reads_service=self.node.reads_service,
         )
 
     def _listen(self, application: web.Application, port: int) -> int:
--- a/wasabidrum/entry/endpoint_table.py
+++ b/wasabidrum/entry/endpoint_table.py
@@ -15,6 +15,8 @@
 POLL_SECONDS = 0.5
 STATUS_TIMEOUT_SECONDS = 1.0
 STATUS_EXPIRES_SECONDS = 2.0
+LAST_RESORT_SECONDS = 30.0
+SILENT_FRACTION = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,12 +26,14 @@
     Attributes:
       seen_at: When its sidecar was last heard, by the event loop's clock.
       in_progress: Requests of this entry that run there.
+      lost: Its stream broke, or it refuses connections; cleared when it is heard again.
     """
 
     instance: Instance
     status: Status | None = None
     seen_at: float = 0.0
     in_progress: int = 0
+    lost: bool = False
 
     @property
     def url(self) -> str:
@@ -77,34 +81,60 @@
                 views[instance.name] = EndpointView(instance)
         self._views = views
 
-    def take_status(self, status: Status) -> None:
-        """Takes what a sidecar says of itself; an older account than the one held is dropped."""
+    def take_status(self, status: Status) -> bool:
+        """Takes what a sidecar says of itself; an older account than the one held is dropped.
+
+        Returns:
+          Whether the endpoint was out of routing for silence and is back.
+        """
         view = self._views.get(status.name)
         if view is None:
-            return
+            return False
         held = view.status
         if held is not None and (held.incarnation, held.sequence) > (
             status.incarnation,
             status.sequence,
         ):
-            return
+            return False
+        was_lost = view.lost
         view.status = status
         view.seen_at = asyncio.get_running_loop().time()
+        view.lost = False
+        return was_lost
+
+    def take_loss(self, name: str, broken: bool) -> bool:
+        """Takes evidence that a sidecar is gone, or for now only that it is silent.
+
+        Returns:
+          Whether that takes it out of routing just now.
+        """
+        view = self._views.get(name)
+        if view is None or view.lost:
+            return False
+        view.lost = broken
+        was_in = view.seen_at > float("-inf")
+        return broken and was_in
+
+    def forgive(self, seconds: float) -> None:
+        """Takes that this process itself slept: silence meanwhile is no evidence."""
+        for view in self._views.values():
+            view.seen_at += seconds
 
     def candidates(self, model: str, service: str) -> list[EndpointView]:
         """Returns the endpoints that can take a request for a model or a service now."""
         now = asyncio.get_running_loop().time()
-        return [
-            view
-            for view in self._views.values()
-            if view.status is not None
-            and now - view.seen_at <= STATUS_EXPIRES_SECONDS
-            and not view.status.leaving
-            and view.instance.state is InstanceState.LIVE
-            and view.status.model == model
-            and view.status.service == service
-            and (not model or view.status.version)
-        ]
+        able = [view for view in self._views.values() if can_serve(view, model, service)]
+        heard = [view for view in able if now - view.seen_at <= STATUS_EXPIRES_SECONDS]
+        if heard:
+            return heard
+        # Where most endpoints fell silent together, this entry may be the one that hears
+        # nothing. To route to nobody would turn its deafness into an outage for its
+        # callers; a wrong guess costs one attempt.
+        lately = [view for view in self._views.values() if view.seen_at > 0.0 and not view.lost]
+        silent = sum(now - view.seen_at > STATUS_EXPIRES_SECONDS for view in lately)
+        if silent <= len(lately) * SILENT_FRACTION:
+            return []
+        return [view for view in able if now - view.seen_at <= LAST_RESORT_SECONDS]
 
     async def _ask(self, view: EndpointView) -> None:
         request = httpclient.HTTPRequest(
@@ -115,3 +145,17 @@
             self.take_status(msgspec.json.decode(response.body, type=Status))
         except (CodedError, msgspec.MsgspecError):
             return
+
+
+def can_serve(view: EndpointView, model: str, service: str) -> bool:
+    """Returns whether what an endpoint last said of itself lets it take a request."""
+    status = view.status
+    return (
+        status is not None
+        and not view.lost
+        and not status.leaving
+        and view.instance.state is InstanceState.LIVE
+        and status.model == model
+        and status.service == service
+        and bool(not model or status.version)
+    )
--- /dev/null
+++ b/wasabidrum/peers/instance_roster.py
@@ -0,0 +1,68 @@
+"""The platform's instance list as this process holds it, with the changes between lists."""
+
+import msgspec
+
+from ..core.digest import digest_of
+from ..core.instance import Instance, InstanceList
+from .peer_messages import FetchList, ListReply
+
+LISTS_KEPT = 4
+
+
+class InstanceRoster:
+    """The newest list heard of from anyone, by its own date."""
+
+    __slots__ = ("as_of", "digest", "_lists")
+
+    def __init__(self) -> None:
+        self.as_of = 0.0
+        self.digest = ""
+        self._lists: dict[str, dict[str, Instance]] = {}
+
+    @property
+    def instances(self) -> tuple[Instance, ...]:
+        """The instances listed."""
+        return tuple(self._lists.get(self.digest, {}).values())
+
+    def take(self, listed: InstanceList) -> bool:
+        """Takes a list; returns whether it says something new."""
+        if listed.as_of < self.as_of:
+            return False
+        self.as_of = listed.as_of
+        by_name = {instance.name: instance for instance in listed.instances}
+        digest = digest_instances(by_name)
+        if digest == self.digest:
+            return False
+        self.digest = digest
+        self._lists.pop(digest, None)
+        self._lists[digest] = by_name
+        while len(self._lists) > LISTS_KEPT:
+            del self._lists[next(iter(self._lists))]
+        return True
+
+    def reply(self, request: FetchList) -> ListReply:
+        """Returns the list, or only what changed where the asker's list is still known here."""
+        current = self._lists.get(self.digest, {})
+        base = self._lists.get(request.digest)
+        if base is None:
+            return ListReply(self.as_of, self.digest, instances=tuple(current.values()))
+        changed = tuple(i for i in current.values() if base.get(i.name) != i)
+        removed = tuple(name for name in base if name not in current)
+        return ListReply(self.as_of, self.digest, request.digest, changed, removed)
+
+    def open(self, reply: ListReply) -> InstanceList | None:
+        """Returns the list of a reply, or None where its base is not held here."""
+        base: dict[str, Instance] = {}
+        if reply.base_digest:
+            if reply.base_digest not in self._lists:
+                return None
+            base = dict(self._lists[reply.base_digest])
+        for name in reply.removed:
+            base.pop(name, None)
+        base |= {instance.name: instance for instance in reply.instances}
+        return InstanceList(reply.as_of, tuple(base.values()))
+
+
+def digest_instances(by_name: dict[str, Instance]) -> str:
+    """Returns a digest that does not depend on the list's order."""
+    return digest_of(msgspec.msgpack.encode([by_name[name] for name in sorted(by_name)]))[:16]
--- /dev/null
+++ b/wasabidrum/peers/peer_client.py
@@ -0,0 +1,90 @@
+"""Calls to another daemon's peer port."""
+
+import asyncio
+import collections.abc
+import contextlib
+
+import msgspec
+from grpclib import client, exceptions
+
+from ..core.errors import CodedError
+from . import peer_messages
+from .message_codec import MessageCodec
+from .peer_link import PeerLink
+from .peer_messages import (
+    ConfigurationReply,
+    FetchConfiguration,
+    FetchList,
+    ListReply,
+    Push,
+)
+
+ASK_SECONDS = 1.0
+FETCH_SECONDS = 5.0
+CODEC = MessageCodec()
+STREAM_ERRORS = (
+    OSError,
+    TimeoutError,
+    exceptions.GRPCError,
+    exceptions.StreamTerminatedError,
+    exceptions.ProtocolError,
+    msgspec.MsgspecError,
+)
+
+
+@contextlib.asynccontextmanager
+async def open_channel(host: str, port: int) -> collections.abc.AsyncIterator[client.Channel]:
+    """Opens a channel for the length of a block."""
+    channel = client.Channel(host, port, codec=CODEC)
+    try:
+        yield channel
+    finally:
+        channel.close()
+
+
+async def watch(host: str, port: int, link: PeerLink) -> None:
+    """Keeps a Watch stream until the other end ends it.
+
+    Raises:
+      One of STREAM_ERRORS: It could not be opened, or broke; ConnectionRefusedError where
+        nobody listens there.
+    """
+    async with open_channel(host, port) as channel:
+        method = client.StreamStreamMethod(channel, peer_messages.WATCH_PATH, Push, Push)
+        async with method.open() as stream:
+            if not link.gossip:
+                await stream.send_message(link.next_push())
+            await link.run(stream, pushes=link.gossip)
+
+
+async def fetch_configuration(host: str, port: int, digest: str) -> ConfigurationReply:
+    """Asks what is in force there, and for its value where a digest is given.
+
+    Raises:
+      CodedError: No answer came in time.
+    """
+    seconds = FETCH_SECONDS if digest else ASK_SECONDS
+    path = peer_messages.FETCH_CONFIGURATION_PATH
+    request = FetchConfiguration(digest)
+    return await _call(host, port, path, request, ConfigurationReply, seconds)
+
+
+async def fetch_list(host: str, port: int, digest: str) -> ListReply:
+    """Asks for the instance list that is held there, unless it has the digest given.
+
+    Raises:
+      CodedError: No answer came in time.
+    """
+    path = peer_messages.FETCH_LIST_PATH
+    return await _call(host, port, path, FetchList(digest), ListReply, FETCH_SECONDS)
+
+
+async def _call(
+    host: str, port: int, path: str, request: object, reply_type: type, seconds: float
+) -> object:
+    try:
+        async with asyncio.timeout(seconds), open_channel(host, port) as channel:
+            method = client.UnaryUnaryMethod(channel, path, type(request), reply_type)
+            return await method(request)
+    except STREAM_ERRORS as error:
+        raise CodedError("peer_unreachable", f"{host}:{port}: {error!r}", 503) from error
--- /dev/null
+++ b/wasabidrum/peers/peer_membership.py
@@ -0,0 +1,50 @@
+"""Membership from the list, from peers' streams and from news, joined in the member table."""
+
+from ..decisions.member_news import MemberState
+from ..decisions.member_record import MemberRecord
+from ..decisions.member_table import MemberTable
+from .member_view import MemberView
+
+
+class PeerMembership:
+    """Implements Membership."""
+
+    __slots__ = ("_table", "_views", "_version", "_failed")
+
+    def __init__(self, table: MemberTable) -> None:
+        self._table = table
+        self._views: dict[str, MemberView] = {}
+        self._version = -1
+        self._failed: dict[str, str] = {}
+
+    @property
+    def members(self) -> list[MemberView]:
+        """See Membership."""
+        if self._version != self._table.version:
+            self._version = self._table.version
+            self._views = {
+                record.name: self._views.get(record.name) or MemberView(record.instance)
+                for record in self._table.records
+                if record.state is not MemberState.DEAD
+            }
+        for name, view in self._views.items():
+            self._update(view, self._table.get(name))
+        return list(self._views.values())
+
+    def report_failure(self, name: str) -> None:
+        """See Membership."""
+        record = self._table.get(name)
+        if record is not None:
+            self._failed[name] = record.incarnation
+
+    def report_success(self, name: str) -> None:
+        """See Membership."""
+        self._failed.pop(name, None)
+
+    def _update(self, view: MemberView, record: MemberRecord) -> None:
+        view.instance = record.instance
+        view.status = record.status
+        view.seen_at = record.heard_at
+        # A failure met by this process counts until the member answers it, or is replaced.
+        failed = self._failed.get(record.name) == record.incarnation
+        view.suspected = failed or record.state is not MemberState.ALIVE
--- /dev/null
+++ b/wasabidrum/peers/peer_node.py
@@ -0,0 +1,360 @@
+"""One process among the others: whom it hears, whom it tells, and what follows from it."""
+
+import asyncio
+import collections.abc
+import random
+
+from grpclib import server
+from tornado import netutil
+
+from ..config.settings import Settings
+from ..core.background_tasks import BackgroundTasks
+from ..core.errors import CodedError
+from ..core.instance import Instance
+from ..core.status import Status
+from ..decisions.clock_gap import ClockGap
+from ..decisions.member_news import MemberNews, MemberState
+from ..decisions.member_readers import ReaderPlan
+from ..decisions.member_record import instance_from
+from ..decisions.member_table import MemberTable
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from ..platform.instance_directory import InstanceDirectory
+from . import peer_client
+from .claim_fetcher import ClaimFetcher
+from .configuration_follower import ConfigurationFollower
+from .list_keeper import ListKeeper
+from .news_log import NewsLog
+from .outbound_links import OutboundLinks
+from .peer_client import CODEC
+from .peer_link import PeerLink
+from .peer_messages import ConfigurationReply, FetchConfiguration, FetchList, ListReply, Push
+from .peer_service import PeerService
+
+TICK_SECONDS = 0.25
+PLAN_SECONDS = 0.5
+GOSSIP_SILENCE_SECONDS = 3.0
+ALONE_SECONDS = 5.0
+READER_WATCH_SECONDS = 2.0
+PEERS_ASKED = 3
+ISOLATION_ASK_SECONDS = 2.0
+
+
+class PeerNode:
+    """Owns the peer port, the links and the member table of one daemon.
+
+    Attributes:
+      peer_port: Where it listens for peers.
+      table: Who is there.
+      lists: The instance list.
+      reads_service: Whether this process reads the platform's service now.
+      on_pause: Called with the length of each pause of this process.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        directory: InstanceDirectory,
+        follower: ConfigurationFollower,
+        account: collections.abc.Callable[[], Status],
+        log: EventLog,
+        on_failure: collections.abc.Callable[[str, BaseException], None],
+    ) -> None:
+        self._settings = settings
+        self._follower = follower
+        self._account = account
+        self._log = log
+        self._tasks = BackgroundTasks(on_failure)
+        self._gap = ClockGap(asyncio.get_running_loop().time())
+        self._news = NewsLog()
+        self._inbound: set[PeerLink] = set()
+        self._outbound = OutboundLinks(self, True, GOSSIP_SILENCE_SECONDS, self.lose)
+        self._fetcher = ClaimFetcher(follower)
+        self._server: server.Server | None = None
+        self._reading: asyncio.Task[None] | None = None
+        self._asking: asyncio.Task[None] | None = None
+        self._plan = ReaderPlan(())
+        self._planned_version = -1
+        self._planned_at = float("-inf")
+        self._last_told: tuple[object, ...] = ()
+        self._connected_at = asyncio.get_running_loop().time()
+        self.peer_port = 0
+        self.table = MemberTable(settings.name)
+        self.lists = ListKeeper(directory, log, self._take_list)
+        self.reads_service = False
+        self.on_pause: list[collections.abc.Callable[[float], None]] = []
+        follower.on_change = self.wake_all
+        follower.on_answer = self._take_answer
+
+    @property
+    def list_as_of(self) -> float:
+        """See LinkOwner."""
+        return self.lists.roster.as_of
+
+    @property
+    def list_digest(self) -> str:
+        """See LinkOwner."""
+        return self.lists.roster.digest
+
+    @property
+    def plan(self) -> ReaderPlan:
+        """Who reads and who hears from whom, by the members known here."""
+        return self._plan
+
+    @property
+    def recently_verified(self) -> bool:
+        """Whether someone else confirmed this process's revision since it last slept."""
+        return self._gap.recently_verified(asyncio.get_running_loop().time())
+
+    async def start(self) -> None:
+        """Listens for peers and starts the tasks."""
+        listen = self._settings.listen
+        sockets = netutil.bind_sockets(listen.peer_port, listen.host)
+        self.peer_port = sockets[0].getsockname()[1]
+        self._server = server.Server([PeerService(self)], codec=CODEC)
+        await self._server.start(sock=sockets[0])
+        self._tasks.start("peers", self._run())
+
+    async def stop(self) -> None:
+        """Ends every link and task."""
+        await self._tasks.cancel_all()
+        await self._fetcher.stop()
+        await self._outbound.close_all()
+        if self._server is not None:
+            self._server.close()
+            for link in list(self._inbound):
+                link.end()
+            await self._server.wait_closed()
+
+    def status(self) -> Status:
+        """See LinkOwner."""
+        return self._account()
+
+    def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberNews, ...]]:
+        """See LinkOwner."""
+        return self._news.after(cursor, limit)
+
+    def wake_all(self) -> None:
+        """Has every link push at once."""
+        self._outbound.wake_all()
+        for link in self._inbound:
+            link.wake()
+
+    def add_inbound(self, link: PeerLink) -> None:
+        """See PeerServiceOwner."""
+        self._inbound.add(link)
+
+    def remove_inbound(self, link: PeerLink) -> None:
+        """See PeerServiceOwner."""
+        self._inbound.discard(link)
+        # A watcher whose plan changed ends its link too, and is no less alive for it.
+        if link.gossip and self._settings.name in self._plan.parents(link.name):
+            self.lose(link.name, False)
+
+    def reply_configuration(self, request: FetchConfiguration) -> ConfigurationReply:
+        """See PeerServiceOwner."""
+        book = self._follower.book
+        value = self._follower.compressed if request.digest == book.digest else b""
+        return ConfigurationReply(book.revision, book.digest, value)
+
+    def reply_list(self, request: FetchList) -> ListReply:
+        """See PeerServiceOwner."""
+        return self.lists.roster.reply(request)
+
+    def take_push(self, link: PeerLink, push: Push) -> None:
+        """See LinkOwner."""
+        now = asyncio.get_running_loop().time()
+        self._notice_pause(now)
+        status = link.whole_status(push)
+        if status is None:
+            return
+        if push.status is not None:
+            self.table.take_status(status, now)
+            self.take_claims(status)
+        else:
+            self.table.take_beat(link.name, push.sequence, now)
+        if push.list_digest:
+            self.lists.take_claim(push.list_as_of, push.list_digest, status.host, status.peer_port)
+        refute = False
+        for news in push.news:
+            refute = self.table.take_news(news, now) or refute
+        if refute:
+            self._news.add(self._own_news())
+        self._pass_on_news()
+        if status.revision <= self._follower.revision:
+            self._gap.hear(now)
+
+    def take_claims(self, status: Status) -> None:
+        """Takes what a daemon says of its revision and of a refused one."""
+        self._fetcher.take_claim(
+            status.revision, status.config_digest, status.host, status.peer_port
+        )
+        if status.refused_revision > max(self._follower.revision, self._follower.refused_revision):
+            self._follower.refuse(status.refused_revision, "", status.refused_reason)
+
+    def lose(self, name: str, refused: bool) -> None:
+        """Takes that a link to a daemon broke or fell silent, or that it refuses links."""
+        now = asyncio.get_running_loop().time()
+        self._notice_pause(now)
+        if self.table.suspect(name, now, refused):
+            self._log.write(Event.MEMBER_SUSPECTED, member=name, refused=refused)
+        self._pass_on_news()
+
+    async def verify(self) -> int:
+        """Asks a few peers for their revision and takes what is newer.
+
+        Returns:
+          How many answered.
+        """
+        asked_at = asyncio.get_running_loop().time()
+        asked = self._choose_asked(asked_at)
+        answers = await asyncio.gather(*(self._ask(instance) for instance in asked))
+        answered = sum(answers)
+        await self._fetcher.wait()
+        if answered and self._follower.revision >= self._follower.book.highest:
+            self._gap.confirm(asked_at, asyncio.get_running_loop().time())
+        self._log.write(
+            Event.PEERS_ASKED,
+            asked=len(asked),
+            answered=answered,
+            revision=self._follower.revision,
+        )
+        return answered
+
+    async def _run(self) -> None:
+        await self.lists.read()
+        self._make_plan(asyncio.get_running_loop().time())
+        if not await self.verify() and not self._follower.revision:
+            # Nobody to ask: the service's answer is all there is, and it may be stale. To
+            # wait for ever would leave a fleet that starts all at once with no service.
+            self._log.write(Event.CONFIGURATION_ALONE, reason="no peer answered; service is used")
+        self._tasks.start("list", self.lists.run())
+        while True:
+            self._tick()
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _tick(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._notice_pause(now)
+        self._outbound.end_silent(now)
+        for link in list(self._inbound):
+            if link.gossip and now - link.heard_at > GOSSIP_SILENCE_SECONDS:
+                link.end()
+        self._judge_isolation(now)
+        for name in self.table.tick(now):
+            self._log.write(Event.MEMBER_DEAD, member=name)
+        self._pass_on_news()
+        stale = self._planned_version != self.table.version
+        if stale and now - self._planned_at >= PLAN_SECONDS:
+            self._make_plan(now)
+        self._choose_reading(now)
+        self._look_over_links()
+
+    def _look_over_links(self) -> None:
+        # A fetch that failed is tried again from here, as long as any link claims more.
+        for link in (*self._outbound.live, *self._inbound):
+            if link.status is not None and link.status.revision > self._follower.revision:
+                self.take_claims(link.status)
+        told = self._account()
+        key = (told.revision, told.version, told.leaving, told.model, told.service)
+        if key != self._last_told:
+            self._last_told = key
+            self.wake_all()
+
+    def _make_plan(self, now: float) -> None:
+        self._planned_version = self.table.version
+        self._planned_at = now
+        members = {record.name: record.instance for record in self.table.usable(now)}
+        staying = [r.instance for r in self.table.usable(now) if not r.leaving]
+        self._plan = ReaderPlan((*staying, instance_from(self._account())))
+        wanted = [members[name] for name in self._plan.parents(self._settings.name)]
+        self._outbound.keep(wanted, now)
+
+    def _choose_reading(self, now: float) -> None:
+        if self._outbound.live or any(link.gossip for link in self._inbound):
+            self._connected_at = now
+        alone = now - self._connected_at > ALONE_SECONDS
+        reads = alone or self._plan.is_reader(self._settings.name)
+        if reads == self.reads_service:
+            return
+        self.reads_service = reads
+        self.lists.set_reads_often(reads)
+        if reads:
+            self._log.write(Event.READER_STARTED, alone=alone)
+            self._reading = self._tasks.start(
+                "configuration", self._follower.run(READER_WATCH_SECONDS)
+            )
+        else:
+            self._log.write(Event.READER_STOPPED)
+            self._reading.cancel()
+
+    def _judge_isolation(self, now: float) -> None:
+        looks = self.table.looks_isolated(self._outbound.names)
+        if not looks:
+            self.table.isolated = False
+        elif self._asking is None or self._asking.done():
+            if not self.table.isolated:
+                self._log.write(Event.MAYBE_ISOLATED, watched=len(self._outbound.names))
+            self.table.isolated = True
+            self._asking = self._tasks.start("isolation", self._ask_whether_isolated())
+
+    async def _ask_whether_isolated(self) -> None:
+        # Others that answer prove that the silent ones, and not this process, are gone.
+        self.table.isolated = not await self.verify()
+        await asyncio.sleep(ISOLATION_ASK_SECONDS)
+
+    def _choose_asked(self, now: float) -> list[Instance]:
+        usable = [record.instance for record in self.table.usable(now)]
+        parents = set(self._plan.parents(self._settings.name))
+        near = [instance for instance in usable if instance.name in parents]
+        far = [instance for instance in usable if instance.name not in parents]
+        chosen = near[: PEERS_ASKED - 1]
+        return chosen + random.sample(far, min(len(far), PEERS_ASKED - len(chosen)))
+
+    async def _ask(self, instance: Instance) -> bool:
+        host, port = instance.host, instance.peer_port
+        try:
+            reply = await peer_client.fetch_configuration(host, port, "")
+        except CodedError:
+            return False
+        self._fetcher.take_claim(reply.revision, reply.digest, host, port)
+        return True
+
+    def _notice_pause(self, now: float) -> None:
+        seconds = self._gap.observe(now)
+        if not seconds:
+            return
+        self._log.write(Event.PROCESS_PAUSED, seconds=round(seconds, 2))
+        self.table.forgive(seconds)
+        self._outbound.forgive(seconds)
+        for link in self._inbound:
+            link.heard_at += seconds
+        for call in self.on_pause:
+            call(seconds)
+        self._tasks.start("verify", self._verify_quietly())
+
+    async def _verify_quietly(self) -> None:
+        await self.verify()
+
+    def _take_list(self) -> None:
+        now = asyncio.get_running_loop().time()
+        implausible = self.table.list_is_implausible
+        self.table.take_list(self.lists.roster.instances, now)
+        if self.table.list_is_implausible and not implausible:
+            self._log.write(Event.LIST_IMPLAUSIBLE, listed=len(self.lists.roster.instances))
+        self.wake_all()
+
+    def _take_answer(self, asked_at: float) -> None:
+        self._gap.confirm(asked_at, asyncio.get_running_loop().time())
+
+    def _pass_on_news(self) -> None:
+        fresh = self.table.take_news_to_pass_on()
+        for news in fresh:
+            self._news.add(news)
+        if fresh:
+            self.wake_all()
+
+    def _own_news(self) -> MemberNews:
+        own = self._account()
+        alive = MemberState.ALIVE
+        return MemberNews(own.name, alive, own.incarnation, own.sequence, own.leaving)
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -21,6 +21,9 @@
 from ..observe.event_log import EventLog
 from ..peers.configuration_follower import ConfigurationFollower
 from ..peers.listed_membership import ListedMembership
+from ..peers.membership import Membership
+from ..peers.peer_membership import PeerMembership
+from ..peers.peer_node import PeerNode
 from ..platform.http_blob_source import make_blob_source
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
@@ -52,7 +55,13 @@
         service = make_configuration_service(self._client, settings.platform.configuration)
         self.follower = ConfigurationFollower(service, settings.site, log)
         directory = make_instance_directory(self._client, settings.platform.instances)
-        self.membership = ListedMembership(directory)
+        self.node = PeerNode(
+            settings, directory, self.follower, self.status, log, self._report_failure
+        )
+        self._listed = ListedMembership(directory)
+        self.membership: Membership = PeerMembership(self.node.table)
+        if settings.control == "service":
+            self.membership = self._listed
         if settings.endpoint.kind == "engine":
             self._make_engine_side(settings)
         else:
@@ -80,22 +89,31 @@
         sockets = netutil.bind_sockets(listen.http_port, listen.host)
         self._port = sockets[0].getsockname()[1]
         httpserver.HTTPServer(application).add_sockets(sockets)
-        self.tasks.start("configuration", self.follower.run())
-        self.tasks.start("membership", self.membership.run())
+        if self._settings.control == "service":
+            self.tasks.start("configuration", self.follower.run())
+            self.tasks.start("membership", self._listed.run())
+        else:
+            await self.node.start()
         if self.versions is not None:
             self.tasks.start("versions", self.versions.run())
             self.tasks.start("load", self._read_load())
         self._log.write(
-            Event.DAEMON_STARTED, role="sidecar", port=self._port, incarnation=self._incarnation
+            Event.DAEMON_STARTED,
+            role="sidecar",
+            port=self._port,
+            peer_port=self.node.peer_port,
+            incarnation=self._incarnation,
         )
 
     async def stop(self) -> None:
         """Leaves gracefully: takes no new work, ends what is in progress, then stops."""
         self.leaving = True
+        self.node.wake_all()
         self._log.write(Event.DAEMON_LEAVING, in_progress=self.requests.count)
         await asyncio.sleep(LEAVING_NOTICE_SECONDS)
         await self.requests.wait_until_idle(self._settings.drain_seconds)
         await self.tasks.cancel_all()
+        await self.node.stop()
         self._log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
 
     def status(self) -> Status:
@@ -114,6 +132,7 @@
             data_centre=self._settings.data_centre,
             host=self._settings.listen.host,
             http_port=self._port,
+            peer_port=self.node.peer_port,
             revision=self.follower.revision,
             config_digest=current.digest if current else "",
             model=endpoint.model if endpoint else "",
@@ -124,6 +143,10 @@
             chunks_wanted=versions.chunks_wanted if versions else 0,
             leaving=self.leaving,
             load=self._load,
+            refused_revision=self.follower.refused_revision,
+            refused_reason=self.follower.refused_reason,
+            alarm=self.follower.book.alarm,
+            reads_service=self.node.reads_service,
         )
 
     async def cancel(self, attempt_id: str) -> None:
