Open a stream with its first message before receiving

grpclib sends a request with its first message, so a gossiping watcher that received first failed each time and every process read the service alone.

--- a/wasabidrum/peers/peer_client.py
+++ b/wasabidrum/peers/peer_client.py
@@ -52,8 +52,8 @@
     async with open_channel(host, port) as channel:
         method = client.StreamStreamMethod(channel, peer_messages.WATCH_PATH, Push, Push)
         async with method.open() as stream:
-            if not link.gossip:
-                await stream.send_message(link.next_push())
+            # grpclib opens the stream with the first message, before which it cannot receive.
+            await stream.send_message(link.next_push())
             await link.run(stream, pushes=link.gossip)
 
 
