Play everything at once from a seed, and judge it by callers and endpoints

Cause: failures were met one at a time only. The soak kills, freezes, drains and replaces daemons, changes versions and overlays and spoils the platform at random under live load.

Conclusion: a start; links are not spoilt and callers do not resend yet.

--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,294 @@
+"""Everything at once: a random schedule of failures and changes under live load.
+
+The schedule follows from the seed alone, so that one that shows a fault can be played again:
+`python -m bench.soak --seed 3 --seconds 60`. What the daemons do meanwhile is not replayed,
+so a fault may need several plays of its seed.
+"""
+
+import argparse
+import asyncio
+import collections
+import json
+import random
+import signal
+import sys
+
+from .caller import Caller
+from .cluster import Cluster, Member
+from .fleet_files import make_base
+
+REGIONS = ("rift-a", "nbi-a", "msa-a")
+ENGINES = 6
+SERVICES = 3
+VERSION_BYTES = 4 * 1_048_576
+CHUNK_BYTES = 262_144
+LOAD_PER_SECOND = 25.0
+TOKENS = 20
+CONVERGE_SECONDS = 60.0
+LEAVING_LIST_LAG_SECONDS = 3.0
+SMALLEST_LOAD_TO_JUDGE = 20
+
+
+class Soak:
+    """Plays one schedule against one fleet and judges what callers and endpoints saw."""
+
+    def __init__(self, cluster: Cluster, seed: int, seconds: float) -> None:
+        self._cluster = cluster
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._engines = {f"worker-{i + 1}": REGIONS[i % 3] for i in range(ENGINES)}
+        self._services = {f"tally-{i + 1}": REGIONS[i] for i in range(SERVICES)}
+        self._roots: dict[str, str] = {}
+        self._version = ""
+        self._marker = 0
+        self._highest: dict[int, int] = {}
+        self._bad_activations: dict[int, int] = {}
+        self.going_back: list[str] = []
+        self.played: list[str] = []
+        self.caller = Caller([], seed)
+
+    async def start(self) -> None:
+        """Starts the fleet and waits until it answers."""
+        cluster = self._cluster
+        await cluster.start_platform()
+        started = [
+            cluster.start_sidecar(name, region, options=self._engine_options(name))
+            for name, region in self._engines.items()
+        ]
+        started += [
+            cluster.start_sidecar(name, region, "service")
+            for name, region in self._services.items()
+        ]
+        started += [cluster.start_entry(f"entry-{i + 1}", REGIONS[i]) for i in range(2)]
+        await asyncio.gather(*started)
+        await cluster.publish_instances()
+        await self._publish_new_version()
+        await cluster.wait_until(self._converged, CONVERGE_SECONDS, "the first version")
+        await asyncio.sleep(2.0)
+        self._note_entry_ports()
+
+    async def play(self) -> None:
+        """Plays the schedule under load, then waits until the fleet has converged."""
+        loop = asyncio.get_running_loop()
+        load = asyncio.ensure_future(
+            self.caller.run_open_loop(LOAD_PER_SECOND, self._seconds, TOKENS)
+        )
+        watch = asyncio.ensure_future(self._watch())
+        ends = loop.time() + self._seconds - 3.0
+        actions = [
+            self._kill_and_replace_sidecar,
+            self._kill_and_replace_sidecar,
+            self._stop_and_wake_sidecar,
+            self._stop_and_wake_sidecar,
+            self._replace_sidecar_gracefully,
+            self._replace_entry_gracefully,
+            self._publish_new_version,
+            self._publish_new_version,
+            self._publish_overlay,
+            self._spoil_configuration,
+            self._spoil_sources,
+        ]
+        while loop.time() < ends:
+            await asyncio.sleep(self._random.uniform(0.2, 1.2))
+            action = self._random.choice(actions)
+            self.played.append(action.__name__.strip("_"))
+            await action()
+        await self._cluster.control("faults", {})
+        await load
+        self.seconds_to_converge = await self._cluster.wait_until(
+            self._converged, CONVERGE_SECONDS, "the fleet on the last revision and version"
+        )
+        watch.cancel()
+
+    def judge(self) -> dict[str, object]:
+        """Returns the figures, those that must be zero by the promises among them."""
+        runs: collections.Counter = collections.Counter()
+        for journal in self._cluster.folder.glob("*.journal"):
+            runs.update(journal.read_text().split())
+        charges = self.caller.charges
+        counts = self.caller.counts
+        return {
+            "requests": counts["requests"],
+            "whole": counts["whole"],
+            "refused": counts["refused"],
+            "unknown": counts["unknown"],
+            "failed": counts["failed"],
+            "seconds_to_converge": round(self.seconds_to_converge, 2),
+            "wrong": counts["wrong"],
+            "mixed": counts["mixed"],
+            "lost": counts["lost"],
+            "charges": counts["charges"],
+            "double_runs": sum(1 for count in runs.values() if count > 1),
+            "false_not_run": sum(1 for m, what in charges.items() if what == "refused" and runs[m]),
+            "false_done": sum(1 for m, what in charges.items() if what == "whole" and not runs[m]),
+            "reverted": len(self.going_back),
+            "bad_activations": sum(self._bad_activations.values()),
+        }
+
+    def _engine_options(self, name: str) -> tuple[str, ...]:
+        # Every other engine ignores old fencing numbers, so that both kinds are met.
+        return ("--fencing",) if int(name[-1]) % 2 else ()
+
+    def _note_entry_ports(self) -> None:
+        members = self._cluster.members.values()
+        self.caller.entry_ports[:] = [
+            m.caller_port for m in members if m.role == "entry" and m.state == "live"
+        ]
+
+    def _base(self) -> dict[str, object]:
+        base = make_base(self._roots, self._version, self._engines, self._services, VERSION_BYTES)
+        # The marker makes each revision differ, as a change of a limit would.
+        base["limits"] = {"largest_deadline_seconds": 600.0 + self._marker}
+        return base
+
+    async def _publish_new_version(self) -> None:
+        seed = len(self._roots) + 1
+        self._version = f"v{seed}"
+        self._roots[self._version] = await self._cluster.make_version(
+            total_bytes=VERSION_BYTES,
+            chunk_bytes=CHUNK_BYTES,
+            seed=seed,
+            changed_fraction=self._random.choice((0.2, 1.0)),
+        )
+        await self._cluster.publish(self._base())
+
+    async def _publish_overlay(self) -> None:
+        self._marker += 1
+        overlay = {"limits": {"default_deadline_seconds": 20.0 + self._marker % 5}}
+        await self._cluster.publish(self._base(), {self._random.choice(REGIONS): overlay})
+
+    async def _spoil_configuration(self) -> None:
+        kind = self._random.choice(("down", "hang", "stale"))
+        stale = max(1, self._cluster.revision - self._random.randrange(1, 4))
+        faults = {"configuration": kind, "stale_revision": stale}
+        await self._cluster.control("faults", faults)
+        await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        await self._cluster.control("faults", {})
+
+    async def _spoil_sources(self) -> None:
+        await self._cluster.control("faults", {"origin": "down"})
+        await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        await self._cluster.control("faults", {})
+
+    def _choose_sidecar(self) -> Member:
+        members = self._cluster.members
+        names = [n for n, m in members.items() if m.role == "sidecar" and m.state == "live"]
+        return members[self._random.choice(sorted(names))]
+
+    async def _start_again(self, gone: Member, with_endpoint: bool) -> None:
+        endpoint = None if with_endpoint else (gone.endpoint, gone.endpoint_port)
+        options = self._engine_options(gone.name) if gone.kind == "engine" else ()
+        await self._cluster.start_sidecar(
+            gone.name, gone.region, gone.kind, options=options, endpoint=endpoint
+        )
+        await self._cluster.publish_instances()
+
+    async def _kill_and_replace_sidecar(self) -> None:
+        member = self._choose_sidecar()
+        with_endpoint = self._random.random() < 0.5
+        await member.daemon.kill()
+        if with_endpoint:
+            await member.endpoint.kill()
+        await asyncio.sleep(self._random.uniform(0.1, 1.0))
+        await self._start_again(member, with_endpoint)
+
+    async def _stop_and_wake_sidecar(self) -> None:
+        member = self._choose_sidecar()
+        member.daemon.send(signal.SIGSTOP)
+        if self._random.random() < 0.5:
+            await self._publish_new_version()
+        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        member.daemon.send(signal.SIGCONT)
+
+    async def _replace_sidecar_gracefully(self) -> None:
+        member = self._choose_sidecar()
+        member.daemon.send(signal.SIGTERM)
+        # The list goes on saying that the instance is live, as a lagging list does.
+        await member.daemon.wait(LEAVING_LIST_LAG_SECONDS * 5)
+        await self._start_again(member, with_endpoint=False)
+
+    async def _replace_entry_gracefully(self) -> None:
+        members = self._cluster.members
+        name = self._random.choice(("entry-1", "entry-2"))
+        old = members[name]
+        old.state = "leaving"
+        self._note_entry_ports()
+        await asyncio.sleep(0.3)
+        old.daemon.send(signal.SIGTERM)
+        await self._cluster.start_entry(name, old.region)
+        await self._cluster.publish_instances()
+        await asyncio.sleep(2.0)
+        self._note_entry_ports()
+
+    async def _watch(self) -> None:
+        while True:
+            for member in list(self._cluster.members.values()):
+                if not member.daemon.alive:
+                    continue
+                try:
+                    async with asyncio.timeout(0.5):
+                        await self._look_at(member)
+                except (OSError, TimeoutError):
+                    continue
+            await asyncio.sleep(0.2)
+
+    async def _look_at(self, member: Member) -> None:
+        if member.kind == "engine" and member.endpoint.alive:
+            counters = await self._cluster.counters(member.endpoint_port)
+            self._bad_activations[member.endpoint_port] = counters["bad_activations"]
+        status = await self._cluster.get_json(member.http_port, "/internal/status")
+        highest = self._highest.get(member.http_port, 0)
+        if status["revision"] < highest:
+            self.going_back.append(f"{member.name}: {highest} to {status['revision']}")
+        self._highest[member.http_port] = max(highest, status["revision"])
+
+    async def _converged(self) -> bool:
+        for member in list(self._cluster.members.values()):
+            status = await self._cluster.get_json(member.http_port, "/internal/status")
+            if status["revision"] != self._cluster.revision:
+                return False
+            if member.kind != "engine":
+                continue
+            counters = await self._cluster.counters(member.endpoint_port)
+            if counters["active"] != self._version:
+                return False
+        return True
+
+
+MUST_BE_ZERO = ("wrong", "mixed", "lost", "double_runs", "false_not_run", "false_done")
+MUST_BE_ZERO += ("reverted", "bad_activations")
+
+
+def broken_promises(figures: dict[str, object]) -> list[str]:
+    """Returns the names of the figures that break a promise."""
+    broken = [name for name in MUST_BE_ZERO if figures[name]]
+    if figures["requests"] < SMALLEST_LOAD_TO_JUDGE or not figures["whole"]:
+        broken.append("whole")
+    return broken
+
+
+async def play_soak(seed: int, seconds: float) -> tuple[dict[str, object], list[str]]:
+    """Plays one schedule; returns its figures and what an examiner needs to know of it."""
+    async with Cluster() as cluster:
+        soak = Soak(cluster, seed, seconds)
+        await soak.start()
+        await soak.play()
+        return soak.judge(), soak.played + soak.caller.problems[:20] + soak.going_back
+
+
+def main() -> int:
+    """Plays one schedule and prints its figures; exit status 1 where a promise broke."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    options = parser.parse_args()
+    figures, notes = asyncio.run(play_soak(options.seed, options.seconds))
+    for note in notes:
+        print(note)
+    broken = broken_promises(figures)
+    print(json.dumps({"soak": options.seed, "broken": broken} | figures))
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
