Let a proxy's port be listed in place of a member's own

Cause: tests of bad links need the fleet to reach a daemon through the fault-injecting proxy. Before: each test would have rewritten the list by hand. After: put_proxy_before(member). Conclusion: no behaviour changed.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -35,6 +35,13 @@
     endpoint_port: int = 0
     kind: str = ""
     state: str = "live"
+    proxy_port: int = 0
+    proxy_control_port: int = 0
+
+    @property
+    def listed_port(self) -> int:
+        """The HTTP port that the platform lists: that of the proxy where there is one."""
+        return self.proxy_port or self.http_port
 
 
 class Cluster:
@@ -98,6 +105,10 @@
         process = await self.launch("proxy", "standins.fault_proxy", *arguments)
         return process, await process.read_port(), await process.read_port("CONTROL")
 
+    async def put_proxy_before(self, member: Member) -> None:
+        """Puts a fault-injecting proxy before a member's HTTP port, to be listed instead."""
+        _, member.proxy_port, member.proxy_control_port = await self.start_proxy(member.http_port)
+
     async def start_sidecar(
         self,
         name: str,
@@ -164,7 +175,7 @@
                 "region": member.region,
                 "data_centre": member.data_centre,
                 "host": "127.0.0.1",
-                "http_port": member.http_port,
+                "http_port": member.listed_port,
                 "peer_port": member.peer_port,
                 "state": member.state,
             }
