Check the fleet's files and settings whole, every finding with its place

Cause: settings and published values were refused with msgspec's first fault and no place, and an operator had nothing to run before publishing.

A file is composed to nodes for the places, read out with bounds on size, depth and aliases, and compared with the struct types in one walk. Contradictions are looked for in the base and in each site's rendering, by the same functions in the tool and in the daemons. Nested types now refuse unknown keys too, and values have ranges.

Without the new code the failure tests cannot pass: the plain reader stopped at the first fault, at 0:0, and read a map with a key named twice, and a value with unknown keys in models or workspaces, without a word.

One value is decided on leniently: a version's size of 0 bytes is allowed, since it only feeds estimates and existing files state it.

--- a/wasabidrum/config/settings.py
+++ b/wasabidrum/config/settings.py
@@ -1,7 +1,15 @@
 """The settings of one process: who it is, where it listens, whom it talks to."""
 
+import typing
+
 import msgspec
 
+Name = typing.Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Positive = typing.Annotated[float, msgspec.Meta(gt=0.0)]
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0.0)]
+Size = typing.Annotated[int, msgspec.Meta(ge=1)]
+
 
 class ListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where a daemon listens; port 0 takes a free one.
@@ -13,9 +21,9 @@
     """
 
     host: str = "127.0.0.1"
-    caller_port: int = 0
-    http_port: int = 0
-    peer_port: int = 0
+    caller_port: Port = 0
+    http_port: Port = 0
+    peer_port: Port = 0
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -30,10 +38,24 @@
 class EndpointSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The endpoint beside a sidecar: a model engine or a plain service."""
 
-    kind: str
+    kind: typing.Literal["engine", "service"]
     url: str
 
 
+class TlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Paths of the PEM files with which the fleet's processes prove who they are.
+
+    Attributes:
+      certificate: This process's certificate, with any intermediate ones.
+      key: The certificate's private key.
+      authority: The certificates of the authority that signs for the whole fleet.
+    """
+
+    certificate: str
+    key: str
+    authority: str
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One process's settings.
 
@@ -45,17 +67,19 @@
       chunk_memory_bytes: The most that a sidecar holds of weights for its peers.
       drain_seconds: How long a graceful shutdown waits for requests in progress.
       log_file: Where log lines go; empty for standard error.
+      tls: Mutual TLS between the fleet's processes; none where left out.
     """
 
-    name: str
-    role: str
-    site: str
-    region: str
-    data_centre: str
+    name: Name
+    role: typing.Literal["entry", "sidecar"]
+    site: Name
+    region: Name
+    data_centre: Name
     platform: PlatformSettings
     listen: ListenSettings = ListenSettings()
     endpoint: EndpointSettings | None = None
-    link_mbit: float = 1000.0
-    chunk_memory_bytes: int = 268_435_456
-    drain_seconds: float = 60.0
+    link_mbit: Positive = 1000.0
+    chunk_memory_bytes: Size = 268_435_456
+    drain_seconds: NotNegative = 60.0
     log_file: str = ""
+    tls: TlsSettings | None = None
--- a/wasabidrum/config/settings_file.py
+++ b/wasabidrum/config/settings_file.py
@@ -1,10 +1,11 @@
 """Reads the settings file of one process."""
 
 import msgspec
-import yaml
 
 from ..core.finding import Finding
+from .problem import Problem
 from .settings import Settings
+from .yaml_file import read_yaml_file
 
 
 def read_settings(path: str) -> tuple[Settings | None, list[Finding]]:
@@ -13,11 +14,38 @@
     Returns:
       The settings, or None with every finding.
     """
+    tree, findings = read_yaml_file(path)
+    if findings:
+        return None, findings
     try:
-        with open(path, encoding="utf-8") as stream:
-            tree = yaml.load(stream, Loader=yaml.CSafeLoader)
-        return msgspec.convert(tree, Settings), []
-    except OSError as error:
-        return None, [Finding(path, 0, 0, "SETTINGS-UNREADABLE", str(error))]
-    except (yaml.YAMLError, msgspec.ValidationError) as error:
-        return None, [Finding(path, 0, 0, "SETTINGS-INVALID", str(error))]
+        settings = msgspec.convert(tree.values, Settings)
+        problems = check_settings(settings)
+    except msgspec.ValidationError:
+        # Imported where it is needed: a daemon whose settings are sound never loads it.
+        from .struct_check import check_struct
+
+        problems = check_struct(tree.values, Settings, partial=False)
+    if problems:
+        return None, sorted(tree.place(problem) for problem in problems)
+    return settings, []
+
+
+def check_settings(settings: Settings) -> list[Problem]:
+    """Returns what contradicts itself in settings whose values have the right types."""
+    problems = []
+    if settings.role == "sidecar" and settings.endpoint is None:
+        message = "a sidecar needs the key endpoint, which says what stands beside it"
+        problems.append(Problem(("role",), "ENDPOINT-MISSING", message))
+    if settings.role == "entry" and settings.endpoint is not None:
+        message = "an entry has no endpoint beside it"
+        problems.append(Problem(("endpoint",), "ENDPOINT-UNUSED", message))
+    urls = [("platform", key) for key in ("configuration", "instances", "origin", "store")]
+    values = [getattr(settings.platform, key) for _, key in urls]
+    if settings.endpoint is not None:
+        urls.append(("endpoint", "url"))
+        values.append(settings.endpoint.url)
+    for path, url in zip(urls, values, strict=True):
+        if url and not url.startswith(("http://", "https://")):
+            message = f"{'.'.join(path)} must begin with http:// or https://"
+            problems.append(Problem(path, "URL-FORM", message))
+    return problems
--- a/wasabidrum/core/fleet.py
+++ b/wasabidrum/core/fleet.py
@@ -1,16 +1,28 @@
-"""The configuration in force at one site, as typed data."""
+"""The configuration in force at one site, as typed data.
+
+docs/CONFIGURATION.md explains each key; a test holds that page and these types equal. A new
+key comes with a new schema number, so that two versions of the daemon accept alike.
+"""
+
+import typing
 
 import msgspec
 
+Digest = typing.Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
+Fraction = typing.Annotated[float, msgspec.Meta(gt=0.0, le=1.0)]
+Positive = typing.Annotated[float, msgspec.Meta(gt=0.0)]
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0.0)]
+Size = typing.Annotated[int, msgspec.Meta(ge=1)]
+
 
-class VersionSpec(msgspec.Struct, frozen=True):
+class VersionSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A published version: the digest of its manifest and its size in bytes."""
 
-    root: str
-    bytes: int
+    root: Digest
+    bytes: typing.Annotated[int, msgspec.Meta(ge=0)]
 
 
-class ModelSpec(msgspec.Struct, frozen=True):
+class ModelSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A model, the version that is to be in force, and every version that may be.
 
     Attributes:
@@ -23,10 +35,10 @@
     version: str
     versions: dict[str, VersionSpec]
     adapters: dict[str, VersionSpec] = {}
-    away_fraction: float = 0.25
+    away_fraction: Fraction = 0.25
 
 
-class EndpointSpec(msgspec.Struct, frozen=True):
+class EndpointSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An endpoint, by the name of the slot that its instance fills.
 
     Attributes:
@@ -39,11 +51,11 @@
     region: str
     model: str = ""
     service: str = ""
-    role: str = "mixed"
+    role: typing.Literal["mixed", "prefill", "decode"] = "mixed"
     fencing: bool = False
 
 
-class ServiceCall(msgspec.Struct, frozen=True):
+class ServiceCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One call of a plain service. A call that is not listed is not idempotent.
 
     Attributes:
@@ -53,16 +65,16 @@
     path: str
     method: str = "POST"
     idempotent: bool = False
-    priority: str = "charge"
+    priority: typing.Literal["charge", "read"] = "charge"
 
 
-class ServiceSpec(msgspec.Struct, frozen=True):
+class ServiceSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A plain service and what is known of its calls."""
 
     calls: tuple[ServiceCall, ...] = ()
 
 
-class WorkspaceSpec(msgspec.Struct, frozen=True):
+class WorkspaceSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A workspace: who its callers are, what they may reach, and its share.
 
     Attributes:
@@ -73,28 +85,28 @@
       tokens_per_second: The most it may generate, or zero for no limit of its own.
     """
 
-    key_digests: tuple[str, ...]
+    key_digests: tuple[Digest, ...]
     models: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
-    share: float = 1.0
-    tokens_per_second: float = 0.0
+    share: Positive = 1.0
+    tokens_per_second: NotNegative = 0.0
 
 
-class LinkSpec(msgspec.Struct, frozen=True):
+class LinkSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Link rates in megabits a second, and the parts that weights may use."""
 
-    between_regions_mbit: float = 13.0
-    instance_mbit: float = 1000.0
-    weights_fraction_between_regions: float = 0.7
-    weights_fraction_instance: float = 0.7
+    between_regions_mbit: Positive = 13.0
+    instance_mbit: Positive = 1000.0
+    weights_fraction_between_regions: Fraction = 0.7
+    weights_fraction_instance: Fraction = 0.7
 
 
-class LimitSpec(msgspec.Struct, frozen=True):
+class LimitSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bounds on what one caller may send and how long it may take."""
 
-    body_bytes: int = 1_048_576
-    default_deadline_seconds: float = 30.0
-    largest_deadline_seconds: float = 600.0
+    body_bytes: Size = 1_048_576
+    default_deadline_seconds: Positive = 30.0
+    largest_deadline_seconds: Positive = 600.0
 
 
 class Fleet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/wasabidrum/scripts/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the operators' tool, one module each."""
