Run each charge at most once, by keys that name who may run it

A non-idempotent call now carries a key that names one sidecar incarnation and an expiry in that incarnation's own time; the sidecar remembers it, joins, replays or refuses copies, and an entry asks the same sidecar again after a lost answer. Before, calls were sent on once and every lost answer was unknown for good.

The state machine over the ledger (300 examples of 40 steps) finds no key that ran twice and no false not_run.

--- a/wasabidrum/core/errors.py
+++ b/wasabidrum/core/errors.py
@@ -11,9 +11,11 @@
       http_status: The status of the reply that carries this error.
       outcome: What the caller may conclude about its request.
       retry_after: Seconds after which asking again may help, or None.
+      idempotency_key: With UNKNOWN, the key under which a resend learns the result; with
+        NOT_RUN, a new key under which the call may be sent; else empty.
     """
 
-    __slots__ = ("code", "http_status", "outcome", "retry_after")
+    __slots__ = ("code", "http_status", "outcome", "retry_after", "idempotency_key")
 
     def __init__(
         self,
@@ -28,3 +30,4 @@
         self.http_status = http_status
         self.outcome = outcome
         self.retry_after = retry_after
+        self.idempotency_key = ""
--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -21,6 +21,7 @@
       chunks_held: How many chunks of the version being fetched are at hand.
       leaving: Whether the daemon takes no new work.
       load: The endpoint's load as this daemon sees it.
+      uptime: Seconds since this incarnation started, by its own monotonic clock.
       failed_version: The version that the endpoint could not load, or empty.
     """
 
@@ -44,3 +45,4 @@
     leaving: bool = False
     load: Load = Load()
     failed_version: str = ""
+    uptime: float = 0.0
--- /dev/null
+++ b/wasabidrum/decisions/keyed_key.py
@@ -0,0 +1,72 @@
+"""Keys that name the one sidecar incarnation which may run a call, and until when.
+
+Nothing of the fleet outlives its process, so nobody can look up who may run a call. The key
+itself says so. Its times count from the start of the incarnation that it names: no wall
+clock takes part, so neither a stepped clock nor two clocks that differ can prolong a key.
+"""
+
+import re
+import secrets
+
+import msgspec
+
+LONGEST_LIFETIME_SECONDS = 900.0
+LONGEST_KEY = 255
+KEY_PATTERN = re.compile(
+    r"wk1\.([0-9a-z-]{1,64})\.(0|[1-9][0-9]{0,14})\.([1-9][0-9]{0,8})\.([0-9a-f]{24})\.([!-~]{1,99})"
+)
+
+
+class KeyedKey(msgspec.Struct, frozen=True):
+    """One key.
+
+    Attributes:
+      endpoint: The slot of the sidecar, by which entries find its address.
+      incarnation: The only incarnation of that sidecar that may run a call with this key.
+      issued_ms: When it was issued, in milliseconds since that incarnation started.
+      lifetime_ms: How long after that a call may still start.
+      nonce: What tells keys apart that were issued in the same millisecond.
+    """
+
+    endpoint: str
+    incarnation: str
+    issued_ms: int
+    lifetime_ms: int
+    nonce: str
+
+    @property
+    def issued(self) -> float:
+        """When it was issued, in seconds since the incarnation started."""
+        return self.issued_ms / 1000.0
+
+    @property
+    def expires(self) -> float:
+        """When it expires, in seconds since the incarnation started."""
+        return (self.issued_ms + self.lifetime_ms) / 1000.0
+
+    def __str__(self) -> str:
+        times = f"{self.issued_ms}.{self.lifetime_ms}"
+        return f"wk1.{self.incarnation}.{times}.{self.nonce}.{self.endpoint}"
+
+
+def make_key(endpoint: str, incarnation: str, uptime: float, lifetime: float) -> KeyedKey:
+    """Returns a new key.
+
+    Args:
+      uptime: How long the incarnation has run by now, in seconds.
+      lifetime: In seconds; shortened to the longest allowed.
+    """
+    lifetime = min(max(lifetime, 0.001), LONGEST_LIFETIME_SECONDS)
+    times = (max(0, int(uptime * 1000)), max(1, int(lifetime * 1000)))
+    return KeyedKey(endpoint, incarnation, *times, secrets.token_hex(12))
+
+
+def parse_key(text: str) -> KeyedKey | None:
+    """Returns the key that a text spells, or None where the system never issued such a text.
+
+    A key has one spelling, so that two spellings cannot pass for two keys of one call.
+    """
+    match = KEY_PATTERN.fullmatch(text) if len(text) <= LONGEST_KEY else None
+    if match is None or int(match[3]) > LONGEST_LIFETIME_SECONDS * 1000:
+        return None
+    return KeyedKey(match[5], match[1], int(match[2]), int(match[3]), match[4])
--- /dev/null
+++ b/wasabidrum/decisions/keyed_ledger_test.py
@@ -0,0 +1,230 @@
+"""Tests of the ledger: one run a key, and no false "not run", whatever the order of things."""
+
+import collections
+import unittest
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from .keyed_key import LONGEST_KEY, KeyedKey, make_key, parse_key
+from .keyed_ledger import KeyedLedger, make_ledger
+from .keyed_record import KeptAnswer
+from .keyed_verdict import Verdict
+
+WORKSPACES = ("stationers", "printers")
+BODIES = (b"a", b"b")
+MOST_RECORDS = 4
+MOST_ANSWER_BYTES = 25
+
+
+class World(stateful.RuleBasedStateMachine):
+    """Keys, copies in flight, two slots whose incarnations are replaced, and callers.
+
+    The machine plays the network and the callers: a copy may be delivered at any later
+    time, any number of times, to any incarnation that still lives, also to one that was
+    replaced but never stopped.
+    """
+
+    keys = stateful.Bundle("keys")
+    copies = stateful.Bundle("copies")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ledgers: dict[str, KeyedLedger] = {}
+        self.started_at: dict[str, float] = {}
+        self.time = 0.0
+        self.runs: collections.Counter = collections.Counter()
+        self.running: list[tuple[str, str, KeyedKey, bytes]] = []
+        self.told_not_run: set = set()
+        self.answers: dict = {}
+        for slot in ("tally-1", "tally-2"):
+            self.start(slot)
+
+    def start(self, slot: str) -> None:
+        """Starts an incarnation that remembers nothing; older ones may live on."""
+        incarnation = f"{slot}-{len(self.ledgers)}"
+        self.ledgers[incarnation] = make_ledger(incarnation, MOST_RECORDS, MOST_ANSWER_BYTES)
+        self.started_at[incarnation] = self.time
+
+    def uptime(self, incarnation: str) -> float:
+        """Returns the incarnation's time."""
+        return self.time - self.started_at[incarnation]
+
+    @stateful.rule(
+        target=keys,
+        pick=strategies.integers(0, 99),
+        lifetime=strategies.integers(1, 30),
+        lag=strategies.integers(-2, 3),
+    )
+    def issue(self, pick: int, lifetime: int, lag: int) -> KeyedKey:
+        """Issues a key by an entry whose notion of the sidecar's time lags or leads."""
+        incarnation = sorted(self.ledgers)[pick % len(self.ledgers)]
+        return make_key("tally", incarnation, self.uptime(incarnation) - lag, lifetime)
+
+    @stateful.rule(
+        target=copies,
+        key=keys,
+        workspace=strategies.sampled_from(WORKSPACES),
+        body=strategies.sampled_from(BODIES),
+        patience=strategies.integers(0, 20),
+    )
+    def send(self, key: KeyedKey, workspace: str, body: bytes, patience: int) -> tuple:
+        """Sends or resends; the copy is lost if it is never delivered."""
+        return (workspace, key, body, self.time + patience)
+
+    @stateful.rule(copy=copies, pick=strategies.integers(0, 99))
+    def deliver(self, copy: tuple, pick: int) -> None:
+        """Delivers a copy, once more if it was before, to any incarnation."""
+        incarnation = sorted(self.ledgers)[pick % len(self.ledgers)]
+        workspace, key, body, deadline = copy
+        start_before = deadline - self.started_at[incarnation]
+        ledger = self.ledgers[incarnation]
+        verdict = ledger.begin(workspace, key, body, self.uptime(incarnation), start_before)
+        call = (workspace, key, body)
+        if verdict.verdict is Verdict.RUN:
+            assert self.time < deadline
+            self.runs[workspace, key] += 1
+            self.running.append((incarnation, *call))
+            assert call not in self.told_not_run, "ran after not_run was told"
+        elif verdict.verdict is Verdict.NOT_RUN:
+            self.told_not_run.add(call)
+            assert not self.runs[workspace, key], "not_run was told of a call that ran"
+        elif verdict.verdict is Verdict.REPLAY:
+            if verdict.answer.body is not None:
+                assert verdict.answer.body == self.answers[call], "another's answer"
+        elif verdict.verdict is Verdict.JOIN:
+            assert (incarnation, *call) in self.running
+        assert ledger.size <= MOST_RECORDS
+        assert ledger.answer_bytes <= MOST_ANSWER_BYTES
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(
+        pick=strategies.integers(0, 99), end=strategies.sampled_from(("done", "lost", "refused"))
+    )
+    def finish(self, pick: int, end: str) -> None:
+        """Ends a run: answered, lost with the service, or refused before any byte."""
+        incarnation, workspace, key, body = self.running.pop(pick % len(self.running))
+        ledger = self.ledgers[incarnation]
+        now = self.uptime(incarnation)
+        if end == "done":
+            self.answers[workspace, key, body] = f"{workspace}{key.nonce[:6]}".encode() + body
+            answer = KeptAnswer(200, "text/plain", self.answers[workspace, key, body])
+            ledger.end_done(workspace, key, answer, now)
+        elif end == "lost":
+            ledger.end_unknown(workspace, key, "service_lost", now)
+        else:
+            self.runs[workspace, key] -= 1
+            self.told_not_run.add((workspace, key, body))
+            ledger.end_not_run(workspace, key, "service_down", now)
+
+    @stateful.rule(seconds=strategies.sampled_from((0.5, 1, 5, 40)))
+    def wait(self, seconds: float) -> None:
+        """Lets time pass; keys expire and records are forgotten."""
+        self.time += seconds
+
+    @stateful.rule(slot=strategies.sampled_from(("tally-1", "tally-2")))
+    def replace(self, slot: str) -> None:
+        """Replaces an instance while the old one lives on, paused and unaware."""
+        self.start(slot)
+
+    @stateful.rule(pick=strategies.integers(0, 99))
+    def crash(self, pick: int) -> None:
+        """Ends an incarnation with all that it remembers, and starts the next."""
+        incarnation = sorted(self.ledgers)[pick % len(self.ledgers)]
+        self.ledgers[incarnation] = make_ledger("dead", 0, 0)
+        self.running = [run for run in self.running if run[0] != incarnation]
+        self.start("tally-1")
+
+    @stateful.rule(pick=strategies.integers(0, 99))
+    def leave(self, pick: int) -> None:
+        """Has an incarnation leave."""
+        self.ledgers[sorted(self.ledgers)[pick % len(self.ledgers)]].leave()
+
+    @stateful.invariant()
+    def at_most_once(self) -> None:
+        """No key ran twice, in whatever incarnations."""
+        assert all(count <= 1 for count in self.runs.values())
+
+
+WorldTest = World.TestCase
+WorldTest.settings = hypothesis.settings(
+    max_examples=300, stateful_step_count=40, derandomize=True, deadline=None
+)
+
+
+class LedgerTest(unittest.TestCase):
+    """What the state machine may miss by chance."""
+
+    def test_a_clock_that_steps_back_makes_no_forgotten_key_young_again(self) -> None:
+        """The clock steps back after a key was forgotten, and an old copy arrives.
+
+        A family would see its charge twice.
+        """
+        ledger = make_ledger("i")
+        key = make_key("tally", "i", 0.0, 10.0)
+        self.assertIs(ledger.begin("w", key, b"f", 1.0, 9.0).verdict, Verdict.RUN)
+        ledger.end_done("w", key, KeptAnswer(200, "", b"x"), 2.0)
+        self.assertIs(ledger.begin("w", key, b"f", 11.0, 20.0).verdict, Verdict.UNKNOWN)
+        self.assertEqual(ledger.size, 0)
+        self.assertIs(ledger.begin("w", key, b"f", 1.0, 20.0).verdict, Verdict.UNKNOWN)
+
+    def test_full_ledger_refuses_a_key_for_good(self) -> None:
+        """Bursts fill the ledger; a refused call's late copy arrives when there is room again.
+
+        A caller that was told "not run" and charged anew would see two charges.
+        """
+        ledger = make_ledger("i", 1, 0)
+        first = make_key("tally", "i", 0.0, 5.0)
+        second = make_key("tally", "i", 1.0, 100.0)
+        self.assertIs(ledger.begin("w", first, b"f", 1.0, 9.0).verdict, Verdict.RUN)
+        ledger.end_unknown("w", first, "service_lost", 1.5)
+        self.assertIs(ledger.begin("w", second, b"f", 2.0, 50.0).verdict, Verdict.NOT_RUN)
+        later = ledger.begin("w", second, b"f", 10.0, 50.0)
+        self.assertEqual((later.verdict, later.code), (Verdict.NOT_RUN, "keys_full"))
+        third = make_key("tally", "i", 10.0, 100.0)
+        self.assertIs(ledger.begin("w", third, b"f", 10.0, 50.0).verdict, Verdict.RUN)
+
+    def test_answers_are_evicted_before_outcomes(self) -> None:
+        ledger = make_ledger("i", 10, 10)
+        keys = [make_key("tally", "i", 0.0, 100.0) for _ in range(3)]
+        for key in keys:
+            ledger.begin("w", key, b"f", 1.0, 9.0)
+            ledger.end_done("w", key, KeptAnswer(201, "text/plain", b"12345"), 1.0)
+        kept = [ledger.begin("w", key, b"f", 2.0, 9.0).answer for key in keys]
+        self.assertEqual([answer.body for answer in kept], [None, b"12345", b"12345"])
+        self.assertEqual(kept[0].status, 201)
+
+    def test_another_body_under_the_same_key_is_a_conflict(self) -> None:
+        ledger = make_ledger("i")
+        key = make_key("tally", "i", 0.0, 100.0)
+        ledger.begin("w", key, b"f", 1.0, 9.0)
+        self.assertIs(ledger.begin("w", key, b"g", 1.0, 9.0).verdict, Verdict.CONFLICT)
+        self.assertIs(ledger.begin("v", key, b"g", 1.0, 9.0).verdict, Verdict.RUN)
+
+
+class KeyTest(unittest.TestCase):
+    """Keys are read back as they were written, and nothing else is read as a key."""
+
+    @hypothesis.settings(derandomize=True)
+    @hypothesis.given(
+        strategies.from_regex(r"[!-~]{1,99}", fullmatch=True),
+        strategies.floats(0, 1e9),
+        strategies.floats(0, 2000),
+    )
+    def test_round_trip(self, endpoint: str, uptime: float, lifetime: float) -> None:
+        key = make_key(endpoint, "0193c-aa", uptime, lifetime)
+        self.assertEqual(parse_key(str(key)), key)
+        self.assertGreater(key.expires, key.issued)
+
+    @hypothesis.settings(derandomize=True, max_examples=500)
+    @hypothesis.given(
+        strategies.one_of(
+            strategies.text(max_size=LONGEST_KEY + 10),
+            strategies.from_regex(r"wk1\.[0-9a-z-]+\.\d+\.\d+\.[0-9a-f]+\..+"),
+        )
+    )
+    def test_reads_any_text_and_accepts_only_its_own_spelling(self, text: str) -> None:
+        key = parse_key(text)
+        if key is not None:
+            self.assertEqual(str(key), text)
+            self.assertLessEqual(key.expires - key.issued, 900.001)
--- a/wasabidrum/entry/caller_handlers.py
+++ b/wasabidrum/entry/caller_handlers.py
@@ -16,6 +16,7 @@
 from ..observe.event import Event
 from ..wire import headers
 from .caller_request import CallerRequest
+from .service_order import ServiceOrder
 
 if typing.TYPE_CHECKING:
     from .daemon import Entry
@@ -116,6 +117,8 @@
         body = {"code": error.code, "message": str(error), "outcome": error.outcome.value}
         if error.retry_after is not None:
             body["retry_after"] = error.retry_after
+        if error.idempotency_key:
+            body["idempotency_key"] = error.idempotency_key
         return {"error": body, "request_id": self.request_id}
 
     def refuse(self, error: CodedError) -> None:
@@ -276,17 +279,21 @@
             raise CodedError("service_unknown", "no such service", 404)
         if self.request.query:
             path += "?" + self.request.query
-        reply = await self.entry.services.call(
-            caller,
+        given = self.request.headers
+        order = ServiceOrder(
             service,
             self.request.method,
             path,
-            self.request.headers.get("Content-Type", "application/json"),
+            given.get("Content-Type", "application/json"),
             self.request.body,
+            given.get(headers.IDEMPOTENCY_KEY, ""),
         )
+        reply = await self.entry.services.call(caller, order)
         self.set_status(reply.status)
         self.set_header("Content-Type", reply.content_type)
         self.set_header(headers.REQUEST_ID, caller.request_id)
         self.set_header(headers.OUTCOME, Outcome.DONE.value)
+        if reply.replayed:
+            self.set_header(headers.IDEMPOTENT_REPLAYED, "true")
         self.write(reply.body)
         self.entry.log.write(Event.REQUEST_DONE, request=caller.request_id)
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -18,6 +18,7 @@
 from ..wire import http_client
 from . import caller_handlers
 from .endpoint_table import EndpointTable
+from .key_handler import KeyHandler
 from .model_call import ModelCaller
 from .service_call import ServiceCaller
 from .traffic import Traffic
@@ -58,7 +59,7 @@
         self.table = EndpointTable(client, directory)
         traffic = Traffic(self.table, log)
         self.models = ModelCaller(client, traffic)
-        self.services = ServiceCaller(client, traffic)
+        self.services = ServiceCaller(client, traffic, self.table, log)
 
     async def start(self) -> None:
         """Listens and starts the background tasks."""
@@ -67,6 +68,7 @@
             [
                 (r"/v1/completions", caller_handlers.ModelHandler, given),
                 (r"/v1/chat/completions", caller_handlers.ChatHandler, given),
+                (r"/v1/idempotency-keys", KeyHandler, given),
                 (r"/services/([^/]+)(/.*)", caller_handlers.ServiceHandler, given),
             ],
             log_function=lambda handler: None,
--- /dev/null
+++ b/wasabidrum/entry/key_handler.py
@@ -0,0 +1,52 @@
+"""POST /v1/idempotency-keys: issues a key before a caller makes a call."""
+
+import typing
+
+import msgspec
+
+from ..core.errors import CodedError
+from ..decisions.keyed_key import LONGEST_LIFETIME_SECONDS
+from ..observe.event import Event
+from ..wire import headers
+from .caller_handlers import CallerHandler
+from .key_issuer import CALLER_KEY_SECONDS
+
+
+class KeyBody(msgspec.Struct):
+    """The body: the service that is to be called, and for how long the key shall last."""
+
+    service: str
+    lifetime_seconds: typing.Annotated[float, msgspec.Meta(ge=1.0, le=LONGEST_LIFETIME_SECONDS)] = (
+        CALLER_KEY_SECONDS
+    )
+
+
+class KeyHandler(CallerHandler):
+    """Issues keys for the services that a caller's workspace may call."""
+
+    async def post(self) -> None:
+        """Answers with a new key."""
+        await self.run(self.answer())
+
+    async def answer(self) -> None:
+        """Checks the request and issues."""
+        caller = self.admit_head()
+        try:
+            body = msgspec.json.decode(self.request.body, type=KeyBody)
+        except msgspec.MsgspecError as error:
+            raise CodedError("body_invalid", str(error), 400) from error
+        if body.service not in caller.revision.fleet.workspaces[caller.workspace].services:
+            raise CodedError("service_unknown", "no such service", 404)
+        key = self.entry.services.keys.issue(body.service, body.lifetime_seconds)
+        self.set_status(201)
+        self.set_header(headers.REQUEST_ID, caller.request_id)
+        self.write(
+            {
+                "idempotency_key": str(key),
+                "service": body.service,
+                "expires_in_seconds": key.lifetime_ms / 1000.0,
+            }
+        )
+        self.entry.log.write(
+            Event.KEY_ISSUED, request=caller.request_id, endpoint=key.endpoint, key=str(key)
+        )
--- /dev/null
+++ b/wasabidrum/entry/key_issuer.py
@@ -0,0 +1,53 @@
+"""Issues idempotency keys, with no round trip and nothing to remember."""
+
+import asyncio
+import random
+
+from ..core.errors import CodedError
+from ..decisions.keyed_clock import KeyedClock
+from ..decisions.keyed_key import KeyedKey, make_key
+from .endpoint_table import EndpointTable, EndpointView
+
+CALLER_KEY_SECONDS = 300.0
+SAMPLED_ENDPOINTS = 2
+
+
+class KeyIssuer:
+    """Issues keys in the time of the sidecar that each names."""
+
+    __slots__ = ("_table", "_clocks", "_random")
+
+    def __init__(self, table: EndpointTable) -> None:
+        self._table = table
+        # By endpoint name, so that replaced incarnations do not pile up.
+        self._clocks: dict[str, tuple[str, KeyedClock]] = {}
+        self._random = random.Random()
+
+    def issue(self, service: str, lifetime: float = CALLER_KEY_SECONDS) -> KeyedKey:
+        """Returns a key for an endpoint of a service, one with little of our work.
+
+        Raises:
+          CodedError: No endpoint can take work now; outcome NOT_RUN.
+        """
+        candidates = self._table.candidates("", service)
+        if not candidates:
+            raise CodedError("no_endpoint", "no endpoint can answer now", 503, retry_after=1.0)
+        sampled = self._random.sample(candidates, min(SAMPLED_ENDPOINTS, len(candidates)))
+        return self.issue_for(min(sampled, key=lambda view: view.in_progress), lifetime)
+
+    def issue_for(self, view: EndpointView, lifetime: float) -> KeyedKey:
+        """Returns a key that only the endpoint's present incarnation may run."""
+        uptime = self.uptime(view, view.status.incarnation)
+        return make_key(view.instance.name, view.status.incarnation, uptime or 0.0, lifetime)
+
+    def uptime(self, view: EndpointView, incarnation: str) -> float | None:
+        """Returns how long an incarnation has run at least, or None where it was not heard."""
+        status = view.status
+        if status is None or status.incarnation != incarnation:
+            return None
+        known = self._clocks.get(status.name)
+        if known is None or known[0] != incarnation:
+            known = (incarnation, KeyedClock(status.uptime, view.seen_at))
+            self._clocks[status.name] = known
+        known[1].take(status.uptime, view.seen_at)
+        return known[1].uptime(asyncio.get_running_loop().time())
--- a/wasabidrum/entry/service_call.py
+++ b/wasabidrum/entry/service_call.py
@@ -1,21 +1,36 @@
-"""One call to a plain service, sent on once."""
+"""Calls to plain services: each non-idempotent one runs at most once, whoever repeats it."""
 
 import asyncio
-import secrets
+import contextlib
 
 from tornado import httpclient
 
 from ..core.errors import CodedError
 from ..core.fleet import Fleet, ServiceCall
 from ..core.outcome import Outcome
+from ..decisions.keyed_key import KeyedKey, parse_key
 from ..endpoints.service_reply import ServiceReply
-from ..wire import headers, http_client
+from ..observe.event import Event
+from ..observe.event_log import EventLog
 from .caller_request import CallerRequest
-from .model_call import refusal_from
+from .endpoint_table import EndpointTable, EndpointView
+from .key_issuer import KeyIssuer
 from .placement import Placement
+from .service_exchange import NotToldError, ServiceExchange
+from .service_order import ServiceOrder
 from .traffic import Traffic
 from .work_item import Priority, WorkItem
 
+# Pauses before a call is sent again to the sidecar that alone may run it. Together they
+# outlast a connection reset or a short stall; a longer outage is the caller's to wait for.
+ASK_AGAIN_PAUSES_SECONDS = (0.05, 0.15, 0.4, 0.8)
+# How long one copy waits in silence before another one joins it; doubled each time.
+FIRST_PATIENCE_SECONDS = 3.0
+# How much longer than its caller's deadline a key of our own is remembered, so that the
+# caller who was told "unknown" can learn the result.
+MINTED_KEY_EXTRA_SECONDS = 60.0
+SHORTEST_READ_PATIENCE_SECONDS = 0.5
+
 
 def find_call(fleet: Fleet, service: str, method: str, path: str) -> ServiceCall:
     """Returns what the files say of a call; one that they do not list is not idempotent."""
@@ -30,76 +45,238 @@
 class ServiceCaller:
     """Makes calls to plain services for the callers of one entry."""
 
-    __slots__ = ("_client", "_traffic")
+    __slots__ = ("_client", "_traffic", "_table", "_log", "keys")
 
-    def __init__(self, client: httpclient.AsyncHTTPClient, traffic: Traffic) -> None:
+    def __init__(
+        self,
+        client: httpclient.AsyncHTTPClient,
+        traffic: Traffic,
+        table: EndpointTable,
+        log: EventLog,
+    ) -> None:
         self._client = client
         self._traffic = traffic
+        self._table = table
+        self._log = log
+        self.keys = KeyIssuer(table)
 
-    async def call(
-        self,
-        caller: CallerRequest,
-        service: str,
-        method: str,
-        path: str,
-        content_type: str,
-        body: bytes,
-    ) -> ServiceReply:
+    async def call(self, caller: CallerRequest, order: ServiceOrder) -> ServiceReply:
         """Makes one call.
 
         Raises:
           CodedError: No whole answer came; the outcome says what that means.
         """
-        listed = find_call(caller.revision.fleet, service, method, path)
+        listed = find_call(caller.revision.fleet, order.service, order.method, order.path)
         item = WorkItem(
             request_id=caller.request_id,
             workspace=caller.workspace,
             priority=Priority.READ if listed.priority == "read" else Priority.CHARGE,
             deadline=caller.deadline,
             idempotent=listed.idempotent,
-            service=service,
+            service=order.service,
         )
+        key = None
+        if order.key and not listed.idempotent:
+            key = self._check_key(caller, order)
         permit = await self._traffic.admit(item)
         try:
-            placement = self._traffic.place(item)
-            code = "cancelled"
-            try:
-                reply = await self._attempt(placement, method, path, content_type, body)
-                code = ""
-                return reply
-            except CodedError as error:
-                code = error.code
-                raise
-            finally:
-                placement.ended(code)
+            if listed.idempotent:
+                return await self._read(item, order)
+            if key is not None:
+                return await self._call_owner(item, order, key)
+            return await self._call_anywhere(item, order)
         finally:
             permit.release()
 
-    async def _attempt(
-        self, placement: Placement, method: str, path: str, content_type: str, body: bytes
+    def _check_key(self, caller: CallerRequest, order: ServiceOrder) -> KeyedKey:
+        """Returns a caller's key.
+
+        Raises:
+          CodedError: No entry takes this key for this service, so it was not run with it.
+        """
+        key = parse_key(order.key)
+        if key is None:
+            # Nobody can prove whether another entry took a key of the caller's own making
+            # to another endpoint, so no entry takes one.
+            raise self._with_new_key(
+                CodedError("key_not_issued", "send a key that was issued here", 400), order
+            )
+        endpoint = caller.revision.fleet.endpoints.get(key.endpoint)
+        if endpoint is not None and endpoint.service != order.service:
+            raise CodedError("key_for_another_service", "not a key for this", 422, Outcome.UNKNOWN)
+        return key
+
+    def _with_new_key(self, error: CodedError, order: ServiceOrder) -> CodedError:
+        with contextlib.suppress(CodedError):
+            error.idempotency_key = str(self.keys.issue(order.service))
+        return error
+
+    async def _read(self, item: WorkItem, order: ServiceOrder) -> ServiceReply:
+        """Makes an idempotent call, at another endpoint where one fails."""
+        tried: frozenset[str] = frozenset()
+        failure: CodedError | None = None
+        while True:
+            try:
+                placement = self._traffic.place(item, tried)
+            except CodedError as error:
+                raise failure or error from error
+            try:
+                return await self._read_once(placement, order)
+            except CodedError as error:
+                failure = error
+            if self._remaining(item) <= 0 or not self._traffic.may_retry(item):
+                raise failure
+            tried |= {placement.view.instance.name}
+            self._log.write(Event.CALL_PLACED_AGAIN, request=item.request_id, code=failure.code)
+
+    async def _read_once(self, placement: Placement, order: ServiceOrder) -> ServiceReply:
+        item = placement.item
+        remaining = self._remaining(item)
+        exchange = self._exchange(placement.view, item, order, None)
+        # Half of what is left: a stalled endpoint must not use up the time of the next.
+        patience = max(min(SHORTEST_READ_PATIENCE_SECONDS, remaining), remaining / 2)
+        with ending(placement):
+            reply, response = await exchange.send(remaining, patience, None)
+            placement.head_arrived(response.headers)
+            return reply
+
+    async def _call_anywhere(self, item: WorkItem, order: ServiceOrder) -> ServiceReply:
+        """Makes a call that came without a key, elsewhere only where it provably did not run."""
+        tried: frozenset[str] = frozenset()
+        failure: CodedError | None = None
+        while True:
+            try:
+                placement = self._traffic.place(item, tried)
+            except CodedError as error:
+                raise failure or error from error
+            lifetime = self._remaining(item) + MINTED_KEY_EXTRA_SECONDS
+            key = self.keys.issue_for(placement.view, lifetime)
+            exchange = self._exchange(placement.view, item, order, key)
+            try:
+                with ending(placement):
+                    return await self._settle(exchange, item, placement, others_sent=False)
+            except CodedError as error:
+                failure = error
+            if failure.outcome is not Outcome.NOT_RUN or self._remaining(item) <= 0:
+                raise failure
+            if not self._traffic.may_retry(item):
+                raise failure
+            tried |= {placement.view.instance.name}
+            self._log.write(Event.CALL_PLACED_AGAIN, request=item.request_id, code=failure.code)
+
+    async def _call_owner(self, item: WorkItem, order: ServiceOrder, key: KeyedKey) -> ServiceReply:
+        """Makes a call with a caller's key, which one incarnation alone may run."""
+        view = self._find_owner(key)
+        if view is None:
+            raise self._unknown("key_owner_not_listed", "its endpoint is not listed", key)
+        others = {known.instance.name for known in self._table.views} - {key.endpoint}
+        placement: Placement | None = None
+        # A leaving or full owner takes no new work but still tells of the old, so that it
+        # cannot be placed on is no reason not to ask it.
+        with contextlib.suppress(CodedError):
+            placement = self._traffic.place(item, frozenset(others))
+        exchange = self._exchange(view, item, order, key)
+        try:
+            with ending(placement):
+                return await self._settle(exchange, item, placement, others_sent=True)
+        except CodedError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                raise self._with_new_key(error, order) from error
+            raise
+
+    async def _settle(
+        self,
+        exchange: ServiceExchange,
+        item: WorkItem,
+        placement: Placement | None,
+        others_sent: bool,
     ) -> ServiceReply:
-        view = placement.view
-        remaining = max(0.001, placement.item.deadline - asyncio.get_running_loop().time())
-        attempt_id = f"{placement.item.request_id}.{secrets.token_hex(6)}"
-        request = httpclient.HTTPRequest(
-            view.url + "/internal/service",
-            method="POST",
-            body=body,
-            headers={
-                "Content-Type": content_type,
-                headers.FORWARDED_METHOD: method,
-                headers.FORWARDED_PATH: path,
-                headers.DEADLINE_MILLISECONDS: str(int(remaining * 1000)),
-                headers.ATTEMPT_ID: attempt_id,
-                headers.WORKSPACE: placement.item.workspace,
-            },
-            request_timeout=remaining,
-        )
-        response = await http_client.fetch(self._client, request, view.instance.name)
-        placement.head_arrived(response.headers)
-        if headers.ERROR_CODE in response.headers:
-            raise refusal_from(response.code, response.headers, response.body)
-        if response.headers.get(headers.ATTEMPT_ID) != attempt_id:
-            raise CodedError("answer_crossed", "not this call's answer", 502, Outcome.UNKNOWN)
-        content_type = response.headers.get("Content-Type", "application/octet-stream")
-        return ServiceReply(response.code, content_type, response.body)
+        """Sends a call to the one sidecar that may run it until that tells the outcome.
+
+        Sending it again is safe: the sidecar joins or replays a copy that it has, and runs
+        the call only where none came before.
+
+        Args:
+          others_sent: Whether copies of this call may have been sent by others.
+
+        Raises:
+          CodedError: The outcome, NOT_RUN only where it is proved.
+        """
+        key = exchange.key
+        may_have_arrived = others_sent
+        pauses = iter(ASK_AGAIN_PAUSES_SECONDS)
+        patience = FIRST_PATIENCE_SECONDS
+        while True:
+            remaining = self._remaining(item)
+            if remaining <= 0:
+                raise self._unknown("deadline_passed", "no answer in time", key)
+            uptime = self.keys.uptime(exchange.view, key.incarnation)
+            start_before = None if uptime is None else uptime + remaining
+            waited = min(patience, remaining)
+            try:
+                reply, response = await exchange.send(remaining, waited, start_before)
+                if placement is not None:
+                    placement.head_arrived(response.headers)
+                return reply
+            except NotToldError as error:
+                failure = error
+            except CodedError as error:
+                if error.code == "call_corrupt":
+                    failure = error
+                else:
+                    raise self._with_old_key(error, key) from error
+            if failure.outcome is Outcome.NOT_RUN and not may_have_arrived:
+                raise failure
+            may_have_arrived |= failure.outcome is not Outcome.NOT_RUN
+            if remaining - self._remaining(item) >= waited * 0.9:
+                patience *= 2
+                continue
+            pause = next(pauses, None)
+            if pause is None or self._is_replaced(exchange):
+                raise self._unknown("key_owner_unreachable", str(failure), key)
+            self._log.write(Event.CALL_ASKED_AGAIN, request=item.request_id, code=failure.code)
+            await asyncio.sleep(min(pause, max(0.0, self._remaining(item))))
+
+    def _exchange(
+        self, view: EndpointView, item: WorkItem, order: ServiceOrder, key: KeyedKey | None
+    ) -> ServiceExchange:
+        return ServiceExchange(self._client, view, order, item.workspace, item.request_id, key)
+
+    def _find_owner(self, key: KeyedKey) -> EndpointView | None:
+        for view in self._table.views:
+            if view.instance.name == key.endpoint:
+                return view
+        return None
+
+    def _is_replaced(self, exchange: ServiceExchange) -> bool:
+        view = self._find_owner(exchange.key)
+        if view is None or view.status is None:
+            return False
+        return view.status.incarnation > exchange.key.incarnation
+
+    def _remaining(self, item: WorkItem) -> float:
+        return item.deadline - asyncio.get_running_loop().time()
+
+    def _unknown(self, code: str, message: str, key: KeyedKey) -> CodedError:
+        error = CodedError(code, message, 504, Outcome.UNKNOWN, retry_after=1.0)
+        return self._with_old_key(error, key)
+
+    def _with_old_key(self, error: CodedError, key: KeyedKey) -> CodedError:
+        if error.outcome is Outcome.UNKNOWN:
+            error.idempotency_key = str(key)
+        return error
+
+
+@contextlib.contextmanager
+def ending(placement: Placement | None):
+    """Ends a placement with the code of whatever ended its block."""
+    code = "cancelled"
+    try:
+        yield
+        code = ""
+    except CodedError as error:
+        code = error.code
+        raise
+    finally:
+        if placement is not None:
+            placement.ended(code)
--- a/wasabidrum/sidecar/call_handlers.py
+++ b/wasabidrum/sidecar/call_handlers.py
@@ -1,5 +1,6 @@
 """What entries ask of a sidecar: run a request at the endpoint, or give one up."""
 
+import asyncio
 import typing
 
 import msgspec
@@ -10,11 +11,18 @@
 from ..endpoints.generate_request import GenerateRequest
 from ..endpoints.model_engine import ModelEngine
 from ..endpoints.plain_service import PlainService
+from ..endpoints.service_reply import ServiceReply
+from ..outcomes.call_digest import digest_answer
 from ..wire import headers
+from .service_attempt import ServiceAttempt, read_attempt
 
 if typing.TYPE_CHECKING:
     from .daemon import Sidecar
 
+# How long after its caller's deadline a charge may still answer, so that a resend of its
+# key learns the result instead of "unknown".
+LATE_ANSWER_SECONDS = 60.0
+
 
 class CallHandler(web.RequestHandler):
     """What the handlers of calls share."""
@@ -28,6 +36,7 @@
         self.set_status(error.http_status)
         self.set_header(headers.OUTCOME, error.outcome.value)
         self.set_header(headers.ERROR_CODE, error.code)
+        self.tell_status()
         self.write({"message": str(error)})
 
     def tell_status(self) -> None:
@@ -42,6 +51,7 @@
           CodedError: With outcome NOT_RUN; nothing has been started.
         """
         if self.sidecar.leaving:
+            self.sidecar.note_refused_while_leaving()
             raise CodedError("endpoint_leaving", "this instance is leaving", 503)
 
 
@@ -51,29 +61,49 @@
     _attempt_id = ""
 
     async def post(self) -> None:
-        """Runs one attempt."""
-        engine = typing.cast(ModelEngine, self.sidecar.engine)
+        """Runs one attempt in a task of its own, so that it can be ended at any moment."""
         with self.sidecar.requests.one():
             try:
                 self.check_taking_work()
                 order = msgspec.json.decode(self.request.body, type=GenerateRequest)
-                self._attempt_id = order.request_id
-                self.tell_status()
-                async for chunk in engine.generate(order):
-                    self.write(chunk)
-                    await self.flush()
+                await self.run(order)
             except msgspec.MsgspecError as error:
                 self.refuse(CodedError("attempt_invalid", str(error), 400))
-            except iostream.StreamClosedError:
-                return
             except CodedError as error:
                 if self._headers_written:
-                    # The head is gone, so the only honest end is a cut, which the entry
-                    # sees as an answer without its last event.
-                    self.request.connection.close()
+                    self.cut()
                 else:
                     self.refuse(error)
 
+    async def run(self, order: GenerateRequest) -> None:
+        """Relays one attempt until it ends, is cancelled or loses its entry."""
+        attempts = self.sidecar.attempts
+        task = asyncio.ensure_future(self.relay(order))
+        if not attempts.begin(order.request_id, task):
+            task.cancel()
+            raise CodedError("attempt_cancelled", "cancelled, or a second copy", 409)
+        self._attempt_id = order.request_id
+        try:
+            await task
+        except (asyncio.CancelledError, iostream.StreamClosedError):
+            self.cut()
+        finally:
+            attempts.end(order.request_id)
+
+    async def relay(self, order: GenerateRequest) -> None:
+        """Passes the engine's events on as they come."""
+        engine = typing.cast(ModelEngine, self.sidecar.engine)
+        self.tell_status()
+        async for chunk in engine.generate(order):
+            self.write(chunk)
+            await self.flush()
+
+    def cut(self) -> None:
+        """Ends an answer that will not become whole."""
+        # The head is gone, so the only honest end is a cut, which the entry sees as an
+        # answer without its last event.
+        self.request.connection.close()
+
     def on_connection_close(self) -> None:
         """Frees the engine's slot when the entry went away."""
         if self._attempt_id:
@@ -92,28 +122,78 @@
     """POST /internal/service: makes one call to the plain service."""
 
     async def post(self) -> None:
-        """Runs one call, once."""
-        service = typing.cast(PlainService, self.sidecar.service)
-        asked = self.request.headers
+        """Answers one copy of a call; one that may not be repeated runs once for all copies."""
         with self.sidecar.requests.one():
+            attempt_id = self.request.headers.get(headers.ATTEMPT_ID, "")
             try:
-                self.check_taking_work()
-                reply = await service.call(
-                    asked[headers.FORWARDED_METHOD],
-                    asked[headers.FORWARDED_PATH],
-                    {"Content-Type": asked.get("Content-Type", "application/json")},
-                    self.request.body,
-                    float(asked[headers.DEADLINE_MILLISECONDS]) / 1000.0,
-                )
+                attempt = read_attempt(self.request.headers, self.request.body)
+                reply = await self.run(attempt)
             except CodedError as error:
-                self.refuse(error)
+                self.refuse_attempt(attempt_id, error)
                 return
-            self.set_status(reply.status)
-            self.set_header("Content-Type", reply.content_type)
-            self.set_header(headers.OUTCOME, Outcome.DONE.value)
-            self.set_header(headers.ATTEMPT_ID, asked[headers.ATTEMPT_ID])
-            self.tell_status()
-            self.write(reply.body)
+            self.answer(attempt_id, reply)
+
+    async def run(self, attempt: ServiceAttempt) -> ServiceReply:
+        """Runs the call, or finds what became of an earlier copy.
+
+        Raises:
+          CodedError: No whole answer; the outcome is proved.
+        """
+        if attempt.key is None:
+            self.check_taking_work()
+            return await self.send(attempt, attempt.patience)
+        if self.sidecar.leaving:
+            self.sidecar.note_refused_while_leaving()
+        calls = self.sidecar.keyed_calls
+        start_before = min(attempt.start_before, calls.uptime + attempt.patience)
+
+        async def work() -> ServiceReply:
+            with self.sidecar.requests.one():
+                return await self.send(attempt, attempt.patience + LATE_ANSWER_SECONDS)
+
+        return await calls.run(
+            attempt.workspace, attempt.key, attempt.fingerprint, start_before, work
+        )
+
+    async def send(self, attempt: ServiceAttempt, timeout: float) -> ServiceReply:
+        """Sends the call to the service, once."""
+        service = typing.cast(PlainService, self.sidecar.service)
+        given = {"Content-Type": attempt.content_type} if attempt.content_type else {}
+        return await service.call(attempt.method, attempt.path, given, attempt.body, timeout)
+
+    def answer(self, attempt_id: str, reply: ServiceReply) -> None:
+        """Answers whole, with the digest that ties the answer to its attempt."""
+        self.set_status(reply.status)
+        self.set_header("Content-Type", reply.content_type)
+        self.set_header(headers.OUTCOME, Outcome.DONE.value)
+        if reply.replayed:
+            self.set_header(headers.IDEMPOTENT_REPLAYED, "true")
+        self.tell_status()
+        self.seal(attempt_id, reply.status, reply.content_type, Outcome.DONE, "", reply.body)
+
+    def refuse_attempt(self, attempt_id: str, error: CodedError) -> None:
+        """Answers with an error, tied to its attempt too."""
+        self.set_status(error.http_status)
+        self.set_header("Content-Type", "text/plain")
+        self.set_header(headers.OUTCOME, error.outcome.value)
+        self.set_header(headers.ERROR_CODE, error.code)
+        self.tell_status()
+        body = str(error).encode()
+        self.seal(attempt_id, error.http_status, "text/plain", error.outcome, error.code, body)
+
+    def seal(
+        self,
+        attempt_id: str,
+        status: int,
+        content_type: str,
+        outcome: Outcome,
+        code: str,
+        body: bytes,
+    ) -> None:
+        """Writes the body under the digest of the whole answer."""
+        digest = digest_answer(attempt_id, status, content_type, outcome.value, code, body)
+        self.set_header(headers.ANSWER_DIGEST, digest.hex())
+        self.write(body)
 
 
 class StatusHandler(CallHandler):
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -13,6 +13,7 @@
 from ..core.load import Load
 from ..core.requests_in_progress import RequestsInProgress
 from ..core.status import Status
+from ..decisions.keyed_ledger import make_ledger
 from ..endpoints.http_model_engine import make_model_engine
 from ..endpoints.http_plain_service import make_plain_service
 from ..endpoints.model_engine import ModelEngine
@@ -26,6 +27,8 @@
 from ..platform.http_instance_directory import make_instance_directory
 from ..wire import http_client
 from . import call_handlers
+from .attempts import Attempts
+from .keyed_calls import KeyedCalls
 from .version_keeper import VersionKeeper
 
 LOAD_READ_SECONDS = 0.25
@@ -49,6 +52,8 @@
         self.service: PlainService | None = None
         self.versions: VersionKeeper | None = None
         self.tasks = BackgroundTasks(self._report_failure)
+        self.attempts = Attempts()
+        self.keyed_calls = KeyedCalls(make_ledger(self._incarnation), self.tasks, log)
         service = make_configuration_service(self._client, settings.platform.configuration)
         self.follower = ConfigurationFollower(service, settings.site, log)
         directory = make_instance_directory(self._client, settings.platform.instances)
@@ -92,6 +97,7 @@
     async def stop(self) -> None:
         """Leaves gracefully: takes no new work, ends what is in progress, then stops."""
         self.leaving = True
+        self.keyed_calls.leave()
         self._log.write(Event.DAEMON_LEAVING, in_progress=self.requests.count)
         await asyncio.sleep(LEAVING_NOTICE_SECONDS)
         await self.requests.wait_until_idle(self._settings.drain_seconds)
@@ -123,11 +129,17 @@
             chunks_held=versions.chunks_held if versions else 0,
             chunks_wanted=versions.chunks_wanted if versions else 0,
             leaving=self.leaving,
+            uptime=self.keyed_calls.uptime,
             load=self._load,
         )
 
+    def note_refused_while_leaving(self) -> None:
+        """Logs that work still came, so that operators see how long entries went on."""
+        self._log.write(Event.WORK_WHILE_LEAVING)
+
     async def cancel(self, attempt_id: str) -> None:
         """Frees the engine's slot of an attempt that was given up."""
+        self.attempts.cancel(attempt_id)
         if self.engine is None:
             return
         try:
