Admit, place and retry by decisions under load

Cause: the entry admitted everything and took the endpoint with the fewest of its own requests, so a burst queued inside the engines and a failing endpoint drew all traffic. Now an admission queue (classes, weighted fairness, deadlines), limits per endpoint, health with probes, power of two choices with prefix affinity, a retry budget and a guard against requests that crash endpoints stand in wasabidrum/decisions and are wired into the entry. Sidecars tell in their status which requests were in progress when their engine died.

--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -21,6 +21,8 @@
       chunks_held: How many chunks of the version being fetched are at hand.
       leaving: Whether the daemon takes no new work.
       load: The endpoint's load as this daemon sees it.
+      suspects: Requests that were in progress when the endpoint died, each as its
+        fingerprint, a slash and the number of the death; see decisions/poison.py.
       failed_version: The version that the endpoint could not load, or empty.
     """
 
@@ -44,3 +46,4 @@
     leaving: bool = False
     load: Load = Load()
     failed_version: str = ""
+    suspects: tuple[str, ...] = ()
--- /dev/null
+++ b/wasabidrum/decisions/endpoint_health.py
@@ -0,0 +1,149 @@
+"""Which endpoints are slow or failing, and when they are tried again.
+
+Load pattern: one endpoint decodes ten times slower than its peers, or refuses everything in
+a millisecond. It is not dead: it answers its health checks. Requests pile up at the slow
+one; the one that refuses looks idle, so that least-loaded routing sends it everything, and
+callers see errors while healthy endpoints have room.
+
+An endpoint is held to its peers' median seconds per token, from tokens as they stream, and
+to silence in the middle of answers. Slow or failing, it loses its share at once and gets one
+probe at a time, at growing intervals with jitter; probes answered well bring it back.
+
+Grounds:
+- SLOW_RATIO 3: engines with full batches differ up to twofold in time per token; three
+  times the median is outside that, and well below the tenfold that callers notice.
+- TOKENS_JUDGED 4: at 10 to 69 ms a token the verdict on a tenfold slowdown is there within
+  half a second to two seconds.
+- SILENT_RATIO 20 tokens' time, and at least 0.5 s, without a token: a pause of the process.
+- FAILURES_JUDGED 2 in a row: one failure may be the request's fault; a charge is never the
+  probe where something else can be.
+- Probes begin after 0.5 s and grow to 8 s (backoff.py). At 30 requests a second to an entry
+  and twenty endpoints, a probe a second is under 5% of new work.
+"""
+
+import enum
+import random
+
+from . import backoff
+
+SLOW_RATIO = 3.0
+HEALTHY_RATIO = 2.0
+TOKENS_JUDGED = 4
+SILENT_RATIO = 20.0
+SHORTEST_SILENCE_SECONDS = 0.5
+FAILURES_JUDGED = 2
+FIRST_PROBE_SECONDS = 0.5
+SAMPLE_WEIGHT = 0.3
+
+
+class Health(enum.Enum):
+    """What an endpoint may be given."""
+
+    HEALTHY = "healthy"
+    SLOW = "slow"
+    FAILING = "failing"
+
+
+class EndpointHealth:
+    """The verdict on one endpoint."""
+
+    __slots__ = ("_health", "_token_seconds", "_samples", "_failures", "_tries")
+    __slots__ += ("_probe_at", "_probing", "_rng")
+
+    def __init__(self, rng: random.Random) -> None:
+        self._health = Health.HEALTHY
+        self._token_seconds = 0.0
+        self._samples = 0
+        self._failures = 0
+        self._tries = 0
+        self._probe_at = 0.0
+        self._probing = False
+        self._rng = rng
+
+    @property
+    def health(self) -> Health:
+        """The verdict now."""
+        return self._health
+
+    @property
+    def token_seconds(self) -> float:
+        """Seconds per token lately; zero where too few were seen."""
+        return self._token_seconds if self._samples >= TOKENS_JUDGED else 0.0
+
+    @property
+    def probe_at(self) -> float:
+        """When the next probe is due, where the endpoint is not healthy."""
+        return self._probe_at
+
+    def may_take(self, now: float) -> bool:
+        """Returns whether a request may be sent: any to a healthy one, else one as a probe."""
+        if self._health is Health.HEALTHY:
+            return True
+        return not self._probing and now >= self._probe_at
+
+    def placed(self) -> None:
+        """Counts a request that was sent here."""
+        if self._health is not Health.HEALTHY:
+            self._probing = True
+
+    def take_tokens(self, tokens: int, seconds: float, median: float, now: float) -> bool:
+        """Takes how long some tokens took; returns whether the verdict changed."""
+        for _ in range(min(tokens, TOKENS_JUDGED)):
+            self._samples += 1
+            sample = seconds / tokens
+            if self._samples == 1:
+                self._token_seconds = sample
+            self._token_seconds += SAMPLE_WEIGHT * (sample - self._token_seconds)
+        slow = median > 0.0 and self.token_seconds > SLOW_RATIO * median
+        if slow and self._health is Health.HEALTHY:
+            self._eject(Health.SLOW, now)
+            return True
+        return False
+
+    def take_silence(self, seconds: float, median: float, now: float) -> bool:
+        """Takes for how long answers in progress have stood still."""
+        silent = max(SHORTEST_SILENCE_SECONDS, SILENT_RATIO * median)
+        if seconds > silent and self._health is Health.HEALTHY:
+            self._eject(Health.SLOW, now)
+            return True
+        return False
+
+    def take_success(self, median: float) -> bool:
+        """Takes a whole answer; returns whether the verdict changed."""
+        self._failures = 0
+        self._probing = False
+        if self._health is Health.HEALTHY:
+            return False
+        if self._health is Health.SLOW and self.token_seconds > HEALTHY_RATIO * median > 0.0:
+            return False
+        self._health = Health.HEALTHY
+        self._tries = 0
+        return True
+
+    def take_failure(self, now: float) -> bool:
+        """Takes a refusal or a failure that may be the endpoint's own; as above."""
+        self._failures += 1
+        if self._health is not Health.HEALTHY:
+            self._probing = False
+            self._schedule_probe(now)
+            return False
+        if self._failures < FAILURES_JUDGED:
+            return False
+        self._eject(Health.FAILING, now)
+        return True
+
+    def probe_ended(self, now: float) -> None:
+        """Ends a probe that told nothing, such as one that its caller cancelled."""
+        if self._probing:
+            self._probing = False
+            self._schedule_probe(now)
+
+    def _eject(self, verdict: Health, now: float) -> None:
+        self._health = verdict
+        self._probing = False
+        self._schedule_probe(now)
+
+    def _schedule_probe(self, now: float) -> None:
+        self._tries += 1
+        delay = backoff.delay_before(self._tries, self._rng, FIRST_PROBE_SECONDS)
+        self._probe_at = now + delay
--- /dev/null
+++ b/wasabidrum/decisions/retry_budget.py
@@ -0,0 +1,38 @@
+"""How much load retries may add.
+
+Load pattern: every endpoint fails. Each request is tried again, by the entry and by its
+caller, and the fleet gets several times the load it already could not carry; it stays down
+after the cause has gone, because the retries alone keep it down.
+
+Each request earns a tenth of a retry, and a retry spends a whole one, so that retries add at
+most a tenth to the load. Only the entry retries: sidecars, sent one attempt, make one.
+
+Grounds: a tenth is what the users allow. The purse holds ten, so that the death of one
+endpoint, with some ten requests of this entry in progress, can be made good at once. It
+starts with two, so that an entry that has just started need not fail its first requests.
+"""
+
+EARNED_BY_REQUEST = 0.1
+FIRST_PURSE = 2.0
+LARGEST_PURSE = 10.0
+MOST_RETRIES_OF_ONE = 2
+
+
+class RetryBudget:
+    """Retries that were earned and not yet spent."""
+
+    __slots__ = ("_purse",)
+
+    def __init__(self) -> None:
+        self._purse = FIRST_PURSE
+
+    def earn(self) -> None:
+        """Counts one request that was placed for the first time."""
+        self._purse = min(LARGEST_PURSE, self._purse + EARNED_BY_REQUEST)
+
+    def spend(self, retries_so_far: int) -> bool:
+        """Takes one retry from the budget; returns whether there was one."""
+        if retries_so_far >= MOST_RETRIES_OF_ONE or self._purse < 1.0:
+            return False
+        self._purse -= 1.0
+        return True
--- /dev/null
+++ b/wasabidrum/decisions/routing.py
@@ -0,0 +1,116 @@
+"""Which endpoint gets a request.
+
+Load pattern: twenty entries read the same late reports. If each sends its next request to
+the endpoint that reported the least load, all send it to the same one; a second later they
+all leave it for the next. Some engines have queues and others idle, in turn.
+
+Two endpoints are drawn at random and the less occupied one is taken (power of two choices),
+where "occupied" joins what this entry sent itself, which is known exactly, with the late
+reports, which count for less as they age (endpoint_state.py). The draw breaks the herd, and
+the cost of a choice does not depend on how many endpoints there are. Before the draw, the
+endpoint that probably holds the prompt's prefix is taken while it has room and its part of
+the recent work is not exceeded.
+
+Endpoints of the entry's data centre go first, then those of its region; the thin link
+between regions is crossed only when none of them has room.
+
+Grounds:
+- DRAWS 2 of each tier: the step from one to two draws takes the longest queue from log n to
+  log log n; a third gains little and follows the reports more closely, which herds.
+- REGION_PENALTY 0.05 of an endpoint's slots: the 1.5 ms to the next data centre.
+- AFFINITY_BOUND 1.2 of the mean recent work keeps the busiest within 1.3.
+"""
+
+import collections.abc
+import random
+
+from .endpoint_state import EndpointState
+
+DRAWS = 2
+TRIES = 6
+REGION_PENALTY = 0.05
+AFFINITY_BOUND = 1.2
+FAR_TIER = 2
+
+
+class EndpointPool:
+    """Endpoints that may be given requests of one model or service."""
+
+    __slots__ = ("_tiers", "_by_name", "_rng")
+
+    def __init__(self, states: collections.abc.Iterable[EndpointState], rng: random.Random) -> None:
+        self._tiers: tuple[list[EndpointState], ...] = ([], [], [])
+        self._by_name: dict[str, EndpointState] = {}
+        self._rng = rng
+        for state in states:
+            self._tiers[state.tier].append(state)
+            self._by_name[state.name] = state
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def mean_recent(self, now: float) -> float:
+        """Returns the mean recent work of an endpoint, from a sample where there are many."""
+        states = self._near()
+        if len(states) > 16:
+            states = self._rng.sample(states, 16)
+        return sum(state.recent_work(now) for state in states) / max(1, len(states))
+
+    def choose(
+        self,
+        allowed: collections.abc.Callable[[EndpointState], bool],
+        preferred: collections.abc.Sequence[str],
+        now: float,
+    ) -> EndpointState | None:
+        """Returns an endpoint with room, or None where none has any.
+
+        Args:
+          allowed: Whether a request may be sent to an endpoint at all.
+          preferred: Endpoints that probably hold the prompt's prefix.
+        """
+
+        def open_to(state: EndpointState) -> bool:
+            return state.in_progress < state.limit.places and allowed(state)
+
+        state = self._choose_preferred(open_to, preferred, now)
+        if state is not None:
+            return state
+        for tiers in (self._tiers[:FAR_TIER], self._tiers[FAR_TIER:]):
+            drawn = [state for tier in tiers for state in self._draw(tier, open_to)]
+            if drawn:
+                return min(drawn, key=lambda state: self._score(state, now))
+        return None
+
+    def _near(self) -> list[EndpointState]:
+        return self._tiers[0] + self._tiers[1] or self._tiers[FAR_TIER]
+
+    def _choose_preferred(self, open_to, preferred, now: float) -> EndpointState | None:
+        if not preferred:
+            return None
+        bound = AFFINITY_BOUND * self.mean_recent(now) + 1.0
+        for name in preferred:
+            state = self._by_name.get(name)
+            if state is None or not open_to(state) or state.recent_work(now) > bound:
+                continue
+            if state.occupied(now) < state.slots:
+                return state
+        return None
+
+    def _draw(self, tier: list[EndpointState], open_to) -> list[EndpointState]:
+        if len(tier) <= TRIES:
+            found = [state for state in tier if open_to(state)]
+            return found if len(found) <= DRAWS else self._rng.sample(found, DRAWS)
+        found = []
+        for _ in range(TRIES):
+            state = self._rng.choice(tier)
+            if open_to(state) and state not in found:
+                found.append(state)
+                if len(found) == DRAWS:
+                    return found
+        # Nearly all are full. A whole pass is paid only now, and it is what keeps a request
+        # from being refused while one endpoint still has room.
+        return found or [state for state in tier if open_to(state)][:DRAWS]
+
+    def _score(self, state: EndpointState, now: float) -> float:
+        penalty = REGION_PENALTY if state.tier else 0.0
+        return (state.occupied(now) + 1.0) / state.slots + penalty
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -56,7 +56,7 @@
         directory = make_instance_directory(client, settings.platform.instances)
         self.follower = ConfigurationFollower(service, settings.site, log)
         self.table = EndpointTable(client, directory)
-        traffic = Traffic(self.table, log)
+        traffic = Traffic(self.table, log, self.follower, settings.region, settings.data_centre)
         self.models = ModelCaller(client, traffic)
         self.services = ServiceCaller(client, traffic)
 
--- a/wasabidrum/entry/placement.py
+++ b/wasabidrum/entry/placement.py
@@ -1,41 +1,66 @@
 """One attempt of a request at one endpoint, from its choice to its end."""
 
+import asyncio
+import typing
+
 import msgspec
 from tornado import httputil
 
 from ..core.status import Status
+from ..decisions.endpoint_state import EndpointState
 from ..wire import headers
-from .endpoint_table import EndpointTable, EndpointView
+from .endpoint_table import EndpointView
 from .work_item import WorkItem
 
+if typing.TYPE_CHECKING:
+    from .traffic import Traffic
+
 
 class Placement:
     """Tells the decisions how an attempt goes. Exactly one call of ended ends it."""
 
-    __slots__ = ("item", "view", "_table", "_ended")
+    __slots__ = ("item", "view", "state", "began", "head_at", "progress_at", "tokens")
+    __slots__ += ("suspect", "_traffic", "_ended")
 
-    def __init__(self, item: WorkItem, view: EndpointView, table: EndpointTable) -> None:
+    def __init__(
+        self,
+        item: WorkItem,
+        view: EndpointView,
+        state: EndpointState,
+        suspect: bool,
+        traffic: "Traffic",
+    ) -> None:
         self.item = item
         self.view = view
-        self._table = table
+        self.state = state
+        self.suspect = suspect
+        self.began = asyncio.get_running_loop().time()
+        self.head_at: float | None = None
+        self.progress_at: float | None = None
+        self.tokens = 0
+        self._traffic = traffic
         self._ended = False
         view.in_progress += 1
 
     def head_arrived(self, head: httputil.HTTPHeaders) -> None:
         """Takes the status that came with the head of an answer."""
+        self.head_at = asyncio.get_running_loop().time()
         told = head.get(headers.STATUS_ON_ANSWER)
         if told is None:
             return
         try:
-            self._table.take_status(msgspec.json.decode(told, type=Status))
+            self._traffic.take_status(msgspec.json.decode(told, type=Status))
         except msgspec.MsgspecError:
             return
 
     def progressed(self, tokens: int) -> None:
         """Takes how many tokens arrived just now."""
+        if tokens > 0:
+            self._traffic.take_progress(self, tokens, asyncio.get_running_loop().time())
 
     def ended(self, code: str = "") -> None:
         """Ends the attempt: with no code where the answer was whole, else with the error's."""
         if not self._ended:
             self._ended = True
             self.view.in_progress -= 1
+            self._traffic.take_end(self, code, asyncio.get_running_loop().time())
--- /dev/null
+++ b/wasabidrum/entry/target_pool.py
@@ -0,0 +1,115 @@
+"""The endpoints of one model or plain service, and the requests that wait for them."""
+
+import asyncio
+import random
+import statistics
+
+from ..core.instance import InstanceState
+from ..decisions.admission_queue import AdmissionQueue
+from ..decisions.endpoint_health import Health
+from ..decisions.endpoint_state import EndpointState
+from ..decisions.prefix_affinity import PrefixRing
+from ..decisions.routing import EndpointPool
+from ..decisions.ticket import Ticket
+from .endpoint_table import EndpointTable, EndpointView
+
+REFRESH_SECONDS = 0.1
+LEAVING_SECONDS = 5.0
+
+
+class TargetPool:
+    """Brings what the table knows to the decisions, ten times a second at most.
+
+    Between two refreshes a decision touches only the endpoints that it draws, so that its
+    cost does not grow with their number.
+    """
+
+    def __init__(
+        self, model: str, service: str, region: str, data_centre: str, rng: random.Random
+    ) -> None:
+        self.model = model
+        self.service = service
+        self.queue = AdmissionQueue()
+        self.waiters: dict[Ticket, asyncio.Future[None]] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.median = 0.0
+        self.views: dict[str, EndpointView] = {}
+        self.states: dict[str, EndpointState] = {}
+        self.endpoints = EndpointPool((), rng)
+        self.ring = PrefixRing(())
+        self._region = region
+        self._data_centre = data_centre
+        self._rng = rng
+        self._refreshed_at = float("-inf")
+        self._addresses: dict[str, tuple[str, int]] = {}
+        self._heard: dict[str, float] = {}
+
+    def refresh(self, table: EndpointTable, now: float) -> bool:
+        """Reads the table where the last reading is old; returns whether it did."""
+        if now - self._refreshed_at < REFRESH_SECONDS:
+            return False
+        self._refreshed_at = now
+        views = {view.instance.name: view for view in table.candidates(self.model, self.service)}
+        self._take_views(views)
+        seconds = [
+            state.health.token_seconds
+            for state in self.states.values()
+            if state.health.token_seconds and state.health.health is Health.HEALTHY
+        ]
+        self.median = statistics.median(seconds) if seconds else 0.0
+        for name, view in views.items():
+            self.take_report(name, view, now)
+        limits = [s.limit.value for s in self.states.values() if s.health.may_take(now)]
+        self.queue.set_limit(sum(limits))
+        return True
+
+    def refresh_soon(self) -> None:
+        """Has the next decision read the table again, because something changed."""
+        self._refreshed_at = float("-inf")
+
+    def take_report(self, name: str, view: EndpointView, now: float) -> None:
+        """Takes a view's load where it is newer than the last one taken."""
+        if view.status is None or view.seen_at <= self._heard.get(name, float("-inf")):
+            return
+        self._heard[name] = view.seen_at
+        # A plain service reports no load; its placeholder must not count as a full queue.
+        self.states[name].take_report(view.status.load, now, counts=bool(self.model))
+
+    def can_take(self, name: str) -> bool:
+        """Returns whether an endpoint is not leaving, as far as is known at this moment."""
+        view = self.views[name]
+        status = view.status
+        return (
+            status is not None and not status.leaving and view.instance.state is InstanceState.LIVE
+        )
+
+    def probe_seconds(self, now: float) -> float:
+        """Returns how long until an endpoint that is not healthy is tried again."""
+        waits = [state.health.probe_at - now for state in self.states.values()]
+        return max(0.0, min(waits)) if waits else 0.0
+
+    def _take_views(self, views: dict[str, EndpointView]) -> None:
+        addresses = {
+            name: (view.instance.host, view.instance.http_port) for name, view in views.items()
+        }
+        self.views = views
+        if addresses == self._addresses:
+            return
+        states = {}
+        for name, view in views.items():
+            known = self.states.get(name)
+            if known is None or self._addresses.get(name) != addresses[name]:
+                known = EndpointState(name, self._tier_of(view), self._rng)
+                self._heard.pop(name, None)
+            states[name] = known
+        if states.keys() != self.states.keys():
+            self.ring = PrefixRing(states)
+        self.states = states
+        self._addresses = addresses
+        self._heard = {name: at for name, at in self._heard.items() if name in states}
+        self.endpoints = EndpointPool(states.values(), self._rng)
+
+    def _tier_of(self, view: EndpointView) -> int:
+        if view.instance.region != self._region:
+            return 2 if self._region else 0
+        return 0 if view.instance.data_centre == self._data_centre else 1
--- a/wasabidrum/entry/traffic.py
+++ b/wasabidrum/entry/traffic.py
@@ -1,32 +1,56 @@
 """Where the entry's tasks ask the decisions: who is served, where work goes, who retries."""
 
+import asyncio
+import random
+
 from ..core.errors import CodedError
+from ..core.status import Status
+from ..decisions import backoff, poison, prefix_affinity
+from ..decisions.endpoint_health import Health
+from ..decisions.endpoint_state import EndpointState
+from ..decisions.entry_room import EntryRoom
+from ..decisions.expected_cost import ExpectedCost
+from ..decisions.retry_budget import RetryBudget
+from ..decisions.ticket import Refusal, Ticket, TicketState
 from ..observe.event import Event
 from ..observe.event_log import EventLog
+from ..peers.configuration_follower import ConfigurationFollower
 from .endpoint_table import EndpointTable
+from .permit import Permit
 from .placement import Placement
-from .work_item import WorkItem
-
-NO_ENDPOINT_RETRY_AFTER_SECONDS = 1.0
-
-
-class Permit:
-    """The right to be worked on; given back once, whatever becomes of the request."""
-
-    __slots__ = ()
+from .target_pool import REFRESH_SECONDS, TargetPool
+from .work_item import Priority, WorkItem
 
-    def release(self) -> None:
-        """Gives the right back."""
+NEUTRAL_CODES = frozenset(
+    ("cancelled", "endpoint_leaving", "attempt_invalid", "version_mismatch", "answer_crossed")
+)
+DEATH_CODES = frozenset(("engine_lost", "answer_cut", "peer_unreachable"))
+SHORTEST_TIME = 1e-6
 
 
 class Traffic:
     """Admission, placement and the retry budget of one entry."""
 
-    __slots__ = ("_table", "_log")
-
-    def __init__(self, table: EndpointTable, log: EventLog) -> None:
+    def __init__(
+        self,
+        table: EndpointTable,
+        log: EventLog,
+        follower: ConfigurationFollower | None = None,
+        region: str = "",
+        data_centre: str = "",
+        rng: random.Random | None = None,
+    ) -> None:
         self._table = table
         self._log = log
+        self._follower = follower
+        self._region = region
+        self._data_centre = data_centre
+        self._rng = rng or random.Random()
+        self._pools: dict[tuple[str, str], TargetPool] = {}
+        self._room = EntryRoom()
+        self._costs = ExpectedCost()
+        self._budget = RetryBudget()
+        self._guard = poison.PoisonGuard()
 
     async def admit(self, item: WorkItem) -> Permit:
         """Waits for the request's turn.
@@ -34,7 +58,38 @@
         Raises:
           CodedError: It is refused, with outcome NOT_RUN and when to come back.
         """
-        return Permit()
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        pool = self._pool(item)
+        self._advance(pool, now)
+        if item.fingerprint and self._guard.is_blocked(item.fingerprint, now):
+            raise blocked_error()
+        if not self._room.take(item.priority):
+            raise refusal_error(Refusal("entry_full", "this entry holds too many requests", 1.0))
+        ticket = self._make_ticket(item)
+        refusal = pool.queue.offer(ticket, now)
+        if refusal is not None:
+            self._room.give_back()
+            raise self._refuse(refusal, pool, now)
+        permit = Permit(self, pool, ticket, item)
+        if ticket.state is TicketState.RUNNING:
+            return permit
+        self._log.write(
+            Event.REQUEST_WAITING,
+            request=item.request_id,
+            workspace=item.workspace,
+            waiting=pool.queue.waiting,
+            running=pool.queue.running,
+            limit=round(pool.queue.limit, 2),
+        )
+        turn = pool.waiters[ticket] = loop.create_future()
+        self._set_timer(pool, now)
+        try:
+            await turn
+        except BaseException:
+            permit.release()
+            raise
+        return permit
 
     def place(self, item: WorkItem, tried: frozenset[str] = frozenset()) -> Placement:
         """Chooses an endpoint that was not tried yet.
@@ -42,27 +97,241 @@
         Raises:
           CodedError: No endpoint can take the request now; outcome NOT_RUN.
         """
-        candidates = [
-            view
-            for view in self._table.candidates(item.model, item.service)
-            if view.instance.name not in tried
-        ]
-        if not candidates:
-            raise CodedError(
-                "no_endpoint",
-                "no endpoint can answer now",
-                503,
-                retry_after=NO_ENDPOINT_RETRY_AFTER_SECONDS,
-            )
-        view = min(candidates, key=lambda candidate: candidate.in_progress)
+        now = asyncio.get_running_loop().time()
+        pool = self._pool(item)
+        pool.refresh(self._table, now)
+        suspect = False
+        if item.fingerprint:
+            if self._guard.is_blocked(item.fingerprint, now):
+                raise blocked_error()
+            suspect = self._guard.is_suspect(item.fingerprint, now)
+        state, preferred = self._choose(pool, item, tried, suspect, now)
+        if state is None:
+            retry = backoff.spread(max(1.0, pool.probe_seconds(now)), self._rng)
+            raise refusal_error(Refusal("no_endpoint", "no endpoint can answer now", retry))
+        if not item.placements:
+            self._budget.earn()
+        item.placements += 1
+        probe = state.health.health is not Health.HEALTHY
+        state.placed(now)
+        if suspect:
+            self._guard.started(state.name)
+        reason = "probe" if probe else "prefix" if state.name in preferred else "load"
         self._log.write(
             Event.REQUEST_PLACED,
             request=item.request_id,
             workspace=item.workspace,
-            endpoint=view.instance.name,
+            endpoint=state.name,
+            reason="alone" if suspect else reason,
+            tier=state.tier,
+            in_progress=state.in_progress,
+            limit=round(state.limit.value, 2),
         )
-        return Placement(item, view, self._table)
+        return Placement(item, pool.views[state.name], state, suspect, self)
 
     def may_retry(self, item: WorkItem) -> bool:
         """Returns whether the budget allows one more attempt, and takes it from the budget."""
-        return False
+        now = asyncio.get_running_loop().time()
+        if item.fingerprint and self._guard.is_blocked(item.fingerprint, now):
+            return False
+        if not self._budget.spend(item.retries):
+            return False
+        item.retries += 1
+        return True
+
+    def retry_delay(self, item: WorkItem) -> float:
+        """Returns seconds to wait before a retry that may_retry allowed."""
+        return backoff.delay_before(max(1, item.retries), self._rng)
+
+    def take_status(self, status: Status) -> None:
+        """Takes a status that came on an answer."""
+        self._table.take_status(status)
+        now = asyncio.get_running_loop().time()
+        if status.suspects:
+            self._guard.take_told(status.name, status.suspects, now)
+        pool = self._pools.get((status.model, status.service))
+        if pool is not None and status.name in pool.states:
+            pool.take_report(status.name, pool.views[status.name], now)
+
+    def take_progress(self, placement: Placement, tokens: int, now: float) -> None:
+        """Takes tokens that arrived at one attempt."""
+        item, state = placement.item, placement.state
+        pool = self._pool(item)
+        last = placement.progress_at
+        placement.progress_at = now
+        placement.tokens += tokens
+        item.tokens_done += tokens
+        if last is None:
+            state.limit.take_first_token(now - placement.began, state.in_progress, now)
+        elif state.health.take_tokens(tokens, now - last, pool.median, now):
+            self._eject(pool, state, f"{state.health.token_seconds:.3f} s a token")
+
+    def take_end(self, placement: Placement, code: str, now: float) -> None:
+        """Takes the end of one attempt."""
+        item, state = placement.item, placement.state
+        pool = self._pool(item)
+        state.ended()
+        if placement.suspect:
+            self._guard.ended(state.name)
+        if not code:
+            self._take_success(placement, pool, now)
+        elif code in NEUTRAL_CODES or now >= item.deadline - SHORTEST_TIME:
+            # A caller's own short deadline says nothing against the endpoint; counted as a
+            # failure, a few such callers could have every endpoint taken out of service.
+            state.health.probe_ended(now)
+        else:
+            self._take_failure(placement, code, pool, now)
+
+    def release(self, pool: TargetPool, ticket: Ticket, item: WorkItem) -> None:
+        """Ends a request's admission, and lets those run whose turn it is now."""
+        now = asyncio.get_running_loop().time()
+        cost = None
+        if item.whole:
+            cost = float(item.tokens_done) if item.model else 1.0
+            if item.model:
+                self._costs.learn(item.workspace, item.model, item.tokens_done)
+        pool.waiters.pop(ticket, None)
+        pool.queue.end(ticket, now, cost)
+        self._room.give_back()
+        self._advance(pool, now)
+
+    def _choose(
+        self,
+        pool: TargetPool,
+        item: WorkItem,
+        tried: frozenset[str],
+        suspect: bool,
+        now: float,
+    ) -> tuple[EndpointState | None, list[str]]:
+        def allowed(state: EndpointState) -> bool:
+            return (
+                state.name not in tried
+                and state.health.may_take(now)
+                and pool.can_take(state.name)
+                and not (suspect and not self._guard.may_run_at(state.name))
+            )
+
+        def healthy(state: EndpointState) -> bool:
+            return state.health.health is Health.HEALTHY and allowed(state)
+
+        preferred: list[str] = []
+        head = prefix_affinity.head_of(item.prompt) if item.prompt else ""
+        if head:
+            preferred = pool.ring.preferred(head)
+        if item.priority is Priority.GENERATE:
+            return pool.endpoints.choose(allowed, preferred, now), preferred
+        # A charge that fails can leave its outcome unknown, so it is a probe only where
+        # nothing else is left.
+        state = pool.endpoints.choose(healthy, preferred, now)
+        return state or pool.endpoints.choose(allowed, preferred, now), preferred
+
+    def _take_success(self, placement: Placement, pool: TargetPool, now: float) -> None:
+        item, state = placement.item, placement.state
+        item.whole = True
+        if item.fingerprint:
+            self._guard.clear(item.fingerprint)
+        if item.service:
+            state.limit.take_first_token(now - placement.began, state.in_progress + 1, now)
+        if state.health.take_success(pool.median):
+            state.limit.restart()
+            pool.refresh_soon()
+            self._log.write(Event.ENDPOINT_RETURNED, endpoint=state.name)
+
+    def _take_failure(self, placement: Placement, code: str, pool: TargetPool, now: float) -> None:
+        item, state = placement.item, placement.state
+        state.limit.take_failure(now)
+        lost = code == "engine_lost" or placement.head_at is not None
+        if item.fingerprint and lost and code in DEATH_CODES:
+            self._guard.saw_death(item.fingerprint, state.name, now)
+            self._log.write(
+                Event.REQUEST_SUSPECTED,
+                request=item.request_id,
+                endpoint=state.name,
+                fingerprint=item.fingerprint,
+            )
+        if state.health.take_failure(now):
+            self._eject(pool, state, code)
+
+    def _eject(self, pool: TargetPool, state: EndpointState, reason: str) -> None:
+        pool.refresh_soon()
+        state.limit.restart()
+        self._log.write(
+            Event.ENDPOINT_EJECTED,
+            endpoint=state.name,
+            health=state.health.health.value,
+            reason=reason,
+        )
+
+    def _make_ticket(self, item: WorkItem) -> Ticket:
+        cost = 1.0
+        if item.model:
+            cost = self._costs.estimate(item.workspace, item.model, item.max_tokens)
+        share = 1.0
+        current = self._follower.current if self._follower else None
+        if current is not None and item.workspace in current.fleet.workspaces:
+            share = current.fleet.workspaces[item.workspace].share
+        return Ticket(
+            item.request_id, item.workspace, int(item.priority), share, cost, item.deadline
+        )
+
+    def _pool(self, item: WorkItem) -> TargetPool:
+        key = (item.model, item.service)
+        pool = self._pools.get(key)
+        if pool is None:
+            place = (self._region, self._data_centre)
+            pool = self._pools[key] = TargetPool(*key, *place, self._rng)
+        return pool
+
+    def _advance(self, pool: TargetPool, now: float) -> None:
+        """Brings a pool up to date: gives up whose time has passed, runs whose turn it is."""
+        if pool.refresh(self._table, now):
+            self._read_views(pool, now)
+        for ticket, refusal in pool.queue.expire(now):
+            turn = pool.waiters.pop(ticket, None)
+            if turn is not None and not turn.done():
+                turn.set_exception(self._refuse(refusal, pool, now))
+        for ticket in pool.queue.grant(now):
+            turn = pool.waiters.pop(ticket, None)
+            if turn is not None and not turn.done():
+                turn.set_result(None)
+        self._set_timer(pool, now)
+
+    def _read_views(self, pool: TargetPool, now: float) -> None:
+        for name, view in pool.views.items():
+            if view.status is not None and view.status.suspects:
+                self._guard.take_told(name, view.status.suspects, now)
+
+    def _set_timer(self, pool: TargetPool, now: float) -> None:
+        if pool.timer is not None:
+            pool.timer.cancel()
+            pool.timer = None
+        expiry = pool.queue.next_expiry()
+        if expiry is None:
+            return
+        seconds = max(0.0, min(expiry - now, REFRESH_SECONDS))
+        loop = asyncio.get_running_loop()
+        pool.timer = loop.call_later(seconds, lambda: self._advance(pool, loop.time()))
+
+    def _refuse(self, refusal: Refusal, pool: TargetPool, now: float) -> CodedError:
+        seconds = refusal.retry_after
+        if refusal.code == "no_endpoint":
+            seconds = max(seconds, pool.probe_seconds(now))
+        # Callers that are refused together would come back together.
+        return refusal_error(
+            Refusal(refusal.code, refusal.reason, backoff.spread(seconds, self._rng))
+        )
+
+
+def refusal_error(refusal: Refusal) -> CodedError:
+    """Returns what a caller is told that is refused."""
+    return CodedError(refusal.code, refusal.reason, 503, retry_after=refusal.retry_after)
+
+
+def blocked_error() -> CodedError:
+    """Returns what the caller of a request is told that crashes endpoints."""
+    return CodedError(
+        "request_blocked",
+        "this request was in progress at two endpoints that died",
+        422,
+        retry_after=poison.BLOCK_SECONDS,
+    )
--- a/wasabidrum/entry/work_item.py
+++ b/wasabidrum/entry/work_item.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from ..decisions import poison
+
 
 class Priority(enum.IntEnum):
     """Classes of work; a lower number is served first."""
@@ -21,6 +23,10 @@
       idempotent: Whether the request may be repeated.
       prompt: The text of a model request, for prefix affinity; empty for a service.
       max_tokens: The most tokens that may be generated; zero for a service.
+      tokens_done: Tokens that arrived so far, over all attempts.
+      whole: Whether an attempt ended with a whole answer.
+      retries: Attempts after the first that the budget allowed.
+      placements: Attempts that were sent to an endpoint.
     """
 
     request_id: str
@@ -32,3 +38,20 @@
     service: str = ""
     prompt: str = ""
     max_tokens: int = 0
+    tokens_done: int = 0
+    whole: bool = False
+    retries: int = 0
+    placements: int = 0
+    _fingerprint: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """The mark by which a prompt that crashes endpoints is known; empty for a service."""
+        if not self._fingerprint and self.prompt:
+            self._fingerprint = poison.fingerprint_of(self.prompt)
+        return self._fingerprint
+
+    @property
+    def target(self) -> str:
+        """The model or the service."""
+        return self.model or self.service
--- a/wasabidrum/sidecar/call_handlers.py
+++ b/wasabidrum/sidecar/call_handlers.py
@@ -1,5 +1,6 @@
 """What entries ask of a sidecar: run a request at the endpoint, or give one up."""
 
+import asyncio
 import typing
 
 import msgspec
@@ -7,6 +8,7 @@
 
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
+from ..decisions import poison
 from ..endpoints.generate_request import GenerateRequest
 from ..endpoints.model_engine import ModelEngine
 from ..endpoints.plain_service import PlainService
@@ -49,6 +51,7 @@
     """POST /internal/generate: streams the engine's events."""
 
     _attempt_id = ""
+    _prompt = ""
 
     async def post(self) -> None:
         """Runs one attempt."""
@@ -57,7 +60,7 @@
             try:
                 self.check_taking_work()
                 order = msgspec.json.decode(self.request.body, type=GenerateRequest)
-                self._attempt_id = order.request_id
+                self._attempt_id, self._prompt = order.request_id, order.prompt
                 self.tell_status()
                 async for chunk in engine.generate(order):
                     self.write(chunk)
@@ -67,6 +70,7 @@
             except iostream.StreamClosedError:
                 return
             except CodedError as error:
+                error = self.note_loss(error)
                 if self._headers_written:
                     # The head is gone, so the only honest end is a cut, which the entry
                     # sees as an answer without its last event.
@@ -74,6 +78,14 @@
                 else:
                     self.refuse(error)
 
+    def note_loss(self, error: CodedError) -> CodedError:
+        """Remembers a request that the engine was lost with, and gives its error a code."""
+        if error.code != "peer_unreachable" or error.outcome is not Outcome.UNKNOWN:
+            return error
+        now = asyncio.get_running_loop().time()
+        self.sidecar.deaths.take_lost(poison.fingerprint_of(self._prompt), now)
+        return CodedError("engine_lost", str(error), 502, error.outcome)
+
     def on_connection_close(self) -> None:
         """Frees the engine's slot when the entry went away."""
         if self._attempt_id:
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -13,6 +13,7 @@
 from ..core.load import Load
 from ..core.requests_in_progress import RequestsInProgress
 from ..core.status import Status
+from ..decisions.death_record import DeathRecord
 from ..endpoints.http_model_engine import make_model_engine
 from ..endpoints.http_plain_service import make_plain_service
 from ..endpoints.model_engine import ModelEngine
@@ -45,6 +46,7 @@
         self._port = 0
         self.leaving = False
         self.requests = RequestsInProgress()
+        self.deaths = DeathRecord()
         self.engine: ModelEngine | None = None
         self.service: PlainService | None = None
         self.versions: VersionKeeper | None = None
@@ -124,6 +126,7 @@
             chunks_wanted=versions.chunks_wanted if versions else 0,
             leaving=self.leaving,
             load=self._load,
+            suspects=self.deaths.suspects(asyncio.get_running_loop().time()),
         )
 
     async def cancel(self, attempt_id: str) -> None:
