--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -22,6 +22,8 @@
       leaving: Whether the daemon takes no new work.
       load: The endpoint's load as this daemon sees it.
       uptime: Seconds since this incarnation started, by its own monotonic clock.
+      suspects: Requests that were in progress when the endpoint died, each as its
+        fingerprint, a slash and the number of the death; see decisions/poison.py.
       failed_version: The version that the endpoint could not load, or empty.
     """
 
@@ -46,3 +48,4 @@
     load: Load = Load()
     failed_version: str = ""
     uptime: float = 0.0
+    suspects: tuple[str, ...] = ()
--- a/wasabidrum/sidecar/call_handlers.py
+++ b/wasabidrum/sidecar/call_handlers.py
@@ -8,6 +8,7 @@
 
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
+from ..decisions import poison
 from ..endpoints.generate_request import GenerateRequest
 from ..endpoints.model_engine import ModelEngine
 from ..endpoints.plain_service import PlainService
@@ -59,6 +60,7 @@
     """POST /internal/generate: streams the engine's events."""
 
     _attempt_id = ""
+    _prompt = ""
 
     async def post(self) -> None:
         """Runs one attempt in a task of its own, so that it can be ended at any moment."""
@@ -66,10 +68,12 @@
             try:
                 self.check_taking_work()
                 order = msgspec.json.decode(self.request.body, type=GenerateRequest)
+                self._prompt = order.prompt
                 await self.run(order)
             except msgspec.MsgspecError as error:
                 self.refuse(CodedError("attempt_invalid", str(error), 400))
             except CodedError as error:
+                error = self.note_loss(error)
                 if self._headers_written:
                     self.cut()
                 else:
@@ -104,6 +108,14 @@
         # answer without its last event.
         self.request.connection.close()
 
+    def note_loss(self, error: CodedError) -> CodedError:
+        """Remembers a request that the engine was lost with, and gives its error a code."""
+        if error.code != "peer_unreachable" or error.outcome is not Outcome.UNKNOWN:
+            return error
+        now = asyncio.get_running_loop().time()
+        self.sidecar.deaths.take_lost(poison.fingerprint_of(self._prompt), now)
+        return CodedError("engine_lost", str(error), 502, error.outcome)
+
     def on_connection_close(self) -> None:
         """Frees the engine's slot when the entry went away."""
         if self._attempt_id:
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -13,6 +13,7 @@
 from ..core.load import Load
 from ..core.requests_in_progress import RequestsInProgress
 from ..core.status import Status
+from ..decisions.death_record import DeathRecord
 from ..decisions.keyed_ledger import make_ledger
 from ..endpoints.http_model_engine import make_model_engine
 from ..endpoints.http_plain_service import make_plain_service
@@ -48,6 +49,7 @@
         self._port = 0
         self.leaving = False
         self.requests = RequestsInProgress()
+        self.deaths = DeathRecord()
         self.engine: ModelEngine | None = None
         self.service: PlainService | None = None
         self.versions: VersionKeeper | None = None
@@ -131,6 +133,7 @@
             leaving=self.leaving,
             uptime=self.keyed_calls.uptime,
             load=self._load,
+            suspects=self.deaths.suspects(asyncio.get_running_loop().time()),
         )
 
     def note_refused_while_leaving(self) -> None:
