--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -21,6 +21,9 @@
       chunks_held: How many chunks of the version being fetched are at hand.
       leaving: Whether the daemon takes no new work.
       load: The endpoint's load as this daemon sees it.
+      uptime: Seconds since this incarnation started, by its own monotonic clock.
+      suspects: Requests that were in progress when the endpoint died, each as its
+        fingerprint, a slash and the number of the death; see decisions/poison.py.
       failed_version: The version that the endpoint could not load, or empty.
       refused_revision: The highest invalid revision known above the one in force, or zero.
       refused_reason: Every fault of that revision.
@@ -52,3 +55,5 @@
     refused_reason: str = ""
     alarm: str = ""
     reads_service: bool = False
+    uptime: float = 0.0
+    suspects: tuple[str, ...] = ()
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -20,6 +20,7 @@
 from . import caller_handlers
 from .endpoint_table import EndpointTable
 from .endpoint_watcher import EndpointWatcher
+from .key_handler import KeyHandler
 from .model_call import ModelCaller
 from .service_call import ServiceCaller
 from .traffic import Traffic
@@ -61,9 +62,9 @@
         self.node = PeerNode(
             settings, directory, self.follower, self.status, log, self._report_failure
         )
-        traffic = Traffic(self.table, log)
+        traffic = Traffic(self.table, log, self.follower, settings.region, settings.data_centre)
         self.models = ModelCaller(client, traffic)
-        self.services = ServiceCaller(client, traffic)
+        self.services = ServiceCaller(client, traffic, self.table, log)
 
     async def start(self) -> None:
         """Listens and starts the background tasks."""
@@ -72,6 +73,7 @@
             [
                 (r"/v1/completions", caller_handlers.ModelHandler, given),
                 (r"/v1/chat/completions", caller_handlers.ChatHandler, given),
+                (r"/v1/idempotency-keys", KeyHandler, given),
                 (r"/services/([^/]+)(/.*)", caller_handlers.ServiceHandler, given),
             ],
             log_function=lambda handler: None,
--- a/wasabidrum/peers/peer_messages.py
+++ b/wasabidrum/peers/peer_messages.py
@@ -25,6 +25,7 @@
         the watched one, as towards an entry that watches an endpoint.
       status: The sender's account of itself, where more than the load changed.
       load: Running, waiting, slots and tokens a second, where they changed.
+      uptime: How long the sender has run, in seconds.
       list_as_of: When the instance list that the sender holds was made.
       list_digest: The digest of that list, where it changed.
       news: What the sender heard of third parties, oldest first.
@@ -34,6 +35,7 @@
     gossip: bool = False
     status: Status | None = None
     load: tuple[int, int, int, float] | None = None
+    uptime: float = 0.0
     list_as_of: float = 0.0
     list_digest: str = ""
     news: tuple[MemberNews, ...] = ()
