--- a/wasabidrum/decisions/revision_book.py
+++ b/wasabidrum/decisions/revision_book.py
@@ -110,6 +110,14 @@
         self.refusal = Refusal(revision, digest, reason)
         return True
 
+    def take_alarm(self, revision: int, alarm: str) -> None:
+        """Takes an alarm that a process with a revision in force raised.
+
+        Only few processes hear both contents of a revision; operators may ask any.
+        """
+        if revision == self._revision and not self.alarm:
+            self.alarm = alarm
+
     def _report_conflict(self, revision: int, known: str, told: str) -> Claim:
         pair = " and ".join(sorted((known, told)))
         self.alarm = f"revision {revision} has two contents: {pair}"
--- a/wasabidrum/peers/configuration_follower.py
+++ b/wasabidrum/peers/configuration_follower.py
@@ -92,12 +92,14 @@
     def judge(self, revision: int, digest: str) -> Claim:
         """Takes somebody's word for a revision; says whether its value is wanted."""
         claim = self.book.judge(revision, digest)
-        if self.book.alarm and self.book.alarm != self._alarm:
-            self._alarm = self.book.alarm
-            self._log.write(Event.REVISION_CONFLICT, reason=self._alarm)
-            self.on_change()
+        self._tell_alarm()
         return claim
 
+    def take_alarm(self, revision: int, alarm: str) -> None:
+        """Takes an alarm that a peer with a revision in force raised."""
+        self.book.take_alarm(revision, alarm)
+        self._tell_alarm()
+
     async def offer(self, value: ConfigValue, compressed: bytes = b"") -> bool:
         """Takes a value from anyone; returns whether it is in force now."""
         async with self._rendering:
@@ -130,6 +132,12 @@
             await self._changed.wait_for(lambda: self.revision > revision)
         return self._current
 
+    def _tell_alarm(self) -> None:
+        if self.book.alarm and self.book.alarm != self._alarm:
+            self._alarm = self.book.alarm
+            self._log.write(Event.REVISION_CONFLICT, reason=self._alarm)
+            self.on_change()
+
     async def _prepare(self, value: ConfigValue, compressed: bytes) -> tuple[FleetRevision, bytes]:
         if len(value.content) <= LARGEST_RENDERED_INLINE_BYTES:
             return prepare_value(value, self._site, compressed)
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -189,6 +189,8 @@
         self._fetcher.take_claim(
             status.revision, status.config_digest, status.host, status.peer_port
         )
+        if status.alarm:
+            self._follower.take_alarm(status.revision, status.alarm)
         if status.refused_revision > max(self._follower.revision, self._follower.refused_revision):
             self._follower.refuse(status.refused_revision, "", status.refused_reason)
 
