--- a/tests/control_partition_test.py
+++ b/tests/control_partition_test.py
@@ -51,13 +51,16 @@
         self.whole = asyncio.Event()
         self.whole.set()
         self.cut = asyncio.Event()
+        self.crossing = 0
         self._watch = peer_client.watch
         self._fetch = peer_client.fetch_configuration
 
-    def set_cut(self, cut: bool) -> None:
-        """Cuts the network between the sides, or heals it."""
+    async def set_cut(self, cut: bool) -> None:
+        """Cuts the network between the sides, or heals it; nothing is left on its way then."""
         (self.cut if cut else self.whole).set()
         (self.whole if cut else self.cut).clear()
+        while cut and self.crossing:
+            await asyncio.sleep(0.01)
 
     def crosses(self, port: int) -> bool:
         """Returns whether the running node's call to a port goes to the other side."""
@@ -65,6 +68,7 @@
 
     async def watch(self, host: str, port: int, link: object) -> None:
         """See peer_client.watch; a stream across the cut ends, and none opens."""
+        self.crossing += self.crosses(port)
         watching = asyncio.ensure_future(self._watch(host, port, link))
         cut = asyncio.ensure_future(self.cut.wait() if self.crosses(port) else asyncio.sleep(3600))
         try:
@@ -75,6 +79,7 @@
             cut.cancel()
             watching.cancel()
             await asyncio.gather(watching, return_exceptions=True)
+            self.crossing -= self.crosses(port)
         if self.crosses(port):
             await self.whole.wait()
 
@@ -190,7 +195,7 @@
     async def test_both_sides_of_a_partition_read_on_and_agree_once_it_heals(self) -> None:
         """A region loses the others, and the service's copies differ: one side reads three more
         revisions, the other one. Once healed all must have the highest, and none goes back."""
-        self.network.set_cut(True)
+        await self.network.set_cut(True)
         self.serve(3, SIDES[0])
         await self.agree(3, SIDES[0])
         self.assertEqual({d.follower.revision for d in self.at(SIDES[1])}, {2})
@@ -202,7 +207,7 @@
         for daemon in self.at(SIDES[0]):
             own = [name for name in self.usable(daemon) if name.startswith(SIDES[0])]
             self.assertEqual(len(own), EACH - 1)
-        self.network.set_cut(False)
+        await self.network.set_cut(False)
         await self.agree(6)
 
     async def test_two_readers_read_different_revisions(self) -> None:
@@ -230,12 +235,12 @@
         """The service was restored and published again under a number already used, and its
         copies differ. No site may change its mind; every daemon must raise the alarm, and the
         next revision ends it."""
-        self.network.set_cut(True)
+        await self.network.set_cut(True)
         self.serve(3, SIDES[0], "a")
         self.serve(3, SIDES[1], "b")
         await self.agree(3)
         held = [daemon.follower.book.digest for daemon in self.daemons.values()]
-        self.network.set_cut(False)
+        await self.network.set_cut(False)
         await self.wait_for(lambda d: d.follower.book.alarm)
         self.assertEqual([d.follower.book.digest for d in self.daemons.values()], held)
         self.serve(4)
