--- a/wasabidrum/config/settings.py
+++ b/wasabidrum/config/settings.py
@@ -68,6 +68,8 @@
       drain_seconds: How long a graceful shutdown waits for requests in progress.
       log_file: Where log lines go; empty for standard error.
       tls: Mutual TLS between the fleet's processes; none where left out.
+      control: "peers" hears of changes from other daemons; "service" has this daemon watch
+        the platform's service itself, as a baseline for measurements.
     """
 
     name: Name
@@ -83,3 +85,4 @@
     drain_seconds: NotNegative = 60.0
     log_file: str = ""
     tls: TlsSettings | None = None
+    control: typing.Literal["peers", "service"] = "peers"
