--- a/bench/soak.py
+++ b/bench/soak.py
@@ -60,7 +60,9 @@
             for name, region in self._services.items()
         ]
         started += [cluster.start_entry(f"entry-{i + 1}", REGIONS[i]) for i in range(2)]
-        await asyncio.gather(*started)
+        members = await asyncio.gather(*started)
+        sidecars = [member for member in members if member.role == "sidecar"]
+        await asyncio.gather(*(cluster.put_proxy_before(member) for member in sidecars))
         await cluster.publish_instances()
         await self._publish_new_version()
         await cluster.wait_until(self._converged, CONVERGE_SECONDS, "the first version")
@@ -75,22 +77,14 @@
         )
         watch = asyncio.ensure_future(self._watch())
         ends = loop.time() + self._seconds - 3.0
-        actions = [
-            self._kill_and_replace_sidecar,
-            self._kill_and_replace_sidecar,
-            self._stop_and_wake_sidecar,
-            self._stop_and_wake_sidecar,
-            self._replace_sidecar_gracefully,
-            self._replace_entry_gracefully,
-            self._publish_new_version,
-            self._publish_new_version,
-            self._publish_overlay,
-            self._spoil_configuration,
-            self._spoil_sources,
-        ]
+        actions: list = []
         while loop.time() < ends:
-            await asyncio.sleep(self._random.uniform(0.2, 1.2))
-            action = self._random.choice(actions)
+            if not actions:
+                # Every action comes once before any comes again, so that a long enough play
+                # of any seed brings about all of them.
+                actions = self._random.sample(self._all_actions(), len(self._all_actions()))
+            await asyncio.sleep(self._random.uniform(0.1, 0.6))
+            action = actions.pop()
             self.played.append(action.__name__.strip("_"))
             await action()
         await self._cluster.control("faults", {})
@@ -100,6 +94,20 @@
         )
         watch.cancel()
 
+    def _all_actions(self) -> list:
+        return [
+            self._kill_and_replace_sidecar,
+            self._stop_and_wake_sidecar,
+            self._replace_sidecar_gracefully,
+            self._replace_entry_gracefully,
+            self._publish_new_version,
+            self._publish_overlay,
+            self._spoil_configuration,
+            self._spoil_sources,
+            self._spoil_link,
+            self._spoil_link,
+        ]
+
     def judge(self) -> dict[str, object]:
         """Returns the figures, those that must be zero by the promises among them."""
         runs: collections.Counter = collections.Counter()
@@ -170,6 +178,22 @@
         await asyncio.sleep(self._random.uniform(0.5, 2.0))
         await self._cluster.control("faults", {})
 
+    async def _spoil_link(self) -> None:
+        control_port = self._choose_sidecar().proxy_control_port
+        spoilt = self._random.choice(
+            (
+                {"stall": True},
+                {"refuse": True},
+                {"delay_seconds": 0.05},
+                {"cut_after_bytes": self._random.randrange(100, 5000)},
+                {"repeat_requests": True, "repeat_delay_seconds": 0.3},
+            )
+        )
+        self.played.append(f"link: {next(iter(spoilt))}")
+        await self._cluster.put_link_faults(control_port, **spoilt)
+        await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        await self._cluster.put_link_faults(control_port)
+
     def _choose_sidecar(self) -> Member:
         members = self._cluster.members
         names = [n for n, m in members.items() if m.role == "sidecar" and m.state == "live"]
@@ -178,9 +202,10 @@
     async def _start_again(self, gone: Member, with_endpoint: bool) -> None:
         endpoint = None if with_endpoint else (gone.endpoint, gone.endpoint_port)
         options = self._engine_options(gone.name) if gone.kind == "engine" else ()
-        await self._cluster.start_sidecar(
+        member = await self._cluster.start_sidecar(
             gone.name, gone.region, gone.kind, options=options, endpoint=endpoint
         )
+        await self._cluster.put_proxy_before(member)
         await self._cluster.publish_instances()
 
     async def _kill_and_replace_sidecar(self) -> None:
