--- a/bench/demo.py
+++ b/bench/demo.py
@@ -20,6 +20,7 @@
 VERSION_BYTES = 64 * MEBIBYTE
 CHUNK_BYTES = MEBIBYTE
 ORIGIN_MBIT = 400.0
+BETWEEN_REGIONS_MBIT = 400.0
 LOAD_PER_SECOND = 30.0
 TOKENS = 20
 IN_FORCE_SECONDS = 40.0
@@ -86,7 +87,9 @@
     roots = {"v1": await cluster.make_version(total_bytes=4 * MEBIBYTE, chunk_bytes=CHUNK_BYTES)}
 
     def base(version: str) -> dict[str, object]:
-        return make_base(roots, version, engines, services, VERSION_BYTES)
+        # The link between regions is scaled up with the origin's, so that the demo is short.
+        links = {"between_regions_mbit": BETWEEN_REGIONS_MBIT}
+        return make_base(roots, version, engines, services, VERSION_BYTES) | {"links": links}
 
     await cluster.publish(base("v1"))
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -102,6 +102,7 @@
         self.fence = 0
         self.role = "mixed"
         self.adapters: dict[str, str] = {}
+        self.adapter_contents: dict[str, str] = {}
         self.tasks: dict[str, asyncio.Task] = {}
         self.slots_taken = 0
         self.waiters: list[tuple[int, int, asyncio.Future]] = []
@@ -357,6 +358,16 @@
             self.state.adapters[order.adapter] = order.digest
 
 
+class AdapterHandler(BaseHandler):
+    """PUT /v1/adapters/NAME: takes an adapter's bytes under the digest of its manifest."""
+
+    def put(self, name: str) -> None:
+        """Loads an adapter in one step."""
+        self.state.check_fence(int(self.get_query_argument("fence")))
+        self.state.adapters[name] = self.get_query_argument("digest")
+        self.state.adapter_contents[name] = digest_of(self.request.body)
+
+
 class ControlHandler(BaseHandler):
     """The tests' side: faults in, counters out."""
 
@@ -364,7 +375,8 @@
         """GET /control/counters."""
         state = self.state
         now = {"active": state.active, "running": state.slots_taken, "role": state.role}
-        self.write(state.counters | now | {"adapters": state.adapters})
+        adapters = {"adapters": state.adapters, "adapter_contents": state.adapter_contents}
+        self.write(state.counters | now | adapters)
 
     def put(self, what: str) -> None:
         """PUT /control/faults."""
@@ -382,6 +394,7 @@
             (r"/v1/stage/([^/]+)/([0-9]+)", StageChunkHandler, given),
             (r"/v1/orders/activate", ActivateHandler, given),
             (r"/v1/orders/(role|adapter)", RoleHandler, given),
+            (r"/v1/adapters/([^/]+)", AdapterHandler, given),
             (r"/v1/kv/import", KvImportHandler, given),
             (r"/v1/([a-z-]+)", ReadHandler, given),
             (r"/control/(.*)", ControlHandler, given),
--- a/wasabidrum/config/settings.py
+++ b/wasabidrum/config/settings.py
@@ -42,6 +42,7 @@
       role: "entry" or "sidecar".
       site: The overlay that applies here.
       link_mbit: The instance's link rate, each way, in megabits a second.
+      weights_from: "peers"; "origin" and "chain" are the plain ways that benches compare with.
       chunk_memory_bytes: The most that a sidecar holds of weights for its peers.
       drain_seconds: How long a graceful shutdown waits for requests in progress.
       log_file: Where log lines go; empty for standard error.
@@ -56,6 +57,7 @@
     listen: ListenSettings = ListenSettings()
     endpoint: EndpointSettings | None = None
     link_mbit: float = 1000.0
+    weights_from: str = "peers"
     chunk_memory_bytes: int = 268_435_456
     drain_seconds: float = 60.0
     log_file: str = ""
--- a/wasabidrum/core/fleet.py
+++ b/wasabidrum/core/fleet.py
@@ -18,12 +18,14 @@
       versions: Every version that the origin has, by name.
       adapters: Adapters by name; each is content like a version, and small.
       away_fraction: How large a part of the model's endpoints may switch at once.
+      soak_seconds: How long the first endpoint must stay up before others follow.
     """
 
     version: str
     versions: dict[str, VersionSpec]
     adapters: dict[str, VersionSpec] = {}
     away_fraction: float = 0.25
+    soak_seconds: float = 1.0
 
 
 class EndpointSpec(msgspec.Struct, frozen=True):
@@ -81,12 +83,17 @@
 
 
 class LinkSpec(msgspec.Struct, frozen=True):
-    """Link rates in megabits a second, and the parts that weights may use."""
+    """Link rates in megabits a second, and the parts that weights may use.
+
+    Attributes:
+      origin_region: The region in which the origin stands, or empty where none is nearer.
+    """
 
     between_regions_mbit: float = 13.0
     instance_mbit: float = 1000.0
     weights_fraction_between_regions: float = 0.7
     weights_fraction_instance: float = 0.7
+    origin_region: str = ""
 
 
 class LimitSpec(msgspec.Struct, frozen=True):
--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -22,6 +22,10 @@
       leaving: Whether the daemon takes no new work.
       load: The endpoint's load as this daemon sees it.
       failed_version: The version that the endpoint could not load, or empty.
+      staged: The version that the endpoint holds completely and has not switched to.
+      switching: Whether the endpoint switches versions now, or is about to.
+      proven: The version that is known to have come into force on some endpoint and stayed.
+      stopped: The version whose rollout stopped itself, or empty.
     """
 
     name: str
@@ -44,3 +48,7 @@
     leaving: bool = False
     load: Load = Load()
     failed_version: str = ""
+    staged: str = ""
+    switching: bool = False
+    proven: str = ""
+    stopped: str = ""
--- a/wasabidrum/endpoints/http_model_engine.py
+++ b/wasabidrum/endpoints/http_model_engine.py
@@ -64,6 +64,20 @@
         """See ModelEngine."""
         await self._order("/v1/orders/activate", {"version": version, "fence": fence})
 
+    async def load_adapter(self, name: str, root: str, content: bytes, fence: int) -> None:
+        """See ModelEngine."""
+        request = httpclient.HTTPRequest(
+            f"{self._url}/v1/adapters/{name}?digest={root}&fence={fence}",
+            method="PUT",
+            body=content,
+            request_timeout=CHUNK_TIMEOUT_SECONDS,
+        )
+        self._check(await http_client.fetch(self._client, request, "engine"))
+
+    async def set_role(self, role: str, fence: int) -> None:
+        """See ModelEngine."""
+        await self._order("/v1/orders/role", {"role": role, "fence": fence})
+
     async def generate(self, request: GenerateRequest) -> collections.abc.AsyncIterator[bytes]:
         """See ModelEngine."""
         outgoing = httpclient.HTTPRequest(
--- a/wasabidrum/endpoints/model_engine.py
+++ b/wasabidrum/endpoints/model_engine.py
@@ -30,6 +30,16 @@
         Requests in progress end under the version that they began with.
         """
 
+    async def load_adapter(self, name: str, root: str, content: bytes, fence: int) -> None:
+        """Loads an adapter, complete and verified, under its name.
+
+        An adapter is small, so it is handed over whole; one of the same name is replaced
+        in one step.
+        """
+
+    async def set_role(self, role: str, fence: int) -> None:
+        """Changes what the engine does: "mixed", "prefill" or "decode"."""
+
     def generate(self, request: GenerateRequest) -> collections.abc.AsyncIterator[bytes]:
         """Yields newline-delimited JSON events until the answer is whole."""
 
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -21,12 +21,11 @@
 from ..observe.event_log import EventLog
 from ..peers.configuration_follower import ConfigurationFollower
 from ..peers.listed_membership import ListedMembership
-from ..platform.http_blob_source import make_blob_source
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
+from ..weights.weights_side import WeightsSide, make_weights_side
 from ..wire import http_client
 from . import call_handlers
-from .version_keeper import VersionKeeper
 
 LOAD_READ_SECONDS = 0.25
 LEAVING_NOTICE_SECONDS = 2.0
@@ -47,43 +46,47 @@
         self.requests = RequestsInProgress()
         self.engine: ModelEngine | None = None
         self.service: PlainService | None = None
-        self.versions: VersionKeeper | None = None
+        self.weights: WeightsSide | None = None
         self.tasks = BackgroundTasks(self._report_failure)
-        service = make_configuration_service(self._client, settings.platform.configuration)
-        self.follower = ConfigurationFollower(service, settings.site, log)
+        configuration = make_configuration_service(self._client, settings.platform.configuration)
+        self.follower = ConfigurationFollower(configuration, settings.site, log)
         directory = make_instance_directory(self._client, settings.platform.instances)
         self.membership = ListedMembership(directory)
         if settings.endpoint.kind == "engine":
-            self._make_engine_side(settings)
+            self.engine = make_model_engine(self._client, settings.endpoint.url)
+            self.weights = make_weights_side(
+                settings,
+                self._client,
+                self.engine,
+                self.follower,
+                configuration,
+                self.membership,
+                lambda: self.requests.count,
+                log,
+            )
         else:
             self.service = make_plain_service(self._client, settings.endpoint.url)
 
-    def _make_engine_side(self, settings: Settings) -> None:
-        self.engine = make_model_engine(self._client, settings.endpoint.url)
-        urls = [url for url in (settings.platform.store, settings.platform.origin) if url]
-        sources = [make_blob_source(self._client, url) for url in urls]
-        self.versions = VersionKeeper(settings.name, self.follower, self.engine, sources, self._log)
-
     async def start(self) -> None:
         """Listens and starts the background tasks."""
         given = {"sidecar": self}
-        application = web.Application(
-            [
-                (r"/internal/generate", call_handlers.GenerateHandler, given),
-                (r"/internal/service", call_handlers.ServiceHandler, given),
-                (r"/internal/cancel/([^/]+)", call_handlers.CancelHandler, given),
-                (r"/internal/status", call_handlers.StatusHandler, given),
-            ],
-            log_function=lambda handler: None,
-        )
+        routes = [
+            (r"/internal/generate", call_handlers.GenerateHandler, given),
+            (r"/internal/service", call_handlers.ServiceHandler, given),
+            (r"/internal/cancel/([^/]+)", call_handlers.CancelHandler, given),
+            (r"/internal/status", call_handlers.StatusHandler, given),
+        ]
+        if self.weights is not None:
+            routes += self.weights.routes()
+        application = web.Application(routes, log_function=lambda handler: None)
         listen = self._settings.listen
         sockets = netutil.bind_sockets(listen.http_port, listen.host)
         self._port = sockets[0].getsockname()[1]
         httpserver.HTTPServer(application).add_sockets(sockets)
         self.tasks.start("configuration", self.follower.run())
         self.tasks.start("membership", self.membership.run())
-        if self.versions is not None:
-            self.tasks.start("versions", self.versions.run())
+        if self.weights is not None:
+            self.weights.start(self.tasks)
             self.tasks.start("load", self._read_load())
         self._log.write(
             Event.DAEMON_STARTED, role="sidecar", port=self._port, incarnation=self._incarnation
@@ -104,8 +107,7 @@
         current = self.follower.current
         fleet = current.fleet if current else None
         endpoint = fleet.endpoints.get(self._settings.name) if fleet else None
-        versions = self.versions
-        return Status(
+        status = Status(
             name=self._settings.name,
             role=InstanceRole.SIDECAR,
             incarnation=self._incarnation,
@@ -118,13 +120,10 @@
             config_digest=current.digest if current else "",
             model=endpoint.model if endpoint else "",
             service=endpoint.service if endpoint else "",
-            version=versions.active if versions else "",
-            fetching=versions.fetching if versions else "",
-            chunks_held=versions.chunks_held if versions else 0,
-            chunks_wanted=versions.chunks_wanted if versions else 0,
             leaving=self.leaving,
             load=self._load,
         )
+        return self.weights.complete_status(status) if self.weights else status
 
     async def cancel(self, attempt_id: str) -> None:
         """Frees the engine's slot of an attempt that was given up."""
--- /dev/null
+++ b/wasabidrum/weights/chunk_handler.py
@@ -0,0 +1,96 @@
+"""GET /internal/chunks/DIGEST: gives a chunk to a peer, as soon as it is here."""
+
+import asyncio
+import typing
+
+from tornado import iostream, web
+
+from ..core.errors import CodedError
+from ..wire import headers
+from .chunk_state import ChunkState
+
+if typing.TYPE_CHECKING:
+    from .distributor import Distributor
+
+LARGEST_SLICE_BYTES = 65_536
+SLICE_SECONDS = 0.25
+LONGEST_WAIT_SECONDS = 30.0
+SLICE_TIMEOUT_SECONDS = 5.0
+
+
+class ChunkHandler(web.RequestHandler):
+    """Answers with the chunk, or says after the wait what is known of it."""
+
+    def initialize(self, distributor: "Distributor") -> None:
+        """Takes the distributor from the route."""
+        self.distributor = distributor
+        self.closed = asyncio.Event()
+
+    def head(self, digest: str) -> None:
+        """Says what is known of the chunk, at once."""
+        self.set_header(headers.CHUNK_STATE, self.state_of(digest).value)
+
+    def state_of(self, digest: str) -> ChunkState:
+        """Returns the chunk's state, for an asker of some configuration revision."""
+        revision = self.request.headers.get(headers.REVISION, "0")
+        return self.distributor.state_of(digest, int(revision))
+
+    async def get(self, digest: str) -> None:
+        """Waits for the chunk and sends it at the rate of the link it goes over."""
+        store = self.distributor.store
+        wait = min(float(self.get_query_argument("wait", "0")), LONGEST_WAIT_SECONDS)
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + wait
+        while (content := store.get(digest)) is None:
+            state = self.state_of(digest)
+            remaining = ends - loop.time()
+            if state is ChunkState.LACKING or remaining <= 0 or self.closed.is_set():
+                self.set_header(headers.CHUNK_STATE, state.value)
+                self.set_status(404)
+                return
+            await store.wait(digest, remaining)
+        if self.closed.is_set():
+            return
+        await self.send(digest, content)
+
+    async def send(self, digest: str, content: bytes) -> None:
+        """Sends a chunk in its reserved time."""
+        loop = asyncio.get_running_loop()
+        region = self.request.headers.get(headers.ASKER_REGION, "")
+        reserved = self.distributor.pacer.reserve(region, len(content))
+        # The asker is told when its turn comes, or it would take a wait in line for a stall.
+        self.set_header(headers.CHUNK_STATE, ChunkState.HELD.value)
+        self.set_header(headers.CHUNK_STARTS_IN, f"{reserved.start - loop.time():.3f}")
+        self.set_header(headers.CHUNK_SECONDS, f"{reserved.seconds:.3f}")
+        self.set_header("Content-Length", str(len(content)))
+        self.set_header("Content-Type", "application/octet-stream")
+        try:
+            await asyncio.wait_for(self.flush(), SLICE_TIMEOUT_SECONDS)
+            view = memoryview(content)
+            count = max(
+                1, round(reserved.seconds / SLICE_SECONDS), -(-len(view) // LARGEST_SLICE_BYTES)
+            )
+            size = -(-len(view) // count)
+            for place, start in enumerate(range(0, len(view), size)):
+                # A slice goes when its bytes would have passed the link, not before.
+                leaves = reserved.start + reserved.seconds * (place + 1) / count
+                if (delay := leaves - loop.time()) > 0:
+                    await asyncio.sleep(delay)
+                self.write(bytes(view[start : start + size]))
+                # A receiver that stopped reading would hold this task, and its chunk, for ever.
+                await asyncio.wait_for(self.flush(), SLICE_TIMEOUT_SECONDS)
+        except (iostream.StreamClosedError, TimeoutError):
+            self.request.connection.close()
+            return
+        self.distributor.note_sent(digest, region, len(content))
+
+    def on_connection_close(self) -> None:
+        """Stops waiting for an asker that went away."""
+        self.closed.set()
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        """Answers without a body; the state is in the headers."""
+        failure = kwargs.get("exc_info", (None, None))[1]
+        if isinstance(failure, CodedError):
+            self.set_header(headers.ERROR_CODE, failure.code)
+        self.finish()
--- /dev/null
+++ b/wasabidrum/weights/clock_guard.py
@@ -0,0 +1,64 @@
+"""Notices that this process was stopped for a while, before it gives an order.
+
+A process that was paused wakes believing what was true before. Without this check a
+sidecar that slept through a change of version would order its engine back to the old one,
+and operators would see an accepted configuration revert on one instance. An engine that
+checks fencing numbers refuses such an order; for the others the process itself must know.
+"""
+
+import asyncio
+
+from ..core.errors import CodedError
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from ..peers.configuration_follower import ConfigurationFollower
+from ..platform.configuration_service import ConfigurationService
+
+TICK_SECONDS = 0.25
+LONGEST_GAP_SECONDS = 2.0
+PAUSE_SECONDS = 0.5
+
+
+class ClockGuard:
+    """Compares the event loop's clock with when this process last ran."""
+
+    __slots__ = ("_service", "_follower", "_log", "_last", "_pauses", "_confirmed_pauses")
+
+    def __init__(
+        self, service: ConfigurationService, follower: ConfigurationFollower, log: EventLog
+    ) -> None:
+        self._service = service
+        self._follower = follower
+        self._log = log
+        self._last: float | None = None
+        self._pauses = 0
+        self._confirmed_pauses = 0
+
+    async def run(self) -> None:
+        """Notes for ever that this process runs."""
+        while True:
+            self.look()
+            await asyncio.sleep(TICK_SECONDS)
+
+    def look(self) -> bool:
+        """Returns whether this process woke late and has not read the configuration since."""
+        now = asyncio.get_running_loop().time()
+        if self._last is not None and now - self._last > LONGEST_GAP_SECONDS:
+            self._pauses += 1
+            self._log.write(Event.PROCESS_WOKE_LATE, seconds=round(now - self._last, 2))
+        self._last = now
+        return self._pauses > self._confirmed_pauses
+
+    async def confirm(self) -> None:
+        """Returns once what this process believes is as new as the service's value."""
+        while self.look():
+            pauses = self._pauses
+            try:
+                value = await self._service.read()
+            except CodedError as error:
+                self._log.write(Event.CONFIGURATION_UNREACHABLE, reason=str(error))
+                await asyncio.sleep(PAUSE_SECONDS)
+                continue
+            await self._follower.offer(value)
+            # Only the pauses before the read are settled by it; one during the read is not.
+            self._confirmed_pauses = pauses
--- /dev/null
+++ b/wasabidrum/weights/distributor.py
@@ -0,0 +1,260 @@
+"""Gets the chunks of a version for one sidecar, and gives them to its peers."""
+
+import asyncio
+import collections.abc
+
+from tornado import httpclient
+
+from ..config.settings import Settings
+from ..core.errors import CodedError
+from ..core.fleet import LinkSpec
+from ..core.instance import InstanceRole
+from ..decisions import chunk_route
+from ..decisions.chunk_evidence import ChunkEvidence
+from ..decisions.chunk_plan import ChunkPlan
+from ..decisions.chunk_route import Asker, Step, StepKind
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from ..peers.member_view import MemberView
+from ..peers.membership import Membership
+from .chunk_state import ChunkState
+from .chunk_store import ChunkStore
+from .link_pacer import LinkPacer
+from .origin_draw import OriginDraw
+from .peer_chunk_client import PeerChunkClient
+from .transfer_counts import TransferCounts
+
+ASK_WAIT_SECONDS = 4.0
+WAITS_BEFORE_OTHERS = 4
+PROBE_ROUNDS_WHEN_SPREAD = 4
+FIRST_PAUSE_SECONDS = 0.5
+LONGEST_PAUSE_SECONDS = 4.0
+
+
+class Distributor:
+    """One sidecar's part in the distribution: its store, its evidence and its requests."""
+
+    __slots__ = ("_settings", "_membership", "_origin", "_log", "_peers", "store", "pacer")
+    __slots__ += ("evidence", "counts", "revision", "spread")
+
+    def __init__(
+        self,
+        settings: Settings,
+        membership: Membership,
+        client: httpclient.AsyncHTTPClient,
+        origin: OriginDraw,
+        in_progress: collections.abc.Callable[[], int],
+        log: EventLog,
+    ) -> None:
+        self._settings = settings
+        self._membership = membership
+        self._origin = origin
+        self._log = log
+        self._peers = PeerChunkClient(client, settings.name, settings.region)
+        self.store = ChunkStore(settings.chunk_memory_bytes)
+        self.pacer = LinkPacer(settings.region, settings.link_mbit, in_progress)
+        self.evidence = ChunkEvidence()
+        self.counts = TransferCounts()
+        self.revision = 0
+        # Whether the version is known to be in force somewhere, so that peers hold it.
+        self.spread = False
+
+    def state_of(self, digest: str, asker_revision: int = 0) -> ChunkState:
+        """Returns what this sidecar can say of a chunk."""
+        if self.store.get(digest) is not None:
+            return ChunkState.HELD
+        if digest in self.store.drawing:
+            return ChunkState.DRAWING
+        # An asker whose configuration is newer may want what this one will want in a moment.
+        # To deny it here would send the asker to the origin for what is about to come.
+        behind = asker_revision > self.revision
+        if digest in self.store.expected or self.store.undecided or behind:
+            return ChunkState.COMING
+        return ChunkState.LACKING
+
+    def note_sent(self, digest: str, region: str, size: int) -> None:
+        """Takes that a peer has got a chunk from here."""
+        self.store.note_served(digest)
+        if region == self._settings.region:
+            self.counts.to_own_region += size
+        else:
+            self.counts.to_other_regions += size
+
+    def set_links(self, links: LinkSpec, plan: ChunkPlan | None) -> None:
+        """Takes the links' rates, and this sidecar's part of the thin link under a plan."""
+        self.pacer.links = links
+        region = plan.regions.get(self._settings.region) if plan else None
+        if region is None:
+            return
+        now = asyncio.get_running_loop().time()
+        members = self._members()
+        carriers = [
+            name
+            for name in region.carriers
+            if name == self._settings.name
+            or (name in members and not self.evidence.avoided(name, now))
+        ]
+        # A stand-in for dead carriers is one of all, so all together keep within one share.
+        mine = self._settings.name in region.carriers
+        self.pacer.senders = len(carriers) if mine else len(region.names)
+
+    def is_carrier(self, plan: ChunkPlan, index: int) -> bool:
+        """Returns whether the plan names this sidecar to bring a chunk into its region."""
+        region = plan.regions.get(self._settings.region)
+        return region is not None and region.carrier(index) == self._settings.name
+
+    async def fetch(self, plan: ChunkPlan, digest: str) -> bytes:
+        """Returns a verified chunk, from the store, a peer or the origin, whatever it takes."""
+        waits = rounds = 0
+        while (content := self.store.get(digest)) is None:
+            index = plan.index_of(digest)
+            step = self._find_step(plan, index, digest)
+            if step.kind is StepKind.ASK:
+                content, state = await self._ask(step.peer, digest)
+                waits += 1
+                stuck = waits % WAITS_BEFORE_OTHERS == 0
+                if state is ChunkState.LACKING or (state is ChunkState.COMING and stuck):
+                    # One that waits for ever is passed over as well, for its own way to
+                    # the chunk may be cut while another way is open.
+                    self.evidence.note_lack(step.peer, digest, self._now())
+            else:
+                content = await self._bring_in(plan, index, digest, step, rounds)
+                rounds += 1
+            if content is not None:
+                self._keep(plan, index, digest, content)
+                return content
+        return content
+
+    def avoided_names(self) -> list[str]:
+        """Returns the peers passed over now."""
+        return self.evidence.avoided_names(self._now())
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _members(self) -> dict[str, MemberView]:
+        return {
+            view.name: view
+            for view in self._membership.members
+            if view.instance.role is InstanceRole.SIDECAR
+        }
+
+    def _asker(self, members: dict[str, MemberView]) -> Asker:
+        name = self._settings.name
+        return Asker(name, self._settings.region, name in members)
+
+    def _usable(self, digest: str, members: dict[str, MemberView]) -> chunk_route.Usable:
+        now = self._now()
+
+        def usable(name: str) -> bool:
+            return (
+                name in members
+                and name != self._settings.name
+                and not self.evidence.avoided(name, now)
+                and not self.evidence.lacks(name, digest, now)
+            )
+
+        return usable
+
+    def _find_step(self, plan: ChunkPlan, index: int, digest: str) -> Step:
+        members = self._members()
+        asker = self._asker(members)
+        usable = self._usable(digest, members)
+        if self._settings.weights_from == "origin":
+            return Step(StepKind.DRAW)
+        if self._settings.weights_from == "chain":
+            return chunk_route.find_chain_step(plan, asker, usable)
+        return chunk_route.find_step(plan, asker, index, usable)
+
+    def _keep(self, plan: ChunkPlan, index: int, digest: str, content: bytes) -> None:
+        asker = self._asker(self._members())
+        rank = chunk_route.rank_to_keep(plan, asker, digest)
+        self.store.add(digest, content, rank, chunk_route.count_children(plan, asker, index))
+
+    async def _ask(
+        self, name: str, digest: str, wait: float = ASK_WAIT_SECONDS, probe: bool = False
+    ) -> tuple[bytes | None, ChunkState | None]:
+        """Asks one peer; a failure becomes evidence, and the state is then None."""
+        view = self._members().get(name)
+        if view is None:
+            return None, None
+        self.counts.asks += 1
+        try:
+            answer = await self._peers.ask(view.url, digest, wait, self.revision, probe)
+        except CodedError as error:
+            self._note_failure(name, digest, error)
+            return None, None
+        self._membership.report_success(name)
+        if answer.content is not None:
+            self.evidence.note_success(name)
+            self.counts.asks_answered += 1
+            if view.instance.region == self._settings.region:
+                self.counts.from_own_region += len(answer.content)
+            else:
+                self.counts.from_other_regions += len(answer.content)
+        return answer.content, answer.state
+
+    def _note_failure(self, name: str, digest: str, error: CodedError) -> None:
+        corrupt = error.code == "chunk_corrupt"
+        if corrupt:
+            self.counts.corrupt += 1
+        else:
+            self.counts.peer_failures += 1
+            self._membership.report_failure(name)
+        known = self.evidence.avoided(name, self._now())
+        self.evidence.note_failure(name, self._now(), corrupt)
+        if not known or corrupt:
+            self._log.write(Event.CHUNK_PEER_PASSED_OVER, peer=name, chunk=digest, code=error.code)
+
+    async def _bring_in(
+        self, plan: ChunkPlan, index: int, digest: str, step: Step, rounds: int
+    ) -> bytes | None:
+        """Brings a chunk in where nobody ahead can give it; None means to look again."""
+        plain = self._settings.weights_from != "peers"
+        if not plain:
+            await asyncio.sleep(step.delay if rounds == 0 else 0)
+            if self._find_step(plan, index, digest).kind is not StepKind.DRAW:
+                return None
+            found, content = await self._ask_holders(plan, index, digest, rounds)
+            if found or (self.spread and rounds < PROBE_ROUNDS_WHEN_SPREAD):
+                return content
+        self.store.drawing.add(digest)
+        try:
+            content = await self._origin.draw(digest)
+        except CodedError as error:
+            self._log.write(Event.CHUNK_DRAW_FAILED, chunk=digest, code=error.code)
+            pause = min(LONGEST_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2 ** min(rounds, 5))
+            content = None
+        finally:
+            self.store.drawing.discard(digest)
+            self.store.wake(digest)
+        if content is None:
+            await asyncio.sleep(pause)
+        else:
+            self.counts.from_origin += len(content)
+            self._log.write(Event.CHUNK_DRAWN, chunk=digest, place=index, bytes=len(content))
+        return content
+
+    async def _ask_holders(
+        self, plan: ChunkPlan, index: int, digest: str, rounds: int
+    ) -> tuple[bool, bytes | None]:
+        """Looks for a peer that holds the chunk or draws it now, and asks that one."""
+        members = self._members()
+        asker = self._asker(members)
+        # A peer that lacked the chunk a moment ago may have it by now; probes are cheap.
+        now = self._now()
+        names = chunk_route.choose_probes(
+            plan,
+            asker,
+            index,
+            digest,
+            lambda name: name in members and not self.evidence.avoided(name, now),
+            rounds,
+        )
+        answers = await asyncio.gather(*(self._ask(name, digest, 0.0, True) for name in names))
+        for wanted in (ChunkState.HELD, ChunkState.DRAWING):
+            for name, (_, state) in zip(names, answers, strict=True):
+                if state is wanted:
+                    content, _ = await self._ask(name, digest)
+                    return True, content
+        return False, None
--- /dev/null
+++ b/wasabidrum/weights/orderer_lock.py
@@ -0,0 +1,61 @@
+"""Lets one process at a time give orders to an endpoint.
+
+A sidecar that was replaced may come back: it was paused, not dead. Without the lock two
+processes would order the same engine, the older one from an old configuration. The lock is
+a socket in the kernel's abstract namespace: it needs no disk, nobody else can see it on
+other instances, and the kernel frees it when its holder ends, however it ends.
+"""
+
+import asyncio
+import socket
+import urllib.parse
+
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+
+RETRY_SECONDS = 0.5
+
+
+class OrdererLock:
+    """The right to order one endpoint; held until the process ends."""
+
+    __slots__ = ("_address", "_socket", "_log")
+
+    def __init__(self, endpoint_url: str, log: EventLog) -> None:
+        place = urllib.parse.urlsplit(endpoint_url).netloc
+        self._address = f"\0wasabidrum/orderer/{place}"
+        self._socket: socket.socket | None = None
+        self._log = log
+
+    @property
+    def held(self) -> bool:
+        """Whether this process holds the lock."""
+        return self._socket is not None
+
+    def try_take(self) -> bool:
+        """Takes the lock where nobody holds it; returns whether it is held now."""
+        if self._socket is not None:
+            return True
+        taken = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        try:
+            taken.bind(self._address)
+        except OSError:
+            taken.close()
+            return False
+        self._socket = taken
+        return True
+
+    async def take(self) -> None:
+        """Waits for the lock."""
+        told = False
+        while not self.try_take():
+            if not told:
+                told = True
+                self._log.write(Event.ORDERER_WAITS, lock=self._address[1:])
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def release(self) -> None:
+        """Gives the lock back."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
--- /dev/null
+++ b/wasabidrum/weights/peer_chunk_client.py
@@ -0,0 +1,139 @@
+"""Asks a peer for a chunk, and notices when the answer no longer moves."""
+
+import asyncio
+import dataclasses
+
+from tornado import httpclient, httputil
+
+from ..core.digest import digest_of
+from ..core.errors import CodedError
+from ..wire import headers, http_client
+from .chunk_state import ChunkState
+
+HEAD_GRACE_SECONDS = 2.0
+STALL_SECONDS = 3.0
+SLOWEST_FACTOR = 4.0
+LONGEST_REQUEST_SECONDS = 900.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAnswer:
+    """What a peer answered; the content is verified, and None unless the state is HELD."""
+
+    state: ChunkState
+    content: bytes | None = None
+
+
+class ChunkDownload:
+    """One request for a chunk while it runs."""
+
+    __slots__ = ("_parts", "_loop", "_moves_until", "_ends_at", "_status", "_head", "given_up")
+
+    def __init__(self, wait: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._parts: list[bytes] = []
+        self._status = 0
+        self._head = httputil.HTTPHeaders()
+        self._moves_until = self._loop.time() + wait + HEAD_GRACE_SECONDS
+        self._ends_at = self._moves_until + LONGEST_REQUEST_SECONDS
+        self.given_up = False
+
+    @property
+    def head(self) -> httputil.HTTPHeaders:
+        """The headers so far."""
+        return self._head
+
+    @property
+    def content(self) -> bytes:
+        """The bytes so far."""
+        return b"".join(self._parts)
+
+    @property
+    def patience(self) -> float:
+        """The seconds after which this download counts as stalled unless something comes."""
+        return min(self._moves_until, self._ends_at) - self._loop.time()
+
+    def take_header_line(self, line: str) -> None:
+        """Takes one line of the answer's head."""
+        if line.startswith("HTTP/"):
+            self._head = httputil.HTTPHeaders()
+        elif line.strip():
+            self._head.parse_line(line)
+        else:
+            starts_in = float(self._head.get(headers.CHUNK_STARTS_IN, "0"))
+            seconds = float(self._head.get(headers.CHUNK_SECONDS, "0"))
+            now = self._loop.time()
+            self._moves_until = now + max(0.0, starts_in) + STALL_SECONDS
+            self._ends_at = self._moves_until + SLOWEST_FACTOR * seconds + STALL_SECONDS
+
+    def take_part(self, part: bytes) -> None:
+        """Takes some bytes of the body."""
+        if self.given_up:
+            # The library closes a connection whose input it is told to refuse; without
+            # this a transfer that nobody waits for would go on and take up the link.
+            raise httputil.HTTPInputError("given up")
+        self._parts.append(part)
+        self._moves_until = max(self._moves_until, self._loop.time() + STALL_SECONDS)
+
+
+class PeerChunkClient:
+    """Asks peers for chunks over HTTP."""
+
+    __slots__ = ("_client", "_name", "_region")
+
+    def __init__(self, client: httpclient.AsyncHTTPClient, name: str, region: str) -> None:
+        self._client = client
+        self._name = name
+        self._region = region
+
+    async def ask(
+        self, url: str, digest: str, wait: float, revision: int, probe: bool = False
+    ) -> PeerAnswer:
+        """Asks a peer, who answers once it holds the chunk or the wait is over.
+
+        A probe is answered at once, and without the content.
+
+        Raises:
+          CodedError: "peer_unreachable", "peer_stalled" or "chunk_corrupt".
+        """
+        download = ChunkDownload(wait)
+        request = httpclient.HTTPRequest(
+            f"{url}/internal/chunks/{digest}?wait={wait}",
+            method="HEAD" if probe else "GET",
+            headers={
+                headers.ASKER: self._name,
+                headers.ASKER_REGION: self._region,
+                headers.REVISION: str(revision),
+            },
+            header_callback=download.take_header_line,
+            streaming_callback=download.take_part,
+            request_timeout=LONGEST_REQUEST_SECONDS,
+        )
+        answered = asyncio.ensure_future(http_client.fetch(self._client, request, url))
+        try:
+            while not answered.done():
+                if download.patience <= 0:
+                    raise CodedError("peer_stalled", f"{url} stopped sending", 503)
+                await asyncio.wait((answered,), timeout=max(0.01, download.patience))
+        finally:
+            download.given_up = True
+            answered.cancel()
+        if probe:
+            return PeerAnswer(self._read_state(download))
+        return self._judge(answered.result(), download, digest)
+
+    def _judge(
+        self, response: httpclient.HTTPResponse, download: ChunkDownload, digest: str
+    ) -> PeerAnswer:
+        if response.code == 200:
+            content = download.content
+            if digest_of(content) != digest:
+                raise CodedError("chunk_corrupt", f"{digest} came with other bytes", 503)
+            return PeerAnswer(ChunkState.HELD, content)
+        return PeerAnswer(self._read_state(download))
+
+    def _read_state(self, download: ChunkDownload) -> ChunkState:
+        try:
+            return ChunkState(download.head.get(headers.CHUNK_STATE, ""))
+        except ValueError:
+            return ChunkState.LACKING
--- /dev/null
+++ b/wasabidrum/weights/rollout_gate.py
@@ -0,0 +1,143 @@
+"""Holds an endpoint that is ready to switch until its turn, or until the version is stopped."""
+
+import asyncio
+import dataclasses
+
+from ..core.fleet import FleetRevision, ModelSpec
+from ..core.status import Status
+from ..decisions import rollout_wave
+from ..decisions.rollout_wave import FIRST_IN_LINE, Proof
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from .status_client import StatusClient
+
+POLL_SECONDS = 0.2
+RETRY_SECONDS = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class RolloutState:
+    """What this endpoint tells others of its part in a rollout; see Status."""
+
+    staged: str = ""
+    switching: bool = False
+    failed: str = ""
+    proven: str = ""
+    stopped: str = ""
+
+
+class RolloutGate:
+    """Asks the others of the model and applies the decisions of rollout_wave."""
+
+    __slots__ = ("_name", "_statuses", "_log", "_since", "state")
+
+    def __init__(self, name: str, statuses: StatusClient, log: EventLog) -> None:
+        self._name = name
+        self._statuses = statuses
+        self._log = log
+        self._since = 0
+        self.state = RolloutState()
+
+    def begin(self, revision: int) -> None:
+        """Forgets what was found out about the version before.
+
+        A version that was stopped may be published again. What others say under an older
+        revision is of the time before, so it does not count from now on.
+        """
+        self._since = revision
+        self.state = RolloutState()
+
+    def order_of(self, current: FleetRevision, model: str, root: str) -> list[str]:
+        """Returns the order of the model's endpoints for a version."""
+        endpoints = current.fleet.endpoints
+        names = {name for name, spec in endpoints.items() if spec.model == model}
+        return rollout_wave.rollout_order(root, names | {self._name})
+
+    async def read_proof(self, order: list[str], version: str, ready_seconds: float) -> Proof:
+        """Asks the contacts for news of a version."""
+        if self.state.proven == version:
+            return Proof.PROVEN
+        contacts = rollout_wave.find_contacts(order, self._name)
+        if order.index(self._name) < FIRST_IN_LINE:
+            statuses = await self._statuses.read(contacts)
+        else:
+            statuses = await self._statuses.read_first(contacts)
+        statuses = self._current_ones(statuses)
+        proof = rollout_wave.judge_proof(order, self._name, version, statuses, ready_seconds)
+        # Passing the news on is what carries it down the tree.
+        if proof is Proof.PROVEN:
+            self.state.proven = version
+        elif proof is Proof.STOPPED:
+            self.state.stopped = version
+        return proof
+
+    async def wait_turn(self, order: list[str], model: ModelSpec) -> bool:
+        """Waits for this endpoint's turn; returns False where the version is stopped.
+
+        When it returns True the state says that this endpoint is switching.
+        """
+        loop = asyncio.get_running_loop()
+        version = model.version
+        ready_since = loop.time()
+        told = None
+        while True:
+            proof = await self.read_proof(order, version, loop.time() - ready_since)
+            if proof is Proof.STOPPED:
+                return False
+            if proof is not Proof.WAIT and await self._try_turn(order, model):
+                return True
+            if proof is not told:
+                told = proof
+                self._log.write(Event.SWITCH_WAITS, version=version, proof=proof.value)
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def judge_failure(self, order: list[str], version: str) -> bool:
+        """Looks whether a failure here was this instance's own or the version's.
+
+        Returns:
+          Whether the version came into force elsewhere and is worth another attempt here.
+        """
+        if self.state.stopped == version:
+            return False
+        others = [name for name in order[:FIRST_IN_LINE] if name != self._name]
+        heard = [
+            status
+            for status in self._current_ones(await self._statuses.read(others)).values()
+            if status is not None
+        ]
+        if any(status.proven == version for status in heard):
+            await asyncio.sleep(RETRY_SECONDS)
+            self.state.failed = ""
+            return True
+        failures = 1 + sum(status.failed_version == version for status in heard)
+        if failures >= rollout_wave.failures_to_stop(len(order)):
+            self.state.stopped = version
+            self._log.write(Event.VERSION_STOPPED, version=version, failures=failures)
+        return False
+
+    def _current_ones(self, statuses: dict[str, Status | None]) -> dict[str, Status | None]:
+        return {
+            name: status if status is None or status.revision >= self._since else None
+            for name, status in statuses.items()
+        }
+
+    async def _try_turn(self, order: list[str], model: ModelSpec) -> bool:
+        chain = rollout_wave.find_chain(order, self._name, model.away_fraction)
+        seen = await self._statuses.read(chain)
+        if not rollout_wave.may_switch(order, self._name, model.version, seen):
+            return False
+        # The claim stands before the others are read again. Two that claim at once
+        # therefore see each other, and the later in the order gives way.
+        self.state.switching = True
+        try:
+            while rivals := rollout_wave.find_rivals(
+                await self._statuses.read(chain), model.version
+            ):
+                if any(order.index(rival) < order.index(self._name) for rival in rivals):
+                    self.state.switching = False
+                    return False
+                await asyncio.sleep(POLL_SECONDS)
+        except asyncio.CancelledError:
+            self.state.switching = False
+            raise
+        return True
--- /dev/null
+++ b/wasabidrum/weights/status_client.py
@@ -0,0 +1,52 @@
+"""Reads other sidecars' accounts of themselves, one by one, when a decision needs them fresh."""
+
+import asyncio
+import collections.abc
+
+import msgspec
+from tornado import httpclient
+
+from ..core.errors import CodedError
+from ..core.status import Status
+from ..peers.membership import Membership
+from ..wire import http_client
+
+TIMEOUT_SECONDS = 1.5
+
+
+class StatusClient:
+    """Asks sidecars for their status over HTTP."""
+
+    __slots__ = ("_client", "_membership", "asked")
+
+    def __init__(self, client: httpclient.AsyncHTTPClient, membership: Membership) -> None:
+        self._client = client
+        self._membership = membership
+        self.asked = 0
+
+    async def read(self, names: collections.abc.Iterable[str]) -> dict[str, Status | None]:
+        """Returns the statuses by name; None for one that is not listed or did not answer."""
+        names = list(names)
+        urls = {view.name: view.url for view in self._membership.members}
+        answers = await asyncio.gather(*(self._read_one(urls.get(name, "")) for name in names))
+        return dict(zip(names, answers, strict=True))
+
+    async def read_first(self, names: collections.abc.Iterable[str]) -> dict[str, Status | None]:
+        """Asks one after the other until one answers."""
+        statuses: dict[str, Status | None] = {}
+        for name in names:
+            statuses |= await self.read((name,))
+            if statuses[name] is not None:
+                break
+        return statuses
+
+    async def _read_one(self, url: str) -> Status | None:
+        if not url:
+            return None
+        self.asked += 1
+        request = httpclient.HTTPRequest(url + "/internal/status", request_timeout=TIMEOUT_SECONDS)
+        try:
+            response = await http_client.fetch(self._client, request, url)
+            return msgspec.json.decode(response.body, type=Status)
+        except (CodedError, msgspec.MsgspecError):
+            return None
--- /dev/null
+++ b/wasabidrum/weights/target.py
@@ -0,0 +1,41 @@
+"""What the files want of one endpoint."""
+
+import dataclasses
+
+from ..core.fleet import FleetRevision, VersionSpec
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The model, version, adapters and role that an endpoint is to have.
+
+    Attributes:
+      adapters: Root digests by adapter name, in order.
+    """
+
+    model: str
+    version: str
+    spec: VersionSpec
+    adapters: tuple[tuple[str, str], ...]
+    role: str
+
+
+def find_target(current: FleetRevision, name: str) -> Target | None:
+    """Returns what a revision wants of an endpoint, or None where it wants no model."""
+    endpoint = current.fleet.endpoints.get(name)
+    model = current.fleet.models.get(endpoint.model) if endpoint else None
+    if model is None or model.version not in model.versions:
+        return None
+    adapters = tuple(sorted((key, spec.root) for key, spec in model.adapters.items()))
+    return Target(
+        endpoint.model, model.version, model.versions[model.version], adapters, endpoint.role
+    )
+
+
+def region_of_endpoints(current: FleetRevision, model: str) -> dict[str, str]:
+    """Returns the regions of all endpoints of a model, by name."""
+    return {
+        name: endpoint.region
+        for name, endpoint in current.fleet.endpoints.items()
+        if endpoint.model == model
+    }
--- /dev/null
+++ b/wasabidrum/weights/transfer_counts.py
@@ -0,0 +1,23 @@
+"""What a sidecar has moved, for operators and benches."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class TransferCounts:
+    """Bytes of weights by where they came from and went, and what went wrong.
+
+    Attributes:
+      asks: Requests for chunks sent to peers, whatever the answer.
+      corrupt: Chunks that came with other bytes than their digest names.
+    """
+
+    from_origin: int = 0
+    from_own_region: int = 0
+    from_other_regions: int = 0
+    to_own_region: int = 0
+    to_other_regions: int = 0
+    asks: int = 0
+    asks_answered: int = 0
+    peer_failures: int = 0
+    corrupt: int = 0
--- /dev/null
+++ b/wasabidrum/weights/version_download.py
@@ -0,0 +1,72 @@
+"""Brings all chunks of one version that an engine lacks, each as soon as it can be had."""
+
+import asyncio
+import collections.abc
+
+from ..core.manifest import Manifest, decode_manifest
+from ..decisions.chunk_plan import ChunkPlan
+from .distributor import Distributor
+
+# Chunks that this sidecar brings into its region, at once: enough that the next is under
+# way while one ends, few enough that each comes soon and is passed on meanwhile.
+DRAWS_AT_ONCE = 2
+# Chunks asked of peers at once. Most of these wait for the peer to get the chunk.
+ASKS_AT_ONCE = 12
+
+Deliver = collections.abc.Callable[[int, bytes], collections.abc.Awaitable[None]]
+
+
+async def fetch_manifest(
+    distributor: Distributor, root: str, region_of: dict[str, str], origin_region: str
+) -> Manifest:
+    """Returns a version's verified manifest, which travels as a chunk does."""
+    plan = ChunkPlan(root, (root,), region_of, origin_region)
+    return decode_manifest(await distributor.fetch(plan, root), root)
+
+
+class VersionDownload:
+    """One version on its way to one engine. Cancelling run ends every request for it."""
+
+    __slots__ = ("_distributor", "_plan", "_manifest", "_deliver", "_places")
+
+    def __init__(
+        self,
+        distributor: Distributor,
+        plan: ChunkPlan,
+        manifest: Manifest,
+        missing: list[int],
+        deliver: Deliver,
+    ) -> None:
+        self._distributor = distributor
+        self._plan = plan
+        self._manifest = manifest
+        self._deliver = deliver
+        self._places: dict[str, list[int]] = {}
+        for index in missing:
+            self._places.setdefault(manifest.chunks[index], []).append(index)
+
+    async def run(self) -> None:
+        """Returns once every missing chunk has been delivered."""
+        store = self._distributor.store
+        store.expected = set(self._places)
+        store.undecided = False
+        store.wake_all()
+        draws, asks = [], []
+        for digest in self._places:
+            index = self._plan.index_of(digest)
+            carries = self._distributor.is_carrier(self._plan, index)
+            (draws if carries else asks).append(digest)
+        # Two lanes: were there one, chunks that others wait for would stand in line behind
+        # chunks that this sidecar itself waits for, and the whole fleet would wait in turn.
+        async with asyncio.TaskGroup() as group:
+            for lane, workers in ((draws, DRAWS_AT_ONCE), (asks, ASKS_AT_ONCE)):
+                work = iter(lane)
+                for _ in range(min(workers, len(lane))):
+                    group.create_task(self._work(work))
+
+    async def _work(self, digests: collections.abc.Iterator[str]) -> None:
+        for digest in digests:
+            content = await self._distributor.fetch(self._plan, digest)
+            for index in self._places[digest]:
+                await self._deliver(index, content)
+            self._distributor.store.expected.discard(digest)
--- /dev/null
+++ b/wasabidrum/weights/version_manager.py
@@ -0,0 +1,262 @@
+"""Brings the version, adapters and role that the files want to the engine beside this sidecar."""
+
+import asyncio
+
+from ..core.errors import CodedError
+from ..core.fleet import FleetRevision
+from ..core.manifest import Manifest
+from ..decisions.chunk_plan import ChunkPlan
+from ..endpoints.model_engine import ModelEngine
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from ..peers.configuration_follower import ConfigurationFollower
+from .clock_guard import ClockGuard
+from .distributor import Distributor
+from .orderer_lock import OrdererLock
+from .rollout_gate import RolloutGate
+from .target import Target, find_target, region_of_endpoints
+from .version_download import VersionDownload, fetch_manifest
+
+PAUSE_AFTER_FAILURE_SECONDS = 1.0
+WATCH_SECONDS = 0.5
+
+
+class VersionManager:
+    """Owns the orders to one engine; one piece of work at a time."""
+
+    __slots__ = ("_name", "_follower", "_engine", "_distributor", "_gate", "_guard", "_lock")
+    __slots__ += ("_log", "_orders", "_previous", "_adapters", "_role", "_logged")
+    __slots__ += ("active", "fetching", "chunks_held", "chunks_wanted")
+
+    def __init__(
+        self,
+        name: str,
+        follower: ConfigurationFollower,
+        engine: ModelEngine,
+        distributor: Distributor,
+        gate: RolloutGate,
+        guard: ClockGuard,
+        lock: OrdererLock,
+        log: EventLog,
+    ) -> None:
+        self._name = name
+        self._follower = follower
+        self._engine = engine
+        self._distributor = distributor
+        self._gate = gate
+        self._guard = guard
+        self._lock = lock
+        self._log = log
+        self._orders = asyncio.Lock()
+        self._previous = ""
+        self._adapters: dict[str, str] = {}
+        self._role = ""
+        self._logged: tuple[str, str] = ("", "")
+        self.active = ""
+        self.fetching = ""
+        self.chunks_held = 0
+        self.chunks_wanted = 0
+
+    async def run(self) -> None:
+        """Follows the configuration for ever; another target ends the work on the one before."""
+        revision = 0
+        target: Target | None = None
+        work: asyncio.Task | None = None
+        while True:
+            current = await self._follower.wait_after(revision)
+            revision = current.revision
+            wanted = find_target(current, self._name)
+            self._distributor.revision = revision
+            self._distributor.pacer.links = current.fleet.links
+            # Most revisions change something else; to start again for each of those would
+            # hold up a large version for as long as files keep changing.
+            if wanted == target:
+                continue
+            if work is not None:
+                await self._end(work, target, wanted)
+            if target is None or wanted is None or target.spec != wanted.spec:
+                self._gate.begin(revision)
+            target = wanted
+            self._distributor.store.undecided = target is not None
+            work = asyncio.ensure_future(self._keep(target)) if target else None
+
+    async def _end(self, work: asyncio.Task, target: Target, wanted: Target | None) -> None:
+        work.cancel()
+        await asyncio.wait((work,))
+        self._gate.state.staged = ""
+        self._gate.state.switching = False
+        if self.fetching:
+            newer = wanted.version if wanted else ""
+            self._log.write(Event.VERSION_SUPERSEDED, version=target.version, by=newer)
+        self.fetching = ""
+
+    async def _keep(self, target: Target) -> None:
+        """Brings the target about, and again whenever the engine has lost it."""
+        async with self._orders:
+            # An order of the work before may still be on its way to the engine.
+            pass
+        while True:
+            try:
+                await self._bring(target)
+            except* CodedError as errors:
+                self._report(target.version, str(errors.exceptions[0]))
+                await asyncio.sleep(PAUSE_AFTER_FAILURE_SECONDS)
+
+    def _report(self, version: str, reason: str) -> None:
+        if self._logged != (version, reason):
+            self._logged = (version, reason)
+            self._log.write(Event.VERSION_FAILED, version=version, reason=reason)
+
+    async def _bring(self, target: Target) -> None:
+        endpoint = self._follower.current.fleet.endpoints.get(self._name)
+        if endpoint is not None and endpoint.fencing:
+            # The engine itself refuses a process that comes back late.
+            self._lock.try_take()
+        else:
+            await self._lock.take()
+        state = self._gate.state
+        active, _ = await self._engine.versions()
+        if not active and self.active:
+            self._adapters, self._role = {}, ""
+        self.active = active
+        if active == target.version:
+            await self._stay(target)
+        elif target.version in (state.stopped, state.failed):
+            await self._hold(target)
+        else:
+            await self._switch(target)
+
+    async def _switch(self, target: Target) -> None:
+        state = self._gate.state
+        order = self._gate.order_of(self._follower.current, target.model, target.spec.root)
+        await self._stage(target, target.version, order)
+        state.staged = target.version
+        model = self._follower.current.fleet.models[target.model]
+        if not await self._gate.wait_turn(order, model):
+            self._log.write(Event.VERSION_STOPPED, version=target.version)
+            return
+        try:
+            await self._activate(target, target.version)
+        except CodedError as error:
+            if error.code != "order_fenced":
+                state.failed = target.version
+            raise
+        finally:
+            state.switching = False
+            state.staged = ""
+        state.failed = ""
+
+    async def _stage(self, target: Target, version: str, order: list[str]) -> None:
+        """Brings every chunk of a version to the engine."""
+        current = self._follower.current
+        spec = current.fleet.models[target.model].versions[version]
+        if self.fetching != version:
+            self._log.write(Event.VERSION_WANTED, version=version, revision=current.revision)
+        self.fetching = version
+        region_of = region_of_endpoints(current, target.model)
+        origin_region = current.fleet.links.origin_region
+        distributor = self._distributor
+        distributor.spread = self._gate.state.proven == version
+        manifest = await fetch_manifest(distributor, spec.root, region_of, origin_region)
+        plan = ChunkPlan(spec.root, manifest.chunks, region_of, origin_region)
+        distributor.set_links(current.fleet.links, plan)
+        distributor.store.want({spec.root, *manifest.chunks})
+        missing = await self._order_stage(version, manifest)
+        self.chunks_wanted = len(manifest.chunks)
+        self.chunks_held = self.chunks_wanted - len(missing)
+
+        async def deliver(index: int, content: bytes) -> None:
+            await self._engine.put_chunk(version, index, content)
+            self.chunks_held += 1
+
+        await VersionDownload(distributor, plan, manifest, missing, deliver).run()
+        self._log.write(Event.VERSION_STAGED, version=version, chunks=len(missing))
+
+    async def _order_extras(self, target: Target) -> None:
+        """Gives the engine its role and the adapters that it lacks."""
+        current = self._follower.current
+        if self._role != target.role:
+            await self._guard.confirm()
+            await self._engine.set_role(target.role, current.revision)
+            self._role = target.role
+            self._log.write(Event.ROLE_ORDERED, role=target.role)
+        for name, root in target.adapters:
+            if self._adapters.get(name) != root:
+                await self._bring_adapter(target, name, root)
+
+    async def _bring_adapter(self, target: Target, name: str, root: str) -> None:
+        current = self._follower.current
+        region_of = region_of_endpoints(current, target.model)
+        origin_region = current.fleet.links.origin_region
+        manifest = await fetch_manifest(self._distributor, root, region_of, origin_region)
+        plan = ChunkPlan(root, manifest.chunks, region_of, origin_region)
+        parts: dict[int, bytes] = {}
+
+        async def deliver(index: int, content: bytes) -> None:
+            parts[index] = content
+
+        missing = list(range(len(manifest.chunks)))
+        await VersionDownload(self._distributor, plan, manifest, missing, deliver).run()
+        content = b"".join(parts[index] for index in missing)
+        await self._guard.confirm()
+        await self._engine.load_adapter(name, root, content, self._follower.revision)
+        self._adapters[name] = root
+        self._log.write(Event.ADAPTER_LOADED, adapter=name, bytes=len(content))
+
+    async def _order_stage(self, version: str, manifest: Manifest) -> list[int]:
+        await self._guard.confirm()
+        async with self._orders:
+            return await self._engine.stage(version, manifest, self._follower.revision)
+
+    async def _activate(self, target: Target, version: str) -> None:
+        """Has the engine switch, unless what is wanted changed while this process slept."""
+        await self._guard.confirm()
+        current = self._follower.current
+        if find_target(current, self._name) != target:
+            raise CodedError("superseded", "another version is wanted by now", 409)
+        order = asyncio.ensure_future(self._order_activate(version, current))
+        # An order that has left cannot be called back. When this work is cancelled the
+        # order ends first, so that the next one never races with it.
+        await asyncio.shield(order)
+        if self.active and self.active != version:
+            self._previous = self.active
+        self.active = version
+        self.fetching = ""
+        self._log.write(Event.VERSION_IN_FORCE, version=version)
+
+    async def _order_activate(self, version: str, current: FleetRevision) -> None:
+        async with self._orders:
+            await self._engine.activate(version, current.revision)
+
+    async def _stay(self, target: Target) -> None:
+        """Watches a version in force, proves it to others, and keeps adapters and role."""
+        state = self._gate.state
+        state.staged = ""
+        self.fetching = ""
+        self.chunks_held = self.chunks_wanted
+        await self._order_extras(target)
+        if state.proven != target.version:
+            model = self._follower.current.fleet.models[target.model]
+            await asyncio.sleep(model.soak_seconds)
+            active, _ = await self._engine.versions()
+            if active == target.version:
+                state.proven = target.version
+                self._log.write(Event.VERSION_PROVEN, version=target.version)
+            else:
+                state.failed = target.version
+            return
+        await asyncio.sleep(WATCH_SECONDS)
+
+    async def _hold(self, target: Target) -> None:
+        """Keeps the engine on the version before, while the wanted one is stopped or failed."""
+        self.fetching = ""
+        self._distributor.store.undecided = False
+        self._distributor.store.expected = set()
+        order = self._gate.order_of(self._follower.current, target.model, target.spec.root)
+        if await self._gate.judge_failure(order, target.version):
+            return
+        if not self.active and self._previous:
+            await self._stage(target, self._previous, order)
+            await self._activate(target, self._previous)
+            self._log.write(Event.VERSION_RESTORED, version=self._previous)
+        await asyncio.sleep(WATCH_SECONDS)
--- a/wasabidrum/wire/headers.py
+++ b/wasabidrum/wire/headers.py
@@ -18,3 +18,10 @@
 REVISION = "X-Wd-Revision"
 STATUS_ON_ANSWER = "X-Wd-Status"
 ERROR_CODE = "X-Wd-Error-Code"
+
+# Headers of chunks between sidecars.
+ASKER = "X-Wd-Asker"
+ASKER_REGION = "X-Wd-Asker-Region"
+CHUNK_STATE = "X-Wd-Chunk"
+CHUNK_STARTS_IN = "X-Wd-Starts-In"
+CHUNK_SECONDS = "X-Wd-Seconds"
