--- a/wasabidrum/wire/headers.py
+++ b/wasabidrum/wire/headers.py
@@ -22,3 +22,10 @@
 START_BEFORE = "X-Wd-Start-Before"
 CALL_DIGEST = "X-Wd-Call-Digest"
 ANSWER_DIGEST = "X-Wd-Answer-Digest"
+
+# Headers of chunks between sidecars.
+ASKER = "X-Wd-Asker"
+ASKER_REGION = "X-Wd-Asker-Region"
+CHUNK_STATE = "X-Wd-Chunk"
+CHUNK_STARTS_IN = "X-Wd-Starts-In"
+CHUNK_SECONDS = "X-Wd-Seconds"
