Tell at /internal/control how a daemon stands among the others

Parents, links, suspects and the messages and bytes of control, for operators and benches. One route more in each daemon; the fault proxy can lose pieces.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -6,11 +6,14 @@
 import asyncio
 import dataclasses
 import json
+import random
 import sys
 
 from . import process_options
 from .rate_limiter import SLICE_BYTES, RateLimiter
 
+FIRST_RESEND_SECONDS = 0.2
+
 
 @dataclasses.dataclass(slots=True)
 class LinkFaults:
@@ -24,6 +27,7 @@
       refuse: New connections are closed at once, and the open ones are cut.
       repeat_requests: Each connection's bytes are sent once more, later, by the proxy.
       repeat_delay_seconds: How much later.
+      loss_chance: How likely a piece is lost; it comes again after 0.2 s, then twice that.
     """
 
     delay_seconds: float = 0.0
@@ -33,6 +37,7 @@
     refuse: bool = False
     repeat_requests: bool = False
     repeat_delay_seconds: float = 0.5
+    loss_chance: float = 0.0
 
 
 class FaultProxy:
@@ -100,6 +105,10 @@
                     await asyncio.sleep(0.02)
                 if self.faults.delay_seconds:
                     await asyncio.sleep(self.faults.delay_seconds)
+                resend_seconds = FIRST_RESEND_SECONDS
+                while random.random() < self.faults.loss_chance:
+                    await asyncio.sleep(resend_seconds)
+                    resend_seconds *= 2
                 await self._limiter.reserve(len(content))
                 if way == "back":
                     content = self._spoil(content, carried)
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -13,6 +13,7 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.configuration_follower import ConfigurationFollower
+from ..peers.control_handler import ControlHandler
 from ..peers.peer_node import PeerNode
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
@@ -79,7 +80,11 @@
             log_function=lambda handler: None,
         )
         internal = web.Application(
-            [(r"/internal/status", StatusHandler, given)], log_function=lambda handler: None
+            [
+                (r"/internal/status", StatusHandler, given),
+                (r"/internal/control", ControlHandler, {"node": self.node}),
+            ],
+            log_function=lambda handler: None,
         )
         listen = self._settings.listen
         caller_port = self._listen(callers, listen.caller_port)
--- a/wasabidrum/peers/message_codec.py
+++ b/wasabidrum/peers/message_codec.py
@@ -5,6 +5,20 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+# What gRPC and HTTP/2 add to a message: the prefix and the frame's head.
+MESSAGE_FRAME_BYTES = 14
+# What the receiver sends back for each: two window updates.
+ACKNOWLEDGEMENT_BYTES = 26
+
+
+class MessageCounts(msgspec.Struct):
+    """Messages and bytes of this process with their HTTP/2 frames, without TCP and IP."""
+
+    messages_sent: int = 0
+    messages_received: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
 
 class MessageCodec(CodecBase):
     """Encodes structs as MessagePack. A message that does not decode ends its stream."""
@@ -14,10 +28,15 @@
     def __init__(self) -> None:
         self._encoder = msgspec.msgpack.Encoder()
         self._decoders: dict[type, msgspec.msgpack.Decoder] = {}
+        self.counts = MessageCounts()
 
     def encode(self, message: typing.Any, message_type: typing.Any) -> bytes:
         """Returns the bytes of a struct."""
-        return self._encoder.encode(message)
+        content = self._encoder.encode(message)
+        self.counts.messages_sent += 1
+        self.counts.bytes_sent += len(content) + MESSAGE_FRAME_BYTES
+        self.counts.bytes_received += ACKNOWLEDGEMENT_BYTES
+        return content
 
     def decode(self, data: bytes, message_type: typing.Any) -> typing.Any:
         """Returns the struct of some bytes.
@@ -25,6 +44,9 @@
         Raises:
           msgspec.MsgspecError: The bytes are not a message of the type.
         """
+        self.counts.messages_received += 1
+        self.counts.bytes_received += len(data) + MESSAGE_FRAME_BYTES
+        self.counts.bytes_sent += ACKNOWLEDGEMENT_BYTES
         decoder = self._decoders.get(message_type)
         if decoder is None:
             decoder = self._decoders[message_type] = msgspec.msgpack.Decoder(message_type)
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -23,6 +23,7 @@
 from . import peer_client
 from .claim_fetcher import ClaimFetcher
 from .configuration_follower import ConfigurationFollower
+from .control_report import ControlReport
 from .list_keeper import ListKeeper
 from .news_log import NewsLog
 from .outbound_links import OutboundLinks
@@ -188,6 +189,26 @@
         if status.revision <= self._follower.revision:
             self._gap.hear(now)
 
+    def report(self) -> ControlReport:
+        """Returns how this daemon stands among the others."""
+        records = list(self.table.records)
+        return ControlReport(
+            revision=self._follower.revision,
+            highest_heard=self._follower.book.highest,
+            reads_service=self.reads_service,
+            readers=tuple(self._plan.readers(self._settings.data_centre)),
+            parents=tuple(self._plan.parents(self._settings.name)),
+            linked=tuple(link.name for link in self._outbound.live),
+            watchers=len(self._inbound),
+            members=len(records),
+            suspected=tuple(r.name for r in records if r.state is MemberState.SUSPECT),
+            dead=tuple(r.name for r in records if r.state is MemberState.DEAD),
+            list_implausible=self.table.list_is_implausible,
+            isolated=self.table.isolated,
+            recently_verified=self.recently_verified,
+            traffic=CODEC.counts,
+        )
+
     def take_claims(self, status: Status) -> None:
         """Takes what a daemon says of its revision and of a refused one."""
         self._fetcher.take_claim(
