--- a/wasabidrum/decisions/member_table.py
+++ b/wasabidrum/decisions/member_table.py
@@ -40,13 +40,15 @@
       isolated: Whether this process may be the one that is cut off.
     """
 
-    __slots__ = ("_name", "_records", "_news", "_implausible_at", "version", "isolated")
+    __slots__ = ("_name", "_records", "_news", "_implausible_at", "_pending", "version", "isolated")
 
     def __init__(self, name: str) -> None:
         self._name = name
         self._records: dict[str, MemberRecord] = {}
         self._news: list[MemberNews] = []
         self._implausible_at: float | None = None
+        # Those that time changes something about, so that a tick costs nothing for the rest.
+        self._pending: set[str] = set()
         self.version = 0
         self.isolated = False
 
@@ -97,6 +99,7 @@
             if record.name not in listed:
                 record.listed = None
                 record.unlisted_at = now
+                self._pending.add(record.name)
 
     def take_status(self, status: Status, now: float) -> None:
         """Takes what a member said of itself, directly to this process."""
@@ -106,6 +109,7 @@
         if record is None:
             record = MemberRecord(instance_from(status), unlisted_at=now)
             self._records[status.name] = record
+            self._pending.add(record.name)
         elif status.incarnation < record.incarnation:
             return
         later = status.incarnation > record.incarnation
@@ -150,6 +154,7 @@
                 return False
             record = MemberRecord(news.instance, unlisted_at=now)
             self._records[news.name] = record
+            self._pending.add(record.name)
         held = (record.incarnation, record.sequence, record.state)
         if (news.incarnation, news.sequence, news.state) <= held:
             return False
@@ -198,8 +203,12 @@
     def tick(self, now: float) -> list[str]:
         """Ends suspicions that nobody refuted and forgets the unlisted; returns the new dead."""
         dead = []
-        for record in list(self._records.values()):
-            suspected = record.state is MemberState.SUSPECT
+        for name in list(self._pending):
+            record = self._records.get(name)
+            suspected = record is not None and record.state is MemberState.SUSPECT
+            if record is None or not (suspected or record.listed is None):
+                self._pending.discard(name)
+                continue
             if suspected and not self.isolated and now - record.suspected_at >= SUSPICION_SECONDS:
                 self._set_state(record, MemberState.DEAD, now)
                 self._tell(record)
@@ -260,6 +269,7 @@
             record.flapped_at = now
         if state is MemberState.SUSPECT:
             record.suspected_at = now
+            self._pending.add(record.name)
         record.state = state
         self.version += 1
 
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -22,6 +22,7 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.configuration_follower import ConfigurationFollower
+from ..peers.control_handler import ControlHandler
 from ..peers.listed_membership import ListedMembership
 from ..peers.membership import Membership
 from ..peers.peer_membership import PeerMembership
@@ -91,6 +92,7 @@
             (r"/internal/service", call_handlers.ServiceHandler, given),
             (r"/internal/cancel/([^/]+)", call_handlers.CancelHandler, given),
             (r"/internal/status", call_handlers.StatusHandler, given),
+            (r"/internal/control", ControlHandler, {"node": self.node}),
         ]
         if self.weights is not None:
             routes += self.weights.routes()
