--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -5,7 +5,6 @@
 
 from ..config.settings import Settings
 from ..core.background_tasks import BackgroundTasks
-from ..core.fleet import LimitSpec
 from ..core.incarnation import make_incarnation
 from ..core.instance import InstanceRole
 from ..core.requests_in_progress import RequestsInProgress
@@ -16,15 +15,12 @@
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
 from ..wire import http_client
-from . import caller_handlers
+from .caller_routes import make_caller_server
 from .endpoint_table import EndpointTable
 from .model_call import ModelCaller
 from .service_call import ServiceCaller
 from .traffic import Traffic
 
-BODY_TIMEOUT_SECONDS = 20.0
-IDLE_CONNECTION_SECONDS = 120.0
-
 
 class StatusHandler(web.RequestHandler):
     """GET /internal/status."""
@@ -63,20 +59,12 @@
     async def start(self) -> None:
         """Listens and starts the background tasks."""
         given = {"entry": self}
-        callers = web.Application(
-            [
-                (r"/v1/completions", caller_handlers.ModelHandler, given),
-                (r"/v1/chat/completions", caller_handlers.ChatHandler, given),
-                (r"/services/([^/]+)(/.*)", caller_handlers.ServiceHandler, given),
-            ],
-            log_function=lambda handler: None,
-        )
         internal = web.Application(
             [(r"/internal/status", StatusHandler, given)], log_function=lambda handler: None
         )
         listen = self._settings.listen
-        caller_port = self._listen(callers, listen.caller_port)
-        self._http_port = self._listen(internal, listen.http_port)
+        caller_port = self._listen(make_caller_server(self), listen.caller_port)
+        self._http_port = self._listen(httpserver.HTTPServer(internal), listen.http_port)
         self.tasks.start("configuration", self.follower.run())
         self.tasks.start("endpoints", self.table.run())
         self.log.write(
@@ -113,14 +101,8 @@
             leaving=self.leaving,
         )
 
-    def _listen(self, application: web.Application, port: int) -> int:
+    def _listen(self, server: httpserver.HTTPServer, port: int) -> int:
         sockets = netutil.bind_sockets(port, self._settings.listen.host)
-        server = httpserver.HTTPServer(
-            application,
-            max_body_size=LimitSpec().body_bytes,
-            body_timeout=BODY_TIMEOUT_SECONDS,
-            idle_connection_timeout=IDLE_CONNECTION_SECONDS,
-        )
         server.add_sockets(sockets)
         return sockets[0].getsockname()[1]
 
