--- a/wasabidrum/entry/caller_handler.py
+++ b/wasabidrum/entry/caller_handler.py
@@ -142,6 +142,8 @@
         body = {"code": error.code, "message": str(error), "outcome": error.outcome.value}
         if error.retry_after is not None:
             body["retry_after"] = error.retry_after
+        if error.idempotency_key:
+            body["idempotency_key"] = error.idempotency_key
         return {"error": body, "request_id": self.request_id}
 
     def refuse(self, error: CodedError) -> None:
--- a/wasabidrum/entry/caller_routes.py
+++ b/wasabidrum/entry/caller_routes.py
@@ -7,6 +7,7 @@
 from .caller_handler import BODY_SECONDS, DISCARDED_BYTES, LINGER_SECONDS
 from .chat_handler import ChatHandler
 from .health_handler import HealthHandler
+from .key_handler import KeyHandler
 from .model_handler import ModelHandler
 from .service_handler import ServiceHandler
 from .unknown_path_handler import UnknownPathHandler
@@ -26,6 +27,7 @@
         [
             (r"/v1/completions", ModelHandler, given),
             (r"/v1/chat/completions", ChatHandler, given),
+            (r"/v1/idempotency-keys", KeyHandler, given),
             (r"/services/([A-Za-z0-9._-]+)/.*", ServiceHandler, given),
             (r"/healthz", HealthHandler, given),
         ],
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -54,7 +54,7 @@
         self.table = EndpointTable(client, directory)
         traffic = Traffic(self.table, log)
         self.models = ModelCaller(client, traffic)
-        self.services = ServiceCaller(client, traffic)
+        self.services = ServiceCaller(client, traffic, self.table, log)
 
     async def start(self) -> None:
         """Listens and starts the background tasks."""
--- a/wasabidrum/entry/service_handler.py
+++ b/wasabidrum/entry/service_handler.py
@@ -7,6 +7,7 @@
 from ..observe.event import Event
 from ..wire import headers
 from .caller_handler import CallerHandler
+from .service_order import ServiceOrder
 
 PATH_FORM = re.compile(r"/[!-~]*")
 DOT_SEGMENT = re.compile(r"/(\.|%2e){1,2}(/|%2f|$)", re.IGNORECASE)
@@ -52,14 +53,22 @@
         if service not in caller.revision.fleet.workspaces[caller.workspace].services:
             raise CodedError("service_unknown", "no such service", 404)
         path = self.service_path(service)
-        given = self.request.headers.get("Content-Type", "application/json")
-        reply = await self.entry.services.call(
-            caller, service, self.request.method, path, plain_content_type(given), self.body
+        given = self.request.headers
+        order = ServiceOrder(
+            service,
+            self.request.method,
+            path,
+            plain_content_type(given.get("Content-Type", "application/json")),
+            self.body,
+            given.get(headers.IDEMPOTENCY_KEY, ""),
         )
+        reply = await self.entry.services.call(caller, order)
         self.set_status(reply.status)
         self.set_header("Content-Type", plain_content_type(reply.content_type))
         self.set_header(headers.REQUEST_ID, caller.request_id)
         self.set_header(headers.OUTCOME, Outcome.DONE.value)
+        if reply.replayed:
+            self.set_header(headers.IDEMPOTENT_REPLAYED, "true")
         self.write(reply.body)
         self.entry.log.write(
             Event.REQUEST_DONE, request=caller.request_id, workspace=caller.workspace
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -31,6 +31,19 @@
     REVISION_REFUSED = 4002
     CONFIGURATION_UNREACHABLE = 4003
 
+    # 5000: calls with keys, and streams that go on elsewhere.
+    CALL_STARTED = 5001
+    CALL_JOINED = 5002
+    CALL_REPLAYED = 5003
+    CALL_NOT_RUN = 5004
+    CALL_UNKNOWN = 5005
+    CALL_ASKED_AGAIN = 5006
+    CALL_PLACED_AGAIN = 5007
+    STREAM_RESUMED = 5008
+    STREAM_HANDED_ON = 5009
+    KEY_ISSUED = 5010
+    WORK_WHILE_LEAVING = 5011
+
     # 6000: the process's surroundings.
     HANDLER_FAILED = 6001
     CERTIFICATES_IN_FORCE = 6002
