Remember the latest events of each daemon, and expose metrics on both roles

Cause: what became of a request could be read only from shipped logs, and nothing could be scraped.

Counters and histograms come from the same events, gauges are read when asked; GET /metrics on the fleet's port of both roles. The answer's generators are closed when a caller leaves, not when collected.

Wiring in both daemons, and a property of the entry's Traffic that counts who waits.

--- a/wasabidrum/entry/caller_handler.py
+++ b/wasabidrum/entry/caller_handler.py
@@ -180,6 +180,17 @@
             reason=str(error),
         )
 
+    def note_done(self, **facts: object) -> None:
+        """Logs a whole answer."""
+        self.entry.log.write(
+            Event.REQUEST_DONE,
+            request=self.request_id,
+            workspace=self.caller.workspace,
+            outcome=Outcome.DONE.value,
+            seconds=round(self.request.request_time(), 4),
+            **facts,
+        )
+
     def write_error(self, status_code: int, **details: object) -> None:
         """Answers what the handlers did not foresee; whether it ran cannot be known then."""
         code = CODES_BY_STATUS.get(status_code, "internal_error")
@@ -197,10 +208,16 @@
 
     def on_connection_close(self) -> None:
         """Gives up the work of a caller that went away."""
-        self.request.connection_closed = True
         if self.running is not None:
             self.running.cancel()
-            self.entry.log.write(Event.REQUEST_CANCELLED, request=self.request_id)
+            workspace = self.caller.workspace if self.caller else ""
+            self.entry.log.write(
+                Event.REQUEST_CANCELLED,
+                request=self.request_id,
+                workspace=workspace,
+                code="cancelled",
+                outcome=Outcome.UNKNOWN.value,
+            )
 
     def on_finish(self) -> None:
         """Ends the timer of the body."""
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -11,6 +11,7 @@
 from ..core.status import Status
 from ..observe.event import Event
 from ..observe.event_log import EventLog
+from ..observe.routes import make_routes
 from ..peers.configuration_follower import ConfigurationFollower
 from ..peers.peer_node import PeerNode
 from ..platform.http_configuration_service import make_configuration_service
@@ -58,6 +59,7 @@
         self.node = PeerNode(
             settings, directory, self.follower, self.status, log, self._report_failure
         )
+        self._add_gauges(traffic)
         self.models = ModelCaller(client, traffic)
         self.services = ServiceCaller(client, traffic, self.table, log)
 
@@ -65,7 +67,8 @@
         """Listens and starts the background tasks."""
         given = {"entry": self}
         internal = web.Application(
-            [(r"/internal/status", StatusHandler, given)], log_function=lambda handler: None
+            [(r"/internal/status", StatusHandler, given), *make_routes(self.log)],
+            log_function=lambda handler: None,
         )
         listen = self._settings.listen
         caller_port = self._listen(make_caller_server(self), listen.caller_port)
@@ -88,6 +91,18 @@
             incarnation=self._incarnation,
         )
 
+    def _add_gauges(self, traffic: Traffic) -> None:
+        add = self.log.metrics.add_gauge
+        add("revision", "The configuration revision in force here.", lambda: self.follower.revision)
+        add(
+            "requests_in_progress",
+            "Requests of callers begun and not ended.",
+            lambda: self.requests.count,
+        )
+        add("requests_waiting", "Requests that wait for their turn.", lambda: traffic.waiting)
+        add("endpoints_known", "Endpoints in this entry's table.", lambda: len(self.table.views))
+        add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
+
     async def stop(self) -> None:
         """Leaves gracefully: refuses new requests, ends those in progress, then stops."""
         self.leaving = True
--- a/wasabidrum/entry/model_handler.py
+++ b/wasabidrum/entry/model_handler.py
@@ -1,12 +1,12 @@
 """Answers completions, whole or as server-sent events."""
 
+import contextlib
 import time
 import typing
 
 import msgspec
 
 from ..core.errors import CodedError
-from ..observe.event import Event
 from ..wire import headers
 from .caller_handler import CallerHandler
 from .caller_request import CallerRequest
@@ -18,6 +18,9 @@
 
     object_name = "text_completion"
 
+    tokens = 0
+    first_token_seconds = 0.0
+
     async def post(self) -> None:
         """Runs one request."""
         await self.run(self.answer)
@@ -36,14 +39,25 @@
         if asked.model not in caller.revision.fleet.workspaces[caller.workspace].models:
             raise CodedError("model_unknown", "no such model", 404)
         pieces = self.entry.models.generate(caller, asked.model, asked.prompt, asked.max_tokens)
-        if asked.stream:
-            whole = await self.answer_streaming(caller, asked.model, pieces)
-        else:
-            whole = await self.answer_whole(caller, asked.model, pieces)
+        timed = self.count_tokens(pieces)
+        # A caller that goes away leaves the answer half read. Closed here and not when the
+        # collector gets to it, the request's place is free for the next one at once.
+        async with contextlib.aclosing(pieces), contextlib.aclosing(timed):
+            if asked.stream:
+                whole = await self.answer_streaming(caller, asked.model, timed)
+            else:
+                whole = await self.answer_whole(caller, asked.model, timed)
         if whole:
-            self.entry.log.write(
-                Event.REQUEST_DONE, request=caller.request_id, workspace=caller.workspace
-            )
+            first = round(self.first_token_seconds, 4)
+            self.note_done(model=asked.model, tokens=self.tokens, first_token=first)
+
+    async def count_tokens(self, pieces: typing.AsyncIterator) -> typing.AsyncIterator:
+        """Passes an answer's pieces on, noting their tokens and when the first came."""
+        async for piece in pieces:
+            if not self.tokens:
+                self.first_token_seconds = self.request.request_time()
+            self.tokens += len(piece.tokens)
+            yield piece
 
     async def answer_whole(
         self, caller: CallerRequest, model: str, pieces: typing.AsyncIterator
--- a/wasabidrum/entry/service_handler.py
+++ b/wasabidrum/entry/service_handler.py
@@ -4,7 +4,6 @@
 
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
-from ..observe.event import Event
 from ..wire import headers
 from .caller_handler import CallerHandler
 from .service_order import ServiceOrder
@@ -70,6 +69,4 @@
         if reply.replayed:
             self.set_header(headers.IDEMPOTENT_REPLAYED, "true")
         self.write(reply.body)
-        self.entry.log.write(
-            Event.REQUEST_DONE, request=caller.request_id, workspace=caller.workspace
-        )
+        self.note_done(service=service)
--- a/wasabidrum/entry/traffic.py
+++ b/wasabidrum/entry/traffic.py
@@ -52,6 +52,11 @@
         self._budget = RetryBudget()
         self._guard = poison.PoisonGuard()
 
+    @property
+    def waiting(self) -> int:
+        """How many requests wait for their turn."""
+        return sum(pool.queue.waiting for pool in self._pools.values())
+
     async def admit(self, item: WorkItem) -> Permit:
         """Waits for the request's turn.
 
--- a/wasabidrum/observe/event_log.py
+++ b/wasabidrum/observe/event_log.py
@@ -1,4 +1,4 @@
-"""Writes numbered events as JSON lines through logbook."""
+"""Writes numbered events as JSON lines through logbook, and remembers and counts them."""
 
 import sys
 import time
@@ -7,22 +7,39 @@
 import msgspec
 
 from .event import Event
+from .event_memory import EventMemory
+from .metrics import Metrics
 
 
 class EventLog:
-    """Logs events of one daemon, each with the daemon's name."""
+    """Logs events of one daemon, each with the daemon's name.
 
-    __slots__ = ("_logger", "_name")
+    Attributes:
+      memory: The latest events, for `wasabidrum explain`.
+      metrics: What was counted.
+    """
+
+    __slots__ = ("_logger", "_name", "memory", "metrics")
 
     def __init__(self, logger: logbook.Logger, name: str) -> None:
         self._logger = logger
         self._name = name
+        self.memory = EventMemory()
+        self.metrics = Metrics()
+
+    @property
+    def name(self) -> str:
+        """The daemon's name."""
+        return self._name
 
     def write(self, event: Event, /, **facts: object) -> None:
         """Writes one event with its facts."""
-        line = {"t": round(time.time(), 3), "n": int(event), "event": event.name.lower()}
-        line |= {"daemon": self._name} | facts
-        self._logger.info(msgspec.json.encode(line).decode())
+        fields = {"t": round(time.time(), 3), "n": int(event), "event": event.name.lower()}
+        fields |= {"daemon": self._name} | facts
+        line = msgspec.json.encode(fields).decode()
+        self.memory.add(line)
+        self.metrics.count_event(event, facts)
+        self._logger.info(line)
 
 
 def make_event_log(name: str, log_file: str) -> EventLog:
--- /dev/null
+++ b/wasabidrum/observe/event_memory_test.py
@@ -0,0 +1,33 @@
+"""Tests of the memory of events."""
+
+import unittest
+
+import msgspec
+
+from .event_memory import EventMemory
+
+
+def line(number: int, request: str) -> str:
+    """Returns an event line."""
+    return msgspec.json.encode({"t": float(number), "request": request}).decode()
+
+
+class EventMemoryTest(unittest.TestCase):
+    """What was logged is found, and the memory stays bounded."""
+
+    def test_finds_a_request_with_its_attempts_and_no_other(self) -> None:
+        memory = EventMemory()
+        for number, request in enumerate(("r1", "r1.a", "r12", "r2", 'r"')):
+            memory.add(line(number, request))
+        self.assertEqual([event["t"] for event in memory.find("r1")], [0.0, 1.0])
+        self.assertEqual([event["t"] for event in memory.find('r"')], [4.0])
+        self.assertEqual(memory.find(""), [])
+
+    def test_stays_bounded_whatever_is_logged(self) -> None:
+        """A caller sends a storm of requests, each refused with a long reason. Without a
+        bound in bytes the daemon would grow past its 32 MB and be killed."""
+        memory = EventMemory(limit=10_000)
+        for number in range(1000):
+            memory.add(line(number, "r" * (number % 300)))
+            self.assertLessEqual(memory.bytes_held, 10_000)
+        self.assertGreater(memory.oldest(), 900.0)
--- /dev/null
+++ b/wasabidrum/observe/metrics_handler.py
@@ -0,0 +1,19 @@
+"""Answers Prometheus."""
+
+from prometheus_client import CONTENT_TYPE_LATEST
+from tornado import web
+
+from .event_log import EventLog
+
+
+class MetricsHandler(web.RequestHandler):
+    """GET /metrics."""
+
+    def initialize(self, log: EventLog) -> None:
+        """Takes the log from the route."""
+        self._log = log
+
+    def get(self) -> None:
+        """Answers with all metrics."""
+        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
+        self.write(self._log.metrics.expose())
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -21,6 +21,7 @@
 from ..endpoints.plain_service import PlainService
 from ..observe.event import Event
 from ..observe.event_log import EventLog
+from ..observe.routes import make_routes
 from ..peers.configuration_follower import ConfigurationFollower
 from ..peers.listed_membership import ListedMembership
 from ..peers.membership import Membership
@@ -83,12 +84,14 @@
     async def start(self) -> None:
         """Listens and starts the background tasks."""
         given = {"sidecar": self}
+        self._add_gauges()
         application = web.Application(
             [
                 (r"/internal/generate", call_handlers.GenerateHandler, given),
                 (r"/internal/service", call_handlers.ServiceHandler, given),
                 (r"/internal/cancel/([^/]+)", call_handlers.CancelHandler, given),
                 (r"/internal/status", call_handlers.StatusHandler, given),
+                *make_routes(self._log),
             ],
             log_function=lambda handler: None,
         )
@@ -112,6 +115,20 @@
             incarnation=self._incarnation,
         )
 
+    def _add_gauges(self) -> None:
+        add = self._log.metrics.add_gauge
+        add("revision", "The configuration revision in force here.", lambda: self.follower.revision)
+        add("requests_in_progress", "Requests at the endpoint.", lambda: self.requests.count)
+        add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
+        versions = self.versions
+        if versions is not None:
+            add(
+                "chunks_held",
+                "Chunks of the version that is fetched.",
+                lambda: versions.chunks_held,
+            )
+            add("chunks_wanted", "Chunks that this version has.", lambda: versions.chunks_wanted)
+
     async def stop(self) -> None:
         """Leaves gracefully: takes no new work, ends what is in progress, then stops."""
         self.leaving = True
