Speak mutual TLS between the fleet's processes where settings name certificates

Cause: any process that reached a daemon's own port had its work run, past every key and limit (before: status 200 to a stranger's order; no setting could change that).

A listener demands a certificate of the fleet's authority, for HTTP and for peer streams; clients demand the same of servers. Files are looked at every 5 s, tried on contexts of their own, and then loaded into those in use. The contexts are found through a context variable, so that peers, weights and calls need no argument more.

Wiring in peers (channel and server), member and endpoint URLs, both daemons.

--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -16,7 +16,7 @@
 from ..peers.peer_node import PeerNode
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
-from ..wire import http_client
+from ..wire import http_client, tls
 from .caller_routes import make_caller_server
 from .endpoint_table import EndpointTable
 from .endpoint_watcher import EndpointWatcher
@@ -72,7 +72,8 @@
         )
         listen = self._settings.listen
         caller_port = self._listen(make_caller_server(self), listen.caller_port)
-        self._http_port = self._listen(httpserver.HTTPServer(internal), listen.http_port)
+        server = httpserver.HTTPServer(internal, ssl_options=tls.server_context())
+        self._http_port = self._listen(server, listen.http_port)
         if self._settings.control == "service":
             self.tasks.start("configuration", self.follower.run())
             self.tasks.start("endpoints", self.table.run())
--- a/wasabidrum/entry/endpoint_table.py
+++ b/wasabidrum/entry/endpoint_table.py
@@ -10,7 +10,7 @@
 from ..core.instance import Instance, InstanceRole, InstanceState
 from ..core.status import Status
 from ..platform.instance_directory import InstanceDirectory
-from ..wire import http_client
+from ..wire import http_client, tls
 
 POLL_SECONDS = 0.5
 STATUS_TIMEOUT_SECONDS = 1.0
@@ -38,7 +38,7 @@
     @property
     def url(self) -> str:
         """Where the sidecar takes the fleet's requests."""
-        return f"http://{self.instance.host}:{self.instance.http_port}"
+        return tls.fleet_url(self.instance.host, self.instance.http_port)
 
 
 class EndpointTable:
--- a/wasabidrum/peers/member_view.py
+++ b/wasabidrum/peers/member_view.py
@@ -4,6 +4,7 @@
 
 from ..core.instance import Instance, InstanceState
 from ..core.status import Status
+from ..wire import tls
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,7 +30,7 @@
     @property
     def url(self) -> str:
         """Where the daemon takes the fleet's HTTP requests."""
-        return f"http://{self.instance.host}:{self.instance.http_port}"
+        return tls.fleet_url(self.instance.host, self.instance.http_port)
 
     @property
     def leaving(self) -> bool:
--- a/wasabidrum/peers/peer_client.py
+++ b/wasabidrum/peers/peer_client.py
@@ -8,6 +8,7 @@
 from grpclib import client, exceptions
 
 from ..core.errors import CodedError
+from ..wire import tls
 from . import peer_messages
 from .message_codec import MessageCodec
 from .peer_link import PeerLink
@@ -35,7 +36,7 @@
 @contextlib.asynccontextmanager
 async def open_channel(host: str, port: int) -> collections.abc.AsyncIterator[client.Channel]:
     """Opens a channel for the length of a block."""
-    channel = client.Channel(host, port, codec=CODEC)
+    channel = client.Channel(host, port, codec=CODEC, ssl=tls.client_context())
     try:
         yield channel
     finally:
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -20,6 +20,7 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..platform.instance_directory import InstanceDirectory
+from ..wire import tls
 from . import peer_client
 from .claim_fetcher import ClaimFetcher
 from .configuration_follower import ConfigurationFollower
@@ -112,7 +113,7 @@
         sockets = netutil.bind_sockets(listen.peer_port, listen.host)
         self.peer_port = sockets[0].getsockname()[1]
         self._server = server.Server([PeerService(self)], codec=CODEC)
-        await self._server.start(sock=sockets[0])
+        await self._server.start(sock=sockets[0], ssl=tls.server_context())
         self._tasks.start("peers", self._run())
 
     async def stop(self) -> None:
--- a/wasabidrum/scripts/daemon.py
+++ b/wasabidrum/scripts/daemon.py
@@ -7,12 +7,16 @@
 
 from ..config.settings import Settings
 from ..config.settings_file import read_settings
-from ..observe.event_log import make_event_log
+from ..core.errors import CodedError
+from ..core.finding import Finding
+from ..observe.event import Event
+from ..observe.event_log import EventLog, make_event_log
+from ..wire import tls
 
 EXIT_BAD_SETTINGS = 2
 
 
-async def run(settings: Settings) -> None:
+async def run(settings: Settings, identity: tls.FleetTls | None) -> None:
     """Runs the daemon until SIGTERM or SIGINT, then leaves gracefully."""
     log = make_event_log(settings.name, settings.log_file)
     # Imported by role, so that neither role pays for the other's modules.
@@ -25,9 +29,21 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
+    if identity is not None:
+        watching = asyncio.ensure_future(identity.watch(lambda fault: tell_change(log, fault)))
     await daemon.start()
     await ended.wait()
     await daemon.stop()
+    if identity is not None:
+        watching.cancel()
+
+
+def tell_change(log: EventLog, fault: str) -> None:
+    """Logs that new certificates are in force, or why they are not."""
+    if fault:
+        log.write(Event.CERTIFICATES_REFUSED, reason=fault)
+    else:
+        log.write(Event.CERTIFICATES_IN_FORCE)
 
 
 def main() -> int:
@@ -40,7 +56,12 @@
         print(finding, file=sys.stderr)
     if settings is None or findings:
         return EXIT_BAD_SETTINGS
-    asyncio.run(run(settings))
+    try:
+        identity = tls.put_in_force(settings.tls)
+    except CodedError as error:
+        print(Finding(options.settings, 0, 0, "TLS-INVALID", str(error)), file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    asyncio.run(run(settings, identity))
     return 0
 
 
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -30,7 +30,7 @@
 from ..platform.http_blob_source import make_blob_source
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
-from ..wire import http_client
+from ..wire import http_client, tls
 from . import call_handlers
 from .attempts import Attempts
 from .keyed_calls import KeyedCalls
@@ -98,7 +98,7 @@
         listen = self._settings.listen
         sockets = netutil.bind_sockets(listen.http_port, listen.host)
         self._port = sockets[0].getsockname()[1]
-        httpserver.HTTPServer(application).add_sockets(sockets)
+        httpserver.HTTPServer(application, ssl_options=tls.server_context()).add_sockets(sockets)
         if self._settings.control == "service":
             self.tasks.start("configuration", self.follower.run())
             self.tasks.start("membership", self._listed.run())
--- a/wasabidrum/wire/http_client.py
+++ b/wasabidrum/wire/http_client.py
@@ -6,12 +6,14 @@
 
 import asyncio
 import collections.abc
+import ssl
 
 import msgspec
 from tornado import httpclient, httputil
 
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
+from . import tls
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 CLIENTS_AT_ONCE = 10_000
@@ -25,7 +27,11 @@
         force_instance=True,
         max_clients=CLIENTS_AT_ONCE,
         max_body_size=LARGEST_BODY_BYTES,
-        defaults={"connect_timeout": CONNECT_TIMEOUT_SECONDS, "user_agent": "wasabidrum"},
+        defaults={
+            "connect_timeout": CONNECT_TIMEOUT_SECONDS,
+            "user_agent": "wasabidrum",
+            "ssl_options": tls.client_context(),
+        },
     )
 
 
@@ -36,7 +42,8 @@
       An error with outcome NOT_RUN only where the connection was never made; any other
       failure may have come after the request arrived, and says UNKNOWN.
     """
-    refused = isinstance(error, ConnectionRefusedError)
+    # A server whose certificate is not the fleet's was sent nothing but a handshake.
+    refused = isinstance(error, (ConnectionRefusedError, ssl.SSLCertVerificationError))
     never_connected = isinstance(error, httpclient.HTTPError) and (
         "while connecting" in str(error) or "in request queue" in str(error)
     )
--- /dev/null
+++ b/wasabidrum/wire/tls.py
@@ -0,0 +1,121 @@
+"""Mutual TLS between the fleet's processes, with certificates that change at any time.
+
+Every process shows a certificate that the fleet's authority signed, and takes work, orders
+and peer messages only from those that do. Which instance a certificate names is not looked
+at: instances come and go under addresses that no certificate could list in advance.
+"""
+
+import asyncio
+import collections.abc
+import contextvars
+import pathlib
+import ssl
+
+from ..config.settings import TlsSettings
+from ..core.digest import digest_of
+from ..core.errors import CodedError
+
+RELOAD_SECONDS = 5.0
+
+
+class FleetTls:
+    """The contexts of one process; new connections use what was loaded last.
+
+    Attributes:
+      server_context: For listeners; a client without a certificate is turned away.
+      client_context: For connections to the fleet's processes.
+    """
+
+    __slots__ = ("server_context", "client_context", "_settings", "_digest")
+
+    def __init__(self, settings: TlsSettings) -> None:
+        self._settings = settings
+        self._digest = ""
+        self.server_context = make_context(ssl.PROTOCOL_TLS_SERVER)
+        self.client_context = make_context(ssl.PROTOCOL_TLS_CLIENT)
+
+    def reload(self) -> bool:
+        """Loads the files where they changed; returns whether they did.
+
+        Raises:
+          CodedError: The files do not fit together; the ones loaded before stay in force.
+        """
+        try:
+            digest = self._read_digest()
+            if digest == self._digest:
+                return False
+            # A certificate is replaced before its key, and the daemon looks in between.
+            # Loaded straight into the contexts in use, the pair would break every new
+            # connection; so it is tried on a context of its own first.
+            self._load(make_context(ssl.PROTOCOL_TLS_SERVER))
+            self._load(self.server_context)
+            self._load(self.client_context)
+        except (OSError, ValueError) as error:
+            raise CodedError("tls_invalid", f"certificates not loaded: {error}") from error
+        self._digest = digest
+        return True
+
+    async def watch(self, on_change: collections.abc.Callable[[str], None]) -> None:
+        """Looks for new files for ever; says "" once they are in force, or why they are not."""
+        told = ""
+        while True:
+            await asyncio.sleep(RELOAD_SECONDS)
+            try:
+                if self.reload():
+                    told = ""
+                    on_change("")
+            except CodedError as error:
+                if str(error) != told:
+                    told = str(error)
+                    on_change(told)
+
+    def _read_digest(self) -> str:
+        files = (self._settings.certificate, self._settings.key, self._settings.authority)
+        return digest_of(b"\0".join(pathlib.Path(file).read_bytes() for file in files))
+
+    def _load(self, context: ssl.SSLContext) -> None:
+        context.load_cert_chain(self._settings.certificate, self._settings.key)
+        context.load_verify_locations(self._settings.authority)
+
+
+IN_FORCE: contextvars.ContextVar[FleetTls | None] = contextvars.ContextVar("tls", default=None)
+
+
+def make_context(protocol: int) -> ssl.SSLContext:
+    """Returns a context that demands a certificate of the other end and ignores its name."""
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def put_in_force(settings: TlsSettings | None) -> FleetTls | None:
+    """Has this task and those that it starts speak TLS to the fleet.
+
+    Raises:
+      CodedError: The files cannot be loaded.
+    """
+    if settings is None:
+        return None
+    tls = FleetTls(settings)
+    tls.reload()
+    IN_FORCE.set(tls)
+    return tls
+
+
+def server_context() -> ssl.SSLContext | None:
+    """Returns the context for a listener of this process, or None without TLS."""
+    tls = IN_FORCE.get()
+    return tls.server_context if tls else None
+
+
+def client_context() -> ssl.SSLContext | None:
+    """Returns the context for a connection to the fleet, or None without TLS."""
+    tls = IN_FORCE.get()
+    return tls.client_context if tls else None
+
+
+def fleet_url(host: str, port: int) -> str:
+    """Returns the URL at which an instance takes the fleet's requests."""
+    return f"{'https' if IN_FORCE.get() else 'http'}://{host}:{port}"
