--- a/wasabidrum/config/fleet_files.py
+++ b/wasabidrum/config/fleet_files.py
@@ -32,7 +32,10 @@
 
 
 def read_fleet_files(base_path: str, overlay_paths: list[str]) -> FleetFiles:
-    """Reads and checks a base file and any number of overlays, in one pass."""
+    """Reads and checks a base file and any number of overlays, in one pass.
+
+    A published value, which holds the base and all overlays, may stand for the base file.
+    """
     base, findings = read_yaml_file(base_path)
     overlays: dict[str, PlacedTree] = {}
     for path in overlay_paths:
@@ -43,6 +46,8 @@
             message = f"{overlays[site].file} is an overlay of the site {site} too"
             findings.append(Finding(path, 1, 1, "SITE-TWICE", message))
         overlays[site] = tree
+    if "base" in base.values and not overlay_paths:
+        base, overlays = split_value(base)
     trees = {site: tree.values for site, tree in overlays.items()}
     schema = base.values.get("schema", 0)
     bundle = Bundle(schema, base.values, trees)
@@ -53,6 +58,16 @@
     return FleetFiles(base, overlays, bundle, sorted(set(findings)))
 
 
+def split_value(value: PlacedTree) -> tuple[PlacedTree, dict[str, PlacedTree]]:
+    """Returns base and overlays of a value as it was published, with its own lines."""
+    sites = value.values.get("overlays")
+    overlays = {
+        site: value.subtree(("overlays", site))
+        for site in (sites if isinstance(sites, dict) else ())
+    }
+    return value.subtree(("base",)), overlays
+
+
 def place(
     base: PlacedTree, overlays: dict[str, PlacedTree], site: str, problem: Problem
 ) -> Finding:
--- a/wasabidrum/config/fleet_files_test.py
+++ b/wasabidrum/config/fleet_files_test.py
@@ -125,6 +125,13 @@
                 findings = check(text).findings
                 self.assertIn(code, [finding.code for finding in findings])
 
+    def test_a_published_value_is_checked_with_its_own_lines(self) -> None:
+        """Every daemon refuses a revision that was not made with the tool. The operator has
+        only the published value, and looks for the fault in it."""
+        indented = "".join(f"  {line}\n" for line in BASE.splitlines())
+        value = f"schema: 1\nbase:\n{indented}overlays:\n  rift: {{limits: {{body_bytes: 0}}}}\n"
+        self.assertEqual(found(value), [("fleet.yaml", 22, 31, "VALUE-RANGE")])
+
     def test_files_that_the_service_could_not_hold(self) -> None:
         """Base and overlays grow past a megabyte. The service would refuse the value, or a
         daemon would, long after the operator has left."""
--- a/wasabidrum/config/placed_tree.py
+++ b/wasabidrum/config/placed_tree.py
@@ -42,6 +42,17 @@
         line, column = places.get(path, UNKNOWN_PLACE)
         return Finding(self.file, line, column, problem.code, problem.message)
 
+    def subtree(self, path: KeyPath) -> "PlacedTree":
+        """Returns the part under some keys as if it were a file of its own."""
+        length = len(path)
+
+        def keep(places: dict[KeyPath, tuple[int, int]]) -> dict[KeyPath, tuple[int, int]]:
+            return {key[length:]: place for key, place in places.items() if key[:length] == path}
+
+        values = self._value_at(path)
+        values = values if isinstance(values, dict) else {}
+        return PlacedTree(self.file, values, keep(self.key_places), keep(self.value_places))
+
     def _value_at(self, path: KeyPath) -> object:
         value: object = self.values
         for part in path:
--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -16,6 +16,7 @@
       revision: The configuration revision in force here.
       config_digest: The digest of that revision's value.
       model: The model of the endpoint, or empty.
+      wanted_version: The version that the configuration in force here wants, or empty.
       version: The version that the endpoint answers with, or empty.
       fetching: The version being fetched, or empty.
       chunks_held: How many chunks of the version being fetched are at hand.
@@ -57,3 +58,4 @@
     refused_reason: str = ""
     alarm: str = ""
     reads_service: bool = False
+    wanted_version: str = ""
--- a/wasabidrum/scripts/commands/bundle.py
+++ b/wasabidrum/scripts/commands/bundle.py
@@ -40,7 +40,7 @@
     if options.output:
         pathlib.Path(options.output).write_bytes(content)
     else:
-        sys.stdout.write(content.decode() + "\n")
+        sys.stdout.buffer.write(content)
     share = 100.0 * len(content) / LARGEST_VALUE_BYTES
     digest = digest_of(content)
     print(f"{len(content)} bytes ({share:.0f}% of the most), {digest}", file=sys.stderr)
--- a/wasabidrum/scripts/commands/check.py
+++ b/wasabidrum/scripts/commands/check.py
@@ -5,8 +5,10 @@
 refuses is accepted nowhere.
 
   wasabidrum check fleet.yaml overlays/*.yaml
+  wasabidrum check refused-value.json
 
-The name of an overlay file, without its ending, is the site that it applies to.
+The second form takes a value as it was published. The name of an overlay file, without its
+ending, is the site that it applies to.
 Exit status: 0 nothing found, 1 findings, 2 wrong usage.
 """
 
--- /dev/null
+++ b/wasabidrum/scripts/commands/explain.py
@@ -0,0 +1,76 @@
+"""Tells what became of a request: where it was placed, queued or refused, and why.
+
+Each daemon keeps its latest events in memory, as far back as 2 MB of them reach; there is
+nothing older, and nothing of a daemon that was replaced. The request's id is in the header
+X-Request-Id of every answer and in every error.
+
+  wasabidrum explain 3e2823e5cea92b40364b9e58 --settings /etc/wasabidrum/entry.yaml
+
+Exit status: 0 found, 1 no daemon remembers it, 2 wrong usage, 3 the platform's list could
+not be read.
+"""
+
+import argparse
+import json
+import time
+
+from ...observe.events_handler import FoundEvents
+from ..command import EXIT_FOUND, EXIT_OK
+from ..fleet_answer import FleetAnswer
+from ..fleet_client import FleetClient
+from ..fleet_options import add_fleet_arguments, run_with_fleet
+
+NAME = "explain"
+HELP = "tell why a request was placed, queued or refused where it was"
+# Facts that stand in columns of their own, or that the operator gave.
+COMMON_FACTS = frozenset(("t", "n", "event", "daemon", "request"))
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """See Command."""
+    parser.add_argument("request_id", metavar="REQUEST-ID", help="the id on the answer or error")
+    add_fleet_arguments(parser)
+
+
+def clock_of(seconds: float) -> str:
+    """Returns a time of day with milliseconds."""
+    return time.strftime("%H:%M:%S", time.localtime(seconds)) + f".{int(seconds * 1000) % 1000:03d}"
+
+
+def print_events(request_id: str, events: list[dict[str, object]]) -> None:
+    """Prints the events of all daemons in one order."""
+    for event in events:
+        facts = " ".join(f"{key}={event[key]}" for key in event if key not in COMMON_FACTS)
+        attempt = str(event["request"]).removeprefix(request_id)
+        print(f"{clock_of(event['t'])}  {event['daemon']}  {event['event']}{attempt}  {facts}")
+
+
+def print_memory(answers: list[FleetAnswer[FoundEvents]]) -> None:
+    """Prints how far back the daemons' memories reach, and who did not answer."""
+    silent = [answer.instance.name for answer in answers if answer.answer is None]
+    oldest = [answer.answer.oldest for answer in answers if answer.answer is not None]
+    known = [seconds for seconds in oldest if seconds is not None]
+    if known:
+        print(f"asked {len(answers)} daemons; the shortest memory begins {clock_of(max(known))}")
+    if silent:
+        print(f"no answer from {', '.join(silent)}")
+
+
+async def show(client: FleetClient, options: argparse.Namespace) -> int:
+    """Asks everyone and prints what they remember."""
+    listed = await client.read_list()
+    answers = await client.ask_events(listed.instances, options.request_id)
+    found = [event for answer in answers if answer.answer for event in answer.answer.events]
+    found.sort(key=lambda event: event["t"])
+    if options.json:
+        for event in found:
+            print(json.dumps(event))
+    else:
+        print_events(options.request_id, found)
+        print_memory(answers)
+    return EXIT_OK if found else EXIT_FOUND
+
+
+def run(options: argparse.Namespace) -> int:
+    """See Command."""
+    return run_with_fleet(options, show)
--- a/wasabidrum/scripts/tool.py
+++ b/wasabidrum/scripts/tool.py
@@ -8,9 +8,9 @@
 import sys
 
 from .command import EXIT_USAGE, Command
-from .commands import bundle, check, diff, render
+from .commands import bundle, check, diff, explain, render, rollout, status
 
-COMMANDS: tuple[Command, ...] = (check, render, diff, bundle)
+COMMANDS: tuple[Command, ...] = (check, render, diff, bundle, status, explain, rollout)
 EPILOG = """exit status:
   0  done, and nothing found to report
   1  findings, differences, or a fleet that is not as the files say
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -8,6 +8,7 @@
 from ..config.settings import Settings
 from ..core.background_tasks import BackgroundTasks
 from ..core.errors import CodedError
+from ..core.fleet import EndpointSpec, Fleet
 from ..core.incarnation import make_incarnation
 from ..core.instance import InstanceRole
 from ..core.load import Load
@@ -166,6 +167,7 @@
             fetching=versions.fetching if versions else "",
             chunks_held=versions.chunks_held if versions else 0,
             chunks_wanted=versions.chunks_wanted if versions else 0,
+            wanted_version=wanted_version(fleet, endpoint),
             leaving=self.leaving,
             uptime=self.keyed_calls.uptime,
             load=self._load,
@@ -200,6 +202,12 @@
         self._log.write(Event.TASK_FAILED, task=name, reason=repr(error))
 
 
+def wanted_version(fleet: Fleet | None, endpoint: EndpointSpec | None) -> str:
+    """Returns the version that the files want at an endpoint, or empty."""
+    model = fleet.models.get(endpoint.model) if fleet and endpoint else None
+    return model.version if model else ""
+
+
 def make_sidecar(settings: Settings, log: EventLog) -> Sidecar:
     """Returns a sidecar that has not started."""
     return Sidecar(settings, log)
