--- a/wasabidrum/config/settings.py
+++ b/wasabidrum/config/settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-Name = typing.Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*\Z")]
 Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0.0)]
 NotNegative = typing.Annotated[float, msgspec.Meta(ge=0.0)]
--- a/wasabidrum/core/fleet.py
+++ b/wasabidrum/core/fleet.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-Digest = typing.Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
+from .digest import Digest
+
 Fraction = typing.Annotated[float, msgspec.Meta(gt=0.0, le=1.0)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0.0)]
 NotNegative = typing.Annotated[float, msgspec.Meta(ge=0.0)]
--- a/wasabidrum/core/manifest.py
+++ b/wasabidrum/core/manifest.py
@@ -5,18 +5,20 @@
 verified content, like any chunk.
 """
 
+import typing
+
 import msgspec
 
-from .digest import digest_of
+from .digest import Digest, digest_of
 from .errors import CodedError
 
 
 class Manifest(msgspec.Struct, frozen=True):
     """The chunks of a version, in order. Every chunk but the last has chunk_bytes bytes."""
 
-    chunk_bytes: int
-    total_bytes: int
-    chunks: tuple[str, ...]
+    chunk_bytes: typing.Annotated[int, msgspec.Meta(ge=1)]
+    total_bytes: typing.Annotated[int, msgspec.Meta(ge=0)]
+    chunks: tuple[Digest, ...]
 
     def size_of(self, index: int) -> int:
         """Returns the number of bytes in the chunk at an index."""
@@ -48,9 +50,9 @@
         raise CodedError("manifest_corrupt", "the manifest does not match its root digest")
     try:
         manifest = msgspec.json.decode(content, type=Manifest)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
         raise CodedError("manifest_invalid", str(error)) from error
-    expected = -(-manifest.total_bytes // max(1, manifest.chunk_bytes))
-    if manifest.chunk_bytes <= 0 or expected != len(manifest.chunks):
+    expected = -(-manifest.total_bytes // manifest.chunk_bytes)
+    if expected != len(manifest.chunks):
         raise CodedError("manifest_invalid", "the sizes do not agree with the chunk count")
     return manifest
--- a/wasabidrum/entry/caller_handler.py
+++ b/wasabidrum/entry/caller_handler.py
@@ -191,6 +191,13 @@
             **facts,
         )
 
+    def send_error(self, status_code: int = 500, **details: object) -> None:
+        """Answers an error, unless the request was refused before its method was looked at."""
+        if not self._refused:
+            super().send_error(status_code, **details)
+        elif not self._finished:
+            self.finish()
+
     def write_error(self, status_code: int, **details: object) -> None:
         """Answers what the handlers did not foresee; whether it ran cannot be known then."""
         code = CODES_BY_STATUS.get(status_code, "internal_error")
--- a/wasabidrum/entry/health_handler.py
+++ b/wasabidrum/entry/health_handler.py
@@ -1,19 +1,13 @@
 """Tells the platform's balancer whether this entry takes requests."""
 
-import typing
+from .caller_handler import CallerHandler
 
-from tornado import web
 
-if typing.TYPE_CHECKING:
-    from .daemon import Entry
-
-
-class HealthHandler(web.RequestHandler):
+class HealthHandler(CallerHandler):
     """GET /healthz: 200 where requests are taken, 503 before the start and while leaving."""
 
-    def initialize(self, entry: "Entry") -> None:
-        """Takes the entry from the route."""
-        self.entry = entry
+    def prepare(self) -> None:
+        """Asks for no key."""
 
     def get(self) -> None:
         """Answers in one word."""
--- a/wasabidrum/entry/model_handler.py
+++ b/wasabidrum/entry/model_handler.py
@@ -72,7 +72,7 @@
         self.set_header(headers.MODEL_VERSION, version)
         usage = {"completion_tokens": len(tokens)}
         choice = self.choice("".join(tokens), "stop", whole=True)
-        self.write(self.head(caller, model, version) | {"choices": [choice], "usage": usage})
+        self.write(self.answer_head(caller, model, version) | {"choices": [choice], "usage": usage})
         return True
 
     async def answer_streaming(
@@ -92,7 +92,7 @@
                     self.set_header("Content-Type", "text/event-stream")
                     self.set_header(headers.REQUEST_ID, caller.request_id)
                     self.set_header(headers.MODEL_VERSION, piece.version)
-                    head = self.head(caller, model, piece.version)
+                    head = self.answer_head(caller, model, piece.version)
                 for token in piece.tokens:
                     self.write_event(head | {"choices": [self.choice(token, None, whole=False)]})
                 if piece.finished:
@@ -107,7 +107,7 @@
             return False
         return True
 
-    def head(self, caller: CallerRequest, model: str, version: str) -> dict[str, object]:
+    def answer_head(self, caller: CallerRequest, model: str, version: str) -> dict[str, object]:
         """Returns the fields that every event and answer begins with."""
         return {
             "id": caller.request_id,
