--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -30,6 +30,10 @@
       refused_reason: Every fault of that revision.
       alarm: What is wrong with the revisions themselves, such as one with two contents.
       reads_service: Whether the daemon reads the platform's service for its data centre.
+      staged: The version that the endpoint holds completely and has not switched to.
+      switching: Whether the endpoint switches versions now, or is about to.
+      proven: The version that is known to have come into force on some endpoint and stayed.
+      stopped: The version whose rollout stopped itself, or empty.
     """
 
     name: str
@@ -58,4 +62,8 @@
     refused_reason: str = ""
     alarm: str = ""
     reads_service: bool = False
+    staged: str = ""
+    switching: bool = False
+    proven: str = ""
+    stopped: str = ""
     wanted_version: str = ""
--- a/wasabidrum/observe/metrics.py
+++ b/wasabidrum/observe/metrics.py
@@ -19,8 +19,8 @@
 class Metrics:
     """Counters, histograms, and gauges that are read when somebody asks."""
 
-    __slots__ = ("_registry", "_events", "_requests", "_tokens", "_weight_bytes")
-    __slots__ += ("_first_token", "_seconds", "_gauges")
+    __slots__ = ("_registry", "_events", "_requests", "_tokens")
+    __slots__ += ("_first_token", "_seconds", "_gauges", "_counters")
 
     def __init__(self) -> None:
         self._registry = prometheus_client.CollectorRegistry()
@@ -30,7 +30,6 @@
             "requests", "Requests of callers that ended.", "outcome", "code"
         )
         self._tokens = self._counter("tokens", "Tokens of whole answers.")
-        self._weight_bytes = self._counter("weight_bytes", "Weights fetched.", "source")
         self._first_token = self._histogram(
             "first_token_seconds", "From a request's head to its first token.", FIRST_TOKEN_BUCKETS
         )
@@ -40,12 +39,23 @@
             REQUEST_BUCKETS,
         )
         self._gauges: dict[str, tuple[str, collections.abc.Callable[[], float]]] = {}
+        self._counters: dict[str, tuple[str, str, collections.abc.Callable]] = {}
         self._registry.register(self)
 
     def add_gauge(self, name: str, text: str, read: collections.abc.Callable[[], float]) -> None:
         """Adds a value that is read whenever the metrics are asked for."""
         self._gauges[PREFIX + name] = (text, read)
 
+    def add_counter(
+        self,
+        name: str,
+        text: str,
+        label: str,
+        read: collections.abc.Callable[[], dict[str, float]],
+    ) -> None:
+        """Adds counts by a label's values that are read whenever the metrics are asked for."""
+        self._counters[PREFIX + name] = (text, label, read)
+
     def count_event(self, event: Event, facts: dict[str, object]) -> None:
         """Counts an event, and what it says of a caller's request."""
         self._events.labels(event.name.lower()).inc()
@@ -58,14 +68,15 @@
         if "first_token" in facts:
             self._first_token.observe(facts["first_token"])
 
-    def count_weight_bytes(self, source: str, count: int) -> None:
-        """Counts bytes of weights that were fetched from "origin", "store" or "peer"."""
-        self._weight_bytes.labels(source).inc(count)
-
     def collect(self) -> collections.abc.Iterator[core.Metric]:
-        """Yields the gauges, as prometheus_client asks for them."""
+        """Yields what is read when asked, as prometheus_client wants it."""
         for name, (text, read) in self._gauges.items():
             yield core.GaugeMetricFamily(name, text, value=float(read()))
+        for name, (text, label, read_all) in self._counters.items():
+            family = core.CounterMetricFamily(name, text, labels=(label,))
+            for value, count in read_all().items():
+                family.add_metric((value,), count)
+            yield family
 
     def expose(self) -> bytes:
         """Returns all metrics as the text that Prometheus scrapes."""
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -28,14 +28,13 @@
 from ..peers.membership import Membership
 from ..peers.peer_membership import PeerMembership
 from ..peers.peer_node import PeerNode
-from ..platform.http_blob_source import make_blob_source
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
+from ..weights.weights_side import WeightsSide, make_weights_side
 from ..wire import http_client, tls
 from . import call_handlers
 from .attempts import Attempts
 from .keyed_calls import KeyedCalls
-from .version_keeper import VersionKeeper
 
 LOAD_READ_SECONDS = 0.25
 LEAVING_NOTICE_SECONDS = 2.0
@@ -57,12 +56,12 @@
         self.deaths = DeathRecord()
         self.engine: ModelEngine | None = None
         self.service: PlainService | None = None
-        self.versions: VersionKeeper | None = None
+        self.weights: WeightsSide | None = None
         self.tasks = BackgroundTasks(self._report_failure)
         self.attempts = Attempts()
         self.keyed_calls = KeyedCalls(make_ledger(self._incarnation), self.tasks, log)
-        service = make_configuration_service(self._client, settings.platform.configuration)
-        self.follower = ConfigurationFollower(service, settings.site, log)
+        configuration = make_configuration_service(self._client, settings.platform.configuration)
+        self.follower = ConfigurationFollower(configuration, settings.site, log)
         directory = make_instance_directory(self._client, settings.platform.instances)
         self.node = PeerNode(
             settings, directory, self.follower, self.status, log, self._report_failure
@@ -72,30 +71,34 @@
         if settings.control == "service":
             self.membership = self._listed
         if settings.endpoint.kind == "engine":
-            self._make_engine_side(settings)
+            self.engine = make_model_engine(self._client, settings.endpoint.url)
+            self.weights = make_weights_side(
+                settings,
+                self._client,
+                self.engine,
+                self.follower,
+                configuration,
+                self.membership,
+                lambda: self.requests.count,
+                log,
+            )
         else:
             self.service = make_plain_service(self._client, settings.endpoint.url)
 
-    def _make_engine_side(self, settings: Settings) -> None:
-        self.engine = make_model_engine(self._client, settings.endpoint.url)
-        urls = [url for url in (settings.platform.store, settings.platform.origin) if url]
-        sources = [make_blob_source(self._client, url) for url in urls]
-        self.versions = VersionKeeper(settings.name, self.follower, self.engine, sources, self._log)
-
     async def start(self) -> None:
         """Listens and starts the background tasks."""
         given = {"sidecar": self}
         self._add_gauges()
-        application = web.Application(
-            [
-                (r"/internal/generate", call_handlers.GenerateHandler, given),
-                (r"/internal/service", call_handlers.ServiceHandler, given),
-                (r"/internal/cancel/([^/]+)", call_handlers.CancelHandler, given),
-                (r"/internal/status", call_handlers.StatusHandler, given),
-                *make_routes(self._log),
-            ],
-            log_function=lambda handler: None,
-        )
+        routes = [
+            (r"/internal/generate", call_handlers.GenerateHandler, given),
+            (r"/internal/service", call_handlers.ServiceHandler, given),
+            (r"/internal/cancel/([^/]+)", call_handlers.CancelHandler, given),
+            (r"/internal/status", call_handlers.StatusHandler, given),
+            *make_routes(self._log),
+        ]
+        if self.weights is not None:
+            routes += self.weights.routes()
+        application = web.Application(routes, log_function=lambda handler: None)
         listen = self._settings.listen
         sockets = netutil.bind_sockets(listen.http_port, listen.host)
         self._port = sockets[0].getsockname()[1]
@@ -105,8 +108,8 @@
             self.tasks.start("membership", self._listed.run())
         else:
             await self.node.start()
-        if self.versions is not None:
-            self.tasks.start("versions", self.versions.run())
+        if self.weights is not None:
+            self.weights.start(self.tasks)
             self.tasks.start("load", self._read_load())
         self._log.write(
             Event.DAEMON_STARTED,
@@ -121,14 +124,14 @@
         add("revision", "The configuration revision in force here.", lambda: self.follower.revision)
         add("requests_in_progress", "Requests at the endpoint.", lambda: self.requests.count)
         add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
-        versions = self.versions
-        if versions is not None:
-            add(
-                "chunks_held",
-                "Chunks of the version that is fetched.",
-                lambda: versions.chunks_held,
-            )
-            add("chunks_wanted", "Chunks that this version has.", lambda: versions.chunks_wanted)
+        if self.weights is None:
+            return
+        manager, counts = self.weights.manager, self.weights.distributor.counts
+        add("chunks_held", "Chunks of the version being fetched.", lambda: manager.chunks_held)
+        add("chunks_wanted", "Chunks that this version has.", lambda: manager.chunks_wanted)
+        self._log.metrics.add_counter(
+            "weight_bytes", "Bytes of weights fetched, by source.", "source", counts.by_source
+        )
 
     async def stop(self) -> None:
         """Leaves gracefully: takes no new work, ends what is in progress, then stops."""
@@ -148,8 +151,7 @@
         current = self.follower.current
         fleet = current.fleet if current else None
         endpoint = fleet.endpoints.get(self._settings.name) if fleet else None
-        versions = self.versions
-        return Status(
+        status = Status(
             name=self._settings.name,
             role=InstanceRole.SIDECAR,
             incarnation=self._incarnation,
@@ -163,10 +165,6 @@
             config_digest=current.digest if current else "",
             model=endpoint.model if endpoint else "",
             service=endpoint.service if endpoint else "",
-            version=versions.active if versions else "",
-            fetching=versions.fetching if versions else "",
-            chunks_held=versions.chunks_held if versions else 0,
-            chunks_wanted=versions.chunks_wanted if versions else 0,
             wanted_version=wanted_version(fleet, endpoint),
             leaving=self.leaving,
             uptime=self.keyed_calls.uptime,
@@ -177,6 +175,7 @@
             alarm=self.follower.book.alarm,
             reads_service=self.node.reads_service,
         )
+        return self.weights.complete_status(status) if self.weights else status
 
     def note_refused_while_leaving(self) -> None:
         """Logs that work still came, so that operators see how long entries went on."""
--- /dev/null
+++ b/wasabidrum/weights/transfer_counts.py
@@ -0,0 +1,31 @@
+"""What a sidecar has moved, for operators and benches."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class TransferCounts:
+    """Bytes of weights by where they came from and went, and what went wrong.
+
+    Attributes:
+      asks: Requests for chunks sent to peers, whatever the answer.
+      corrupt: Chunks that came with other bytes than their digest names.
+    """
+
+    from_origin: int = 0
+    from_own_region: int = 0
+    from_other_regions: int = 0
+    to_own_region: int = 0
+    to_other_regions: int = 0
+    asks: int = 0
+    asks_answered: int = 0
+    peer_failures: int = 0
+    corrupt: int = 0
+
+    def by_source(self) -> dict[str, int]:
+        """Returns the bytes fetched, by where they came from."""
+        return {
+            "origin": self.from_origin,
+            "own_region": self.from_own_region,
+            "other_regions": self.from_other_regions,
+        }
