--- a/wasabidrum/weights/transfer_counts.py
+++ b/wasabidrum/weights/transfer_counts.py
@@ -21,3 +21,11 @@
     asks_answered: int = 0
     peer_failures: int = 0
     corrupt: int = 0
+
+    def by_source(self) -> dict[str, int]:
+        """Returns the bytes fetched, by where they came from."""
+        return {
+            "origin": self.from_origin,
+            "own_region": self.from_own_region,
+            "other_regions": self.from_other_regions,
+        }
