--- a/wasabidrum/decisions/keyed_ledger_test.py
+++ b/wasabidrum/decisions/keyed_ledger_test.py
@@ -75,6 +75,11 @@
         self.deliver_to(copy, key.incarnation)
         return copy
 
+    @stateful.rule(target=copies, copy=copies, patience=strategies.sampled_from((0, 3, 50)))
+    def resend(self, copy: tuple, patience: int) -> tuple:
+        """Sends the same call again, with a deadline of its own."""
+        return self.send(*copy[:3], patience)
+
     @stateful.rule(copy=copies)
     def repeat(self, copy: tuple) -> None:
         """Delivers a copy once more, however late."""
@@ -134,23 +139,21 @@
         """Lets time pass; keys expire and records are forgotten."""
         self.time += seconds
 
-    @stateful.rule(slot=strategies.sampled_from(("tally-1", "tally-2")))
-    def replace(self, slot: str) -> None:
-        """Replaces an instance while the old one lives on, paused and unaware."""
-        self.start(slot)
-
-    @stateful.rule(pick=strategies.integers(0, 99))
-    def crash(self, pick: int) -> None:
-        """Ends an incarnation with all that it remembers, and starts the next."""
+    @stateful.rule(
+        what=strategies.sampled_from(("replace", "crash", "leave")),
+        slot=strategies.sampled_from(("tally-1", "tally-2")),
+        pick=strategies.integers(0, 99),
+    )
+    def upset(self, what: str, slot: str, pick: int) -> None:
+        """Replaces an instance whose old process lives on, or ends one, or has one leave."""
         incarnation = sorted(self.ledgers)[pick % len(self.ledgers)]
-        self.ledgers[incarnation] = make_ledger("dead", 0, 0)
-        self.running = [run for run in self.running if run[0] != incarnation]
-        self.start("tally-1")
-
-    @stateful.rule(pick=strategies.integers(0, 99))
-    def leave(self, pick: int) -> None:
-        """Has an incarnation leave."""
-        self.ledgers[sorted(self.ledgers)[pick % len(self.ledgers)]].leave()
+        if what == "leave":
+            self.ledgers[incarnation].leave()
+        elif what == "crash":
+            self.ledgers[incarnation] = make_ledger("dead", 0, 0)
+            self.running = [run for run in self.running if run[0] != incarnation]
+        if what != "leave":
+            self.start(slot)
 
     @stateful.invariant()
     def at_most_once(self) -> None:
