--- a/wasabidrum/decisions/keyed_ledger_test.py
+++ b/wasabidrum/decisions/keyed_ledger_test.py
@@ -78,7 +78,10 @@
     @stateful.rule(target=copies, copy=copies, patience=strategies.sampled_from((0, 3, 50)))
     def resend(self, copy: tuple, patience: int) -> tuple:
         """Sends the same call again, with a deadline of its own."""
-        return self.send(*copy[:3], patience)
+        workspace, key, body, _ = copy
+        again = (workspace, key, body, self.time + patience)
+        self.deliver_to(again, key.incarnation)
+        return again
 
     @stateful.rule(copy=copies)
     def repeat(self, copy: tuple) -> None:
