--- /dev/null
+++ b/tests/outcomes_charges_test.py
@@ -0,0 +1,144 @@
+"""Charges under failures: each runs at most once, and every outcome is the truth."""
+
+import asyncio
+import signal
+import unittest
+
+from .outcomes_fleet import OTHER_KEY, OutcomesFleet
+
+
+class ChargeTest(unittest.IsolatedAsyncioTestCase):
+    """Runs are counted at the endpoint, in a journal that outlives its crash."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await self.enterAsyncContext(OutcomesFleet())
+        await self.fleet.start_all(["tally-1", "tally-2"], [])
+
+    async def faults(self, **faults: object) -> None:
+        """Sets the same faults at both services."""
+        for name in ("tally-1", "tally-2"):
+            await self.fleet.put_faults(self.fleet.members[name].endpoint_port, **faults)
+
+    async def test_service_killed_before_and_after_the_run(self) -> None:
+        """The service dies with a charge in hand, before it ran it or just after.
+
+        The caller must be told "unknown": "not run" would be a guess, and a second run a
+        second charge on the same copies.
+        """
+        await self.faults(crash_before="before")
+        became, told = await self.fleet.charge("before")
+        self.assertEqual((became, self.fleet.runs("before")), ("unknown", 0), told)
+        await self.fleet.wait_until(self._has_service, 10.0, "a service that answers")
+        key = await self.fleet.issue_key()
+        for name in ("tally-1", "tally-2"):
+            if self.fleet.members[name].endpoint.alive:
+                port = self.fleet.members[name].endpoint_port
+                await self.fleet.put_faults(port, crash_after="after")
+        became, told = await self.fleet.charge("after", key=key)
+        again, _ = await self.fleet.charge("after", entry=1, key=key)
+        self.assertLessEqual(self.fleet.runs("after"), 1)
+        self.assertNotIn(("not_run", 1), [(became, self.fleet.runs("after"))], told)
+        self.assertNotEqual((again, self.fleet.runs("after")), ("not_run", 1))
+
+    async def _has_service(self) -> bool:
+        return (await self.fleet.charge("probe"))[0] == "whole"
+
+    async def test_service_already_dead_is_not_run_there_and_runs_elsewhere(self) -> None:
+        """A service died while idle; its sidecar is well and takes the charge.
+
+        Nothing reached the service, so the charge may run at the other one, and the caller
+        at the till need not see an error.
+        """
+        await self.fleet.members["tally-1"].endpoint.kill()
+        for number in range(6):
+            became, told = await self.fleet.charge(f"m{number}")
+            runs = self.fleet.runs(f"m{number}")
+            self.assertIn((became, runs), [("whole", 1), ("not_run", 0)], told)
+            self.assertEqual(became, "whole", told)
+
+    async def test_entry_killed_and_caller_resends_to_another(self) -> None:
+        """An entry dies with a charge in flight, and the caller resends with its key.
+
+        The second entry knows nothing of the first copy; without the key it would send the
+        charge to be run again, and the family pays twice.
+        """
+        await self.faults(delay_after_seconds=0.8)
+        key = await self.fleet.issue_key()
+        first = asyncio.ensure_future(self.fleet.charge("resent", key=key))
+        await asyncio.sleep(0.3)
+        await self.fleet.entries[0].daemon.kill()
+        await asyncio.wait([first])
+        became, told = await self.fleet.charge("resent", entry=1, key=key)
+        later, kept = await self.fleet.charge("resent", entry=1, key=key)
+        self.assertEqual(self.fleet.runs("resent"), 1)
+        self.assertEqual((became, later), ("whole", "whole"))
+        self.assertEqual((told["replayed"], kept["replayed"]), (True, True))
+        self.assertEqual((told["run"], told["by"]), (kept["run"], kept["by"]))
+
+    async def test_paused_sidecars_do_not_start_a_call_after_its_deadline(self) -> None:
+        """Sidecars are paused with a charge in their sockets, and wake after its deadline.
+
+        The caller has been told "unknown" and has turned to another stall; a charge that
+        starts now bills for copies that were never made.
+        """
+        for name in ("tally-1", "tally-2"):
+            self.fleet.members[name].daemon.send(signal.SIGSTOP)
+        key = await self.fleet.issue_key()
+        became, told = await self.fleet.charge("late", key=key, milliseconds=700)
+        self.assertEqual(became, "unknown", told)
+        for name in ("tally-1", "tally-2"):
+            self.fleet.members[name].daemon.send(signal.SIGCONT)
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.fleet.runs("late"), 0)
+        again, told = await self.fleet.charge("late", entry=1, key=key)
+        self.assertEqual((again, self.fleet.runs("late")), ("not_run", 0), told)
+        fresh, _ = await self.fleet.charge("late", entry=1, key=told["idempotency_key"])
+        self.assertEqual((fresh, self.fleet.runs("late")), ("whole", 1))
+
+    async def test_owner_replaced_and_the_old_one_wakes(self) -> None:
+        """The sidecar with a charge in hand is paused and replaced; the caller resends; then
+        the old one wakes with the charge still in hand.
+
+        The replacement would run it, and the old one too: two charges on one family.
+        """
+        key = await self.fleet.issue_key()
+        for name in ("tally-1", "tally-2"):
+            self.fleet.members[name].daemon.send(signal.SIGSTOP)
+        first = asyncio.ensure_future(self.fleet.charge("woken", key=key, milliseconds=20000))
+        await asyncio.sleep(0.3)
+        old = [self.fleet.members[name] for name in ("tally-1", "tally-2")]
+        for member in old:
+            endpoint = (member.endpoint, member.endpoint_port)
+            await self.fleet.start_sidecar(member.name, member.region, "service", (), endpoint)
+            for entry in self.fleet.entries:
+                await self.fleet.add_link(entry.name, member.name)
+        for entry in self.fleet.entries:
+            await self.fleet.list_for(entry.name)
+        await self.fleet.wait_until(self._has_service, 10.0, "the replacements")
+        again, told = await self.fleet.charge("woken", entry=1, key=key)
+        self.assertIn((again, self.fleet.runs("woken")), [("unknown", 0)], told)
+        for member in old:
+            member.daemon.send(signal.SIGCONT)
+        became, _ = await first
+        self.assertIn((became, self.fleet.runs("woken")), [("whole", 1), ("unknown", 1)])
+
+    async def test_keys_belong_to_workspaces_and_bodies(self) -> None:
+        """Another workspace shows a key that it saw, or a caller reuses its key by mistake.
+
+        The other workspace would read a stranger's receipt; the caller would take an old
+        receipt for the new charge.
+        """
+        key = await self.fleet.issue_key()
+        self.assertEqual((await self.fleet.charge("mine", key=key))[0], "whole")
+        _, told = await self.fleet.charge("mine", key=key, bearer=OTHER_KEY)
+        self.assertFalse(told.get("replayed", False), told)
+        reused, told = await self.fleet.charge("other", key=key)
+        self.assertEqual((reused, told["status"], told["code"]), ("unknown", 422, "key_reused"))
+        made_up, told = await self.fleet.charge("own", key="my-own-key-1")
+        self.assertEqual((made_up, told["code"]), ("not_run", "key_not_issued"))
+        handed, _ = await self.fleet.charge("own", key=told["idempotency_key"])
+        self.assertEqual((handed, self.fleet.runs("own")), ("whole", 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/outcomes_links_test.py
@@ -0,0 +1,86 @@
+"""Charges over bad links and from differing lists: nothing runs twice, no answer is wrong."""
+
+import asyncio
+import unittest
+
+from .outcomes_fleet import OutcomesFleet
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    """Runs are counted at the endpoint, in a journal that outlives its crash."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await self.enterAsyncContext(OutcomesFleet())
+        await self.fleet.start_all(["tally-1", "tally-2"], [])
+
+    async def spoil_all(self, **faults: object) -> None:
+        """Sets the same faults on the links to both sidecars."""
+        for name in ("tally-1", "tally-2"):
+            await self.fleet.spoil(name, **faults)
+
+    async def test_lost_answer_is_asked_for_again(self) -> None:
+        """Every connection to the sidecars is cut after the charge ran, for a moment.
+
+        The caller would be told "unknown" although the charge ran and its answer is there;
+        a till that then charges again bills twice.
+        """
+        for name in ("tally-1", "tally-2"):
+            port = self.fleet.members[name].endpoint_port
+            await self.fleet.put_faults(port, delay_after_seconds=0.3)
+        work = [asyncio.ensure_future(self.fleet.charge(f"lost-{i}")) for i in range(4)]
+        await asyncio.sleep(0.15)
+        await self.spoil_all(refuse=True)
+        await asyncio.sleep(0.2)
+        await self.spoil_all()
+        became = [(await task)[0] for task in work]
+        self.assertEqual([self.fleet.runs(f"lost-{i}") for i in range(4)], [1] * 4)
+        self.assertEqual(became, ["whole"] * 4)
+
+    async def test_duplicate_on_the_network_runs_once(self) -> None:
+        """The network delivers each request to the sidecar once more, half a second later.
+
+        Each shop would be billed twice for the same copies, with no caller to blame.
+        """
+        await self.spoil_all(repeat_requests=True, repeat_delay_seconds=0.3)
+        became = [(await self.fleet.charge(f"twice-{i}"))[0] for i in range(3)]
+        await asyncio.sleep(1.0)
+        self.assertEqual(became, ["whole"] * 3)
+        self.assertEqual([self.fleet.runs(f"twice-{i}") for i in range(3)], [1] * 3)
+
+    async def test_two_lists_and_a_partition(self) -> None:
+        """One entry's list lacks the owner of a key, or a partition keeps it from the owner.
+
+        An entry that took the charge to the endpoint on its own side would run it twice.
+        """
+        key = await self.fleet.issue_key()
+        became, told = await self.fleet.charge("split", key=key)
+        self.assertEqual(became, "whole")
+        await self.fleet.spoil(told["by"], "entry-2", refuse=True)
+        apart, _ = await self.fleet.charge("split", entry=1, key=key)
+        await self.fleet.spoil(told["by"], "entry-2")
+        await self.fleet.list_for("entry-2", left_out=(told["by"],))
+        await asyncio.sleep(1.5)
+        unlisted, _ = await self.fleet.charge("split", entry=1, key=key)
+        self.assertEqual((apart, unlisted, self.fleet.runs("split")), ("unknown", "unknown", 1))
+        await self.fleet.list_for("entry-2")
+        await asyncio.sleep(1.5)
+        healed, kept = await self.fleet.charge("split", entry=1, key=key)
+        self.assertEqual((healed, kept["replayed"]), ("whole", True))
+        self.assertEqual(self.fleet.runs("split"), 1)
+
+    async def test_corrupted_links_pass_no_wrong_answer(self) -> None:
+        """A link flips a byte in every fortieth, in requests' answers of any kind.
+
+        The till would print another shop's balance, or take a flipped "unknown" for truth.
+        """
+        for every in (7, 40, 333, 900):
+            await self.spoil_all(corrupt_every_bytes=every)
+            mark = f"flip-{every}"
+            became, told = await self.fleet.charge(mark, milliseconds=2500)
+            runs = self.fleet.runs(mark)
+            true = [("whole", 1), ("not_run", 0), ("unknown", 0), ("unknown", 1)]
+            self.assertIn((became, runs), true, told)
+
+
+if __name__ == "__main__":
+    unittest.main()
