Go on with a stream elsewhere, and move work off an instance that leaves

Streams are read by a checked reader, resume at the next token on an endpoint of the same version, and are handed on while their endpoint leaves. Refusals that come before any work move on without drawing on the retry budget, and their status is believed at once.

--- /dev/null
+++ b/tests/outcomes_leaving_test.py
@@ -0,0 +1,84 @@
+"""Planned stops: no request is cut, no new work is taken, and the process ends."""
+
+import asyncio
+import signal
+import unittest
+
+from .outcomes_fleet import OutcomesFleet
+
+
+class LeavingTest(unittest.IsolatedAsyncioTestCase):
+    """The platform's list says nothing in any of these."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await self.enterAsyncContext(OutcomesFleet())
+
+    async def test_sidecar_of_a_service_leaves_under_charges(self) -> None:
+        """A billing instance is replaced in the middle of the day.
+
+        A charge in progress must end, and no till may see an error for the replacement.
+        """
+        await self.fleet.start_all(["tally-1", "tally-2"], [])
+        for name in ("tally-1", "tally-2"):
+            port = self.fleet.members[name].endpoint_port
+            await self.fleet.put_faults(port, delay_after_seconds=0.6)
+        work = [asyncio.ensure_future(self.fleet.charge(f"m{i}", i % 2)) for i in range(8)]
+        await asyncio.sleep(0.2)
+        leaving = self.fleet.members["tally-1"].daemon
+        leaving.send(signal.SIGTERM)
+        for i in range(8, 24):
+            work.append(asyncio.ensure_future(self.fleet.charge(f"m{i}", i % 2)))
+            await asyncio.sleep(0.1)
+        answers = [await task for task in work]
+        others = [answer for answer in answers if answer[0] != "whole"]
+        self.assertEqual(others, [])
+        self.assertEqual([self.fleet.runs(f"m{i}") for i in range(24)], [1] * 24)
+        self.assertEqual(await leaving.wait(15.0), 0)
+
+    async def test_engine_sidecar_leaves_under_long_streams(self) -> None:
+        """An instance is drained while a long speech runs there; the list still says live.
+
+        The speech must not be cut, and the instance must not wait for its end.
+        """
+        await self.fleet.start_all([], ["worker-1", "worker-2"], drain_seconds=60.0)
+        caller = self.fleet.caller()
+        long = [asyncio.ensure_future(caller.generate(f"long {i}", 900)) for i in range(4)]
+        await asyncio.sleep(0.7)
+        leaving = self.fleet.members["worker-1"].daemon
+        leaving.send(signal.SIGTERM)
+        short = [await caller.generate(f"short {i}", 3) for i in range(30)]
+        self.assertEqual(short, ["whole"] * 30, caller.problems)
+        self.assertEqual(await leaving.wait(15.0), 0)
+        self.assertFalse(all(task.done() for task in long))
+        self.assertEqual([await task for task in long], ["whole"] * 4, caller.problems)
+
+    async def test_entry_leaves(self) -> None:
+        """An entry is replaced while it holds a stream and a charge.
+
+        Both must end whole. A new request must be told "not run" at once; a resent charge
+        must not be, as the copy that this entry sent before may have run.
+        """
+        await self.fleet.start_all(["tally-1"], ["worker-1"])
+        port = self.fleet.members["tally-1"].endpoint_port
+        await self.fleet.put_faults(port, delay_after_seconds=1.0)
+        caller = self.fleet.caller()
+        key = await self.fleet.issue_key()
+        stream = asyncio.ensure_future(caller.generate("speech", 200))
+        charge = asyncio.ensure_future(self.fleet.charge("kept", key=key))
+        await asyncio.sleep(0.4)
+        leaving = self.fleet.entries[0].daemon
+        leaving.send(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        refused, told = await self.fleet.charge("new")
+        self.assertEqual((refused, told["code"]), ("not_run", "entry_leaving"))
+        resent, told = await self.fleet.charge("kept", key=key)
+        self.assertEqual((resent, told["code"]), ("unknown", "entry_leaving"))
+        self.assertEqual((await charge)[0], "whole")
+        self.assertEqual(await stream, "whole", caller.problems)
+        self.assertEqual(await leaving.wait(15.0), 0)
+        again, kept = await self.fleet.charge("kept", entry=1, key=key)
+        self.assertEqual((again, kept["replayed"], self.fleet.runs("kept")), ("whole", True, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/outcomes_streams_test.py
@@ -0,0 +1,139 @@
+"""Streams under failures: whole, or ended by an error; no token missing, repeated or mixed."""
+
+import asyncio
+import json
+import unittest
+
+from bench.fleet_files import CALLER_KEY, make_base
+
+from .outcomes_fleet import OutcomesFleet
+
+ENGINES = ("worker-1", "worker-2")
+HONEST = ("whole", "failed", "refused", "unknown")
+
+
+class StreamTest(unittest.IsolatedAsyncioTestCase):
+    """Each token names its version, its prompt and its place, so that a reader can tell."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await self.enterAsyncContext(OutcomesFleet())
+        await self.fleet.start_all([], list(ENGINES), entries=1)
+
+    async def spoil_all(self, **faults: object) -> None:
+        """Sets the same faults on the links to both sidecars."""
+        for name in ENGINES:
+            await self.fleet.spoil(name, **faults)
+
+    async def find_running(self) -> str:
+        """Waits until an engine generates, and returns its name."""
+        found = []
+
+        async def runs() -> bool:
+            for name in ENGINES:
+                counters = await self.fleet.counters(self.fleet.members[name].endpoint_port)
+                if counters["running"]:
+                    found.append(name)
+            return bool(found)
+
+        await self.fleet.wait_until(runs, 10.0, "a running stream")
+        return found[0]
+
+    async def test_cut_at_every_boundary(self) -> None:
+        """The link to an endpoint is cut within the head, a token, between two, or at the end.
+
+        The caller would read half an answer as a whole one, or see a token twice.
+        """
+        caller = self.fleet.caller()
+        places = (0, 1, 16, 90, 300, 700, 900, *range(1000, 1420, 37), 1700, 2000, 2500, 3000)
+        for place in places:
+            for stream in (True, False):
+                work = asyncio.ensure_future(caller.generate(f"cut {place}", 20, stream))
+                await self.spoil_all(cut_after_bytes=place)
+                await asyncio.sleep(0.05)
+                await self.spoil_all()
+                self.assertIn(await work, HONEST, caller.problems)
+        self.assertEqual(caller.problems, [])
+        self.assertGreaterEqual(caller.counts["whole"], len(places), caller.counts)
+
+    async def test_engine_killed_mid_stream(self) -> None:
+        """An engine dies in the middle of a committee's speech.
+
+        The speech must go on where it stopped, from the other engine of the same version;
+        with no such engine left it must end in an error, not in a shorter speech.
+        """
+        caller = self.fleet.caller()
+        first = asyncio.ensure_future(caller.generate("speech", 150))
+        running = await self.find_running()
+        await asyncio.sleep(0.5)
+        await self.fleet.members[running].endpoint.kill()
+        self.assertEqual(await first, "whole", caller.problems)
+        second = asyncio.ensure_future(caller.generate("speech", 150))
+        await asyncio.sleep(0.7)
+        for name in ENGINES:
+            await self.fleet.members[name].endpoint.kill()
+        self.assertIn(await second, ("failed", "unknown", "refused"), caller.problems)
+
+    async def test_no_engine_of_the_same_version_is_left(self) -> None:
+        """The engine dies mid-stream, and every other one has the next version already.
+
+        Two versions in one speech would contradict each other halfway down the page.
+        """
+        caller = self.fleet.caller()
+        work = asyncio.ensure_future(caller.generate("long", 1200))
+        running = await self.find_running()
+        root = await self.fleet.make_version(total_bytes=65_536, chunk_bytes=65_536, seed=2)
+        roots = {"v1": self.fleet.root, "v2": root}
+        await self.fleet.publish(make_base(roots, "v2", *self.fleet.places))
+
+        async def switched() -> bool:
+            ports = [self.fleet.members[name].endpoint_port for name in ENGINES]
+            return all([(await self.fleet.counters(p))["active"] == "v2" for p in ports])
+
+        await self.fleet.wait_until(switched, 10.0, "v2 in force")
+        await asyncio.sleep(1.0)
+        self.assertFalse(work.done())
+        await self.fleet.members[running].endpoint.kill()
+        self.assertEqual(await work, "failed", caller.problems)
+
+    async def test_stalled_link(self) -> None:
+        """The link stalls in the middle of a stream, with nothing closed.
+
+        The treasurer would watch a spinner until the print shop closes.
+        """
+        caller = self.fleet.caller()
+        work = asyncio.ensure_future(caller.generate("stalled", 100))
+        running = await self.find_running()
+        await asyncio.sleep(0.3)
+        await self.fleet.spoil(running, stall=True)
+        self.assertEqual(await work, "whole", caller.problems)
+        await self.fleet.spoil(running)
+
+    async def test_cancelled_caller_frees_its_slot(self) -> None:
+        """A caller goes away in the middle of a long answer.
+
+        The engine would go on for nobody while others wait for its slot.
+        """
+        body = {"model": "summaries", "prompt": "left", "max_tokens": 2000, "stream": True}
+        content = json.dumps(body).encode()
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: Bearer {CALLER_KEY}\r\nContent-Length: {len(content)}\r\n\r\n"
+        )
+        port = self.fleet.entries[0].caller_port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head.encode() + content)
+        await reader.readuntil(b"data: ")
+        running = await self.find_running()
+        writer.close()
+        endpoint = self.fleet.members[running].endpoint_port
+
+        async def freed() -> bool:
+            counters = await self.fleet.counters(endpoint)
+            return counters["running"] == 0 and counters["cancelled"] == 1
+
+        took = await self.fleet.wait_until(freed, 5.0, "the slot freed")
+        self.assertLess(took, 5.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -1,5 +1,7 @@
 """The entry daemon: takes callers' requests and routes them to endpoints."""
 
+import asyncio
+
 import msgspec
 from tornado import httpserver, netutil, web
 
@@ -28,6 +30,9 @@
 
 BODY_TIMEOUT_SECONDS = 20.0
 IDLE_CONNECTION_SECONDS = 120.0
+# How long a leaving entry still answers new requests, with a refusal that says so: a balancer
+# that has not noticed yet would otherwise turn them into resets that tell callers nothing.
+LEAVING_NOTICE_SECONDS = 1.0
 
 
 class StatusHandler(web.RequestHandler):
@@ -52,6 +57,7 @@
         self._sequence = 0
         self.requests = RequestsInProgress()
         self._http_port = 0
+        self._servers: list[httpserver.HTTPServer] = []
         self.log = log
         self.leaving = False
         self.tasks = BackgroundTasks(self._report_failure)
@@ -64,7 +70,7 @@
         self.node = PeerNode(
             settings, directory, self.follower, self.status, log, self._report_failure
         )
-        self.models = ModelCaller(client, traffic)
+        self.models = ModelCaller(client, traffic, self.table, log)
         self.services = ServiceCaller(client, traffic, self.table, log, self.find_instance)
 
     async def start(self) -> None:
@@ -108,6 +114,9 @@
         self.leaving = True
         self.node.wake_all()
         self.log.write(Event.DAEMON_LEAVING, in_progress=self.requests.count)
+        await asyncio.sleep(LEAVING_NOTICE_SECONDS)
+        for server in self._servers:
+            server.stop()
         await self.requests.wait_until_idle(self._settings.drain_seconds)
         await self.tasks.cancel_all()
         await self.node.stop()
@@ -152,6 +161,7 @@
             idle_connection_timeout=IDLE_CONNECTION_SECONDS,
         )
         server.add_sockets(sockets)
+        self._servers.append(server)
         return sockets[0].getsockname()[1]
 
     def _report_failure(self, name: str, error: BaseException) -> None:
--- a/wasabidrum/entry/model_call.py
+++ b/wasabidrum/entry/model_call.py
@@ -1,54 +1,43 @@
-"""One request to a model: choose an endpoint, stream its answer, check that it is whole."""
+"""One request to a model: its stream goes on elsewhere when its endpoint dies or leaves."""
 
 import asyncio
 import collections.abc
-import dataclasses
-import secrets
 
-import msgspec
 from tornado import httpclient
 
 from ..core.errors import CodedError
-from ..core.outcome import Outcome
-from ..endpoints.generate_request import GenerateRequest
-from ..wire import headers, http_client
+from ..observe.event import Event
+from ..observe.event_log import EventLog
 from .caller_request import CallerRequest
-from .endpoint_table import EndpointView
-from .placement import Placement
+from .endpoint_table import EndpointTable
+from .generation_reader import Generation
+from .model_attempt import ModelAttempt
+from .retry_rule import RetryRule
 from .traffic import Traffic
 from .work_item import Priority, WorkItem
 
-CANCEL_TIMEOUT_SECONDS = 2.0
-
-
-class EngineEvent(msgspec.Struct, frozen=True):
-    """One line of an engine's answer: its head, a token, or its end."""
-
-    request_id: str = ""
-    version: str = ""
-    i: int = -1
-    t: str = ""
-    done: bool = False
-    tokens: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class Generation:
-    """Tokens that arrived together, and the version that made them."""
-
-    version: str
-    tokens: list[str]
-    finished: bool
+# Most streams end by themselves in this time; a longer one is handed on, so that the
+# instance can stop long before its drain would run out.
+HAND_ON_AFTER_SECONDS = 3.0
+FINAL_CODES = frozenset(("attempt_invalid", "request_blocked"))
 
 
 class ModelCaller:
     """Runs requests to models for the callers of one entry."""
 
-    __slots__ = ("_client", "_traffic")
+    __slots__ = ("_client", "_traffic", "_table", "_log")
 
-    def __init__(self, client: httpclient.AsyncHTTPClient, traffic: Traffic) -> None:
+    def __init__(
+        self,
+        client: httpclient.AsyncHTTPClient,
+        traffic: Traffic,
+        table: EndpointTable,
+        log: EventLog,
+    ) -> None:
         self._client = client
         self._traffic = traffic
+        self._table = table
+        self._log = log
 
     async def generate(
         self, caller: CallerRequest, model: str, prompt: str, max_tokens: int
@@ -69,101 +58,148 @@
             max_tokens=max_tokens,
         )
         permit = await self._traffic.admit(item)
+        stream = ResumedStream(self._client, self._traffic, self._table, self._log, item)
         try:
-            async for generation in self._run(item):
-                yield generation
-        finally:
-            permit.release()
-
-    async def _run(self, item: WorkItem) -> collections.abc.AsyncIterator[Generation]:
-        placement = self._traffic.place(item)
-        attempt_id = f"{item.request_id}.{secrets.token_hex(6)}"
-        order = GenerateRequest(attempt_id, item.prompt, item.max_tokens)
-        code = "cancelled"
-        try:
-            async for generation in self._attempt(placement, order):
+            while True:
+                generation = await stream.read()
+                if generation.tokens or generation.finished:
+                    yield generation
                 if generation.finished:
-                    code = ""
-                yield generation
-        except CodedError as error:
-            code = error.code
-            raise
+                    return
         finally:
-            placement.ended(code)
-            if code:
-                asyncio.ensure_future(self._cancel(placement.view, attempt_id))
+            stream.end()
+            permit.release()
 
-    async def _attempt(
-        self, placement: Placement, order: GenerateRequest
-    ) -> collections.abc.AsyncIterator[Generation]:
-        view = placement.view
-        remaining = placement.item.deadline - asyncio.get_running_loop().time()
-        request = httpclient.HTTPRequest(
-            view.url + "/internal/generate",
-            method="POST",
-            body=msgspec.json.encode(order),
-            request_timeout=max(0.001, remaining),
-        )
-        stream = await http_client.open_stream(self._client, request, view.instance.name)
-        if stream.status != 200:
-            body = b"".join([chunk async for chunk in stream.chunks()])
-            raise refusal_from(stream.status, stream.headers, body)
-        placement.head_arrived(stream.headers)
-        rest = b""
-        version = ""
-        next_token = order.resume_from
-        async for chunk in stream.chunks():
-            lines = (rest + chunk).split(b"\n")
-            rest = lines.pop()
-            tokens: list[str] = []
-            finished = False
-            for line in lines:
-                event = decode_event(line)
-                if event.request_id:
-                    if event.request_id != order.request_id:
-                        raise CodedError("answer_crossed", "not ours", 502, Outcome.FAILED)
-                    version = event.version
-                elif event.done:
-                    finished = event.tokens == next_token and event.version == version
-                elif event.i == next_token:
-                    next_token += 1
-                    tokens.append(event.t)
-                else:
-                    raise CodedError("answer_broken", "a token is missing", 502, Outcome.FAILED)
-            placement.progressed(len(tokens))
-            if tokens or finished:
-                yield Generation(version, tokens, finished)
-            if finished:
-                return
-        raise CodedError("answer_cut", "the answer ended early", 502, Outcome.FAILED)
-
-    async def _cancel(self, view: EndpointView, attempt_id: str) -> None:
-        request = httpclient.HTTPRequest(
-            f"{view.url}/internal/cancel/{attempt_id}",
-            method="POST",
-            body=b"",
-            request_timeout=CANCEL_TIMEOUT_SECONDS,
-        )
-        try:
-            await http_client.fetch(self._client, request, "cancel")
-        except CodedError:
-            return
 
+class ResumedStream:
+    """One answer, read over as many attempts as it takes and the retry budget allows."""
 
-def decode_event(line: bytes) -> EngineEvent:
-    """Decodes one line of an engine's answer.
+    __slots__ = ("_client", "_traffic", "_table", "_log", "_item", "_attempt", "_tried")
+    __slots__ += ("_version", "_next_token", "_hand_on_at", "_finished", "_retries")
 
-    Raises:
-      CodedError: The line is not an event.
-    """
-    try:
-        return msgspec.json.decode(line, type=EngineEvent)
-    except msgspec.MsgspecError as error:
-        raise CodedError("answer_broken", str(error), 502, Outcome.FAILED) from error
+    def __init__(
+        self,
+        client: httpclient.AsyncHTTPClient,
+        traffic: Traffic,
+        table: EndpointTable,
+        log: EventLog,
+        item: WorkItem,
+    ) -> None:
+        self._client = client
+        self._traffic = traffic
+        self._table = table
+        self._log = log
+        self._item = item
+        self._retries = RetryRule(traffic, item)
+        self._attempt: ModelAttempt | None = None
+        self._tried: frozenset[str] = frozenset()
+        self._version = ""
+        self._next_token = 0
+        self._hand_on_at: float | None = None
+        self._finished = False
+
+    async def read(self) -> Generation:
+        """Returns the next piece of the answer, from wherever it comes.
 
+        Raises:
+          CodedError: The answer will not become whole.
+        """
+        while True:
+            try:
+                if self._attempt is None:
+                    await self._start()
+                generation = await self._attempt.read()
+            except CodedError as error:
+                await self._recover(error)
+                continue
+            if generation.tokens:
+                self._version = generation.version
+                self._next_token += len(generation.tokens)
+            self._finished = generation.finished
+            if not self._finished:
+                await self._hand_on_if_leaving()
+            return generation
+
+    def end(self) -> None:
+        """Ends whatever attempt is open; frees its slot where the answer is not whole."""
+        if self._attempt is not None:
+            self._attempt.end("" if self._finished else "cancelled")
+            self._attempt = None
+
+    async def _start(self) -> None:
+        self._attempt = self._make_attempt(self._tried)
+        await self._attempt.open()
+
+    def _make_attempt(self, left_out: frozenset[str]) -> ModelAttempt:
+        if self._next_token:
+            # The caller holds tokens of one version; another's would make an answer that no
+            # version ever gave.
+            left_out |= {
+                view.instance.name
+                for view in self._table.views
+                if view.status is None or view.status.version != self._version
+            }
+        placement = self._traffic.place(self._item, left_out)
+        return ModelAttempt(self._client, self._table, placement, self._version, self._next_token)
+
+    async def _recover(self, error: CodedError) -> None:
+        """Prepares another attempt, or raises the error where there will be none."""
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            raise error
+        name = attempt.placement.view.instance.name
+        attempt.end(error.code)
+        pause = None if error.code in FINAL_CODES else self._retries.pause_before(error)
+        if pause is None or asyncio.get_running_loop().time() + pause >= self._item.deadline:
+            raise error
+        await asyncio.sleep(pause)
+        self._tried |= {name}
+        self._hand_on_at = None
+        try:
+            await self._start()
+        except CodedError as failure:
+            if self._attempt is None:
+                raise error from failure
+            await self._recover(failure)
+            return
+        self._log.write(
+            Event.STREAM_RESUMED,
+            request=self._item.request_id,
+            endpoint=self._attempt.placement.view.instance.name,
+            after=error.code,
+            token=self._next_token,
+        )
 
-def refusal_from(status: int, answered: object, body: bytes) -> CodedError:
-    """Turns a sidecar's refusal into the error that the caller gets."""
-    outcome = Outcome(answered.get(headers.OUTCOME, Outcome.UNKNOWN.value))
-    code = answered.get(headers.ERROR_CODE, "endpoint_refused")
-    return CodedError(code, body.decode(errors="replace"), status, outcome, retry_after=1.0)
+    async def _hand_on_if_leaving(self) -> None:
+        """Moves a long stream off an endpoint that is leaving, if another can go on with it."""
+        if not self._attempt.leaving:
+            return
+        now = asyncio.get_running_loop().time()
+        if self._hand_on_at is None:
+            self._hand_on_at = now + HAND_ON_AFTER_SECONDS
+        if now < self._hand_on_at:
+            return
+        self._hand_on_at = now + HAND_ON_AFTER_SECONDS
+        leaving = self._attempt.placement.view.instance.name
+        try:
+            successor = self._make_attempt(self._tried | {leaving})
+        except CodedError:
+            return
+        # The old stream is dropped only once the new one has answered: a planned stop must
+        # not cut a stream that nobody else can go on with.
+        try:
+            await successor.open()
+        except BaseException as error:
+            successor.end(error.code if isinstance(error, CodedError) else "cancelled")
+            if isinstance(error, CodedError):
+                return
+            raise
+        self._attempt.end("endpoint_leaving")
+        self._attempt = successor
+        self._hand_on_at = None
+        self._log.write(
+            Event.STREAM_HANDED_ON,
+            request=self._item.request_id,
+            endpoint=successor.placement.view.instance.name,
+            token=self._next_token,
+        )
--- a/wasabidrum/entry/service_call.py
+++ b/wasabidrum/entry/service_call.py
@@ -19,6 +19,7 @@
 from .key_issuer import KeyIssuer
 from .key_never_runs import KeyNeverRunsError, weaken_refusal
 from .placement import Placement
+from .retry_rule import RetryRule
 from .service_exchange import NotToldError, ServiceExchange
 from .service_order import ServiceOrder
 from .traffic import Traffic
@@ -135,6 +136,7 @@
 
     async def _read(self, item: WorkItem, order: ServiceOrder) -> ServiceReply:
         """Makes an idempotent call, at another endpoint where one fails."""
+        retries = RetryRule(self._traffic, item)
         tried: frozenset[str] = frozenset()
         failure: CodedError | None = None
         while True:
@@ -146,24 +148,22 @@
                 return await self._read_once(placement, order)
             except CodedError as error:
                 failure = error
-            if self._remaining(item) <= 0 or not self._traffic.may_retry(item):
-                raise failure
+            await self._pause(retries, item, failure)
             tried |= {placement.view.instance.name}
             self._log.write(Event.CALL_PLACED_AGAIN, request=item.request_id, code=failure.code)
 
     async def _read_once(self, placement: Placement, order: ServiceOrder) -> ServiceReply:
         item = placement.item
         remaining = self._remaining(item)
-        exchange = self._exchange(placement.view, item, order, None)
+        exchange = self._exchange(placement.view, item, order, None, placement)
         # Half of what is left: a stalled endpoint must not use up the time of the next.
         patience = max(min(SHORTEST_READ_PATIENCE_SECONDS, remaining), remaining / 2)
         with ending(placement):
-            reply, response = await exchange.send(remaining, patience, None)
-            placement.head_arrived(response.headers)
-            return reply
+            return await exchange.send(remaining, patience, None)
 
     async def _call_anywhere(self, item: WorkItem, order: ServiceOrder) -> ServiceReply:
         """Makes a call that came without a key, elsewhere only where it provably did not run."""
+        retries = RetryRule(self._traffic, item)
         tried: frozenset[str] = frozenset()
         failure: CodedError | None = None
         while True:
@@ -173,19 +173,25 @@
                 raise failure or error from error
             lifetime = self._remaining(item) + MINTED_KEY_EXTRA_SECONDS
             key = self.keys.issue_for(placement.view, lifetime)
-            exchange = self._exchange(placement.view, item, order, key)
+            exchange = self._exchange(placement.view, item, order, key, placement)
             try:
                 with ending(placement):
-                    return await self._settle(exchange, item, placement, others_sent=False)
+                    return await self._settle(exchange, item, others_sent=False)
             except CodedError as error:
                 failure = error
-            if failure.outcome is not Outcome.NOT_RUN or self._remaining(item) <= 0:
-                raise failure
-            if not self._traffic.may_retry(item):
+            if failure.outcome is not Outcome.NOT_RUN:
                 raise failure
+            await self._pause(retries, item, failure)
             tried |= {placement.view.instance.name}
             self._log.write(Event.CALL_PLACED_AGAIN, request=item.request_id, code=failure.code)
 
+    async def _pause(self, retries: RetryRule, item: WorkItem, failure: CodedError) -> None:
+        """Waits before another attempt, or raises the failure where there will be none."""
+        pause = retries.pause_before(failure)
+        if pause is None or pause >= self._remaining(item):
+            raise failure
+        await asyncio.sleep(pause)
+
     async def _call_owner(self, item: WorkItem, order: ServiceOrder, key: KeyedKey) -> ServiceReply:
         """Makes a call with a caller's key, which one incarnation alone may run."""
         view = self._find_owner(key)
@@ -197,10 +203,10 @@
         # cannot be placed on is no reason not to ask it.
         with contextlib.suppress(CodedError):
             placement = self._traffic.place(item, frozenset(others))
-        exchange = self._exchange(view, item, order, key)
+        exchange = self._exchange(view, item, order, key, placement)
         try:
             with ending(placement):
-                return await self._settle(exchange, item, placement, others_sent=True)
+                return await self._settle(exchange, item, others_sent=True)
         except CodedError as error:
             if error.outcome is not Outcome.NOT_RUN:
                 raise
@@ -208,11 +214,7 @@
             raise self._with_new_key(proved, order) from error
 
     async def _settle(
-        self,
-        exchange: ServiceExchange,
-        item: WorkItem,
-        placement: Placement | None,
-        others_sent: bool,
+        self, exchange: ServiceExchange, item: WorkItem, others_sent: bool
     ) -> ServiceReply:
         """Sends a call to the one sidecar that may run it until that tells the outcome.
 
@@ -237,10 +239,7 @@
             start_before = None if uptime is None else uptime + remaining
             waited = min(patience, remaining)
             try:
-                reply, response = await exchange.send(remaining, waited, start_before)
-                if placement is not None:
-                    placement.head_arrived(response.headers)
-                return reply
+                return await exchange.send(remaining, waited, start_before)
             except NotToldError as error:
                 failure = error
             except CodedError as error:
@@ -261,9 +260,15 @@
             await asyncio.sleep(min(pause, max(0.0, self._remaining(item))))
 
     def _exchange(
-        self, view: EndpointView, item: WorkItem, order: ServiceOrder, key: KeyedKey | None
+        self,
+        view: EndpointView,
+        item: WorkItem,
+        order: ServiceOrder,
+        key: KeyedKey | None,
+        placement: Placement | None,
     ) -> ServiceExchange:
-        return ServiceExchange(self._client, view, order, item.workspace, item.request_id, key)
+        names = (item.workspace, item.request_id)
+        return ServiceExchange(self._client, view, order, *names, key, placement)
 
     def _find_owner(self, key: KeyedKey) -> EndpointView | None:
         for view in self._table.views:
--- a/wasabidrum/entry/service_exchange.py
+++ b/wasabidrum/entry/service_exchange.py
@@ -12,6 +12,7 @@
 from ..outcomes.call_digest import digest_answer, digest_call
 from ..wire import headers, http_client
 from .endpoint_table import EndpointView
+from .placement import Placement
 from .service_order import ServiceOrder
 
 
@@ -34,10 +35,11 @@
     workspace: str
     request_id: str
     key: KeyedKey | None
+    placement: Placement | None
 
     async def send(
         self, remaining: float, patience: float, start_before: float | None
-    ) -> tuple[ServiceReply, httpclient.HTTPResponse]:
+    ) -> ServiceReply:
         """Sends one copy and returns the whole answer.
 
         Args:
@@ -61,7 +63,10 @@
             response = await http_client.fetch(self.client, request, self.view.instance.name)
         except CodedError as error:
             raise NotToldError(error.code, str(error), error.http_status, error.outcome) from error
-        return self._judge(attempt_id, response), response
+        # Also from a refusal: an endpoint that refuses as it leaves says so in its status.
+        if self.placement is not None:
+            self.placement.head_arrived(response.headers)
+        return self._judge(attempt_id, response)
 
     def _headers(
         self, attempt_id: str, remaining: float, start_before: float | None
--- a/wasabidrum/wire/http_client.py
+++ b/wasabidrum/wire/http_client.py
@@ -47,13 +47,13 @@
 class ResponseStream:
     """An answer that is read as it arrives."""
 
-    __slots__ = ("status", "headers", "_queue", "_finished")
+    __slots__ = ("status", "headers", "_queue", "_dropped")
 
     def __init__(self) -> None:
         self.status = 0
         self.headers = httputil.HTTPHeaders()
         self._queue: asyncio.Queue[object] = asyncio.Queue()
-        self._finished: asyncio.Future[None] | None = None
+        self._dropped = False
 
     def take_header_line(self, line: str) -> None:
         """Takes one line of the answer's head."""
@@ -65,12 +65,20 @@
 
     def take_chunk(self, chunk: bytes) -> None:
         """Takes some bytes of the body."""
-        self._queue.put_nowait(chunk)
+        if not self._dropped:
+            self._queue.put_nowait(chunk)
 
     def finish(self, error: CodedError | None) -> None:
         """Ends the stream, whole or with an error."""
         self._queue.put_nowait(error or END_OF_STREAM)
 
+    def drop(self) -> None:
+        """Forgets what came and what may still come of an answer that nobody waits for."""
+        # A stalled link that moves again delivers the rest of an abandoned answer; kept, it
+        # would fill the memory of an entry whose callers are long gone.
+        self._dropped = True
+        self._queue = asyncio.Queue()
+
     async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
         """Yields the body; bytes that arrived together come together.
 
