--- a/wasabidrum/entry/model_attempt.py
+++ b/wasabidrum/entry/model_attempt.py
@@ -100,6 +100,11 @@
             raise CodedError("answer_cut", "it ended early", 502, Outcome.FAILED) from None
         except TimeoutError as error:
             raise CodedError("answer_stalled", "no token", 504, Outcome.FAILED) from error
+        except CodedError as error:
+            if asyncio.get_running_loop().time() < self.placement.item.deadline:
+                raise
+            message = "no whole answer in time"
+            raise CodedError("deadline_passed", message, 504, Outcome.FAILED) from error
         generation = self._reader.take(chunk)
         self.placement.progressed(len(generation.tokens))
         return generation
