--- a/wasabidrum/entry/service_handler.py
+++ b/wasabidrum/entry/service_handler.py
@@ -6,6 +6,7 @@
 from ..core.outcome import Outcome
 from ..wire import headers
 from .caller_handler import CallerHandler
+from .key_never_runs import weaken_refusal
 from .service_order import ServiceOrder
 
 PATH_FORM = re.compile(r"/[!-~]*")
@@ -22,6 +23,12 @@
 class ServiceHandler(CallerHandler):
     """Any method on /services/SERVICE/PATH."""
 
+    def refuse(self, error: CodedError) -> None:
+        """Answers with an error that does not claim more of a keyed call than is proved."""
+        if key := self.request.headers.get(headers.IDEMPOTENCY_KEY):
+            error = weaken_refusal(error, key)
+        super().refuse(error)
+
     async def get(self, service: str) -> None:
         """Passes a read."""
         await self.run(lambda: self.answer(service))
