--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -21,9 +21,14 @@
       chunks_held: How many chunks of the version being fetched are at hand.
       leaving: Whether the daemon takes no new work.
       load: The endpoint's load as this daemon sees it.
+      uptime: Seconds since this incarnation started, by its own monotonic clock.
       suspects: Requests that were in progress when the endpoint died, each as its
         fingerprint, a slash and the number of the death; see decisions/poison.py.
       failed_version: The version that the endpoint could not load, or empty.
+      refused_revision: The highest invalid revision known above the one in force, or zero.
+      refused_reason: Every fault of that revision.
+      alarm: What is wrong with the revisions themselves, such as one with two contents.
+      reads_service: Whether the daemon reads the platform's service for its data centre.
     """
 
     name: str
@@ -46,4 +51,9 @@
     leaving: bool = False
     load: Load = Load()
     failed_version: str = ""
+    uptime: float = 0.0
     suspects: tuple[str, ...] = ()
+    refused_revision: int = 0
+    refused_reason: str = ""
+    alarm: str = ""
+    reads_service: bool = False
