--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -58,6 +58,7 @@
         self.platform: Process | None = None
         self.platform_port = 0
         self.revision = 0
+        self.entry_module = "wasabidrum.scripts.daemon"
 
     @property
     def folder(self) -> pathlib.Path:
@@ -150,7 +151,8 @@
         } | settings
         path = self.folder / f"{name}-{next(self._numbers)}.yaml"
         path.write_text(yaml.safe_dump(whole), encoding="utf-8")
-        daemon = await self.launch(name, "wasabidrum.scripts.daemon", "--settings", str(path))
+        module = self.entry_module if role == "entry" else "wasabidrum.scripts.daemon"
+        daemon = await self.launch(name, module, "--settings", str(path))
         started = await daemon.read_event("daemon_started")
         member = Member(
             name=name,
--- a/wasabidrum/decisions/admission_queue.py
+++ b/wasabidrum/decisions/admission_queue.py
@@ -15,6 +15,9 @@
   waiting before the shopkeeper is told to come back.
 - A tenth of the room, one place at least where there are four, is kept for charges, and as
   much again from generated text for reads, so that a place is free when a charge comes.
+- WAIT_MARGIN: one that would just about make it is likelier to be given up late than served.
+- The expected wait is corrected by what waits turned out to be; one that ended in giving up
+  would have lasted longer, and counts twice what it lasted.
 - A run's seconds per unit of cost move by 1/16 a sample, as in expected_cost.py.
 """
 
@@ -30,6 +33,11 @@
 RESERVED_FRACTION = 0.1
 SAMPLE_WEIGHT = 1.0 / 16.0
 MOST_WAITING = 2000
+WAIT_MARGIN = 0.8
+SHORTEST_WAIT_SECONDS = 0.02
+SMALLEST_CORRECTION = 0.5
+LARGEST_CORRECTION = 8.0
+EXPIRED_WEIGHT = 2.0
 SHORTEST_RETRY_AFTER_SECONDS = 1.0
 LONGEST_RETRY_AFTER_SECONDS = 30.0
 
@@ -38,12 +46,13 @@
     """Admission to the endpoints of one model or one plain service."""
 
     __slots__ = ("_queues", "_limit", "_running", "_seconds_per_cost", "_give_ups", "_order")
-    __slots__ += ("_reserved_fraction", "_shares", "_mean_run")
+    __slots__ += ("_reserved_fraction", "_shares", "_mean_run", "_correction")
 
     def __init__(self, reserved_fraction: float = RESERVED_FRACTION) -> None:
         self._reserved_fraction = reserved_fraction
         self._shares = FairShare()
         self._mean_run = 0.0
+        self._correction = 1.0
         self._queues = tuple(FairQueue() for _ in range(CLASSES))
         self._limit = 0.0
         self._running = 0
@@ -119,9 +128,10 @@
             self._queues[ticket.priority].pass_by(ticket)
             self._start(ticket, now)
             return None
-        wait = self.wait_seconds(ticket)
+        ticket.expected_wait = self.wait_seconds(ticket)
+        wait = ticket.expected_wait * self._correction
         longest = min(LONGEST_WAIT_SECONDS[ticket.priority], ticket.deadline - run - now)
-        if wait > longest or self.waiting >= MOST_WAITING:
+        if wait > WAIT_MARGIN * longest or self.waiting >= MOST_WAITING:
             ticket.state = TicketState.ENDED
             return Refusal("overloaded", f"it would wait {wait:.2f} s", clamp_retry(wait))
         ticket.state = TicketState.WAITING
@@ -141,6 +151,7 @@
                 if ticket is None:
                     break
                 self._shares.change(ticket.workspace, ticket.share, 0, -1, now)
+                self._learn_wait(ticket, now - ticket.queued_at)
                 self._start(ticket, now)
                 granted.append(ticket)
         return granted
@@ -155,6 +166,7 @@
             self._leave_queue(ticket, now)
             ticket.state = TicketState.ENDED
             waited = now - ticket.queued_at
+            self._learn_wait(ticket, EXPIRED_WEIGHT * waited)
             retry = clamp_retry(self.wait_seconds(ticket))
             expired.append((ticket, Refusal("overloaded", f"it waited {waited:.2f} s", retry)))
         return expired
@@ -200,6 +212,15 @@
         self._shares.change(ticket.workspace, ticket.share, 1, 0, now)
         ticket.over_share = self._shares.is_over(ticket.workspace, self._limit, now)
 
+    def _learn_wait(self, ticket: Ticket, waited: float) -> None:
+        # The estimate assumes a steady rate, yet limits shrink and other classes and shares
+        # go first. Uncorrected, requests are let in that will be given up after the longest
+        # wait: their callers are told late what could have been told at once.
+        expected = max(ticket.expected_wait, SHORTEST_WAIT_SECONDS)
+        sample = min(LARGEST_CORRECTION, waited / expected)
+        self._correction += SAMPLE_WEIGHT * (sample - self._correction)
+        self._correction = max(SMALLEST_CORRECTION, self._correction)
+
     def _learn(self, cost: float, seconds: float) -> None:
         sample = seconds / cost
         if not self._seconds_per_cost:
--- a/wasabidrum/decisions/endpoint_limit.py
+++ b/wasabidrum/decisions/endpoint_limit.py
@@ -21,6 +21,10 @@
 - GROWTH of a hundredth of the slots a second, the same for every entry whatever it has, is
   what evens out entries that share an endpoint; cuts are in proportion. Twice as much made
   limits of eight entries differ by four, this by two (docs/measurements/load.md).
+- IDLE_GROWTH of half the limit a second while the endpoint reports a fifth of its slots idle:
+  after a burst has cut the limits they are back within seconds, however many entries share
+  the endpoint, since they grow by the same factor; with slow growth alone a burst of 8 s was
+  followed by a minute of refusals before idle engines.
 - CUT at most once in CUT_PAUSE_SECONDS: reports lag by up to 1 s, and a cut shows only then;
   cutting for the same queue again and again would collapse the limit.
 """
@@ -28,6 +32,8 @@
 CUT = 0.85
 CUT_PAUSE_SECONDS = 1.0
 GROWTH = 0.01
+IDLE_FRACTION = 0.8
+IDLE_GROWTH = 0.5
 USUAL_SLOTS = 8
 LONGEST_GROWTH_SECONDS = 1.0
 LATE_SECONDS = 0.3
@@ -67,7 +73,7 @@
     """The concurrency limit of one endpoint for one entry."""
 
     __slots__ = ("_limit", "_slots", "_least", "_cut_at", "_slow_start", "_initial")
-    __slots__ += ("_grown_at", "_queue_until")
+    __slots__ += ("_grown_at", "_queue_until", "_idle")
 
     def __init__(self, initial: float = INITIAL_LIMIT) -> None:
         self._initial = initial
@@ -78,6 +84,7 @@
         self._slow_start = True
         self._grown_at = float("-inf")
         self._queue_until = float("-inf")
+        self._idle = False
 
     @property
     def value(self) -> float:
@@ -94,13 +101,16 @@
         self._limit = min(self._limit, self._initial)
         self._slow_start = True
 
-    def take_report(self, waiting: float, slots: int, run_seconds: float, now: float) -> None:
-        """Takes an endpoint's report of its queue.
+    def take_report(
+        self, running: float, waiting: float, slots: int, run_seconds: float, now: float
+    ) -> None:
+        """Takes what an endpoint reports, averaged over some reports.
 
         Args:
           run_seconds: How long requests run on average, or zero where that is not known.
         """
         self._slots = slots
+        self._idle = running + waiting < IDLE_FRACTION * slots
         tolerated = QUEUE_SECONDS * slots / run_seconds if run_seconds else 0.0
         if waiting > max(1.0, tolerated):
             self._queue_until = now + CUT_PAUSE_SECONDS
@@ -126,6 +136,8 @@
         if not self._slow_start:
             seconds = min(LONGEST_GROWTH_SECONDS, now - self._grown_at)
             step = GROWTH * (self._slots or USUAL_SLOTS) * seconds
+            if self._idle:
+                step += IDLE_GROWTH * self._limit * seconds
         self._grown_at = now
         self._limit = min(ceiling, self._limit + step)
 
--- a/wasabidrum/decisions/endpoint_state.py
+++ b/wasabidrum/decisions/endpoint_state.py
@@ -30,6 +30,7 @@
         "_reported_at",
         "_own_at_report",
         "_queue_mean",
+        "_running_mean",
         "_trust",
         "_recent",
         "_recent_at",
@@ -45,6 +46,7 @@
         self._reported_at = float("-inf")
         self._own_at_report = 0
         self._queue_mean = 0.0
+        self._running_mean = 0.0
         self._trust = 0.0
         self._recent = 0.0
         self._recent_at = 0.0
@@ -58,6 +60,7 @@
         """Takes a report of load, and how long requests run on average."""
         keep = math.exp((self._reported_at - now) / REPORT_AVERAGE_SECONDS)
         self._queue_mean = keep * self._queue_mean + (1.0 - keep) * load.waiting
+        self._running_mean = keep * self._running_mean + (1.0 - keep) * load.running
         self._load = load
         self._reported_at = now
         self._own_at_report = self.in_progress
@@ -65,7 +68,7 @@
         # requests run for a fraction of that, and nearly all where they run for much longer.
         # Followed blindly, it sends every entry to the one that looked idle.
         self._trust = math.exp(-TRUST_SECONDS / run_seconds) if run_seconds else 0.0
-        self.limit.take_report(self._queue_mean, load.slots, run_seconds, now)
+        self.limit.take_report(self._running_mean, self._queue_mean, load.slots, run_seconds, now)
 
     def load_by_others(self, now: float) -> float:
         """Returns what others probably run there, as far as the last report can be trusted."""
--- a/wasabidrum/decisions/endpoint_test.py
+++ b/wasabidrum/decisions/endpoint_test.py
@@ -39,7 +39,7 @@
         for kind, value, number in signals:
             now += value / 50.0
             if kind == "report":
-                limit.take_report(value, number, value, now)
+                limit.take_report(value, value, number, value, now)
             elif kind == "first":
                 limit.take_first_token(value, number, now)
             elif kind == "failure":
@@ -55,7 +55,7 @@
         second more. Cut for each report, the limit would collapse while the engine idles."""
         limit = EndpointLimit(8.0)
         for tick in range(10):
-            limit.take_report(5, 8, 0.2, 100.0 + tick * 0.05)
+            limit.take_report(8, 5, 8, 0.2, 100.0 + tick * 0.05)
         self.assertAlmostEqual(limit.value, 8.0 * 0.85)
 
 
--- a/wasabidrum/decisions/routing.py
+++ b/wasabidrum/decisions/routing.py
@@ -34,12 +34,13 @@
 AFFINITY_BOUND = 1.2
 BUSY_QUEUE = 1.0
 FAR_TIER = 2
+SAMPLE = 8
 
 
 class EndpointPool:
     """Endpoints that may be given requests of one model or service."""
 
-    __slots__ = ("_tiers", "_by_name", "_rng")
+    __slots__ = ("_tiers", "_by_name", "_near", "_rng")
 
     def __init__(self, states: collections.abc.Iterable[EndpointState], rng: random.Random) -> None:
         self._tiers: tuple[list[EndpointState], ...] = ([], [], [])
@@ -48,15 +49,16 @@
         for state in states:
             self._tiers[state.tier].append(state)
             self._by_name[state.name] = state
+        self._near = self._tiers[0] + self._tiers[1] or self._tiers[FAR_TIER]
 
     def __len__(self) -> int:
         return len(self._by_name)
 
     def mean_recent(self, now: float) -> float:
         """Returns the mean recent work of an endpoint, from a sample where there are many."""
-        states = self._near()
-        if len(states) > 16:
-            states = self._rng.sample(states, 16)
+        states = self._near
+        if len(states) > SAMPLE:
+            states = [self._rng.choice(states) for _ in range(SAMPLE)]
         return sum(state.recent_work(now) for state in states) / max(1, len(states))
 
     def choose(
@@ -85,9 +87,6 @@
                 return min(drawn, key=lambda state: self._score(state, mean, now))
         return None
 
-    def _near(self) -> list[EndpointState]:
-        return self._tiers[0] + self._tiers[1] or self._tiers[FAR_TIER]
-
     def _choose_preferred(self, open_to, preferred, now: float) -> EndpointState | None:
         if not preferred:
             return None
--- a/wasabidrum/decisions/ticket.py
+++ b/wasabidrum/decisions/ticket.py
@@ -23,6 +23,7 @@
       cost: What it is expected to cost, in tokens, or one for a call of a plain service.
       deadline: When its caller stops waiting.
       give_up_at: When it is refused if it is still waiting; set by the queue.
+      expected_wait: How long it was expected to wait, before correction.
       over_share: Whether its workspace had more than its share when it began to run.
     """
 
@@ -36,6 +37,7 @@
     queued_at: float = 0.0
     started_at: float = 0.0
     give_up_at: float = 0.0
+    expected_wait: float = 0.0
     over_share: bool = False
 
 
--- a/wasabidrum/entry/target_pool.py
+++ b/wasabidrum/entry/target_pool.py
@@ -60,7 +60,11 @@
         self.median = statistics.median(seconds) if seconds else 0.0
         for name, view in views.items():
             self.take_report(name, view, now)
-        limits = [s.limit.value for s in self.states.values() if s.health.may_take(now)]
+        limits = [
+            state.limit.value
+            for state in self.states.values()
+            if state.health.may_take(now) and self.can_take(state.name)
+        ]
         self.queue.set_limit(sum(limits))
         return True
 
@@ -83,7 +87,11 @@
         view = self.views[name]
         status = view.status
         return (
-            status is not None and not status.leaving and view.instance.state is InstanceState.LIVE
+            status is not None
+            and not status.leaving
+            and not view.lost
+            and status.load.slots > 0
+            and view.instance.state is InstanceState.LIVE
         )
 
     def probe_seconds(self, now: float) -> float:
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -1,7 +1,6 @@
 """The sidecar daemon: one per endpoint, its only way in."""
 
 import asyncio
-import contextlib
 
 from tornado import httpserver, netutil, web
 
@@ -175,8 +174,12 @@
 
     async def _read_load(self) -> None:
         while True:
-            with contextlib.suppress(CodedError):
+            try:
                 self._load = await self.engine.load()
+            except CodedError:
+                # A dead engine refuses in a millisecond and so looks idle. Told as having no
+                # slots, it is left out by entries, which else try it with callers' requests.
+                self._load = Load(slots=0)
             await asyncio.sleep(LOAD_READ_SECONDS)
 
     def _report_failure(self, name: str, error: BaseException) -> None:
