--- a/wasabidrum/config/settings.py
+++ b/wasabidrum/config/settings.py
@@ -64,6 +64,7 @@
       role: "entry" or "sidecar".
       site: The overlay that applies here.
       link_mbit: The instance's link rate, each way, in megabits a second.
+      weights_from: "peers"; "origin" and "chain" are the plain ways that benches compare with.
       chunk_memory_bytes: The most that a sidecar holds of weights for its peers.
       drain_seconds: How long a graceful shutdown waits for requests in progress.
       log_file: Where log lines go; empty for standard error.
@@ -81,6 +82,7 @@
     listen: ListenSettings = ListenSettings()
     endpoint: EndpointSettings | None = None
     link_mbit: Positive = 1000.0
+    weights_from: typing.Literal["peers", "origin", "chain"] = "peers"
     chunk_memory_bytes: Size = 268_435_456
     drain_seconds: NotNegative = 60.0
     log_file: str = ""
