--- a/wasabidrum/decisions/member_table.py
+++ b/wasabidrum/decisions/member_table.py
@@ -40,13 +40,15 @@
       isolated: Whether this process may be the one that is cut off.
     """
 
-    __slots__ = ("_name", "_records", "_news", "_implausible_at", "version", "isolated")
+    __slots__ = ("_name", "_records", "_news", "_implausible_at", "_pending", "version", "isolated")
 
     def __init__(self, name: str) -> None:
         self._name = name
         self._records: dict[str, MemberRecord] = {}
         self._news: list[MemberNews] = []
         self._implausible_at: float | None = None
+        # Those that time changes something about, so that a tick costs nothing for the rest.
+        self._pending: set[str] = set()
         self.version = 0
         self.isolated = False
 
@@ -97,6 +99,7 @@
             if record.name not in listed:
                 record.listed = None
                 record.unlisted_at = now
+                self._pending.add(record.name)
 
     def take_status(self, status: Status, now: float) -> None:
         """Takes what a member said of itself, directly to this process."""
@@ -106,16 +109,20 @@
         if record is None:
             record = MemberRecord(instance_from(status), unlisted_at=now)
             self._records[status.name] = record
+            self._pending.add(record.name)
         elif status.incarnation < record.incarnation:
             return
         later = status.incarnation > record.incarnation
         if not later and status.sequence < record.sequence:
             return
+        heard_before = bool(record.incarnation)
         changed = later or record.state is not MemberState.ALIVE
         if later:
             record.incarnation = status.incarnation
             record.says_leaving = False
-            if status.peer_port:
+            # The address that the platform lists may lead through something that the daemon
+            # does not know of. Its own word counts where the list cannot mean this run.
+            if status.peer_port and (heard_before or record.listed is None):
                 record.instance = instance_from(status)
         changed = changed or status.leaving > record.says_leaving
         record.says_leaving = record.says_leaving or status.leaving
@@ -147,6 +154,7 @@
                 return False
             record = MemberRecord(news.instance, unlisted_at=now)
             self._records[news.name] = record
+            self._pending.add(record.name)
         held = (record.incarnation, record.sequence, record.state)
         if (news.incarnation, news.sequence, news.state) <= held:
             return False
@@ -172,6 +180,8 @@
         record = self._records.get(name)
         if record is None or record.state is MemberState.DEAD:
             return False
+        if refused and self._take_told_address(record):
+            return False
         new = record.state is MemberState.ALIVE
         if new:
             self._set_state(record, MemberState.SUSPECT, now)
@@ -193,8 +203,12 @@
     def tick(self, now: float) -> list[str]:
         """Ends suspicions that nobody refuted and forgets the unlisted; returns the new dead."""
         dead = []
-        for record in list(self._records.values()):
-            suspected = record.state is MemberState.SUSPECT
+        for name in list(self._pending):
+            record = self._records.get(name)
+            suspected = record is not None and record.state is MemberState.SUSPECT
+            if record is None or not (suspected or record.listed is None):
+                self._pending.discard(name)
+                continue
             if suspected and not self.isolated and now - record.suspected_at >= SUSPICION_SECONDS:
                 self._set_state(record, MemberState.DEAD, now)
                 self._tell(record)
@@ -236,6 +250,17 @@
         elif address_of(record.instance) == address_of(instance):
             record.instance = instance
 
+    def _take_told_address(self, record: MemberRecord) -> bool:
+        # A frozen list names the slot's last process; the present one told where it is.
+        if record.status is None or not record.status.peer_port:
+            return False
+        told = instance_from(record.status)
+        if address_of(told) == address_of(record.instance):
+            return False
+        record.instance = told
+        self.version += 1
+        return True
+
     def _set_state(self, record: MemberRecord, state: MemberState, now: float) -> None:
         if record.state is state:
             return
@@ -244,6 +269,7 @@
             record.flapped_at = now
         if state is MemberState.SUSPECT:
             record.suspected_at = now
+            self._pending.add(record.name)
         record.state = state
         self.version += 1
 
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -5,29 +5,26 @@
 
 from ..config.settings import Settings
 from ..core.background_tasks import BackgroundTasks
-from ..core.fleet import LimitSpec
 from ..core.incarnation import make_incarnation
 from ..core.instance import InstanceRole
 from ..core.requests_in_progress import RequestsInProgress
 from ..core.status import Status
 from ..observe.event import Event
 from ..observe.event_log import EventLog
+from ..observe.routes import make_routes
 from ..peers.configuration_follower import ConfigurationFollower
+from ..peers.control_handler import ControlHandler
 from ..peers.peer_node import PeerNode
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
-from ..wire import http_client
-from . import caller_handlers
+from ..wire import http_client, tls
+from .caller_routes import make_caller_server
 from .endpoint_table import EndpointTable
 from .endpoint_watcher import EndpointWatcher
-from .key_handler import KeyHandler
 from .model_call import ModelCaller
 from .service_call import ServiceCaller
 from .traffic import Traffic
 
-BODY_TIMEOUT_SECONDS = 20.0
-IDLE_CONNECTION_SECONDS = 120.0
-
 
 class StatusHandler(web.RequestHandler):
     """GET /internal/status."""
@@ -63,27 +60,25 @@
         self.node = PeerNode(
             settings, directory, self.follower, self.status, log, self._report_failure
         )
+        self._add_gauges(traffic)
         self.models = ModelCaller(client, traffic)
         self.services = ServiceCaller(client, traffic, self.table, log)
 
     async def start(self) -> None:
         """Listens and starts the background tasks."""
         given = {"entry": self}
-        callers = web.Application(
+        internal = web.Application(
             [
-                (r"/v1/completions", caller_handlers.ModelHandler, given),
-                (r"/v1/chat/completions", caller_handlers.ChatHandler, given),
-                (r"/v1/idempotency-keys", KeyHandler, given),
-                (r"/services/([^/]+)(/.*)", caller_handlers.ServiceHandler, given),
+                (r"/internal/status", StatusHandler, given),
+                (r"/internal/control", ControlHandler, {"node": self.node}),
+                *make_routes(self.log),
             ],
             log_function=lambda handler: None,
         )
-        internal = web.Application(
-            [(r"/internal/status", StatusHandler, given)], log_function=lambda handler: None
-        )
         listen = self._settings.listen
-        caller_port = self._listen(callers, listen.caller_port)
-        self._http_port = self._listen(internal, listen.http_port)
+        caller_port = self._listen(make_caller_server(self), listen.caller_port)
+        server = httpserver.HTTPServer(internal, ssl_options=tls.server_context())
+        self._http_port = self._listen(server, listen.http_port)
         if self._settings.control == "service":
             self.tasks.start("configuration", self.follower.run())
             self.tasks.start("endpoints", self.table.run())
@@ -102,6 +97,18 @@
             incarnation=self._incarnation,
         )
 
+    def _add_gauges(self, traffic: Traffic) -> None:
+        add = self.log.metrics.add_gauge
+        add("revision", "The configuration revision in force here.", lambda: self.follower.revision)
+        add(
+            "requests_in_progress",
+            "Requests of callers begun and not ended.",
+            lambda: self.requests.count,
+        )
+        add("requests_waiting", "Requests that wait for their turn.", lambda: traffic.waiting)
+        add("endpoints_known", "Endpoints in this entry's table.", lambda: len(self.table.views))
+        add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
+
     async def stop(self) -> None:
         """Leaves gracefully: refuses new requests, ends those in progress, then stops."""
         self.leaving = True
@@ -135,14 +142,8 @@
             reads_service=self.node.reads_service,
         )
 
-    def _listen(self, application: web.Application, port: int) -> int:
+    def _listen(self, server: httpserver.HTTPServer, port: int) -> int:
         sockets = netutil.bind_sockets(port, self._settings.listen.host)
-        server = httpserver.HTTPServer(
-            application,
-            max_body_size=LimitSpec().body_bytes,
-            body_timeout=BODY_TIMEOUT_SECONDS,
-            idle_connection_timeout=IDLE_CONNECTION_SECONDS,
-        )
         server.add_sockets(sockets)
         return sockets[0].getsockname()[1]
 
--- a/wasabidrum/entry/key_handler.py
+++ b/wasabidrum/entry/key_handler.py
@@ -8,7 +8,7 @@
 from ..decisions.keyed_key import LONGEST_LIFETIME_SECONDS
 from ..observe.event import Event
 from ..wire import headers
-from .caller_handlers import CallerHandler
+from .caller_handler import CallerHandler
 from .key_issuer import CALLER_KEY_SECONDS
 
 
@@ -26,14 +26,14 @@
 
     async def post(self) -> None:
         """Answers with a new key."""
-        await self.run(self.answer())
+        await self.run(self.answer)
 
     async def answer(self) -> None:
         """Checks the request and issues."""
-        caller = self.admit_head()
+        caller = self.caller
         try:
-            body = msgspec.json.decode(self.request.body, type=KeyBody)
-        except msgspec.MsgspecError as error:
+            body = msgspec.json.decode(self.body, type=KeyBody)
+        except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
             raise CodedError("body_invalid", str(error), 400) from error
         if body.service not in caller.revision.fleet.workspaces[caller.workspace].services:
             raise CodedError("service_unknown", "no such service", 404)
--- a/wasabidrum/peers/peer_client.py
+++ b/wasabidrum/peers/peer_client.py
@@ -8,6 +8,7 @@
 from grpclib import client, exceptions
 
 from ..core.errors import CodedError
+from ..wire import tls
 from . import peer_messages
 from .message_codec import MessageCodec
 from .peer_link import PeerLink
@@ -35,7 +36,7 @@
 @contextlib.asynccontextmanager
 async def open_channel(host: str, port: int) -> collections.abc.AsyncIterator[client.Channel]:
     """Opens a channel for the length of a block."""
-    channel = client.Channel(host, port, codec=CODEC)
+    channel = client.Channel(host, port, codec=CODEC, ssl=tls.client_context())
     try:
         yield channel
     finally:
@@ -52,8 +53,8 @@
     async with open_channel(host, port) as channel:
         method = client.StreamStreamMethod(channel, peer_messages.WATCH_PATH, Push, Push)
         async with method.open() as stream:
-            if not link.gossip:
-                await stream.send_message(link.next_push())
+            # grpclib opens the stream with the first message, before which it cannot receive.
+            await stream.send_message(link.next_push())
             await link.run(stream, pushes=link.gossip)
 
 
