--- a/wasabidrum/decisions/admission_queue.py
+++ b/wasabidrum/decisions/admission_queue.py
@@ -15,6 +15,9 @@
   waiting before the shopkeeper is told to come back.
 - A tenth of the room, one place at least where there are four, is kept for charges, and as
   much again from generated text for reads, so that a place is free when a charge comes.
+- WAIT_MARGIN: one that would just about make it is likelier to be given up late than served.
+- The expected wait is corrected by what waits turned out to be; one that ended in giving up
+  would have lasted longer, and counts twice what it lasted.
 - A run's seconds per unit of cost move by 1/16 a sample, as in expected_cost.py.
 """
 
@@ -22,6 +25,7 @@
 import itertools
 
 from .fair_queue import FairQueue
+from .fair_share import FairShare
 from .ticket import Refusal, Ticket, TicketState
 
 CLASSES = 3
@@ -29,6 +33,11 @@
 RESERVED_FRACTION = 0.1
 SAMPLE_WEIGHT = 1.0 / 16.0
 MOST_WAITING = 2000
+WAIT_MARGIN = 0.8
+SHORTEST_WAIT_SECONDS = 0.02
+SMALLEST_CORRECTION = 0.5
+LARGEST_CORRECTION = 8.0
+EXPIRED_WEIGHT = 2.0
 SHORTEST_RETRY_AFTER_SECONDS = 1.0
 LONGEST_RETRY_AFTER_SECONDS = 30.0
 
@@ -37,8 +46,13 @@
     """Admission to the endpoints of one model or one plain service."""
 
     __slots__ = ("_queues", "_limit", "_running", "_seconds_per_cost", "_give_ups", "_order")
+    __slots__ += ("_reserved_fraction", "_shares", "_mean_run", "_correction")
 
-    def __init__(self) -> None:
+    def __init__(self, reserved_fraction: float = RESERVED_FRACTION) -> None:
+        self._reserved_fraction = reserved_fraction
+        self._shares = FairShare()
+        self._mean_run = 0.0
+        self._correction = 1.0
         self._queues = tuple(FairQueue() for _ in range(CLASSES))
         self._limit = 0.0
         self._running = 0
@@ -61,6 +75,11 @@
         """How many requests may be served at once."""
         return self._limit
 
+    @property
+    def mean_run_seconds(self) -> float:
+        """How long requests run on average; zero before any was seen."""
+        return self._mean_run
+
     def set_limit(self, limit: float) -> None:
         """Takes how many requests the endpoints can serve at once for this entry."""
         self._limit = max(0.0, limit)
@@ -69,8 +88,8 @@
         """Returns whether a request of a class could be served now."""
         limit = self._whole_limit()
         reserved = 0
-        if limit >= 4:
-            reserved = priority * max(1, int(limit * RESERVED_FRACTION))
+        if limit >= 4 and self._reserved_fraction:
+            reserved = priority * max(1, int(limit * self._reserved_fraction))
         return self._running < limit - reserved
 
     def run_seconds(self, cost: float) -> float:
@@ -105,19 +124,21 @@
             ticket.state = TicketState.ENDED
             return Refusal("deadline_too_short", f"it would run for {run:.2f} s", 1.0)
         nobody_before = not any(self._queues[: ticket.priority + 1])
-        if nobody_before and self.room_for(ticket.priority):
+        if nobody_before and self._may_run(ticket, now):
             self._queues[ticket.priority].pass_by(ticket)
             self._start(ticket, now)
             return None
-        wait = self.wait_seconds(ticket)
+        ticket.expected_wait = self.wait_seconds(ticket)
+        wait = ticket.expected_wait * self._correction
         longest = min(LONGEST_WAIT_SECONDS[ticket.priority], ticket.deadline - run - now)
-        if wait > longest or self.waiting >= MOST_WAITING:
+        if wait > WAIT_MARGIN * longest or self.waiting >= MOST_WAITING:
             ticket.state = TicketState.ENDED
             return Refusal("overloaded", f"it would wait {wait:.2f} s", clamp_retry(wait))
         ticket.state = TicketState.WAITING
         ticket.queued_at = now
         ticket.give_up_at = now + longest
         self._queues[ticket.priority].add(ticket)
+        self._shares.change(ticket.workspace, ticket.share, 0, 1, now)
         heapq.heappush(self._give_ups, (ticket.give_up_at, next(self._order), ticket))
         return None
 
@@ -126,7 +147,11 @@
         granted = []
         for priority, queue in enumerate(self._queues):
             while queue and self.room_for(priority):
-                ticket = queue.pop()
+                ticket = queue.pop(lambda waiting: self._may_run(waiting, now))
+                if ticket is None:
+                    break
+                self._shares.change(ticket.workspace, ticket.share, 0, -1, now)
+                self._learn_wait(ticket, now - ticket.queued_at)
                 self._start(ticket, now)
                 granted.append(ticket)
         return granted
@@ -138,9 +163,10 @@
             _, _, ticket = heapq.heappop(self._give_ups)
             if ticket.state is not TicketState.WAITING:
                 continue
-            self._queues[ticket.priority].remove(ticket)
+            self._leave_queue(ticket, now)
             ticket.state = TicketState.ENDED
             waited = now - ticket.queued_at
+            self._learn_wait(ticket, EXPIRED_WEIGHT * waited)
             retry = clamp_retry(self.wait_seconds(ticket))
             expired.append((ticket, Refusal("overloaded", f"it waited {waited:.2f} s", retry)))
         return expired
@@ -158,9 +184,10 @@
           cost: What it did cost where it was answered whole.
         """
         if ticket.state is TicketState.WAITING:
-            self._queues[ticket.priority].remove(ticket)
+            self._leave_queue(ticket, now)
         elif ticket.state is TicketState.RUNNING:
             self._running -= 1
+            self._shares.change(ticket.workspace, ticket.share, -1, 0, now)
             if cost is not None:
                 self._learn(max(cost, 1.0), now - ticket.started_at)
                 queue = self._queues[ticket.priority]
@@ -168,15 +195,38 @@
                     queue.charge(ticket.workspace, cost - ticket.cost, ticket.share)
         ticket.state = TicketState.ENDED
 
+    def _may_run(self, ticket: Ticket, now: float) -> bool:
+        if not self.room_for(ticket.priority):
+            return False
+        limit = self._whole_limit()
+        return self._running < limit - self._shares.room_kept(ticket.workspace, limit, now)
+
+    def _leave_queue(self, ticket: Ticket, now: float) -> None:
+        self._queues[ticket.priority].remove(ticket)
+        self._shares.change(ticket.workspace, ticket.share, 0, -1, now)
+
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.state = TicketState.RUNNING
         ticket.started_at = now
         self._running += 1
+        self._shares.change(ticket.workspace, ticket.share, 1, 0, now)
+        ticket.over_share = self._shares.is_over(ticket.workspace, self._limit, now)
+
+    def _learn_wait(self, ticket: Ticket, waited: float) -> None:
+        # The estimate assumes a steady rate, yet limits shrink and other classes and shares
+        # go first. Uncorrected, requests are let in that will be given up after the longest
+        # wait: their callers are told late what could have been told at once.
+        expected = max(ticket.expected_wait, SHORTEST_WAIT_SECONDS)
+        sample = min(LARGEST_CORRECTION, waited / expected)
+        self._correction += SAMPLE_WEIGHT * (sample - self._correction)
+        self._correction = max(SMALLEST_CORRECTION, self._correction)
 
     def _learn(self, cost: float, seconds: float) -> None:
         sample = seconds / cost
         if not self._seconds_per_cost:
             self._seconds_per_cost = sample
+            self._mean_run = seconds
+        self._mean_run += SAMPLE_WEIGHT * (seconds - self._mean_run)
         self._seconds_per_cost += SAMPLE_WEIGHT * (sample - self._seconds_per_cost)
 
     def _whole_limit(self) -> int:
--- a/wasabidrum/entry/model_attempt.py
+++ b/wasabidrum/entry/model_attempt.py
@@ -42,7 +42,12 @@
         self._client = client
         self._table = table
         self._order = GenerateRequest(
-            attempt_id, item.prompt, item.max_tokens, resume_from=next_token, version=version
+            attempt_id,
+            item.prompt,
+            item.max_tokens,
+            resume_from=next_token,
+            priority=item.engine_priority,
+            version=version,
         )
         self._reader = GenerationReader(attempt_id, version, next_token)
         self._stream: http_client.ResponseStream | None = None
