--- a/wasabidrum/decisions/chunk_evidence.py
+++ b/wasabidrum/decisions/chunk_evidence.py
@@ -4,6 +4,8 @@
 and the platform's list learns of it late or never. Without evidence every chunk would wait
 for the same dead parent again. A peer is passed over for a time that doubles with each
 failure in a row, so that one that came back is soon used again and a dead one costs little.
+When the time is over a single request tries the peer and the others go on passing it over:
+a link that stalls would otherwise hold up every chunk once more.
 """
 
 import dataclasses
@@ -12,15 +14,25 @@
 FIRST_PAUSE_AFTER_CORRUPTION_SECONDS = 30.0
 LONGEST_PAUSE_SECONDS = 60.0
 LACK_EXPIRES_SECONDS = 4.0
+TRIAL_SECONDS = 6.0
 DOUBLINGS = 5
 
 
 @dataclasses.dataclass(slots=True)
 class PeerRecord:
-    """Failures in a row, and until when the peer is passed over."""
+    """What speaks against one peer.
+
+    Attributes:
+      failures: Failures in a row.
+      avoid_until: Until when the peer is passed over.
+      on_trial: Whether one request tries it now.
+      corrupt: Whether it has sent other bytes than were asked for.
+    """
 
     failures: int = 0
     avoid_until: float = 0.0
+    on_trial: bool = False
+    corrupt: bool = False
 
 
 class ChunkEvidence:
@@ -37,6 +49,12 @@
         record = self._records.get(name)
         return record is not None and now < record.avoid_until
 
+    def begin_ask(self, name: str, now: float) -> None:
+        """Takes that a peer is being asked; one that failed before is thereby on trial."""
+        if record := self._records.get(name):
+            record.avoid_until = max(record.avoid_until, now + TRIAL_SECONDS)
+            record.on_trial = True
+
     def lacks(self, name: str, digest: str, now: float) -> bool:
         """Returns whether a peer said lately that it neither holds nor expects a chunk."""
         return now < self._lacks.get((name, digest), 0.0)
@@ -45,11 +63,13 @@
         """Takes that a peer was unreachable, stalled, or sent other bytes than asked for."""
         record = self._records.setdefault(name, PeerRecord())
         # Several chunks asked of one dead peer fail together; that is one failure.
-        if now < record.avoid_until and not corrupt:
+        if now < record.avoid_until and not record.on_trial and not corrupt:
             return
+        record.on_trial = False
         first = FIRST_PAUSE_AFTER_CORRUPTION_SECONDS if corrupt else FIRST_PAUSE_SECONDS
         pause = min(LONGEST_PAUSE_SECONDS, first * 2 ** min(record.failures, DOUBLINGS))
         record.failures += 1
+        record.corrupt = record.corrupt or corrupt
         record.avoid_until = now + pause
 
     def note_lack(self, name: str, digest: str, now: float) -> None:
@@ -58,9 +78,11 @@
             self._lacks = {key: until for key, until in self._lacks.items() if until > now}
         self._lacks[(name, digest)] = now + LACK_EXPIRES_SECONDS
 
-    def note_success(self, name: str) -> None:
-        """Takes that a peer gave a chunk, whole and right."""
-        self._records.pop(name, None)
+    def note_answer(self, name: str, gave_chunk: bool) -> None:
+        """Takes that a peer answered; one that sent corrupted bytes has to give a right chunk."""
+        record = self._records.get(name)
+        if record is not None and (gave_chunk or not record.corrupt):
+            del self._records[name]
 
     def avoided_names(self, now: float) -> list[str]:
         """Returns the peers passed over now, for operators."""
--- a/wasabidrum/decisions/chunk_route.py
+++ b/wasabidrum/decisions/chunk_route.py
@@ -98,6 +98,10 @@
             if usable(name):
                 return Step(StepKind.ASK, name)
     delay = SECONDS_PER_PLACE * order.index(asker.name) + SECONDS_PER_REGION * place
+    if not asker.listed:
+        # The list lags. A process that has just started may know no peers because it has
+        # not read the list yet, and would draw what they are about to bring.
+        delay = LONGEST_DELAY_SECONDS
     return Step(StepKind.DRAW, delay=min(LONGEST_DELAY_SECONDS, delay))
 
 
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -24,7 +24,7 @@
 from .peer_chunk_client import PeerChunkClient
 from .transfer_counts import TransferCounts
 
-ASK_WAIT_SECONDS = 4.0
+ASK_WAIT_SECONDS = 3.0
 WAITS_BEFORE_OTHERS = 4
 PROBE_ROUNDS_WHEN_SPREAD = 4
 FIRST_PAUSE_SECONDS = 0.5
@@ -179,14 +179,15 @@
         if view is None:
             return None, None
         self.counts.asks += 1
+        self.evidence.begin_ask(name, self._now())
         try:
             answer = await self._peers.ask(view.url, digest, wait, self.revision, probe)
         except CodedError as error:
             self._note_failure(name, digest, error)
             return None, None
         self._membership.report_success(name)
+        self.evidence.note_answer(name, answer.content is not None)
         if answer.content is not None:
-            self.evidence.note_success(name)
             self.counts.asks_answered += 1
             if view.instance.region == self._settings.region:
                 self.counts.from_own_region += len(answer.content)
--- a/wasabidrum/weights/status_client.py
+++ b/wasabidrum/weights/status_client.py
@@ -12,16 +12,20 @@
 from ..wire import http_client
 
 TIMEOUT_SECONDS = 1.5
+FIRST_PAUSE_SECONDS = 3.0
+LONGEST_PAUSE_SECONDS = 24.0
 
 
 class StatusClient:
     """Asks sidecars for their status over HTTP."""
 
-    __slots__ = ("_client", "_membership", "asked")
+    __slots__ = ("_client", "_membership", "_silent", "asked")
 
     def __init__(self, client: httpclient.AsyncHTTPClient, membership: Membership) -> None:
         self._client = client
         self._membership = membership
+        # Until when each that did not answer is left alone, and for how long that was.
+        self._silent: dict[str, tuple[float, float]] = {}
         self.asked = 0
 
     async def read(self, names: collections.abc.Iterable[str]) -> dict[str, Status | None]:
@@ -41,12 +45,19 @@
         return statuses
 
     async def _read_one(self, url: str) -> Status | None:
-        if not url:
+        now = asyncio.get_running_loop().time()
+        until, pause = self._silent.get(url, (0.0, FIRST_PAUSE_SECONDS / 2))
+        # A link that stalls costs a whole timeout each time, and a rollout asks many times.
+        if not url or now < until:
             return None
         self.asked += 1
         request = httpclient.HTTPRequest(url + "/internal/status", request_timeout=TIMEOUT_SECONDS)
         try:
             response = await http_client.fetch(self._client, request, url)
-            return msgspec.json.decode(response.body, type=Status)
+            status = msgspec.json.decode(response.body, type=Status)
         except (CodedError, msgspec.MsgspecError):
+            pause = min(LONGEST_PAUSE_SECONDS, 2 * pause)
+            self._silent[url] = (asyncio.get_running_loop().time() + pause, pause)
             return None
+        self._silent.pop(url, None)
+        return status
