Stop a bad version, restore the one before, and test when versions come into force

Cause: a version that crashed its engines was never judged, because the engine was asked first and was dead; and an engine that came back empty stayed empty. Seven scenarios with real processes pass: two changes in flight, a sidecar asleep through a change, a replaced sidecar that comes back, an engine that dies while loaded, a crashing version, the configuration service down and replaying, adapters and roles.

--- a/wasabidrum/weights/rollout_gate.py
+++ b/wasabidrum/weights/rollout_gate.py
@@ -91,14 +91,14 @@
                 self._log.write(Event.SWITCH_WAITS, version=version, proof=proof.value)
             await asyncio.sleep(POLL_SECONDS)
 
-    async def judge_failure(self, order: list[str], version: str) -> bool:
+    async def judge_failure(self, order: list[str], version: str) -> None:
         """Looks whether a failure here was this instance's own or the version's.
 
-        Returns:
-          Whether the version came into force elsewhere and is worth another attempt here.
+        A version that came into force elsewhere is worth another attempt here; one that
+        failed on several and succeeded on none is stopped.
         """
         if self.state.stopped == version:
-            return False
+            return
         others = [name for name in order[:FIRST_IN_LINE] if name != self._name]
         heard = [
             status
@@ -108,12 +108,17 @@
         if any(status.proven == version for status in heard):
             await asyncio.sleep(RETRY_SECONDS)
             self.state.failed = ""
-            return True
+            return
         failures = 1 + sum(status.failed_version == version for status in heard)
         if failures >= rollout_wave.failures_to_stop(len(order)):
             self.state.stopped = version
             self._log.write(Event.VERSION_STOPPED, version=version, failures=failures)
-        return False
+
+    async def read_common_version(self, order: list[str]) -> str:
+        """Returns the version that most of the first in line answer with, or empty."""
+        statuses = await self._statuses.read(order[:FIRST_IN_LINE])
+        versions = [status.version for status in statuses.values() if status and status.version]
+        return max(versions, key=versions.count, default="")
 
     def _current_ones(self, statuses: dict[str, Status | None]) -> dict[str, Status | None]:
         return {
--- a/wasabidrum/weights/version_manager.py
+++ b/wasabidrum/weights/version_manager.py
@@ -98,8 +98,10 @@
         while True:
             try:
                 await self._bring(target)
-            except* CodedError as errors:
-                self._report(target.version, str(errors.exceptions[0]))
+            except* Exception as errors:
+                # Whatever went wrong, the engine must not be left for good with nobody who
+                # brings it the next version; the reason is logged once and work goes on.
+                self._report(target.version, repr(errors.exceptions[0]))
                 await asyncio.sleep(PAUSE_AFTER_FAILURE_SECONDS)
 
     def _report(self, version: str, reason: str) -> None:
@@ -115,10 +117,16 @@
         else:
             await self._lock.take()
         state = self._gate.state
+        if state.failed == target.version:
+            # Before the engine is asked, which may be dead of this very version.
+            order = self._gate.order_of(self._follower.current, target.model, target.spec.root)
+            await self._gate.judge_failure(order, target.version)
         active, _ = await self._engine.versions()
         if not active and self.active:
             self._adapters, self._role = {}, ""
         self.active = active
+        if active and active != target.version:
+            self._previous = active
         if active == target.version:
             await self._stay(target)
         elif target.version in (state.stopped, state.failed):
@@ -218,8 +226,6 @@
         # An order that has left cannot be called back. When this work is cancelled the
         # order ends first, so that the next one never races with it.
         await asyncio.shield(order)
-        if self.active and self.active != version:
-            self._previous = self.active
         self.active = version
         self.fetching = ""
         self._log.write(Event.VERSION_IN_FORCE, version=version)
@@ -253,10 +259,10 @@
         self._distributor.store.undecided = False
         self._distributor.store.expected = set()
         order = self._gate.order_of(self._follower.current, target.model, target.spec.root)
-        if await self._gate.judge_failure(order, target.version):
-            return
-        if not self.active and self._previous:
-            await self._stage(target, self._previous, order)
-            await self._activate(target, self._previous)
-            self._log.write(Event.VERSION_RESTORED, version=self._previous)
+        previous = self._previous or await self._gate.read_common_version(order)
+        if not self.active and previous:
+            # An engine that the version brought down comes back with nothing to answer with.
+            await self._stage(target, previous, order)
+            await self._activate(target, previous)
+            self._log.write(Event.VERSION_RESTORED, version=previous)
         await asyncio.sleep(WATCH_SECONDS)
