--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -13,6 +13,8 @@
 from ..core.load import Load
 from ..core.requests_in_progress import RequestsInProgress
 from ..core.status import Status
+from ..decisions.death_record import DeathRecord
+from ..decisions.keyed_ledger import make_ledger
 from ..endpoints.http_model_engine import make_model_engine
 from ..endpoints.http_plain_service import make_plain_service
 from ..endpoints.model_engine import ModelEngine
@@ -21,11 +23,16 @@
 from ..observe.event_log import EventLog
 from ..peers.configuration_follower import ConfigurationFollower
 from ..peers.listed_membership import ListedMembership
+from ..peers.membership import Membership
+from ..peers.peer_membership import PeerMembership
+from ..peers.peer_node import PeerNode
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
 from ..weights.weights_side import WeightsSide, make_weights_side
 from ..wire import http_client
 from . import call_handlers
+from .attempts import Attempts
+from .keyed_calls import KeyedCalls
 
 LOAD_READ_SECONDS = 0.25
 LEAVING_NOTICE_SECONDS = 2.0
@@ -44,14 +51,23 @@
         self._port = 0
         self.leaving = False
         self.requests = RequestsInProgress()
+        self.deaths = DeathRecord()
         self.engine: ModelEngine | None = None
         self.service: PlainService | None = None
         self.weights: WeightsSide | None = None
         self.tasks = BackgroundTasks(self._report_failure)
+        self.attempts = Attempts()
+        self.keyed_calls = KeyedCalls(make_ledger(self._incarnation), self.tasks, log)
         configuration = make_configuration_service(self._client, settings.platform.configuration)
         self.follower = ConfigurationFollower(configuration, settings.site, log)
         directory = make_instance_directory(self._client, settings.platform.instances)
-        self.membership = ListedMembership(directory)
+        self.node = PeerNode(
+            settings, directory, self.follower, self.status, log, self._report_failure
+        )
+        self._listed = ListedMembership(directory)
+        self.membership: Membership = PeerMembership(self.node.table)
+        if settings.control == "service":
+            self.membership = self._listed
         if settings.endpoint.kind == "engine":
             self.engine = make_model_engine(self._client, settings.endpoint.url)
             self.weights = make_weights_side(
@@ -83,22 +99,32 @@
         sockets = netutil.bind_sockets(listen.http_port, listen.host)
         self._port = sockets[0].getsockname()[1]
         httpserver.HTTPServer(application).add_sockets(sockets)
-        self.tasks.start("configuration", self.follower.run())
-        self.tasks.start("membership", self.membership.run())
+        if self._settings.control == "service":
+            self.tasks.start("configuration", self.follower.run())
+            self.tasks.start("membership", self._listed.run())
+        else:
+            await self.node.start()
         if self.weights is not None:
             self.weights.start(self.tasks)
             self.tasks.start("load", self._read_load())
         self._log.write(
-            Event.DAEMON_STARTED, role="sidecar", port=self._port, incarnation=self._incarnation
+            Event.DAEMON_STARTED,
+            role="sidecar",
+            port=self._port,
+            peer_port=self.node.peer_port,
+            incarnation=self._incarnation,
         )
 
     async def stop(self) -> None:
         """Leaves gracefully: takes no new work, ends what is in progress, then stops."""
         self.leaving = True
+        self.keyed_calls.leave()
+        self.node.wake_all()
         self._log.write(Event.DAEMON_LEAVING, in_progress=self.requests.count)
         await asyncio.sleep(LEAVING_NOTICE_SECONDS)
         await self.requests.wait_until_idle(self._settings.drain_seconds)
         await self.tasks.cancel_all()
+        await self.node.stop()
         self._log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
 
     def status(self) -> Status:
@@ -116,17 +142,29 @@
             data_centre=self._settings.data_centre,
             host=self._settings.listen.host,
             http_port=self._port,
+            peer_port=self.node.peer_port,
             revision=self.follower.revision,
             config_digest=current.digest if current else "",
             model=endpoint.model if endpoint else "",
             service=endpoint.service if endpoint else "",
             leaving=self.leaving,
+            uptime=self.keyed_calls.uptime,
             load=self._load,
+            suspects=self.deaths.suspects(asyncio.get_running_loop().time()),
+            refused_revision=self.follower.refused_revision,
+            refused_reason=self.follower.refused_reason,
+            alarm=self.follower.book.alarm,
+            reads_service=self.node.reads_service,
         )
         return self.weights.complete_status(status) if self.weights else status
 
+    def note_refused_while_leaving(self) -> None:
+        """Logs that work still came, so that operators see how long entries went on."""
+        self._log.write(Event.WORK_WHILE_LEAVING)
+
     async def cancel(self, attempt_id: str) -> None:
         """Frees the engine's slot of an attempt that was given up."""
+        self.attempts.cancel(attempt_id)
         if self.engine is None:
             return
         try:
--- a/wasabidrum/wire/headers.py
+++ b/wasabidrum/wire/headers.py
@@ -18,6 +18,10 @@
 REVISION = "X-Wd-Revision"
 STATUS_ON_ANSWER = "X-Wd-Status"
 ERROR_CODE = "X-Wd-Error-Code"
+SERVICE = "X-Wd-Service"
+START_BEFORE = "X-Wd-Start-Before"
+CALL_DIGEST = "X-Wd-Call-Digest"
+ANSWER_DIGEST = "X-Wd-Answer-Digest"
 
 # Headers of chunks between sidecars.
 ASKER = "X-Wd-Asker"
