--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -141,7 +141,9 @@
 
     def _asker(self, members: dict[str, MemberView]) -> Asker:
         name = self._settings.name
-        return Asker(name, self._settings.region, name in members)
+        # A membership may leave out its own process. One that knows nobody has not read
+        # the list yet, or stands alone.
+        return Asker(name, self._settings.region, bool(members))
 
     def _usable(self, digest: str, members: dict[str, MemberView]) -> chunk_route.Usable:
         now = self._now()
