--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -16,6 +16,7 @@
       revision: The configuration revision in force here.
       config_digest: The digest of that revision's value.
       model: The model of the endpoint, or empty.
+      wanted_version: The version that the configuration in force here wants, or empty.
       version: The version that the endpoint answers with, or empty.
       fetching: The version being fetched, or empty.
       chunks_held: How many chunks of the version being fetched are at hand.
@@ -65,3 +66,4 @@
     switching: bool = False
     proven: str = ""
     stopped: str = ""
+    wanted_version: str = ""
