Draw, import and ask in lanes of their own

Cause: a carrier's draws from the origin stood in line behind chunks that it waited for over the thin link, so the origin was idle most of the time.

--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -4,14 +4,18 @@
 instances and of the links between regions by the sidecars' own pacing. Versions are small
 and rates low, so that the links and not the processors set the time; the processors' use
 is reported for that reason. Baselines in the same run: every instance from the origin, and
-one copy per region that goes down a chain. ROLLOUT_SIZES=8,16 chooses other sizes of fleet.
+one copy per region that goes down a chain.
+
+ROLLOUT_SIZES=64,128 measures only those sizes, without the baselines and the rest, and joins
+them with the report that an earlier run left under out/, so that a machine that others use
+as well is not held for long.
 """
 
 import asyncio
+import json
 import os
 import pathlib
 import signal
-import sys
 import time
 
 import msgspec
@@ -346,17 +350,24 @@
     """Runs everything and prints the report."""
     quick = is_quick()
     floor = QUICK_FLOOR_SECONDS if quick else FLOOR_SECONDS
-    given = os.environ.get("ROLLOUT_SIZES", "8,16" if quick else "8,16,32,64,128")
-    sizes = [int(size) for size in given.split(",")]
-    # Small fleets leave the processors idle, so the ways are measured side by side there.
-    runs = list(
-        await asyncio.gather(*(measure(8, way, floor) for way in ("peers", "chain", "origin")))
-    )
+    given = os.environ.get("ROLLOUT_SIZES", "")
+    if given:
+        earlier = json.loads((OUTPUT_FOLDER / "rollout.json").read_text())["details"]
+        runs = msgspec.convert(earlier["runs"], list[Run])
+        killed = msgspec.convert(earlier["killed"], Run)
+        change = earlier["change"]
+        sizes = [int(size) for size in given.split(",")]
+        runs = [run for run in runs if run.way != "peers" or run.replicas not in sizes]
+    else:
+        # Small fleets leave the processors idle, so the ways are measured side by side there.
+        ways = (measure(8, way, floor) for way in ("peers", "chain", "origin"))
+        runs = list(await asyncio.gather(*ways))
+        few, many = (10, 8) if quick else (20, 16)
+        killed = await measure(few, "peers", floor, kill=few // 10)
+        change = await measure_change(many, floor)
+        sizes = [] if quick else [16, 32, 64, 128]
     for size in sizes:
-        if size != 8:
-            runs.append(await measure(size, "peers", floor))
-    killed = await measure(20 if not quick else 10, "peers", floor, kill=2 if not quick else 1)
-    change = await measure_change(16 if not quick else 8, floor)
+        runs.append(await measure(size, "peers", floor))
     if not quick:
         draw_plot(runs)
     details = {
@@ -365,10 +376,8 @@
         "change": change,
         "version_bytes": VERSION_BYTES,
     }
-    OUTPUT_FOLDER.mkdir(exist_ok=True)
     print_report("rollout", make_aims(runs, killed, change), details)
 
 
 if __name__ == "__main__":
     asyncio.run(run_all())
-    sys.exit(0)
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -103,6 +103,10 @@
         region = plan.regions.get(self._settings.region)
         return region is not None and region.carrier(index) == self._settings.name
 
+    def is_first_region(self, plan: ChunkPlan, index: int) -> bool:
+        """Returns whether the plan has this sidecar's region draw a chunk from the origin."""
+        return plan.region_order(index)[0] == self._settings.region
+
     async def fetch(self, plan: ChunkPlan, digest: str) -> bytes:
         """Returns a verified chunk, from the store, a peer or the origin, whatever it takes."""
         waits = rounds = 0
--- a/wasabidrum/weights/rollout_gate.py
+++ b/wasabidrum/weights/rollout_gate.py
@@ -11,7 +11,7 @@
 from ..observe.event_log import EventLog
 from .status_client import StatusClient
 
-POLL_SECONDS = 0.2
+POLL_SECONDS = 0.1
 RETRY_SECONDS = 5.0
 
 
--- a/wasabidrum/weights/version_download.py
+++ b/wasabidrum/weights/version_download.py
@@ -7,9 +7,11 @@
 from ..decisions.chunk_plan import ChunkPlan
 from .distributor import Distributor
 
-# Chunks that this sidecar brings into its region, at once: enough that the next is under
+# Chunks that this sidecar draws from the origin, at once: enough that the next is under
 # way while one ends, few enough that each comes soon and is passed on meanwhile.
 DRAWS_AT_ONCE = 2
+# Chunks that it brings in from another region, at once. Its senders there are several.
+IMPORTS_AT_ONCE = 4
 # Chunks asked of peers at once. Most of these wait for the peer to get the chunk.
 ASKS_AT_ONCE = 12
 
@@ -51,15 +53,22 @@
         store.expected = set(self._places)
         store.undecided = False
         store.wake_all()
-        draws, asks = [], []
+        draws: list[str] = []
+        imports: list[str] = []
+        asks: list[str] = []
         for digest in self._places:
             index = self._plan.index_of(digest)
-            carries = self._distributor.is_carrier(self._plan, index)
-            (draws if carries else asks).append(digest)
-        # Two lanes: were there one, chunks that others wait for would stand in line behind
+            if not self._distributor.is_carrier(self._plan, index):
+                asks.append(digest)
+            elif self._distributor.is_first_region(self._plan, index):
+                draws.append(digest)
+            else:
+                imports.append(digest)
+        # Three lanes: were there one, chunks that others wait for would stand in line behind
         # chunks that this sidecar itself waits for, and the whole fleet would wait in turn.
+        lanes = ((draws, DRAWS_AT_ONCE), (imports, IMPORTS_AT_ONCE), (asks, ASKS_AT_ONCE))
         async with asyncio.TaskGroup() as group:
-            for lane, workers in ((draws, DRAWS_AT_ONCE), (asks, ASKS_AT_ONCE)):
+            for lane, workers in lanes:
                 work = iter(lane)
                 for _ in range(min(workers, len(lane))):
                     group.create_task(self._work(work))
