--- /dev/null
+++ b/tests/outcomes_stalls_test.py
@@ -0,0 +1,61 @@
+"""Streams that nobody ends: a link stalls, or a caller goes away without a word."""
+
+import asyncio
+import json
+import unittest
+
+from bench.fleet_files import CALLER_KEY
+from bench.outcomes_fleet import OutcomesFleet
+
+ENGINES = ("worker-1", "worker-2")
+
+
+class StallTest(unittest.IsolatedAsyncioTestCase):
+    """Silence is noticed, and no slot is held for nobody."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = await self.enterAsyncContext(OutcomesFleet())
+        await self.fleet.start_all([], list(ENGINES), entries=1)
+
+    async def test_stalled_link(self) -> None:
+        """The link stalls in the middle of a stream, with nothing closed.
+
+        The treasurer would watch a spinner until the print shop closes.
+        """
+        caller = self.fleet.caller()
+        work = asyncio.ensure_future(caller.generate("stalled", 100))
+        running = await self.fleet.find_running(ENGINES)
+        await asyncio.sleep(0.3)
+        await self.fleet.spoil(running, stall=True)
+        self.assertEqual(await work, "whole", caller.problems)
+        await self.fleet.spoil(running)
+
+    async def test_cancelled_caller_frees_its_slot(self) -> None:
+        """A caller goes away in the middle of a long answer.
+
+        The engine would go on for nobody while others wait for its slot.
+        """
+        body = {"model": "summaries", "prompt": "left", "max_tokens": 2000, "stream": True}
+        content = json.dumps(body).encode()
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: Bearer {CALLER_KEY}\r\nContent-Length: {len(content)}\r\n\r\n"
+        )
+        port = self.fleet.entries[0].caller_port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head.encode() + content)
+        await reader.readuntil(b"data: ")
+        running = await self.fleet.find_running(ENGINES)
+        writer.close()
+        endpoint = self.fleet.members[running].endpoint_port
+
+        async def freed() -> bool:
+            counters = await self.fleet.counters(endpoint)
+            return counters["running"] == 0 and counters["cancelled"] == 1
+
+        took = await self.fleet.wait_until(freed, 5.0, "the slot freed")
+        self.assertLess(took, 5.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
