--- a/wasabidrum/entry/service_call.py
+++ b/wasabidrum/entry/service_call.py
@@ -1,14 +1,12 @@
 """Calls to plain services: each non-idempotent one runs at most once, whoever repeats it."""
 
 import asyncio
-import collections.abc
 import contextlib
 
 from tornado import httpclient
 
 from ..core.errors import CodedError
 from ..core.fleet import Fleet, ServiceCall
-from ..core.instance import Instance
 from ..core.outcome import Outcome
 from ..decisions.keyed_key import KeyedKey, parse_key
 from ..endpoints.service_reply import ServiceReply
@@ -36,9 +34,6 @@
 SHORTEST_READ_PATIENCE_SECONDS = 0.5
 
 
-FindInstance = collections.abc.Callable[[str], Instance | None]
-
-
 def find_call(fleet: Fleet, service: str, method: str, path: str) -> ServiceCall:
     """Returns what the files say of a call; one that they do not list is not idempotent."""
     spec = fleet.services.get(service)
@@ -52,7 +47,7 @@
 class ServiceCaller:
     """Makes calls to plain services for the callers of one entry."""
 
-    __slots__ = ("_client", "_traffic", "_table", "_log", "_find_instance", "keys")
+    __slots__ = ("_client", "_traffic", "_table", "_log", "keys")
 
     def __init__(
         self,
@@ -60,9 +55,7 @@
         traffic: Traffic,
         table: EndpointTable,
         log: EventLog,
-        find_instance: FindInstance,
     ) -> None:
-        self._find_instance = find_instance
         self._client = client
         self._traffic = traffic
         self._table = table
@@ -271,12 +264,7 @@
         return ServiceExchange(self._client, view, order, *names, key, placement)
 
     def _find_owner(self, key: KeyedKey) -> EndpointView | None:
-        for view in self._table.views:
-            if view.instance.name == key.endpoint:
-                return view
-        # Each entry works over some of the endpoints only, and the owner may be another's.
-        instance = self._find_instance(key.endpoint)
-        return EndpointView(instance) if instance is not None else None
+        return self._table.find(key.endpoint)
 
     def _is_replaced(self, exchange: ServiceExchange) -> bool:
         view = self._find_owner(exchange.key)
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -74,3 +74,8 @@
     STREAM_HANDED_ON = 5009
     KEY_ISSUED = 5010
     WORK_WHILE_LEAVING = 5011
+
+    # 6000: the process's surroundings.
+    HANDLER_FAILED = 6001
+    CERTIFICATES_IN_FORCE = 6002
+    CERTIFICATES_REFUSED = 6003
--- a/wasabidrum/peers/instance_roster.py
+++ b/wasabidrum/peers/instance_roster.py
@@ -24,6 +24,10 @@
         """The instances listed."""
         return tuple(self._lists.get(self.digest, {}).values())
 
+    def find(self, name: str) -> Instance | None:
+        """Returns an instance of the list, or None where it is not listed."""
+        return self._lists.get(self.digest, {}).get(name)
+
     def take(self, listed: InstanceList) -> bool:
         """Takes a list; returns whether it says something new."""
         if listed.as_of < self.as_of:
--- a/wasabidrum/peers/peer_link.py
+++ b/wasabidrum/peers/peer_link.py
@@ -102,6 +102,7 @@
             gossip=self.gossip,
             status=told_status,
             load=load,
+            uptime=status.uptime,
             list_as_of=self._owner.list_as_of if digest else 0.0,
             list_digest=digest,
             news=news,
@@ -113,7 +114,9 @@
             self.status = push.status
         elif self.status is not None:
             load = Load(*push.load) if push.load is not None else self.status.load
-            self.status = msgspec.structs.replace(self.status, sequence=push.sequence, load=load)
+            self.status = msgspec.structs.replace(
+                self.status, sequence=push.sequence, load=load, uptime=push.uptime
+            )
         return self.status
 
     async def push_for_ever(self, stream: MessageStream) -> None:
@@ -177,4 +180,6 @@
 
 def without_load(status: Status) -> Status:
     """Returns a status without what changes too often to be told whole."""
-    return msgspec.structs.replace(status, sequence=0, load=Load(), chunks_held=0, chunks_wanted=0)
+    return msgspec.structs.replace(
+        status, sequence=0, load=Load(), uptime=0.0, chunks_held=0, chunks_wanted=0
+    )
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -20,9 +20,11 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..platform.instance_directory import InstanceDirectory
+from ..wire import tls
 from . import peer_client
 from .claim_fetcher import ClaimFetcher
 from .configuration_follower import ConfigurationFollower
+from .control_report import ControlReport
 from .list_keeper import ListKeeper
 from .news_log import NewsLog
 from .outbound_links import OutboundLinks
@@ -106,13 +108,17 @@
         """Whether someone else confirmed this process's revision since it last slept."""
         return self._gap.recently_verified(asyncio.get_running_loop().time())
 
+    def find_listed(self) -> Instance | None:
+        """Returns where the list says that this process listens, or None."""
+        return self.lists.roster.find(self._settings.name)
+
     async def start(self) -> None:
         """Listens for peers and starts the tasks."""
         listen = self._settings.listen
         sockets = netutil.bind_sockets(listen.peer_port, listen.host)
         self.peer_port = sockets[0].getsockname()[1]
         self._server = server.Server([PeerService(self)], codec=CODEC)
-        await self._server.start(sock=sockets[0])
+        await self._server.start(sock=sockets[0], ssl=tls.server_context())
         self._tasks.start("peers", self._run())
 
     async def stop(self) -> None:
@@ -184,11 +190,33 @@
         if status.revision <= self._follower.revision:
             self._gap.hear(now)
 
+    def report(self) -> ControlReport:
+        """Returns how this daemon stands among the others."""
+        records = list(self.table.records)
+        return ControlReport(
+            revision=self._follower.revision,
+            highest_heard=self._follower.book.highest,
+            reads_service=self.reads_service,
+            readers=tuple(self._plan.readers(self._settings.data_centre)),
+            parents=tuple(self._plan.parents(self._settings.name)),
+            linked=tuple(link.name for link in self._outbound.live),
+            watchers=len(self._inbound),
+            members=len(records),
+            suspected=tuple(r.name for r in records if r.state is MemberState.SUSPECT),
+            dead=tuple(r.name for r in records if r.state is MemberState.DEAD),
+            list_implausible=self.table.list_is_implausible,
+            isolated=self.table.isolated,
+            recently_verified=self.recently_verified,
+            traffic=CODEC.counts,
+        )
+
     def take_claims(self, status: Status) -> None:
         """Takes what a daemon says of its revision and of a refused one."""
         self._fetcher.take_claim(
             status.revision, status.config_digest, status.host, status.peer_port
         )
+        if status.alarm:
+            self._follower.take_alarm(status.revision, status.alarm)
         if status.refused_revision > max(self._follower.revision, self._follower.refused_revision):
             self._follower.refuse(status.refused_revision, "", status.refused_reason)
 
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -8,6 +8,7 @@
 from ..config.settings import Settings
 from ..core.background_tasks import BackgroundTasks
 from ..core.errors import CodedError
+from ..core.fleet import EndpointSpec, Fleet
 from ..core.incarnation import make_incarnation
 from ..core.instance import InstanceRole
 from ..core.load import Load
@@ -21,7 +22,9 @@
 from ..endpoints.plain_service import PlainService
 from ..observe.event import Event
 from ..observe.event_log import EventLog
+from ..observe.routes import make_routes
 from ..peers.configuration_follower import ConfigurationFollower
+from ..peers.control_handler import ControlHandler
 from ..peers.listed_membership import ListedMembership
 from ..peers.membership import Membership
 from ..peers.peer_membership import PeerMembership
@@ -29,7 +32,7 @@
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
 from ..weights.weights_side import WeightsSide, make_weights_side
-from ..wire import http_client
+from ..wire import http_client, tls
 from . import call_handlers
 from .attempts import Attempts
 from .keyed_calls import KeyedCalls
@@ -65,7 +68,7 @@
             settings, directory, self.follower, self.status, log, self._report_failure
         )
         self._listed = ListedMembership(directory)
-        self.membership: Membership = PeerMembership(self.node.table)
+        self.membership: Membership = PeerMembership(self.node.table, self.node.find_listed)
         if settings.control == "service":
             self.membership = self._listed
         if settings.endpoint.kind == "engine":
@@ -86,11 +89,14 @@
     async def start(self) -> None:
         """Listens and starts the background tasks."""
         given = {"sidecar": self}
+        self._add_gauges()
         routes = [
             (r"/internal/generate", call_handlers.GenerateHandler, given),
             (r"/internal/service", call_handlers.ServiceHandler, given),
             (r"/internal/cancel/([^/]+)", call_handlers.CancelHandler, given),
             (r"/internal/status", call_handlers.StatusHandler, given),
+            (r"/internal/control", ControlHandler, {"node": self.node}),
+            *make_routes(self._log),
         ]
         if self.weights is not None:
             routes += self.weights.routes()
@@ -98,7 +104,7 @@
         listen = self._settings.listen
         sockets = netutil.bind_sockets(listen.http_port, listen.host)
         self._port = sockets[0].getsockname()[1]
-        httpserver.HTTPServer(application).add_sockets(sockets)
+        httpserver.HTTPServer(application, ssl_options=tls.server_context()).add_sockets(sockets)
         if self._settings.control == "service":
             self.tasks.start("configuration", self.follower.run())
             self.tasks.start("membership", self._listed.run())
@@ -115,6 +121,20 @@
             incarnation=self._incarnation,
         )
 
+    def _add_gauges(self) -> None:
+        add = self._log.metrics.add_gauge
+        add("revision", "The configuration revision in force here.", lambda: self.follower.revision)
+        add("requests_in_progress", "Requests at the endpoint.", lambda: self.requests.count)
+        add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
+        if self.weights is None:
+            return
+        manager, counts = self.weights.manager, self.weights.distributor.counts
+        add("chunks_held", "Chunks of the version being fetched.", lambda: manager.chunks_held)
+        add("chunks_wanted", "Chunks that this version has.", lambda: manager.chunks_wanted)
+        self._log.metrics.add_counter(
+            "weight_bytes", "Bytes of weights fetched, by source.", "source", counts.by_source
+        )
+
     async def stop(self) -> None:
         """Leaves gracefully: takes no new work, ends what is in progress, then stops."""
         self.leaving = True
@@ -147,6 +167,7 @@
             config_digest=current.digest if current else "",
             model=endpoint.model if endpoint else "",
             service=endpoint.service if endpoint else "",
+            wanted_version=wanted_version(fleet, endpoint),
             leaving=self.leaving,
             uptime=self.keyed_calls.uptime,
             load=self._load,
@@ -182,6 +203,12 @@
         self._log.write(Event.TASK_FAILED, task=name, reason=repr(error))
 
 
+def wanted_version(fleet: Fleet | None, endpoint: EndpointSpec | None) -> str:
+    """Returns the version that the files want at an endpoint, or empty."""
+    model = fleet.models.get(endpoint.model) if fleet and endpoint else None
+    return model.version if model else ""
+
+
 def make_sidecar(settings: Settings, log: EventLog) -> Sidecar:
     """Returns a sidecar that has not started."""
     return Sidecar(settings, log)
