Keep not_run for texts that can never be keys

A refusal of a request whose Idempotency-Key was never issued said unknown; no entry ever takes such a text, so not_run is proved. Found by the callers' fuzz test.

--- a/wasabidrum/entry/key_never_runs.py
+++ b/wasabidrum/entry/key_never_runs.py
@@ -2,6 +2,7 @@
 
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
+from ..decisions.keyed_key import parse_key
 
 
 class KeyNeverRunsError(CodedError):
@@ -19,6 +20,9 @@
     """
     if error.outcome is not Outcome.NOT_RUN or isinstance(error, KeyNeverRunsError):
         return error
+    if parse_key(key) is None:
+        # No entry ever takes such a text for a key, so no copy with it can have run.
+        return error
     weaker = CodedError(error.code, str(error), error.http_status, Outcome.UNKNOWN)
     weaker.retry_after = error.retry_after
     weaker.idempotency_key = key
