--- a/wasabidrum/entry/key_never_runs.py
+++ b/wasabidrum/entry/key_never_runs.py
@@ -2,7 +2,7 @@
 
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
-from ..decisions import keyed_key
+from ..decisions.keyed_key import parse_key
 
 
 class KeyNeverRunsError(CodedError):
@@ -20,8 +20,8 @@
     """
     if error.outcome is not Outcome.NOT_RUN or isinstance(error, KeyNeverRunsError):
         return error
-    if keyed_key.parse_key(key) is None:
-        # No daemon runs a call whose key is not of the issued form, so none ever ran.
+    if parse_key(key) is None:
+        # No entry ever takes such a text for a key, so no copy with it can have run.
         return error
     weaker = CodedError(error.code, str(error), error.http_status, Outcome.UNKNOWN)
     weaker.retry_after = error.retry_after
