Tell a new revision without the whole status; entries stand last in the trees

Beats to entries come every 0.75 s instead of 0.5, readers read the list every 2 s, and entries are leaves of both trees.

--- a/wasabidrum/decisions/member_readers.py
+++ b/wasabidrum/decisions/member_readers.py
@@ -9,6 +9,7 @@
 
 The first tree runs down the order and the second runs up it, so that whoever stands high
 in one is a leaf in the other: one death leaves everyone a parent, and the work is shared.
+Entries stand last in both, because they already hear from their endpoints.
 
 Grounds: with 256 processes in a data centre and a fan-out of 4, five links lead to the
 farthest one. A process has at most 2 x 4 children and 2 parents.
@@ -17,7 +18,7 @@
 import collections.abc
 import hashlib
 
-from ..core.instance import Instance
+from ..core.instance import Instance, InstanceRole
 
 READERS_PER_DATA_CENTRE = 2
 FAN_OUT = 4
@@ -31,17 +32,24 @@
 class ReaderPlan:
     """The plan that follows from a set of members."""
 
-    __slots__ = ("_orders", "_centre_of")
+    __slots__ = ("_orders", "_seconds", "_centre_of")
 
     def __init__(self, members: collections.abc.Iterable[Instance]) -> None:
-        centres: dict[str, list[tuple[bytes, str]]] = {}
+        centres: dict[str, list[tuple[bool, bytes, str]]] = {}
         self._centre_of: dict[str, str] = {}
         for member in members:
-            centres.setdefault(member.data_centre, []).append((rank_name(member.name), member.name))
+            place = (member.role is InstanceRole.ENTRY, rank_name(member.name), member.name)
+            centres.setdefault(member.data_centre, []).append(place)
             self._centre_of[member.name] = member.data_centre
-        self._orders = {
-            centre: [name for _, name in sorted(ranked)] for centre, ranked in centres.items()
-        }
+        self._orders: dict[str, list[str]] = {}
+        self._seconds: dict[str, list[str]] = {}
+        for centre, places in centres.items():
+            places.sort()
+            rest = places[READERS_PER_DATA_CENTRE:]
+            sidecars = [name for is_entry, _, name in rest if not is_entry]
+            entries = [name for is_entry, _, name in rest if is_entry]
+            self._orders[centre] = [name for _, _, name in places]
+            self._seconds[centre] = [places[min(1, len(places) - 1)][2], *sidecars[::-1], *entries]
 
     def readers(self, data_centre: str) -> list[str]:
         """Returns the processes that read the service for a data centre."""
@@ -61,9 +69,8 @@
         if index < READERS_PER_DATA_CENTRE:
             return order[:index] + self._far_readers(centre, index)
         found = [order[parent_index(index)]]
-        # The second tree: its root is the second reader, and the rest stand in reverse.
-        reverse = len(order) - index
-        second = order[1] if reverse <= FAN_OUT else order[len(order) - parent_index(reverse)]
+        tree = self._seconds[centre]
+        second = tree[parent_index(tree.index(name))]
         if second not in found:
             found.append(second)
         elif order[1] not in found:
--- a/wasabidrum/peers/list_keeper.py
+++ b/wasabidrum/peers/list_keeper.py
@@ -11,7 +11,7 @@
 from . import peer_client
 from .instance_roster import InstanceRoster
 
-READER_SECONDS = 1.0
+READER_SECONDS = 2.0
 OTHERS_SECONDS = 300.0
 
 
--- a/wasabidrum/peers/peer_link.py
+++ b/wasabidrum/peers/peer_link.py
@@ -11,7 +11,7 @@
 from .peer_messages import Push
 
 GOSSIP_BEAT_SECONDS = 1.0
-STATUS_BEAT_SECONDS = 0.5
+STATUS_BEAT_SECONDS = 0.75
 NEWS_PER_PUSH = 32
 
 
@@ -57,7 +57,7 @@
     """
 
     __slots__ = ("name", "gossip", "heard_at", "status", "_owner", "_waiter", "_woken")
-    __slots__ += ("_told", "_told_load", "_told_list", "_cursor", "_receiving")
+    __slots__ += ("_told", "_told_load", "_told_list", "_told_revision", "_cursor", "_receiving")
 
     def __init__(self, name: str, gossip: bool, owner: LinkOwner) -> None:
         self.name = name
@@ -70,6 +70,7 @@
         self._told: Status | None = None
         self._told_load: Load | None = None
         self._told_list = ""
+        self._told_revision = 0
         self._cursor = 0
         self._receiving: asyncio.Task[None] | None = None
 
@@ -82,7 +83,7 @@
     def next_push(self) -> Push:
         """Returns what the other end does not know yet."""
         status = self._owner.status()
-        kept = without_load(status)
+        kept = without_details(status)
         told_status = None if kept == self._told else status
         self._told = kept
         load = None
@@ -90,6 +91,8 @@
             held = status.load
             load = (held.running, held.waiting, held.slots, held.tokens_per_second)
         self._told_load = status.load
+        changed = told_status is None and status.revision != self._told_revision
+        self._told_revision = status.revision
         news: tuple[MemberNews, ...] = ()
         digest = ""
         if self.gossip:
@@ -106,6 +109,8 @@
             list_as_of=self._owner.list_as_of if digest else 0.0,
             list_digest=digest,
             news=news,
+            revision=status.revision if changed else 0,
+            config_digest=status.config_digest if changed else "",
         )
 
     def whole_status(self, push: Push) -> Status | None:
@@ -113,9 +118,15 @@
         if push.status is not None:
             self.status = push.status
         elif self.status is not None:
-            load = Load(*push.load) if push.load is not None else self.status.load
+            held = self.status
+            changed = push.revision != 0
             self.status = msgspec.structs.replace(
-                self.status, sequence=push.sequence, load=load, uptime=push.uptime
+                held,
+                sequence=push.sequence,
+                load=Load(*push.load) if push.load is not None else held.load,
+                uptime=push.uptime,
+                revision=push.revision if changed else held.revision,
+                config_digest=push.config_digest if changed else held.config_digest,
             )
         return self.status
 
@@ -178,8 +189,15 @@
             self._waiter = None
 
 
-def without_load(status: Status) -> Status:
-    """Returns a status without what changes too often to be told whole."""
+def without_details(status: Status) -> Status:
+    """Returns a status without what changes often and is told by itself, or not at all."""
     return msgspec.structs.replace(
-        status, sequence=0, load=Load(), uptime=0.0, chunks_held=0, chunks_wanted=0
+        status,
+        sequence=0,
+        load=Load(),
+        uptime=0.0,
+        chunks_held=0,
+        chunks_wanted=0,
+        revision=0,
+        config_digest="",
     )
--- a/wasabidrum/peers/peer_messages.py
+++ b/wasabidrum/peers/peer_messages.py
@@ -29,6 +29,8 @@
       list_as_of: When the instance list that the sender holds was made.
       list_digest: The digest of that list, where it changed.
       news: What the sender heard of third parties, oldest first.
+      revision: The revision in force at the sender, where it changed.
+      config_digest: The digest of that revision's value.
     """
 
     sequence: int = 0
@@ -39,6 +41,8 @@
     list_as_of: float = 0.0
     list_digest: str = ""
     news: tuple[MemberNews, ...] = ()
+    revision: int = 0
+    config_digest: str = ""
 
 
 class FetchConfiguration(msgspec.Struct, frozen=True, array_like=True):
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -175,9 +175,10 @@
             return
         if push.status is not None:
             self.table.take_status(status, now)
-            self.take_claims(status)
         else:
             self.table.take_beat(link.name, push.sequence, now)
+        if push.status is not None or push.revision:
+            self.take_claims(status)
         if push.list_digest:
             self.lists.take_claim(push.list_as_of, push.list_digest, status.host, status.peer_port)
         refute = False
