--- a/wasabidrum/decisions/member_record.py
+++ b/wasabidrum/decisions/member_record.py
@@ -6,6 +6,8 @@
 from ..core.status import Status
 from .member_news import MemberNews, MemberState
 
+FLAP_HALF_LIFE_SECONDS = 30.0
+
 
 @dataclasses.dataclass(slots=True)
 class MemberRecord:
@@ -68,3 +70,16 @@
         status.peer_port,
         state,
     )
+
+
+def address_of(instance: Instance) -> tuple[str, int, int]:
+    """Returns where an instance's daemon listens."""
+    return instance.host, instance.http_port, instance.peer_port
+
+
+def flaps_now(record: MemberRecord, now: float) -> float:
+    """Returns how often a member came back lately, each return counting half as much after
+    every half-life."""
+    if not record.flaps:
+        return 0.0
+    return record.flaps * 0.5 ** ((now - record.flapped_at) / FLAP_HALF_LIFE_SECONDS)
--- a/wasabidrum/decisions/member_table.py
+++ b/wasabidrum/decisions/member_table.py
@@ -18,7 +18,7 @@
 from ..core.instance import Instance
 from ..core.status import Status
 from .member_news import MemberNews, MemberState
-from .member_record import MemberRecord, instance_from
+from .member_record import MemberRecord, address_of, flaps_now, instance_from
 
 SUSPICION_SECONDS = 4.0
 REFUSED_SECONDS = 0.5
@@ -28,7 +28,6 @@
 IMPLAUSIBLE_FRACTION = 0.5
 SILENT_FRACTION = 0.5
 FEWEST_WATCHED = 3
-FLAP_HALF_LIFE_SECONDS = 30.0
 FLAPS_HELD_BACK = 3.0
 
 
@@ -276,16 +275,3 @@
     def _tell(self, record: MemberRecord) -> None:
         self._news.append(record.news())
         self.version += 1
-
-
-def address_of(instance: Instance) -> tuple[str, int, int]:
-    """Returns where an instance's daemon listens."""
-    return instance.host, instance.http_port, instance.peer_port
-
-
-def flaps_now(record: MemberRecord, now: float) -> float:
-    """Returns how often a member came back lately, each return counting half as much after
-    every half-life."""
-    if not record.flaps:
-        return 0.0
-    return record.flaps * 0.5 ** ((now - record.flapped_at) / FLAP_HALF_LIFE_SECONDS)
--- a/wasabidrum/decisions/member_table_test.py
+++ b/wasabidrum/decisions/member_table_test.py
@@ -6,7 +6,7 @@
 
 from ..core.instance import Instance, InstanceRole
 from ..core.status import Status
-from . import member_table
+from . import member_record
 from .member_news import MemberNews, MemberState
 from .member_table import MemberTable
 
@@ -154,7 +154,7 @@
             self.table.suspect("m5", turn * 5.0 + 3.0)
         self.table.take_status(make_status("m5", 99), 25.0)
         self.assertNotIn("m5", self.names(25.0))
-        self.assertIn("m5", self.names(25.0 + 2 * member_table.FLAP_HALF_LIFE_SECONDS))
+        self.assertIn("m5", self.names(25.0 + 2 * member_record.FLAP_HALF_LIFE_SECONDS))
 
     def test_a_pause_of_this_process_ends_nobody(self) -> None:
         """This instance pauses while one suspicion stands. When it wakes, the time it slept
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import collections.abc
-import random
 
 from grpclib import server
 from tornado import netutil
 
 from ..config.settings import Settings
 from ..core.background_tasks import BackgroundTasks
-from ..core.errors import CodedError
 from ..core.instance import Instance
 from ..core.status import Status
 from ..decisions.clock_gap import ClockGap
@@ -20,24 +18,22 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..platform.instance_directory import InstanceDirectory
-from . import peer_client
 from .claim_fetcher import ClaimFetcher
 from .configuration_follower import ConfigurationFollower
 from .control_report import ControlReport
 from .list_keeper import ListKeeper
 from .news_log import NewsLog
 from .outbound_links import OutboundLinks
+from .peer_asker import PeerAsker
 from .peer_client import CODEC
 from .peer_link import PeerLink
 from .peer_messages import ConfigurationReply, FetchConfiguration, FetchList, ListReply, Push
 from .peer_service import PeerService
+from .service_reader import ServiceReader
 
 TICK_SECONDS = 0.25
 PLAN_SECONDS = 0.5
 GOSSIP_SILENCE_SECONDS = 3.0
-ALONE_SECONDS = 5.0
-READER_WATCH_SECONDS = 2.0
-PEERS_ASKED = 3
 ISOLATION_ASK_SECONDS = 2.0
 
 
@@ -48,7 +44,6 @@
       peer_port: Where it listens for peers.
       table: Who is there.
       lists: The instance list.
-      reads_service: Whether this process reads the platform's service now.
       on_pause: Called with the length of each pause of this process.
     """
 
@@ -72,17 +67,17 @@
         self._outbound = OutboundLinks(self, True, GOSSIP_SILENCE_SECONDS, self.lose)
         self._fetcher = ClaimFetcher(follower)
         self._server: server.Server | None = None
-        self._reading: asyncio.Task[None] | None = None
         self._asking: asyncio.Task[None] | None = None
         self._plan = ReaderPlan(())
         self._planned_version = -1
         self._planned_at = float("-inf")
         self._last_told: tuple[object, ...] = ()
-        self._connected_at = asyncio.get_running_loop().time()
         self.peer_port = 0
         self.table = MemberTable(settings.name)
         self.lists = ListKeeper(directory, log, self._take_list)
-        self.reads_service = False
+        now = asyncio.get_running_loop().time()
+        self._reader = ServiceReader(follower, self.lists, self._tasks, log, now)
+        self._asker = PeerAsker(self.table, follower, self._fetcher, self._gap, log)
         self.on_pause: list[collections.abc.Callable[[float], None]] = []
         follower.on_change = self.wake_all
         follower.on_answer = self._take_answer
@@ -97,6 +92,11 @@
         """See LinkOwner."""
         return self.lists.roster.digest
 
+    @property
+    def reads_service(self) -> bool:
+        """Whether this process reads the platform's service now."""
+        return self._reader.reads
+
     @property
     def plan(self) -> ReaderPlan:
         """Who reads and who hears from whom, by the members known here."""
@@ -229,25 +229,9 @@
         self._pass_on_news()
 
     async def verify(self) -> int:
-        """Asks a few peers for their revision and takes what is newer.
-
-        Returns:
-          How many answered.
-        """
-        asked_at = asyncio.get_running_loop().time()
-        asked = self._choose_asked(asked_at)
-        answers = await asyncio.gather(*(self._ask(instance) for instance in asked))
-        answered = sum(answers)
-        await self._fetcher.wait()
-        if answered and self._follower.revision >= self._follower.book.highest:
-            self._gap.confirm(asked_at, asyncio.get_running_loop().time())
-        self._log.write(
-            Event.PEERS_ASKED,
-            asked=len(asked),
-            answered=answered,
-            revision=self._follower.revision,
-        )
-        return answered
+        """Asks a few peers for their revision and takes what is newer; returns how many
+        answered."""
+        return await self._asker.verify(self._plan.parents(self._settings.name))
 
     async def _run(self) -> None:
         await self.lists.read()
@@ -275,7 +259,8 @@
         stale = self._planned_version != self.table.version
         if stale and now - self._planned_at >= PLAN_SECONDS:
             self._make_plan(now)
-        self._choose_reading(now)
+        connected = self._outbound.live or any(link.gossip for link in self._inbound)
+        self._reader.choose(self._plan.is_reader(self._settings.name), bool(connected), now)
         self._look_over_links()
 
     def _look_over_links(self) -> None:
@@ -298,24 +283,6 @@
         wanted = [members[name] for name in self._plan.parents(self._settings.name)]
         self._outbound.keep(wanted, now)
 
-    def _choose_reading(self, now: float) -> None:
-        if self._outbound.live or any(link.gossip for link in self._inbound):
-            self._connected_at = now
-        alone = now - self._connected_at > ALONE_SECONDS
-        reads = alone or self._plan.is_reader(self._settings.name)
-        if reads == self.reads_service:
-            return
-        self.reads_service = reads
-        self.lists.set_reads_often(reads)
-        if reads:
-            self._log.write(Event.READER_STARTED, alone=alone)
-            self._reading = self._tasks.start(
-                "configuration", self._follower.run(READER_WATCH_SECONDS)
-            )
-        else:
-            self._log.write(Event.READER_STOPPED)
-            self._reading.cancel()
-
     def _judge_isolation(self, now: float) -> None:
         looks = self.table.looks_isolated(self._outbound.names)
         if not looks:
@@ -331,23 +298,6 @@
         self.table.isolated = not await self.verify()
         await asyncio.sleep(ISOLATION_ASK_SECONDS)
 
-    def _choose_asked(self, now: float) -> list[Instance]:
-        usable = [record.instance for record in self.table.usable(now)]
-        parents = set(self._plan.parents(self._settings.name))
-        near = [instance for instance in usable if instance.name in parents]
-        far = [instance for instance in usable if instance.name not in parents]
-        chosen = near[: PEERS_ASKED - 1]
-        return chosen + random.sample(far, min(len(far), PEERS_ASKED - len(chosen)))
-
-    async def _ask(self, instance: Instance) -> bool:
-        host, port = instance.host, instance.peer_port
-        try:
-            reply = await peer_client.fetch_configuration(host, port, "")
-        except CodedError:
-            return False
-        self._fetcher.take_claim(reply.revision, reply.digest, host, port)
-        return True
-
     def _notice_pause(self, now: float) -> None:
         seconds = self._gap.observe(now)
         if not seconds:
