--- a/bench/proof_page.py
+++ b/bench/proof_page.py
@@ -84,9 +84,9 @@
 
 
 def test_exists(name: str) -> bool:
-    """Returns whether a dotted name is a test method, or a state machine's test case."""
+    """Returns whether a dotted name is a test method, a test class or a state machine's test."""
     parts = name.split(".")
-    for split in (len(parts) - 2, len(parts) - 1):
+    for split in range(len(parts) - 1, 0, -1):
         try:
             found: object = importlib.import_module(".".join(parts[:split]))
         except (ImportError, ValueError):
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -18,6 +18,7 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..platform.instance_directory import InstanceDirectory
+from ..wire import tls
 from .claim_fetcher import ClaimFetcher
 from .configuration_follower import ConfigurationFollower
 from .control_report import ControlReport
@@ -117,7 +118,7 @@
         sockets = netutil.bind_sockets(listen.peer_port, listen.host)
         self.peer_port = sockets[0].getsockname()[1]
         self._server = server.Server([PeerService(self)], codec=CODEC)
-        await self._server.start(sock=sockets[0])
+        await self._server.start(sock=sockets[0], ssl=tls.server_context())
         self._tasks.start("peers", self._run())
 
     async def stop(self) -> None:
@@ -173,10 +174,16 @@
         status = link.whole_status(push)
         if status is None:
             return
+        known = self.table.get(link.name)
+        was = known.state if known is not None else None
         if push.status is not None:
             self.table.take_status(status, now)
         else:
             self.table.take_beat(link.name, push.sequence, now)
+        if was is None:
+            self._log.write(Event.MEMBER_JOINED, member=link.name)
+        elif was is not MemberState.ALIVE and known.state is MemberState.ALIVE:
+            self._log.write(Event.MEMBER_BACK, member=link.name)
         if push.status is not None or push.revision:
             self.take_claims(status)
         if push.list_digest:
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -1,13 +1,13 @@
 """The sidecar daemon: one per endpoint, its only way in."""
 
 import asyncio
-import contextlib
 
 from tornado import httpserver, netutil, web
 
 from ..config.settings import Settings
 from ..core.background_tasks import BackgroundTasks
 from ..core.errors import CodedError
+from ..core.fleet import EndpointSpec, Fleet
 from ..core.incarnation import make_incarnation
 from ..core.instance import InstanceRole
 from ..core.load import Load
@@ -21,6 +21,7 @@
 from ..endpoints.plain_service import PlainService
 from ..observe.event import Event
 from ..observe.event_log import EventLog
+from ..observe.routes import make_routes
 from ..peers.configuration_follower import ConfigurationFollower
 from ..peers.control_handler import ControlHandler
 from ..peers.listed_membership import ListedMembership
@@ -30,7 +31,7 @@
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
 from ..weights.weights_side import WeightsSide, make_weights_side
-from ..wire import http_client
+from ..wire import http_client, tls
 from . import call_handlers
 from .attempts import Attempts
 from .keyed_calls import KeyedCalls
@@ -87,12 +88,14 @@
     async def start(self) -> None:
         """Listens and starts the background tasks."""
         given = {"sidecar": self}
+        self._add_gauges()
         routes = [
             (r"/internal/generate", call_handlers.GenerateHandler, given),
             (r"/internal/service", call_handlers.ServiceHandler, given),
             (r"/internal/cancel/([^/]+)", call_handlers.CancelHandler, given),
             (r"/internal/status", call_handlers.StatusHandler, given),
             (r"/internal/control", ControlHandler, {"node": self.node}),
+            *make_routes(self._log),
         ]
         if self.weights is not None:
             routes += self.weights.routes()
@@ -100,7 +103,7 @@
         listen = self._settings.listen
         sockets = netutil.bind_sockets(listen.http_port, listen.host)
         self._port = sockets[0].getsockname()[1]
-        httpserver.HTTPServer(application).add_sockets(sockets)
+        httpserver.HTTPServer(application, ssl_options=tls.server_context()).add_sockets(sockets)
         if self._settings.control == "service":
             self.tasks.start("configuration", self.follower.run())
             self.tasks.start("membership", self._listed.run())
@@ -117,6 +120,20 @@
             incarnation=self._incarnation,
         )
 
+    def _add_gauges(self) -> None:
+        add = self._log.metrics.add_gauge
+        add("revision", "The configuration revision in force here.", lambda: self.follower.revision)
+        add("requests_in_progress", "Requests at the endpoint.", lambda: self.requests.count)
+        add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
+        if self.weights is None:
+            return
+        manager, counts = self.weights.manager, self.weights.distributor.counts
+        add("chunks_held", "Chunks of the version being fetched.", lambda: manager.chunks_held)
+        add("chunks_wanted", "Chunks that this version has.", lambda: manager.chunks_wanted)
+        self._log.metrics.add_counter(
+            "weight_bytes", "Bytes of weights fetched, by source.", "source", counts.by_source
+        )
+
     async def stop(self) -> None:
         """Leaves gracefully: takes no new work, ends what is in progress, then stops."""
         self.leaving = True
@@ -149,6 +166,7 @@
             config_digest=current.digest if current else "",
             model=endpoint.model if endpoint else "",
             service=endpoint.service if endpoint else "",
+            wanted_version=wanted_version(fleet, endpoint),
             leaving=self.leaving,
             uptime=self.keyed_calls.uptime,
             load=self._load,
@@ -176,14 +194,24 @@
 
     async def _read_load(self) -> None:
         while True:
-            with contextlib.suppress(CodedError):
+            try:
                 self._load = await self.engine.load()
+            except CodedError:
+                # A dead engine refuses in a millisecond and so looks idle. Told as having no
+                # slots, it is left out by entries, which else try it with callers' requests.
+                self._load = Load(slots=0)
             await asyncio.sleep(LOAD_READ_SECONDS)
 
     def _report_failure(self, name: str, error: BaseException) -> None:
         self._log.write(Event.TASK_FAILED, task=name, reason=repr(error))
 
 
+def wanted_version(fleet: Fleet | None, endpoint: EndpointSpec | None) -> str:
+    """Returns the version that the files want at an endpoint, or empty."""
+    model = fleet.models.get(endpoint.model) if fleet and endpoint else None
+    return model.version if model else ""
+
+
 def make_sidecar(settings: Settings, log: EventLog) -> Sidecar:
     """Returns a sidecar that has not started."""
     return Sidecar(settings, log)
--- a/wasabidrum/wire/http_client.py
+++ b/wasabidrum/wire/http_client.py
@@ -6,12 +6,14 @@
 
 import asyncio
 import collections.abc
+import ssl
 
 import msgspec
 from tornado import httpclient, httputil
 
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
+from . import tls
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 CLIENTS_AT_ONCE = 10_000
@@ -25,7 +27,11 @@
         force_instance=True,
         max_clients=CLIENTS_AT_ONCE,
         max_body_size=LARGEST_BODY_BYTES,
-        defaults={"connect_timeout": CONNECT_TIMEOUT_SECONDS, "user_agent": "wasabidrum"},
+        defaults={
+            "connect_timeout": CONNECT_TIMEOUT_SECONDS,
+            "user_agent": "wasabidrum",
+            "ssl_options": tls.client_context(),
+        },
     )
 
 
@@ -36,7 +42,8 @@
       An error with outcome NOT_RUN only where the connection was never made; any other
       failure may have come after the request arrived, and says UNKNOWN.
     """
-    refused = isinstance(error, ConnectionRefusedError)
+    # A server whose certificate is not the fleet's was sent nothing but a handshake.
+    refused = isinstance(error, (ConnectionRefusedError, ssl.SSLCertVerificationError))
     never_connected = isinstance(error, httpclient.HTTPError) and (
         "while connecting" in str(error) or "in request queue" in str(error)
     )
@@ -47,13 +54,13 @@
 class ResponseStream:
     """An answer that is read as it arrives."""
 
-    __slots__ = ("status", "headers", "_queue", "_finished")
+    __slots__ = ("status", "headers", "_queue", "_dropped")
 
     def __init__(self) -> None:
         self.status = 0
         self.headers = httputil.HTTPHeaders()
         self._queue: asyncio.Queue[object] = asyncio.Queue()
-        self._finished: asyncio.Future[None] | None = None
+        self._dropped = False
 
     def take_header_line(self, line: str) -> None:
         """Takes one line of the answer's head."""
@@ -65,12 +72,20 @@
 
     def take_chunk(self, chunk: bytes) -> None:
         """Takes some bytes of the body."""
-        self._queue.put_nowait(chunk)
+        if not self._dropped:
+            self._queue.put_nowait(chunk)
 
     def finish(self, error: CodedError | None) -> None:
         """Ends the stream, whole or with an error."""
         self._queue.put_nowait(error or END_OF_STREAM)
 
+    def drop(self) -> None:
+        """Forgets what came and what may still come of an answer that nobody waits for."""
+        # A stalled link that moves again delivers the rest of an abandoned answer; kept, it
+        # would fill the memory of an entry whose callers are long gone.
+        self._dropped = True
+        self._queue = asyncio.Queue()
+
     async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
         """Yields the body; bytes that arrived together come together.
 
