--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -1,5 +1,7 @@
 """The entry daemon: takes callers' requests and routes them to endpoints."""
 
+import asyncio
+
 import msgspec
 from tornado import httpserver, netutil, web
 
@@ -25,6 +27,10 @@
 from .service_call import ServiceCaller
 from .traffic import Traffic
 
+# How long a leaving entry still answers new requests, with a refusal that says so: a balancer
+# that has not noticed yet would otherwise turn them into resets that tell callers nothing.
+LEAVING_NOTICE_SECONDS = 1.0
+
 
 class StatusHandler(web.RequestHandler):
     """GET /internal/status."""
@@ -48,6 +54,7 @@
         self._sequence = 0
         self.requests = RequestsInProgress()
         self._http_port = 0
+        self._servers: list[httpserver.HTTPServer] = []
         self.log = log
         self.leaving = False
         self.tasks = BackgroundTasks(self._report_failure)
@@ -61,7 +68,7 @@
             settings, directory, self.follower, self.status, log, self._report_failure
         )
         self._add_gauges(traffic)
-        self.models = ModelCaller(client, traffic)
+        self.models = ModelCaller(client, traffic, self.table, log)
         self.services = ServiceCaller(client, traffic, self.table, log)
 
     async def start(self) -> None:
@@ -114,6 +121,9 @@
         self.leaving = True
         self.node.wake_all()
         self.log.write(Event.DAEMON_LEAVING, in_progress=self.requests.count)
+        await asyncio.sleep(LEAVING_NOTICE_SECONDS)
+        for server in self._servers:
+            server.stop()
         await self.requests.wait_until_idle(self._settings.drain_seconds)
         await self.tasks.cancel_all()
         await self.node.stop()
@@ -145,6 +155,7 @@
     def _listen(self, server: httpserver.HTTPServer, port: int) -> int:
         sockets = netutil.bind_sockets(port, self._settings.listen.host)
         server.add_sockets(sockets)
+        self._servers.append(server)
         return sockets[0].getsockname()[1]
 
     def _report_failure(self, name: str, error: BaseException) -> None:
--- a/wasabidrum/entry/service_call.py
+++ b/wasabidrum/entry/service_call.py
@@ -15,7 +15,9 @@
 from .caller_request import CallerRequest
 from .endpoint_table import EndpointTable, EndpointView
 from .key_issuer import KeyIssuer
+from .key_never_runs import KeyNeverRunsError, weaken_refusal
 from .placement import Placement
+from .retry_rule import RetryRule
 from .service_exchange import NotToldError, ServiceExchange
 from .service_order import ServiceOrder
 from .traffic import Traffic
@@ -75,19 +77,34 @@
             idempotent=listed.idempotent,
             service=order.service,
         )
-        key = None
         if order.key and not listed.idempotent:
-            key = self._check_key(caller, order)
+            return await self._call_with_key(caller, item, order)
         permit = await self._traffic.admit(item)
         try:
             if listed.idempotent:
                 return await self._read(item, order)
-            if key is not None:
-                return await self._call_owner(item, order, key)
             return await self._call_anywhere(item, order)
         finally:
             permit.release()
 
+    async def _call_with_key(
+        self, caller: CallerRequest, item: WorkItem, order: ServiceOrder
+    ) -> ServiceReply:
+        """Makes a call with a caller's key, of which other copies may be anywhere."""
+        key = self._check_key(caller, order)
+        permit = None
+        try:
+            permit = await self._traffic.admit(item)
+        except CodedError as error:
+            # With no endpoint for new work the owner may still tell of the work it has.
+            if error.code != "no_endpoint":
+                raise weaken_refusal(error, order.key) from error
+        try:
+            return await self._call_owner(item, order, key)
+        finally:
+            if permit is not None:
+                permit.release()
+
     def _check_key(self, caller: CallerRequest, order: ServiceOrder) -> KeyedKey:
         """Returns a caller's key.
 
@@ -98,9 +115,8 @@
         if key is None:
             # Nobody can prove whether another entry took a key of the caller's own making
             # to another endpoint, so no entry takes one.
-            raise self._with_new_key(
-                CodedError("key_not_issued", "send a key that was issued here", 400), order
-            )
+            message = "send a key that was issued here"
+            raise self._with_new_key(KeyNeverRunsError("key_not_issued", message, 400), order)
         endpoint = caller.revision.fleet.endpoints.get(key.endpoint)
         if endpoint is not None and endpoint.service != order.service:
             raise CodedError("key_for_another_service", "not a key for this", 422, Outcome.UNKNOWN)
@@ -113,6 +129,7 @@
 
     async def _read(self, item: WorkItem, order: ServiceOrder) -> ServiceReply:
         """Makes an idempotent call, at another endpoint where one fails."""
+        retries = RetryRule(self._traffic, item)
         tried: frozenset[str] = frozenset()
         failure: CodedError | None = None
         while True:
@@ -124,24 +141,22 @@
                 return await self._read_once(placement, order)
             except CodedError as error:
                 failure = error
-            if self._remaining(item) <= 0 or not self._traffic.may_retry(item):
-                raise failure
+            await self._pause(retries, item, failure)
             tried |= {placement.view.instance.name}
             self._log.write(Event.CALL_PLACED_AGAIN, request=item.request_id, code=failure.code)
 
     async def _read_once(self, placement: Placement, order: ServiceOrder) -> ServiceReply:
         item = placement.item
         remaining = self._remaining(item)
-        exchange = self._exchange(placement.view, item, order, None)
+        exchange = self._exchange(placement.view, item, order, None, placement)
         # Half of what is left: a stalled endpoint must not use up the time of the next.
         patience = max(min(SHORTEST_READ_PATIENCE_SECONDS, remaining), remaining / 2)
         with ending(placement):
-            reply, response = await exchange.send(remaining, patience, None)
-            placement.head_arrived(response.headers)
-            return reply
+            return await exchange.send(remaining, patience, None)
 
     async def _call_anywhere(self, item: WorkItem, order: ServiceOrder) -> ServiceReply:
         """Makes a call that came without a key, elsewhere only where it provably did not run."""
+        retries = RetryRule(self._traffic, item)
         tried: frozenset[str] = frozenset()
         failure: CodedError | None = None
         while True:
@@ -151,19 +166,25 @@
                 raise failure or error from error
             lifetime = self._remaining(item) + MINTED_KEY_EXTRA_SECONDS
             key = self.keys.issue_for(placement.view, lifetime)
-            exchange = self._exchange(placement.view, item, order, key)
+            exchange = self._exchange(placement.view, item, order, key, placement)
             try:
                 with ending(placement):
-                    return await self._settle(exchange, item, placement, others_sent=False)
+                    return await self._settle(exchange, item, others_sent=False)
             except CodedError as error:
                 failure = error
-            if failure.outcome is not Outcome.NOT_RUN or self._remaining(item) <= 0:
-                raise failure
-            if not self._traffic.may_retry(item):
+            if failure.outcome is not Outcome.NOT_RUN:
                 raise failure
+            await self._pause(retries, item, failure)
             tried |= {placement.view.instance.name}
             self._log.write(Event.CALL_PLACED_AGAIN, request=item.request_id, code=failure.code)
 
+    async def _pause(self, retries: RetryRule, item: WorkItem, failure: CodedError) -> None:
+        """Waits before another attempt, or raises the failure where there will be none."""
+        pause = retries.pause_before(failure)
+        if pause is None or pause >= self._remaining(item):
+            raise failure
+        await asyncio.sleep(pause)
+
     async def _call_owner(self, item: WorkItem, order: ServiceOrder, key: KeyedKey) -> ServiceReply:
         """Makes a call with a caller's key, which one incarnation alone may run."""
         view = self._find_owner(key)
@@ -175,21 +196,18 @@
         # cannot be placed on is no reason not to ask it.
         with contextlib.suppress(CodedError):
             placement = self._traffic.place(item, frozenset(others))
-        exchange = self._exchange(view, item, order, key)
+        exchange = self._exchange(view, item, order, key, placement)
         try:
             with ending(placement):
-                return await self._settle(exchange, item, placement, others_sent=True)
+                return await self._settle(exchange, item, others_sent=True)
         except CodedError as error:
-            if error.outcome is Outcome.NOT_RUN:
-                raise self._with_new_key(error, order) from error
-            raise
+            if error.outcome is not Outcome.NOT_RUN:
+                raise
+            proved = KeyNeverRunsError(error.code, str(error), error.http_status)
+            raise self._with_new_key(proved, order) from error
 
     async def _settle(
-        self,
-        exchange: ServiceExchange,
-        item: WorkItem,
-        placement: Placement | None,
-        others_sent: bool,
+        self, exchange: ServiceExchange, item: WorkItem, others_sent: bool
     ) -> ServiceReply:
         """Sends a call to the one sidecar that may run it until that tells the outcome.
 
@@ -214,10 +232,7 @@
             start_before = None if uptime is None else uptime + remaining
             waited = min(patience, remaining)
             try:
-                reply, response = await exchange.send(remaining, waited, start_before)
-                if placement is not None:
-                    placement.head_arrived(response.headers)
-                return reply
+                return await exchange.send(remaining, waited, start_before)
             except NotToldError as error:
                 failure = error
             except CodedError as error:
@@ -238,9 +253,15 @@
             await asyncio.sleep(min(pause, max(0.0, self._remaining(item))))
 
     def _exchange(
-        self, view: EndpointView, item: WorkItem, order: ServiceOrder, key: KeyedKey | None
+        self,
+        view: EndpointView,
+        item: WorkItem,
+        order: ServiceOrder,
+        key: KeyedKey | None,
+        placement: Placement | None,
     ) -> ServiceExchange:
-        return ServiceExchange(self._client, view, order, item.workspace, item.request_id, key)
+        names = (item.workspace, item.request_id)
+        return ServiceExchange(self._client, view, order, *names, key, placement)
 
     def _find_owner(self, key: KeyedKey) -> EndpointView | None:
         return self._table.find(key.endpoint)
--- a/wasabidrum/entry/target_pool.py
+++ b/wasabidrum/entry/target_pool.py
@@ -5,7 +5,7 @@
 import statistics
 
 from ..core.instance import InstanceState
-from ..decisions.admission_queue import AdmissionQueue
+from ..decisions.admission_queue import RESERVED_FRACTION, AdmissionQueue
 from ..decisions.endpoint_health import Health
 from ..decisions.endpoint_state import EndpointState
 from ..decisions.prefix_affinity import PrefixRing
@@ -29,7 +29,8 @@
     ) -> None:
         self.model = model
         self.service = service
-        self.queue = AdmissionQueue()
+        # Only text is asked of a model, so there is no other class to keep room for.
+        self.queue = AdmissionQueue(0.0 if model else RESERVED_FRACTION)
         self.waiters: dict[Ticket, asyncio.Future[None]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.median = 0.0
@@ -59,7 +60,11 @@
         self.median = statistics.median(seconds) if seconds else 0.0
         for name, view in views.items():
             self.take_report(name, view, now)
-        limits = [s.limit.value for s in self.states.values() if s.health.may_take(now)]
+        limits = [
+            state.limit.value
+            for state in self.states.values()
+            if state.health.may_take(now) and self.can_take(state.name)
+        ]
         self.queue.set_limit(sum(limits))
         return True
 
@@ -72,15 +77,21 @@
         if view.status is None or view.seen_at <= self._heard.get(name, float("-inf")):
             return
         self._heard[name] = view.seen_at
-        # A plain service reports no load; its placeholder must not count as a full queue.
-        self.states[name].take_report(view.status.load, now, counts=bool(self.model))
+        # A plain service reports no load; its placeholder must not count as one slot.
+        if self.model:
+            run_seconds = self.queue.mean_run_seconds
+            self.states[name].take_report(view.status.load, run_seconds, now)
 
     def can_take(self, name: str) -> bool:
         """Returns whether an endpoint is not leaving, as far as is known at this moment."""
         view = self.views[name]
         status = view.status
         return (
-            status is not None and not status.leaving and view.instance.state is InstanceState.LIVE
+            status is not None
+            and not status.leaving
+            and not view.lost
+            and status.load.slots > 0
+            and view.instance.state is InstanceState.LIVE
         )
 
     def probe_seconds(self, now: float) -> float:
