--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -7,7 +7,6 @@
 
 from ..config.settings import Settings
 from ..core.errors import CodedError
-from ..core.fleet import LinkSpec
 from ..core.instance import InstanceRole
 from ..decisions import chunk_route
 from ..decisions.chunk_evidence import ChunkEvidence
@@ -80,10 +79,9 @@
         else:
             self.counts.to_other_regions += size
 
-    def set_links(self, links: LinkSpec, plan: ChunkPlan | None) -> None:
-        """Takes the links' rates, and this sidecar's part of the thin link under a plan."""
-        self.pacer.links = links
-        region = plan.regions.get(self._settings.region) if plan else None
+    def share_link(self, plan: ChunkPlan) -> None:
+        """Takes this sidecar's part of its region's thin link, by the carriers alive now."""
+        region = plan.regions.get(self._settings.region)
         if region is None:
             return
         now = asyncio.get_running_loop().time()
@@ -175,6 +173,7 @@
     def _keep(self, plan: ChunkPlan, index: int, digest: str, content: bytes) -> None:
         asker = self._asker(self._members())
         rank = chunk_route.rank_to_keep(plan, asker, digest)
+        self.share_link(plan)
         self.store.add(digest, content, rank, chunk_route.count_children(plan, asker, index))
 
     async def _ask(
--- /dev/null
+++ b/wasabidrum/weights/engine_extras.py
@@ -0,0 +1,68 @@
+"""Gives an engine what goes with a version: its adapters and its role."""
+
+from ..decisions.chunk_plan import ChunkPlan
+from ..endpoints.model_engine import ModelEngine
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from ..peers.configuration_follower import ConfigurationFollower
+from .clock_guard import ClockGuard
+from .distributor import Distributor
+from .target import Target, region_of_endpoints
+from .version_download import VersionDownload, fetch_manifest
+
+
+class EngineExtras:
+    """Knows which adapters and which role this process has given its engine."""
+
+    __slots__ = ("_follower", "_engine", "_distributor", "_guard", "_log", "_adapters", "_role")
+
+    def __init__(
+        self,
+        follower: ConfigurationFollower,
+        engine: ModelEngine,
+        distributor: Distributor,
+        guard: ClockGuard,
+        log: EventLog,
+    ) -> None:
+        self._follower = follower
+        self._engine = engine
+        self._distributor = distributor
+        self._guard = guard
+        self._log = log
+        self._adapters: dict[str, str] = {}
+        self._role = ""
+
+    def forget(self) -> None:
+        """Takes that the engine has started anew and has nothing."""
+        self._adapters = {}
+        self._role = ""
+
+    async def order(self, target: Target) -> None:
+        """Gives the engine its role and the adapters that it lacks."""
+        if self._role != target.role:
+            await self._guard.confirm()
+            await self._engine.set_role(target.role, self._follower.revision)
+            self._role = target.role
+            self._log.write(Event.ROLE_ORDERED, role=target.role)
+        for name, root in target.adapters:
+            if self._adapters.get(name) != root:
+                await self._bring_adapter(target, name, root)
+
+    async def _bring_adapter(self, target: Target, name: str, root: str) -> None:
+        current = self._follower.current
+        region_of = region_of_endpoints(current, target.model)
+        origin_region = current.fleet.links.origin_region
+        manifest = await fetch_manifest(self._distributor, root, region_of, origin_region)
+        plan = ChunkPlan(root, manifest.chunks, region_of, origin_region)
+        parts: dict[int, bytes] = {}
+
+        async def deliver(index: int, content: bytes) -> None:
+            parts[index] = content
+
+        missing = list(range(len(manifest.chunks)))
+        await VersionDownload(self._distributor, plan, manifest, missing, deliver).run()
+        content = b"".join(parts[index] for index in missing)
+        await self._guard.confirm()
+        await self._engine.load_adapter(name, root, content, self._follower.revision)
+        self._adapters[name] = root
+        self._log.write(Event.ADAPTER_LOADED, adapter=name, bytes=len(content))
--- a/wasabidrum/weights/version_manager.py
+++ b/wasabidrum/weights/version_manager.py
@@ -12,6 +12,7 @@
 from ..peers.configuration_follower import ConfigurationFollower
 from .clock_guard import ClockGuard
 from .distributor import Distributor
+from .engine_extras import EngineExtras
 from .orderer_lock import OrdererLock
 from .rollout_gate import RolloutGate
 from .target import Target, find_target, region_of_endpoints
@@ -25,7 +26,7 @@
     """Owns the orders to one engine; one piece of work at a time."""
 
     __slots__ = ("_name", "_follower", "_engine", "_distributor", "_gate", "_guard", "_lock")
-    __slots__ += ("_log", "_orders", "_previous", "_adapters", "_role", "_logged")
+    __slots__ += ("_log", "_orders", "_previous", "_extras", "_logged")
     __slots__ += ("active", "fetching", "chunks_held", "chunks_wanted")
 
     def __init__(
@@ -49,8 +50,7 @@
         self._log = log
         self._orders = asyncio.Lock()
         self._previous = ""
-        self._adapters: dict[str, str] = {}
-        self._role = ""
+        self._extras = EngineExtras(follower, engine, distributor, guard, log)
         self._logged: tuple[str, str] = ("", "")
         self.active = ""
         self.fetching = ""
@@ -123,7 +123,7 @@
             await self._gate.judge_failure(order, target.version)
         active, _ = await self._engine.versions()
         if not active and self.active:
-            self._adapters, self._role = {}, ""
+            self._extras.forget()
         self.active = active
         if active and active != target.version:
             self._previous = active
@@ -167,7 +167,7 @@
         distributor.spread = self._gate.state.proven == version
         manifest = await fetch_manifest(distributor, spec.root, region_of, origin_region)
         plan = ChunkPlan(spec.root, manifest.chunks, region_of, origin_region)
-        distributor.set_links(current.fleet.links, plan)
+        distributor.share_link(plan)
         distributor.store.want({spec.root, *manifest.chunks})
         missing = await self._order_stage(version, manifest)
         self.chunks_wanted = len(manifest.chunks)
@@ -180,37 +180,6 @@
         await VersionDownload(distributor, plan, manifest, missing, deliver).run()
         self._log.write(Event.VERSION_STAGED, version=version, chunks=len(missing))
 
-    async def _order_extras(self, target: Target) -> None:
-        """Gives the engine its role and the adapters that it lacks."""
-        current = self._follower.current
-        if self._role != target.role:
-            await self._guard.confirm()
-            await self._engine.set_role(target.role, current.revision)
-            self._role = target.role
-            self._log.write(Event.ROLE_ORDERED, role=target.role)
-        for name, root in target.adapters:
-            if self._adapters.get(name) != root:
-                await self._bring_adapter(target, name, root)
-
-    async def _bring_adapter(self, target: Target, name: str, root: str) -> None:
-        current = self._follower.current
-        region_of = region_of_endpoints(current, target.model)
-        origin_region = current.fleet.links.origin_region
-        manifest = await fetch_manifest(self._distributor, root, region_of, origin_region)
-        plan = ChunkPlan(root, manifest.chunks, region_of, origin_region)
-        parts: dict[int, bytes] = {}
-
-        async def deliver(index: int, content: bytes) -> None:
-            parts[index] = content
-
-        missing = list(range(len(manifest.chunks)))
-        await VersionDownload(self._distributor, plan, manifest, missing, deliver).run()
-        content = b"".join(parts[index] for index in missing)
-        await self._guard.confirm()
-        await self._engine.load_adapter(name, root, content, self._follower.revision)
-        self._adapters[name] = root
-        self._log.write(Event.ADAPTER_LOADED, adapter=name, bytes=len(content))
-
     async def _order_stage(self, version: str, manifest: Manifest) -> list[int]:
         await self._guard.confirm()
         async with self._orders:
@@ -240,7 +209,7 @@
         state.staged = ""
         self.fetching = ""
         self.chunks_held = self.chunks_wanted
-        await self._order_extras(target)
+        await self._extras.order(target)
         if state.proven != target.version:
             model = self._follower.current.fleet.models[target.model]
             await asyncio.sleep(model.soak_seconds)
