--- a/wasabidrum/weights/version_manager.py
+++ b/wasabidrum/weights/version_manager.py
@@ -85,6 +85,9 @@
         await asyncio.wait((work,))
         self._gate.state.staged = ""
         self._gate.state.switching = False
+        # Peers must not wait here for chunks that nobody fetches any more.
+        self._distributor.store.expected = set()
+        self._distributor.store.wake_all()
         if self.fetching:
             newer = wanted.version if wanted else ""
             self._log.write(Event.VERSION_SUPERSEDED, version=target.version, by=newer)
