Take a paused endpoint out by the silence of answers that have begun

Cause: an engine whose process is paused sends no token that could tell that it is slow, so it kept its share until callers' deadlines passed. With the check it gets under 2% of new work within a second (tests.load_policy_test, paused clock).

--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -93,6 +93,8 @@
                     self._die()
                 for _ in range(tokens):
                     await asyncio.sleep(self.token_seconds)
+                    while self.silent:
+                        await asyncio.sleep(0.1)
                     progressed(1)
             finally:
                 self.running.discard(task)
--- a/tests/load_policy_test.py
+++ b/tests/load_policy_test.py
@@ -197,6 +197,22 @@
         after = percentile([a.total for a in fleet.answers if 1010.0 < a.began < 1022.0], 0.95)
         self.assertLessEqual(after, 1.3 * calm)
 
+    def test_a_paused_endpoint_loses_its_share(self) -> None:
+        """An engine's process is paused in the middle of answers. No token comes that could
+        tell it is slow, and its sidecar goes on reporting; whoever is sent there waits."""
+        fleet = FakeFleet(engines=8)
+
+        async def scenario() -> None:
+            await fleet.arrive(CAPACITY, 5.0)
+            fleet.engines[0].silent = True
+            await fleet.arrive(CAPACITY, 1.0, deadline=3.0)
+            before = fleet.placed
+            await fleet.arrive(CAPACITY, 8.0, deadline=3.0)
+            new = fleet.placed - before
+            self.assertLess(new["e0"], 0.02 * sum(new.values()))
+
+        run(fleet, scenario)
+
     def test_an_endpoint_that_refuses_everything_draws_no_traffic(self) -> None:
         """An engine refuses in a millisecond, so it always looks idle. Least-loaded routing
         sends it everything, and callers see errors beside seven healthy engines."""
--- a/wasabidrum/decisions/endpoint_state.py
+++ b/wasabidrum/decisions/endpoint_state.py
@@ -22,9 +22,11 @@
     Attributes:
       tier: 0 in the entry's data centre, 1 in its region, 2 in another region.
       in_progress: Requests of this entry that run there.
+      streaming: Those of them that have had their first token and not their last.
+      progress_at: When any of them last had a token.
     """
 
-    __slots__ = ("name", "tier", "limit", "health", "in_progress")
+    __slots__ = ("name", "tier", "limit", "health", "in_progress", "streaming", "progress_at")
     __slots__ += (
         "_load",
         "_reported_at",
@@ -42,6 +44,8 @@
         self.limit = EndpointLimit()
         self.health = EndpointHealth(rng)
         self.in_progress = 0
+        self.streaming = 0
+        self.progress_at = 0.0
         self._load = Load()
         self._reported_at = float("-inf")
         self._own_at_report = 0
--- a/wasabidrum/entry/traffic.py
+++ b/wasabidrum/entry/traffic.py
@@ -169,7 +169,9 @@
         placement.progress_at = now
         placement.tokens += tokens
         item.tokens_done += tokens
+        state.progress_at = now
         if last is None:
+            state.streaming += 1
             state.limit.take_first_token(now - placement.began, state.in_progress, now)
         elif state.health.take_tokens(tokens, now - last, pool.median, now):
             self._eject(pool, state, f"{state.health.token_seconds:.3f} s a token")
@@ -179,6 +181,8 @@
         item, state = placement.item, placement.state
         pool = self._pool(item)
         state.ended()
+        if placement.progress_at is not None:
+            state.streaming -= 1
         if placement.suspect:
             self._guard.ended(state.name)
         if not code:
@@ -305,6 +309,12 @@
         self._set_timer(pool, now)
 
     def _read_views(self, pool: TargetPool, now: float) -> None:
+        # A paused engine sends nothing, so that no token could tell that it is slow; only
+        # answers that have begun and stand still do.
+        for state in pool.states.values():
+            silent = now - state.progress_at
+            if state.streaming and state.health.take_silence(silent, pool.median, now):
+                self._eject(pool, state, f"silent for {silent:.1f} s")
         for name, view in pool.views.items():
             if view.status is not None and view.status.suspects:
                 self._guard.take_told(name, view.status.suspects, now)
