Have the demo refuse a faulty revision, stop an instance under load, and never end unsaid

Cause: a step that did not happen in time ended the demo in a traceback without its JSON line; the watch over revisions could die unseen and still count none as reverted; requests counted each sending of a key.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -2,14 +2,24 @@
 
 Starts stand-ins and daemons on loopback: two entries and six model endpoints in three
 regions, and two endpoints of a billing service. Rolls out a version of 64 MiB under live
-load, changes the wanted version once while it is in flight, kills an instance, and changes
-an overlay. The last line is one JSON object; the exit status is 1 where it breaks a promise.
+load, changes the wanted version once while it is in flight, kills an instance, changes an
+overlay, publishes a faulty revision, and stops an instance gracefully. The last line is one
+JSON object; the exit status is 1 where it breaks a promise.
 """
 
 import asyncio
 import collections
 import json
+import signal
 import sys
+import time
+
+from tornado import httpclient
+
+from wasabidrum.core.errors import CodedError
+from wasabidrum.scripts.commands.status import print_report
+from wasabidrum.scripts.fleet_client import FleetClient
+from wasabidrum.scripts.fleet_report import FleetReport
 
 from .caller import Caller
 from .cluster import Cluster
@@ -18,12 +28,18 @@
 REGIONS = ("recife-a", "fortaleza-a", "salvador-a")
 MEBIBYTE = 1_048_576
 VERSION_BYTES = 64 * MEBIBYTE
+FIRST_VERSION_BYTES = 4 * MEBIBYTE
 CHUNK_BYTES = MEBIBYTE
 ORIGIN_MBIT = 400.0
 BETWEEN_REGIONS_MBIT = 400.0
 LOAD_PER_SECOND = 30.0
 TOKENS = 20
 IN_FORCE_SECONDS = 40.0
+CHANGE_SECONDS = 10.0
+STOP_SECONDS = 20.0
+OUTCOMES = ("whole", "refused", "unknown", "failed", "wrong", "mixed", "lost")
+MUST_BE_ZERO = ("wrong", "mixed", "lost", "double_runs", "false_not_run", "reverted")
+MUST_BE_ZERO += ("cut_by_planned_stop", "missed")
 
 
 def say(text: str) -> None:
@@ -31,141 +47,232 @@
     print(text, flush=True)
 
 
-async def start_fleet(cluster: Cluster) -> tuple[dict[str, str], dict[str, str]]:
-    """Starts all processes; returns the regions of engines and of services by name."""
-    await cluster.start_platform("--origin-mbit", str(ORIGIN_MBIT))
-    engines = {f"assistant-{i + 1}": REGIONS[i % 3] for i in range(6)}
-    services = {"ticketing-1": REGIONS[0], "ticketing-2": REGIONS[1]}
-    started = [cluster.start_sidecar(name, region) for name, region in engines.items()]
-    started += [cluster.start_sidecar(name, region, "service") for name, region in services.items()]
-    started += [cluster.start_entry(f"entry-{i + 1}", REGIONS[i]) for i in range(2)]
-    await asyncio.gather(*started)
-    await cluster.publish_instances()
-    return engines, services
-
-
-async def count_live(cluster: Cluster, names: list[str], version: str) -> int:
-    """Returns how many engines have a version in force, asked of the engines themselves."""
-    live = 0
-    for name in names:
-        counters = await cluster.counters(cluster.members[name].endpoint_port)
-        live += counters["active"] == version
-    return live
-
-
-async def watch_revisions(cluster: Cluster, highest: dict[str, int], going_back: list) -> None:
-    """Notes any daemon whose revision ever goes down."""
-    while True:
-        for name, member in list(cluster.members.items()):
-            if not member.daemon.alive:
-                continue
-            try:
-                revision = (await cluster.status(name))["revision"]
-            except OSError:
-                continue
-            if revision < highest.get(name, 0):
-                going_back.append((name, highest[name], revision))
-            highest[name] = max(highest.get(name, 0), revision)
-        await asyncio.sleep(0.2)
-
-
-def count_runs(cluster: Cluster) -> collections.Counter:
-    """Returns how often each charge ran, from the journals of the services."""
-    runs: collections.Counter = collections.Counter()
-    for journal in cluster.folder.glob("*.journal"):
-        runs.update(journal.read_text().split())
-    return runs
-
-
-async def run_demo(cluster: Cluster) -> dict[str, object]:
-    """Plays the demo and returns its figures."""
-    loop = asyncio.get_running_loop()
-    engines, services = await start_fleet(cluster)
-    names = list(engines)
-    say(f"started {len(cluster.members)} daemons and {len(names) + len(services)} endpoints")
-    sizes = {"total_bytes": VERSION_BYTES, "chunk_bytes": CHUNK_BYTES}
-    roots = {"v1": await cluster.make_version(total_bytes=4 * MEBIBYTE, chunk_bytes=CHUNK_BYTES)}
-
-    def base(version: str) -> dict[str, object]:
+class Demo:
+    """One run of the demo.
+
+    Attributes:
+      missed: What did not happen in time.
+    """
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._engines = {f"assistant-{i + 1}": REGIONS[i % 3] for i in range(6)}
+        self._services = {"ticketing-1": REGIONS[0], "ticketing-2": REGIONS[1]}
+        self._roots: dict[str, str] = {}
+        self._left = list(self._engines)
+        self._highest: dict[str, int] = {}
+        self._reverted = 0
+        self._looks = 0
+        self._seconds = 0.0
+        self._origin_bytes = 0
+        self._cut = 0
+        self._caller = Caller([], seed=7)
+        self._load_ended = asyncio.Event()
+        self.missed: list[str] = []
+
+    async def run(self) -> dict[str, object]:
+        """Plays every step and returns the figures."""
+        await self.start_fleet()
+        await self.roll_out_first()
+        load = asyncio.ensure_future(
+            self._caller.run_open_loop(LOAD_PER_SECOND, TOKENS, ended=self._load_ended)
+        )
+        watch = asyncio.ensure_future(self.watch_revisions())
+        await self.change_in_flight()
+        await self.change_overlay()
+        await self.publish_faults()
+        await self.stop_gracefully()
+        self._load_ended.set()
+        await load
+        if watch.done():
+            watch.result()
+        watch.cancel()
+        return await self.judge()
+
+    async def start_fleet(self) -> None:
+        """Starts all processes."""
+        cluster = self._cluster
+        await cluster.start_platform("--origin-mbit", str(ORIGIN_MBIT))
+        started = [cluster.start_sidecar(name, region) for name, region in self._engines.items()]
+        for name, region in self._services.items():
+            started.append(cluster.start_sidecar(name, region, "service"))
+        started += [cluster.start_entry(f"entry-{i + 1}", REGIONS[i]) for i in range(2)]
+        await asyncio.gather(*started)
+        await cluster.publish_instances()
+        ports = [cluster.members[f"entry-{i + 1}"].caller_port for i in range(2)]
+        self._caller.entry_ports = ports
+        endpoints = len(self._engines) + len(self._services)
+        say(f"started {len(cluster.members)} daemons and {endpoints} endpoints")
+
+    async def roll_out_first(self) -> None:
+        """Brings a small version everywhere, so that there is something to answer with."""
+        wanted = {"total_bytes": FIRST_VERSION_BYTES, "chunk_bytes": CHUNK_BYTES}
+        self._roots["v1"] = await self._cluster.make_version(**wanted)
+        await self._cluster.publish(self.base("v1"))
+        seconds = await self.wait(lambda: self.is_live("v1"), IN_FORCE_SECONDS, "v1 live")
+        say(f"v1 in force on {len(self._left)} engines after {seconds:.1f} s")
+        await self.wait(self.answers, CHANGE_SECONDS, "the first whole answer")
+
+    async def change_in_flight(self) -> None:
+        """Rolls out a large version, another one while it is in flight, and kills an instance."""
+        cluster = self._cluster
+        wanted = {"total_bytes": VERSION_BYTES, "chunk_bytes": CHUNK_BYTES}
+        self._roots["v2"] = await cluster.make_version(seed=2, **wanted)
+        self._roots["v3"] = await cluster.make_version(
+            seed=3, base_seed=2, changed_fraction=0.1, **wanted
+        )
+        before = (await cluster.counters())["origin_weight_bytes"]
+        began = time.monotonic()
+        await cluster.publish(self.base("v2"))
+        say("v2 of 64 MiB wanted, under live load")
+        await asyncio.sleep(1.0)
+        await cluster.publish(self.base("v3"))
+        say("v3, with a tenth of its chunks changed, wanted while v2 is in flight")
+        await asyncio.sleep(0.5)
+        killed = cluster.members[self._left.pop()]
+        await killed.daemon.kill()
+        await killed.endpoint.kill()
+        say(f"{killed.name} killed")
+        await self.wait(lambda: self.is_live("v3"), IN_FORCE_SECONDS, "v3 live")
+        self._seconds = time.monotonic() - began
+        self._origin_bytes = (await cluster.counters())["origin_weight_bytes"] - before
+        say(f"v3 in force on {len(self._left)} engines after {self._seconds:.1f} s")
+
+    async def change_overlay(self) -> None:
+        """Changes one site's overlay and waits until every daemon has it in force."""
+        overlays = {REGIONS[0]: {"workspaces": {"printers": None}}}
+        revision = await self._cluster.publish(self.base("v3"), overlays)
+        seconds = await self.wait(
+            lambda: self.all_say("revision", revision), CHANGE_SECONDS, "overlay"
+        )
+        say(f"an overlay's change in force at every daemon after {seconds:.2f} s")
+
+    async def publish_faults(self) -> None:
+        """Publishes a revision with faults, which is to be in force nowhere."""
+        faulty = self.base("v9") | {"modles": {}}
+        revision = await self._cluster.publish(faulty)
+        seconds = await self.wait(
+            lambda: self.all_say("refused_revision", revision), CHANGE_SECONDS, "refusal"
+        )
+        say(f"a faulty revision refused by every daemon after {seconds:.2f} s; status says:")
+        await self.show_status()
+
+    async def stop_gracefully(self) -> None:
+        """Stops one sidecar under load, which is to cut off no request."""
+        before = self.count_broken()
+        stopped = self._cluster.members[self._left[0]]
+        began = time.monotonic()
+        stopped.daemon.send(signal.SIGTERM)
+        code = await stopped.daemon.wait(STOP_SECONDS)
+        if code != 0:
+            self.missed.append(f"the graceful stop of {stopped.name} (exit {code})")
+        await asyncio.sleep(1.0)
+        self._cut = self.count_broken() - before
+        say(f"{stopped.name} stopped gracefully in {time.monotonic() - began:.1f} s under load")
+
+    async def judge(self) -> dict[str, object]:
+        """Returns the figures, counted at the endpoints where that is possible."""
+        caller = self._caller
+        for problem in caller.problems[:10]:
+            say(f"problem: {problem}")
+        for name in self.missed:
+            say(f"not in time: {name}")
+        runs = self.count_runs()
+        untrue = [m for m, became in caller.charges.items() if became == "refused" and runs[m]]
+        ports = [self._cluster.members[name].endpoint_port for name in self._left]
+        engines = [await self._cluster.counters(port) for port in ports]
+        counts = caller.counts
+        return {
+            "replicas_live": sum(engine["active"] == "v3" for engine in engines),
+            "replicas_wanted": len(self._left),
+            "seconds": round(self._seconds, 2),
+            "origin_copies": round(self._origin_bytes / VERSION_BYTES, 3),
+            "requests": sum(counts[outcome] for outcome in OUTCOMES),
+            **{outcome: counts[outcome] for outcome in OUTCOMES},
+            "mixed": counts["mixed"] + sum(engine["bad_activations"] for engine in engines),
+            "charges": counts["charges"],
+            "double_runs": sum(1 for count in runs.values() if count > 1),
+            "false_not_run": len(untrue),
+            "reverted": self._reverted,
+            "cut_by_planned_stop": self._cut,
+            "missed": len(self.missed) + (not self._looks),
+        }
+
+    def base(self, version: str) -> dict[str, object]:
+        """Returns the base file's tree with a version wanted."""
+        base = make_base(self._roots, version, self._engines, self._services, VERSION_BYTES)
         # The link between regions is scaled up with the origin's, so that the demo is short.
-        links = {"between_regions_mbit": BETWEEN_REGIONS_MBIT}
-        return make_base(roots, version, engines, services, VERSION_BYTES) | {"links": links}
-
-    await cluster.publish(base("v1"))
-
-    async def live(version: str, wanted: list[str]) -> bool:
-        return await count_live(cluster, wanted, version) == len(wanted)
-
-    seconds = await cluster.wait_until(lambda: live("v1", names), IN_FORCE_SECONDS, "v1 live")
-    say(f"v1 in force on {len(names)} engines after {seconds:.1f} s")
-    await asyncio.sleep(1.5)
-
-    caller = Caller([cluster.members[f"entry-{i + 1}"].caller_port for i in range(2)], seed=7)
-    load = asyncio.ensure_future(caller.run_open_loop(LOAD_PER_SECOND, TOKENS, 35.0))
-    going_back: list = []
-    watch = asyncio.ensure_future(watch_revisions(cluster, {}, going_back))
-
-    roots["v2"] = await cluster.make_version(seed=2, **sizes)
-    roots["v3"] = await cluster.make_version(seed=3, base_seed=2, changed_fraction=0.1, **sizes)
-    before = (await cluster.counters())["origin_weight_bytes"]
-    await cluster.publish(base("v2"))
-    began = loop.time()
-    say("v2 of 64 MiB wanted, under live load")
-    await asyncio.sleep(1.0)
-    await cluster.publish(base("v3"))
-    say("v3, with a tenth of its chunks changed, wanted while v2 is in flight")
-    killed = cluster.members["assistant-6"]
-    await asyncio.sleep(0.5)
-    await killed.daemon.kill()
-    await killed.endpoint.kill()
-    say("assistant-6 killed")
-    left = names[:-1]
-    await cluster.wait_until(lambda: live("v3", left), IN_FORCE_SECONDS, "v3 live")
-    seconds = loop.time() - began
-    origin_bytes = (await cluster.counters())["origin_weight_bytes"] - before
-    say(f"v3 in force on {len(left)} engines after {seconds:.1f} s")
-
-    revision = await cluster.publish(base("v3"), {"recife-a": {"workspaces": {"printers": None}}})
-
-    async def everywhere() -> bool:
-        alive = [name for name, member in cluster.members.items() if member.daemon.alive]
-        statuses = [await cluster.status(name) for name in alive]
-        return all(status["revision"] == revision for status in statuses)
-
-    took = await cluster.wait_until(everywhere, 10.0, "overlay in force")
-    say(f"an overlay's change in force at every daemon after {took:.2f} s")
-    await load
-    watch.cancel()
-    runs = count_runs(cluster)
-    counts = caller.counts
-    for problem in caller.problems[:10]:
-        say(f"problem: {problem}")
-    false_not_run = [m for m, became in caller.charges.items() if became == "refused" and runs[m]]
-    bad = [await cluster.counters(cluster.members[name].endpoint_port) for name in left]
-    return {
-        "replicas_live": await count_live(cluster, left, "v3"),
-        "replicas_wanted": len(left),
-        "seconds": round(seconds, 2),
-        "origin_copies": round(origin_bytes / VERSION_BYTES, 3),
-        "requests": counts["requests"],
-        "whole": counts["whole"],
-        "refused": counts["refused"],
-        "unknown": counts["unknown"],
-        "failed": counts["failed"],
-        "wrong": counts["wrong"],
-        "mixed": counts["mixed"] + sum(counter["bad_activations"] for counter in bad),
-        "lost": counts["lost"],
-        "charges": counts["charges"],
-        "double_runs": sum(1 for count in runs.values() if count > 1),
-        "false_not_run": len(false_not_run),
-        "reverted": len(going_back),
-    }
-
-
-def breaks_promise(figures: dict[str, object]) -> list[str]:
+        return base | {"links": {"between_regions_mbit": BETWEEN_REGIONS_MBIT}}
+
+    async def wait(self, check, seconds: float, what: str) -> float:
+        """Waits for something; what does not happen in time is noted, and the demo goes on."""
+        try:
+            return await self._cluster.wait_until(check, seconds, what)
+        except TimeoutError:
+            self.missed.append(what)
+            return seconds
+
+    async def is_live(self, version: str) -> bool:
+        """Returns whether every engine left answers with a version, asked of the engines."""
+        for name in self._left:
+            counters = await self._cluster.counters(self._cluster.members[name].endpoint_port)
+            if counters["active"] != version:
+                return False
+        return True
+
+    async def answers(self) -> bool:
+        """Returns whether each entry answers a request whole."""
+        for port in self._caller.entry_ports:
+            if await Caller([port], seed=1).generate("hello", 3) != "whole":
+                return False
+        return True
+
+    async def all_say(self, field: str, value: object) -> bool:
+        """Returns whether every living daemon's status has a value."""
+        alive = [name for name, member in self._cluster.members.items() if member.daemon.alive]
+        return all([(await self._cluster.status(name))[field] == value for name in alive])
+
+    async def watch_revisions(self) -> None:
+        """Counts each time that a daemon's revision goes down."""
+        while True:
+            for name, member in list(self._cluster.members.items()):
+                if not member.daemon.alive:
+                    continue
+                try:
+                    revision = (await self._cluster.status(name))["revision"]
+                except (OSError, httpclient.HTTPError):
+                    continue
+                self._looks += 1
+                self._reverted += revision < self._highest.get(name, 0)
+                self._highest[name] = max(self._highest.get(name, 0), revision)
+            await asyncio.sleep(0.2)
+
+    async def show_status(self) -> None:
+        """Prints what `wasabidrum status` would."""
+        url = f"http://127.0.0.1:{self._cluster.platform_port}/instances"
+        client = FleetClient(url)
+        try:
+            listed = await client.read_list()
+            answers = await client.ask_statuses(listed.instances)
+            print_report(FleetReport(listed, answers), time.time())
+        except CodedError as error:
+            self.missed.append(f"status: {error}")
+
+    def count_broken(self) -> int:
+        """Returns how many requests did not get their answer, refused ones left out."""
+        return sum(self._caller.counts[name] for name in ("failed", "unknown", "lost"))
+
+    def count_runs(self) -> collections.Counter[str]:
+        """Returns how often each charge ran, from the journals of the services."""
+        runs: collections.Counter[str] = collections.Counter()
+        for journal in self._cluster.folder.glob("*.journal"):
+            runs.update(journal.read_text().split())
+        return runs
+
+
+def find_broken(figures: dict[str, object]) -> list[str]:
     """Returns the names of the figures that break a promise."""
-    zeros = ("wrong", "mixed", "lost", "double_runs", "false_not_run", "reverted")
-    broken = [name for name in zeros if figures[name] != 0]
+    broken = [name for name in MUST_BE_ZERO if figures[name] != 0]
     if figures["replicas_live"] != figures["replicas_wanted"]:
         broken.append("replicas_live")
     if figures["whole"] == 0:
@@ -176,8 +283,8 @@
 async def play() -> int:
     """Runs the demo in a cluster of its own."""
     async with Cluster() as cluster:
-        figures = await run_demo(cluster)
-    broken = breaks_promise(figures)
+        figures = await Demo(cluster).run()
+    broken = find_broken(figures)
     if broken:
         say(f"broken: {', '.join(broken)}")
     print(json.dumps(figures), flush=True)
--- a/wasabidrum/scripts/commands/status.py
+++ b/wasabidrum/scripts/commands/status.py
@@ -56,8 +56,8 @@
     if status.fetching:
         fetching = f"{status.fetching} {status.chunks_held}/{status.chunks_wanted}"
     load = status.load
-    shown_load = f"{load.running}/{load.slots} +{load.waiting}" if load.slots else ""
-    age = f"{now - answer.at:.1f} s, up {status.uptime:.0f} s"
+    shown_load = f"{load.running}/{load.slots} +{load.waiting}" if status.model else ""
+    age = f"{now - answer.at:.1f} s" + (f", up {status.uptime:.0f} s" if status.uptime else "")
     return (*start, str(status.revision), state_of(answer), serves, fetching, shown_load, age)
 
 
@@ -94,7 +94,6 @@
     """Asks everyone and prints what they say."""
     listed = await client.read_list()
     answers = await client.ask_statuses(listed.instances)
-    answers.sort(key=lambda answer: (answer.instance.role, answer.instance.name))
     report = FleetReport(listed, answers)
     (print_json if options.json else print_report)(report, time.time())
     return EXIT_FOUND if report.problems() else EXIT_OK
--- a/wasabidrum/scripts/fleet_report.py
+++ b/wasabidrum/scripts/fleet_report.py
@@ -14,6 +14,9 @@
     listed: InstanceList
     answers: list[FleetAnswer[Status]]
 
+    def __post_init__(self) -> None:
+        self.answers.sort(key=lambda answer: (answer.instance.role, answer.instance.name))
+
     @property
     def statuses(self) -> list[Status]:
         """The accounts of those that answered."""
