--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -13,6 +13,7 @@
 from ..observe.event_log import EventLog
 from ..observe.routes import make_routes
 from ..peers.configuration_follower import ConfigurationFollower
+from ..peers.control_handler import ControlHandler
 from ..peers.peer_node import PeerNode
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
@@ -67,7 +68,11 @@
         """Listens and starts the background tasks."""
         given = {"entry": self}
         internal = web.Application(
-            [(r"/internal/status", StatusHandler, given), *make_routes(self.log)],
+            [
+                (r"/internal/status", StatusHandler, given),
+                (r"/internal/control", ControlHandler, {"node": self.node}),
+                *make_routes(self.log),
+            ],
             log_function=lambda handler: None,
         )
         listen = self._settings.listen
--- a/wasabidrum/peers/peer_membership.py
+++ b/wasabidrum/peers/peer_membership.py
@@ -1,5 +1,8 @@
 """Membership from the list, from peers' streams and from news, joined in the member table."""
 
+import collections.abc
+
+from ..core.instance import Instance
 from ..decisions.member_news import MemberState
 from ..decisions.member_record import MemberRecord
 from ..decisions.member_table import MemberTable
@@ -9,10 +12,15 @@
 class PeerMembership:
     """Implements Membership."""
 
-    __slots__ = ("_table", "_views", "_version", "_failed")
+    __slots__ = ("_table", "_own", "_own_view", "_views", "_version", "_failed")
 
-    def __init__(self, table: MemberTable) -> None:
+    def __init__(
+        self, table: MemberTable, own: collections.abc.Callable[[], Instance | None]
+    ) -> None:
+        """Takes the table, and what tells where the others find this process, if they do."""
         self._table = table
+        self._own = own
+        self._own_view: MemberView | None = None
         self._views: dict[str, MemberView] = {}
         self._version = -1
         self._failed: dict[str, str] = {}
@@ -29,7 +37,11 @@
             }
         for name, view in self._views.items():
             self._update(view, self._table.get(name))
-        return list(self._views.values())
+        own = self._own()
+        if own is not None and (self._own_view is None or self._own_view.instance != own):
+            self._own_view = MemberView(own)
+        # A list that is empty for a moment does not make this process unknown to its peers.
+        return [*self._views.values(), *([self._own_view] if self._own_view else [])]
 
     def report_failure(self, name: str) -> None:
         """See Membership."""
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -24,6 +24,7 @@
 from ..observe.event_log import EventLog
 from ..observe.routes import make_routes
 from ..peers.configuration_follower import ConfigurationFollower
+from ..peers.control_handler import ControlHandler
 from ..peers.listed_membership import ListedMembership
 from ..peers.membership import Membership
 from ..peers.peer_membership import PeerMembership
@@ -67,7 +68,7 @@
             settings, directory, self.follower, self.status, log, self._report_failure
         )
         self._listed = ListedMembership(directory)
-        self.membership: Membership = PeerMembership(self.node.table)
+        self.membership: Membership = PeerMembership(self.node.table, self.node.find_listed)
         if settings.control == "service":
             self.membership = self._listed
         if settings.endpoint.kind == "engine":
@@ -94,6 +95,7 @@
             (r"/internal/service", call_handlers.ServiceHandler, given),
             (r"/internal/cancel/([^/]+)", call_handlers.CancelHandler, given),
             (r"/internal/status", call_handlers.StatusHandler, given),
+            (r"/internal/control", ControlHandler, {"node": self.node}),
             *make_routes(self._log),
         ]
         if self.weights is not None:
