--- a/tests/tool_test.py
+++ b/tests/tool_test.py
@@ -104,6 +104,27 @@
         self.assertIn("NO ANSWER from worker-2", json.loads(lines[0])["problems"])
         self.assertEqual((await self.run_tool("rollout", "v9", "--seconds", "0"))[0], 1)
 
+    async def read_metrics(self, name: str) -> str:
+        """Returns what Prometheus scrapes from a daemon."""
+        port = self.cluster.members[name].http_port
+        response = await self.cluster.client.fetch(f"http://127.0.0.1:{port}/metrics")
+        return response.body.decode()
+
+    async def test_both_roles_are_scraped(self) -> None:
+        async def answers() -> bool:
+            return await self.call("till-1") == 200
+
+        await self.cluster.wait_until(answers, 30.0, "the first whole answer")
+        entry, sidecar = await self.read_metrics("entry-1"), await self.read_metrics("worker-1")
+        for text in (entry, sidecar):
+            self.assertIn("wasabidrum_revision 1.0", text)
+            self.assertIn("wasabidrum_requests_in_progress 0.0", text)
+            self.assertRegex(text, r"process_resident_memory_bytes [\d.e+]+")
+        self.assertIn('wasabidrum_requests_total{code="",outcome="done"} 1.0', entry)
+        self.assertIn("wasabidrum_endpoints_known 2.0", entry)
+        self.assertIn("wasabidrum_tokens_total 16.0", entry)
+        self.assertRegex(sidecar, r'wasabidrum_weight_bytes_total\{source="origin"\} [\d.]+')
+
     async def test_an_unreachable_list_is_said_so(self) -> None:
         await self.cluster.control("faults", {"instances": "down"})
         self.assertEqual((await self.run_tool("status"))[0], 3)
