--- a/wasabidrum/entry/endpoint_watcher.py
+++ b/wasabidrum/entry/endpoint_watcher.py
@@ -110,7 +110,9 @@
 
     def _find_member(self, name: str) -> Instance | None:
         record = self._node.table.get(name)
-        return record.instance if record is not None else None
+        if record is None or record.state is MemberState.DEAD:
+            return None
+        return record.instance
 
     def _forgive(self, seconds: float) -> None:
         self._links.forgive(seconds)
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -24,7 +24,7 @@
 from .peer_chunk_client import PeerChunkClient
 from .transfer_counts import TransferCounts
 
-ASK_WAIT_SECONDS = 4.0
+ASK_WAIT_SECONDS = 3.0
 WAITS_BEFORE_OTHERS = 4
 PROBE_ROUNDS_WHEN_SPREAD = 4
 FIRST_PAUSE_SECONDS = 0.5
@@ -103,6 +103,10 @@
         region = plan.regions.get(self._settings.region)
         return region is not None and region.carrier(index) == self._settings.name
 
+    def is_first_region(self, plan: ChunkPlan, index: int) -> bool:
+        """Returns whether the plan has this sidecar's region draw a chunk from the origin."""
+        return plan.region_order(index)[0] == self._settings.region
+
     async def fetch(self, plan: ChunkPlan, digest: str) -> bytes:
         """Returns a verified chunk, from the store, a peer or the origin, whatever it takes."""
         waits = rounds = 0
@@ -141,7 +145,9 @@
 
     def _asker(self, members: dict[str, MemberView]) -> Asker:
         name = self._settings.name
-        return Asker(name, self._settings.region, name in members)
+        # A membership may leave out its own process. One that knows nobody has not read
+        # the list yet, or stands alone.
+        return Asker(name, self._settings.region, bool(members))
 
     def _usable(self, digest: str, members: dict[str, MemberView]) -> chunk_route.Usable:
         now = self._now()
@@ -179,14 +185,15 @@
         if view is None:
             return None, None
         self.counts.asks += 1
+        self.evidence.begin_ask(name, self._now())
         try:
             answer = await self._peers.ask(view.url, digest, wait, self.revision, probe)
         except CodedError as error:
             self._note_failure(name, digest, error)
             return None, None
         self._membership.report_success(name)
+        self.evidence.note_answer(name, answer.content is not None)
         if answer.content is not None:
-            self.evidence.note_success(name)
             self.counts.asks_answered += 1
             if view.instance.region == self._settings.region:
                 self.counts.from_own_region += len(answer.content)
