--- a/tests/mutual_tls_test.py
+++ b/tests/mutual_tls_test.py
@@ -18,6 +18,8 @@
 
 from .certificates import Authority
 
+VERSION_BYTES = 300_000
+CHUNK_BYTES = 65_536
 ORDER = {"request_id": "r", "prompt": "hello", "max_tokens": 3}
 
 
@@ -44,8 +46,9 @@
         self.sidecar = await self.cluster.start_sidecar("worker-1", "rift-a", tls=sidecar)
         self.entry = await self.cluster.start_entry("entry-1", "rift-a", tls=entry)
         await self.cluster.publish_instances()
-        root = await self.cluster.make_version(total_bytes=300_000, chunk_bytes=65_536)
-        await self.cluster.publish(make_base({"v1": root}, "v1", {"worker-1": "rift-a"}))
+        sizes = {"total_bytes": VERSION_BYTES, "chunk_bytes": CHUNK_BYTES}
+        self.root = await self.cluster.make_version(**sizes)
+        await self.cluster.publish(make_base({"v1": self.root}, "v1", {"worker-1": "rift-a"}))
         self.caller = Caller([self.entry.caller_port], seed=1)
         await self.wait_for_answer()
 
@@ -99,6 +102,24 @@
                     await reply
         self.assertEqual(await self.caller.generate("hello", 3), "whole")
 
+    async def test_chunks_travel_between_sidecars(self) -> None:
+        """A second sidecar joins and takes its weights from the first. Both ends of a peer's
+        transfer have to speak TLS, or a fleet with certificates would draw every copy from
+        the origin, or never be live."""
+        settings = self.authority.write(self.folder, "worker-2")
+        second = await self.cluster.start_sidecar("worker-2", "rift-a", tls=settings)
+        await self.cluster.publish_instances()
+        drawn = (await self.cluster.counters())["origin_weight_bytes"]
+        engines = {"worker-1": "rift-a", "worker-2": "rift-a"}
+        await self.cluster.publish(make_base({"v1": self.root}, "v1", engines))
+
+        async def is_live() -> bool:
+            return (await self.cluster.counters(second.endpoint_port))["active"] == "v1"
+
+        await self.cluster.wait_until(is_live, 60.0, "v1 at the second sidecar")
+        again = (await self.cluster.counters())["origin_weight_bytes"] - drawn
+        self.assertLess(again, VERSION_BYTES)
+
     async def test_certificates_change_without_a_restart(self) -> None:
         """Certificates last a day and are replaced on every instance while it serves; for a
         moment a new certificate lies beside the old key. A daemon that had to be restarted
