--- a/bench/demo.py
+++ b/bench/demo.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import collections
 import json
 import signal
 import sys
@@ -21,6 +20,7 @@
 from wasabidrum.scripts.fleet_client import FleetClient
 from wasabidrum.scripts.fleet_report import FleetReport
 
+from . import demo_figures
 from .caller import Caller
 from .cluster import Cluster
 from .fleet_files import make_base
@@ -37,9 +37,6 @@
 IN_FORCE_SECONDS = 40.0
 CHANGE_SECONDS = 10.0
 STOP_SECONDS = 20.0
-OUTCOMES = ("whole", "refused", "unknown", "failed", "wrong", "mixed", "lost")
-MUST_BE_ZERO = ("wrong", "mixed", "lost", "double_runs", "false_not_run", "reverted")
-MUST_BE_ZERO += ("cut_by_planned_stop", "missed")
 
 
 def say(text: str) -> None:
@@ -172,27 +169,19 @@
 
     async def judge(self) -> dict[str, object]:
         """Returns the figures, counted at the endpoints where that is possible."""
-        caller = self._caller
-        for problem in caller.problems[:10]:
+        for problem in self._caller.problems[:10]:
             say(f"problem: {problem}")
         for name in self.missed:
             say(f"not in time: {name}")
-        runs = self.count_runs()
-        untrue = [m for m, became in caller.charges.items() if became == "refused" and runs[m]]
         ports = [self._cluster.members[name].endpoint_port for name in self._left]
         engines = [await self._cluster.counters(port) for port in ports]
-        counts = caller.counts
+        figures = demo_figures.count_requests(self._caller, engines, self._cluster.folder)
         return {
             "replicas_live": sum(engine["active"] == "v3" for engine in engines),
             "replicas_wanted": len(self._left),
             "seconds": round(self._seconds, 2),
             "origin_copies": round(self._origin_bytes / VERSION_BYTES, 3),
-            "requests": sum(counts[outcome] for outcome in OUTCOMES),
-            **{outcome: counts[outcome] for outcome in OUTCOMES},
-            "mixed": counts["mixed"] + sum(engine["bad_activations"] for engine in engines),
-            "charges": counts["charges"],
-            "double_runs": sum(1 for count in runs.values() if count > 1),
-            "false_not_run": len(untrue),
+            **figures,
             "reverted": self._reverted,
             "cut_by_planned_stop": self._cut,
             "missed": len(self.missed) + (not self._looks),
@@ -262,29 +251,12 @@
         """Returns how many requests did not get their answer, refused ones left out."""
         return sum(self._caller.counts[name] for name in ("failed", "unknown", "lost"))
 
-    def count_runs(self) -> collections.Counter[str]:
-        """Returns how often each charge ran, from the journals of the services."""
-        runs: collections.Counter[str] = collections.Counter()
-        for journal in self._cluster.folder.glob("*.journal"):
-            runs.update(journal.read_text().split())
-        return runs
-
-
-def find_broken(figures: dict[str, object]) -> list[str]:
-    """Returns the names of the figures that break a promise."""
-    broken = [name for name in MUST_BE_ZERO if figures[name] != 0]
-    if figures["replicas_live"] != figures["replicas_wanted"]:
-        broken.append("replicas_live")
-    if figures["whole"] == 0:
-        broken.append("whole")
-    return broken
-
 
 async def play() -> int:
     """Runs the demo in a cluster of its own."""
     async with Cluster() as cluster:
         figures = await Demo(cluster).run()
-    broken = find_broken(figures)
+    broken = demo_figures.find_broken(figures)
     if broken:
         say(f"broken: {', '.join(broken)}")
     print(json.dumps(figures), flush=True)
