Resolve IP numbers at once instead of in a pool of threads

Cause: the client asked the system for the address of each connection in a thread, though the fleet talks by IP numbers: up to 16 threads, and two changes of thread on the path of every request.

--- a/bench/product.py
+++ b/bench/product.py
@@ -2,7 +2,8 @@
 
 The files are those of two years from now: 1,900 endpoints and 400 entries' worth of
 workspaces, with an overlay for each of nine data centres. The daemons accept them and are
-measured before and after, from the kernel's account.
+measured before and after, from the kernel's account. An HTTP request between processes
+is measured with the fleet's client and with the library's own resolver of addresses.
 """
 
 import asyncio
@@ -21,6 +22,7 @@
 from wasabidrum.core.fleet import Fleet
 
 from .cluster import Cluster
+from .fetch_cost import measure_fetch
 from .fleet_files import make_base
 from .process import Process
 from .report import Aim, is_quick, print_report
@@ -125,10 +127,12 @@
     if files.findings:
         raise ValueError(f"the bench's own files are invalid: {files.findings[0]}")
     memory = asyncio.run(measure_memory(files))
+    ours, library = asyncio.run(measure_fetch())
     for name, value in memory.items():
         print(f"{name}: {value:.1f}")
     check = Aim("check of 2,000 endpoints", statistics.median(seconds), "s", 1.0, plain)
-    aims = [check]
+    fetch = Aim("one HTTP request, both ends", round(ours, 3), "ms", round(library, 3), library)
+    aims = [check, fetch]
     for kind in ("", ", private"):
         bare = memory["bare interpreter" + kind]
         for role in ("entry", "sidecar"):
--- a/wasabidrum/wire/http_client.py
+++ b/wasabidrum/wire/http_client.py
@@ -14,6 +14,7 @@
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
 from . import tls
+from .numeric_resolver import NumericResolver
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 CLIENTS_AT_ONCE = 10_000
@@ -27,6 +28,7 @@
         force_instance=True,
         max_clients=CLIENTS_AT_ONCE,
         max_body_size=LARGEST_BODY_BYTES,
+        resolver=NumericResolver(),
         defaults={
             "connect_timeout": CONNECT_TIMEOUT_SECONDS,
             "user_agent": "wasabidrum",
