Count no refusal as a death, and measure the cost of a chunk without control

Cause: a refusal by a sidecar has a head as well, so that a request refused before a dead engine became a suspect though it never ran; new codes of given-up attempts were counted as failures of the endpoint.

--- a/bench/bare_relay.py
+++ b/bench/bare_relay.py
@@ -6,6 +6,8 @@
 
 import argparse
 import asyncio
+import collections.abc
+import itertools
 import sys
 
 from tornado import httpclient, web
@@ -16,16 +18,18 @@
 class RelayHandler(web.RequestHandler):
     """POST /: relays one generation."""
 
-    def initialize(self, url: str, client: httpclient.AsyncHTTPClient) -> None:
-        """Takes the engine's URL from the route."""
-        self.url = url
+    def initialize(
+        self, urls: collections.abc.Iterator[str], client: httpclient.AsyncHTTPClient
+    ) -> None:
+        """Takes the engines' URLs, in turn for ever, from the route."""
+        self.urls = urls
         self.client = client
 
     async def post(self) -> None:
         """Writes each chunk as it comes."""
         chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
         request = httpclient.HTTPRequest(
-            self.url,
+            next(self.urls),
             method="POST",
             body=self.request.body,
             streaming_callback=chunks.put_nowait,
@@ -43,12 +47,12 @@
     """Runs the relay until it is told to end."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--port", type=int, default=0)
-    parser.add_argument("--url", required=True)
+    parser.add_argument("--urls", nargs="+", required=True)
     options = parser.parse_args()
 
     async def serve() -> None:
         client = httpclient.AsyncHTTPClient(force_instance=True, max_clients=10_000)
-        given = {"url": options.url, "client": client}
+        given = {"urls": itertools.cycle(options.urls), "client": client}
         application = web.Application(
             [(r"/", RelayHandler, given)], log_function=lambda handler: None
         )
--- a/bench/load.py
+++ b/bench/load.py
@@ -2,7 +2,7 @@
 
 Open-loop arrivals with fixed seeds; every answer is judged at its caller. Writes latency
 figures to out/ and, in its long form, the plot docs/plots/load.png. Parts may be named on the
-command line: main, late.
+command line: main, late, costs.
 """
 
 import asyncio
@@ -171,8 +171,14 @@
 
 
 async def measure(parts: list[str]) -> dict[str, dict]:
-    """Measures the parts named: main, late."""
+    """Measures the parts named: main, late, costs."""
     found: dict[str, dict] = {}
+    if "costs" in parts:
+        async with Cluster() as cluster:
+            fleet = LoadFleet(cluster)
+            await fleet.start({OURS: 1})
+            found["costs"] = {OURS: await load_costs.measure_chunks(fleet)}
+            say(f"costs: {brief(found['costs'][OURS])}")
     if "main" in parts:
         found = await measure_main(2.0 if is_quick() else 4.0)
         found["decide"] = await load_costs.measure_decisions()
--- a/wasabidrum/entry/placement.py
+++ b/wasabidrum/entry/placement.py
@@ -44,7 +44,10 @@
 
     def head_arrived(self, head: httputil.HTTPHeaders) -> None:
         """Takes the status that came with the head of an answer."""
-        self.head_at = asyncio.get_running_loop().time()
+        # A refusal has a head too. Taken for the head of an answer, a refused connection to a
+        # dead engine would count as a death that the request was there at.
+        if headers.ERROR_CODE not in head:
+            self.head_at = asyncio.get_running_loop().time()
         told = head.get(headers.STATUS_ON_ANSWER)
         if told is None:
             return
--- a/wasabidrum/entry/traffic.py
+++ b/wasabidrum/entry/traffic.py
@@ -22,7 +22,15 @@
 from .work_item import Priority, WorkItem
 
 NEUTRAL_CODES = frozenset(
-    ("cancelled", "endpoint_leaving", "attempt_invalid", "version_mismatch", "answer_crossed")
+    (
+        "cancelled",
+        "attempt_cancelled",
+        "attempt_invalid",
+        "deadline_passed",
+        "endpoint_leaving",
+        "version_mismatch",
+        "answer_crossed",
+    )
 )
 DEATH_CODES = frozenset(("engine_lost", "answer_cut", "peer_unreachable"))
 SHORTEST_TIME = 1e-6
