--- a/bench/plain_entry.py
+++ b/bench/plain_entry.py
@@ -7,7 +7,6 @@
 
 import itertools
 import os
-import random
 import sys
 
 from wasabidrum.core.errors import CodedError
@@ -32,7 +31,11 @@
     """Admits everything and places by one simple rule."""
 
     policy = os.environ.get(POLICY_VARIABLE, "no_admission")
-    turns = itertools.count(random.Random().randrange(1000))
+
+    def __init__(self, *given: object) -> None:
+        super().__init__(*given)
+        # Entries do not know of each other, and start their rounds at different places.
+        self._turns = itertools.count(self._rng.randrange(1000))
 
     async def admit(self, item: WorkItem) -> Permit:
         """Lets the request run at once."""
@@ -60,9 +63,9 @@
     def choose(self, views: list):
         """Chooses an endpoint."""
         if self.policy == "random":
-            return random.choice(views)
+            return self._rng.choice(views)
         if self.policy == "round_robin":
-            return views[next(self.turns) % len(views)]
+            return views[next(self._turns) % len(views)]
         if self.policy == "least_reported":
             return min(views, key=reported)
         return min(views, key=lambda view: view.in_progress)
