--- a/bench/plain_entry.py
+++ b/bench/plain_entry.py
@@ -5,6 +5,7 @@
 everything and retry nothing.
 """
 
+import asyncio
 import itertools
 import os
 import sys
@@ -51,13 +52,14 @@
             if view.instance.name not in tried
         ]
         pool = self._pool(item)
+        now = asyncio.get_running_loop().time()
         pool.refresh_soon()
-        pool.refresh(self._table, 0.0)
+        pool.refresh(self._table, now)
         if not views:
             raise CodedError("no_endpoint", "no endpoint can answer now", 503, retry_after=1.0)
         view = self.choose(views)
         state = pool.states[view.instance.name]
-        state.placed(0.0)
+        state.placed(now)
         return Placement(item, view, state, False, self)
 
     def choose(self, views: list):
