--- a/wasabidrum/weights/chunk_handler.py
+++ b/wasabidrum/weights/chunk_handler.py
@@ -25,6 +25,8 @@
         """Takes the distributor from the route."""
         self.distributor = distributor
         self.closed = asyncio.Event()
+        if headers.ASKER in self.request.headers:
+            distributor.note_asked()
 
     def head(self, digest: str) -> None:
         """Says what is known of the chunk, at once."""
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 
 from tornado import httpclient
 
@@ -26,6 +27,7 @@
 ASK_WAIT_SECONDS = 3.0
 WAITS_BEFORE_OTHERS = 4
 PROBE_ROUNDS_WHEN_SPREAD = 4
+KNOWN_WITHIN_SECONDS = 1.0
 FIRST_PAUSE_SECONDS = 0.5
 LONGEST_PAUSE_SECONDS = 4.0
 
@@ -34,7 +36,7 @@
     """One sidecar's part in the distribution: its store, its evidence and its requests."""
 
     __slots__ = ("_settings", "_membership", "_origin", "_log", "_peers", "store", "pacer")
-    __slots__ += ("evidence", "counts", "revision", "spread")
+    __slots__ += ("evidence", "counts", "revision", "spread", "_asked", "_begun_at")
 
     def __init__(
         self,
@@ -57,6 +59,8 @@
         self.revision = 0
         # Whether the version is known to be in force somewhere, so that peers hold it.
         self.spread = False
+        self._asked = asyncio.Event()
+        self._begun_at = 0.0
 
     def state_of(self, digest: str, asker_revision: int = 0) -> ChunkState:
         """Returns what this sidecar can say of a chunk."""
@@ -127,6 +131,15 @@
                 return content
         return content
 
+    def begin(self) -> None:
+        """Takes that another version is wanted from now on."""
+        self._asked.clear()
+        self._begun_at = self._now()
+
+    def note_asked(self) -> None:
+        """Takes that a peer asked for something here, so that peers know of this sidecar."""
+        self._asked.set()
+
     def avoided_names(self) -> list[str]:
         """Returns the peers passed over now."""
         return self.evidence.avoided_names(self._now())
@@ -143,9 +156,10 @@
 
     def _asker(self, members: dict[str, MemberView]) -> Asker:
         name = self._settings.name
-        # A membership may leave out its own process. One that knows nobody has not read
-        # the list yet, or stands alone.
-        return Asker(name, self._settings.region, bool(members))
+        # Nobody finds an instance that the lists of others lack. What it drew nobody would
+        # ask it for, and others would draw the same once more; so it stands last.
+        known = self._asked.is_set() or self._now() < self._begun_at + KNOWN_WITHIN_SECONDS
+        return Asker(name, self._settings.region, known)
 
     def _usable(self, digest: str, members: dict[str, MemberView]) -> chunk_route.Usable:
         now = self._now()
@@ -218,7 +232,7 @@
         """Brings a chunk in where nobody ahead can give it; None means to look again."""
         plain = self._settings.weights_from != "peers"
         if not plain:
-            await asyncio.sleep(step.delay if rounds == 0 else 0)
+            await self._wait_before_draw(plan, step, rounds)
             if self._find_step(plan, index, digest).kind is not StepKind.DRAW:
                 return None
             found, content = await self._ask_holders(plan, index, digest, rounds)
@@ -241,6 +255,16 @@
             self._log.write(Event.CHUNK_DRAWN, chunk=digest, place=index, bytes=len(content))
         return content
 
+    async def _wait_before_draw(self, plan: ChunkPlan, step: Step, rounds: int) -> None:
+        """Waits for the peers behind this one to ask, which shows that they know of it."""
+        alone = sum(len(region.names) for region in plan.regions.values()) == 1
+        patience = self._begun_at + KNOWN_WITHIN_SECONDS - self._now()
+        if not alone and not self._asked.is_set() and patience > 0:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._asked.wait(), patience)
+        if rounds == 0 and not alone:
+            await asyncio.sleep(step.delay)
+
     async def _ask_holders(
         self, plan: ChunkPlan, index: int, digest: str, rounds: int
     ) -> tuple[bool, bytes | None]:
--- a/wasabidrum/weights/version_manager.py
+++ b/wasabidrum/weights/version_manager.py
@@ -76,6 +76,7 @@
                 await self._end(work, target, wanted)
             if target is None or wanted is None or target.spec != wanted.spec:
                 self._gate.begin(revision)
+                self._distributor.begin()
             target = wanted
             self._distributor.store.undecided = target is not None
             work = asyncio.ensure_future(self._keep(target)) if target else None
