Keep the connection open for the answer to a body of any declared length

Cause: one run of all tests on a busy machine lost the 413 of a declared length above 64 MiB: the library closed the connection at once with bytes unread, and the reset overtook the answer. The handler now bounds what is read (64 MiB, 2 s) and the library does not.

--- a/wasabidrum/entry/caller_handler.py
+++ b/wasabidrum/entry/caller_handler.py
@@ -30,6 +30,7 @@
 # unread bytes is reset, and the reset may overtake the answer: the caller would see a broken
 # connection in place of its 413 and send the same body again.
 DISCARDED_BYTES = 64 * 1_048_576
+LONGEST_DECLARED_BYTES = 2**62
 LINGER_SECONDS = 2.0
 CODES_BY_STATUS = {404: "path_unknown", 405: "method_unsupported"}
 
@@ -58,8 +59,9 @@
 
     def prepare(self) -> None:
         """Checks the head and the declared length, before the body is read."""
-        # The connection reads on while a refused body is discarded.
-        self.request.connection.set_max_body_size(DISCARDED_BYTES)
+        # The library closes a connection at once whose body is to be longer than this, and
+        # the refusal would be lost; so this handler bounds what is read.
+        self.request.connection.set_max_body_size(LONGEST_DECLARED_BYTES)
         self._body_timer = asyncio.get_running_loop().call_later(BODY_SECONDS, self._body_late)
         try:
             self.caller = self.admit_head()
@@ -71,9 +73,11 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Takes a part of the body."""
+        self._received += len(chunk)
         if self._refused:
+            if self._received > DISCARDED_BYTES:
+                self._stop_reading()
             return
-        self._received += len(chunk)
         try:
             self.check_length(self._received)
         except CodedError as error:
