--- a/wasabidrum/decisions/routing.py
+++ b/wasabidrum/decisions/routing.py
@@ -8,7 +8,7 @@
 is the one that runs fewer of this entry's requests, was sent fewer lately, and usually has the
 shorter queue by the reports averaged over seconds. What this entry sent is known exactly and
 now; a single late report is not followed. Measured with twenty entries, ten endpoints at 0.7 of
-capacity and reports 1 s late (bench.routing_trial): see docs/measurements/load.md. Before the
+capacity and reports 1 s late (bench.load_policies): see docs/measurements/load.md. Before the
 draw, the endpoint that probably holds the prompt's prefix is taken while it has room and its
 part of the recent work is not exceeded. The cost of a choice does not depend on how many
 endpoints there are.
