--- a/wasabidrum/entry/service_handler.py
+++ b/wasabidrum/entry/service_handler.py
@@ -39,12 +39,6 @@
 
     put = patch = delete = post
 
-    def refuse(self, error: CodedError) -> None:
-        """Answers with an error that does not claim more of a keyed call than is proved."""
-        if key := self.request.headers.get(headers.IDEMPOTENCY_KEY):
-            error = weaken_refusal(error, key)
-        super().refuse(error)
-
     def service_path(self, service: str) -> str:
         """Returns path and query as the caller wrote them, without our own prefix.
 
