--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -337,7 +337,8 @@
     for size, run in peers.items():
         aims.append(Aim(f"origin_copies_{size}", run.origin_copies, "copies", 1.05, origin))
         aims.append(Aim(f"thin_copies_{size}", run.thin_copies, "copies", 1.05))
-        slowest = max((r.seconds / r.floor for r in runs if r.replicas == size), default=None)
+        plain = [r.seconds / r.floor for r in runs if r.replicas == size and r.way != "peers"]
+        slowest = max(plain, default=None)
         ratio = round(run.seconds / run.floor, 3)
         aims.append(Aim(f"time_to_floor_{size}", ratio, "ratio", 1.25, slowest))
     if 16 in peers and max(peers) > 16:
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -262,8 +262,15 @@
         if not alone and not self._asked.is_set() and patience > 0:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._asked.wait(), patience)
-        if rounds == 0 and not alone:
+        if rounds > 0 or alone:
+            return
+        if self._asked.is_set():
             await asyncio.sleep(step.delay)
+        else:
+            # Once for the version and not for each chunk, or a fleet of which only this one
+            # is left would wait for every chunk anew.
+            late = self._begun_at + chunk_route.LONGEST_DELAY_SECONDS - self._now()
+            await asyncio.sleep(max(0.0, min(late, step.delay)))
 
     async def _ask_holders(
         self, plan: ChunkPlan, index: int, digest: str, rounds: int
