--- a/tests/run.py
+++ b/tests/run.py
@@ -37,19 +37,21 @@
     return [".".join(path.relative_to(ROOT).with_suffix("").parts) for path in paths]
 
 
+def id_of(test: unittest.TestCase) -> str:
+    """Returns the id of a test, for a subtest that of the test around it."""
+    return getattr(test, "test_case", test).id()
+
+
 def run_module_here(name: str) -> int:
     """Runs one test file in this process and prints its count for the parent to read."""
     known_red = read_known_red()
     suite = unittest.defaultTestLoader.loadTestsFromName(name)
     result = unittest.TextTestRunner(verbosity=1, buffer=False).run(suite)
-    failed = 0
-    for test, _ in result.failures + result.errors:
-        if test.id() in known_red:
-            print("KNOWN RED", test.id())
-        else:
-            failed += 1
-            print("FAILED", test.id())
-    failed += len(result.unexpectedSuccesses)
+    # A test with several failing subtests is listed once for each, and counts once.
+    red = {id_of(test) for test, _ in result.failures + result.errors}
+    for test_id in sorted(red):
+        print("KNOWN RED" if test_id in known_red else "FAILED", test_id)
+    failed = len(red - known_red) + len(result.unexpectedSuccesses)
     print("COUNT", result.testsRun - failed, failed)
     return 0
 
