End a draw from a source that has gone silent, and read no date as a number

Cause: a link to the origin that stalled in the middle of a chunk held the chunk for the 120 s of the whole request; a Retry-After with a date, which HTTP allows, raised ValueError in the task that draws. Ruled out: a shorter timeout for the whole request, since many draws share the source's link and a healthy one may take long. Conclusion: a stalled origin costs a chunk ten seconds in place of two minutes.

--- a/wasabidrum/platform/http_blob_source.py
+++ b/wasabidrum/platform/http_blob_source.py
@@ -1,22 +1,29 @@
 """The weight store and the origin over HTTP: content by digest."""
 
+import asyncio
+
 from tornado import httpclient
 
 from ..core.errors import CodedError
 from ..wire import http_client
 
 FETCH_TIMEOUT_SECONDS = 120.0
+# Many draws share the source's link and take turns, so that a healthy one may be silent for
+# some seconds; ten is past that, and short beside the minutes that a burst may take.
+STALL_SECONDS = 10.0
 DEFAULT_RETRY_AFTER_SECONDS = 1.0
+LONGEST_RETRY_AFTER_SECONDS = 60.0
 
 
 class HttpBlobSource:
     """Implements BlobSource."""
 
-    __slots__ = ("_client", "_url")
+    __slots__ = ("_client", "_url", "_stall_seconds")
 
-    def __init__(self, client: httpclient.AsyncHTTPClient, url: str) -> None:
+    def __init__(self, client: httpclient.AsyncHTTPClient, url: str, stall_seconds: float) -> None:
         self._client = client
         self._url = url
+        self._stall_seconds = stall_seconds
 
     async def fetch(self, digest: str) -> bytes:
         """See BlobSource."""
@@ -24,19 +31,48 @@
             f"{self._url}/{digest}", request_timeout=FETCH_TIMEOUT_SECONDS
         )
         try:
-            response = await http_client.fetch(self._client, request, self._url)
+            status, retry_after, content = await self._read(request)
         except CodedError as error:
             raise CodedError("source_unreachable", str(error), 503) from error
-        if response.code == 200:
-            return response.body
-        if response.code == 429:
-            wait = float(response.headers.get("Retry-After", DEFAULT_RETRY_AFTER_SECONDS))
-            raise CodedError("source_busy", self._url, 503, retry_after=wait)
-        if response.code == 404:
+        except TimeoutError as error:
+            # A link that stalls without closing would hold this chunk, and all who wait for
+            # it here, until the whole request times out; an operator would see a rollout
+            # that stands at almost all of its chunks. Silence ends the draw instead.
+            silent = f"{self._url}: silent for {self._stall_seconds} s"
+            raise CodedError("source_unreachable", silent, 503) from error
+        if status == 200:
+            return content
+        if status == 429:
+            raise CodedError("source_busy", self._url, 503, retry_after=retry_after)
+        if status == 404:
             raise CodedError("source_missing", f"{self._url} lacks {digest}", 503)
-        raise CodedError("source_unreachable", f"{self._url}: status {response.code}", 503)
+        raise CodedError("source_unreachable", f"{self._url}: status {status}", 503)
+
+    async def _read(self, request: httpclient.HTTPRequest) -> tuple[int, float, bytes]:
+        opening = http_client.open_stream(self._client, request, self._url)
+        stream = await asyncio.wait_for(opening, self._stall_seconds)
+        parts: list[bytes] = []
+        chunks = stream.chunks()
+        while True:
+            try:
+                parts.append(await asyncio.wait_for(anext(chunks), self._stall_seconds))
+            except StopAsyncIteration:
+                break
+        return stream.status, read_retry_after(stream.headers.get("Retry-After")), b"".join(parts)
+
+
+def read_retry_after(text: str | None) -> float:
+    """Returns the seconds that a Retry-After header asks for, within bounds.
+
+    A date in place of seconds, or nonsense, counts as no wish at all.
+    """
+    if text is None or not text.isascii() or not text.isdecimal():
+        return DEFAULT_RETRY_AFTER_SECONDS
+    return min(float(text), LONGEST_RETRY_AFTER_SECONDS)
 
 
-def make_blob_source(client: httpclient.AsyncHTTPClient, url: str) -> HttpBlobSource:
+def make_blob_source(
+    client: httpclient.AsyncHTTPClient, url: str, stall_seconds: float = STALL_SECONDS
+) -> HttpBlobSource:
     """Returns the source behind a URL."""
-    return HttpBlobSource(client, url)
+    return HttpBlobSource(client, url, stall_seconds)
