--- a/wasabidrum/entry/traffic.py
+++ b/wasabidrum/entry/traffic.py
@@ -15,25 +15,13 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.configuration_follower import ConfigurationFollower
+from .attempt_judge import AttemptJudge
 from .endpoint_table import EndpointTable
 from .permit import Permit
 from .placement import Placement
 from .target_pool import REFRESH_SECONDS, TargetPool
 from .work_item import Priority, WorkItem
 
-NEUTRAL_CODES = frozenset(
-    (
-        "cancelled",
-        "attempt_cancelled",
-        "attempt_invalid",
-        "deadline_passed",
-        "endpoint_leaving",
-        "version_mismatch",
-        "answer_crossed",
-    )
-)
-DEATH_CODES = frozenset(("engine_lost", "answer_cut", "peer_unreachable"))
-SHORTEST_TIME = 1e-6
 SHORTEST_TIMER_SECONDS = 0.001
 
 
@@ -60,6 +48,7 @@
         self._costs = ExpectedCost()
         self._budget = RetryBudget()
         self._guard = poison.PoisonGuard()
+        self._judge = AttemptJudge(self._guard, log)
 
     @property
     def waiting(self) -> int:
@@ -171,36 +160,11 @@
 
     def take_progress(self, placement: Placement, tokens: int, now: float) -> None:
         """Takes tokens that arrived at one attempt."""
-        item, state = placement.item, placement.state
-        pool = self._pool(item)
-        last = placement.progress_at
-        placement.progress_at = now
-        placement.tokens += tokens
-        item.tokens_done += tokens
-        state.progress_at = now
-        if last is None:
-            state.streaming += 1
-            state.limit.take_first_token(now - placement.began, state.in_progress, now)
-        elif state.health.take_tokens(tokens, now - last, pool.median, now):
-            self._eject(pool, state, f"{state.health.token_seconds:.3f} s a token")
+        self._judge.take_progress(placement, self._pool(placement.item), tokens, now)
 
     def take_end(self, placement: Placement, code: str, now: float) -> None:
         """Takes the end of one attempt."""
-        item, state = placement.item, placement.state
-        pool = self._pool(item)
-        state.ended()
-        if placement.progress_at is not None:
-            state.streaming -= 1
-        if placement.suspect:
-            self._guard.ended(state.name)
-        if not code:
-            self._take_success(placement, pool, now)
-        elif code in NEUTRAL_CODES or now >= item.deadline - SHORTEST_TIME:
-            # A caller's own short deadline says nothing against the endpoint; counted as a
-            # failure, a few such callers could have every endpoint taken out of service.
-            state.health.probe_ended(now)
-        else:
-            self._take_failure(placement, code, pool, now)
+        self._judge.take_end(placement, self._pool(placement.item), code, now)
 
     def release(self, pool: TargetPool, ticket: Ticket, item: WorkItem) -> None:
         """Ends a request's admission, and lets those run whose turn it is now."""
@@ -245,43 +209,6 @@
         state = pool.endpoints.choose(healthy, preferred, now)
         return state or pool.endpoints.choose(allowed, preferred, now), preferred
 
-    def _take_success(self, placement: Placement, pool: TargetPool, now: float) -> None:
-        item, state = placement.item, placement.state
-        item.whole = True
-        if item.fingerprint:
-            self._guard.clear(item.fingerprint)
-        if item.service:
-            state.limit.take_first_token(now - placement.began, state.in_progress + 1, now)
-        if state.health.take_success(pool.median):
-            state.limit.restart()
-            pool.refresh_soon()
-            self._log.write(Event.ENDPOINT_RETURNED, endpoint=state.name)
-
-    def _take_failure(self, placement: Placement, code: str, pool: TargetPool, now: float) -> None:
-        item, state = placement.item, placement.state
-        state.limit.take_failure(now)
-        lost = code == "engine_lost" or placement.head_at is not None
-        if item.fingerprint and lost and code in DEATH_CODES:
-            self._guard.saw_death(item.fingerprint, state.name, now)
-            self._log.write(
-                Event.REQUEST_SUSPECTED,
-                request=item.request_id,
-                endpoint=state.name,
-                fingerprint=item.fingerprint,
-            )
-        if state.health.take_failure(now):
-            self._eject(pool, state, code)
-
-    def _eject(self, pool: TargetPool, state: EndpointState, reason: str) -> None:
-        pool.refresh_soon()
-        state.limit.restart()
-        self._log.write(
-            Event.ENDPOINT_EJECTED,
-            endpoint=state.name,
-            health=state.health.health.value,
-            reason=reason,
-        )
-
     def _make_ticket(self, item: WorkItem) -> Ticket:
         cost = 1.0
         if item.model:
@@ -322,7 +249,7 @@
         for state in pool.states.values():
             silent = now - state.progress_at
             if state.streaming and state.health.take_silence(silent, pool.median, now):
-                self._eject(pool, state, f"silent for {silent:.1f} s")
+                self._judge.eject(pool, state, f"silent for {silent:.1f} s")
         for name, view in pool.views.items():
             if view.status is not None and view.status.suspects:
                 self._guard.take_told(name, view.status.suspects, now)
