--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,11 @@
 
 .PHONY: demo test check format bench-rollout bench-load bench-outcomes bench-control
 
-$(VENV)/.installed: requirements.txt
+# The programs wasabidrumd and wasabidrum stand in $(VENV)/bin once this is done.
+$(VENV)/.installed: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet -r requirements.txt
+	$(VENV)/bin/pip install --quiet --no-deps --editable .
 	touch $@
 
 demo: $(VENV)/.installed
--- a/wasabidrum/entry/service_call.py
+++ b/wasabidrum/entry/service_call.py
@@ -81,8 +81,6 @@
             return await self._call_with_key(caller, item, order)
         permit = await self._traffic.admit(item)
         try:
-            if listed.idempotent:
-                return await self._read(item, order)
             return await self._call_anywhere(item, order)
         finally:
             permit.release()
@@ -127,8 +125,12 @@
             error.idempotency_key = str(self.keys.issue(order.service))
         return error
 
-    async def _read(self, item: WorkItem, order: ServiceOrder) -> ServiceReply:
-        """Makes an idempotent call, at another endpoint where one fails."""
+    async def _call_anywhere(self, item: WorkItem, order: ServiceOrder) -> ServiceReply:
+        """Makes a call that came without a key, and elsewhere where that is safe.
+
+        An idempotent call may be made again after any failure, any other only where it
+        provably did not run.
+        """
         retries = RetryRule(self._traffic, item)
         tried: frozenset[str] = frozenset()
         failure: CodedError | None = None
@@ -138,45 +140,27 @@
             except CodedError as error:
                 raise failure or error from error
             try:
-                return await self._read_once(placement, order)
+                with ending(placement):
+                    return await self._attempt(placement, order)
             except CodedError as error:
                 failure = error
+            if not item.idempotent and failure.outcome is not Outcome.NOT_RUN:
+                raise failure
             await self._pause(retries, item, failure)
             tried |= {placement.view.instance.name}
             self._log.write(Event.CALL_PLACED_AGAIN, request=item.request_id, code=failure.code)
 
-    async def _read_once(self, placement: Placement, order: ServiceOrder) -> ServiceReply:
+    async def _attempt(self, placement: Placement, order: ServiceOrder) -> ServiceReply:
         item = placement.item
         remaining = self._remaining(item)
-        exchange = self._exchange(placement.view, item, order, None, placement)
-        # Half of what is left: a stalled endpoint must not use up the time of the next.
-        patience = max(min(SHORTEST_READ_PATIENCE_SECONDS, remaining), remaining / 2)
-        with ending(placement):
+        if item.idempotent:
+            exchange = self._exchange(placement.view, item, order, None, placement)
+            # Half of what is left: a stalled endpoint must not use up the time of the next.
+            patience = max(min(SHORTEST_READ_PATIENCE_SECONDS, remaining), remaining / 2)
             return await exchange.send(remaining, patience, None)
-
-    async def _call_anywhere(self, item: WorkItem, order: ServiceOrder) -> ServiceReply:
-        """Makes a call that came without a key, elsewhere only where it provably did not run."""
-        retries = RetryRule(self._traffic, item)
-        tried: frozenset[str] = frozenset()
-        failure: CodedError | None = None
-        while True:
-            try:
-                placement = self._traffic.place(item, tried)
-            except CodedError as error:
-                raise failure or error from error
-            lifetime = self._remaining(item) + MINTED_KEY_EXTRA_SECONDS
-            key = self.keys.issue_for(placement.view, lifetime)
-            exchange = self._exchange(placement.view, item, order, key, placement)
-            try:
-                with ending(placement):
-                    return await self._settle(exchange, item, others_sent=False)
-            except CodedError as error:
-                failure = error
-            if failure.outcome is not Outcome.NOT_RUN:
-                raise failure
-            await self._pause(retries, item, failure)
-            tried |= {placement.view.instance.name}
-            self._log.write(Event.CALL_PLACED_AGAIN, request=item.request_id, code=failure.code)
+        key = self.keys.issue_for(placement.view, remaining + MINTED_KEY_EXTRA_SECONDS)
+        exchange = self._exchange(placement.view, item, order, key, placement)
+        return await self._settle(exchange, item, others_sent=False)
 
     async def _pause(self, retries: RetryRule, item: WorkItem, failure: CodedError) -> None:
         """Waits before another attempt, or raises the failure where there will be none."""
