Put a workspace's limit of tokens a second in force

Cause: the files state tokens_per_second, every daemon checked it, and nothing enforced it. Each entry now enforces the limit divided by the entries in service, by a bucket per workspace that takes the expected cost and is corrected by what was generated. Before (trial, paused clock): a workspace that asks for 400 tokens a second got what the engines gave it, whatever its limit. Conclusion: in force, and changed without a restart; entries share nothing for it.

--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -183,10 +183,15 @@
 
 
 class FakeFollower:
-    """A configuration with some shares."""
+    """A configuration with some shares, and some limits in tokens a second."""
 
-    def __init__(self, shares: dict[str, float]) -> None:
-        spaces = {name: WorkspaceSpec((), share=share) for name, share in shares.items()}
+    def __init__(self, shares: dict[str, float], limits: dict[str, float]) -> None:
+        spaces = {
+            name: WorkspaceSpec(
+                (), share=shares.get(name, 1.0), tokens_per_second=limits.get(name, 0.0)
+            )
+            for name in {*shares, *limits}
+        }
         self.current = FleetRevision(1, "", Fleet(1, workspaces=spaces))
 
 
@@ -203,14 +208,15 @@
         data_centres: dict[str, str] | None = None,
         seed: int = 1,
         make_traffic=Traffic,
+        limits: dict[str, float] | None = None,
     ) -> None:
         self.rng = random.Random(seed)
         self.engines = [FakeEngine(f"e{i}", slots, token_seconds) for i in range(engines)]
         log = EventLog(logbook.Logger("test", level=logbook.CRITICAL), "test")
         self.tables = [FakeTable(self.engines, data_centres or {}) for _ in range(entries)]
-        follower = FakeFollower(shares or {})
+        follower = FakeFollower(shares or {}, limits or {})
         self.traffics = [
-            make_traffic(table, log, follower, "r", "r-1", random.Random(seed + n))
+            make_traffic(table, log, follower, "r", "r-1", random.Random(seed + n), lambda: entries)
             for n, table in enumerate(self.tables)
         ]
         self.answers: list[Answer] = []
--- a/tests/load_policy_test.py
+++ b/tests/load_policy_test.py
@@ -322,3 +322,21 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class WorkspaceLimitTest(unittest.TestCase):
+    """A limit in the files is in force, whatever a workspace sends."""
+
+    def test_a_workspace_over_its_limit(self) -> None:
+        """A workspace that may generate a hundred tokens a second asks for four hundred, over
+        two entries. Unlimited, it gets them, at the cost of those who were promised the rest."""
+        fleet = FakeFleet(entries=2, limits={"w": 100.0})
+        run(fleet, lambda: fleet.arrive(40.0, 60.0, workspace="w"))
+        became = collections.Counter(answer.became for answer in fleet.answers)
+        self.assertEqual(set(became), {"whole", "workspace_limit"})
+        per_second = became["whole"] * 10 / 60.0
+        self.assertLess(per_second, 115.0)
+        self.assertGreater(per_second, 90.0)
+        refused = [a for a in fleet.answers if a.became == "workspace_limit"]
+        self.assertEqual(max(answer.total for answer in refused), 0.0)
+        self.assertTrue(all(answer.retry_after >= 1.0 for answer in refused))
--- /dev/null
+++ b/wasabidrum/decisions/token_allowance_test.py
@@ -0,0 +1,46 @@
+"""Tests of the limit on the tokens that a workspace may generate."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from .token_allowance import BURST_SECONDS, TokenAllowance
+
+STEPS = strategies.lists(
+    strategies.tuples(strategies.floats(0.0, 3.0), strategies.floats(1.0, 200.0)), max_size=60
+)
+
+
+class TokenAllowanceTest(unittest.TestCase):
+    """A limit holds over time, lets bursts through, and charges what was generated."""
+
+    def test_more_than_the_limit_is_told_when_to_come_back(self) -> None:
+        allowance = TokenAllowance()
+        self.assertIsNone(allowance.take("w", 10.0, 60.0, 0.0))
+        self.assertAlmostEqual(allowance.take("w", 10.0, 60.0, 0.0), 1.0)
+        self.assertIsNone(allowance.take("w", 10.0, 60.0, 1.1))
+
+    def test_a_request_larger_than_the_burst_is_served(self) -> None:
+        self.assertIsNone(TokenAllowance().take("w", 1.0, 10_000.0, 0.0))
+
+    def test_tokens_never_generated_are_given_back(self) -> None:
+        """A caller asks for a thousand tokens and gets ten. Charged for all, its workspace would
+        be refused for minutes although it stayed far below its limit."""
+        allowance = TokenAllowance()
+        self.assertIsNone(allowance.take("w", 10.0, 1000.0, 0.0))
+        self.assertIsNotNone(allowance.take("w", 10.0, 10.0, 0.0))
+        allowance.correct("w", 1000.0, 10.0)
+        self.assertIsNone(allowance.take("w", 10.0, 10.0, 0.0))
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(STEPS)
+    def test_never_more_than_limit_burst_and_one_request(self, steps: list) -> None:
+        allowance = TokenAllowance()
+        now = taken = largest = 0.0
+        for pause, cost in steps:
+            now += pause
+            if allowance.take("w", 10.0, cost, now) is None:
+                taken += cost
+                largest = max(largest, cost)
+        self.assertLessEqual(taken, 10.0 * (now + BURST_SECONDS) + largest + 1e-6)
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -16,6 +16,7 @@
 from ..observe.routes import make_routes
 from ..peers.configuration_follower import ConfigurationFollower
 from ..peers.control_handler import ControlHandler
+from ..peers.entry_counter import EntryCounter
 from ..peers.peer_node import PeerNode
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
@@ -63,10 +64,18 @@
         directory = make_instance_directory(client, settings.platform.instances)
         self.follower = ConfigurationFollower(service, settings.site, log)
         self.table = EndpointTable(client, directory)
-        traffic = Traffic(self.table, log, self.follower, settings.region, settings.data_centre)
         self.node = PeerNode(
             settings, directory, self.follower, self.status, log, self._report_failure
         )
+        entries = EntryCounter(self.node.table, settings.name)
+        traffic = Traffic(
+            self.table,
+            log,
+            self.follower,
+            settings.region,
+            settings.data_centre,
+            count_entries=entries.count,
+        )
         self._add_gauges(traffic)
         self.models = ModelCaller(client, traffic, self.table, log)
         self.services = ServiceCaller(client, traffic, self.table, log)
--- a/wasabidrum/entry/traffic.py
+++ b/wasabidrum/entry/traffic.py
@@ -1,9 +1,11 @@
 """Where the entry's tasks ask the decisions: who is served, where work goes, who retries."""
 
 import asyncio
+import collections.abc
 import random
 
 from ..core.errors import CodedError
+from ..core.fleet import WorkspaceSpec
 from ..core.status import Status
 from ..decisions import backoff, poison, prefix_affinity
 from ..decisions.endpoint_health import Health
@@ -12,6 +14,7 @@
 from ..decisions.expected_cost import ExpectedCost
 from ..decisions.retry_budget import RetryBudget
 from ..decisions.ticket import Refusal, Ticket, TicketState
+from ..decisions.token_allowance import TokenAllowance
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.configuration_follower import ConfigurationFollower
@@ -22,6 +25,7 @@
 from .target_pool import REFRESH_SECONDS, TargetPool
 from .work_item import Priority, WorkItem
 
+SHORTEST_RETRY_SECONDS = 1.0
 SHORTEST_TIMER_SECONDS = 0.001
 
 
@@ -36,6 +40,7 @@
         region: str = "",
         data_centre: str = "",
         rng: random.Random | None = None,
+        count_entries: collections.abc.Callable[[], int] = lambda: 1,
     ) -> None:
         self._table = table
         self._log = log
@@ -46,6 +51,8 @@
         self._pools: dict[tuple[str, str], TargetPool] = {}
         self._room = EntryRoom()
         self._costs = ExpectedCost()
+        self._allowance = TokenAllowance()
+        self._count_entries = count_entries
         self._budget = RetryBudget()
         self._guard = poison.PoisonGuard()
         self._judge = AttemptJudge(self._guard, log)
@@ -67,12 +74,14 @@
         self._advance(pool, now)
         if item.fingerprint and self._guard.is_blocked(item.fingerprint, now):
             raise blocked_error()
+        ticket = self._make_ticket(item)
         if not self._room.take(item.priority):
             raise refusal_error(Refusal("entry_full", "this entry holds too many requests", 1.0))
-        ticket = self._make_ticket(item)
+        self._take_allowance(item, ticket.cost, now)
         refusal = pool.queue.offer(ticket, now)
         if refusal is not None:
             self._room.give_back()
+            self._allowance.correct(item.workspace, ticket.cost, 0.0)
             raise self._refuse(refusal, pool, now)
         permit = Permit(self, pool, ticket, item)
         if ticket.state is TicketState.RUNNING:
@@ -172,8 +181,11 @@
         cost = None
         if item.whole:
             cost = float(item.tokens_done) if item.model else 1.0
-            if item.model:
+        if item.model:
+            if item.whole:
                 self._costs.learn(item.workspace, item.model, item.tokens_done)
+            # A request may end early or in an error; what it generated is charged all the same.
+            self._allowance.correct(item.workspace, ticket.cost, float(item.tokens_done))
         pool.waiters.pop(ticket, None)
         pool.queue.end(ticket, now, cost)
         self._room.give_back()
@@ -209,14 +221,35 @@
         state = pool.endpoints.choose(healthy, preferred, now)
         return state or pool.endpoints.choose(allowed, preferred, now), preferred
 
+    def _take_allowance(self, item: WorkItem, cost: float, now: float) -> None:
+        """Takes a request's cost from its workspace's limit.
+
+        Raises:
+          CodedError: The workspace has used up its limit; nothing was started.
+        """
+        spec = self._workspace(item)
+        if not item.model or spec is None or spec.tokens_per_second <= 0.0:
+            return
+        per_second = spec.tokens_per_second / max(1, self._count_entries())
+        seconds = self._allowance.take(item.workspace, per_second, cost, now)
+        if seconds is None:
+            return
+        self._room.give_back()
+        retry = backoff.spread(max(seconds, SHORTEST_RETRY_SECONDS), self._rng)
+        raise CodedError(
+            "workspace_limit", "this workspace is at its limit", 429, retry_after=retry
+        )
+
+    def _workspace(self, item: WorkItem) -> WorkspaceSpec | None:
+        current = self._follower.current if self._follower else None
+        return current.fleet.workspaces.get(item.workspace) if current else None
+
     def _make_ticket(self, item: WorkItem) -> Ticket:
         cost = 1.0
         if item.model:
             cost = self._costs.estimate(item.workspace, item.model, item.max_tokens)
-        share = 1.0
-        current = self._follower.current if self._follower else None
-        if current is not None and item.workspace in current.fleet.workspaces:
-            share = current.fleet.workspaces[item.workspace].share
+        spec = self._workspace(item)
+        share = spec.share if spec is not None else 1.0
         return Ticket(
             item.request_id, item.workspace, int(item.priority), share, cost, item.deadline
         )
