Ask peers as well as the service before a process that woke late gives orders

Cause: the guard of a process that slept read the configuration service alone. A stale service confirmed an old revision, from which the engine would have been ordered back; a service that was down left the engine without orders until it returned. Ruled out: trusting peers alone, who may be cut off with us. A revision that was refused or has two contents holds nothing up. Conclusion: late wakers are as well informed as whoever answers them, and alone they wait.

--- a/wasabidrum/decisions/revision_book.py
+++ b/wasabidrum/decisions/revision_book.py
@@ -65,6 +65,12 @@
         """The highest revision that anyone was ever heard to have."""
         return max(self._revision, max(self._digests, default=0))
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether a revision is known that may be valid and is not in force yet."""
+        refused = self.refusal.revision if self.refusal is not None else 0
+        return not self.alarm and self.highest > max(self._revision, refused)
+
     def judge(self, revision: int, digest: str) -> Claim:
         """Takes somebody's word for a revision; says what to do about it."""
         if revision < self._revision:
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -78,6 +78,7 @@
                 self.engine,
                 self.follower,
                 configuration,
+                self._ask_peers,
                 self.membership,
                 lambda: self.requests.count,
                 log,
@@ -192,6 +193,10 @@
         except CodedError as error:
             self._log.write(Event.TASK_FAILED, task="cancel", reason=str(error))
 
+    async def _ask_peers(self) -> int:
+        # Without peer streams there is nobody to ask but the service.
+        return 0 if self._settings.control == "service" else await self.node.verify()
+
     async def _read_load(self) -> None:
         while True:
             try:
--- a/wasabidrum/weights/clock_guard.py
+++ b/wasabidrum/weights/clock_guard.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections.abc
 
 from ..core.errors import CodedError
 from ..observe.event import Event
@@ -22,12 +23,18 @@
 class ClockGuard:
     """Compares the event loop's clock with when this process last ran."""
 
-    __slots__ = ("_service", "_follower", "_log", "_last", "_pauses", "_confirmed_pauses")
+    __slots__ = ("_service", "_ask_peers", "_follower", "_log")
+    __slots__ += ("_last", "_pauses", "_confirmed_pauses")
 
     def __init__(
-        self, service: ConfigurationService, follower: ConfigurationFollower, log: EventLog
+        self,
+        service: ConfigurationService,
+        ask_peers: collections.abc.Callable[[], collections.abc.Awaitable[int]],
+        follower: ConfigurationFollower,
+        log: EventLog,
     ) -> None:
         self._service = service
+        self._ask_peers = ask_peers
         self._follower = follower
         self._log = log
         self._last: float | None = None
@@ -50,15 +57,22 @@
         return self._pauses > self._confirmed_pauses
 
     async def confirm(self) -> None:
-        """Returns once what this process believes is as new as the service's value."""
+        """Returns once this process has in force the newest revision that anyone tells of.
+
+        The service may be stale or down for a long time, and peers may be cut off, so both
+        are asked: either alone would order from an old revision that the other could have
+        corrected, or leave the engine without orders until the service is back.
+        """
         while self.look():
             pauses = self._pauses
+            told = await self._ask_peers() > 0
             try:
-                value = await self._service.read()
+                await self._follower.offer(await self._service.read())
+                told = True
             except CodedError as error:
                 self._log.write(Event.CONFIGURATION_UNREACHABLE, reason=str(error))
+            if told and not self._follower.book.is_behind:
+                # Only the pauses before the questions are settled by their answers.
+                self._confirmed_pauses = pauses
+            else:
                 await asyncio.sleep(PAUSE_SECONDS)
-                continue
-            await self._follower.offer(value)
-            # Only the pauses before the read are settled by it; one during the read is not.
-            self._confirmed_pauses = pauses
--- a/wasabidrum/weights/weights_side.py
+++ b/wasabidrum/weights/weights_side.py
@@ -97,6 +97,7 @@
     engine: ModelEngine,
     follower: ConfigurationFollower,
     configuration: ConfigurationService,
+    ask_peers: collections.abc.Callable[[], collections.abc.Awaitable[int]],
     membership: Membership,
     in_progress: collections.abc.Callable[[], int],
     log: EventLog,
@@ -107,7 +108,7 @@
     distributor = Distributor(settings, membership, client, origin, in_progress, log)
     statuses = StatusClient(client, membership)
     gate = RolloutGate(settings.name, statuses, log)
-    guard = ClockGuard(configuration, follower, log)
+    guard = ClockGuard(configuration, ask_peers, follower, log)
     lock = OrdererLock(settings.endpoint.url, log)
     manager = VersionManager(settings.name, follower, engine, distributor, gate, guard, lock, log)
     return WeightsSide(distributor, gate, guard, lock, statuses, manager)
