--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -13,6 +13,10 @@
 import statistics
 import sys
 
+from wasabidrum.decisions import endpoint_subset
+from wasabidrum.peers import peer_link
+
+from .control_fleet import REGIONS
 from .report import OUTPUT_FOLDER
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -23,6 +27,7 @@
 ENTRIES = 400
 WORKERS = 1900
 DAEMONS = ENTRIES + WORKERS
+DATA_CENTRES = 9
 REPLICAS = 710
 CHANGES_PER_SECOND = 1500 / 86_400
 TOKENS_PER_ENTRY = 2_500_000 / ENTRIES
@@ -33,6 +38,12 @@
 MEMORY_LIMIT_MB = 32.0
 IN_FORCE_LIMIT_SECONDS = 3.0
 COPIES_LIMIT = 1.05
+CONTROL_KINDS = (
+    ("core_percent", "% of a core", CORE_PERCENT_LIMIT),
+    ("bytes_per_second", "B/s", BYTES_LIMIT),
+)
+# One kind of endpoint, and three: a model and two services, as both firms have today.
+GROUPS = (1, 3)
 FAILURES_A_DAY = 21
 KEYED_SHARE = 0.2
 KEY_SECONDS = 300.0
@@ -84,7 +95,7 @@
 
     The line is least squares; with one point the figure is taken to stay as it is.
     """
-    sizes = ", ".join(f"{size:g}" for size, _ in points)
+    sizes = ", ".join(f"{size:.3g}" for size, _ in points)
     if len({size for size, _ in points}) < 2:
         return points[0][1], f"measured at {sizes} only, taken as constant"
     slope, start = statistics.linear_regression(*zip(*points, strict=True))
@@ -93,7 +104,7 @@
         return max(points)[1], f"falls from {sizes}; taken as at {max(points)[0]:g}"
     reach = at / max(size for size, _ in points)
     worked_out = max(0.0, start + slope * at)
-    return worked_out, f"{start:.3g} + {slope:.3g} a member, from {sizes}; {reach:.0f} times beyond"
+    return worked_out, f"{start:.3g} + {slope:.3g} a member, from {sizes}; {reach:.1f} times beyond"
 
 
 def find_runs(report: dict, key: str, wanted: str) -> list[dict]:
@@ -102,35 +113,72 @@
     return sorted(runs, key=lambda run: run.get("size", run.get("replicas", 0)))
 
 
+def entry_figures(runs: list[dict]) -> list[Figure]:
+    """Returns what control costs an entry, from its messages, which the subset bounds.
+
+    A line over the size of the fleet would be wrong here: small fleets do not fill the subset,
+    and beyond it neither streams nor messages grow.
+    """
+    largest = runs[-1]["idle"]["messages_per_second"]["entry"]
+    beats = 1.0 / peer_link.STATUS_BEAT_SECONDS
+    gossip = max(0.0, largest - endpoint_subset.SUBSET_SIZE * beats)
+    module = "entry/endpoint_watcher.py, decisions/endpoint_subset.py"
+    figures = []
+    for groups in GROUPS:
+        streams = groups * endpoint_subset.subset_size(groups)
+        messages = streams * beats + gossip
+        for kind, unit, limit in CONTROL_KINDS:
+            points = [
+                (run["idle"]["messages_per_second"]["entry"], run["idle"][kind]["entry"])
+                for run in runs
+            ]
+            slope, start = statistics.linear_regression(*zip(*points, strict=True))
+            change = runs[-1]["changing"][kind]["entry"] - runs[-1]["idle"][kind]["entry"]
+            value = start + slope * messages + CHANGES_PER_SECOND * max(0.0, change)
+            what = "processor of control" if unit != "B/s" else "bytes of control"
+            basis = (
+                f"{start:.3g} + {slope:.3g} a message, at {messages:.0f} messages a second from "
+                f"{streams} streams; measured up to {largest:.0f}"
+            )
+            label = f"entry, {groups} kinds of endpoint" if groups > 1 else "entry"
+            figures.append(Figure(label, what, value, unit, limit, module, basis))
+    return figures
+
+
 def control_figures(report: dict) -> list[Figure]:
-    """Returns what control costs each role and the configuration service."""
+    """Returns what control costs each role and the configuration service.
+
+    Readers and trees are made per data centre, so that what they cost follows from the members
+    of one data centre, not of the fleet.
+    """
     runs = find_runs(report, "control", "peers")
     if not runs:
         return []
     figures = []
-    kinds = (
-        ("core_percent", "% of a core", CORE_PERCENT_LIMIT),
-        ("bytes_per_second", "B/s", BYTES_LIMIT),
-    )
-    for role in ("entry", "entry_most", "sidecar", "sidecar_most"):
-        for kind, unit, limit in kinds:
+    figures += entry_figures(runs)
+    for role in ("sidecar", "sidecar_most"):
+        for kind, unit, limit in CONTROL_KINDS:
             points = []
             for run in runs:
                 idle = run["idle"][kind][role]
                 # The bench changes once a second; the users change 1,500 times a day.
                 change = max(0.0, run["changing"][kind][role] - idle)
-                points.append((run["size"], idle + CHANGES_PER_SECOND * change))
-            value, basis = fit(points, DAEMONS)
+                per_centre = run["size"] / len(REGIONS)
+                points.append((per_centre, idle + CHANGES_PER_SECOND * change))
+            value, basis = fit(points, DAEMONS / DATA_CENTRES)
             label = role.replace("_most", ", the costliest")
             what = "processor of control" if kind == "core_percent" else "bytes of control"
             module = "peers/peer_node.py, entry/endpoint_watcher.py, decisions/endpoint_subset.py"
             figures.append(Figure(label, what, value, unit, limit, module, basis))
-    calls, basis = fit([(run["size"], run["idle"]["calls_per_second"]) for run in runs], DAEMONS)
+    points = [(run["size"], run["idle"]["calls_per_second"] / len(REGIONS)) for run in runs]
+    calls, basis = fit(points, DAEMONS)
+    calls *= DATA_CENTRES
     module = "decisions/member_readers.py: two readers a data centre"
     figures.append(
         Figure("configuration service", "calls", calls, "1/s", SERVICE_CALLS_LIMIT, module, basis)
     )
-    worst, basis = fit([(run["size"], run["in_force"]["worst"]) for run in runs], DAEMONS)
+    points = [(run["size"] / len(REGIONS), run["in_force"]["worst"]) for run in runs]
+    worst, basis = fit(points, DAEMONS / DATA_CENTRES)
     module = "peers/configuration_follower.py, two trees a data centre"
     figures.append(
         Figure("fleet", "change in force, worst", worst, "s", IN_FORCE_LIMIT_SECONDS, module, basis)
@@ -231,7 +279,9 @@
     "as private memory, or as what control adds, it is inside",
     "relaying 6,250 tokens a second": "more entries, several daemons an instance, or fewer, larger "
     "pieces from the engines",
-    "processor of control": "a slower beat between daemons that carry no work for each other",
+    "processor of control": "a slower beat between daemons that carry no work for each other, and "
+    "several endpoints told of on one stream",
+    "cores for 2.5 million tokens": "the same",
     "bytes of asking, in a burst": "larger chunks, or one question for several chunks",
     "time to live over its floor": "wider trees for small versions and a shorter first wave",
 }
