Place a request that was let in, though the endpoints left are at their limits

Cause: an endpoint begins to leave between a request's admission and its placement; the limits of those left are full, and the request was refused with no_endpoint although one was well. Seen in tests.outcomes_leaving_test (test_sidecar_of_a_service_leaves_under_charges, about one run in three). Ruled out: health, since nothing was ejected; lost statuses, since tally-2 was heard. Conclusion: an endpoint takes at most twice its limit in such a moment, so queues stay bounded.

--- a/wasabidrum/decisions/routing.py
+++ b/wasabidrum/decisions/routing.py
@@ -35,6 +35,8 @@
 BUSY_QUEUE = 1.0
 FAR_TIER = 2
 SAMPLE = 8
+# Endpoints queue what is beyond their slots; twice the limit bounds that queue to one turn.
+OVERFLOW = 2.0
 
 
 class EndpointPool:
@@ -67,7 +69,7 @@
         preferred: collections.abc.Sequence[str],
         now: float,
     ) -> EndpointState | None:
-        """Returns an endpoint with room, or None where none has any.
+        """Returns an endpoint with room, else one a little beyond its limit, or None.
 
         Args:
           allowed: Whether a request may be sent to an endpoint at all.
@@ -85,6 +87,24 @@
             if drawn:
                 mean = self.mean_recent(now)
                 return min(drawn, key=lambda state: self._score(state, mean, now))
+        return self._choose_beyond_limit(allowed)
+
+    def _choose_beyond_limit(self, allowed) -> EndpointState | None:
+        """Returns the endpoint that is least beyond its limit, within a bound.
+
+        A request that was let in while there was room can find none when it is placed: an
+        endpoint began to leave meanwhile, and its work comes to the others. Refused here,
+        callers would see a planned stop as errors although other endpoints are well.
+        """
+        for tiers in (self._tiers[:FAR_TIER], self._tiers[FAR_TIER:]):
+            fit = [
+                state
+                for tier in tiers
+                for state in tier
+                if state.in_progress < OVERFLOW * state.limit.places and allowed(state)
+            ]
+            if fit:
+                return min(fit, key=lambda state: state.in_progress / state.limit.places)
         return None
 
     def _choose_preferred(self, open_to, preferred, now: float) -> EndpointState | None:
