Tell at once which request an engine was lost with

Cause: a sidecar told the suspects of a death at its next beat, up to 0.75 s later; a caller who resent through another entry within that time had it crash a third engine. Conclusion: the second entry knows before a resend arrives, unless the link is slower than that.

--- a/wasabidrum/sidecar/call_handlers.py
+++ b/wasabidrum/sidecar/call_handlers.py
@@ -114,6 +114,9 @@
             return error
         now = asyncio.get_running_loop().time()
         self.sidecar.deaths.take_lost(poison.fingerprint_of(self._prompt), now)
+        # A caller resends at once, maybe through another entry. Told only at the next beat,
+        # that entry would let the request crash one endpoint more.
+        self.sidecar.node.wake_all()
         return CodedError("engine_lost", str(error), 502, error.outcome)
 
     def on_connection_close(self) -> None:
