Drop two functions and two constants that nothing uses

Cause: a read of the whole change found ListKeeper.fetch_from, chunk_route.brings_in, LEAVING_SECONDS and DIGEST_LENGTH defined and never named again. Conclusion: behaviour unchanged.

--- a/wasabidrum/core/digest.py
+++ b/wasabidrum/core/digest.py
@@ -5,8 +5,6 @@
 
 import msgspec
 
-DIGEST_LENGTH = 64
-
 Digest = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 
 
--- a/wasabidrum/decisions/chunk_route.py
+++ b/wasabidrum/decisions/chunk_route.py
@@ -76,11 +76,6 @@
     return ahead[(len(ahead) - 1) // CHILDREN] if ahead else ""
 
 
-def brings_in(plan: ChunkPlan, asker: Asker, index: int, usable: Usable) -> bool:
-    """Returns whether the asker is the one who brings a chunk into its region."""
-    return not find_parent(order_for(plan, asker, index), asker.name, usable)
-
-
 def find_step(plan: ChunkPlan, asker: Asker, index: int, usable: Usable) -> Step:
     """Returns the next step towards a chunk.
 
--- a/wasabidrum/entry/target_pool.py
+++ b/wasabidrum/entry/target_pool.py
@@ -14,7 +14,6 @@
 from .endpoint_table import EndpointTable, EndpointView
 
 REFRESH_SECONDS = 0.1
-LEAVING_SECONDS = 5.0
 
 
 class TargetPool:
--- a/wasabidrum/peers/list_keeper.py
+++ b/wasabidrum/peers/list_keeper.py
@@ -75,10 +75,6 @@
         if self._fetching is None or self._fetching.done():
             self._fetching = asyncio.ensure_future(self._fetch(host, port))
 
-    async def fetch_from(self, host: str, port: int) -> None:
-        """Takes the list that a peer holds, if it is later."""
-        await self._fetch(host, port)
-
     async def _fetch(self, host: str, port: int) -> None:
         try:
             reply = await peer_client.fetch_list(host, port, self.roster.digest)
