--- /dev/null
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -0,0 +1,121 @@
+"""Which endpoint a request goes to, or that it is refused at once.
+
+Load pattern: callers send more than the engines can carry. Whoever waits in an engine's queue
+gets a first event that is late for its caller, and so does everyone behind; engines are busy
+with answers that are worth little to anyone. Another pattern: one engine has just come back or
+looked idle, every entry sends to it, and it is full while the others have room.
+
+Each endpoint's first event is forecast from what it has to do. The one that is soonest gets the
+request, with a small handicap for those in other regions, whose answers cross thin links. Where
+even the soonest is too late, the request is refused on arrival, with a time at which room is
+expected: waiting would only make it later.
+
+Grounds:
+- LATEST_FRACTION of the aimed latency: forecasts err by about a pass of the engine either way,
+  and an answer a little late is still worth something to its caller.
+- OTHER_REGION_SECONDS: the way there and back, and what the thin link costs the others.
+- JITTER keeps entries that know the same from choosing the same endpoint together.
+- SHORTEST_RETRY_SECONDS: a slot of some engine comes free several times in that time.
+"""
+
+import collections.abc
+import dataclasses
+import random
+
+from ..core.listed_endpoint import ListedEndpoint
+from ..core.published import EngineFigures
+from .endpoint_health import Health
+from .endpoint_load import EndpointLoad
+from .engine_forecast import first_event_seconds, run_seconds
+
+LATEST_FRACTION = 1.15
+OTHER_REGION_SECONDS = 0.03
+JITTER = 0.1
+SHORTEST_RETRY_SECONDS = 0.3
+LONGEST_RETRY_SECONDS = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint that could take a request, and what is known of its work."""
+
+    endpoint: ListedEndpoint
+    load: EndpointLoad
+    near: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a request goes.
+
+    Attributes:
+      candidate: None where it is refused.
+      seconds: The soonest first event that was forecast; infinite where nobody could take it.
+      retry_after: Where it is refused, when room is expected.
+    """
+
+    candidate: Candidate | None
+    seconds: float
+    retry_after: float = 0.0
+
+
+def forecast(
+    candidate: Candidate, figures: EngineFigures | None, prompt_tokens: int, now: float
+) -> float:
+    """Returns the seconds until a request's first event, or its whole answer, would come."""
+    load = candidate.load
+    work = load.work(now)
+    if figures is not None:
+        return first_event_seconds(figures, work, prompt_tokens)
+    waiting = max(0.0, work.requests + 1.0 - candidate.endpoint.slots)
+    turns = waiting / max(1, candidate.endpoint.slots)
+    # Below its slots an endpoint that runs fewer is the better one still: some slow down.
+    busy = work.requests / max(1, candidate.endpoint.slots)
+    return load.run_seconds * (1.0 + turns + 0.5 * min(1.0, busy))
+
+
+def choose(
+    candidates: collections.abc.Sequence[Candidate],
+    figures: EngineFigures | None,
+    prompt_tokens: int,
+    latest: float,
+    now: float,
+    rng: random.Random,
+    risky: bool = False,
+) -> Choice:
+    """Returns where a request goes.
+
+    Args:
+      latest: The seconds beyond which a first event is too late to be worth its place.
+      risky: The request may not be repeated, so it is no probe where anything else can be.
+    """
+    able = [c for c in candidates if c.load.health.may_take(now)]
+    healthy = [c for c in able if c.load.health.health is Health.HEALTHY]
+    # A probe is worth a request only now and then; one that may not be repeated never is.
+    pool = healthy if risky and healthy else able
+    if not pool:
+        return Choice(None, float("inf"), retry_when_probed(candidates, now))
+    ranked = []
+    for candidate in pool:
+        seconds = forecast(candidate, figures, prompt_tokens, now)
+        handicap = 0.0 if candidate.near else OTHER_REGION_SECONDS
+        ranked.append((seconds * (1.0 + JITTER * rng.random()) + handicap, seconds, candidate))
+    _, seconds, best = min(ranked, key=lambda rank: rank[0])
+    soonest = min(rank[1] for rank in ranked)
+    if seconds > latest:
+        return Choice(None, soonest, retry_when_room(figures, soonest - latest))
+    return Choice(best, seconds)
+
+
+def retry_when_room(figures: EngineFigures | None, too_late: float) -> float:
+    """Returns when a caller that is refused for want of room should come back, in seconds."""
+    usual = run_seconds(figures, figures.slots) / figures.slots if figures is not None else 0.0
+    seconds = SHORTEST_RETRY_SECONDS + too_late + usual
+    return min(LONGEST_RETRY_SECONDS, seconds)
+
+
+def retry_when_probed(candidates: collections.abc.Sequence[Candidate], now: float) -> float:
+    """Returns when an endpoint will be tried again, where all are out of service."""
+    waits = [candidate.load.health.probe_at - now for candidate in candidates]
+    soonest = min(waits, default=LONGEST_RETRY_SECONDS / 2)
+    return min(LONGEST_RETRY_SECONDS, max(SHORTEST_RETRY_SECONDS, soonest))
--- /dev/null
+++ b/wasabidrum/decisions/evidence_lease.py
@@ -0,0 +1,54 @@
+"""For how long a process may act on the configuration that it holds.
+
+Load pattern: an operator takes a key away while some entries cannot reach the store. They go on
+with the configuration that they have, in which the key is good, for as long as the outage
+lasts; the workspace that was shut out is served, and its operator believes that it is not.
+
+The configuration is held under a lease. Whoever asks the store and hears of nothing newer
+renews it, from the moment of the question and not of the answer: what changed while the answer
+was on its way is not in it. The lease ends before the bound for revoked keys, and then requests
+with keys are refused until the store, or somebody who asked it, has answered again.
+
+Grounds:
+- MARGIN_SECONDS: the clocks of two instances drift by milliseconds in five seconds; the rest is
+  for a request that is sent on a moment after it was judged.
+- READY_FRACTION: no new callers come to an entry that will refuse them in a moment.
+"""
+
+MARGIN_SECONDS = 0.25
+READY_FRACTION = 0.6
+
+
+class EvidenceLease:
+    """When the configuration in force was last known to be the newest.
+
+    All times are of a clock that counts while the instance is suspended.
+    """
+
+    __slots__ = ("_bound", "_dated")
+
+    def __init__(self, bound: float) -> None:
+        """Takes the seconds after which a revoked key must be refused everywhere."""
+        self._bound = bound
+        self._dated = float("-inf")
+
+    @property
+    def dated(self) -> float:
+        """When the question was asked whose answer renewed the lease last."""
+        return self._dated
+
+    def renew(self, asked_at: float) -> None:
+        """Takes that someone asked at a moment and heard of nothing newer than is in force."""
+        self._dated = max(self._dated, asked_at)
+
+    def age(self, now: float) -> float:
+        """Returns how old the evidence is, in seconds."""
+        return now - self._dated
+
+    def holds(self, now: float) -> bool:
+        """Returns whether keys may still be judged by the configuration in force."""
+        return self.age(now) <= self._bound - MARGIN_SECONDS
+
+    def is_ready(self, now: float) -> bool:
+        """Returns whether new callers may be sent here."""
+        return self.age(now) <= self._bound * READY_FRACTION
--- /dev/null
+++ b/wasabidrum/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role where the platform publishes routes: requests are passed on unchanged."""
--- /dev/null
+++ b/wasabidrum/gateway/exchange.py
@@ -0,0 +1,493 @@
+"""One caller's request, from its head to its final answer."""
+
+import asyncio
+import typing
+
+import msgspec
+from tornado import httputil
+
+from ..core.awake_clock import awake_seconds
+from ..core.errors import CodedError
+from ..core.outcome import Outcome
+from ..core.request_head import ReplyHead, RequestHead
+from ..core.route import Route, RouteKind
+from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
+from ..observe.event import Event
+from ..platform import heads
+from . import endpoint_connection
+from .endpoint_connection import EndpointConnection, PartKind
+from .event_stream import EventStream
+from .placement import Placed
+
+if typing.TYPE_CHECKING:
+    from .daemon import Gateway
+
+# A connection within the fleet opens in some milliseconds; a machine that does not answer in
+# this time is dark or drops connections, and another one can still answer in time.
+CONNECT_SECONDS = 0.25
+# What a caller waits who says nothing of it.
+DEFAULT_DEADLINE_SECONDS = 30.0
+# An answer that takes longer to refuse than this is late for its caller in any case.
+SHORTEST_USEFUL_SECONDS = 0.02
+LEAVING_RETRY_SECONDS = 0.5
+NOT_READY_RETRY_SECONDS = 1.0
+STATUS_REASONS = {
+    401: "Unauthorized",
+    404: "Not Found",
+    413: "Content Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class AttemptError(Exception):
+    """An attempt ended without an answer that can be passed on."""
+
+    def __init__(self, end: AttemptEnd, code: str, reply: "WholeReply | None" = None) -> None:
+        super().__init__(code)
+        self.end = end
+        self.code = code
+        self.reply = reply
+
+
+class WholeReply(typing.NamedTuple):
+    """An endpoint's answer that arrived whole."""
+
+    head: ReplyHead
+    body: bytes
+
+
+class CallerExchange(httputil.HTTPMessageDelegate):
+    """Reads a request, forwards it, and answers once."""
+
+    def __init__(self, gateway: "Gateway", connection: httputil.HTTPConnection) -> None:
+        self._gateway = gateway
+        self._connection = connection
+        self._parts: list[bytes] = []
+        self._received = 0
+        self._head: RequestHead | None = None
+        self._task: asyncio.Task | None = None
+        self._answered = False
+        self._streaming = False
+        self._began = 0.0
+        self._last_event = ""
+        self._events = 0
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Takes the head; see HTTPMessageDelegate."""
+        self._began = asyncio.get_running_loop().time()
+        self._head = heads.read_request(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Takes some of the body."""
+        self._received += len(chunk)
+        if self._received <= self._gateway.body_limit:
+            self._parts.append(chunk)
+
+    def finish(self) -> None:
+        """Takes that the request is here whole, and begins to work on it."""
+        self._connection.set_close_callback(self.caller_gone)
+        self._task = self._gateway.tasks.start("request", self._run())
+
+    def on_connection_close(self) -> None:
+        """Takes that the caller went away before its request was whole."""
+        self.caller_gone()
+
+    def caller_gone(self) -> None:
+        """Ends the work for a caller that went away."""
+        if self._task is not None and not self._task.done() and not self._answered:
+            self._log(Event.REQUEST_CANCELLED, code="cancelled", outcome=Outcome.UNKNOWN.value)
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        with self._gateway.requests.one():
+            try:
+                await self._serve(self._head)
+            except CodedError as error:
+                self._refuse(error)
+
+    async def _serve(self, head: RequestHead) -> None:
+        if self._received > self._gateway.body_limit:
+            raise CodedError("body_too_large", "the body is too long", 413)
+        state = self._gateway.state
+        routes = state.routes
+        if routes is None:
+            raise not_ready("no configuration yet")
+        fresh = state.lease.holds(awake_seconds())
+        route = routes.find(head.host, head.path)
+        if route is None:
+            # On old evidence the route may exist by now, and "not found" would be untrue.
+            if not fresh:
+                raise not_ready("the configuration may be old")
+            raise CodedError("route_unknown", "no such route", 404)
+        workspace = ""
+        if routes.has_workspaces and not route.public:
+            if not fresh:
+                raise not_ready("keys cannot be judged now")
+            holder = routes.workspace_of(head.key)
+            if holder is None:
+                raise CodedError("key_unknown", "the key is not valid", 401)
+            workspace = holder.name
+        await Forwarding(self, self._gateway, head, route, workspace, b"".join(self._parts)).run()
+
+    @property
+    def began(self) -> float:
+        """When the head of the request was read, by the event loop's clock."""
+        return self._began
+
+    def answer_whole(self, reply: WholeReply, **facts: object) -> None:
+        """Passes an endpoint's whole answer on."""
+        self._answered = True
+        headers = reply.head.headers
+        if reply.head.status not in (204, 304):
+            headers["Content-Length"] = str(len(reply.body))
+        start = httputil.ResponseStartLine("", reply.head.status, reply.head.reason)
+        self._write(start, headers, reply.body)
+        self._log(Event.REQUEST_DONE, outcome=Outcome.DONE.value, status=reply.head.status, **facts)
+
+    async def begin_stream(self, head: ReplyHead) -> None:
+        """Passes the head of a stream on."""
+        self._streaming = True
+        self._prepare_headers(head.headers)
+        start = httputil.ResponseStartLine("", head.status, head.reason)
+        await self._connection.write_headers(start, head.headers)
+
+    async def write_events(self, content: bytes) -> None:
+        """Passes whole events on, waiting for a caller that reads slowly."""
+        await self._connection.write(content)
+
+    def end_stream(self, **facts: object) -> None:
+        """Ends a stream that is whole."""
+        self._answered = True
+        self._connection.finish()
+        self._log(Event.REQUEST_DONE, outcome=Outcome.DONE.value, **facts)
+
+    def cut_stream(self, code: str, **facts: object) -> None:
+        """Ends a stream that will not become whole, so that its caller can tell."""
+        self._answered = True
+        self._log(Event.REQUEST_FAILED, code=code, outcome=Outcome.FAILED.value, **facts)
+        self._connection.close()
+
+    @property
+    def streaming(self) -> bool:
+        """Whether the head of a stream was passed on."""
+        return self._streaming
+
+    def _refuse(self, error: CodedError) -> None:
+        self._answered = True
+        body = msgspec.json.encode(
+            {"error": {"code": error.code, "message": str(error), "outcome": error.outcome.value}}
+        )
+        headers = heads.write_refusal(self._head.request_id, error.retry_after)
+        headers["Content-Length"] = str(len(body))
+        reason = STATUS_REASONS.get(error.http_status, "Error")
+        self._write(httputil.ResponseStartLine("", error.http_status, reason), headers, body)
+        event = Event.REQUEST_REFUSED
+        if error.outcome is not Outcome.NOT_RUN:
+            event = Event.REQUEST_FAILED
+        self._log(
+            event,
+            code=error.code,
+            outcome=error.outcome.value,
+            status=error.http_status,
+            reason=str(error)[:200],
+            retry_after=error.retry_after,
+        )
+
+    def _write(
+        self, start: httputil.ResponseStartLine, headers: httputil.HTTPHeaders, body: bytes
+    ) -> None:
+        self._prepare_headers(headers)
+        self._connection.write_headers(start, headers, body)
+        self._connection.finish()
+
+    def _prepare_headers(self, headers: httputil.HTTPHeaders) -> None:
+        if self._gateway.leaving:
+            headers["Connection"] = "close"
+
+    def _log(self, event: Event, **facts: object) -> None:
+        state = self._gateway.state
+        self._gateway.log.write(
+            event,
+            request=self._head.request_id if self._head else "",
+            seconds=round(asyncio.get_running_loop().time() - self._began, 4),
+            revision=state.version,
+            **facts,
+        )
+
+
+class Forwarding:
+    """Forwards one request, to another endpoint where that is safe and useful."""
+
+    def __init__(
+        self,
+        exchange: CallerExchange,
+        gateway: "Gateway",
+        head: RequestHead,
+        route: Route,
+        workspace: str,
+        body: bytes,
+    ) -> None:
+        self._exchange = exchange
+        self._gateway = gateway
+        self._head = head
+        self._route = route
+        self._workspace = workspace
+        self._body = body
+        self._history = AttemptHistory(route.idempotent, max(1, route.max_attempts))
+        self._service = gateway.placer.pick_service(route)
+        self._tried: frozenset[str] = frozenset()
+        self._retries = 0
+        seconds = min(head.deadline or DEFAULT_DEADLINE_SECONDS, route.timeout)
+        self._ends_at = exchange.began + seconds
+        # A stream that goes on needs the version that it began with.
+        self._weights = 0
+        self._last_event = head.last_event
+        self._events = 0
+        self._first_event_at = 0.0
+
+    @property
+    def left(self) -> float:
+        """Seconds until the caller or the route gives up."""
+        return self._ends_at - asyncio.get_running_loop().time()
+
+    async def run(self) -> None:
+        """Serves the request.
+
+        Raises:
+          CodedError: It was not answered; the outcome says what that means.
+        """
+        self._gateway.placer.budget(self._service).earn()
+        failure = ""
+        while True:
+            placed = self._place(failure)
+            if placed is None:
+                self._exchange.cut_stream(failure, events=self._events)
+                return
+            try:
+                await self._attempt(placed)
+                return
+            except AttemptError as error:
+                failure = error.code
+                self._history.take(error.end)
+                self._note_end(placed, error)
+                self._tried |= {placed.endpoint.id}
+                if not self._may_go_on():
+                    self._give_up(error)
+                    return
+
+    def _place(self, failure: str) -> Placed | None:
+        """Returns where the request goes, or None for a stream that cannot go on.
+
+        Raises:
+          CodedError: It goes nowhere.
+        """
+        left = self.left
+        placer = self._gateway.placer
+        placed, choice = placer.place(
+            self._route, self._service, self._head, self._tried, self._weights, left
+        )
+        if placed is not None and left > SHORTEST_USEFUL_SECONDS:
+            self._gateway.log.write(
+                Event.REQUEST_PLACED,
+                request=self._head.request_id,
+                workspace=self._workspace,
+                route=self._route.name,
+                service=self._service,
+                endpoint=placed.endpoint.id,
+                weights=placed.weights,
+                forecast=round(placed.seconds, 3),
+                in_progress=placed.load.own,
+                after=failure,
+            )
+            return placed
+        if self._exchange.streaming:
+            return None
+        if self._history.may_have_run:
+            status = self._history.final_status(left <= SHORTEST_USEFUL_SECONDS)
+            raise CodedError(failure or "no_endpoint", "no answer", status, Outcome.UNKNOWN)
+        code = "overloaded" if choice.seconds < float("inf") else "no_endpoint"
+        message = f"the first event would come after {choice.seconds:.2f} s"
+        retry = choice.retry_after * (1.0 + 0.3 * placer.rng.random())
+        raise CodedError(code, message, 503, retry_after=retry)
+
+    def _may_go_on(self) -> bool:
+        if self.left <= SHORTEST_USEFUL_SECONDS or not self._history.may_go_on():
+            return False
+        if not self._gateway.placer.budget(self._service).spend(self._retries):
+            return False
+        self._retries += 1
+        return True
+
+    def _give_up(self, error: AttemptError) -> None:
+        facts = {"events": self._events, "attempts": self._history.sends}
+        if self._exchange.streaming:
+            self._exchange.cut_stream(error.code, **facts)
+            return
+        if error.reply is not None and error.end is AttemptEnd.FAILED:
+            self._exchange.answer_whole(error.reply, **facts)
+            return
+        late = self.left <= SHORTEST_USEFUL_SECONDS
+        status = self._history.final_status(late)
+        outcome = Outcome.UNKNOWN if self._history.may_have_run else Outcome.NOT_RUN
+        retry = LEAVING_RETRY_SECONDS if outcome is Outcome.NOT_RUN else None
+        raise CodedError(error.code, "no endpoint answered", status, outcome, retry_after=retry)
+
+    def _note_end(self, placed: Placed, error: AttemptError) -> None:
+        self._gateway.log.write(
+            Event.CALL_PLACED_AGAIN,
+            request=self._head.request_id,
+            endpoint=placed.endpoint.id,
+            code=error.code,
+            end=error.end.value,
+            events=self._events,
+        )
+        if error.code != "timeout":
+            self._gateway.placer.take_failure(placed, error.code)
+
+    async def _attempt(self, placed: Placed) -> None:
+        prompt = self._head.prompt_tokens
+        placed.load.placed(prompt)
+        marks = AttemptMarks()
+        connection: EndpointConnection | None = None
+        try:
+            endpoint = placed.endpoint
+            timeout = min(CONNECT_SECONDS, self.left)
+            try:
+                connection = await endpoint_connection.connect(
+                    endpoint.host, endpoint.port, timeout
+                )
+            except CodedError as error:
+                raise AttemptError(AttemptEnd.NOT_SENT, error.code) from error
+            await self._exchange_with(connection, placed, marks)
+            self._gateway.placer.take_success(placed)
+        finally:
+            placed.load.ended(prompt, marks.answered)
+            if connection is not None:
+                connection.close()
+
+    async def _exchange_with(
+        self, connection: EndpointConnection, placed: Placed, marks: "AttemptMarks"
+    ) -> None:
+        state = self._gateway.state
+        # Looked at again just before the request leaves: it may have waited for a connection,
+        # or this process may have slept, since its key was judged.
+        if self._workspace and not state.lease.holds(awake_seconds()):
+            raise AttemptError(AttemptEnd.NOT_SENT, "not_ready")
+        headers = heads.write_forwarded(
+            self._head,
+            placed.endpoint,
+            self._workspace,
+            self.left,
+            len(self._body),
+            self._last_event,
+            placed.weights,
+            None,
+        )
+        sent_at = asyncio.get_running_loop().time()
+        connection.send(self._head.method, self._head.target, headers, self._body)
+        head = await self._read_head(connection)
+        if self._route.kind is RouteKind.STREAM and head.success:
+            await self._relay_stream(connection, placed, head, marks)
+            return
+        reply = await self._read_whole(connection, head)
+        if not head.success:
+            raise AttemptError(AttemptEnd.FAILED, f"status_{head.status}", reply)
+        placed.load.take_run(asyncio.get_running_loop().time() - sent_at)
+        if self._exchange.streaming:
+            raise AttemptError(AttemptEnd.LOST, "not_a_stream")
+        self._exchange.answer_whole(
+            reply, endpoint=placed.endpoint.id, attempts=self._history.sends + 1
+        )
+
+    async def _next_part(self, connection: EndpointConnection):
+        try:
+            return await asyncio.wait_for(connection.next_part(), max(0.001, self.left))
+        except TimeoutError as error:
+            raise AttemptError(AttemptEnd.LOST, "timeout") from error
+
+    async def _read_head(self, connection: EndpointConnection) -> ReplyHead:
+        part = await self._next_part(connection)
+        if part.kind is not PartKind.HEAD:
+            raise AttemptError(AttemptEnd.LOST, "answer_lost")
+        head = part.head
+        if head.not_executed and not head.success:
+            raise AttemptError(AttemptEnd.REFUSED, f"refused_{head.status}")
+        crossed = head.request_id and head.request_id != self._head.request_id
+        if crossed or head.encoded or (head.success and not head.signed):
+            raise AttemptError(AttemptEnd.LOST, "answer_crossed" if crossed else "answer_broken")
+        return head
+
+    async def _read_whole(self, connection: EndpointConnection, head: ReplyHead) -> WholeReply:
+        parts = []
+        while True:
+            part = await self._next_part(connection)
+            if part.kind is PartKind.END:
+                return WholeReply(head, b"".join(parts))
+            if part.kind is PartKind.BROKEN:
+                raise AttemptError(AttemptEnd.LOST, "answer_cut")
+            parts.append(part.content)
+
+    async def _relay_stream(
+        self,
+        connection: EndpointConnection,
+        placed: Placed,
+        head: ReplyHead,
+        marks: "AttemptMarks",
+    ) -> None:
+        stream = EventStream()
+        loop = asyncio.get_running_loop()
+        while True:
+            part = await self._next_part(connection)
+            if part.kind is PartKind.BROKEN:
+                raise AttemptError(AttemptEnd.LOST, "stream_cut")
+            if part.kind is PartKind.END:
+                break
+            events = stream.take(part.content)
+            if not events.count:
+                continue
+            if not marks.answered:
+                marks.answered = True
+                placed.load.first_event(self._head.prompt_tokens, loop.time())
+            if not self._exchange.streaming:
+                self._first_event_at = loop.time()
+                self._weights = placed.weights
+                await self._exchange.begin_stream(head)
+            placed.load.progress_at = loop.time()
+            self._last_event = events.last_id or self._last_event
+            self._events += events.count
+            await self._exchange.write_events(events.content)
+        if stream.incomplete:
+            raise AttemptError(AttemptEnd.LOST, "stream_cut")
+        if not self._exchange.streaming:
+            await self._exchange.begin_stream(head)
+        first = self._first_event_at - self._exchange.began
+        self._exchange.end_stream(
+            endpoint=placed.endpoint.id,
+            events=self._events,
+            first_token=round(first, 4),
+            attempts=self._history.sends + 1,
+        )
+
+
+class AttemptMarks:
+    """What happened in one attempt.
+
+    Attributes:
+      answered: Whether its first event came.
+    """
+
+    __slots__ = ("answered",)
+
+    def __init__(self) -> None:
+        self.answered = False
+
+
+def not_ready(message: str) -> CodedError:
+    """Returns what a caller is told whose request cannot be judged now."""
+    return CodedError("not_ready", message, 503, retry_after=NOT_READY_RETRY_SECONDS)
--- /dev/null
+++ b/wasabidrum/gateway/placement.py
@@ -0,0 +1,151 @@
+"""Joins what is registered with this entry's own counts, and asks the decisions where to go."""
+
+import asyncio
+import dataclasses
+import random
+
+from ..core.listed_endpoint import ListedEndpoint
+from ..core.request_head import RequestHead
+from ..core.route import Route, RouteKind
+from ..decisions.endpoint_choice import LATEST_FRACTION, Candidate, Choice, choose
+from ..decisions.endpoint_load import EndpointLoad
+from ..decisions.retry_budget import RetryBudget
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from .published_state import PublishedState
+
+# A plain service's call is short; one is refused only where it could not end in its time.
+PLAIN_LATEST_FRACTION = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """An endpoint that was chosen, with what is counted of it.
+
+    Attributes:
+      weights: The version of the weights that must answer; zero for a plain service.
+    """
+
+    endpoint: ListedEndpoint
+    load: EndpointLoad
+    weights: int
+    seconds: float
+
+
+class Placer:
+    """The endpoints of one entry, and what it knows of each."""
+
+    __slots__ = ("_state", "_log", "_near", "_loads", "_rng", "_budgets", "_retry_fraction")
+
+    def __init__(
+        self, state: PublishedState, log: EventLog, data_centre: str, retry_fraction: float
+    ) -> None:
+        self._state = state
+        self._log = log
+        self._near = data_centre
+        self._retry_fraction = retry_fraction
+        self._loads: dict[tuple[str, int], EndpointLoad] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._rng = random.Random()
+
+    @property
+    def rng(self) -> random.Random:
+        """The entry's source of chance."""
+        return self._rng
+
+    def load_of(self, endpoint: ListedEndpoint) -> EndpointLoad:
+        """Returns what is known of one run of an endpoint."""
+        key = (endpoint.id, endpoint.started_at)
+        load = self._loads.get(key)
+        if load is None:
+            self._forget_unlisted()
+            load = self._loads[key] = EndpointLoad(self._rng)
+        return load
+
+    def budget(self, service: str) -> RetryBudget:
+        """Returns the retries that a service may still be sent."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget()
+        return budget
+
+    def pick_service(self, route: Route) -> str:
+        """Returns the service that a request of a route goes to, by the targets' weights."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        weights = [max(0.0, target.weight) for target in route.targets]
+        if not any(weights):
+            return route.targets[0].service
+        return self._rng.choices(route.targets, weights)[0].service
+
+    def place(
+        self,
+        route: Route,
+        service: str,
+        head: RequestHead,
+        tried: frozenset[str],
+        weights: int,
+        seconds_left: float,
+    ) -> tuple[Placed | None, Choice]:
+        """Chooses an endpoint that was not tried yet.
+
+        Args:
+          weights: The version that must answer, for a stream that goes on; zero for any.
+        """
+        now = asyncio.get_running_loop().time()
+        figures = self._state.engine_of(service)
+        candidates = self._candidates(service, tried, weights, now)
+        if figures is None:
+            latest = seconds_left * PLAIN_LATEST_FRACTION
+        else:
+            latest = min(seconds_left, route.target_latency * LATEST_FRACTION)
+        risky = route.kind is RouteKind.UNSAFE or not route.idempotent
+        prompt = head.prompt_tokens
+        choice = choose(candidates, figures, prompt, latest, now, self._rng, risky)
+        if choice.candidate is None:
+            return None, choice
+        endpoint = choice.candidate.endpoint
+        version = endpoint.weights if figures is not None else 0
+        return Placed(endpoint, choice.candidate.load, version, choice.seconds), choice
+
+    def take_failure(self, placed: Placed, reason: str) -> None:
+        """Takes a failure that may be the endpoint's own."""
+        now = asyncio.get_running_loop().time()
+        if placed.load.health.take_failure(now):
+            self._log.write(
+                Event.ENDPOINT_EJECTED,
+                endpoint=placed.endpoint.id,
+                health=placed.load.health.health.value,
+                reason=reason,
+            )
+
+    def take_success(self, placed: Placed) -> None:
+        """Takes a whole answer."""
+        if placed.load.health.take_success(0.0):
+            self._log.write(Event.ENDPOINT_RETURNED, endpoint=placed.endpoint.id)
+
+    def _candidates(
+        self, service: str, tried: frozenset[str], weights: int, now: float
+    ) -> list[Candidate]:
+        found = []
+        engine = self._state.engine_of(service) is not None
+        for endpoint in self._state.endpoints.endpoints:
+            if endpoint.service != service or endpoint.leaving or endpoint.id in tried:
+                continue
+            if engine and not self._may_answer(endpoint, weights, now):
+                continue
+            near = endpoint.data_centre == self._near
+            found.append(Candidate(endpoint, self.load_of(endpoint), near))
+        return found
+
+    def _may_answer(self, endpoint: ListedEndpoint, weights: int, now: float) -> bool:
+        if not endpoint.whole or endpoint.weights <= 0:
+            return False
+        if weights and endpoint.weights != weights:
+            return False
+        return endpoint.weights >= self._state.oldest_allowed(endpoint.model, now)
+
+    def _forget_unlisted(self) -> None:
+        listed = {(e.id, e.started_at) for e in self._state.endpoints.endpoints}
+        for key in [k for k, load in self._loads.items() if k not in listed and not load.own]:
+            del self._loads[key]
--- /dev/null
+++ b/wasabidrum/gateway/published_state.py
@@ -0,0 +1,146 @@
+"""What an entry knows from the platform's store, each part replaced in one step."""
+
+from ..config.deployment import Bounds
+from ..core.errors import CodedError
+from ..core.published import EngineFigures
+from ..core.store_change import StoreChange, StoreReading
+from ..decisions.endpoint_book import EndpointBook
+from ..decisions.evidence_lease import EvidenceLease
+from ..decisions.route_table import RouteTable
+from ..decisions.version_floor import VersionFloor
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from ..platform import names, published_records
+
+
+class PublishedState:
+    """Configuration, endpoints and wanted versions.
+
+    Attributes:
+      routes: The configuration in force, or None before the first.
+      endpoints: Who is registered.
+      lease: How fresh all that is.
+    """
+
+    __slots__ = ("_log", "_bounds", "_floors", "_seen", "routes", "endpoints", "lease")
+
+    def __init__(self, bounds: Bounds, log: EventLog) -> None:
+        self._log = log
+        self._bounds = bounds
+        self._floors: dict[str, VersionFloor] = {}
+        self._seen: dict[str, int] = {}
+        self.routes: RouteTable | None = None
+        self.endpoints = EndpointBook()
+        self.lease = EvidenceLease(bounds.revocation)
+
+    @property
+    def version(self) -> int:
+        """The configuration version in force, zero before the first."""
+        return self.routes.configuration.version if self.routes else 0
+
+    def oldest_allowed(self, model: str, now: float) -> int:
+        """Returns the oldest version of a model's weights that may begin a request."""
+        floor = self._floors.get(model)
+        return floor.oldest_allowed(now) if floor else 0
+
+    def newest_wanted(self, model: str) -> int:
+        """Returns the newest version of a model's weights that was named."""
+        floor = self._floors.get(model)
+        return floor.newest if floor else 0
+
+    def take_reading(self, reading: StoreReading, now: float, first: bool) -> None:
+        """Takes everything that the store holds."""
+        # The configuration comes first: it says how many layers make an engine whole.
+        ordered = sorted(reading.changes, key=lambda c: c.key != names.CONFIGURATION_KEY)
+        for change in ordered:
+            self.take_change(change, now, first)
+        prefix = names.ENDPOINT_PREFIX
+        listed = {
+            change.key.removeprefix(prefix)
+            for change in reading.changes
+            if change.key.startswith(prefix)
+        }
+        for endpoint_id in self.endpoints.take_listed(listed, now):
+            self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="not listed")
+
+    def take_change(self, change: StoreChange, now: float, first: bool = False) -> None:
+        """Takes one item as it is now, or its removal."""
+        key = change.key
+        if key.startswith(names.ENDPOINT_PREFIX):
+            self._take_endpoint(key.removeprefix(names.ENDPOINT_PREFIX), change, now)
+        elif key == names.CONFIGURATION_KEY and change.value is not None:
+            self._take_configuration(change)
+        elif key.startswith(names.VERSION_PREFIX) and change.value is not None:
+            self._take_version(change, now, first)
+
+    def tick(self, now: float) -> None:
+        """Ends what only time ends."""
+        for endpoint_id in self.endpoints.expire(now):
+            self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="not back")
+
+    def engine_of(self, service: str) -> EngineFigures | None:
+        """Returns the figures of a service's engines, or None for a plain service."""
+        known = self.routes.service(service) if self.routes else None
+        return known.engine if known else None
+
+    def _take_configuration(self, change: StoreChange) -> None:
+        try:
+            configuration = published_records.decode_configuration(change.value or b"")
+        except CodedError as error:
+            self._log.write(
+                Event.REVISION_REFUSED, revision=change.revision, reason=str(error)[:300]
+            )
+            return
+        # A store that is restored or asked for a stale answer may offer an old version. In
+        # force again, it would undo an operator's change, and callers would meet old routes.
+        if configuration.version <= self.version:
+            return
+        self.routes = RouteTable(configuration)
+        self._log.write(
+            Event.REVISION_IN_FORCE,
+            revision=configuration.version,
+            store_revision=change.revision,
+            routes=len(configuration.routes),
+            workspaces=len(configuration.workspaces),
+        )
+
+    def _take_version(self, change: StoreChange, now: float, first: bool) -> None:
+        try:
+            model, version = published_records.decode_version(change.value or b"")
+        except CodedError as error:
+            self._log.write(
+                Event.REVISION_REFUSED, revision=change.revision, reason=str(error)[:300]
+            )
+            return
+        floor = self._floors.setdefault(model, VersionFloor(self._bounds.version))
+        if floor.take(version, now, first):
+            self._log.write(Event.VERSION_NAMED, model=model, version=version)
+
+    def _take_endpoint(self, endpoint_id: str, change: StoreChange, now: float) -> None:
+        if change.value is None:
+            if self.endpoints.take_removal(endpoint_id, change.revision, now):
+                self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="removed")
+            return
+        try:
+            endpoint = published_records.decode_endpoint(endpoint_id, change.value, self._layers)
+        except CodedError as error:
+            # Anyone may write an entry. One that cannot be understood names nobody to send
+            # to, and must not disturb what the others say.
+            self._log.write(
+                Event.ENDPOINT_UNREADABLE, endpoint=endpoint_id, reason=str(error)[:300]
+            )
+            return
+        if self.endpoints.take(endpoint, change.revision):
+            self._log.write(
+                Event.ENDPOINT_LISTED,
+                endpoint=endpoint_id,
+                service=endpoint.service,
+                address=f"{endpoint.host}:{endpoint.port}",
+                leaving=endpoint.leaving,
+                weights=endpoint.weights,
+                whole=endpoint.whole,
+            )
+
+    def _layers(self, service: str) -> int:
+        figures = self.engine_of(service)
+        return figures.layers if figures else 0
--- /dev/null
+++ b/wasabidrum/gateway/store_follower.py
@@ -0,0 +1,88 @@
+"""Keeps what an entry knows up to date from the platform's store."""
+
+import asyncio
+
+from ..core.awake_clock import awake_seconds
+from ..core.errors import CodedError
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from ..platform.store_client import StoreClient
+from .published_state import PublishedState
+
+# Everything: one watch brings configuration, versions and endpoints in their order.
+ALL_KEYS = ""
+# A watch that ends without news renews the lease on the configuration. Its age when it ends is
+# the wait itself, so that two waits in a row stay well below the five seconds of the bound.
+WATCH_SECONDS = 1.2
+# Between two calls of which the first failed: long enough that a store that is down gets few
+# calls, short beside the two seconds in which a change is to be in force.
+PAUSE_SECONDS = 0.15
+LONGEST_PAUSE_SECONDS = 0.4
+TICK_SECONDS = 0.1
+
+
+class StoreFollower:
+    """Reads all once, then watches; reads again where the store has dropped its history."""
+
+    __slots__ = ("_store", "_state", "_log", "_revision", "_failures", "_first")
+
+    def __init__(self, store: StoreClient, state: PublishedState, log: EventLog) -> None:
+        self._store = store
+        self._state = state
+        self._log = log
+        self._revision: int | None = None
+        self._failures = 0
+        self._first = True
+
+    async def run(self) -> None:
+        """Follows for ever."""
+        while True:
+            try:
+                await self._step()
+            except CodedError as error:
+                await self._take_failure(error)
+
+    async def tick(self) -> None:
+        """Has time end what only time ends, for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self._state.tick(loop.time())
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _step(self) -> None:
+        asked_at = awake_seconds()
+        if self._revision is None:
+            reading = await self._store.read(ALL_KEYS)
+            self._take_answer()
+            self._state.take_reading(reading, asyncio.get_running_loop().time(), self._first)
+            self._first = False
+        else:
+            reading = await self._store.watch(ALL_KEYS, self._revision, WATCH_SECONDS)
+            self._take_answer()
+            now = asyncio.get_running_loop().time()
+            for change in reading.changes:
+                self._state.take_change(change, now)
+        self._revision = reading.revision
+        self._state.lease.renew(asked_at)
+
+    def _take_answer(self) -> None:
+        if self._failures:
+            self._log.write(Event.STORE_BACK, failures=self._failures)
+            self._failures = 0
+            # What disappeared while nobody could be asked is judged from now on.
+            self._state.endpoints.note_trouble(asyncio.get_running_loop().time())
+
+    async def _take_failure(self, error: CodedError) -> None:
+        if error.code == "history_lost":
+            self._log.write(Event.STORE_HISTORY_LOST, revision=self._revision)
+            self._revision = None
+            return
+        if not self._failures:
+            self._log.write(
+                Event.STORE_LOST,
+                reason=str(error)[:200],
+                evidence_age=round(self._state.lease.age(awake_seconds()), 3),
+            )
+        self._failures += 1
+        self._state.endpoints.note_trouble(asyncio.get_running_loop().time())
+        await asyncio.sleep(min(LONGEST_PAUSE_SECONDS, PAUSE_SECONDS * self._failures))
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -11,6 +11,8 @@
     DAEMON_LEAVING = 1002
     DAEMON_STOPPED = 1003
     TASK_FAILED = 1004
+    SETTINGS_RELOADED = 1005
+    READINESS_CHANGED = 1006
 
     # 2000: requests.
     REQUEST_PLACED = 2001
@@ -61,6 +63,13 @@
     MAYBE_ISOLATED = 4017
     ENDPOINT_OUT = 4018
     ENDPOINT_BACK = 4019
+    STORE_LOST = 4020
+    STORE_BACK = 4021
+    STORE_HISTORY_LOST = 4022
+    ENDPOINT_LISTED = 4023
+    ENDPOINT_UNLISTED = 4024
+    ENDPOINT_UNREADABLE = 4025
+    VERSION_NAMED = 4026
 
     # 5000: calls with keys, and streams that go on elsewhere.
     CALL_STARTED = 5001
--- /dev/null
+++ b/wasabidrum/platform/boot_settings.py
@@ -0,0 +1,132 @@
+"""Reads the settings file that the platform places, in the platform's own format."""
+
+import os
+import pathlib
+
+import msgspec
+
+from ..config.deployment import Address, Bounds, Deployment
+from ..core.errors import CodedError
+from . import names
+
+
+class WireBounds(msgspec.Struct, frozen=True):
+    """The bounds as the platform writes them; names end in their unit."""
+
+    configApplyMs: float = 2000.0  # noqa: N815
+    revokeMs: float = 5000.0  # noqa: N815
+    drainMs: float = 2000.0  # noqa: N815
+    graceS: float = 8.0  # noqa: N815
+    version_ms: float = 8000.0
+    retryBudgetRatio: float = 0.2  # noqa: N815
+    budgetSlack: float = 100.0  # noqa: N815
+    budgetWindowS: float = 10.0  # noqa: N815
+
+
+class WireLimits(msgspec.Struct, frozen=True):
+    """What the instance gives this process."""
+
+    memoryMb: float = 300.0  # noqa: N815
+    linkMbps: float = 1000.0  # noqa: N815
+
+
+class WireProvider(msgspec.Struct, frozen=True):
+    """The platform's store."""
+
+    address: str
+
+
+class WireSettings(msgspec.Struct, frozen=True):
+    """The file; keys that are not listed here are ignored."""
+
+    nodeName: str  # noqa: N815
+    machineClass: str  # noqa: N815
+    ip: str
+    zone: str
+    region: str
+    zones: dict[str, str]
+    provider: WireProvider
+    listen: dict[str, str] = {}
+    internalPorts: tuple[int, int] = (7700, 7715)  # noqa: N815
+    seeds: tuple[str, ...] = ()
+    limits: WireLimits = WireLimits()
+    bounds: WireBounds = WireBounds()
+    serves: tuple[str, ...] = ()
+    app: str = ""
+
+
+def read_deployment() -> Deployment:
+    """Reads the file that the environment names.
+
+    Raises:
+      CodedError: There is no such file, or it cannot be understood.
+    """
+    path = os.environ.get(names.SETTINGS_VARIABLE, "")
+    try:
+        content = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise CodedError("settings_unreadable", f"{path!r}: {error}") from error
+    return decode_deployment(content)
+
+
+def decode_deployment(content: bytes) -> Deployment:
+    """Decodes the file.
+
+    Raises:
+      CodedError: It cannot be understood.
+    """
+    try:
+        wire = msgspec.json.decode(content, type=WireSettings)
+        return to_deployment(wire)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise CodedError("settings_invalid", str(error)) from error
+
+
+def to_deployment(wire: WireSettings) -> Deployment:
+    """Returns the settings in the project's own types.
+
+    Raises:
+      ValueError: An address is not one.
+    """
+    listen = {name: parse_address(text) for name, text in wire.listen.items()}
+    bounds = wire.bounds
+    return Deployment(
+        name=wire.nodeName,
+        role="entry" if "front" in wire.serves else "sidecar",
+        host=wire.ip,
+        data_centre=wire.zone,
+        region=wire.region,
+        region_of=wire.zones,
+        store=parse_address(wire.provider.address),
+        bounds=Bounds(
+            configuration=bounds.configApplyMs / 1000.0,
+            revocation=bounds.revokeMs / 1000.0,
+            drain=bounds.drainMs / 1000.0,
+            grace=bounds.graceS,
+            version=bounds.version_ms / 1000.0,
+            retry_fraction=bounds.retryBudgetRatio,
+            retry_extra=bounds.budgetSlack,
+            retry_window=bounds.budgetWindowS,
+        ),
+        first_port=wire.internalPorts[0],
+        last_port=wire.internalPorts[1],
+        callers=listen.get("front"),
+        readiness=listen.get("ready"),
+        peers_listen=listen.get("control"),
+        seeds=tuple(parse_address(seed) for seed in wire.seeds),
+        link_mbit=wire.limits.linkMbps,
+        memory_mb=int(wire.limits.memoryMb),
+        endpoint=parse_address(wire.app) if wire.app else None,
+    )
+
+
+def parse_address(text: str) -> Address:
+    """Returns host and port.
+
+    Raises:
+      ValueError: It is not written HOST:PORT.
+    """
+    host, _, port = text.rpartition(":")
+    if not host:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return Address(host, int(port))
--- /dev/null
+++ b/wasabidrum/platform/engine_client.py
@@ -0,0 +1,125 @@
+"""The model engine beside a sidecar: its report, its staging area, and orders to it."""
+
+import msgspec
+from tornado import httpclient
+
+from ..config.deployment import Address
+from ..core.engine_report import EngineReport
+from ..core.errors import CodedError
+from ..core.outcome import Outcome
+from ..wire import http_client
+from . import names
+from .published_records import WireHeldModel, WireLayers, holds_all
+
+# An engine on the same instance answers in a millisecond, or is down.
+ANSWER_SECONDS = 1.0
+# Loaded after what is running, without taking anything new meanwhile.
+AFTER_RUNNING = "wait"
+ACCEPTED = (200, 202)
+
+
+class WireReport(msgspec.Struct, frozen=True):
+    """The engine's report; sequence counts the orders that it has accepted."""
+
+    models: tuple[WireHeldModel, ...] = ()
+    layers: tuple[WireLayers, ...] | WireLayers | None = None
+    busy: bool = False
+    sequence: int = 0
+    running: int = 0
+    queued: int = 0
+    pace: float = 1.0
+    born: int = 0
+
+
+class WireStaged(msgspec.Struct, frozen=True):
+    """What lies in the staging area; held lists numbers of pieces."""
+
+    held: tuple[int, ...] = ()
+
+
+class EngineClient:
+    """Speaks to one engine. Every method may raise CodedError where it does not answer."""
+
+    __slots__ = ("_client", "_url")
+
+    def __init__(self, client: httpclient.AsyncHTTPClient, address: Address) -> None:
+        self._client = client
+        self._url = f"http://{address}"
+
+    async def report(self, layers: int) -> EngineReport:
+        """Returns the engine's account of itself.
+
+        Args:
+          layers: How many layers its model has.
+        """
+        body = await self._get(names.REPORT_PATH)
+        try:
+            wire = msgspec.json.decode(body, type=WireReport)
+        except msgspec.MsgspecError as error:
+            raise CodedError("engine_unreadable", str(error), 502) from error
+        held = wire.models[0] if wire.models else None
+        whole = held is not None and holds_all(wire.layers, held.version, layers)
+        return EngineReport(
+            model=held.name if held else "",
+            weights=held.version if whole else 0,
+            busy=wire.busy,
+            orders=wire.sequence,
+            running=wire.running,
+            queued=wire.queued,
+            pace=wire.pace,
+            started_at=wire.born,
+        )
+
+    async def staged(self, model: str) -> tuple[int, ...]:
+        """Returns the numbers of the pieces in the staging area."""
+        body = await self._get(names.STAGE_GET_PATH + model)
+        try:
+            return msgspec.json.decode(body, type=WireStaged).held
+        except msgspec.MsgspecError as error:
+            raise CodedError("engine_unreadable", str(error), 502) from error
+
+    async def read_piece(self, model: str, number: int) -> bytes | None:
+        """Returns a piece as it lies in the staging area, or None."""
+        path = f"{names.STAGE_GET_PATH}{model}?num={number}"
+        response = await self._fetch(path)
+        return response.body if response.code == 200 else None
+
+    async def put_piece(self, model: str, number: int, content: bytes) -> None:
+        """Puts a piece into the staging area, over what lies there."""
+        path = f"{names.STAGE_PUT_PATH}{model}?num={number}"
+        response = await self._fetch(path, method="PUT", body=content)
+        if response.code not in (200, 201, 202, 204):
+            raise CodedError("stage_refused", f"status {response.code}", 502, Outcome.FAILED)
+
+    async def start(self, model: str, version: int, fence: int) -> bool:
+        """Orders the engine to load what is staged; returns whether it will, or has."""
+        order = {
+            "operation": "start",
+            "model": model,
+            "version": version,
+            "strategy": AFTER_RUNNING,
+            "fencingToken": fence,
+        }
+        response = await http_client.post_json(
+            self._client, self._url + names.ORDER_PATH, order, ANSWER_SECONDS
+        )
+        return response.code in ACCEPTED
+
+    async def _get(self, path: str) -> bytes:
+        response = await self._fetch(path)
+        if response.code != 200:
+            raise CodedError("engine_error", f"{path}: status {response.code}", 502)
+        return response.body
+
+    async def _fetch(
+        self, path: str, method: str = "GET", body: bytes | None = None
+    ) -> httpclient.HTTPResponse:
+        request = httpclient.HTTPRequest(
+            self._url + path, method=method, body=body, request_timeout=ANSWER_SECONDS
+        )
+        return await http_client.fetch(self._client, request, "engine")
+
+
+def make_engine_client(client: httpclient.AsyncHTTPClient, address: Address) -> EngineClient:
+    """Returns a client of the engine at an address."""
+    return EngineClient(client, address)
--- /dev/null
+++ b/wasabidrum/platform/published_records.py
@@ -0,0 +1,290 @@
+"""Decodes what the platform's store holds into the project's types."""
+
+import collections.abc
+
+import msgspec
+
+from ..core.errors import CodedError
+from ..core.listed_endpoint import ListedEndpoint
+from ..core.published import (
+    CallerLimits,
+    EngineFigures,
+    PublishedConfiguration,
+    PublishedService,
+    WorkspaceKeys,
+)
+from ..core.route import Route, RouteKind, RouteTarget
+from .boot_settings import parse_address
+
+KINDS = {"safe": RouteKind.SAFE, "unsafe": RouteKind.UNSAFE, "streaming": RouteKind.STREAM}
+# An endpoint's states as the store spells them; another word names no endpoint to use.
+LEAVING_BY_STATE = {"ready": False, "draining": True}
+WHOLE_WEIGHT = 1.0
+
+
+class WireSplit(msgspec.Struct, frozen=True):
+    """One part of a route that is split."""
+
+    service: str
+    weight: float
+
+
+class WireRoute(msgspec.Struct, frozen=True):
+    """A route. The field called type is what may be repeated."""
+
+    name: str
+    host: str
+    prefix: str
+    type: str
+    timeoutMs: float  # noqa: N815
+    targetLatencyMs: float = 0.0  # noqa: N815
+    priority: int = 0
+    service: str = ""
+    trafficSplit: tuple[WireSplit, ...] = ()  # noqa: N815
+    maxAttempts: int = 1  # noqa: N815
+    public: bool = False
+    resumable: bool = False
+    gapTargetMs: float = 0.0  # noqa: N815
+
+
+class WireModel(msgspec.Struct, frozen=True):
+    """A model of a service's engines."""
+
+    name: str
+
+
+class WireUsual(msgspec.Struct, frozen=True):
+    """Mean tokens of a request."""
+
+    prompt: float = 1000.0
+    answer: float = 100.0
+
+
+class WireEngine(msgspec.Struct, frozen=True):
+    """An engine's figures. The last parts of the names are units; sizes are in tokens."""
+
+    slots: int = 1
+    kvCapacityTokens: int = 0  # noqa: N815
+    stride: int = 1
+    models: tuple[WireModel, ...] = ()
+    step_ms: float = 10.0
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    read_per_s: float = 20_000.0
+    pairs_per_m: float = 0.0
+    chunk: int = 2048
+    usual: WireUsual = WireUsual()
+    layers: int = 0
+    chunks: int = 0
+    chunkBytes: int = 0  # noqa: N815
+
+
+class WireService(msgspec.Struct, frozen=True):
+    """A service; one with an origin gives weights and is on no list."""
+
+    name: str
+    healthPath: str = ""  # noqa: N815
+    maxConnections: int = 0  # noqa: N815
+    engine: WireEngine | None = None
+    origin: str = ""
+    zone: str = ""
+    linkMbps: float = 0.0  # noqa: N815
+
+
+class WireTenant(msgspec.Struct, frozen=True):
+    """A workspace and its keys."""
+
+    name: str
+    apiKeys: tuple[str, ...] = ()  # noqa: N815
+    priority: int | None = None
+
+
+class WireCallerLimits(msgspec.Struct, frozen=True):
+    """Limits on what callers send."""
+
+    maxHeaderBytes: int = 16_384  # noqa: N815
+    maxBodyBytes: int = 4_194_304  # noqa: N815
+    headerTimeoutMs: float = 3000.0  # noqa: N815
+    idleTimeoutMs: float = 15_000.0  # noqa: N815
+
+
+class WireConfiguration(msgspec.Struct, frozen=True):
+    """The operator's newest configuration, in full."""
+
+    version: int
+    routes: tuple[WireRoute, ...] = ()
+    services: tuple[WireService, ...] = ()
+    limits: WireCallerLimits = WireCallerLimits()
+    tenants: tuple[WireTenant, ...] = ()
+
+
+class WireVersion(msgspec.Struct, frozen=True):
+    """Which weights a model is to have."""
+
+    model: str
+    version: int
+
+
+class WireHeldModel(msgspec.Struct, frozen=True):
+    """A model that an endpoint holds."""
+
+    name: str
+    version: int = 0
+
+
+class WireLayers(msgspec.Struct, frozen=True, rename={"first": "from", "end": "to"}):
+    """Layers that an endpoint holds of one version; the end is not held."""
+
+    first: int
+    end: int
+    version: int = 0
+
+
+class WireEndpoint(msgspec.Struct, frozen=True):
+    """An endpoint's own entry. The field version, of its software, is not used."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    born: int = 0
+    models: tuple[WireHeldModel, ...] = ()
+    layers: tuple[WireLayers, ...] | WireLayers | None = None
+
+
+def decode_configuration(content: bytes) -> PublishedConfiguration:
+    """Decodes the operator's configuration.
+
+    Raises:
+      CodedError: It cannot be understood.
+    """
+    try:
+        wire = msgspec.json.decode(content, type=WireConfiguration)
+        return PublishedConfiguration(
+            version=wire.version,
+            routes=tuple(to_route(route) for route in wire.routes),
+            services=tuple(to_service(service) for service in wire.services),
+            limits=to_limits(wire.limits),
+            workspaces=tuple(WorkspaceKeys(t.name, t.apiKeys, t.priority) for t in wire.tenants),
+        )
+    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        raise CodedError("configuration_invalid", repr(error)) from error
+
+
+def decode_version(content: bytes) -> tuple[str, int]:
+    """Returns a model and the version of its weights that is wanted.
+
+    Raises:
+      CodedError: It cannot be understood.
+    """
+    try:
+        wire = msgspec.json.decode(content, type=WireVersion)
+    except msgspec.MsgspecError as error:
+        raise CodedError("version_invalid", str(error)) from error
+    return wire.model, wire.version
+
+
+def decode_endpoint(
+    endpoint_id: str, content: bytes, layers_of: collections.abc.Callable[[str], int]
+) -> ListedEndpoint:
+    """Decodes an endpoint's entry, which anyone may have written.
+
+    Args:
+      layers_of: Returns how many layers the model of a service has.
+
+    Raises:
+      CodedError: A field is missing or has another type or an unknown word.
+    """
+    try:
+        wire = msgspec.json.decode(content, type=WireEndpoint)
+        address = parse_address(wire.address)
+        leaving = LEAVING_BY_STATE[wire.state]
+    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        raise CodedError("endpoint_invalid", repr(error)) from error
+    held = wire.models[0] if wire.models else None
+    return ListedEndpoint(
+        id=endpoint_id,
+        service=wire.service,
+        host=address.host,
+        port=address.port,
+        data_centre=wire.zone,
+        leaving=leaving,
+        slots=wire.slots,
+        started_at=wire.born,
+        model=held.name if held else "",
+        weights=held.version if held else 0,
+        whole=held is not None and holds_all(wire.layers, held.version, layers_of(wire.service)),
+    )
+
+
+def holds_all(held: tuple[WireLayers, ...] | WireLayers | None, version: int, layers: int) -> bool:
+    """Returns whether an endpoint holds every layer of a version."""
+    if held is None:
+        return version > 0
+    ranges = (held,) if isinstance(held, WireLayers) else held
+    return any(r.version == version and r.first == 0 and r.end >= layers for r in ranges)
+
+
+def to_route(wire: WireRoute) -> Route:
+    """Returns a route in the project's types."""
+    targets = tuple(RouteTarget(split.service, split.weight) for split in wire.trafficSplit)
+    return Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.prefix,
+        kind=KINDS[wire.type],
+        timeout=wire.timeoutMs / 1000.0,
+        target_latency=wire.targetLatencyMs / 1000.0,
+        priority=wire.priority,
+        targets=targets or (RouteTarget(wire.service, WHOLE_WEIGHT),),
+        max_attempts=wire.maxAttempts,
+        public=wire.public,
+        resumable=wire.resumable,
+        largest_gap=wire.gapTargetMs / 1000.0,
+    )
+
+
+def to_service(wire: WireService) -> PublishedService:
+    """Returns a service in the project's types."""
+    origin = parse_address(wire.origin) if wire.origin else None
+    return PublishedService(
+        name=wire.name,
+        health_path=wire.healthPath,
+        most_connections=wire.maxConnections,
+        engine=to_figures(wire.engine) if wire.engine else None,
+        models=tuple(model.name for model in wire.engine.models) if wire.engine else (),
+        origin=(origin.host, origin.port) if origin else None,
+        origin_data_centre=wire.zone,
+        origin_mbit=wire.linkMbps,
+    )
+
+
+def to_figures(wire: WireEngine) -> EngineFigures:
+    """Returns an engine's figures in seconds and tokens."""
+    return EngineFigures(
+        slots=wire.slots,
+        step=wire.step_ms / 1000.0,
+        step_per_request=wire.per_seq_ms / 1000.0,
+        step_per_thousand_context=wire.context_per_k / 1000.0,
+        read_rate=wire.read_per_s,
+        read_per_million_pairs=wire.pairs_per_m / 1000.0,
+        read_chunk=wire.chunk,
+        stride=wire.stride,
+        memory_tokens=wire.kvCapacityTokens,
+        usual_prompt=wire.usual.prompt,
+        usual_answer=wire.usual.answer,
+        layers=wire.layers,
+        chunk_count=wire.chunks,
+        chunk_bytes=wire.chunkBytes,
+    )
+
+
+def to_limits(wire: WireCallerLimits) -> CallerLimits:
+    """Returns the limits on callers in seconds and bytes."""
+    return CallerLimits(
+        wire.maxHeaderBytes,
+        wire.maxBodyBytes,
+        wire.headerTimeoutMs / 1000.0,
+        wire.idleTimeoutMs / 1000.0,
+    )
--- a/wasabidrum/scripts/daemon.py
+++ b/wasabidrum/scripts/daemon.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 
+from ..config.deployment import Deployment
 from ..config.settings import Settings
 from ..config.settings_file import read_settings
 from ..core.errors import CodedError
@@ -46,11 +47,34 @@
         log.write(Event.CERTIFICATES_IN_FORCE)
 
 
+async def run_deployed(deployment: Deployment) -> None:
+    """Runs the daemon that the platform asks for until SIGTERM, then leaves gracefully."""
+    log = make_event_log(deployment.name, "")
+    if deployment.role == "entry":
+        from ..gateway.daemon import make_gateway as make_daemon
+    else:
+        from ..sidecar.deployed import make_deployed_sidecar as make_daemon
+    daemon = make_daemon(deployment, log)
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    await daemon.start()
+    await ended.wait()
+    await daemon.stop()
+
+
 def main() -> int:
     """Parses the command line and runs the daemon."""
     parser = argparse.ArgumentParser(prog="wasabidrumd", description=__doc__)
-    parser.add_argument("--settings", required=True, metavar="FILE", help="YAML settings")
+    source = parser.add_mutually_exclusive_group(required=True)
+    source.add_argument("--settings", metavar="FILE", help="YAML settings")
+    source.add_argument(
+        "--deployed", action="store_true", help="take the settings that the platform placed"
+    )
     options = parser.parse_args()
+    if options.deployed:
+        return main_deployed()
     settings, findings = read_settings(options.settings)
     for finding in findings:
         print(finding, file=sys.stderr)
@@ -65,5 +89,18 @@
     return 0
 
 
+def main_deployed() -> int:
+    """Runs with the settings that the platform placed."""
+    from ..platform.boot_settings import read_deployment
+
+    try:
+        deployment = read_deployment()
+    except CodedError as error:
+        print(f"{error.code}: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    asyncio.run(run_deployed(deployment))
+    return 0
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/wasabidrum/weights/engine_keeper.py
@@ -0,0 +1,165 @@
+"""Keeps the engine beside a sidecar at the version that operators have named."""
+
+import asyncio
+
+from ..core.engine_report import EngineReport, PieceList
+from ..core.errors import CodedError
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from ..platform.engine_client import EngineClient
+from ..platform.origin_client import OriginClient
+from .distributor import Distributor
+from .listed_engines import ListedEngines
+from .staged_version import StagedVersion
+
+# How often the engine beside this process is asked; it answers without leaving the instance.
+REPORT_SECONDS = 0.15
+# Between two tries after a failure: short beside the seconds that a version may take.
+PAUSE_SECONDS = 0.3
+# What an engine may take after an order, before it is looked at anew: what runs there ends
+# first, and a run lasts for some seconds at most.
+LOAD_SECONDS = 7.0
+# A check of the staging area counts for so long; the engine must take the order within it.
+VERIFIED_SECONDS = 1.0
+MOST_VERIFICATIONS = 5
+
+
+class EngineKeeper:
+    """Owns the orders to one engine; one piece of work at a time.
+
+    Attributes:
+      report: The engine's last account of itself, or None while it does not answer.
+      switching: An order was given and the engine has not finished it.
+    """
+
+    def __init__(
+        self,
+        engine: EngineClient,
+        origin: OriginClient,
+        distributor: Distributor,
+        listed: ListedEngines,
+        log: EventLog,
+    ) -> None:
+        self._engine = engine
+        self._origin = origin
+        self._distributor = distributor
+        self._listed = listed
+        self._log = log
+        self._staged: dict[int, StagedVersion] = {}
+        self._reason = ""
+        self.report: EngineReport | None = None
+        self.switching = False
+        self.on_report = ignore_report
+
+    async def watch(self) -> None:
+        """Reads the engine's report for ever."""
+        lost = False
+        while True:
+            try:
+                self.report = await self._engine.report(self._listed.layers)
+                if lost:
+                    lost = False
+                    self._log.write(Event.ENGINE_BACK, weights=self.report.weights)
+            except CodedError as error:
+                self.report = None
+                if not lost:
+                    lost = True
+                    self._log.write(Event.ENGINE_LOST, reason=str(error)[:200])
+            self.on_report()
+            await asyncio.sleep(REPORT_SECONDS)
+
+    async def run(self) -> None:
+        """Brings each wanted version about, for ever."""
+        while True:
+            wanted = self._listed.wanted
+            work = asyncio.ensure_future(self._keep(wanted))
+            changed = asyncio.ensure_future(self._listed.wait_other_than(wanted))
+            try:
+                await asyncio.wait((work, changed), return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for task in (work, changed):
+                    task.cancel()
+                await asyncio.gather(work, changed, return_exceptions=True)
+                # Peers must not wait here for pieces that nobody fetches any more.
+                self._distributor.store.expected = set()
+                self._distributor.store.wake_all()
+
+    async def _keep(self, wanted: int) -> None:
+        while True:
+            try:
+                await self._bring(wanted)
+                self._reason = ""
+            except* CodedError as errors:
+                self._tell(wanted, str(errors.exceptions[0]))
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    def _tell(self, wanted: int, reason: str) -> None:
+        if reason != self._reason:
+            self._reason = reason
+            self._log.write(Event.VERSION_FAILED, version=wanted, reason=reason[:300])
+
+    async def _bring(self, wanted: int) -> None:
+        report = self.report
+        if report is None or not self._listed.ready:
+            return
+        staged = await self._stage_for(wanted)
+        version = max(self._staged)
+        if report.weights == version or report.busy:
+            return
+        await staged.bring(self._listed.region_of, self._listed.origin_region)
+        self._log.write(Event.VERSION_STAGED, version=version, chunks=0)
+        await self._order(staged, version)
+
+    async def _stage_for(self, wanted: int) -> StagedVersion:
+        if wanted and wanted in self._staged:
+            return self._staged[wanted]
+        if not wanted and self._staged:
+            return self._staged[max(self._staged)]
+        pieces = await self._read_list(wanted)
+        staged = StagedVersion(self._engine, self._distributor, pieces)
+        adopted = await staged.adopt()
+        self._log.write(
+            Event.VERSION_WANTED, version=pieces.version, revision=wanted, adopted=adopted
+        )
+        self._staged = {pieces.version: staged}
+        self._distributor.begin()
+        return staged
+
+    async def _read_list(self, wanted: int) -> PieceList:
+        host, port = self._listed.origin
+        self._origin.set_address(host, port)
+        return await self._origin.read_list(self._listed.model, wanted)
+
+    async def _order(self, staged: StagedVersion, version: int) -> None:
+        for _ in range(MOST_VERIFICATIONS):
+            mended = await staged.verify()
+            if mended == 0:
+                break
+            self._log.write(Event.STAGED_PIECES_MENDED, version=version, pieces=mended)
+            if mended < 0:
+                raise CodedError("piece_lost", "a piece is not held here any more", 503)
+        self.switching = True
+        self.on_report()
+        try:
+            accepted = await self._engine.start(self._listed.model, version, version)
+            self._log.write(Event.ENGINE_ORDERED, version=version, accepted=accepted)
+            if accepted:
+                await self._wait_in_force(version)
+        finally:
+            self.switching = False
+            self.on_report()
+
+    async def _wait_in_force(self, version: int) -> None:
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + LOAD_SECONDS
+        while loop.time() < ends:
+            if self.report is None:
+                return
+            if self.report.weights == version:
+                self._log.write(Event.VERSION_IN_FORCE, version=version)
+                return
+            await asyncio.sleep(REPORT_SECONDS)
+
+
+def ignore_report() -> None:
+    """Stands where nobody asked to be told of reports."""
--- /dev/null
+++ b/wasabidrum/weights/staged_version.py
@@ -0,0 +1,83 @@
+"""Brings a version's pieces into an engine's staging area, and proves that they lie there whole."""
+
+import asyncio
+
+from ..core.digest import digest_of
+from ..core.engine_report import PieceList
+from ..core.manifest import Manifest, encode_manifest
+from ..decisions.chunk_plan import ChunkPlan
+from ..platform.engine_client import EngineClient
+from .distributor import Distributor
+from .version_download import VersionDownload
+
+
+class StagedVersion:
+    """One version on its way into one staging area.
+
+    Attributes:
+      root: What names the version's content, the same at every sidecar.
+    """
+
+    __slots__ = ("_engine", "_distributor", "_pieces", "_manifest", "root")
+
+    def __init__(
+        self, engine: EngineClient, distributor: Distributor, pieces: PieceList
+    ) -> None:
+        self._engine = engine
+        self._distributor = distributor
+        self._pieces = pieces
+        total = pieces.piece_bytes * len(pieces.digests)
+        self._manifest = Manifest(pieces.piece_bytes, total, pieces.digests)
+        self.root = digest_of(encode_manifest(self._manifest))
+
+    async def adopt(self) -> int:
+        """Takes sound pieces that lie in the staging area already; returns how many.
+
+        An engine that is there at the start has its version staged. Its sidecar can give the
+        pieces to others that need them, which spares the origin's link a copy.
+        """
+        held = await self._engine.staged(self._pieces.model)
+        adopted = 0
+        for number in held:
+            if number >= len(self._pieces.digests):
+                continue
+            content = await self._engine.read_piece(self._pieces.model, number)
+            if content is not None and digest_of(content) == self._pieces.digests[number]:
+                self._distributor.store.add(self._pieces.digests[number], content)
+                adopted += 1
+        return adopted
+
+    async def bring(self, region_of: dict[str, str], origin_region: str) -> None:
+        """Brings every piece that is missing here, and stages all."""
+        pieces = self._pieces
+        plan = ChunkPlan(self.root, pieces.digests, region_of, origin_region)
+        self._distributor.share_link(plan)
+        self._distributor.store.want(frozenset(pieces.digests))
+        every = list(range(len(pieces.digests)))
+        await VersionDownload(
+            self._distributor, plan, self._manifest, every, self._put
+        ).run()
+
+    async def verify(self) -> int:
+        """Reads all back and puts anew what is missing or has changed; returns how many.
+
+        What lies in the staging area can turn bad there. An engine takes it as it is, and
+        would answer from spoilt weights; so it is read back just before the order.
+        """
+        held = set(await self._engine.staged(self._pieces.model))
+        mended = 0
+        for number, digest in enumerate(self._pieces.digests):
+            content = None
+            if number in held:
+                content = await self._engine.read_piece(self._pieces.model, number)
+            if content is None or digest_of(content) != digest:
+                sound = self._distributor.store.get(digest)
+                if sound is None:
+                    return -1
+                await self._put(number, sound)
+                mended += 1
+            await asyncio.sleep(0)
+        return mended
+
+    async def _put(self, number: int, content: bytes) -> None:
+        await self._engine.put_piece(self._pieces.model, number, content)
