Bring weights to engines on the platform: sidecars distribute, verify, order

Cause: sidecars were idle, so that engines added later never answered and every request was refused once the named version was binding.

--- a/wasabidrum/config/deployment.py
+++ b/wasabidrum/config/deployment.py
@@ -50,7 +50,7 @@
       seeds: Where some entries listen for others; some may be gone.
       link_mbit: The instance's link, each way.
       store: The platform's store.
-      endpoint: The endpoint beside a sidecar.
+      endpoint: The endpoint beside a sidecar, and the service that it belongs to.
     """
 
     name: str
@@ -70,3 +70,4 @@
     link_mbit: float = 1000.0
     memory_mb: int = 300
     endpoint: Address | None = None
+    service: str = ""
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -42,6 +42,10 @@
     ADAPTER_LOADED = 3014
     ROLE_ORDERED = 3015
     VERSION_RESTORED = 3016
+    ENGINE_ORDERED = 3017
+    ENGINE_LOST = 3018
+    ENGINE_BACK = 3019
+    STAGED_PIECES_MENDED = 3020
 
     # 4000: configuration and membership.
     REVISION_IN_FORCE = 4001
--- a/wasabidrum/platform/boot_settings.py
+++ b/wasabidrum/platform/boot_settings.py
@@ -53,6 +53,7 @@
     bounds: WireBounds = WireBounds()
     serves: tuple[str, ...] = ()
     app: str = ""
+    service: str = ""
 
 
 def read_deployment() -> Deployment:
@@ -117,6 +118,7 @@
         link_mbit=wire.limits.linkMbps,
         memory_mb=int(wire.limits.memoryMb),
         endpoint=parse_address(wire.app) if wire.app else None,
+        service=wire.service,
     )
 
 
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -1,10 +1,12 @@
 """What a sidecar knows from the platform's store: who else there is, and what is wanted."""
 
 import asyncio
+import collections.abc
 
 from ..config.deployment import Deployment
 from ..core.errors import CodedError
 from ..core.instance import Instance, InstanceRole
+from ..core.listed_endpoint import ListedEndpoint
 from ..core.published import PublishedConfiguration, PublishedService
 from ..core.store_change import StoreChange
 from ..observe.event import Event
@@ -88,9 +90,7 @@
             try:
                 revision = await self._read_all()
                 while True:
-                    reading = await self._store.watch(
-                        names.VERSION_PREFIX, revision, WATCH_SECONDS
-                    )
+                    reading = await self._store.watch(names.VERSION_PREFIX, revision, WATCH_SECONDS)
                     revision = reading.revision
                     if reading.changes:
                         await self._read_members()
@@ -100,7 +100,7 @@
                 self._log.write(Event.STORE_LOST, reason=str(error)[:200], evidence_age=0.0)
                 await asyncio.sleep(PAUSE_SECONDS)
 
-    async def keep_members(self, lacking) -> None:
+    async def keep_members(self, lacking: collections.abc.Callable[[], bool]) -> None:
         """Reads again who else there is, while this engine lacks its weights, for ever."""
         while True:
             await asyncio.sleep(MEMBERS_SECONDS)
@@ -114,32 +114,59 @@
         reading = await self._store.read(names.CONFIGURATION_KEY)
         for change in reading.changes:
             if change.key == names.CONFIGURATION_KEY and change.value is not None:
-                self._configuration = published_records.decode_configuration(change.value)
+                self._take_configuration(published_records.decode_configuration(change.value))
+        if not self.model:
+            raise CodedError("configuration_missing", "this engine's service is not published")
         await self._read_members()
         reading = await self._store.read(names.VERSION_PREFIX)
         for change in reading.changes:
             await self._take_version(change)
+        self._known = True
         return reading.revision
 
+    def _take_configuration(self, configuration: PublishedConfiguration) -> None:
+        for service in configuration.services:
+            if service.name == self._deployment.service and service.engine is not None:
+                self.model = service.models[0] if service.models else ""
+                self.layers = service.engine.layers
+            if service.origin is not None:
+                self._origin = service
+
     async def _read_members(self) -> None:
         reading = await self._store.read(names.ENDPOINT_PREFIX)
         endpoints = []
         for change in reading.changes:
+            endpoint_id = change.key.removeprefix(names.ENDPOINT_PREFIX)
             try:
-                endpoint_id = change.key.removeprefix(names.ENDPOINT_PREFIX)
-                endpoints.append(
-                    published_records.decode_endpoint(
-                        endpoint_id, change.value or b"", lambda service: 0
-                    )
+                endpoint = published_records.decode_endpoint(
+                    endpoint_id, change.value or b"", lambda service: self.layers
                 )
             except CodedError as error:
                 self._log.write(
-                    Event.ENDPOINT_UNREADABLE, endpoint=change.key, reason=str(error)[:200]
+                    Event.ENDPOINT_UNREADABLE, endpoint=endpoint_id, reason=str(error)[:200]
                 )
+                continue
+            if endpoint.service == self._deployment.service and not endpoint.leaving:
+                endpoints.append(endpoint)
         self._take_endpoints(endpoints)
 
-    def _take_endpoints(self, endpoints) -> None:
-        raise NotImplementedError
+    def _take_endpoints(self, endpoints: list[ListedEndpoint]) -> None:
+        own = self._deployment
+        places = {endpoint.host: endpoint.data_centre for endpoint in endpoints}
+        places[own.host] = own.data_centre
+        self._views = {
+            host: self._views.get(host) or self._make_view(host, data_centre)
+            for host, data_centre in places.items()
+        }
+
+    def _make_view(self, host: str, data_centre: str) -> MemberView:
+        own = self._deployment
+        region = own.region_of.get(data_centre, data_centre)
+        port = own.first_port + CHUNK_PORT_OFFSET
+        peer_port = own.first_port
+        return MemberView(
+            Instance(host, InstanceRole.SIDECAR, region, data_centre, host, port, peer_port)
+        )
 
     async def _take_version(self, change: StoreChange) -> None:
         if change.value is None:
--- a/wasabidrum/weights/staged_version.py
+++ b/wasabidrum/weights/staged_version.py
@@ -20,9 +20,7 @@
 
     __slots__ = ("_engine", "_distributor", "_pieces", "_manifest", "root")
 
-    def __init__(
-        self, engine: EngineClient, distributor: Distributor, pieces: PieceList
-    ) -> None:
+    def __init__(self, engine: EngineClient, distributor: Distributor, pieces: PieceList) -> None:
         self._engine = engine
         self._distributor = distributor
         self._pieces = pieces
@@ -54,9 +52,7 @@
         self._distributor.share_link(plan)
         self._distributor.store.want(frozenset(pieces.digests))
         every = list(range(len(pieces.digests)))
-        await VersionDownload(
-            self._distributor, plan, self._manifest, every, self._put
-        ).run()
+        await VersionDownload(self._distributor, plan, self._manifest, every, self._put).run()
 
     async def verify(self) -> int:
         """Reads all back and puts anew what is missing or has changed; returns how many.
