--- /dev/null
+++ b/wasabidrum/decisions/entry_roster.py
@@ -0,0 +1,66 @@
+"""Which other entries there are, from seeds and from what entries tell each other.
+
+Load pattern: entries are killed and replaced at any time, the seeds in the settings may be
+stale, and no list names entries. An entry that knows nobody is alone with a store that may turn
+it away; one that keeps the dead asks them first and waits. Entries that meet tell each other
+whom they know and when those were last heard, so that news of a new one reaches all within a
+few meetings, and one that nobody hears any more is forgotten by all.
+
+Grounds: entries meet someone every MEET_SECONDS, so that FORGET_SECONDS are many meetings missed.
+LIST_SIZE keeps a message below a kilobyte or two in a fleet of hundreds.
+"""
+
+import random
+
+MEET_SECONDS = 2.0
+FORGET_SECONDS = 20.0
+LIST_SIZE = 32
+
+Address = tuple[str, int]
+
+
+class EntryRoster:
+    """Entries by address, with when each was last heard of.
+
+    All times are of a clock that counts while the instance is suspended.
+    """
+
+    __slots__ = ("_own", "_seeds", "_heard", "_failed")
+
+    def __init__(self, own: Address, seeds: tuple[Address, ...]) -> None:
+        self._own = own
+        self._seeds = tuple(seed for seed in seeds if seed != own)
+        self._heard: dict[Address, float] = {}
+        self._failed: dict[Address, float] = {}
+
+    def take(self, address: Address, heard_at: float) -> None:
+        """Takes that an entry was heard, by this process or another."""
+        if address != self._own:
+            self._heard[address] = max(heard_at, self._heard.get(address, float("-inf")))
+
+    def take_failure(self, address: Address, now: float) -> None:
+        """Takes that an entry did not answer this process."""
+        self._failed[address] = now
+
+    def known(self, now: float) -> list[tuple[Address, float]]:
+        """Returns the entries heard lately and how long ago, the latest first."""
+        self._heard = {a: at for a, at in self._heard.items() if now - at <= FORGET_SECONDS}
+        ages = sorted((now - at, address) for address, at in self._heard.items())
+        return [(address, age) for age, address in ages[:LIST_SIZE]]
+
+    def count(self, now: float) -> int:
+        """Returns how many entries there are, this one included."""
+        return 1 + len(self.known(now))
+
+    def choose(self, count: int, now: float, rng: random.Random) -> list[Address]:
+        """Returns whom to ask next: those that answered last time first, seeds if need be."""
+        heard = [address for address, _ in self.known(now)]
+        sound = [a for a in heard if self._failed.get(a, float("-inf")) < self._heard[a]]
+        chosen = rng.sample(sound, min(count, len(sound)))
+        rest = [a for a in dict.fromkeys((*heard, *self._seeds)) if a not in chosen]
+        missing = min(count - len(chosen), len(rest))
+        return chosen + rng.sample(rest, missing)
+
+    def all_addresses(self, now: float) -> list[Address]:
+        """Returns everyone worth telling something, the seeds included."""
+        return list(dict.fromkeys((*(a for a, _ in self.known(now)), *self._seeds)))
--- a/wasabidrum/decisions/poison.py
+++ b/wasabidrum/decisions/poison.py
@@ -33,6 +33,15 @@
     return hashlib.blake2b(prompt.encode(), digest_size=8).hexdigest()
 
 
+def fingerprint_of_parts(method: str, host: str, target: str, caller: str, body: bytes) -> str:
+    """Returns the mark by which a whole request is known again, at any entry."""
+    digest = hashlib.blake2b(digest_size=8)
+    for part in (method.encode(), host.encode(), target.encode(), caller.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
 class Suspicion:
     """What speaks against one fingerprint.
 
--- a/wasabidrum/decisions/retry_budget.py
+++ b/wasabidrum/decisions/retry_budget.py
@@ -21,14 +21,22 @@
 class RetryBudget:
     """Retries that were earned and not yet spent."""
 
-    __slots__ = ("_purse",)
-
-    def __init__(self) -> None:
-        self._purse = FIRST_PURSE
+    __slots__ = ("_purse", "_earned", "_largest")
+
+    def __init__(
+        self,
+        earned: float = EARNED_BY_REQUEST,
+        largest: float = LARGEST_PURSE,
+        first: float = FIRST_PURSE,
+    ) -> None:
+        """Takes what a request earns, the largest purse, and the one to begin with."""
+        self._purse = first
+        self._earned = earned
+        self._largest = largest
 
     def earn(self) -> None:
         """Counts one request that was placed for the first time."""
-        self._purse = min(LARGEST_PURSE, self._purse + EARNED_BY_REQUEST)
+        self._purse = min(self._largest, self._purse + self._earned)
 
     def spend(self, retries_so_far: int) -> bool:
         """Takes one retry from the budget; returns whether there was one."""
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -39,6 +39,11 @@
         """The newest version named; zero before the first."""
         return max((wanted.version for wanted in self._wanted), default=0)
 
+    def newest_seconds(self, now: float) -> float:
+        """Returns for how long the newest version has been wanted, as far as is known."""
+        newest = max(self._wanted, key=lambda wanted: wanted.version)
+        return max(0.0, now - (newest.binding_from - self._bound + MARGIN_SECONDS))
+
     def take(self, version: int, now: float, just_started: bool = False) -> bool:
         """Takes a version that was named; returns whether it is newer than all before."""
         if version <= self.newest:
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -10,12 +10,14 @@
 from ..core.incarnation import make_incarnation
 from ..core.published import CallerLimits
 from ..core.requests_in_progress import RequestsInProgress
+from ..decisions.poison import PoisonGuard
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..observe.routes import make_routes
 from ..platform import names
 from ..platform.store_client import make_store_client
 from ..wire import http_client
+from .entry_peers import EntryPeers
 from .exchange import CallerExchange
 from .load_watcher import LoadWatcher
 from .placement import Placer
@@ -72,8 +74,10 @@
         self.state = PublishedState(deployment.bounds, log)
         store = make_store_client(client, deployment.store)
         self._follower = StoreFollower(store, self.state, log)
+        self.guard = PoisonGuard()
+        self.peers = EntryPeers(deployment, self.state, self.guard, self.tasks, log)
         self.placer = Placer(
-            self.state, log, deployment.data_centre, deployment.bounds.retry_fraction
+            self.state, log, deployment.data_centre, deployment.bounds, lambda: self.peers.count
         )
         self._watcher = LoadWatcher(
             deployment, self.state, log, make_incarnation(), self.placer.take_status
@@ -122,6 +126,7 @@
         metrics = web.Application(make_routes(self.log), log_function=lambda handler: None)
         metrics_port = deployment.first_port + METRICS_PORT_OFFSET
         self._listen(httpserver.HTTPServer(metrics), Address(deployment.host, metrics_port))
+        await self.peers.start()
         self.tasks.start("store", self._follower.run())
         self.tasks.start("ticks", self._follower.tick())
         self.tasks.start("loads", self._watcher.run())
@@ -139,6 +144,7 @@
         left = self._deployment.bounds.grace - GRACE_MARGIN_SECONDS - spent
         await self.requests.wait_until_idle(max(0.0, left))
         await self.tasks.cancel_all()
+        await self.peers.stop()
         self.log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
 
     def _listen(self, server: httpserver.HTTPServer, address: Address) -> None:
--- /dev/null
+++ b/wasabidrum/gateway/entry_peers.py
@@ -0,0 +1,210 @@
+"""What an entry asks of the others and tells them."""
+
+import asyncio
+import random
+
+from grpclib import server
+from tornado import netutil
+
+from ..config.deployment import Deployment
+from ..core.awake_clock import awake_seconds
+from ..core.background_tasks import BackgroundTasks
+from ..core.errors import CodedError
+from ..core.store_change import StoreChange, StoreReading
+from ..decisions.entry_roster import MEET_SECONDS, Address, EntryRoster
+from ..decisions.poison import PoisonGuard
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from ..peers import entry_messages, peer_client
+from ..peers.entry_messages import (
+    ChangesReply,
+    EntryAddress,
+    FetchChanges,
+    Meet,
+    NamedVersion,
+    PeerChange,
+    TellSuspects,
+    Told,
+)
+from ..peers.peer_client import CODEC
+from .entry_service import EntryService
+from .published_state import PublishedState
+
+# The watch of the store renews the lease every 1.2 s; what is older than this has missed one.
+ASK_AGE_SECONDS = 1.7
+ASK_EVERY_SECONDS = 0.35
+ASK_TIMEOUT_SECONDS = 0.6
+PEERS_ASKED = 2
+# Those who lost requests with one endpoint do so within a moment; they are told of together.
+GATHER_SECONDS = 0.05
+
+
+class EntryPeers:
+    """Owns the port for other entries, and the questions to them."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        state: PublishedState,
+        guard: PoisonGuard,
+        tasks: BackgroundTasks,
+        log: EventLog,
+    ) -> None:
+        listen = deployment.peers_listen
+        self._own: Address = (listen.host, listen.port)
+        self._state = state
+        self._guard = guard
+        self._tasks = tasks
+        self._log = log
+        self._rng = random.Random()
+        seeds = tuple((seed.host, seed.port) for seed in deployment.seeds)
+        self._roster = EntryRoster(self._own, seeds)
+        self._server: server.Server | None = None
+        self._suspects: dict[str, list[str]] = {}
+        self._relayed = False
+
+    @property
+    def count(self) -> int:
+        """How many entries there are, this one included."""
+        return self._roster.count(awake_seconds())
+
+    async def start(self) -> None:
+        """Listens and starts the tasks."""
+        sockets = netutil.bind_sockets(self._own[1], self._own[0])
+        self._server = server.Server([EntryService(self)], codec=CODEC)
+        await self._server.start(sock=sockets[0])
+        self._tasks.start("meet", self._meet_for_ever())
+        self._tasks.start("relay", self._ask_for_ever())
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def reply_meet(self, message: Meet) -> Meet:
+        """See EntryServiceOwner."""
+        self._take_known(message)
+        return self._meet()
+
+    def reply_changes(self, message: FetchChanges) -> ChangesReply:
+        """See EntryServiceOwner."""
+        whole, changes = self._state.changes_after(message.after)
+        now = asyncio.get_running_loop().time()
+        return ChangesReply(
+            revision=self._state.revision,
+            age=self._state.lease.age(awake_seconds()),
+            whole=whole,
+            changes=tuple(PeerChange(c.key, c.revision, c.value) for c in changes),
+            named=tuple(NamedVersion(*named) for named in self._state.named_versions(now)),
+        )
+
+    def take_suspects(self, message: TellSuspects) -> None:
+        """See EntryServiceOwner."""
+        now = asyncio.get_running_loop().time()
+        for fingerprint in message.fingerprints:
+            self._guard.saw_death(fingerprint, message.endpoint, now)
+
+    def tell_suspect(self, endpoint: str, fingerprint: str) -> None:
+        """Has every other entry told of a request that was there when an endpoint died."""
+        waiting = bool(self._suspects)
+        self._suspects.setdefault(endpoint, []).append(fingerprint)
+        if not waiting:
+            self._tasks.start("suspects", self._tell_suspects())
+
+    async def _tell_suspects(self) -> None:
+        await asyncio.sleep(GATHER_SECONDS)
+        told, self._suspects = self._suspects, {}
+        addresses = self._roster.all_addresses(awake_seconds())
+        for endpoint, fingerprints in told.items():
+            message = TellSuspects(endpoint, tuple(fingerprints))
+            await asyncio.gather(
+                *(
+                    self._call(address, entry_messages.SUSPECTS_PATH, message, Told)
+                    for address in addresses
+                )
+            )
+
+    async def _meet_for_ever(self) -> None:
+        while True:
+            for address in self._roster.choose(1, awake_seconds(), self._rng):
+                reply = await self._call(address, entry_messages.MEET_PATH, self._meet(), Meet)
+                if reply is not None:
+                    self._take_known(reply)
+            await asyncio.sleep(MEET_SECONDS * self._rng.uniform(0.7, 1.0))
+
+    def _meet(self) -> Meet:
+        known = self._roster.known(awake_seconds())
+        addresses = tuple(EntryAddress(host, port, age) for (host, port), age in known)
+        return Meet(EntryAddress(*self._own), addresses)
+
+    def _take_known(self, message: Meet) -> None:
+        now = awake_seconds()
+        self._roster.take((message.own.host, message.own.port), now)
+        for known in message.known:
+            self._roster.take((known.host, known.port), now - known.age)
+
+    async def _ask_for_ever(self) -> None:
+        """Asks others for what the store does not tell this process."""
+        await self._ask_ages()
+        while True:
+            await asyncio.sleep(ASK_EVERY_SECONDS)
+            age = self._state.lease.age(awake_seconds())
+            if age <= ASK_AGE_SECONDS:
+                self._relayed = False
+                continue
+            addresses = self._roster.choose(PEERS_ASKED, awake_seconds(), self._rng)
+            await asyncio.gather(*(self._ask(address) for address in addresses))
+
+    async def _ask_ages(self) -> None:
+        # A process that has just started cannot know for how long a version has been wanted;
+        # without another's word it would let requests begin on one that is overdue.
+        while not self._state.revision:
+            await asyncio.sleep(ASK_EVERY_SECONDS / 4)
+            if self._state.lease.age(awake_seconds()) > ASK_AGE_SECONDS:
+                break
+        for address in self._roster.choose(PEERS_ASKED, awake_seconds(), self._rng):
+            await self._ask(address)
+
+    async def _ask(self, address: Address) -> None:
+        asked_at = awake_seconds()
+        request = FetchChanges(self._state.revision)
+        reply = await self._call(address, entry_messages.CHANGES_PATH, request, ChangesReply)
+        if reply is None:
+            return
+        now = asyncio.get_running_loop().time()
+        for named in reply.named:
+            self._state.take_told_version(named.model, named.version, named.seconds, now)
+        if reply.revision < self._state.revision or not reply.revision:
+            return
+        changes = tuple(StoreChange(c.key, c.revision, c.value) for c in reply.changes)
+        reading = StoreReading(changes, reply.revision)
+        if reply.whole:
+            self._state.take_reading(reading, now, first=not self._state.revision)
+        else:
+            self._state.take_changes(reading, now)
+        for named in reply.named:
+            self._state.take_told_version(named.model, named.version, named.seconds, now)
+        # What the other knew when it was asked is no older than its own evidence was then.
+        self._state.lease.renew(asked_at - reply.age)
+        if not self._relayed:
+            self._relayed = True
+            self._log.write(
+                Event.EVIDENCE_RELAYED,
+                peer=address[0],
+                revision=reply.revision,
+                evidence_age=round(reply.age, 3),
+                changes=len(changes),
+            )
+
+    async def _call(self, address: Address, path: str, message: object, kind: type):
+        """Returns a peer's answer, or None where there was none."""
+        host, port = address
+        try:
+            reply = await peer_client.call(host, port, path, message, kind, ASK_TIMEOUT_SECONDS)
+        except CodedError as error:
+            self._roster.take_failure(address, awake_seconds())
+            self._log.write(Event.PEER_SILENT, peer=f"{host}:{port}", reason=str(error)[:120])
+            return None
+        self._roster.take(address, awake_seconds())
+        return reply
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -11,6 +11,7 @@
 from ..core.outcome import Outcome
 from ..core.request_head import ReplyHead, RequestHead
 from ..core.route import Route, RouteKind
+from ..decisions import poison
 from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
 from ..observe.event import Event
 from ..platform import heads
@@ -31,6 +32,10 @@
 SHORTEST_USEFUL_SECONDS = 0.02
 LEAVING_RETRY_SECONDS = 0.5
 NOT_READY_RETRY_SECONDS = 1.0
+# How long a caller is asked to leave a request alone that crashes endpoints.
+BLOCKED_RETRY_SECONDS = 30.0
+# Ends at which the endpoint may have died of the request.
+DEATH_CODES = frozenset(("answer_lost", "answer_cut", "stream_cut"))
 STATUS_REASONS = {
     401: "Unauthorized",
     404: "Not Found",
@@ -105,6 +110,11 @@
             self._task.cancel()
 
     async def _run(self) -> None:
+        # Closed between its last byte and now, it would be worked on for nobody: the library
+        # tells only of what closes from now on.
+        if self._connection.stream.closed():
+            self._log(Event.REQUEST_CANCELLED, code="cancelled", outcome=Outcome.NOT_RUN.value)
+            return
         with self._gateway.requests.one():
             try:
                 await self._serve(self._head)
@@ -250,6 +260,10 @@
         self._last_event = head.last_event
         self._events = 0
         self._first_event_at = 0.0
+        caller = workspace or head.key
+        self._fingerprint = poison.fingerprint_of_parts(
+            head.method, head.host, head.target, caller, body
+        )
 
     @property
     def left(self) -> float:
@@ -262,6 +276,7 @@
         Raises:
           CodedError: It was not answered; the outcome says what that means.
         """
+        self._check_poison()
         self._gateway.placer.budget(self._service).earn()
         failure = ""
         while True:
@@ -281,6 +296,17 @@
                     self._give_up(error)
                     return
 
+    def _check_poison(self) -> None:
+        """Refuses a request that is known to crash the endpoints that run it.
+
+        Raises:
+          CodedError: It is one; this copy of it has not run.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._gateway.guard.is_blocked(self._fingerprint, now):
+            message = "this request was in progress at two endpoints that died"
+            raise CodedError("request_blocked", message, 503, retry_after=BLOCKED_RETRY_SECONDS)
+
     def _place(self, failure: str) -> Placed | None:
         """Returns where the request goes, or None for a stream that cannot go on.
 
@@ -319,6 +345,9 @@
     def _may_go_on(self) -> bool:
         if self.left <= SHORTEST_USEFUL_SECONDS or not self._history.may_go_on():
             return False
+        now = asyncio.get_running_loop().time()
+        if self._gateway.guard.is_blocked(self._fingerprint, now):
+            return False
         if not self._gateway.placer.budget(self._service).spend(self._retries):
             return False
         self._retries += 1
@@ -349,6 +378,16 @@
         )
         if error.code != "timeout":
             self._gateway.placer.take_failure(placed, error.code)
+        if error.code in DEATH_CODES:
+            now = asyncio.get_running_loop().time()
+            self._gateway.guard.saw_death(self._fingerprint, placed.endpoint.id, now)
+            self._gateway.peers.tell_suspect(placed.endpoint.id, self._fingerprint)
+            self._gateway.log.write(
+                Event.REQUEST_SUSPECTED,
+                request=self._head.request_id,
+                endpoint=placed.endpoint.id,
+                fingerprint=self._fingerprint,
+            )
 
     async def _attempt(self, placed: Placed) -> None:
         prompt = self._head.prompt_tokens
@@ -366,6 +405,7 @@
                 raise AttemptError(AttemptEnd.NOT_SENT, error.code) from error
             await self._exchange_with(connection, placed, marks)
             self._gateway.placer.take_success(placed)
+            self._gateway.guard.clear(self._fingerprint)
         finally:
             placed.load.ended(prompt, marks.answered)
             if connection is not None:
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -1,11 +1,13 @@
 """Joins what is registered with this entry's own counts, and asks the decisions where to go."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import random
 
 import msgspec
 
+from ..config.deployment import Bounds
 from ..core.listed_endpoint import ListedEndpoint
 from ..core.request_head import RequestHead
 from ..core.route import Route, RouteKind
@@ -19,6 +21,10 @@
 
 # A plain service's call is short; one is refused only where it could not end in its time.
 PLAIN_LATEST_FRACTION = 0.5
+# The part of the users' retries that entries use themselves; callers of one service may send to
+# endpoints of others, and entries count each other only roughly.
+RETRY_PART = 0.7
+FEWEST_ENTRIES = 3
 # A sidecar tells something every 0.75 s; what is older is left to the platform's list.
 TOLD_SECONDS = 2.0
 
@@ -48,16 +54,22 @@
 class Placer:
     """The endpoints of one entry, and what it knows of each."""
 
-    __slots__ = ("_state", "_log", "_near", "_loads", "_rng", "_budgets", "_retry_fraction")
-    __slots__ += ("_told",)
+    __slots__ = ("_state", "_log", "_near", "_loads", "_rng", "_budgets", "_bounds")
+    __slots__ += ("_told", "_count_entries")
 
     def __init__(
-        self, state: PublishedState, log: EventLog, data_centre: str, retry_fraction: float
+        self,
+        state: PublishedState,
+        log: EventLog,
+        data_centre: str,
+        bounds: Bounds,
+        count_entries: collections.abc.Callable[[], int],
     ) -> None:
         self._state = state
         self._log = log
         self._near = data_centre
-        self._retry_fraction = retry_fraction
+        self._bounds = bounds
+        self._count_entries = count_entries
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._told: dict[str, ToldStatus] = {}
@@ -81,7 +93,11 @@
         """Returns the retries that a service may still be sent."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = RetryBudget()
+            part = (
+                RETRY_PART * self._bounds.retry_extra / max(FEWEST_ENTRIES, self._count_entries())
+            )
+            earned = RETRY_PART * self._bounds.retry_fraction
+            budget = self._budgets[service] = RetryBudget(earned, part, part)
         return budget
 
     def pick_service(self, route: Route) -> str:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -12,6 +12,9 @@
 from ..observe.event_log import EventLog
 from ..platform import names, published_records
 
+# Endpoints of the two-year size and as many removals; beyond that the oldest removals go.
+MOST_ITEMS = 4096
+
 
 class PublishedState:
     """Configuration, endpoints and wanted versions.
@@ -20,15 +23,21 @@
       routes: The configuration in force, or None before the first.
       endpoints: Who is registered.
       lease: How fresh all that is.
+      revision: The store's revision up to which everything was taken; zero before the first.
     """
 
-    __slots__ = ("_log", "_bounds", "_floors", "_seen", "routes", "endpoints", "lease")
+    __slots__ = ("_log", "_bounds", "_floors", "_items", "_whole_after")
+    __slots__ += ("routes", "endpoints", "lease", "revision")
 
     def __init__(self, bounds: Bounds, log: EventLog) -> None:
         self._log = log
         self._bounds = bounds
         self._floors: dict[str, VersionFloor] = {}
-        self._seen: dict[str, int] = {}
+        # Every item as the store told it last, the removed included, for entries that the
+        # store turns away.
+        self._items: dict[str, StoreChange] = {}
+        self._whole_after = 0
+        self.revision = 0
         self.routes: RouteTable | None = None
         self.endpoints = EndpointBook()
         self.lease = EvidenceLease(bounds.revocation)
@@ -54,6 +63,27 @@
         if floor is not None and version:
             floor.take_told(version, seconds, now)
 
+    def named_versions(self, now: float) -> list[tuple[str, int, float]]:
+        """Returns model, version and for how many seconds it has been wanted, of each."""
+        return [
+            (model, floor.newest, floor.newest_seconds(now))
+            for model, floor in self._floors.items()
+            if floor.newest
+        ]
+
+    def changes_after(self, revision: int) -> tuple[bool, list[StoreChange]]:
+        """Returns what changed after a revision, and whether it is everything there is."""
+        whole = revision < self._whole_after or not revision
+        if whole:
+            return True, [change for change in self._items.values() if change.value is not None]
+        return False, [change for change in self._items.values() if change.revision > revision]
+
+    def take_changes(self, reading: StoreReading, now: float) -> None:
+        """Takes changes, in their order, up to a revision."""
+        for change in sorted(reading.changes, key=lambda change: change.revision):
+            self.take_change(change, now)
+        self.revision = max(self.revision, reading.revision)
+
     def take_reading(self, reading: StoreReading, now: float, first: bool) -> None:
         """Takes everything that the store holds."""
         # The configuration comes first: it says how many layers make an engine whole.
@@ -68,10 +98,15 @@
         }
         for endpoint_id in self.endpoints.take_listed(listed, now):
             self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="not listed")
+        kept = {change.key for change in reading.changes}
+        self._items = {key: item for key, item in self._items.items() if key in kept}
+        self._whole_after = reading.revision
+        self.revision = max(self.revision, reading.revision)
 
     def take_change(self, change: StoreChange, now: float, first: bool = False) -> None:
         """Takes one item as it is now, or its removal."""
         key = change.key
+        self._remember(change)
         if key.startswith(names.ENDPOINT_PREFIX):
             self._take_endpoint(key.removeprefix(names.ENDPOINT_PREFIX), change, now)
         elif key == names.CONFIGURATION_KEY and change.value is not None:
@@ -89,6 +124,18 @@
         known = self.routes.service(service) if self.routes else None
         return known.engine if known else None
 
+    def _remember(self, change: StoreChange) -> None:
+        known = self._items.get(change.key)
+        if known is not None and known.revision >= change.revision:
+            return
+        # Moved to the end, so that the oldest removals stand first and can be forgotten.
+        self._items.pop(change.key, None)
+        self._items[change.key] = change
+        if len(self._items) > MOST_ITEMS:
+            gone = next((key for key, item in self._items.items() if item.value is None), None)
+            if gone is not None:
+                self._whole_after = max(self._whole_after, self._items.pop(gone).revision)
+
     def _take_configuration(self, change: StoreChange) -> None:
         try:
             configuration = published_records.decode_configuration(change.value or b"")
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -24,15 +24,14 @@
 class StoreFollower:
     """Reads all once, then watches; reads again where the store has dropped its history."""
 
-    __slots__ = ("_store", "_state", "_log", "_revision", "_failures", "_first")
+    __slots__ = ("_store", "_state", "_log", "_lost_history", "_failures")
 
     def __init__(self, store: StoreClient, state: PublishedState, log: EventLog) -> None:
         self._store = store
         self._state = state
         self._log = log
-        self._revision: int | None = None
+        self._lost_history = False
         self._failures = 0
-        self._first = True
 
     async def run(self) -> None:
         """Follows for ever."""
@@ -51,19 +50,18 @@
 
     async def _step(self) -> None:
         asked_at = awake_seconds()
-        if self._revision is None:
+        state = self._state
+        first = not state.revision
+        if first or self._lost_history:
             reading = await self._store.read(ALL_KEYS)
             self._take_answer()
-            self._state.take_reading(reading, asyncio.get_running_loop().time(), self._first)
-            self._first = False
+            state.take_reading(reading, asyncio.get_running_loop().time(), first)
+            self._lost_history = False
         else:
-            reading = await self._store.watch(ALL_KEYS, self._revision, WATCH_SECONDS)
+            reading = await self._store.watch(ALL_KEYS, state.revision, WATCH_SECONDS)
             self._take_answer()
-            now = asyncio.get_running_loop().time()
-            for change in reading.changes:
-                self._state.take_change(change, now)
-        self._revision = reading.revision
-        self._state.lease.renew(asked_at)
+            state.take_changes(reading, asyncio.get_running_loop().time())
+        state.lease.renew(asked_at)
 
     def _take_answer(self) -> None:
         if self._failures:
@@ -74,8 +72,8 @@
 
     async def _take_failure(self, error: CodedError) -> None:
         if error.code == "history_lost":
-            self._log.write(Event.STORE_HISTORY_LOST, revision=self._revision)
-            self._revision = None
+            self._log.write(Event.STORE_HISTORY_LOST, revision=self._state.revision)
+            self._lost_history = True
             return
         if not self._failures:
             self._log.write(
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -74,6 +74,8 @@
     ENDPOINT_UNLISTED = 4024
     ENDPOINT_UNREADABLE = 4025
     VERSION_NAMED = 4026
+    EVIDENCE_RELAYED = 4027
+    PEER_SILENT = 4028
 
     # 5000: calls with keys, and streams that go on elsewhere.
     CALL_STARTED = 5001
--- a/wasabidrum/peers/peer_client.py
+++ b/wasabidrum/peers/peer_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import typing
 
 import msgspec
 from grpclib import client, exceptions
@@ -67,7 +68,7 @@
     seconds = FETCH_SECONDS if digest else ASK_SECONDS
     path = peer_messages.FETCH_CONFIGURATION_PATH
     request = FetchConfiguration(digest)
-    return await _call(host, port, path, request, ConfigurationReply, seconds)
+    return await call(host, port, path, request, ConfigurationReply, seconds)
 
 
 async def fetch_list(host: str, port: int, digest: str) -> ListReply:
@@ -77,12 +78,17 @@
       CodedError: No answer came in time.
     """
     path = peer_messages.FETCH_LIST_PATH
-    return await _call(host, port, path, FetchList(digest), ListReply, FETCH_SECONDS)
+    return await call(host, port, path, FetchList(digest), ListReply, FETCH_SECONDS)
 
 
-async def _call(
+async def call(
     host: str, port: int, path: str, request: object, reply_type: type, seconds: float
-) -> object:
+) -> typing.Any:
+    """Makes one call on a channel of its own.
+
+    Raises:
+      CodedError: No answer came in time.
+    """
     try:
         async with asyncio.timeout(seconds), open_channel(host, port) as channel:
             method = client.UnaryUnaryMethod(channel, path, type(request), reply_type)
