Refuse requests at an entry that is leaving, once the balancer has noticed

Ruled out: the length of the grace, which the platform sets. They are refused now, as not run, and come back to another entry.

--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -68,6 +68,7 @@
         self._servers: list[httpserver.HTTPServer] = []
         self.log = log
         self.leaving = False
+        self.takes_requests = True
         self.requests = RequestsInProgress()
         self.tasks = BackgroundTasks(self._report_failure)
         client = http_client.make_client()
@@ -138,6 +139,9 @@
         self.leaving = True
         self.log.write(Event.DAEMON_LEAVING, in_progress=self.requests.count)
         await asyncio.sleep(BALANCER_NOTICE_SECONDS)
+        # Those that still come could not end before the process does; refused now, their
+        # callers lose a moment instead of half an answer.
+        self.takes_requests = False
         for server in self._servers:
             server.stop()
         spent = asyncio.get_running_loop().time() - began
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -30,7 +30,9 @@
 DEFAULT_DEADLINE_SECONDS = 30.0
 # An answer that takes longer to refuse than this is late for its caller in any case.
 SHORTEST_USEFUL_SECONDS = 0.02
-LEAVING_RETRY_SECONDS = 0.5
+# Another entry takes a caller that comes back at once.
+LEAVING_RETRY_SECONDS = 0.05
+NOT_RUN_RETRY_SECONDS = 0.3
 NOT_READY_RETRY_SECONDS = 1.0
 # How long a caller is asked to leave a request alone that crashes endpoints.
 BLOCKED_RETRY_SECONDS = 30.0
@@ -124,6 +126,9 @@
     async def _serve(self, head: RequestHead) -> None:
         if self._received > self._gateway.body_limit:
             raise CodedError("body_too_large", "the body is too long", 413)
+        if not self._gateway.takes_requests:
+            message = "this entry is leaving"
+            raise CodedError("entry_leaving", message, 503, retry_after=LEAVING_RETRY_SECONDS)
         state = self._gateway.state
         routes = state.routes
         if routes is None:
@@ -364,7 +369,7 @@
         late = self.left <= SHORTEST_USEFUL_SECONDS
         status = self._history.final_status(late)
         outcome = Outcome.UNKNOWN if self._history.may_have_run else Outcome.NOT_RUN
-        retry = LEAVING_RETRY_SECONDS if outcome is Outcome.NOT_RUN else None
+        retry = NOT_RUN_RETRY_SECONDS if outcome is Outcome.NOT_RUN else None
         raise CodedError(error.code, "no endpoint answered", status, outcome, retry_after=retry)
 
     def _note_end(self, placed: Placed, error: AttemptError) -> None:
