--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -7,13 +7,15 @@
 
 Grounds: MARGIN_SECONDS covers the time between a request's departure and its first token at a
 full engine, and how late a change is heard of. A process that has just started cannot know for
-how long a version has been wanted; FIRST_SECONDS lets engines answer that are switching now.
+how long a version has been wanted, unless another tells it; FIRST_SECONDS lets engines answer
+that are switching now, and is over before anyone counts on this process again, three seconds
+after its start.
 """
 
 import dataclasses
 
 MARGIN_SECONDS = 1.0
-FIRST_SECONDS = 3.0
+FIRST_SECONDS = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
