--- /dev/null
+++ b/tests/listed_platform.py
@@ -0,0 +1,446 @@
+"""Stand-ins for the platform's store and for its endpoints, in the test's own process.
+
+They speak the platform's protocol over real sockets, and misbehave as tests ask them to.
+"""
+
+import asyncio
+import base64
+import collections
+import dataclasses
+import json
+import socket
+
+from tornado import httpserver, netutil, web
+
+from wasabidrum.config.deployment import Address, Bounds, Deployment
+from wasabidrum.gateway.daemon import Gateway, make_gateway
+from wasabidrum.observe.event_log import EventLog, make_event_log
+from wasabidrum.platform import names
+
+HOST = "127.0.0.1"
+PORTS_OF_ONE = 6
+
+
+def free_ports(count: int) -> int:
+    """Returns the first of some ports in a row that nobody listens on."""
+    for _ in range(200):
+        with socket.socket() as probe:
+            probe.bind((HOST, 0))
+            first = probe.getsockname()[1]
+        try:
+            held = [socket.create_server((HOST, first + offset)) for offset in range(count)]
+        except (OSError, OverflowError):
+            continue
+        for server in held:
+            server.close()
+        return first
+    raise RuntimeError("no ports are free")
+
+
+class StoreHandler(web.RequestHandler):
+    """Answers ranges and watches."""
+
+    def initialize(self, store: "ListedStore") -> None:
+        """Takes the store from the route."""
+        self.store = store
+
+    async def get(self) -> None:
+        """Answers one call, or fails as the test asks."""
+        store = self.store
+        store.calls += 1
+        if store.fault == "hang":
+            await asyncio.sleep(3600)
+        if store.fault:
+            self.set_status(503)
+            return
+        prefix = self.get_query_argument("prefix")
+        if self.request.path == names.STORE_RANGE_PATH:
+            self.write(store.page(prefix, self.get_query_argument("after", "")))
+            return
+        after = int(self.get_query_argument("after"))
+        if after < store.history_from:
+            self.set_status(410)
+            return
+        seconds = int(self.get_query_argument("waitMs")) / 1000.0
+        events = await store.wait(prefix, after, seconds)
+        self.write({"events": events, "asOf": store.revision})
+
+
+class ListedStore:
+    """A store that tests write to."""
+
+    def __init__(self, page_size: int = 500) -> None:
+        self.page_size = page_size
+        self.items: dict[str, dict] = {}
+        self.log: list[dict] = []
+        self.revision = 1
+        self.history_from = 0
+        self.fault = ""
+        self.calls = 0
+        self.port = 0
+        self._changed = asyncio.Condition()
+        self._server: httpserver.HTTPServer | None = None
+
+    async def start(self) -> None:
+        """Listens."""
+        application = web.Application([(r"/.*", StoreHandler, {"store": self})])
+        application.settings["log_function"] = lambda handler: None
+        self._server = httpserver.HTTPServer(application)
+        sockets = netutil.bind_sockets(0, HOST)
+        self.port = sockets[0].getsockname()[1]
+        self._server.add_sockets(sockets)
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self._server.stop()
+
+    async def put(self, key: str, value: object) -> None:
+        """Writes an item; bytes as they are, anything else as JSON."""
+        content = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        item = {"key": key, "revision": self.revision, "created": 1, "lease": 0}
+        item["value"] = base64.b64encode(content).decode()
+        self.items[key] = item
+        await self._tell(item)
+
+    async def delete(self, key: str) -> None:
+        """Removes an item."""
+        self.revision += 1
+        self.items.pop(key, None)
+        await self._tell({"key": key, "revision": self.revision, "deleted": True})
+
+    def page(self, prefix: str, after: str) -> dict:
+        """Returns a page of a range."""
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        shown = keys[: self.page_size]
+        return {
+            "items": [self.items[key] for key in shown],
+            "truncated": len(keys) > len(shown),
+            "asOf": self.revision,
+        }
+
+    async def wait(self, prefix: str, after: int, seconds: float) -> list[dict]:
+        """Returns changes after a revision, or none after some seconds."""
+
+        def found() -> list[dict]:
+            return [e for e in self.log if e["revision"] > after and e["key"].startswith(prefix)]
+
+        try:
+            async with asyncio.timeout(seconds), self._changed:
+                await self._changed.wait_for(found)
+        except TimeoutError:
+            return []
+        return found()
+
+    async def _tell(self, event: dict) -> None:
+        self.log.append(event)
+        async with self._changed:
+            self._changed.notify_all()
+
+
+@dataclasses.dataclass(slots=True)
+class Seen:
+    """A request as an endpoint got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class FakeEndpoint:
+    """An endpoint whose answers a test writes by hand.
+
+    Attributes:
+      behave: Called with a request and the writer; what it writes is the whole answer.
+      runs: How often each request id began to run here.
+    """
+
+    def __init__(self, endpoint_id: str, service: str, zone: str = "rift-a") -> None:
+        self.id = endpoint_id
+        self.service = service
+        self.zone = zone
+        self.port = 0
+        self.behave = answer_ok
+        self.seen: list[Seen] = []
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.closed_early = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listens."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stops listening; connections that are open stay so."""
+        self._server.close()
+
+    def entry(self, **facts: object) -> dict:
+        """Returns what the endpoint registers of itself."""
+        return {
+            "service": self.service,
+            "address": f"{HOST}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+        } | facts
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            lines = head.decode().split("\r\n")
+            method, target, _ = lines[0].split(" ")
+            pairs = (line.split(": ", 1) for line in lines[1:] if line)
+            headers = {name.lower(): value for name, value in pairs}
+            body = await reader.readexactly(int(headers.get("content-length", "0")))
+            seen = Seen(method, target, headers, body)
+            self.seen.append(seen)
+            working = asyncio.ensure_future(self.behave(self, seen, writer))
+            leaving = asyncio.ensure_future(reader.read(1))
+            await asyncio.wait((working, leaving), return_when=asyncio.FIRST_COMPLETED)
+            if not working.done():
+                self.closed_early += 1
+                working.cancel()
+            leaving.cancel()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+def head_of(seen: Seen, endpoint: FakeEndpoint, status: str, *more: str) -> bytes:
+    """Returns an answer's head with the endpoint's signature."""
+    lines = [f"HTTP/1.1 {status}"]
+    lines.append(f"{names.REQUEST_ID}: {seen.headers.get(names.REQUEST_ID.lower(), '')}")
+    lines.append(f"{names.SIGNATURE}: {endpoint.id}")
+    return "\r\n".join([*lines, *more, "", ""]).encode()
+
+
+async def answer_ok(endpoint: FakeEndpoint, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Runs the request and answers with who ran it."""
+    endpoint.runs[seen.headers[names.REQUEST_ID.lower()]] += 1
+    body = endpoint.id.encode()
+    head = head_of(seen, endpoint, "200 OK", f"Content-Length: {len(body)}")
+    writer.write(head + body)
+    await writer.drain()
+
+
+async def refuse(endpoint: FakeEndpoint, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Refuses before it runs."""
+    writer.write(
+        f"HTTP/1.1 503 Full\r\n{names.NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n".encode()
+    )
+    await writer.drain()
+
+
+async def run_and_reset(endpoint: FakeEndpoint, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Runs the request and loses its answer."""
+    endpoint.runs[seen.headers[names.REQUEST_ID.lower()]] += 1
+    reset(writer)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection."""
+    sock = writer.get_extra_info("socket")
+    linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def stream_events(first: int, last: int, cut_after: int | None = None, half: bool = False):
+    """Returns a behaviour that streams events with ids, and may break off.
+
+    Args:
+      half: Break off in the middle of the next event.
+    """
+
+    async def behave(endpoint: FakeEndpoint, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        endpoint.runs[seen.headers[names.REQUEST_ID.lower()]] += 1
+        after = int(seen.headers.get(names.LAST_EVENT_ID.lower(), first - 1))
+        more = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        writer.write(head_of(seen, endpoint, "200 OK", *more))
+        for number in range(after + 1, last + 1):
+            event = f"id: {number}\ndata: t{number}\n\n".encode()
+            if cut_after is not None and number > cut_after:
+                if half:
+                    part = event[: len(event) // 2]
+                    writer.write(b"%x\r\n%s\r\n" % (len(part), part))
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
+                reset(writer)
+                return
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(0.005)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    return behave
+
+
+def make_configuration(version: int, *services: str, tenants: bool = False) -> dict:
+    """Returns a configuration with a safe, an unsafe and a streaming route for each service."""
+    routes = []
+    for service in services:
+        for kind in ("safe", "unsafe", "streaming"):
+            routes.append(
+                {
+                    "name": f"{service}-{kind}",
+                    "host": f"{service}.example",
+                    "prefix": f"/{kind}/",
+                    "type": kind,
+                    "timeoutMs": 1500,
+                    "targetLatencyMs": 400,
+                    "priority": 1,
+                    "service": service,
+                    "maxAttempts": 2,
+                    "public": False,
+                    "resumable": kind == "streaming",
+                    "gapTargetMs": 400,
+                }
+            )
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": name, "healthPath": "/healthz"} for name in services],
+        "limits": {"maxBodyBytes": 100_000},
+        "tenants": [{"name": "till", "apiKeys": ["key-1"], "priority": 1}] if tenants else [],
+    }
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """What a caller got.
+
+    Attributes:
+      whole: Whether the answer ended as its framing says.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class ListedFleet:
+    """A store, endpoints and entries, all in this process."""
+
+    def __init__(self) -> None:
+        self.store = ListedStore()
+        self.endpoints: list[FakeEndpoint] = []
+        self.gateways: list[Gateway] = []
+        self.deployments: list[Deployment] = []
+
+    async def start(self) -> None:
+        """Starts the store."""
+        await self.store.start()
+
+    async def stop(self) -> None:
+        """Ends everything."""
+        for gateway in self.gateways:
+            for server in gateway._servers:
+                server.stop()
+            await gateway.tasks.cancel_all()
+            await gateway.peers.stop()
+        for endpoint in self.endpoints:
+            await endpoint.stop()
+        self.store.stop()
+
+    async def add_endpoint(self, endpoint_id: str, service: str) -> FakeEndpoint:
+        """Starts and registers an endpoint."""
+        endpoint = FakeEndpoint(endpoint_id, service)
+        await endpoint.start()
+        self.endpoints.append(endpoint)
+        await self.store.put(names.ENDPOINT_PREFIX + endpoint_id, endpoint.entry())
+        return endpoint
+
+    async def add_gateway(self, name: str, store_port: int | None = None) -> Gateway:
+        """Starts an entry, whose store may be another port than the fleet's."""
+        first = free_ports(PORTS_OF_ONE)
+        seeds = tuple(d.peers_listen for d in self.deployments)
+        deployment = Deployment(
+            name=name,
+            role="entry",
+            host=HOST,
+            data_centre="rift-a",
+            region="rift",
+            region_of={"rift-a": "rift"},
+            store=Address(HOST, store_port or self.store.port),
+            bounds=Bounds(),
+            first_port=first,
+            last_port=first + PORTS_OF_ONE,
+            callers=Address(HOST, first + 3),
+            readiness=Address(HOST, first + 4),
+            peers_listen=Address(HOST, first + 5),
+            seeds=seeds,
+        )
+        gateway = make_gateway(deployment, quiet_log(name))
+        await gateway.start()
+        self.gateways.append(gateway)
+        self.deployments.append(deployment)
+        return gateway
+
+    async def wait_until(self, condition, seconds: float = 3.0) -> None:
+        """Waits for something to become true."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def ask(
+        self,
+        number: int,
+        service: str,
+        kind: str,
+        request_id: str,
+        *lines: str,
+        method: str = "POST",
+        body: bytes = b"x",
+        seconds: float = 5.0,
+    ) -> Reply:
+        """Sends one request to an entry on a connection of its own."""
+        address = self.deployments[number].callers
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        head = [
+            f"{method} /{kind}/a?b=c HTTP/1.1",
+            f"Host: {service}.example",
+            f"{names.REQUEST_ID}: {request_id}",
+            f"{names.DEADLINE}: 3000",
+            f"Content-Length: {len(body)}",
+            *lines,
+        ]
+        writer.write("\r\n".join([*head, "", ""]).encode() + body)
+        try:
+            async with asyncio.timeout(seconds):
+                return await read_reply(reader)
+        finally:
+            writer.close()
+
+
+async def read_reply(reader: asyncio.StreamReader) -> Reply:
+    """Reads an answer as a careful caller does."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    status = int(lines[0].split(" ")[1])
+    headers = {n.lower(): v for n, v in (line.split(": ", 1) for line in lines[1:] if line)}
+    try:
+        if "content-length" in headers:
+            body = await reader.readexactly(int(headers["content-length"]))
+            return Reply(status, headers, body, True)
+        parts = []
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            content = await reader.readexactly(size + 2)
+            if not size:
+                return Reply(status, headers, b"".join(parts), True)
+            parts.append(content[:-2])
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Reply(status, headers, b"".join(parts), False)
+
+
+def quiet_log(name: str) -> EventLog:
+    """Returns a log whose lines are kept in memory only."""
+    return make_event_log(name, "/dev/null")
