Write logs to standard output without waiting for their reader, bounded; reload on SIGHUP

Cause: the daemons wrote to standard error through a blocking stream: a reader that stops stops the daemon, and a flood of requests grows the lines with it. Lines that went well are bounded by the second and counted; refusals, failures, retries and beliefs are always written.

--- a/wasabidrum/decisions/endpoint_book_test.py
+++ b/wasabidrum/decisions/endpoint_book_test.py
@@ -95,7 +95,7 @@
                 else:
                     book.take_removal(name, revision, 100.0)
             books.append(ids_of(book))
-        last = {name: present for name, present in changes}
+        last = dict(changes)
         self.assertEqual(books[0], {name for name, present in last.items() if present})
         self.assertEqual(books[1], books[0])
 
--- a/wasabidrum/decisions/entry_roster.py
+++ b/wasabidrum/decisions/entry_roster.py
@@ -16,7 +16,7 @@
 FORGET_SECONDS = 20.0
 LIST_SIZE = 32
 
-Address = tuple[str, int]
+Place = tuple[str, int]
 
 
 class EntryRoster:
@@ -27,22 +27,26 @@
 
     __slots__ = ("_own", "_seeds", "_heard", "_failed")
 
-    def __init__(self, own: Address, seeds: tuple[Address, ...]) -> None:
+    def __init__(self, own: Place, seeds: tuple[Place, ...]) -> None:
         self._own = own
         self._seeds = tuple(seed for seed in seeds if seed != own)
-        self._heard: dict[Address, float] = {}
-        self._failed: dict[Address, float] = {}
+        self._heard: dict[Place, float] = {}
+        self._failed: dict[Place, float] = {}
 
-    def take(self, address: Address, heard_at: float) -> None:
+    def take_seeds(self, seeds: tuple[Place, ...]) -> None:
+        """Takes other seeds in place of those before."""
+        self._seeds = tuple(seed for seed in seeds if seed != self._own)
+
+    def take(self, address: Place, heard_at: float) -> None:
         """Takes that an entry was heard, by this process or another."""
         if address != self._own:
             self._heard[address] = max(heard_at, self._heard.get(address, float("-inf")))
 
-    def take_failure(self, address: Address, now: float) -> None:
+    def take_failure(self, address: Place, now: float) -> None:
         """Takes that an entry did not answer this process."""
         self._failed[address] = now
 
-    def known(self, now: float) -> list[tuple[Address, float]]:
+    def known(self, now: float) -> list[tuple[Place, float]]:
         """Returns the entries heard lately and how long ago, the latest first."""
         self._heard = {a: at for a, at in self._heard.items() if now - at <= FORGET_SECONDS}
         ages = sorted((now - at, address) for address, at in self._heard.items())
@@ -52,7 +56,7 @@
         """Returns how many entries there are, this one included."""
         return 1 + len(self.known(now))
 
-    def choose(self, count: int, now: float, rng: random.Random) -> list[Address]:
+    def choose(self, count: int, now: float, rng: random.Random) -> list[Place]:
         """Returns whom to ask next: those that answered last time first, seeds if need be."""
         heard = [address for address, _ in self.known(now)]
         sound = [a for a in heard if self._failed.get(a, float("-inf")) < self._heard[a]]
@@ -61,6 +65,6 @@
         missing = min(count - len(chosen), len(rest))
         return chosen + rng.sample(rest, missing)
 
-    def all_addresses(self, now: float) -> list[Address]:
+    def all_addresses(self, now: float) -> list[Place]:
         """Returns everyone worth telling something, the seeds included."""
         return list(dict.fromkeys((*(a for a, _ in self.known(now)), *self._seeds)))
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -33,6 +33,8 @@
 # closed at the limit itself could cross a request.
 IDLE_SECONDS = 30.0
 METRICS_PORT_OFFSET = 2
+# Stands for "never" where a number is asked for.
+MOST_SECONDS_SHOWN = 1e6
 
 
 class CallerServer(httputil.HTTPServerConnectionDelegate):
@@ -84,6 +86,7 @@
             deployment, self.state, log, make_incarnation(), self.placer.take_status
         )
         self._was_ready = False
+        self._add_gauges()
 
     @property
     def body_limit(self) -> int:
@@ -103,7 +106,9 @@
             self._was_ready = ready
             age = lease.age(awake_seconds())
             self.log.write(
-                Event.READINESS_CHANGED, ready=ready, evidence_age=round(min(age, 1e6), 3)
+                Event.READINESS_CHANGED,
+                ready=ready,
+                evidence_age=round(min(age, MOST_SECONDS_SHOWN), 3),
             )
         return ready
 
@@ -133,6 +138,14 @@
         self.tasks.start("loads", self._watcher.run())
         self.log.write(Event.DAEMON_STARTED, role="entry", caller_port=deployment.callers.port)
 
+    def reload(self, deployment: Deployment) -> list[str]:
+        """Takes new settings; only where others are found may change while running."""
+        if deployment.seeds == self._deployment.seeds:
+            return []
+        self._deployment = deployment
+        self.peers.take_seeds(deployment.seeds)
+        return ["seeds"]
+
     async def stop(self) -> None:
         """Leaves gracefully: takes no new callers, ends what is in progress, then stops."""
         began = asyncio.get_running_loop().time()
@@ -151,6 +164,27 @@
         await self.peers.stop()
         self.log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
 
+    def _add_gauges(self) -> None:
+        add = self.log.metrics.add_gauge
+        add("revision", "The configuration version in force here.", lambda: self.state.version)
+        add(
+            "evidence_age_seconds",
+            "Since the configuration was last known to be the newest.",
+            lambda: min(self.state.lease.age(awake_seconds()), MOST_SECONDS_SHOWN),
+        )
+        add(
+            "requests_in_progress",
+            "Requests of callers begun and not ended.",
+            lambda: self.requests.count,
+        )
+        add(
+            "endpoints_known",
+            "Endpoints registered, those leaving included.",
+            lambda: len(self.state.endpoints.endpoints),
+        )
+        add("entries_known", "Entries, this one included.", lambda: self.peers.count)
+        add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
+
     def _listen(self, server: httpserver.HTTPServer, address: Address) -> None:
         server.add_sockets(netutil.bind_sockets(address.port, address.host))
         self._servers.append(server)
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -6,12 +6,12 @@
 from grpclib import server
 from tornado import netutil
 
-from ..config.deployment import Deployment
+from ..config.deployment import Address, Deployment
 from ..core.awake_clock import awake_seconds
 from ..core.background_tasks import BackgroundTasks
 from ..core.errors import CodedError
 from ..core.store_change import StoreChange, StoreReading
-from ..decisions.entry_roster import MEET_SECONDS, Address, EntryRoster
+from ..decisions.entry_roster import MEET_SECONDS, EntryRoster, Place
 from ..decisions.poison import PoisonGuard
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -51,7 +51,7 @@
         log: EventLog,
     ) -> None:
         listen = deployment.peers_listen
-        self._own: Address = (listen.host, listen.port)
+        self._own: Place = (listen.host, listen.port)
         self._state = state
         self._guard = guard
         self._tasks = tasks
@@ -68,6 +68,10 @@
         """How many entries there are, this one included."""
         return self._roster.count(awake_seconds())
 
+    def take_seeds(self, seeds: tuple[Address, ...]) -> None:
+        """Takes where some entries listen, by newer settings."""
+        self._roster.take_seeds(tuple((seed.host, seed.port) for seed in seeds))
+
     async def start(self) -> None:
         """Listens and starts the tasks."""
         sockets = netutil.bind_sockets(self._own[1], self._own[0])
@@ -166,7 +170,7 @@
         for address in self._roster.choose(PEERS_ASKED, awake_seconds(), self._rng):
             await self._ask(address)
 
-    async def _ask(self, address: Address) -> None:
+    async def _ask(self, address: Place) -> None:
         asked_at = awake_seconds()
         request = FetchChanges(self._state.revision)
         reply = await self._call(address, entry_messages.CHANGES_PATH, request, ChangesReply)
@@ -197,7 +201,7 @@
                 changes=len(changes),
             )
 
-    async def _call(self, address: Address, path: str, message: object, kind: type):
+    async def _call(self, address: Place, path: str, message: object, kind: type):
         """Returns a peer's answer, or None where there was none."""
         host, port = address
         try:
--- /dev/null
+++ b/wasabidrum/observe/bounded_output_test.py
@@ -0,0 +1,53 @@
+"""Lines to a reader that is slow, or gone."""
+
+import asyncio
+import os
+import unittest
+
+from .bounded_output import LARGEST_BACKLOG_BYTES, BoundedOutput
+
+LINE = "x" * 999
+
+
+class BoundedOutputTest(unittest.IsolatedAsyncioTestCase):
+    """A pipe whose reader the test plays."""
+
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        self.output = BoundedOutput(self.writer)
+
+    def tearDown(self) -> None:
+        for descriptor in (self.reader, self.writer):
+            try:
+                os.close(descriptor)
+            except OSError:
+                continue
+
+    async def test_a_reader_that_stops_does_not_stop_the_writer(self) -> None:
+        """Whoever reads the daemon's lines hangs. The pipe fills, and a daemon that waits for
+        it answers nobody any more."""
+        count = 2 * LARGEST_BACKLOG_BYTES // 1000
+        for _ in range(count):
+            self.output.write(LINE)
+        self.assertGreater(self.output.dropped, count // 3)
+
+    async def test_what_waited_comes_whole_and_in_order(self) -> None:
+        lines = [f"{number} {LINE}" for number in range(300)]
+        for line in lines:
+            self.output.write(line)
+        os.set_blocking(self.reader, False)
+        content = b""
+        async with asyncio.timeout(5.0):
+            while content.count(b"\n") < len(lines):
+                try:
+                    content += os.read(self.reader, 65_536)
+                except BlockingIOError:
+                    await asyncio.sleep(0.001)
+        self.assertEqual(content.decode().splitlines(), lines)
+        self.assertEqual(self.output.dropped, 0)
+
+    async def test_a_reader_that_is_gone_is_no_error(self) -> None:
+        os.close(self.reader)
+        for _ in range(3):
+            self.output.write(LINE)
+        self.assertEqual(self.output.dropped, 3)
--- a/wasabidrum/observe/event_log.py
+++ b/wasabidrum/observe/event_log.py
@@ -6,10 +6,27 @@
 import logbook
 import msgspec
 
+from .bounded_output import BoundedOutput
 from .event import Event
 from .event_memory import EventMemory
+from .line_budget import LineBudget
 from .metrics import Metrics
 
+# What goes well, a line or two for each request.
+ROUTINE_EVENTS = frozenset((Event.REQUEST_PLACED, Event.REQUEST_DONE))
+
+
+class OutputHandler(logbook.Handler):
+    """Hands records to an output that never waits."""
+
+    def __init__(self, output: BoundedOutput) -> None:
+        super().__init__(bubble=False)
+        self._output = output
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Writes one record; see logbook."""
+        self._output.write(record.message)
+
 
 class EventLog:
     """Logs events of one daemon, each with the daemon's name.
@@ -19,11 +36,12 @@
       metrics: What was counted.
     """
 
-    __slots__ = ("_logger", "_name", "memory", "metrics")
+    __slots__ = ("_logger", "_name", "_budget", "memory", "metrics")
 
     def __init__(self, logger: logbook.Logger, name: str) -> None:
         self._logger = logger
         self._name = name
+        self._budget = LineBudget()
         self.memory = EventMemory()
         self.metrics = Metrics()
 
@@ -33,12 +51,20 @@
         return self._name
 
     def write(self, event: Event, /, **facts: object) -> None:
-        """Writes one event with its facts."""
-        fields = {"t": round(time.time(), 3), "n": int(event), "event": event.name.lower()}
+        """Writes one event with its facts; routine ones only up to a bound by the second."""
+        now = time.time()
+        self.metrics.count_event(event, facts)
+        dropped = self._budget.take_dropped(now)
+        if dropped:
+            self._write(now, Event.LINES_LEFT_OUT, {"lines": dropped})
+        if event not in ROUTINE_EVENTS or self._budget.allow(now):
+            self._write(now, event, facts)
+
+    def _write(self, now: float, event: Event, facts: dict[str, object]) -> None:
+        fields = {"t": round(now, 3), "n": int(event), "event": event.name.lower()}
         fields |= {"daemon": self._name} | facts
         line = msgspec.json.encode(fields).decode()
         self.memory.add(line)
-        self.metrics.count_event(event, facts)
         self._logger.info(line)
 
 
@@ -52,3 +78,15 @@
     logger = logbook.Logger(name)
     logger.handlers.append(handler)
     return EventLog(logger, name)
+
+
+def make_output_log(name: str) -> EventLog:
+    """Returns a log that writes to standard output and never waits for its reader."""
+    output = BoundedOutput(sys.stdout.fileno())
+    logger = logbook.Logger(name)
+    logger.handlers.append(OutputHandler(output))
+    log = EventLog(logger, name)
+    log.metrics.add_gauge(
+        "log_lines_dropped", "Lines that nobody read in time.", lambda: output.dropped
+    )
+    return log
--- /dev/null
+++ b/wasabidrum/observe/line_budget_test.py
@@ -0,0 +1,26 @@
+"""How many routine lines are written under a flood."""
+
+import unittest
+
+from .line_budget import ROUTINE_LINES_PER_SECOND, LineBudget
+
+
+class LineBudgetTest(unittest.TestCase):
+    """Seconds with many lines and few."""
+
+    def test_a_flood_is_cut_to_the_bound_and_counted_once(self) -> None:
+        """A caller retries without pause, and each of its requests would write two lines. The
+        process would spend its time on lines, and the keeper of logs would drop others."""
+        budget = LineBudget()
+        written = sum(budget.allow(5.1) for _ in range(3 * ROUTINE_LINES_PER_SECOND))
+        self.assertEqual(written, ROUTINE_LINES_PER_SECOND)
+        self.assertEqual(budget.take_dropped(5.9), 0)
+        self.assertEqual(budget.take_dropped(6.0), 2 * ROUTINE_LINES_PER_SECOND)
+        self.assertEqual(budget.take_dropped(6.1), 0)
+
+    def test_the_next_second_begins_anew(self) -> None:
+        budget = LineBudget()
+        for _ in range(ROUTINE_LINES_PER_SECOND):
+            budget.allow(5.0)
+        self.assertFalse(budget.allow(5.5))
+        self.assertTrue(budget.allow(6.0))
--- a/wasabidrum/scripts/daemon.py
+++ b/wasabidrum/scripts/daemon.py
@@ -4,6 +4,7 @@
 import asyncio
 import signal
 import sys
+import typing
 
 from ..config.deployment import Deployment
 from ..config.settings import Settings
@@ -11,7 +12,7 @@
 from ..core.errors import CodedError
 from ..core.finding import Finding
 from ..observe.event import Event
-from ..observe.event_log import EventLog, make_event_log
+from ..observe.event_log import EventLog, make_event_log, make_output_log
 from ..wire import tls
 
 EXIT_BAD_SETTINGS = 2
@@ -47,9 +48,22 @@
         log.write(Event.CERTIFICATES_IN_FORCE)
 
 
+class DeployedDaemon(typing.Protocol):
+    """A daemon whose settings the platform places."""
+
+    async def start(self) -> None:
+        """Listens and starts."""
+
+    async def stop(self) -> None:
+        """Leaves gracefully."""
+
+    def reload(self, deployment: Deployment) -> list[str]:
+        """Takes new settings; returns the names of those that are in force now."""
+
+
 async def run_deployed(deployment: Deployment) -> None:
     """Runs the daemon that the platform asks for until SIGTERM, then leaves gracefully."""
-    log = make_event_log(deployment.name, "")
+    log = make_output_log(deployment.name)
     if deployment.role == "entry":
         from ..gateway.daemon import make_gateway as make_daemon
     else:
@@ -59,11 +73,24 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, reload_deployment, daemon, log)
     await daemon.start()
     await ended.wait()
     await daemon.stop()
 
 
+def reload_deployment(daemon: DeployedDaemon, log: EventLog) -> None:
+    """Reads the platform's settings again, and puts in force what may change while running."""
+    from ..platform.boot_settings import read_deployment
+
+    try:
+        changed = daemon.reload(read_deployment())
+    except CodedError as error:
+        log.write(Event.SETTINGS_REFUSED, reason=str(error)[:300])
+        return
+    log.write(Event.SETTINGS_RELOADED, changed=changed)
+
+
 def main() -> int:
     """Parses the command line and runs the daemon."""
     parser = argparse.ArgumentParser(prog="wasabidrumd", description=__doc__)
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -78,6 +78,10 @@
             Event.DAEMON_STARTED, role="sidecar", port=first + CHUNK_PORT_OFFSET, host=host
         )
 
+    def reload(self, deployment: Deployment) -> list[str]:
+        """Takes new settings; none of a sidecar's may change while it runs."""
+        return []
+
     async def stop(self) -> None:
         """Ends the tasks; the engine beside goes on with what it has."""
         self._log.write(Event.DAEMON_LEAVING)
