--- a/wasabidrum/weights/version_download.py
+++ b/wasabidrum/weights/version_download.py
@@ -10,6 +10,10 @@
 # Chunks that this sidecar draws from the origin, at once: enough that the next is under
 # way while one ends, few enough that each comes soon and is passed on meanwhile.
 DRAWS_AT_ONCE = 2
+# How long draws go before all else; with an origin that is gone the rest must not wait longer.
+DRAWS_FIRST_SECONDS = 2.0
+# Asked of peers meanwhile, so that they know of this sidecar, which they wait for.
+ASKS_WHILE_DRAWING = 2
 # Chunks that it brings in from another region, at once. Its senders there are several.
 IMPORTS_AT_ONCE = 4
 # Chunks asked of peers at once. Most of these wait for the peer to get the chunk.
@@ -66,12 +70,27 @@
                 imports.append(digest)
         # Three lanes: were there one, chunks that others wait for would stand in line behind
         # chunks that this sidecar itself waits for, and the whole fleet would wait in turn.
-        lanes = ((draws, DRAWS_AT_ONCE), (imports, IMPORTS_AT_ONCE), (asks, ASKS_AT_ONCE))
         async with asyncio.TaskGroup() as group:
-            for lane, workers in lanes:
-                work = iter(lane)
-                for _ in range(min(workers, len(lane))):
-                    group.create_task(self._work(work))
+            drawing = self._start_lane(group, draws, DRAWS_AT_ONCE)
+            asking = iter(asks)
+            self._start(group, asking, min(ASKS_WHILE_DRAWING, len(asks)))
+            if drawing:
+                # What it draws nobody else has. Were the link shared with what it asks of
+                # others, one slow instance would keep its part from the whole fleet for
+                # seconds, and for as long as the origin is away if that fails meanwhile.
+                await asyncio.wait(drawing, timeout=DRAWS_FIRST_SECONDS)
+            self._start_lane(group, imports, IMPORTS_AT_ONCE)
+            self._start(group, asking, max(0, min(ASKS_AT_ONCE, len(asks)) - ASKS_WHILE_DRAWING))
+
+    def _start_lane(
+        self, group: asyncio.TaskGroup, lane: list[str], workers: int
+    ) -> list[asyncio.Task]:
+        return self._start(group, iter(lane), min(workers, len(lane)))
+
+    def _start(
+        self, group: asyncio.TaskGroup, work: collections.abc.Iterator[str], workers: int
+    ) -> list[asyncio.Task]:
+        return [group.create_task(self._work(work)) for _ in range(workers)]
 
     async def _work(self, digests: collections.abc.Iterator[str]) -> None:
         for digest in digests:
