--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -10,7 +10,8 @@
 from ..decisions.version_floor import VersionFloor
 from ..observe.event import Event
 from ..observe.event_log import EventLog
-from ..platform import names, published_records
+from ..platform import published_records
+from ..platform.published_records import ItemKind, kind_of
 
 # Endpoints of the two-year size and as many removals; beyond that the oldest removals go.
 MOST_ITEMS = 4096
@@ -87,14 +88,15 @@
     def take_reading(self, reading: StoreReading, now: float, first: bool) -> None:
         """Takes everything that the store holds."""
         # The configuration comes first: it says how many layers make an engine whole.
-        ordered = sorted(reading.changes, key=lambda c: c.key != names.CONFIGURATION_KEY)
+        ordered = sorted(
+            reading.changes, key=lambda change: kind_of(change.key) is not ItemKind.CONFIGURATION
+        )
         for change in ordered:
             self.take_change(change, now, first)
-        prefix = names.ENDPOINT_PREFIX
         listed = {
-            change.key.removeprefix(prefix)
+            published_records.endpoint_id_of(change.key)
             for change in reading.changes
-            if change.key.startswith(prefix)
+            if kind_of(change.key) is ItemKind.ENDPOINT
         }
         for endpoint_id in self.endpoints.take_listed(listed, now):
             self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="not listed")
@@ -105,13 +107,13 @@
 
     def take_change(self, change: StoreChange, now: float, first: bool = False) -> None:
         """Takes one item as it is now, or its removal."""
-        key = change.key
         self._remember(change)
-        if key.startswith(names.ENDPOINT_PREFIX):
-            self._take_endpoint(key.removeprefix(names.ENDPOINT_PREFIX), change, now)
-        elif key == names.CONFIGURATION_KEY and change.value is not None:
+        kind = kind_of(change.key)
+        if kind is ItemKind.ENDPOINT:
+            self._take_endpoint(published_records.endpoint_id_of(change.key), change, now)
+        elif kind is ItemKind.CONFIGURATION and change.value is not None:
             self._take_configuration(change)
-        elif key.startswith(names.VERSION_PREFIX) and change.value is not None:
+        elif kind is ItemKind.VERSION and change.value is not None:
             self._take_version(change, now, first)
 
     def tick(self, now: float) -> None:
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -6,11 +6,9 @@
 from ..core.errors import CodedError
 from ..observe.event import Event
 from ..observe.event_log import EventLog
-from ..platform.store_client import StoreClient
+from ..platform.store_client import StoreClient, Watched
 from .published_state import PublishedState
 
-# Everything: one watch brings configuration, versions and endpoints in their order.
-ALL_KEYS = ""
 # A watch that ends without news renews the lease on the configuration. Its age when it ends is
 # the wait itself, so that two waits in a row stay well below the five seconds of the bound.
 WATCH_SECONDS = 1.2
@@ -53,12 +51,13 @@
         state = self._state
         first = not state.revision
         if first or self._lost_history:
-            reading = await self._store.read(ALL_KEYS)
+            reading = await self._store.read(Watched.ALL)
             self._take_answer()
             state.take_reading(reading, asyncio.get_running_loop().time(), first)
             self._lost_history = False
         else:
-            reading = await self._store.watch(ALL_KEYS, state.revision, WATCH_SECONDS)
+            # One watch brings configuration, versions and endpoints in their order.
+            reading = await self._store.watch(Watched.ALL, state.revision, WATCH_SECONDS)
             self._take_answer()
             state.take_changes(reading, asyncio.get_running_loop().time())
         state.lease.renew(asked_at)
--- a/wasabidrum/platform/published_records.py
+++ b/wasabidrum/platform/published_records.py
@@ -1,6 +1,7 @@
 """Decodes what the platform's store holds into the project's types."""
 
 import collections.abc
+import enum
 
 import msgspec
 
@@ -14,6 +15,7 @@
     WorkspaceKeys,
 )
 from ..core.route import Route, RouteKind, RouteTarget
+from . import names
 from .boot_settings import parse_address
 
 KINDS = {"safe": RouteKind.SAFE, "unsafe": RouteKind.UNSAFE, "streaming": RouteKind.STREAM}
@@ -153,6 +155,29 @@
     layers: tuple[WireLayers, ...] | WireLayers | None = None
 
 
+class ItemKind(enum.Enum):
+    """What an item of the store is about."""
+
+    CONFIGURATION = "configuration"
+    VERSION = "version"
+    ENDPOINT = "endpoint"
+    OTHER = "other"
+
+
+def kind_of(key: str) -> ItemKind:
+    """Returns what the item with a key is about."""
+    if key.startswith(names.ENDPOINT_PREFIX):
+        return ItemKind.ENDPOINT
+    if key.startswith(names.VERSION_PREFIX):
+        return ItemKind.VERSION
+    return ItemKind.CONFIGURATION if key == names.CONFIGURATION_KEY else ItemKind.OTHER
+
+
+def endpoint_id_of(key: str) -> str:
+    """Returns the id of the endpoint that an item is about."""
+    return key.removeprefix(names.ENDPOINT_PREFIX)
+
+
 def decode_configuration(content: bytes) -> PublishedConfiguration:
     """Decodes the operator's configuration.
 
--- a/wasabidrum/platform/store_client.py
+++ b/wasabidrum/platform/store_client.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import enum
 import typing
 import urllib.parse
 
@@ -46,6 +47,15 @@
     asOf: int  # noqa: N815
 
 
+class Watched(enum.StrEnum):
+    """What of the store may be read or watched by itself; keys begin so."""
+
+    ALL = ""
+    CONFIGURATION = names.CONFIGURATION_KEY
+    VERSIONS = names.VERSION_PREFIX
+    ENDPOINTS = names.ENDPOINT_PREFIX
+
+
 class StoreClient:
     """Reads and watches items whose keys begin alike."""
 
@@ -56,7 +66,7 @@
         self._url = f"http://{address}"
         self.calls = 0
 
-    async def read(self, prefix: str) -> StoreReading:
+    async def read(self, prefix: Watched) -> StoreReading:
         """Returns every item whose key begins with a prefix.
 
         Raises:
@@ -66,7 +76,7 @@
         first: int | None = None
         after = ""
         for _ in range(MOST_PAGES):
-            query = {"prefix": prefix} | ({"after": after} if after else {})
+            query = {"prefix": prefix.value} | ({"after": after} if after else {})
             body = await self._get(names.STORE_RANGE_PATH, query, READ_TIMEOUT_SECONDS)
             page = decode(body, WireRange)
             # Pages are no snapshot: a watch from the first page's revision sees again what
@@ -78,13 +88,17 @@
             after = page.items[-1].key
         return StoreReading(tuple(changes), first or 0)
 
-    async def watch(self, prefix: str, after: int, wait_seconds: float) -> StoreReading:
+    async def watch(self, prefix: Watched, after: int, wait_seconds: float) -> StoreReading:
         """Waits for changes after a revision; returns with none once the wait is over.
 
         Raises:
           CodedError: With code "history_lost" where a new read is needed, otherwise as above.
         """
-        query = {"prefix": prefix, "after": str(after), "waitMs": str(int(wait_seconds * 1000))}
+        query = {
+            "prefix": prefix.value,
+            "after": str(after),
+            "waitMs": str(int(wait_seconds * 1000)),
+        }
         timeout = wait_seconds + WATCH_EXTRA_SECONDS
         body = await self._get(names.STORE_WATCH_PATH, query, timeout)
         page = decode(body, WireEvents)
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -13,8 +13,9 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.member_view import MemberView
-from ..platform import names, published_records
-from ..platform.store_client import StoreClient
+from ..platform import published_records
+from ..platform.published_records import ItemKind, kind_of
+from ..platform.store_client import StoreClient, Watched
 
 # Versions are named rarely; a watch that ends without news costs a call.
 WATCH_SECONDS = 20.0
@@ -97,7 +98,7 @@
             try:
                 revision = await self._read_all()
                 while True:
-                    reading = await self._store.watch(names.VERSION_PREFIX, revision, WATCH_SECONDS)
+                    reading = await self._store.watch(Watched.VERSIONS, revision, WATCH_SECONDS)
                     revision = reading.revision
                     if reading.changes:
                         await self._read_members()
@@ -118,14 +119,14 @@
                     self._log.write(Event.LIST_UNREACHABLE, reason=str(error)[:200])
 
     async def _read_all(self) -> int:
-        reading = await self._store.read(names.CONFIGURATION_KEY)
+        reading = await self._store.read(Watched.CONFIGURATION)
         for change in reading.changes:
-            if change.key == names.CONFIGURATION_KEY and change.value is not None:
+            if kind_of(change.key) is ItemKind.CONFIGURATION and change.value is not None:
                 self._take_configuration(published_records.decode_configuration(change.value))
         if not self.model:
             raise CodedError("configuration_missing", "this engine's service is not published")
         await self._read_members()
-        reading = await self._store.read(names.VERSION_PREFIX)
+        reading = await self._store.read(Watched.VERSIONS)
         for change in reading.changes:
             await self._take_version(change)
         self._known = True
@@ -140,10 +141,10 @@
                 self._origin = service
 
     async def _read_members(self) -> None:
-        reading = await self._store.read(names.ENDPOINT_PREFIX)
+        reading = await self._store.read(Watched.ENDPOINTS)
         endpoints = []
         for change in reading.changes:
-            endpoint_id = change.key.removeprefix(names.ENDPOINT_PREFIX)
+            endpoint_id = published_records.endpoint_id_of(change.key)
             try:
                 endpoint = published_records.decode_endpoint(
                     endpoint_id, change.value or b"", lambda service: self.layers
--- a/wasabidrum/weights/version_download_test.py
+++ b/wasabidrum/weights/version_download_test.py
@@ -11,7 +11,7 @@
 from ..core.manifest import Manifest, build_manifest
 from ..decisions.chunk_plan import ChunkPlan
 from .chunk_store import ChunkStore
-from .version_download import VersionDownload
+from .version_download import ASKS_WHILE_DRAWING, DRAWS_FIRST_SECONDS, VersionDownload
 
 CHUNK_BYTES = 4
 
@@ -89,3 +89,72 @@
 
         asyncio.run(play())
         self.assertEqual(activated[-1], len(turns) % 3)
+
+
+class RecordingDistributor(SlowDistributor):
+    """Notes which chunks were begun, and lets draws take their time."""
+
+    def __init__(self, contents: dict[str, bytes], plan: ChunkPlan) -> None:
+        super().__init__(contents, random.Random(1))
+        self._plan = plan
+        self.begun: list[int] = []
+        self.origin = asyncio.Event()
+
+    async def fetch(self, plan: ChunkPlan, digest: str) -> bytes:
+        """Returns a chunk; those that this sidecar draws, once the origin answers."""
+        index = plan.index_of(digest)
+        self.begun.append(index)
+        if self.draws(index):
+            await self.origin.wait()
+        return await super().fetch(plan, digest)
+
+    def draws(self, index: int) -> bool:
+        """Returns whether this sidecar draws a chunk from the origin."""
+        return self.is_carrier(self._plan, index) and self.is_first_region(self._plan, index)
+
+
+class DrawsFirstTest(unittest.IsolatedAsyncioTestCase):
+    """What a sidecar does before its own draws are done."""
+
+    async def test_most_of_what_peers_have_waits_for_what_nobody_has(self) -> None:
+        """An instance's link is slow, and its sidecar asks peers for a dozen chunks while it
+        draws its own part from the origin. Its part takes seconds; the origin goes away
+        meanwhile, and the whole fleet lacks two chunks for as long as it is away."""
+        text = bytes(range(240))
+        manifest = build_manifest(text, CHUNK_BYTES)
+        plan = ChunkPlan("root", manifest.chunks, {"w": "rift-a"})
+        contents = {digest_of(text[i : i + 4]): text[i : i + 4] for i in range(0, 240, 4)}
+        distributor = RecordingDistributor(contents, plan)
+        staged: dict[int, bytes] = {}
+
+        async def deliver(index: int, content: bytes) -> None:
+            staged[index] = content
+
+        download = VersionDownload(distributor, plan, manifest, list(range(60)), deliver)
+        running = asyncio.ensure_future(download.run())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        asked_at_once = {i for i in distributor.begun if not distributor.draws(i)}
+        self.assertTrue(0 < len(asked_at_once) <= ASKS_WHILE_DRAWING)
+        distributor.origin.set()
+        await running
+        self.assertEqual(len(staged), 60)
+
+    async def test_an_origin_that_is_gone_does_not_hold_up_what_peers_have(self) -> None:
+        text = bytes(range(240))
+        manifest = build_manifest(text, CHUNK_BYTES)
+        plan = ChunkPlan("root", manifest.chunks, {"w": "rift-a"})
+        contents = {digest_of(text[i : i + 4]): text[i : i + 4] for i in range(0, 240, 4)}
+        distributor = RecordingDistributor(contents, plan)
+        staged: dict[int, bytes] = {}
+
+        async def deliver(index: int, content: bytes) -> None:
+            staged[index] = content
+
+        download = VersionDownload(distributor, plan, manifest, list(range(60)), deliver)
+        running = asyncio.ensure_future(download.run())
+        await asyncio.sleep(DRAWS_FIRST_SECONDS + 0.3)
+        drawn = sum(distributor.draws(index) for index in range(60))
+        self.assertEqual(len(staged), 60 - drawn)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
