--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
 from tests.listed_platform import (
     ListedFleet,
     answer_ok,
@@ -13,7 +15,10 @@
     stream_events,
 )
 from wasabidrum.core.awake_clock import awake_seconds
+from wasabidrum.core.errors import CodedError
+from wasabidrum.gateway.exchange import CallerExchange
 from wasabidrum.platform import names
+from wasabidrum.platform.heads import read_request
 
 KEY = f"{names.AUTHORIZATION}: Bearer key-1"
 
@@ -382,3 +387,19 @@
         self.assertEqual((await asking).status, 200)
         self.fleet.gateways.clear()
         await stopping
+
+    async def test_what_comes_after_the_balancers_notice_is_refused_as_not_run(self) -> None:
+        """Callers keep connections to an entry that is stopped, and send on them until it is
+        gone. Taken in its last seconds, a long answer would be cut in the middle."""
+        stopping = asyncio.ensure_future(self.gateway.stop())
+        await self.fleet.wait_until(lambda: not self.gateway.takes_requests, 5.0)
+        exchange = CallerExchange(self.gateway, None)
+        exchange._head = read_request(RequestStartLine("POST", "/safe/a", ""), HTTPHeaders())
+        with self.assertRaises(CodedError) as caught:
+            await exchange._serve(exchange._head)
+        self.assertEqual(
+            (caught.exception.code, caught.exception.http_status), ("entry_leaving", 503)
+        )
+        self.assertEqual(self.a.seen + self.b.seen, [])
+        self.fleet.gateways.clear()
+        await stopping
