--- a/wasabidrum/weights/version_download_test.py
+++ b/wasabidrum/weights/version_download_test.py
@@ -116,45 +116,38 @@
 class DrawsFirstTest(unittest.IsolatedAsyncioTestCase):
     """What a sidecar does before its own draws are done."""
 
-    async def test_most_of_what_peers_have_waits_for_what_nobody_has(self) -> None:
-        """An instance's link is slow, and its sidecar asks peers for a dozen chunks while it
-        draws its own part from the origin. Its part takes seconds; the origin goes away
-        meanwhile, and the whole fleet lacks two chunks for as long as it is away."""
+    def setUp(self) -> None:
         text = bytes(range(240))
         manifest = build_manifest(text, CHUNK_BYTES)
         plan = ChunkPlan("root", manifest.chunks, {"w": "rift-a"})
         contents = {digest_of(text[i : i + 4]): text[i : i + 4] for i in range(0, 240, 4)}
-        distributor = RecordingDistributor(contents, plan)
-        staged: dict[int, bytes] = {}
+        self.distributor = RecordingDistributor(contents, plan)
+        self.staged: dict[int, bytes] = {}
+        every = list(range(60))
+        self.download = VersionDownload(self.distributor, plan, manifest, every, self.deliver)
 
-        async def deliver(index: int, content: bytes) -> None:
-            staged[index] = content
+    async def deliver(self, index: int, content: bytes) -> None:
+        """Takes a chunk."""
+        self.staged[index] = content
 
-        download = VersionDownload(distributor, plan, manifest, list(range(60)), deliver)
-        running = asyncio.ensure_future(download.run())
+    async def test_most_of_what_peers_have_waits_for_what_nobody_has(self) -> None:
+        """An instance's link is slow, and its sidecar asks peers for a dozen chunks while it
+        draws its own part from the origin. Its part takes seconds; the origin goes away
+        meanwhile, and the whole fleet lacks two chunks for as long as it is away."""
+        running = asyncio.ensure_future(self.download.run())
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        asked_at_once = {i for i in distributor.begun if not distributor.draws(i)}
+        begun = self.distributor.begun
+        asked_at_once = {index for index in begun if not self.distributor.draws(index)}
         self.assertTrue(0 < len(asked_at_once) <= ASKS_WHILE_DRAWING)
-        distributor.origin.set()
+        self.distributor.origin.set()
         await running
-        self.assertEqual(len(staged), 60)
+        self.assertEqual(len(self.staged), 60)
 
     async def test_an_origin_that_is_gone_does_not_hold_up_what_peers_have(self) -> None:
-        text = bytes(range(240))
-        manifest = build_manifest(text, CHUNK_BYTES)
-        plan = ChunkPlan("root", manifest.chunks, {"w": "rift-a"})
-        contents = {digest_of(text[i : i + 4]): text[i : i + 4] for i in range(0, 240, 4)}
-        distributor = RecordingDistributor(contents, plan)
-        staged: dict[int, bytes] = {}
-
-        async def deliver(index: int, content: bytes) -> None:
-            staged[index] = content
-
-        download = VersionDownload(distributor, plan, manifest, list(range(60)), deliver)
-        running = asyncio.ensure_future(download.run())
+        running = asyncio.ensure_future(self.download.run())
         await asyncio.sleep(DRAWS_FIRST_SECONDS + 0.3)
-        drawn = sum(distributor.draws(index) for index in range(60))
-        self.assertEqual(len(staged), 60 - drawn)
+        drawn = sum(self.distributor.draws(index) for index in range(60))
+        self.assertEqual(len(self.staged), 60 - drawn)
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
