Reset the connection of a request that is given up, so that it is not delivered later

A sidecar's link is squeezed while weights travel; a request is sent, its bytes are lost on the full link and sent again by the system with growing pauses, also after the entry has closed because its caller left: the endpoint got it 5.8 s after that. Ruled out: our noticing the caller's close, which ended the attempt at once. A reset drops what was not acknowledged. The test fails before (closed in place of reset) and passes after.

--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -214,6 +214,34 @@
             await self.fleet.ask(0, "tally", "unsafe", "r1", seconds=0.2)
         await self.fleet.wait_until(lambda: self.a.closed_early + self.b.closed_early == 1, 1.0)
 
+    async def test_a_request_whose_caller_left_is_not_delivered_later(self) -> None:
+        """An endpoint's link is full, and a request waits there unacknowledged when its caller
+        leaves. Closed as usual, the system would deliver it seconds later, and the endpoint
+        would work for nobody; the connection is reset, which drops it."""
+        ended = []
+
+        async def watch(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            try:
+                await reader.read()
+                ended.append("closed")
+            except ConnectionResetError:
+                ended.append("reset")
+            writer.close()
+
+        server = await asyncio.start_server(watch, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        for endpoint in (self.a, self.b):
+            entry = endpoint.entry(address=f"127.0.0.1:{port}")
+            await self.fleet.store.put(f"servers/{endpoint.id}", entry)
+        endpoints = self.gateway.state.endpoints
+        await self.fleet.wait_until(lambda: {e.port for e in endpoints.endpoints} == {port})
+        with self.assertRaises(TimeoutError):
+            await self.fleet.ask(0, "tally", "unsafe", "r1", seconds=0.2)
+        await self.fleet.wait_until(lambda: bool(ended), 2.0)
+        server.close()
+        self.assertEqual(ended, ["reset"])
+
     async def test_a_request_that_kills_endpoints_is_stopped(self) -> None:
         """One request crashes each endpoint that runs it, and its caller sends it again and
         again. After two deaths it is refused, and nobody else loses an endpoint to it."""
--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import socket
+import struct
 
 from tornado import http1connection, httputil, iostream
 
@@ -94,11 +95,24 @@
 
     def close(self) -> None:
         """Ends the connection, so that the endpoint stops work on the request."""
+        if self.sent and not self._ended and not self._stream.closed():
+            self._drop_unsent()
         self._ended = True
         self._stream.close()
         if self._room is not None and not self._room.done():
             self._room.set_result(None)
 
+    def _drop_unsent(self) -> None:
+        # Closed as usual, the system goes on sending what was not acknowledged. Over a link that
+        # is full a request then reaches its endpoint seconds after its caller has left, and is
+        # worked on for nobody. A reset drops it, and tells the endpoint at once.
+        linger = struct.pack("ii", 1, 0)
+        try:
+            self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError:
+            # The connection is gone already, and its unsent bytes with it.
+            return
+
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
