Ask for more chunks at once only while they come as soon as they are sent

Asks begin with two and widen by one with each chunk that is whole within 0.1 s of its last byte's sending.

--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -37,6 +37,7 @@
 
     __slots__ = ("_settings", "_membership", "_origin", "_log", "_peers", "store", "pacer")
     __slots__ += ("evidence", "counts", "revision", "spread", "_asked", "_begun_at")
+    __slots__ += ("late_seconds",)
 
     def __init__(
         self,
@@ -59,6 +60,8 @@
         self.revision = 0
         # Whether the version is known to be in force somewhere, so that peers hold it.
         self.spread = False
+        # How late the last chunk of a peer was whole, beyond the time that it took to send.
+        self.late_seconds = 0.0
         self._asked = asyncio.Event()
         self._begun_at = 0.0
 
@@ -207,6 +210,7 @@
         self._membership.report_success(name)
         self.evidence.note_answer(name, answer.content is not None)
         if answer.content is not None:
+            self.late_seconds = answer.late_seconds
             self.counts.asks_answered += 1
             if view.instance.region == self._settings.region:
                 self.counts.from_own_region += len(answer.content)
--- a/wasabidrum/weights/peer_chunk_client.py
+++ b/wasabidrum/weights/peer_chunk_client.py
@@ -18,16 +18,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerAnswer:
-    """What a peer answered; the content is verified, and None unless the state is HELD."""
+    """What a peer answered; the content is verified, and None unless the state is HELD.
+
+    Attributes:
+      late_seconds: How much later the content was whole than the peer had sent it.
+    """
 
     state: ChunkState
     content: bytes | None = None
+    late_seconds: float = 0.0
 
 
 class ChunkDownload:
     """One request for a chunk while it runs."""
 
     __slots__ = ("_parts", "_loop", "_moves_until", "_ends_at", "_status", "_head", "given_up")
+    __slots__ += ("_due_at",)
 
     def __init__(self, wait: float) -> None:
         self._loop = asyncio.get_running_loop()
@@ -37,6 +43,12 @@
         self._moves_until = self._loop.time() + wait + HEAD_GRACE_SECONDS
         self._ends_at = self._moves_until + LONGEST_REQUEST_SECONDS
         self.given_up = False
+        self._due_at = self._loop.time()
+
+    @property
+    def late_seconds(self) -> float:
+        """How much later it is than the peer said that all would have left it."""
+        return max(0.0, self._loop.time() - self._due_at)
 
     @property
     def head(self) -> httputil.HTTPHeaders:
@@ -63,6 +75,7 @@
             starts_in = float(self._head.get(headers.CHUNK_STARTS_IN, "0"))
             seconds = float(self._head.get(headers.CHUNK_SECONDS, "0"))
             now = self._loop.time()
+            self._due_at = now + max(0.0, starts_in) + seconds
             self._moves_until = now + max(0.0, starts_in) + STALL_SECONDS
             self._ends_at = self._moves_until + SLOWEST_FACTOR * seconds + STALL_SECONDS
 
@@ -129,7 +142,7 @@
             content = download.content
             if digest_of(content) != digest:
                 raise CodedError("chunk_corrupt", f"{digest} came with other bytes", 503)
-            return PeerAnswer(ChunkState.HELD, content)
+            return PeerAnswer(ChunkState.HELD, content, download.late_seconds)
         return PeerAnswer(self._read_state(download))
 
     def _read_state(self, download: ChunkDownload) -> ChunkState:
--- a/wasabidrum/weights/version_download.py
+++ b/wasabidrum/weights/version_download.py
@@ -12,6 +12,9 @@
 DRAWS_AT_ONCE = 2
 # How long draws go before all else; with an origin that is gone the rest must not wait longer.
 DRAWS_FIRST_SECONDS = 2.0
+# A chunk that is whole this much after its last byte was sent has met no queue worth speaking of:
+# a few times the way between regions, and a slice of another chunk.
+PROMPT_SECONDS = 0.1
 # Asked of peers meanwhile, so that they know of this sidecar, which they wait for.
 ASKS_WHILE_DRAWING = 2
 # Chunks that it brings in from another region, at once. Its senders there are several.
@@ -34,6 +37,7 @@
     """One version on its way to one engine. Cancelling run ends every request for it."""
 
     __slots__ = ("_distributor", "_plan", "_manifest", "_deliver", "_places")
+    __slots__ += ("_group", "_asking", "_askers")
 
     def __init__(
         self,
@@ -48,6 +52,9 @@
         self._manifest = manifest
         self._deliver = deliver
         self._places: dict[str, list[int]] = {}
+        self._group: asyncio.TaskGroup | None = None
+        self._asking: collections.abc.Iterator[str] | None = None
+        self._askers = 0
         for index in missing:
             self._places.setdefault(manifest.chunks[index], []).append(index)
 
@@ -80,7 +87,10 @@
                 # seconds, and for as long as the origin is away if that fails meanwhile.
                 await asyncio.wait(drawing, timeout=DRAWS_FIRST_SECONDS)
             self._start_lane(group, imports, IMPORTS_AT_ONCE)
-            self._start(group, asking, max(0, min(ASKS_AT_ONCE, len(asks)) - ASKS_WHILE_DRAWING))
+            self._group = group
+            self._asking = asking
+            self._askers = ASKS_WHILE_DRAWING
+            self._widen()
 
     def _start_lane(
         self, group: asyncio.TaskGroup, lane: list[str], workers: int
@@ -92,9 +102,23 @@
     ) -> list[asyncio.Task]:
         return [group.create_task(self._work(work)) for _ in range(workers)]
 
+    def _widen(self) -> None:
+        """Asks for one chunk more at once, while the last came as soon as it was sent.
+
+        An instance's link may be narrower than its settings say. A dozen chunks sent to it at
+        once then stand before its engine's requests for seconds: callers have left by the time
+        that their requests arrive.
+        """
+        if self._asking is None or self._askers >= ASKS_AT_ONCE:
+            return
+        if self._distributor.late_seconds <= PROMPT_SECONDS:
+            self._askers += 1
+            self._start(self._group, self._asking, 1)
+
     async def _work(self, digests: collections.abc.Iterator[str]) -> None:
         for digest in digests:
             content = await self._distributor.fetch(self._plan, digest)
+            self._widen()
             for index in self._places[digest]:
                 await self._deliver(index, content)
             self._distributor.store.expected.discard(digest)
--- a/wasabidrum/weights/version_download_test.py
+++ b/wasabidrum/weights/version_download_test.py
@@ -21,6 +21,7 @@
 
     def __init__(self, contents: dict[str, bytes], chance: random.Random) -> None:
         self.store = ChunkStore(16)
+        self.late_seconds = 0.0
         self._contents = contents
         self._chance = chance
 
@@ -151,3 +152,28 @@
         self.assertEqual(len(self.staged), 60 - drawn)
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
+
+    async def test_a_link_that_is_narrow_is_asked_for_little_at_once(self) -> None:
+        """An instance's link has become narrow while a version travels. A dozen chunks sent to
+        it at once stand before its engine's requests for nine seconds, and callers have left
+        by the time that their requests arrive."""
+        self.distributor.late_seconds = 1.0
+        self.distributor.origin.set()
+        at_once = 0
+        fetching = 0
+        fetch = self.distributor.fetch
+
+        async def count(plan: ChunkPlan, digest: str) -> bytes:
+            nonlocal at_once, fetching
+            drawn = self.distributor.draws(plan.index_of(digest))
+            fetching += not drawn
+            at_once = max(at_once, fetching)
+            await asyncio.sleep(0.001)
+            content = await fetch(plan, digest)
+            fetching -= not drawn
+            return content
+
+        self.distributor.fetch = count
+        await self.download.run()
+        imports = 4
+        self.assertLessEqual(at_once, ASKS_WHILE_DRAWING + imports)
