Drop three functions and two constants that nothing calls

Found by reading the whole change: a getter of the newest wanted version, a way to forget old lists of pieces, a count of watchers, a bound on the age of a check and a header's name.

--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -53,11 +53,6 @@
         floor = self._floors.get(model)
         return floor.oldest_allowed(now) if floor else 0
 
-    def newest_wanted(self, model: str) -> int:
-        """Returns the newest version of a model's weights that was named."""
-        floor = self._floors.get(model)
-        return floor.newest if floor else 0
-
     def take_told_version(self, model: str, version: int, seconds: float, now: float) -> None:
         """Takes from another process for how long a version has been wanted."""
         floor = self._floors.get(model)
--- a/wasabidrum/platform/names.py
+++ b/wasabidrum/platform/names.py
@@ -16,7 +16,6 @@
 MODEL = "Wasabidrum-Model"
 # Prompt tokens, a comma, and the most tokens of the answer.
 TOKEN_USAGE = "Wasabidrum-Token-Usage"
-LENGTH_HINT = "Wasabidrum-Length-Hint"
 LAST_EVENT_ID = "Last-Event-Id"
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
--- a/wasabidrum/platform/origin_client.py
+++ b/wasabidrum/platform/origin_client.py
@@ -64,10 +64,6 @@
         path = f"{names.PIECE_PATH}{model}?num={number}&version={version}"
         return await self._get(path, PIECE_SECONDS)
 
-    def forget_but(self, digests: frozenset[str]) -> None:
-        """Forgets the pieces of lists that are not wanted any more."""
-        self._places = {d: place for d, place in self._places.items() if d in digests}
-
     async def _get(self, path: str, seconds: float) -> bytes:
         if not self._url:
             raise CodedError("source_missing", "no origin is published yet", 503)
--- a/wasabidrum/sidecar/load_service.py
+++ b/wasabidrum/sidecar/load_service.py
@@ -42,11 +42,6 @@
         """See LinkOwner; not told on these links."""
         return ""
 
-    @property
-    def watchers(self) -> int:
-        """How many entries watch."""
-        return len(self._inbound)
-
     async def start(self) -> None:
         """Listens for entries."""
         sockets = netutil.bind_sockets(self._deployment.first_port, self._deployment.host)
--- a/wasabidrum/weights/engine_keeper.py
+++ b/wasabidrum/weights/engine_keeper.py
@@ -19,8 +19,6 @@
 # What an engine may take after an order, before it is looked at anew: what runs there ends
 # first, and a run lasts for some seconds at most.
 LOAD_SECONDS = 7.0
-# A check of the staging area counts for so long; the engine must take the order within it.
-VERIFIED_SECONDS = 1.0
 MOST_VERIFICATIONS = 5
 
 
