Say in each refusal what decided it: route, service, endpoints looked at, age of reports and evidence

Cause: a line of a refused request said only the forecast. Which route and service it was for, how many endpoints were looked at and how old the reports of load were could not be told from the log, so that 'refused though endpoints were free' could not be judged.

--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -54,11 +54,17 @@
       candidate: None where it is refused.
       seconds: The soonest first event that was forecast; infinite where nobody could take it.
       retry_after: Where it is refused, when room is expected.
+      known: Endpoints that could take it by what they hold.
+      able: Those of them that are healthy or due for a probe.
+      report_age: The seconds since the oldest report of their load; zero where none was used.
     """
 
     candidate: Candidate | None
     seconds: float
     retry_after: float = 0.0
+    known: int = 0
+    able: int = 0
+    report_age: float = 0.0
 
 
 def forecast(
@@ -96,8 +102,9 @@
     healthy = [c for c in able if c.load.health.health is Health.HEALTHY]
     # A probe is worth a request only now and then; one that may not be repeated never is.
     pool = healthy if risky and healthy else able
+    known = len(candidates)
     if not pool:
-        return Choice(None, float("inf"), retry_when_probed(candidates, now))
+        return Choice(None, float("inf"), retry_when_probed(candidates, now), known)
     ranked = []
     for candidate in pool:
         seconds = forecast(candidate, figures, prompt_tokens, now)
@@ -106,8 +113,15 @@
     _, seconds, best = min(ranked, key=lambda rank: rank[0])
     soonest = min(rank[1] for rank in ranked)
     if seconds > latest:
-        return Choice(None, soonest, retry_when_room(figures, soonest - latest))
-    return Choice(best, seconds)
+        retry = retry_when_room(figures, soonest - latest)
+        return Choice(None, soonest, retry, known, len(pool), oldest_report(pool, now))
+    return Choice(best, seconds, 0.0, known, len(pool))
+
+
+def oldest_report(candidates: collections.abc.Sequence[Candidate], now: float) -> float:
+    """Returns the seconds since the oldest report of load among those that reported at all."""
+    ages = (candidate.load.report_age(now) for candidate in candidates)
+    return round(max((age for age in ages if age < float("inf")), default=0.0), 3)
 
 
 def retry_when_room(figures: EngineFigures | None, too_late: float) -> float:
--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -92,6 +92,10 @@
         self._reported_at = now
         self._since = 0
 
+    def report_age(self, now: float) -> float:
+        """Returns the seconds since the endpoint last said what it does; infinite if never."""
+        return now - self._reported_at
+
     def work(self, now: float, usual_prompt: float = 0.0) -> EngineWork:
         """Returns what is to be done there, before and beside a new request.
 
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -44,6 +44,7 @@
         self._answered = False
         self._streaming = False
         self._began = 0.0
+        self._inputs: dict[str, object] = {}
 
     def headers_received(
         self,
@@ -97,13 +98,16 @@
         routes = state.routes
         if routes is None:
             raise not_ready("no configuration yet")
-        fresh = state.lease.holds(awake_seconds())
+        now = awake_seconds()
+        fresh = state.lease.holds(now)
+        self.note(evidence_age=round(state.lease.age(now), 3))
         route = routes.find(head.host, head.path)
         if route is None:
             # On old evidence the route may exist by now, and "not found" would be untrue.
             if not fresh:
                 raise not_ready("the configuration may be old")
             raise CodedError("route_unknown", "no such route", 404)
+        self.note(route=route.name)
         workspace = ""
         if routes.has_workspaces and not route.public:
             if not fresh:
@@ -112,6 +116,7 @@
             if holder is None:
                 raise CodedError("key_unknown", "the key is not valid", 401)
             workspace = holder.name
+            self.note(workspace=workspace)
         await Forwarding(self, self._gateway, head, route, workspace, b"".join(self._parts)).run()
 
     @property
@@ -119,6 +124,10 @@
         """When the head of the request was read, by the event loop's clock."""
         return self._began
 
+    def note(self, **inputs: object) -> None:
+        """Keeps what decided on the request, for the line that tells of its end."""
+        self._inputs.update(inputs)
+
     def answer_whole(self, reply: WholeReply, **facts: object) -> None:
         """Passes an endpoint's whole answer on."""
         self._answered = True
@@ -196,7 +205,7 @@
             request=self._head.request_id if self._head else "",
             seconds=round(asyncio.get_running_loop().time() - self._began, 4),
             revision=state.version,
-            **facts,
+            **(self._inputs | facts),
         )
 
 
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -153,6 +153,12 @@
         if self._history.may_have_run:
             status = self._history.final_status(left <= SHORTEST_USEFUL_SECONDS)
             raise CodedError(failure or "no_endpoint", "no answer", status, Outcome.UNKNOWN)
+        self._exchange.note(
+            service=self._service,
+            endpoints_known=choice.known,
+            endpoints_able=choice.able,
+            report_age=choice.report_age,
+        )
         code = "overloaded" if choice.seconds < float("inf") else "no_endpoint"
         message = f"the first event would come after {choice.seconds:.2f} s"
         retry = choice.retry_after * (1.0 + 0.3 * placer.rng.random())
