Deal engines out to entries, count others by their rate, correct forecasts by what was seen

Cause: with twelve entries before two dozen engines each entry sees a twelfth of what is sent. Reports of load are a third of a second old, what others had sent since was guessed from this entry's own sends to the same engine and capped at two, so all saw room in the same engines. Ruled out: power of two or three choices and choice by spare room, on the same reports: 63 to 75 first events in time a second of the replay below, against 66 for the soonest one. Mended: each engine has one entry of its data centre that sends there first and counts it exactly; others add 0.1 s; what others send is counted by rate and the published age of reports; forecasts are corrected by what was seen; the limit is 0.85 of the aim. Replay (endpoint_choice_test.py: 12 entries, 24 engines, 270 requests a second): 112 first events in time a second before, 206 after; at 330: 68 and 198; three entries, six engines, 80 a second: 42 and 51.

--- a/wasabidrum/core/published.py
+++ b/wasabidrum/core/published.py
@@ -23,6 +23,7 @@
       layers: Layers of the model.
       chunk_count: Parts that the model's weights are cut into.
       chunk_bytes: Bytes of each part.
+      report_lag: How old an engine's account of itself is when it is read, in seconds.
     """
 
     slots: int = 1
@@ -39,6 +40,7 @@
     layers: int = 0
     chunk_count: int = 0
     chunk_bytes: int = 0
+    report_lag: float = 0.0
 
 
 class PublishedService(msgspec.Struct, frozen=True):
--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -6,15 +6,16 @@
 looked idle, every entry sends to it, and it is full while the others have room.
 
 Each endpoint's first event is forecast from what it has to do. The one that is soonest gets the
-request, with a small handicap for those in other regions, whose answers cross thin links. Where
-even the soonest is too late, the request is refused on arrival, with a time at which room is
-expected: waiting would only make it later.
+request, with a handicap for those that other entries send to first (entry_share.py) and a small
+one for those in other regions, whose answers cross thin links. Where even the soonest is too
+late, the request is refused on arrival, with a time at which room is expected: waiting would
+only make it later.
 
 Grounds:
 - LATEST_FRACTION of the aimed latency: what else arrives meanwhile makes first events later than
-  forecast, never sooner. At one and a half times what the engines carry, 0.7 has 59 first events
-  a second in time, 0.85 has 57, 1.0 has 53 and 0.5 has 62, which refuses more at nearly full load
-  (endpoint_choice_test.py replays it).
+  forecast, never sooner. Over ten loads from nearly full to one and a half times what engines
+  carry, 0.7 serves a little less than 0.85 where load moves from one entry to another, and 0.9
+  has more late first events under overload (endpoint_choice_test.py replays some of them).
 - OTHER_REGION_SECONDS: the way there and back, and what the thin link costs the others.
 - JITTER keeps entries that know the same from choosing the same endpoint together.
 - SHORTEST_RETRY_SECONDS: a slot of some engine comes free several times in that time.
@@ -29,8 +30,9 @@
 from .endpoint_health import Health
 from .endpoint_load import EndpointLoad
 from .engine_forecast import first_event_seconds, run_seconds
+from .entry_share import OTHERS_SECONDS
 
-LATEST_FRACTION = 0.7
+LATEST_FRACTION = 0.85
 OTHER_REGION_SECONDS = 0.03
 JITTER = 0.1
 SHORTEST_RETRY_SECONDS = 0.3
@@ -39,11 +41,36 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
-    """An endpoint that could take a request, and what is known of its work."""
+    """An endpoint that could take a request, and what is known of its work.
+
+    Attributes:
+      near: It stands in the region of the entry.
+      first: No other entry sends there before this one does.
+    """
 
     endpoint: ListedEndpoint
     load: EndpointLoad
     near: bool
+    first: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request asks, and what is known beside the endpoints.
+
+    Attributes:
+      prompt_tokens: Zero where the caller does not say.
+      latest: The seconds beyond which a first event is too late to be worth its place.
+      risky: The request may not be repeated, so it is no probe where anything else can be.
+      others_rate: Requests a second that other entries send to each endpoint.
+      bias: Seconds by which first events come later than forecast, lately.
+    """
+
+    prompt_tokens: int
+    latest: float
+    risky: bool = False
+    others_rate: float = 0.0
+    bias: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,13 +95,14 @@
 
 
 def forecast(
-    candidate: Candidate, figures: EngineFigures | None, prompt_tokens: int, now: float
+    candidate: Candidate, figures: EngineFigures | None, demand: Demand, now: float
 ) -> float:
     """Returns the seconds until a request's first event, or its whole answer, would come."""
     load = candidate.load
     if figures is not None:
-        work = load.work(now, figures.usual_prompt)
-        return first_event_seconds(figures, work, prompt_tokens)
+        others_rate = 0.0 if candidate.first else demand.others_rate
+        work = load.work(now, figures.usual_prompt, others_rate)
+        return demand.bias + first_event_seconds(figures, work, demand.prompt_tokens)
     work = load.work(now)
     waiting = max(0.0, work.requests + 1.0 - candidate.endpoint.slots)
     turns = waiting / max(1, candidate.endpoint.slots)
@@ -86,36 +114,46 @@
 def choose(
     candidates: collections.abc.Sequence[Candidate],
     figures: EngineFigures | None,
-    prompt_tokens: int,
-    latest: float,
+    demand: Demand,
     now: float,
     rng: random.Random,
-    risky: bool = False,
 ) -> Choice:
-    """Returns where a request goes.
-
-    Args:
-      latest: The seconds beyond which a first event is too late to be worth its place.
-      risky: The request may not be repeated, so it is no probe where anything else can be.
-    """
+    """Returns where a request goes."""
     able = [c for c in candidates if c.load.health.may_take(now)]
     healthy = [c for c in able if c.load.health.health is Health.HEALTHY]
     # A probe is worth a request only now and then; one that may not be repeated never is.
-    pool = healthy if risky and healthy else able
+    pool = healthy if demand.risky and healthy else able
     known = len(candidates)
     if not pool:
         return Choice(None, float("inf"), retry_when_probed(candidates, now), known)
     ranked = []
     for candidate in pool:
-        seconds = forecast(candidate, figures, prompt_tokens, now)
+        seconds = forecast(candidate, figures, demand, now)
+        # Others fill what this entry does not send to first; it stays out while that is near.
+        owed = seconds if candidate.first else seconds + OTHERS_SECONDS
         handicap = 0.0 if candidate.near else OTHER_REGION_SECONDS
-        ranked.append((seconds * (1.0 + JITTER * rng.random()) + handicap, seconds, candidate))
-    _, seconds, best = min(ranked, key=lambda rank: rank[0])
-    soonest = min(rank[1] for rank in ranked)
-    if seconds > latest:
-        retry = retry_when_room(figures, soonest - latest)
+        ranked.append(Rank(owed * (1.0 + JITTER * rng.random()) + handicap, owed, candidate))
+    in_time = [rank for rank in ranked if rank.seconds <= demand.latest]
+    if not in_time:
+        soonest = min(rank.seconds for rank in ranked)
+        retry = retry_when_room(figures, soonest - demand.latest)
         return Choice(None, soonest, retry, known, len(pool), oldest_report(pool, now))
-    return Choice(best, seconds, 0.0, known, len(pool))
+    best = min(in_time, key=lambda rank: rank.order)
+    return Choice(best.candidate, best.seconds, 0.0, known, len(pool))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rank:
+    """A candidate's place among others.
+
+    Attributes:
+      order: The lowest is chosen.
+      seconds: The first event as it is held against the latest one.
+    """
+
+    order: float
+    seconds: float
+    candidate: Candidate
 
 
 def oldest_report(candidates: collections.abc.Sequence[Candidate], now: float) -> float:
--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -4,24 +4,27 @@
 milliseconds old. Followed alone, a report sends every entry to the endpoint that looked idle;
 ignored, each entry counts only its own requests and fills endpoints that others have filled.
 
-A report counts for what others run, as of when it was made; what this entry sent and saw end is
-counted at once. What the others have sent since the report nobody has told: callers are spread
-evenly over entries, so that others probably send as much as this one does. Replayed with three
-entries, six engines and reports 0.2 s late at one and a half times what the engines carry
-(endpoint_choice_test.py), requests with a first event in time rose from 41 to 59 a second by
-counting those and the prompts that wait unread, at the same rate of refusals.
+A report counts for what others run, as of when it was made, which is some time before it
+arrives; what this entry sent and saw end is counted at once. What the others have sent since,
+nobody has told: callers are spread evenly over entries, so that the others send as much as this
+one does, and spread it over all engines alike. Replayed with three entries, six engines and
+reports 0.2 s old at one and a half times what the engines carry (endpoint_choice_test.py),
+requests with a first event in time rose from 31 to 43 a second by counting by rates what the
+others have sent, and not by this entry's own sends to the same engine.
 
 Grounds: TRUSTED_SECONDS is the length of a usual run; later, most of what a report counted has
-ended. MOST_OTHERS: with many entries a single request says little of what others send.
+ended.
 """
 
+import collections
 import random
 
 from .endpoint_health import EndpointHealth
 from .engine_forecast import EngineWork
 
 TRUSTED_SECONDS = 1.5
-MOST_OTHERS = 2
+# More than an entry sends to one engine between two reports.
+MOST_SENT = 64
 SAMPLE_WEIGHT = 1.0 / 16.0
 FIRST_RUN_SECONDS = 0.03
 
@@ -38,10 +41,9 @@
     """
 
     __slots__ = ("health", "own", "unread", "answering", "progress_at", "run_seconds")
-    __slots__ += ("_others", "_reported_at", "_pace", "_queued", "_since", "_entries")
+    __slots__ += ("_others", "_reported_at", "_made_at", "_pace", "_queued", "_sent")
 
-    def __init__(self, rng: random.Random, other_entries: int = MOST_OTHERS) -> None:
-        """Takes how many other entries there are."""
+    def __init__(self, rng: random.Random) -> None:
         self.health = EndpointHealth(rng)
         self.own = 0
         self.unread = 0
@@ -50,16 +52,17 @@
         self.run_seconds = FIRST_RUN_SECONDS
         self._others = 0.0
         self._queued = 0
-        self._since = 0
-        self._entries = min(MOST_OTHERS, other_entries)
         self._pace = 1.0
         self._reported_at = float("-inf")
+        self._made_at = float("-inf")
+        # When this entry sent what the last report cannot know of yet.
+        self._sent: collections.deque[float] = collections.deque(maxlen=MOST_SENT)
 
-    def placed(self, prompt_tokens: int) -> None:
+    def placed(self, prompt_tokens: int, now: float) -> None:
         """Counts a request that is sent there."""
         self.own += 1
         self.unread += prompt_tokens
-        self._since += 1
+        self._sent.append(now)
         self.health.placed()
 
     def first_event(self, prompt_tokens: int, now: float) -> None:
@@ -84,25 +87,35 @@
         """Takes how long a whole answer of a plain service took."""
         self.run_seconds += SAMPLE_WEIGHT * (seconds - self.run_seconds)
 
-    def take_report(self, running: int, queued: int, pace: float, now: float) -> None:
-        """Takes what an endpoint says of itself."""
-        self._others = max(0.0, running + queued - self.own)
+    def take_report(
+        self, running: int, queued: int, pace: float, now: float, lag: float = 0.0
+    ) -> None:
+        """Takes what an endpoint says of itself.
+
+        Args:
+          lag: How old the account was when it was made, in seconds.
+        """
+        self._reported_at = now
+        self._made_at = now - lag
+        while self._sent and self._sent[0] < self._made_at:
+            self._sent.popleft()
+        own_then = max(0, self.own - len(self._sent))
+        self._others = max(0.0, running + queued - own_then)
         self._queued = queued
         self._pace = max(1.0, pace)
-        self._reported_at = now
-        self._since = 0
 
     def report_age(self, now: float) -> float:
         """Returns the seconds since the endpoint last said what it does; infinite if never."""
         return now - self._reported_at
 
-    def work(self, now: float, usual_prompt: float = 0.0) -> EngineWork:
+    def work(self, now: float, usual_prompt: float = 0.0, others_rate: float = 0.0) -> EngineWork:
         """Returns what is to be done there, before and beside a new request.
 
         Args:
           usual_prompt: Tokens of a usual prompt, for those of others that wait unread.
+          others_rate: Requests a second that other entries send there.
         """
         left = max(0.0, 1.0 - (now - self._reported_at) / TRUSTED_SECONDS)
-        untold = self._entries * self._since if left else 0
+        untold = others_rate * (now - self._made_at) if left else 0.0
         unread = self.unread + usual_prompt * (left * self._queued + untold)
         return EngineWork(self.own + left * self._others + untold, unread, self._pace)
--- a/wasabidrum/decisions/entry_roster.py
+++ b/wasabidrum/decisions/entry_roster.py
@@ -7,9 +7,11 @@
 few meetings, and one that nobody hears any more is forgotten by all.
 
 Grounds: entries meet someone every MEET_SECONDS, so that FORGET_SECONDS are many meetings missed.
-LIST_SIZE keeps a message below a kilobyte or two in a fleet of hundreds.
+LIST_SIZE keeps a message below a kilobyte or two in a fleet of hundreds; ten meetings before one
+is forgotten tell of as many as that fleet has.
 """
 
+import dataclasses
 import random
 
 MEET_SECONDS = 2.0
@@ -19,47 +21,72 @@
 Place = tuple[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownEntry:
+    """Another entry.
+
+    Attributes:
+      heard_at: When anyone heard of it last.
+      data_centre: Where it stands; empty while nobody has told.
+    """
+
+    heard_at: float
+    data_centre: str = ""
+
+
 class EntryRoster:
     """Entries by address, with when each was last heard of.
 
     All times are of a clock that counts while the instance is suspended.
     """
 
-    __slots__ = ("_own", "_seeds", "_heard", "_failed")
+    __slots__ = ("_own", "_seeds", "_known", "_failed")
 
     def __init__(self, own: Place, seeds: tuple[Place, ...]) -> None:
         self._own = own
         self._seeds = tuple(seed for seed in seeds if seed != own)
-        self._heard: dict[Place, float] = {}
+        self._known: dict[Place, KnownEntry] = {}
         self._failed: dict[Place, float] = {}
 
     def take_seeds(self, seeds: tuple[Place, ...]) -> None:
         """Takes other seeds in place of those before."""
         self._seeds = tuple(seed for seed in seeds if seed != self._own)
 
-    def take(self, address: Place, heard_at: float) -> None:
+    def take(self, address: Place, heard_at: float, data_centre: str = "") -> None:
         """Takes that an entry was heard, by this process or another."""
-        if address != self._own:
-            self._heard[address] = max(heard_at, self._heard.get(address, float("-inf")))
+        if address == self._own:
+            return
+        before = self._known.get(address, KnownEntry(float("-inf")))
+        latest = max(heard_at, before.heard_at)
+        self._known[address] = KnownEntry(latest, data_centre or before.data_centre)
 
     def take_failure(self, address: Place, now: float) -> None:
         """Takes that an entry did not answer this process."""
         self._failed[address] = now
 
-    def known(self, now: float) -> list[tuple[Place, float]]:
-        """Returns the entries heard lately and how long ago, the latest first."""
-        self._heard = {a: at for a, at in self._heard.items() if now - at <= FORGET_SECONDS}
-        ages = sorted((now - at, address) for address, at in self._heard.items())
-        return [(address, age) for age, address in ages[:LIST_SIZE]]
+    def known(self, now: float) -> dict[Place, KnownEntry]:
+        """Returns the entries heard lately, the latest first."""
+        kept = [item for item in self._known.items() if now - item[1].heard_at <= FORGET_SECONDS]
+        self._known = dict(sorted(kept, key=lambda item: (-item[1].heard_at, item[0])))
+        return self._known
 
     def count(self, now: float) -> int:
         """Returns how many entries there are, this one included."""
         return 1 + len(self.known(now))
 
+    def within(self, data_centre: str, now: float) -> list[Place]:
+        """Returns the entries of a data centre in an order that all of them agree on.
+
+        Args:
+          data_centre: That of this entry, which is among them.
+        """
+        others = [a for a, known in self.known(now).items() if known.data_centre == data_centre]
+        return sorted([self._own, *others])
+
     def choose(self, count: int, now: float, rng: random.Random) -> list[Place]:
         """Returns whom to ask next: those that answered last time first, seeds if need be."""
-        heard = [address for address, _ in self.known(now)]
-        sound = [a for a in heard if self._failed.get(a, float("-inf")) < self._heard[a]]
+        heard = self.known(now)
+        sound = [a for a in heard if self._failed.get(a, float("-inf")) < heard[a].heard_at]
         chosen = rng.sample(sound, min(count, len(sound)))
         rest = [a for a in dict.fromkeys((*heard, *self._seeds)) if a not in chosen]
         missing = min(count - len(chosen), len(rest))
@@ -67,4 +94,4 @@
 
     def all_addresses(self, now: float) -> list[Place]:
         """Returns everyone worth telling something, the seeds included."""
-        return list(dict.fromkeys((*(a for a, _ in self.known(now)), *self._seeds)))
+        return list(dict.fromkeys((*self.known(now), *self._seeds)))
--- /dev/null
+++ b/wasabidrum/decisions/entry_share.py
@@ -0,0 +1,38 @@
+"""Which engines an entry sends to first, so that entries do not fill the same ones together.
+
+Load pattern: twelve entries place on the same two dozen engines by reports that are a third of
+a second old. Each sees a twelfth of what is sent, so that all believe that there is room, and
+fill the same engines at once. What an entry has sent itself it knows exactly and at once: so
+each engine has one entry of its data centre that sends there first, and whose count of it is
+nearly the whole truth. The others send there only when their own engines would take
+OTHERS_SECONDS longer.
+
+Nobody is asked or told: entries know each other, and all deal the engines out alike. Where two
+entries know different ones for a moment, an engine has two that prefer it or none, which is no
+worse than before.
+
+Grounds: replayed with twelve entries, 24 engines and one and a half times the load that these
+carry (endpoint_choice_test.py), first events in time are 160 a second with shares and 41 without.
+OTHERS_SECONDS: at 0.05 s entries spill to each other too soon under overload, at 0.15 s one with
+more callers than its share refuses what others could do.
+"""
+
+import collections.abc
+
+OTHERS_SECONDS = 0.1
+
+
+def deal(
+    endpoint_ids: collections.abc.Iterable[str],
+    entries: collections.abc.Sequence[tuple[str, int]],
+    own: tuple[str, int],
+) -> frozenset[str]:
+    """Returns the endpoints that one entry sends to first.
+
+    Args:
+      endpoint_ids: The endpoints of one service in one data centre.
+      entries: The entries of that data centre, in an order that all agree on.
+    """
+    place = entries.index(own)
+    ordered = sorted(endpoint_ids)
+    return frozenset(ordered[place :: len(entries)])
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -79,9 +79,7 @@
         self._follower = StoreFollower(store, self.state, log)
         self.guard = PoisonGuard()
         self.peers = EntryPeers(deployment, self.state, self.guard, self.tasks, log)
-        self.placer = Placer(
-            self.state, log, deployment.data_centre, deployment.bounds, lambda: self.peers.count
-        )
+        self.placer = Placer(self.state, log, deployment.data_centre, deployment.bounds, self.peers)
         self._watcher = LoadWatcher(
             deployment, self.state, log, make_incarnation(), self.placer.take_status
         )
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -1,6 +1,7 @@
 """What an entry asks of the others and tells them."""
 
 import asyncio
+import itertools
 import random
 
 from grpclib import server
@@ -11,7 +12,7 @@
 from ..core.background_tasks import BackgroundTasks
 from ..core.errors import CodedError
 from ..core.store_change import StoreChange, StoreReading
-from ..decisions.entry_roster import MEET_SECONDS, EntryRoster, Place
+from ..decisions.entry_roster import LIST_SIZE, MEET_SECONDS, EntryRoster, Place
 from ..decisions.poison import PoisonGuard
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -35,6 +36,11 @@
 ASK_EVERY_SECONDS = 0.35
 ASK_TIMEOUT_SECONDS = 0.6
 PEERS_ASKED = 2
+# An entry that starts reads all from the store; with a thousand routes that takes a second over
+# a thin link. Others are asked for all only where the store has not answered in this time, and
+# then one at a time, or their answers would fill the link that the store's is on its way over.
+START_SECONDS = 0.7
+WHOLE_TIMEOUT_SECONDS = 2.0
 # Those who lost requests with one endpoint do so within a moment; they are told of together.
 GATHER_SECONDS = 0.05
 
@@ -52,6 +58,7 @@
     ) -> None:
         listen = deployment.peers_listen
         self._own: Place = (listen.host, listen.port)
+        self._data_centre = deployment.data_centre
         self._state = state
         self._guard = guard
         self._tasks = tasks
@@ -68,6 +75,15 @@
         """How many entries there are, this one included."""
         return self._roster.count(awake_seconds())
 
+    @property
+    def own(self) -> Place:
+        """Where this entry listens for others, by which they know it."""
+        return self._own
+
+    def nearby(self) -> list[Place]:
+        """Returns the entries of this one's data centre, itself included, in an agreed order."""
+        return self._roster.within(self._data_centre, awake_seconds())
+
     def take_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Takes where some entries listen, by newer settings."""
         self._roster.take_seeds(tuple((seed.host, seed.port) for seed in seeds))
@@ -138,42 +154,48 @@
             await asyncio.sleep(MEET_SECONDS * self._rng.uniform(0.7, 1.0))
 
     def _meet(self) -> Meet:
-        known = self._roster.known(awake_seconds())
-        addresses = tuple(EntryAddress(host, port, age) for (host, port), age in known)
-        return Meet(EntryAddress(*self._own), addresses)
+        now = awake_seconds()
+        latest = itertools.islice(self._roster.known(now).items(), LIST_SIZE)
+        addresses = tuple(
+            EntryAddress(host, port, now - known.heard_at, known.data_centre)
+            for (host, port), known in latest
+        )
+        return Meet(EntryAddress(*self._own, 0.0, self._data_centre), addresses)
 
     def _take_known(self, message: Meet) -> None:
         now = awake_seconds()
-        self._roster.take((message.own.host, message.own.port), now)
-        for known in message.known:
-            self._roster.take((known.host, known.port), now - known.age)
+        for known in (message.own, *message.known):
+            self._roster.take((known.host, known.port), now - known.age, known.data_centre)
 
     async def _ask_for_ever(self) -> None:
         """Asks others for what the store does not tell this process."""
-        await self._ask_ages()
+        await self._wait_for_first_reading()
+        # A process that has just started cannot know for how long a version has been wanted;
+        # without another's word it would let requests begin on one that is overdue.
+        for address in self._roster.choose(PEERS_ASKED, awake_seconds(), self._rng):
+            await self._ask(address)
         while True:
             await asyncio.sleep(ASK_EVERY_SECONDS)
             age = self._state.lease.age(awake_seconds())
             if age <= ASK_AGE_SECONDS:
                 self._relayed = False
                 continue
-            addresses = self._roster.choose(PEERS_ASKED, awake_seconds(), self._rng)
+            count = PEERS_ASKED if self._state.revision else 1
+            addresses = self._roster.choose(count, awake_seconds(), self._rng)
             await asyncio.gather(*(self._ask(address) for address in addresses))
 
-    async def _ask_ages(self) -> None:
-        # A process that has just started cannot know for how long a version has been wanted;
-        # without another's word it would let requests begin on one that is overdue.
-        while not self._state.revision:
-            await asyncio.sleep(ASK_EVERY_SECONDS / 4)
-            if self._state.lease.age(awake_seconds()) > ASK_AGE_SECONDS:
-                break
-        for address in self._roster.choose(PEERS_ASKED, awake_seconds(), self._rng):
-            await self._ask(address)
+    async def _wait_for_first_reading(self) -> None:
+        ends = awake_seconds() + START_SECONDS
+        while not self._state.revision and awake_seconds() < ends:
+            await asyncio.sleep(ASK_EVERY_SECONDS / 8)
 
     async def _ask(self, address: Place) -> None:
         asked_at = awake_seconds()
         request = FetchChanges(self._state.revision)
-        reply = await self._call(address, entry_messages.CHANGES_PATH, request, ChangesReply)
+        timeout = ASK_TIMEOUT_SECONDS if request.after else WHOLE_TIMEOUT_SECONDS
+        reply = await self._call(
+            address, entry_messages.CHANGES_PATH, request, ChangesReply, timeout
+        )
         if reply is None:
             return
         now = asyncio.get_running_loop().time()
@@ -201,11 +223,18 @@
                 changes=len(changes),
             )
 
-    async def _call(self, address: Place, path: str, message: object, kind: type):
+    async def _call(
+        self,
+        address: Place,
+        path: str,
+        message: object,
+        kind: type,
+        timeout: float = ASK_TIMEOUT_SECONDS,
+    ):
         """Returns a peer's answer, or None where there was none."""
         host, port = address
         try:
-            reply = await peer_client.call(host, port, path, message, kind, ASK_TIMEOUT_SECONDS)
+            reply = await peer_client.call(host, port, path, message, kind, timeout)
         except CodedError as error:
             self._roster.take_failure(address, awake_seconds())
             self._log.write(Event.PEER_SILENT, peer=f"{host}:{port}", reason=str(error)[:120])
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -213,7 +213,7 @@
 
     async def _attempt(self, placed: Placed) -> None:
         prompt = self._head.prompt_tokens
-        placed.load.placed(prompt)
+        self._gateway.placer.begin(placed, prompt)
         marks = AttemptMarks()
         connection: EndpointConnection | None = None
         try:
@@ -318,7 +318,9 @@
                 continue
             if not marks.answered:
                 marks.answered = True
-                placed.load.first_event(self._head.prompt_tokens, loop.time())
+                seconds = loop.time() - marks.began
+                prompt = self._head.prompt_tokens
+                self._gateway.placer.take_first_event(placed, prompt, seconds)
             if not self._exchange.streaming:
                 self._first_event_at = loop.time()
                 self._weights = placed.weights
@@ -345,9 +347,11 @@
 
     Attributes:
       answered: Whether its first event came.
+      began: When it was placed, by the event loop's clock.
     """
 
-    __slots__ = ("answered",)
+    __slots__ = ("answered", "began")
 
     def __init__(self) -> None:
         self.answered = False
+        self.began = asyncio.get_running_loop().time()
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -1,9 +1,9 @@
 """Joins what is registered with this entry's own counts, and asks the decisions where to go."""
 
 import asyncio
-import collections.abc
 import dataclasses
 import random
+import typing
 
 import msgspec
 
@@ -12,9 +12,13 @@
 from ..core.request_head import RequestHead
 from ..core.route import Route, RouteKind
 from ..core.status import Status
-from ..decisions.endpoint_choice import LATEST_FRACTION, Candidate, Choice, choose
+from ..decisions.endpoint_choice import LATEST_FRACTION, Candidate, Choice, Demand, choose
 from ..decisions.endpoint_load import EndpointLoad
+from ..decisions.entry_roster import Place
+from ..decisions.entry_share import deal
+from ..decisions.forecast_bias import ForecastBias
 from ..decisions.retry_budget import RetryBudget
+from ..decisions.send_rate import SendRate
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .published_state import PublishedState
@@ -35,12 +39,40 @@
 
     Attributes:
       weights: The version of the weights that must answer; zero for a plain service.
+      seconds: The first event that was forecast.
+      bias: What of that is a correction by earlier forecasts.
     """
 
     endpoint: ListedEndpoint
     load: EndpointLoad
     weights: int
     seconds: float
+    bias: float = 0.0
+
+
+class Fellows(typing.Protocol):
+    """What is known of the other entries."""
+
+    @property
+    def count(self) -> int:
+        """How many entries there are, this one included."""
+
+    @property
+    def own(self) -> Place:
+        """This entry, as the others know it."""
+
+    def nearby(self) -> list[Place]:
+        """Returns the entries of this one's data centre, in an order that all agree on."""
+
+
+class ServiceTraffic:
+    """What this entry sends to one service, and how its forecasts turn out."""
+
+    __slots__ = ("rate", "bias")
+
+    def __init__(self) -> None:
+        self.rate = SendRate()
+        self.bias = ForecastBias()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,7 +87,7 @@
     """The endpoints of one entry, and what it knows of each."""
 
     __slots__ = ("_state", "_log", "_near", "_loads", "_rng", "_budgets", "_bounds")
-    __slots__ += ("_told", "_count_entries")
+    __slots__ += ("_told", "_fellows", "_traffic", "_first", "_dealt_for")
 
     def __init__(
         self,
@@ -63,13 +95,16 @@
         log: EventLog,
         data_centre: str,
         bounds: Bounds,
-        count_entries: collections.abc.Callable[[], int],
+        fellows: Fellows,
     ) -> None:
         self._state = state
         self._log = log
         self._near = data_centre
         self._bounds = bounds
-        self._count_entries = count_entries
+        self._fellows = fellows
+        self._traffic: dict[str, ServiceTraffic] = {}
+        self._first: frozenset[str] = frozenset()
+        self._dealt_for: tuple[object, ...] = ()
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._told: dict[str, ToldStatus] = {}
@@ -86,16 +121,15 @@
         load = self._loads.get(key)
         if load is None:
             self._forget_unlisted()
-            load = self._loads[key] = EndpointLoad(self._rng, self._count_entries() - 1)
+            load = self._loads[key] = EndpointLoad(self._rng)
         return load
 
     def budget(self, service: str) -> RetryBudget:
         """Returns the retries that a service may still be sent."""
         budget = self._budgets.get(service)
         if budget is None:
-            part = (
-                RETRY_PART * self._bounds.retry_extra / max(FEWEST_ENTRIES, self._count_entries())
-            )
+            entries = max(FEWEST_ENTRIES, self._fellows.count)
+            part = RETRY_PART * self._bounds.retry_extra / entries
             earned = RETRY_PART * self._bounds.retry_fraction
             budget = self._budgets[service] = RetryBudget(earned, part, part)
         return budget
@@ -131,13 +165,40 @@
         else:
             latest = min(seconds_left, route.target_latency * LATEST_FRACTION)
         risky = route.kind is RouteKind.UNSAFE or not route.idempotent
-        prompt = head.prompt_tokens
-        choice = choose(candidates, figures, prompt, latest, now, self._rng, risky)
+        traffic = self.traffic(service)
+        demand = Demand(
+            head.prompt_tokens,
+            latest,
+            risky,
+            others_rate=self._others_rate(traffic, len(candidates), now),
+            bias=traffic.bias.seconds(now),
+        )
+        choice = choose(candidates, figures, demand, now, self._rng)
         if choice.candidate is None:
             return None, choice
         endpoint = choice.candidate.endpoint
         version = endpoint.weights if figures is not None else 0
-        return Placed(endpoint, choice.candidate.load, version, choice.seconds), choice
+        return Placed(endpoint, choice.candidate.load, version, choice.seconds, demand.bias), choice
+
+    def traffic(self, service: str) -> ServiceTraffic:
+        """Returns what this entry sends to a service."""
+        traffic = self._traffic.get(service)
+        if traffic is None:
+            traffic = self._traffic[service] = ServiceTraffic()
+        return traffic
+
+    def begin(self, placed: Placed, prompt_tokens: int) -> None:
+        """Counts a request that is sent to its endpoint."""
+        now = asyncio.get_running_loop().time()
+        placed.load.placed(prompt_tokens, now)
+        self.traffic(placed.endpoint.service).rate.take(now)
+
+    def take_first_event(self, placed: Placed, prompt_tokens: int, seconds: float) -> None:
+        """Takes a request's first event, some seconds after it was placed."""
+        now = asyncio.get_running_loop().time()
+        placed.load.first_event(prompt_tokens, now)
+        forecast = placed.seconds - placed.bias
+        self.traffic(placed.endpoint.service).bias.take(forecast, seconds, now)
 
     def take_failure(self, placed: Placed, reason: str) -> None:
         """Takes a failure that may be the endpoint's own."""
@@ -162,7 +223,9 @@
         for endpoint in self._state.endpoints.endpoints:
             if endpoint.host == status.host and endpoint.service == status.service:
                 load = status.load
-                self.load_of(endpoint).take_report(load.running, load.waiting, 1.0, now)
+                figures = self._state.engine_of(status.service)
+                lag = figures.report_lag if figures is not None else 0.0
+                self.load_of(endpoint).take_report(load.running, load.waiting, load.pace, now, lag)
         if status.model and status.wanted_version.isdecimal():
             self._state.take_told_version(
                 status.model, int(status.wanted_version), status.wanted_seconds, now
@@ -172,6 +235,7 @@
         self, service: str, tried: frozenset[str], weights: int, now: float
     ) -> list[Candidate]:
         found = []
+        self._deal()
         engine = self._state.engine_of(service) is not None
         for listed in self._state.endpoints.endpoints:
             if listed.service != service or listed.leaving or listed.id in tried:
@@ -180,9 +244,28 @@
             if engine and not self._may_answer(endpoint, weights, now):
                 continue
             near = endpoint.data_centre == self._near
-            found.append(Candidate(endpoint, self.load_of(endpoint), near))
+            first = not engine or endpoint.id in self._first
+            found.append(Candidate(endpoint, self.load_of(endpoint), near, first))
         return found
 
+    def _others_rate(self, traffic: ServiceTraffic, endpoints: int, now: float) -> float:
+        """Returns how many requests a second others send to each endpoint, on average."""
+        return traffic.rate.per_second(now) * (self._fellows.count - 1) / max(1, endpoints)
+
+    def _deal(self) -> None:
+        """Finds out which engines this entry sends to first, where anything has changed."""
+        entries = self._fellows.nearby()
+        state = (self._state.endpoints.version, tuple(entries))
+        if state == self._dealt_for:
+            return
+        self._dealt_for = state
+        by_service: dict[str, list[str]] = {}
+        for endpoint in self._state.endpoints.endpoints:
+            if endpoint.data_centre == self._near and not endpoint.leaving:
+                by_service.setdefault(endpoint.service, []).append(endpoint.id)
+        shares = (deal(ids, entries, self._fellows.own) for ids in by_service.values())
+        self._first = frozenset().union(*shares)
+
     def _as_told(self, listed: ListedEndpoint, now: float) -> ListedEndpoint:
         """Returns an engine with the weights that its sidecar tells of, where that is fresher.
 
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -11,11 +11,16 @@
 
 
 class EntryAddress(msgspec.Struct, frozen=True, array_like=True):
-    """Where an entry listens for others, and how many seconds ago it was heard."""
+    """Where an entry listens for others, and how many seconds ago it was heard.
+
+    Attributes:
+      data_centre: Where it stands; empty where the teller does not know.
+    """
 
     host: str
     port: int
     age: float = 0.0
+    data_centre: str = ""
 
 
 class Meet(msgspec.Struct, frozen=True, array_like=True):
--- a/wasabidrum/peers/peer_link.py
+++ b/wasabidrum/peers/peer_link.py
@@ -89,7 +89,7 @@
         load = None
         if told_status is None and status.load != self._told_load:
             held = status.load
-            load = (held.running, held.waiting, held.slots, held.tokens_per_second)
+            load = (held.running, held.waiting, held.slots, held.tokens_per_second, held.pace)
         self._told_load = status.load
         changed = told_status is None and status.revision != self._told_revision
         self._told_revision = status.revision
--- a/wasabidrum/peers/peer_messages.py
+++ b/wasabidrum/peers/peer_messages.py
@@ -24,7 +24,7 @@
       gossip: Told by the watcher in its first message: whether both ends push, or only
         the watched one, as towards an entry that watches an endpoint.
       status: The sender's account of itself, where more than the load changed.
-      load: Running, waiting, slots and tokens a second, where they changed.
+      load: Running, waiting, slots, tokens a second and pace, where they changed.
       uptime: How long the sender has run, in seconds.
       list_as_of: When the instance list that the sender holds was made.
       list_digest: The digest of that list, where it changed.
@@ -36,7 +36,7 @@
     sequence: int = 0
     gossip: bool = False
     status: Status | None = None
-    load: tuple[int, int, int, float] | None = None
+    load: tuple[int, int, int, float, float] | None = None
     uptime: float = 0.0
     list_as_of: float = 0.0
     list_digest: str = ""
--- a/wasabidrum/platform/published_records.py
+++ b/wasabidrum/platform/published_records.py
@@ -79,6 +79,7 @@
     layers: int = 0
     chunks: int = 0
     chunkBytes: int = 0  # noqa: N815
+    report_lag_ms: float = 0.0
 
 
 class WireService(msgspec.Struct, frozen=True):
@@ -302,6 +303,7 @@
         layers=wire.layers,
         chunk_count=wire.chunks,
         chunk_bytes=wire.chunkBytes,
+        report_lag=wire.report_lag_ms / 1000.0,
     )
 
 
