Have one sidecar of a region read for the others; gather changes of the store

Cause: after a loss of power on all instances each of 45 sidecars read the whole configuration, 400 KB with 1,400 routes more, over links of 15 Mbit/s that a region shares. When a version is named the same was done with lists: draws of pieces began 0.4 s late, 44 of 48 had left the origin when it went away, and everyone was refused for four seconds. Tests: three in tests/listed_weights_test.py.

--- a/tests/listed_engines.py
+++ b/tests/listed_engines.py
@@ -44,6 +44,7 @@
             return
         version = int(self.get_query_argument("version", str(origin.newest)))
         if self.request.path.startswith(names.MANIFEST_PATH):
+            origin.lists += 1
             digests = [digest_of_piece(version, number) for number in range(PIECES)]
             self.write(
                 {"model": MODEL, "version": version, "chunkBytes": PIECE_BYTES, "digests": digests}
@@ -61,6 +62,7 @@
         self.newest = 1
         self.down = False
         self.sent = 0
+        self.lists = 0
         self.spoil_every = 0
         self.port = 0
         self._count = 0
@@ -249,6 +251,12 @@
         engine.listen()
         self.engines.append(engine)
         await self.store.put(f"{names.ENDPOINT_PREFIX}i-{host}", engine.entry())
+        self.sidecars.append(await self.start_sidecar(engine))
+        return engine
+
+    async def start_sidecar(self, engine: FakeStagingEngine) -> DeployedSidecar:
+        """Starts the sidecar beside an engine."""
+        host = engine.host
         deployment = Deployment(
             name=f"side-{host}",
             role="sidecar",
@@ -265,5 +273,4 @@
         )
         sidecar = make_deployed_sidecar(deployment, quiet_log(host))
         await sidecar.start()
-        self.sidecars.append(sidecar)
-        return engine
+        return sidecar
--- a/tests/listed_platform.py
+++ b/tests/listed_platform.py
@@ -55,6 +55,7 @@
             return
         prefix = self.get_query_argument("prefix")
         if self.request.path == names.STORE_RANGE_PATH:
+            store.reads[prefix] += 1
             self.write(store.page(prefix, self.get_query_argument("after", "")))
             return
         after = int(self.get_query_argument("after"))
@@ -77,6 +78,7 @@
         self.history_from = 0
         self.fault = ""
         self.calls = 0
+        self.reads: collections.Counter[str] = collections.Counter()
         self.port = 0
         self._changed = asyncio.Condition()
         self._server: httpserver.HTTPServer | None = None
--- a/tests/listed_weights_test.py
+++ b/tests/listed_weights_test.py
@@ -3,7 +3,9 @@
 import asyncio
 import unittest
 
-from tests.listed_engines import EngineFleet, make_piece
+from tests.listed_engines import MODEL, EngineFleet, make_piece
+from wasabidrum.decisions.chunk_plan import rank_names
+from wasabidrum.platform import names
 
 
 class ListedWeightsTest(unittest.IsolatedAsyncioTestCase):
@@ -32,6 +34,44 @@
         await self.wait_for(2)
         self.assertLess(self.fleet.origin.copies - sent, 1.6)
 
+    async def test_one_sidecar_of_a_region_reads_a_versions_list_for_all(self) -> None:
+        """A version is named and every sidecar reads its list from the origin at once. The
+        origin's link carries the same list dozens of times before the first piece, and the
+        version is late by that."""
+        await asyncio.sleep(0.8)
+        lists = self.fleet.origin.lists
+        await self.fleet.name_version(2)
+        await self.wait_for(2)
+        self.assertEqual(self.fleet.origin.lists - lists, 1)
+
+    async def test_sidecars_that_start_together_read_the_configuration_once(self) -> None:
+        """All instances lose power and start again. A configuration of a thousand routes, read
+        by every sidecar over a link that they share, fills it for ten seconds: reads time out
+        and begin anew, and no caller is served meanwhile."""
+        for sidecar in self.fleet.sidecars:
+            await sidecar.stop()
+        reads = self.fleet.store.reads[names.CONFIGURATION_KEY]
+        self.fleet.sidecars = [await self.fleet.start_sidecar(e) for e in self.fleet.engines]
+        await self.fleet.name_version(2)
+        await self.wait_for(2)
+        self.assertEqual(self.fleet.store.reads[names.CONFIGURATION_KEY] - reads, 1)
+
+    async def test_where_the_one_that_reads_first_is_gone_the_others_read_for_themselves(
+        self,
+    ) -> None:
+        """The sidecar that others ask for a version's list is killed. Waiting for it, they
+        would hold the version back until it is started again."""
+        await asyncio.sleep(0.8)
+        subject = f"{MODEL}/2"
+        first = rank_names(subject, [engine.host for engine in self.fleet.engines])[0]
+        place = [engine.host for engine in self.fleet.engines].index(first)
+        await self.fleet.sidecars[place].stop()
+        await self.fleet.name_version(2)
+        others = [e for e in self.fleet.engines if e.host != first]
+        async with asyncio.timeout(15.0):
+            while any(engine.version != 2 for engine in others):
+                await asyncio.sleep(0.02)
+
     async def test_a_piece_that_turned_bad_where_it_lies_is_put_anew(self) -> None:
         """A piece is put into an engine's staging area and turns bad there. The engine takes
         it as it is, and would answer from spoilt weights."""
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -12,6 +12,10 @@
 # A watch that ends without news renews the lease on the configuration. Its age when it ends is
 # the wait itself, so that two waits in a row stay well below the five seconds of the bound.
 WATCH_SECONDS = 1.2
+# What changes together is taken in one call: when engines switch, their registrations change
+# twenty times a second, and each entry would call as often. It delays a change by so much, of
+# the two seconds and more in which one is to be in force.
+GATHER_SECONDS = 0.25
 # Between two calls of which the first failed: long enough that a store that is down gets few
 # calls, short beside the two seconds in which a change is to be in force.
 PAUSE_SECONDS = 0.15
@@ -61,6 +65,8 @@
             self._take_answer()
             state.take_changes(reading, asyncio.get_running_loop().time())
         state.lease.renew(asked_at)
+        if reading.changes:
+            await asyncio.sleep(GATHER_SECONDS)
 
     def _take_answer(self) -> None:
         if self._failures:
--- a/wasabidrum/platform/origin_client.py
+++ b/wasabidrum/platform/origin_client.py
@@ -51,10 +51,14 @@
         except msgspec.MsgspecError as error:
             raise CodedError("source_unreadable", str(error), 503) from error
         pieces = PieceList(model, wire.version, wire.chunkBytes, wire.digests)
-        for number, digest in enumerate(pieces.digests):
-            self._places[digest] = (model, wire.version, number)
+        self.take_list(pieces)
         return pieces
 
+    def take_list(self, pieces: PieceList) -> None:
+        """Takes a list, so that its pieces can be drawn by their digests."""
+        for number, digest in enumerate(pieces.digests):
+            self._places[digest] = (pieces.model, pieces.version, number)
+
     async def fetch(self, digest: str) -> bytes:
         """See BlobSource."""
         place = self._places.get(digest)
--- a/wasabidrum/platform/store_client.py
+++ b/wasabidrum/platform/store_client.py
@@ -15,8 +15,10 @@
 from ..wire import http_client
 from . import names
 
-# A read takes some milliseconds, and hundreds where the store is slow; the rest is margin.
-READ_TIMEOUT_SECONDS = 2.0
+# A read takes some milliseconds, and hundreds where the store is slow. Where all instances start
+# together, a configuration of a thousand routes takes two seconds over the links that they share;
+# given up before that, reads would begin anew and none would ever end.
+READ_TIMEOUT_SECONDS = 4.0
 # What a watch may take beyond the wait that it asks for.
 WATCH_EXTRA_SECONDS = 1.0
 # The store answers with fewer where the answer would be large; no range has more pages.
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -22,6 +22,8 @@
 from ..weights.engine_keeper import EngineKeeper
 from ..weights.listed_engines import CHUNK_PORT_OFFSET, ListedEngines
 from ..weights.origin_draw import OriginDraw
+from ..weights.shared_readings import PATH as READINGS_PATH
+from ..weights.shared_readings import ReadingsHandler, SharedReadings
 from ..wire import http_client
 from .load_service import LoadService
 
@@ -45,7 +47,8 @@
         client = http_client.make_client()
         store = make_store_client(client, deployment.store)
         origin = make_origin_client(client)
-        self._listed = ListedEngines(deployment, store, log)
+        self._readings = SharedReadings(client, log)
+        self._listed = ListedEngines(deployment, store, self._readings, log)
         self._distributor = Distributor(
             distribution_settings(deployment),
             self._listed,
@@ -56,7 +59,9 @@
         )
         self._distributor.pacer.links = LinkSpec(weights_fraction_instance=WEIGHTS_FRACTION)
         engine = make_engine_client(client, deployment.endpoint)
-        self._keeper = EngineKeeper(engine, origin, self._distributor, self._listed, log)
+        self._keeper = EngineKeeper(
+            engine, origin, self._distributor, self._listed, self._readings, log
+        )
         self._incarnation = make_incarnation()
         self._sequence = 0
         self._told: tuple[object, ...] = ()
@@ -66,8 +71,11 @@
     async def start(self) -> None:
         """Listens and starts the background tasks."""
         host, first = self._deployment.host, self._deployment.first_port
-        given = {"distributor": self._distributor}
-        self._listen([(r"/internal/chunks/([0-9a-f]+)", ChunkHandler, given)], CHUNK_PORT_OFFSET)
+        routes = [
+            (r"/internal/chunks/([0-9a-f]+)", ChunkHandler, {"distributor": self._distributor}),
+            (READINGS_PATH + r"(setting|[0-9]+)", ReadingsHandler, {"readings": self._readings}),
+        ]
+        self._listen(routes, CHUNK_PORT_OFFSET)
         self._listen(make_routes(self._log), METRICS_PORT_OFFSET)
         await self._loads.start()
         self._tasks.start("engine", self._keeper.watch())
@@ -120,7 +128,7 @@
         # An engine that does not answer has no slots, so that entries leave it out.
         if report is None:
             return Load(slots=0)
-        return Load(report.running, report.queued)
+        return Load(report.running, report.queued, pace=report.pace)
 
     def _take_report(self) -> None:
         report = self._keeper.report
--- a/wasabidrum/weights/engine_keeper.py
+++ b/wasabidrum/weights/engine_keeper.py
@@ -10,6 +10,7 @@
 from ..platform.origin_client import OriginClient
 from .distributor import Distributor
 from .listed_engines import ListedEngines
+from .shared_readings import SharedReadings, VersionReading
 from .staged_version import StagedVersion
 
 # How often the engine beside this process is asked; it answers without leaving the instance.
@@ -36,12 +37,14 @@
         origin: OriginClient,
         distributor: Distributor,
         listed: ListedEngines,
+        readings: SharedReadings,
         log: EventLog,
     ) -> None:
         self._engine = engine
         self._origin = origin
         self._distributor = distributor
         self._listed = listed
+        self._readings = readings
         self._log = log
         self._staged: dict[int, StagedVersion] = {}
         self._reason = ""
@@ -116,7 +119,7 @@
             return self._staged[wanted]
         if not wanted and self._staged:
             return self._staged[max(self._staged)]
-        pieces = await self._read_list(wanted)
+        pieces = await self._read_pieces(wanted)
         staged = StagedVersion(self._engine, self._distributor, pieces)
         adopted = await staged.adopt()
         self._log.write(
@@ -126,10 +129,18 @@
         self._distributor.begin()
         return staged
 
-    async def _read_list(self, wanted: int) -> PieceList:
-        host, port = self._listed.origin
-        self._origin.set_address(host, port)
-        return await self._origin.read_list(self._listed.model, wanted)
+    async def _read_pieces(self, wanted: int) -> PieceList:
+        """Reads a version's list and who else there is, or has it from one that has."""
+        self._origin.set_address(*self._listed.origin)
+        shared = await self._listed.read_version(wanted) if wanted else None
+        if shared is not None:
+            self._origin.take_list(shared.pieces)
+        else:
+            await self._listed.read_members()
+            pieces = await self._origin.read_list(self._listed.model, wanted)
+            shared = VersionReading(pieces, self._listed.data_centre_of)
+        await self._readings.keep_version(shared)
+        return shared.pieces
 
     async def _order(self, staged: StagedVersion, version: int) -> None:
         for _ in range(MOST_VERIFICATIONS):
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -8,7 +8,7 @@
 from ..core.errors import CodedError
 from ..core.instance import Instance, InstanceRole
 from ..core.listed_endpoint import ListedEndpoint
-from ..core.published import PublishedConfiguration, PublishedService
+from ..core.published import PublishedConfiguration
 from ..core.store_change import StoreChange
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -16,6 +16,7 @@
 from ..platform import published_records
 from ..platform.published_records import ItemKind, kind_of
 from ..platform.store_client import StoreClient, Watched
+from .shared_readings import EngineSetting, SharedReadings, VersionReading, first_readers
 
 # Versions are named rarely; a watch that ends without news costs a call.
 WATCH_SECONDS = 20.0
@@ -34,13 +35,19 @@
       layers: How many layers the model has.
     """
 
-    def __init__(self, deployment: Deployment, store: StoreClient, log: EventLog) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        store: StoreClient,
+        readings: SharedReadings,
+        log: EventLog,
+    ) -> None:
         self._deployment = deployment
         self._store = store
+        self._readings = readings
         self._log = log
         self._changed = asyncio.Condition()
         self._views: dict[str, MemberView] = {}
-        self._origin: PublishedService | None = None
         self._known = False
         self._wanted_at = 0.0
         self.wanted = 0
@@ -55,23 +62,24 @@
     @property
     def ready(self) -> bool:
         """Whether enough is known to bring an engine its weights."""
-        return bool(self.model) and self._origin is not None and self._known
+        return self._known
 
     @property
     def origin(self) -> tuple[str, int]:
         """Host and port of the origin."""
-        return self._origin.origin
-
-    @property
-    def origin_region(self) -> str:
-        """The region in which the origin stands."""
-        return self._deployment.region_of.get(self._origin.origin_data_centre, "")
+        setting = self._readings.setting
+        return setting.origin_host, setting.origin_port
 
     @property
     def members(self) -> list[MemberView]:
         """See Membership: the sidecars beside this service's engines, this one included."""
         return list(self._views.values())
 
+    @property
+    def data_centre_of(self) -> dict[str, str]:
+        """The data centres of all those members, by name."""
+        return {name: view.instance.data_centre for name, view in self._views.items()}
+
     @property
     def region_of(self) -> dict[str, str]:
         """The regions of all those members, by name."""
@@ -100,8 +108,6 @@
                 while True:
                     reading = await self._store.watch(Watched.VERSIONS, revision, WATCH_SECONDS)
                     revision = reading.revision
-                    if reading.changes:
-                        await self._read_members()
                     for change in reading.changes:
                         await self._take_version(change)
             except CodedError as error:
@@ -113,32 +119,53 @@
         while True:
             await asyncio.sleep(MEMBERS_SECONDS)
             if lacking():
-                try:
-                    await self._read_members()
-                except CodedError as error:
-                    self._log.write(Event.LIST_UNREACHABLE, reason=str(error)[:200])
+                await self.read_members()
+
+    async def read_members(self) -> None:
+        """Reads anew who else there is; those known before stay where that fails."""
+        try:
+            await self._read_members()
+        except CodedError as error:
+            self._log.write(Event.LIST_UNREACHABLE, reason=str(error)[:200])
+
+    async def read_version(self, version: int) -> VersionReading | None:
+        """Returns what another sidecar of the region has read of a version, or None."""
+        asked = self._first_readers(f"{self.model}/{version}")
+        reading = await self._readings.ask_version(asked, version)
+        if reading is not None:
+            self._take_members(reading.data_centre_of)
+        return reading
+
+    def _first_readers(self, subject: str) -> list[MemberView]:
+        own = self._deployment
+        return first_readers(subject, own.host, own.region, self.members)
 
     async def _read_all(self) -> int:
-        reading = await self._store.read(Watched.CONFIGURATION)
-        for change in reading.changes:
-            if kind_of(change.key) is ItemKind.CONFIGURATION and change.value is not None:
-                self._take_configuration(published_records.decode_configuration(change.value))
-        if not self.model:
-            raise CodedError("configuration_missing", "this engine's service is not published")
         await self._read_members()
+        setting = self._readings.setting
+        if setting is None:
+            asked = self._first_readers(self._deployment.service)
+            setting = await self._readings.ask_setting(asked)
+            if setting is None:
+                setting = await self._read_setting()
+            await self._readings.keep_setting(setting)
+        self.model = setting.model
+        self.layers = setting.layers
         reading = await self._store.read(Watched.VERSIONS)
         for change in reading.changes:
             await self._take_version(change)
         self._known = True
         return reading.revision
 
-    def _take_configuration(self, configuration: PublishedConfiguration) -> None:
-        for service in configuration.services:
-            if service.name == self._deployment.service and service.engine is not None:
-                self.model = service.models[0] if service.models else ""
-                self.layers = service.engine.layers
-            if service.origin is not None:
-                self._origin = service
+    async def _read_setting(self) -> EngineSetting:
+        reading = await self._store.read(Watched.CONFIGURATION)
+        for change in reading.changes:
+            if kind_of(change.key) is ItemKind.CONFIGURATION and change.value is not None:
+                configuration = published_records.decode_configuration(change.value)
+                setting = find_setting(configuration, self._deployment.service)
+                if setting is not None:
+                    return setting
+        raise CodedError("configuration_missing", "this engine's service is not published")
 
     async def _read_members(self) -> None:
         reading = await self._store.read(Watched.ENDPOINTS)
@@ -159,9 +186,11 @@
         self._take_endpoints(endpoints)
 
     def _take_endpoints(self, endpoints: list[ListedEndpoint]) -> None:
+        self._take_members({endpoint.host: endpoint.data_centre for endpoint in endpoints})
+
+    def _take_members(self, data_centre_of: dict[str, str]) -> None:
         own = self._deployment
-        places = {endpoint.host: endpoint.data_centre for endpoint in endpoints}
-        places[own.host] = own.data_centre
+        places = data_centre_of | {own.host: own.data_centre}
         self._views = {
             host: self._views.get(host) or self._make_view(host, data_centre)
             for host, data_centre in places.items()
@@ -193,3 +222,13 @@
             self.wanted = version
             self._wanted_at = awake_seconds()
             self._changed.notify_all()
+
+
+def find_setting(configuration: PublishedConfiguration, service: str) -> EngineSetting | None:
+    """Returns what a configuration says of a service's engines and of the origin, if both."""
+    own = next((s for s in configuration.services if s.name == service and s.engine), None)
+    origin = next((s for s in configuration.services if s.origin is not None), None)
+    if own is None or origin is None or not own.models:
+        return None
+    host, port = origin.origin
+    return EngineSetting(own.models[0], own.engine.layers, host, port, origin.origin_data_centre)
