Leave out engines that are leaving when a version is brought; ask holders directly

Engines were being replaced when a version was named. The sidecar of one that was draining drew its four pieces from the origin, but the others' lists left it out, so nobody asked it; by the time another stood in, the origin was gone. And engines added at second 6 had their weights at 11 to 17: half of them waited along the plan's tree for each other, and four holders with squeezed links held up everyone behind. Mended: a sidecar beside an engine that is leaving brings nothing; where engines of the region answer with the version already, others ask these, dealt out by chunk and asker, and leave one that is slow alone. Tests: listed_weights_test an_engine_that_is_leaving_draws_nothing (failed before), HolderTest.

--- a/tests/listed_engines.py
+++ b/tests/listed_engines.py
@@ -134,6 +134,7 @@
         self.wrong_loads = 0
         self.orders = 0
         self.rot_after = 0
+        self.state = "ready"
         self._puts = 0
         self._server: httpserver.HTTPServer | None = None
 
@@ -191,7 +192,7 @@
             "zone": "rift-a",
             "version": "v1",
             "slots": 16,
-            "state": "ready",
+            "state": self.state,
             "models": report["models"],
             "layers": report["layers"],
         }
@@ -237,6 +238,10 @@
         self.origin.stop()
         self.store.stop()
 
+    async def register(self, engine: FakeStagingEngine) -> None:
+        """Has an engine tell the platform how it is."""
+        await self.store.put(f"{names.ENDPOINT_PREFIX}i-{engine.host}", engine.entry())
+
     async def name_version(self, version: int) -> None:
         """Has operators want a version."""
         self.origin.newest = version
@@ -250,7 +255,7 @@
             engine.begin_with(version)
         engine.listen()
         self.engines.append(engine)
-        await self.store.put(f"{names.ENDPOINT_PREFIX}i-{host}", engine.entry())
+        await self.register(engine)
         self.sidecars.append(await self.start_sidecar(engine))
         return engine
 
--- a/tests/listed_weights_test.py
+++ b/tests/listed_weights_test.py
@@ -72,6 +72,22 @@
             while any(engine.version != 2 for engine in others):
                 await asyncio.sleep(0.02)
 
+    async def test_an_engine_that_is_leaving_draws_nothing(self) -> None:
+        """A version is named while engines are replaced. The others leave one that is leaving
+        out of their plans; were it to draw its part, that part would leave the origin to nobody
+        who is asked for it, and be missing everywhere once the origin is gone."""
+        await asyncio.sleep(0.8)
+        leaving, *others = self.fleet.engines
+        leaving.state = "draining"
+        await self.fleet.register(leaving)
+        sent = self.fleet.origin.copies
+        await self.fleet.name_version(2)
+        async with asyncio.timeout(15.0):
+            while any(engine.version != 2 for engine in others):
+                await asyncio.sleep(0.02)
+        self.assertEqual(leaving.version, 1)
+        self.assertLess(self.fleet.origin.copies - sent, 1.1)
+
     async def test_a_piece_that_turned_bad_where_it_lies_is_put_anew(self) -> None:
         """A piece is put into an engine's staging area and turns bad there. The engine takes
         it as it is, and would answer from spoilt weights."""
--- a/wasabidrum/decisions/chunk_evidence.py
+++ b/wasabidrum/decisions/chunk_evidence.py
@@ -11,6 +11,8 @@
 import dataclasses
 
 FIRST_PAUSE_SECONDS = 2.0
+# One that is slow is asked again after that: the load that made it slow may have gone.
+SLOW_PAUSE_SECONDS = 2.0
 FIRST_PAUSE_AFTER_CORRUPTION_SECONDS = 30.0
 LONGEST_PAUSE_SECONDS = 60.0
 LACK_EXPIRES_SECONDS = 4.0
@@ -72,6 +74,11 @@
         record.corrupt = record.corrupt or corrupt
         record.avoid_until = now + pause
 
+    def note_slow(self, name: str, now: float) -> None:
+        """Takes that a peer gave a chunk much later than its own link should allow."""
+        record = self._records.setdefault(name, PeerRecord())
+        record.avoid_until = max(record.avoid_until, now + SLOW_PAUSE_SECONDS)
+
     def note_lack(self, name: str, digest: str, now: float) -> None:
         """Takes that a peer neither holds nor expects a chunk."""
         if len(self._lacks) > 10_000:
--- a/wasabidrum/decisions/chunk_route.py
+++ b/wasabidrum/decisions/chunk_route.py
@@ -14,7 +14,7 @@
 import dataclasses
 import enum
 
-from .chunk_plan import CHILDREN, ChunkPlan, rank_names
+from .chunk_plan import CHILDREN, ChunkPlan, rank_names, score
 
 SECONDS_PER_PLACE = 0.25
 SECONDS_PER_REGION = 0.5
@@ -76,6 +76,19 @@
     return ahead[(len(ahead) - 1) // CHILDREN] if ahead else ""
 
 
+def find_holder(
+    holders: collections.abc.Iterable[str], name: str, digest: str, usable: Usable
+) -> str:
+    """Returns which of those who hold a version an instance asks for a chunk, or empty.
+
+    A dozen instances that are added together want the same chunks in the same order. Along the
+    plan's tree half of them would wait for each other, and all would ask the same few; dealt
+    out by chunk and asker, every holder's link carries its part from the first moment.
+    """
+    able = [holder for holder in holders if usable(holder)]
+    return min(able, key=lambda holder: score(f"{digest}/{name}", holder), default="")
+
+
 def find_step(plan: ChunkPlan, asker: Asker, index: int, usable: Usable) -> Step:
     """Returns the next step towards a chunk.
 
--- a/wasabidrum/decisions/chunk_route_test.py
+++ b/wasabidrum/decisions/chunk_route_test.py
@@ -1,5 +1,6 @@
 """Tests of the plan and of its repair, on a model without a network."""
 
+import collections
 import random
 import statistics
 import unittest
@@ -12,7 +13,7 @@
 from .chunk_evidence import ChunkEvidence
 from .chunk_pacing import LinkSchedule
 from .chunk_plan import ChunkPlan
-from .chunk_route import Asker, StepKind
+from .chunk_route import Asker, StepKind, find_holder
 
 REGIONS = ("rift-a", "nbi-a", "msa-a")
 ROUND_SECONDS = 0.5
@@ -219,3 +220,28 @@
         self.assertEqual(link.reserve(1.0, 100, 100.0).start, 1.0)
         self.assertEqual(link.reserve(1.5, 100, 100.0).start, 2.0)
         self.assertEqual(link.reserve(9.0, 100, 100.0).start, 9.0)
+
+
+class HolderTest(unittest.TestCase):
+    """Instances that are added while others hold the version."""
+
+    def test_those_who_are_added_together_ask_all_holders_alike(self) -> None:
+        """A dozen engines are added under load. If all ask the same few of those that hold the
+        version, these links are full for ten seconds while the others rest, and callers are
+        refused for want of engines."""
+        holders = [f"old-{n}" for n in range(8)]
+        asked = collections.Counter(
+            find_holder(holders, f"new-{n}", f"chunk-{c}", lambda name: True)
+            for n in range(5)
+            for c in range(48)
+        )
+        self.assertEqual(len(asked), 8)
+        self.assertLess(max(asked.values()), 2 * 5 * 48 / 8)
+
+    def test_one_that_cannot_be_used_is_left_out(self) -> None:
+        chosen = {
+            find_holder(["a", "b"], "new", f"chunk-{c}", lambda name: name != "a")
+            for c in range(20)
+        }
+        self.assertEqual(chosen, {"b"})
+        self.assertEqual(find_holder(["a"], "new", "chunk", lambda name: False), "")
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -30,6 +30,9 @@
 KNOWN_WITHIN_SECONDS = 1.0
 FIRST_PAUSE_SECONDS = 0.5
 LONGEST_PAUSE_SECONDS = 4.0
+# A chunk passes an instance's link in a tenth of a second. From one whose link is a quarter as wide
+# as the settings say it comes this much later, and others hold it as well.
+SLOW_SECONDS = 0.5
 
 
 class Distributor:
@@ -37,7 +40,7 @@
 
     __slots__ = ("_settings", "_membership", "_origin", "_log", "_peers", "store", "pacer")
     __slots__ += ("evidence", "counts", "revision", "spread", "_asked", "_begun_at")
-    __slots__ += ("late_seconds",)
+    __slots__ += ("late_seconds", "holders")
 
     def __init__(
         self,
@@ -62,6 +65,8 @@
         self.spread = False
         # How late the last chunk of a peer was whole, beyond the time that it took to send.
         self.late_seconds = 0.0
+        # Peers of this region that are known to hold the version that is being brought.
+        self.holders: frozenset[str] = frozenset()
         self._asked = asyncio.Event()
         self._begun_at = 0.0
 
@@ -185,6 +190,9 @@
             return Step(StepKind.DRAW)
         if self._settings.weights_from == "chain":
             return chunk_route.find_chain_step(plan, asker, usable)
+        holder = chunk_route.find_holder(self.holders, asker.name, digest, usable)
+        if holder:
+            return Step(StepKind.ASK, holder)
         return chunk_route.find_step(plan, asker, index, usable)
 
     def _keep(self, plan: ChunkPlan, index: int, digest: str, content: bytes) -> None:
@@ -211,6 +219,8 @@
         self.evidence.note_answer(name, answer.content is not None)
         if answer.content is not None:
             self.late_seconds = answer.late_seconds
+            if name in self.holders and answer.late_seconds > SLOW_SECONDS:
+                self.evidence.note_slow(name, self._now())
             self.counts.asks_answered += 1
             if view.instance.region == self._settings.region:
                 self.counts.from_own_region += len(answer.content)
--- a/wasabidrum/weights/engine_keeper.py
+++ b/wasabidrum/weights/engine_keeper.py
@@ -51,6 +51,7 @@
         self.report: EngineReport | None = None
         self.switching = False
         self.on_report = ignore_report
+        listed.on_members = self._take_holders
 
     async def watch(self) -> None:
         """Reads the engine's report for ever."""
@@ -94,6 +95,10 @@
                 self._tell(wanted, str(errors.exceptions[0]))
             await asyncio.sleep(PAUSE_SECONDS)
 
+    def _take_holders(self) -> None:
+        if self._staged:
+            self._distributor.holders = self._listed.holders(max(self._staged))
+
     def _tell(self, wanted: int, reason: str) -> None:
         if reason != self._reason:
             self._reason = reason
@@ -107,6 +112,11 @@
         version = max(self._staged)
         if report.weights == version or report.busy:
             return
+        # Others leave it out of their plans. What it drew from the origin nobody would ask it
+        # for; the origin may go away before anyone else has drawn it.
+        if self._listed.leaving:
+            return
+        self._take_holders()
         # Every region draws its part. Drawn by one region only, a copy takes twice as long to
         # leave the origin, which may be gone by then; it costs two thirds of a copy more on the
         # thin links.
@@ -138,7 +148,7 @@
         else:
             await self._listed.read_members()
             pieces = await self._origin.read_list(self._listed.model, wanted)
-            shared = VersionReading(pieces, self._listed.data_centre_of)
+            shared = VersionReading(pieces, self._listed.listed)
         await self._readings.keep_version(shared)
         return shared.pieces
 
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -16,7 +16,13 @@
 from ..platform import published_records
 from ..platform.published_records import ItemKind, kind_of
 from ..platform.store_client import StoreClient, Watched
-from .shared_readings import EngineSetting, SharedReadings, VersionReading, first_readers
+from .shared_readings import (
+    EngineSetting,
+    ListedMember,
+    SharedReadings,
+    VersionReading,
+    first_readers,
+)
 
 # Versions are named rarely; a watch that ends without news costs a call.
 WATCH_SECONDS = 20.0
@@ -33,6 +39,7 @@
       wanted: The newest version of this engine's model that was named; zero where none was.
       model: The model of this engine, empty before it is known.
       layers: How many layers the model has.
+      on_members: Called after members were read anew while the engine lacks its weights.
     """
 
     def __init__(
@@ -48,11 +55,13 @@
         self._log = log
         self._changed = asyncio.Condition()
         self._views: dict[str, MemberView] = {}
+        self._listed: tuple[ListedMember, ...] = ()
         self._known = False
         self._wanted_at = 0.0
         self.wanted = 0
         self.model = ""
         self.layers = 0
+        self.on_members = ignore_members
 
     @property
     def wanted_seconds(self) -> float:
@@ -76,9 +85,25 @@
         return list(self._views.values())
 
     @property
-    def data_centre_of(self) -> dict[str, str]:
-        """The data centres of all those members, by name."""
-        return {name: view.instance.data_centre for name, view in self._views.items()}
+    def listed(self) -> tuple[ListedMember, ...]:
+        """Those members as they were read last."""
+        return self._listed
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the engine beside this process takes no new work."""
+        return any(m.leaving for m in self._listed if m.host == self._deployment.host)
+
+    def holders(self, version: int) -> frozenset[str]:
+        """Returns the others of this region whose engines answer with a version."""
+        own = self._deployment
+        return frozenset(
+            member.host
+            for member in self._listed
+            if member.weights == version
+            and member.host != own.host
+            and own.region_of.get(member.data_centre) == own.region
+        )
 
     @property
     def region_of(self) -> dict[str, str]:
@@ -120,6 +145,7 @@
             await asyncio.sleep(MEMBERS_SECONDS)
             if lacking():
                 await self.read_members()
+                self.on_members()
 
     async def read_members(self) -> None:
         """Reads anew who else there is; those known before stay where that fails."""
@@ -133,7 +159,7 @@
         asked = self._first_readers(f"{self.model}/{version}")
         reading = await self._readings.ask_version(asked, version)
         if reading is not None:
-            self._take_members(reading.data_centre_of)
+            self._take_members(reading.members)
         return reading
 
     def _first_readers(self, subject: str) -> list[MemberView]:
@@ -169,7 +195,7 @@
 
     async def _read_members(self) -> None:
         reading = await self._store.read(Watched.ENDPOINTS)
-        endpoints = []
+        members = []
         for change in reading.changes:
             endpoint_id = published_records.endpoint_id_of(change.key)
             try:
@@ -181,16 +207,15 @@
                     Event.ENDPOINT_UNREADABLE, endpoint=endpoint_id, reason=str(error)[:200]
                 )
                 continue
-            if endpoint.service == self._deployment.service and not endpoint.leaving:
-                endpoints.append(endpoint)
-        self._take_endpoints(endpoints)
+            if endpoint.service == self._deployment.service:
+                members.append(to_member(endpoint))
+        self._take_members(tuple(members))
 
-    def _take_endpoints(self, endpoints: list[ListedEndpoint]) -> None:
-        self._take_members({endpoint.host: endpoint.data_centre for endpoint in endpoints})
-
-    def _take_members(self, data_centre_of: dict[str, str]) -> None:
+    def _take_members(self, members: tuple[ListedMember, ...]) -> None:
+        self._listed = members
         own = self._deployment
-        places = data_centre_of | {own.host: own.data_centre}
+        places = {member.host: member.data_centre for member in members if not member.leaving}
+        places[own.host] = own.data_centre
         self._views = {
             host: self._views.get(host) or self._make_view(host, data_centre)
             for host, data_centre in places.items()
@@ -224,6 +249,12 @@
             self._changed.notify_all()
 
 
+def to_member(endpoint: ListedEndpoint) -> ListedMember:
+    """Returns what a sidecar needs to know of another engine."""
+    weights = endpoint.weights if endpoint.whole else 0
+    return ListedMember(endpoint.host, endpoint.data_centre, endpoint.leaving, weights)
+
+
 def find_setting(configuration: PublishedConfiguration, service: str) -> EngineSetting | None:
     """Returns what a configuration says of a service's engines and of the origin, if both."""
     own = next((s for s in configuration.services if s.name == service and s.engine), None)
@@ -232,3 +263,7 @@
         return None
     host, port = origin.origin
     return EngineSetting(own.models[0], own.engine.layers, host, port, origin.origin_data_centre)
+
+
+def ignore_members() -> None:
+    """Stands where nobody asked to be told of members."""
--- a/wasabidrum/weights/shared_readings.py
+++ b/wasabidrum/weights/shared_readings.py
@@ -34,6 +34,8 @@
 ANSWER_SECONDS = 2.0
 # How long a peer keeps the question while it reads itself.
 HELD_SECONDS = 1.5
+# A version is named and read by all within a second; later, others have come and gone.
+FRESH_SECONDS = 2.0
 STATUS_MISSING = 404
 
 
@@ -47,15 +49,25 @@
     origin_data_centre: str
 
 
-class VersionReading(msgspec.Struct, frozen=True):
-    """What is read when a version is named.
+class ListedMember(msgspec.Struct, frozen=True):
+    """A sidecar, as the platform lists the engine beside it.
 
     Attributes:
-      data_centre_of: The sidecars beside engines of the service, by host.
+      leaving: The engine takes no new work, and needs no weights any more.
+      weights: The version that the engine answers with; zero for none.
     """
 
+    host: str
+    data_centre: str
+    leaving: bool = False
+    weights: int = 0
+
+
+class VersionReading(msgspec.Struct, frozen=True):
+    """What is read when a version is named: the list of its pieces, and who else there is."""
+
     pieces: PieceList
-    data_centre_of: dict[str, str]
+    members: tuple[ListedMember, ...] = ()
 
 
 class SharedReadings:
@@ -66,12 +78,13 @@
       version: The latest reading here, or None.
     """
 
-    __slots__ = ("_client", "_log", "_changed", "setting", "version")
+    __slots__ = ("_client", "_log", "_changed", "_read_at", "setting", "version")
 
     def __init__(self, client: httpclient.AsyncHTTPClient, log: EventLog) -> None:
         self._client = client
         self._log = log
         self._changed = asyncio.Condition()
+        self._read_at = 0.0
         self.setting: EngineSetting | None = None
         self.version: VersionReading | None = None
 
@@ -85,6 +98,7 @@
         """As keep_setting."""
         async with self._changed:
             self.version = reading
+            self._read_at = asyncio.get_running_loop().time()
             self._changed.notify_all()
 
     async def find(self, name: str) -> EngineSetting | VersionReading | None:
@@ -97,7 +111,8 @@
             return None
         if name == "setting":
             return self.setting
-        return self.version if str(self.version.pieces.version) == name else None
+        fresh = asyncio.get_running_loop().time() - self._read_at <= FRESH_SECONDS
+        return self.version if fresh and str(self.version.pieces.version) == name else None
 
     def _is_decided(self, name: str) -> bool:
         """Returns whether a reading is here, or will not come."""
