Keep those that leave as sources; try draws again sooner; wait less for a list

Where the one that reads the list first has a squeezed link, the others waited 2 s for it. Test: listed_weights_test what_an_engine_that_leaves_has_drawn (failed before).

--- a/tests/listed_engines.py
+++ b/tests/listed_engines.py
@@ -50,6 +50,9 @@
                 {"model": MODEL, "version": version, "chunkBytes": PIECE_BYTES, "digests": digests}
             )
             return
+        if origin.refuses_pieces:
+            self.set_status(503)
+            return
         content = make_piece(version, int(self.get_query_argument("num")))
         origin.sent += len(content)
         self.write(bytes(len(content)) if origin.next_is_spoilt() else content)
@@ -61,6 +64,7 @@
     def __init__(self) -> None:
         self.newest = 1
         self.down = False
+        self.refuses_pieces = False
         self.sent = 0
         self.lists = 0
         self.spoil_every = 0
--- a/tests/listed_weights_test.py
+++ b/tests/listed_weights_test.py
@@ -88,6 +88,27 @@
         self.assertEqual(leaving.version, 1)
         self.assertLess(self.fleet.origin.copies - sent, 1.1)
 
+    async def test_what_an_engine_that_leaves_has_drawn_is_still_had_from_it(self) -> None:
+        """An engine begins to leave after its sidecar has drawn its part, and the origin goes
+        away. Nobody else has that part. Left alone because it is leaving, its sidecar would
+        take it along, and all engines would miss the version until the origin is back."""
+        await asyncio.sleep(0.8)
+        leaving, *others = self.fleet.engines
+        others_before = list(self.fleet.sidecars[1:])
+        for sidecar in others_before:
+            await sidecar.stop()
+        await self.fleet.name_version(2)
+        async with asyncio.timeout(15.0):
+            while leaving.version != 2:
+                await asyncio.sleep(0.02)
+        self.fleet.origin.refuses_pieces = True
+        leaving.state = "draining"
+        await self.fleet.register(leaving)
+        self.fleet.sidecars[1:] = [await self.fleet.start_sidecar(e) for e in others]
+        async with asyncio.timeout(15.0):
+            while any(engine.version != 2 for engine in others):
+                await asyncio.sleep(0.02)
+
     async def test_a_piece_that_turned_bad_where_it_lies_is_put_anew(self) -> None:
         """A piece is put into an engine's staging area and turns bad there. The engine takes
         it as it is, and would answer from spoilt weights."""
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -28,8 +28,10 @@
 WAITS_BEFORE_OTHERS = 4
 PROBE_ROUNDS_WHEN_SPREAD = 4
 KNOWN_WITHIN_SECONDS = 1.0
-FIRST_PAUSE_SECONDS = 0.5
-LONGEST_PAUSE_SECONDS = 4.0
+# Between two draws that fail. An origin that is gone costs a refused connection a try; each second
+# that passes between its return and the next try is one in which no engine has the version.
+FIRST_PAUSE_SECONDS = 0.25
+LONGEST_PAUSE_SECONDS = 0.75
 # A chunk passes an instance's link in a tenth of a second. From one whose link is a quarter as wide
 # as the settings say it comes this much later, and others hold it as well.
 SLOW_SECONDS = 0.5
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -107,8 +107,15 @@
 
     @property
     def region_of(self) -> dict[str, str]:
-        """The regions of all those members, by name."""
-        return {name: view.instance.region for name, view in self._views.items()}
+        """The regions of those members that are not leaving, by name.
+
+        Those that leave are members all the same: until they are gone they give to others what
+        they have drawn, and may be the only ones that have.
+        """
+        leaving = {member.host for member in self._listed if member.leaving}
+        return {
+            name: view.instance.region for name, view in self._views.items() if name not in leaving
+        }
 
     def report_failure(self, name: str) -> None:
         """See Membership."""
@@ -214,7 +221,7 @@
     def _take_members(self, members: tuple[ListedMember, ...]) -> None:
         self._listed = members
         own = self._deployment
-        places = {member.host: member.data_centre for member in members if not member.leaving}
+        places = {member.host: member.data_centre for member in members}
         places[own.host] = own.data_centre
         self._views = {
             host: self._views.get(host) or self._make_view(host, data_centre)
--- a/wasabidrum/weights/shared_readings.py
+++ b/wasabidrum/weights/shared_readings.py
@@ -10,7 +10,9 @@
 Who gets no answer reads for itself, so that nothing hangs on one process.
 
 Grounds: the figures of one engine and a list of pieces are some kilobytes. CONNECT_SECONDS is
-for a peer that is gone; ANSWER_SECONDS for one that reads a large configuration over its link.
+for a peer that is gone, SETTING_SECONDS for one that reads a large configuration over its link.
+VERSION_SECONDS is several times what a list takes; a peer behind a link that is full is not waited
+for, because a version has seconds.
 """
 
 import asyncio
@@ -31,7 +33,8 @@
 # Peers that are asked before a sidecar reads for itself.
 MOST_ASKED = 2
 CONNECT_SECONDS = 0.3
-ANSWER_SECONDS = 2.0
+SETTING_SECONDS = 2.0
+VERSION_SECONDS = 0.6
 # How long a peer keeps the question while it reads itself.
 HELD_SECONDS = 1.5
 # A version is named and read by all within a second; later, others have come and gone.
@@ -123,18 +126,18 @@
 
     async def ask_setting(self, peers: list[MemberView]) -> EngineSetting | None:
         """Returns what the first of some peers knows of the service's engines, or None."""
-        return await self._ask(peers, "setting", EngineSetting)
+        return await self._ask(peers, "setting", EngineSetting, SETTING_SECONDS)
 
     async def ask_version(self, peers: list[MemberView], version: int) -> VersionReading | None:
         """Returns what the first of some peers read when a version was named, or None."""
-        return await self._ask(peers, str(version), VersionReading)
+        return await self._ask(peers, str(version), VersionReading, VERSION_SECONDS)
 
-    async def _ask(self, peers: list[MemberView], name: str, kind: type):
+    async def _ask(self, peers: list[MemberView], name: str, kind: type, seconds: float):
         for peer in peers:
             request = httpclient.HTTPRequest(
                 f"{peer.url}{PATH}{name}",
                 connect_timeout=CONNECT_SECONDS,
-                request_timeout=ANSWER_SECONDS,
+                request_timeout=seconds,
             )
             try:
                 response = await http_client.fetch(self._client, request, "reading")
