Leave out endpoints that hang, and count failures in between good answers

Cause: an endpoint that hangs closes nothing, timeouts counted for nothing, and one that fails two of five was back after its first good answer.

--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -202,6 +202,27 @@
         self.assertEqual(reply.status, 504)
         self.assertLess(asyncio.get_running_loop().time() - began, 1.9)
 
+    async def test_an_endpoint_that_hangs_gets_nothing_more(self) -> None:
+        """An endpoint takes requests and never answers, though it is registered as ready.
+        Until the first of them are overdue, everyone who is sent there waits for nothing."""
+
+        async def hang(endpoint, seen, writer) -> None:
+            await asyncio.sleep(3600)
+
+        self.a.behave = hang
+        waiting = [
+            asyncio.ensure_future(self.fleet.ask(0, "tally", "safe", f"w{n}")) for n in range(6)
+        ]
+        await asyncio.sleep(0.9)
+        before = len(self.a.seen)
+        self.assertGreater(before, 0)
+        later = [
+            asyncio.ensure_future(self.fleet.ask(0, "tally", "safe", f"r{n}")) for n in range(10)
+        ]
+        await asyncio.gather(*later, *waiting)
+        # One may be sent to find out whether it answers again.
+        self.assertLessEqual(len(self.a.seen) - before, 1)
+
     async def test_work_ends_when_its_caller_leaves(self) -> None:
         """A caller closes its connection. Left alone, an endpoint works on for nobody while
         others wait for its slots."""
--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -21,6 +21,7 @@
 
 from .endpoint_health import EndpointHealth
 from .engine_forecast import EngineWork
+from .failure_rate import FailureRate
 
 TRUSTED_SECONDS = 1.5
 # More than an entry sends to one engine between two reports.
@@ -36,19 +37,22 @@
       own: Requests of this entry in progress there.
       unread: Prompt tokens of those that have had no event yet.
       answering: Requests that have had an event and are not over.
-      progress_at: When anything last came from there.
+      failures: How often requests failed there, lately.
       run_seconds: How long a request of a plain service takes, on average.
     """
 
-    __slots__ = ("health", "own", "unread", "answering", "progress_at", "run_seconds")
+    __slots__ = ("health", "own", "unread", "answering", "failures", "run_seconds")
     __slots__ += ("_others", "_reported_at", "_made_at", "_pace", "_queued", "_sent")
+    __slots__ += ("_quiet_since",)
 
     def __init__(self, rng: random.Random) -> None:
         self.health = EndpointHealth(rng)
         self.own = 0
         self.unread = 0
         self.answering = 0
-        self.progress_at = 0.0
+        self.failures = FailureRate()
+        # Since when nothing has come from there though this entry has work there.
+        self._quiet_since = 0.0
         self.run_seconds = FIRST_RUN_SECONDS
         self._others = 0.0
         self._queued = 0
@@ -60,6 +64,8 @@
 
     def placed(self, prompt_tokens: int, now: float) -> None:
         """Counts a request that is sent there."""
+        if not self.own:
+            self._quiet_since = now
         self.own += 1
         self.unread += prompt_tokens
         self._sent.append(now)
@@ -69,7 +75,21 @@
         """Counts a request whose first event came."""
         self.unread -= prompt_tokens
         self.answering += 1
-        self.progress_at = now
+        self.progressed(now)
+
+    def progressed(self, now: float) -> None:
+        """Takes that something came from there."""
+        self._quiet_since = now
+
+    def silent_seconds(self, now: float) -> float:
+        """Returns for how long nothing has come from there, with work of this entry there."""
+        return now - self._quiet_since if self.own else 0.0
+
+    def take_end(self, failed: bool, now: float) -> None:
+        """Takes whether a request failed in a way that may be the endpoint's own."""
+        self.failures.take(failed, now)
+        if not failed:
+            self.progressed(now)
 
     def ended(self, prompt_tokens: int, answered: bool) -> None:
         """Counts a request that ended, however.
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -33,6 +33,8 @@
 NOT_RUN_RETRY_SECONDS = 0.3
 # How long a caller is asked to leave a request alone that crashes endpoints.
 BLOCKED_RETRY_SECONDS = 30.0
+# A request that took so many times its forecast and had no answer was not slow but lost.
+OVERDUE_FACTOR = 10.0
 # Ends at which the endpoint may have died of the request.
 DEATH_CODES = frozenset(("answer_lost", "answer_cut", "stream_cut"))
 
@@ -76,6 +78,7 @@
         self._last_event = head.last_event
         self._events = 0
         self._first_event_at = 0.0
+        self._marks = AttemptMarks()
         caller = workspace or head.key
         self._fingerprint = poison.fingerprint_of_parts(
             head.method, head.host, head.target, caller, body
@@ -198,7 +201,9 @@
             end=error.end.value,
             events=self._events,
         )
-        if error.code != "timeout":
+        # A caller's own short time says nothing of the endpoint.
+        waited = asyncio.get_running_loop().time() - self._marks.began
+        if error.code != "timeout" or waited > OVERDUE_FACTOR * placed.seconds:
             self._gateway.placer.take_failure(placed, error.code)
         if error.code in DEATH_CODES:
             now = asyncio.get_running_loop().time()
@@ -214,7 +219,7 @@
     async def _attempt(self, placed: Placed) -> None:
         prompt = self._head.prompt_tokens
         self._gateway.placer.begin(placed, prompt)
-        marks = AttemptMarks()
+        self._marks = marks = AttemptMarks()
         connection: EndpointConnection | None = None
         try:
             endpoint = placed.endpoint
@@ -325,7 +330,7 @@
                 self._first_event_at = loop.time()
                 self._weights = placed.weights
                 await self._exchange.begin_stream(head)
-            placed.load.progress_at = loop.time()
+            placed.load.progressed(loop.time())
             self._last_event = events.last_id or self._last_event
             self._events += events.count
             await self._exchange.write_events(events.content)
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -14,6 +14,7 @@
 from ..core.status import Status
 from ..decisions.endpoint_choice import LATEST_FRACTION, Candidate, Choice, Demand, choose
 from ..decisions.endpoint_load import EndpointLoad
+from ..decisions.engine_forecast import pass_seconds
 from ..decisions.entry_roster import Place
 from ..decisions.entry_share import deal
 from ..decisions.forecast_bias import ForecastBias
@@ -203,6 +204,7 @@
     def take_failure(self, placed: Placed, reason: str) -> None:
         """Takes a failure that may be the endpoint's own."""
         now = asyncio.get_running_loop().time()
+        placed.load.take_end(True, now)
         if placed.load.health.take_failure(now):
             self._log.write(
                 Event.ENDPOINT_EJECTED,
@@ -213,6 +215,7 @@
 
     def take_success(self, placed: Placed) -> None:
         """Takes a whole answer."""
+        placed.load.take_end(False, asyncio.get_running_loop().time())
         if placed.load.health.take_success(0.0):
             self._log.write(Event.ENDPOINT_RETURNED, endpoint=placed.endpoint.id)
 
@@ -245,9 +248,24 @@
                 continue
             near = endpoint.data_centre == self._near
             first = not engine or endpoint.id in self._first
-            found.append(Candidate(endpoint, self.load_of(endpoint), near, first))
+            load = self.load_of(endpoint)
+            self._judge_silence(endpoint, load, now)
+            found.append(Candidate(endpoint, load, near, first))
         return found
 
+    def _judge_silence(self, endpoint: ListedEndpoint, load: EndpointLoad, now: float) -> None:
+        """Leaves out one that holds this entry's requests and says nothing."""
+        figures = self._state.engine_of(endpoint.service)
+        usual = load.run_seconds if figures is None else pass_seconds(figures, figures.slots)
+        silent = load.silent_seconds(now)
+        if load.health.take_silence(silent, usual, now):
+            self._log.write(
+                Event.ENDPOINT_EJECTED,
+                endpoint=endpoint.id,
+                health=load.health.health.value,
+                reason=f"silent for {silent:.2f} s",
+            )
+
     def _others_rate(self, traffic: ServiceTraffic, endpoints: int, now: float) -> float:
         """Returns how many requests a second others send to each endpoint, on average."""
         return traffic.rate.per_second(now) * (self._fellows.count - 1) / max(1, endpoints)
