--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -25,6 +25,10 @@
 from .transfer_counts import TransferCounts
 
 ASK_WAIT_SECONDS = 3.0
+# A sidecar that nobody has asked yet stands last in its own eyes and waits for its peers. They may
+# have known it all the while, and wait for what the plan has it draw: as soon as one asks, it must
+# look again, or each waits for the other until the longer wait is over.
+UNKNOWN_WAIT_SECONDS = 0.5
 WAITS_BEFORE_OTHERS = 4
 PROBE_ROUNDS_WHEN_SPREAD = 4
 KNOWN_WITHIN_SECONDS = 1.0
@@ -126,7 +130,7 @@
             index = plan.index_of(digest)
             step = self._find_step(plan, index, digest)
             if step.kind is StepKind.ASK:
-                content, state = await self._ask(step.peer, digest)
+                content, state = await self._ask(step.peer, digest, self._patience())
                 waits += 1
                 stuck = waits % WAITS_BEFORE_OTHERS == 0
                 if state is ChunkState.LACKING or (state is ChunkState.COMING and stuck):
@@ -154,6 +158,14 @@
         """Returns the peers passed over now."""
         return self.evidence.avoided_names(self._now())
 
+    def _patience(self) -> float:
+        """Returns how long to wait at a peer for a chunk that it expects, in seconds."""
+        return ASK_WAIT_SECONDS if self._known() else UNKNOWN_WAIT_SECONDS
+
+    def _known(self) -> bool:
+        """Returns whether peers know of this sidecar, as far as it can tell."""
+        return self._asked.is_set() or self._now() < self._begun_at + KNOWN_WITHIN_SECONDS
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
@@ -168,8 +180,7 @@
         name = self._settings.name
         # Nobody finds an instance that the lists of others lack. What it drew nobody would
         # ask it for, and others would draw the same once more; so it stands last.
-        known = self._asked.is_set() or self._now() < self._begun_at + KNOWN_WITHIN_SECONDS
-        return Asker(name, self._settings.region, known)
+        return Asker(name, self._settings.region, self._known())
 
     def _usable(self, digest: str, members: dict[str, MemberView]) -> chunk_route.Usable:
         now = self._now()
--- /dev/null
+++ b/wasabidrum/weights/distributor_test.py
@@ -0,0 +1,109 @@
+"""How sidecars wait for each other."""
+
+import asyncio
+import unittest
+
+import logbook
+
+from ..config.settings import PlatformSettings, Settings
+from ..core.digest import digest_of
+from ..core.instance import Instance, InstanceRole
+from ..decisions.chunk_plan import ChunkPlan
+from ..observe.event_log import EventLog
+from ..peers.member_view import MemberView
+from .chunk_state import ChunkState
+from .distributor import Distributor
+from .origin_draw import OriginDraw
+from .peer_chunk_client import PeerAnswer
+
+CONTENT = b"a chunk"
+DIGEST = digest_of(CONTENT)
+
+
+class FixedOrigin:
+    """Gives the chunk at once."""
+
+    async def fetch(self, digest: str) -> bytes:
+        """See BlobSource."""
+        return CONTENT
+
+
+class FixedMembership:
+    """Two sidecars of one region."""
+
+    def __init__(self) -> None:
+        self.members = [MemberView(make_instance(name)) for name in ("a", "b")]
+
+    def report_failure(self, name: str) -> None:
+        """See Membership."""
+
+    def report_success(self, name: str) -> None:
+        """See Membership."""
+
+
+class DirectPeers:
+    """Asks another distributor in this process."""
+
+    def __init__(self, fleet: dict[str, Distributor]) -> None:
+        self._fleet = fleet
+
+    async def ask(
+        self, url: str, digest: str, wait: float, revision: int, probe: bool
+    ) -> PeerAnswer:
+        """See PeerChunkClient."""
+        peer = next(d for name, d in self._fleet.items() if f"{name}:" in url)
+        if not probe:
+            peer.note_asked()
+        await peer.store.wait(digest, wait)
+        content = peer.store.get(digest)
+        return PeerAnswer(peer.state_of(digest), content)
+
+
+def make_instance(name: str) -> Instance:
+    """Returns a sidecar on a host of its own name."""
+    return Instance(name, InstanceRole.SIDECAR, "r", "r", name, 1, 2)
+
+
+def make_distributor(name: str) -> Distributor:
+    """Returns a distributor that has not begun."""
+    settings = Settings(
+        name=name,
+        role="sidecar",
+        site="r",
+        region="r",
+        data_centre="r",
+        platform=PlatformSettings(configuration="", instances="", origin=""),
+    )
+    log = EventLog(logbook.Logger("test", level=logbook.CRITICAL), "test")
+    origin = OriginDraw([FixedOrigin()])
+    return Distributor(settings, FixedMembership(), None, origin, lambda: 0, log)
+
+
+class WaitTest(unittest.IsolatedAsyncioTestCase):
+    """Two sidecars, of which the plan has one draw the chunk."""
+
+    async def test_one_that_restarts_and_one_that_waits_for_it_do_not_wait_for_each_other(
+        self,
+    ) -> None:
+        """A sidecar is killed while a version spreads, and starts again. Nobody asks it for a
+        second, so that it takes itself for unknown and waits for its peer; the peer waits for
+        what the plan has the first one draw. For three seconds neither does anything, and
+        everyone behind them misses one chunk."""
+        plan = ChunkPlan("root", (DIGEST,), {"a": "r", "b": "r"})
+        first, second = plan.regions["r"].order(0)
+        fleet = {name: make_distributor(name) for name in ("a", "b")}
+        for distributor in fleet.values():
+            distributor._peers = DirectPeers(fleet)
+            distributor.store.expected = {DIGEST}
+            distributor.begin()
+        began = asyncio.get_running_loop().time()
+
+        async def wait_then_fetch(name: str, seconds: float) -> bytes:
+            await asyncio.sleep(seconds)
+            return await fleet[name].fetch(plan, DIGEST)
+
+        # The one that the plan names begins when nobody has asked it for a second.
+        contents = await asyncio.gather(wait_then_fetch(first, 1.05), wait_then_fetch(second, 1.2))
+        self.assertEqual(contents, [CONTENT, CONTENT])
+        self.assertLess(asyncio.get_running_loop().time() - began, 3.0)
+        self.assertIs(fleet[first].state_of(DIGEST), ChunkState.HELD)
