--- a/wasabidrum/observe/event_log.py
+++ b/wasabidrum/observe/event_log.py
@@ -12,8 +12,8 @@
 from .line_budget import LineBudget
 from .metrics import Metrics
 
-# What goes well, a line or two for each request.
-ROUTINE_EVENTS = frozenset((Event.REQUEST_PLACED, Event.REQUEST_DONE))
+# What goes well, a line or two for each request, and what libraries say, which nobody bounds.
+ROUTINE_EVENTS = frozenset((Event.REQUEST_PLACED, Event.REQUEST_DONE, Event.LIBRARY_MESSAGE))
 
 
 class OutputHandler(logbook.Handler):
--- /dev/null
+++ b/wasabidrum/observe/library_lines_test.py
@@ -0,0 +1,31 @@
+"""What libraries log."""
+
+import logging
+import unittest
+
+import logbook
+import msgspec
+
+from .event_log import EventLog
+from .library_lines import LibraryHandler
+
+
+class LibraryLinesTest(unittest.TestCase):
+    """A library that logs an error with its trace."""
+
+    def test_a_trace_becomes_one_line(self) -> None:
+        """A fetch is given up, and the client library logs a trace of ten lines. Between
+        structured lines nobody's reader can take them apart."""
+        logger = logbook.Logger("test")
+        handler = logbook.TestHandler()
+        logger.handlers.append(handler)
+        library = logging.Logger("library")
+        library.addHandler(LibraryHandler(EventLog(logger, "test")))
+        try:
+            raise ValueError("lost")
+        except ValueError:
+            library.exception("a fetch ended")
+        self.assertEqual(len(handler.records), 1)
+        line = msgspec.json.decode(handler.records[0].message)
+        self.assertEqual(line["event"], "library_message")
+        self.assertEqual(line["reason"], "a fetch ended: ValueError('lost')")
