Ask callers back later the more are refused; have sidecars call a lost store less

Cause: callers come back once. And 45 sidecars called a store that was away 123 times a second, and wrote a line for each. Mended: Retry-After grows with the share refused, to 3 s and never beyond 0.45 of the caller's time; pauses of sidecars grow to 0.6 s, with one line when the store is lost and one when it is back.

--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -21,6 +21,10 @@
 - FAILURE_SECONDS: what a failure costs its caller, who asks again or is asked for elsewhere. An
   endpoint that fails two of five gets work where the others would take 0.2 s longer.
 - SHORTEST_RETRY_SECONDS: a slot of some engine comes free several times in that time.
+- OVERLOAD_SECONDS: most callers come back once. Where few are refused, one who is back at once is
+  served; where a third is, a third of those who are back at once is refused for good, while
+  bursts are over and engines are added within some seconds. LONGEST_RETRY_SECONDS is half of the
+  time that callers of text have.
 """
 
 import collections.abc
@@ -39,7 +43,10 @@
 JITTER = 0.1
 FAILURE_SECONDS = 0.5
 SHORTEST_RETRY_SECONDS = 0.3
+OVERLOAD_SECONDS = 6.0
 LONGEST_RETRY_SECONDS = 3.0
+# Where no endpoint holds what is asked for: versions and restarts take some seconds.
+NOBODY_RETRY_SECONDS = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +74,7 @@
       risky: The request may not be repeated, so it is no probe where anything else can be.
       others_rate: Requests a second that other entries send to each endpoint.
       bias: Seconds by which first events come later than forecast, lately.
+      refused_share: The part of requests that was refused lately.
     """
 
     prompt_tokens: int
@@ -74,6 +82,7 @@
     risky: bool = False
     others_rate: float = 0.0
     bias: float = 0.0
+    refused_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,7 +149,7 @@
     in_time = [rank for rank in ranked if rank.seconds <= demand.latest]
     if not in_time:
         soonest = min(rank.seconds for rank in ranked)
-        retry = retry_when_room(figures, soonest - demand.latest)
+        retry = retry_when_room(figures, soonest - demand.latest, demand.refused_share)
         return Choice(None, soonest, retry, known, len(pool), oldest_report(pool, now))
     best = min(in_time, key=lambda rank: rank.order)
     return Choice(best.candidate, best.seconds, 0.0, known, len(pool))
@@ -166,15 +175,21 @@
     return round(max((age for age in ages if age < float("inf")), default=0.0), 3)
 
 
-def retry_when_room(figures: EngineFigures | None, too_late: float) -> float:
-    """Returns when a caller that is refused for want of room should come back, in seconds."""
+def retry_when_room(
+    figures: EngineFigures | None, too_late: float, refused_share: float = 0.0
+) -> float:
+    """Returns when a caller that is refused for want of room should come back, in seconds.
+
+    Args:
+      refused_share: The part of requests that was refused lately.
+    """
     usual = run_seconds(figures, figures.slots) / figures.slots if figures is not None else 0.0
-    seconds = SHORTEST_RETRY_SECONDS + too_late + usual
+    seconds = SHORTEST_RETRY_SECONDS + too_late + usual + OVERLOAD_SECONDS * refused_share
     return min(LONGEST_RETRY_SECONDS, seconds)
 
 
 def retry_when_probed(candidates: collections.abc.Sequence[Candidate], now: float) -> float:
     """Returns when an endpoint will be tried again, where all are out of service."""
     waits = [candidate.load.health.probe_at - now for candidate in candidates]
-    soonest = min(waits, default=LONGEST_RETRY_SECONDS / 2)
+    soonest = min(waits, default=NOBODY_RETRY_SECONDS)
     return min(LONGEST_RETRY_SECONDS, max(SHORTEST_RETRY_SECONDS, soonest))
--- a/wasabidrum/decisions/endpoint_choice_test.py
+++ b/wasabidrum/decisions/endpoint_choice_test.py
@@ -15,6 +15,7 @@
     Demand,
     choose,
     forecast,
+    retry_when_room,
 )
 from .endpoint_load import EndpointLoad
 from .engine_forecast import EngineWork, first_event_seconds, pass_seconds, read_seconds
@@ -377,6 +378,19 @@
         )
 
 
+class RetryTest(unittest.TestCase):
+    """When callers that were refused are asked to come back."""
+
+    def test_the_more_are_refused_the_later_they_are_asked_back(self) -> None:
+        """Callers come back once. Asked back after a third of a second into the same overload,
+        a third of them is refused for good, though engines are being added."""
+        few = retry_when_room(FIGURES, 0.1, 0.02)
+        many = retry_when_room(FIGURES, 0.1, 0.35)
+        self.assertLess(few, 0.8)
+        self.assertGreater(many, 2.0)
+        self.assertLessEqual(retry_when_room(FIGURES, 5.0, 1.0), LONGEST_RETRY_SECONDS)
+
+
 class ReportTest(unittest.TestCase):
     """What others run, by reports that age."""
 
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -31,6 +31,8 @@
 SHORTEST_USEFUL_SECONDS = 0.02
 # A slot of some endpoint comes free several times in that time.
 NOT_RUN_RETRY_SECONDS = 0.3
+# Of the time that a caller has left, it is asked to wait so much at most before it comes back.
+RETRY_FRACTION = 0.45
 # How long a caller is asked to leave a request alone that crashes endpoints.
 BLOCKED_RETRY_SECONDS = 30.0
 # A request that took so many times its forecast and had no answer was not slow but lost.
@@ -164,7 +166,7 @@
         )
         code = "overloaded" if choice.seconds < float("inf") else "no_endpoint"
         message = f"the first event would come after {choice.seconds:.2f} s"
-        retry = choice.retry_after * (1.0 + 0.3 * placer.rng.random())
+        retry = min(choice.retry_after, RETRY_FRACTION * left) * (1.0 + 0.3 * placer.rng.random())
         raise CodedError(code, message, 503, retry_after=retry)
 
     def _may_go_on(self) -> bool:
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -69,12 +69,18 @@
 class ServiceTraffic:
     """What this entry sends to one service, and how its forecasts turn out."""
 
-    __slots__ = ("rate", "bias")
+    __slots__ = ("rate", "refusals", "bias")
 
     def __init__(self) -> None:
         self.rate = SendRate()
+        self.refusals = SendRate()
         self.bias = ForecastBias()
 
+    def refused_share(self, now: float) -> float:
+        """Returns the part of requests that was refused for want of room lately."""
+        refused = self.refusals.per_second(now)
+        return refused / max(1.0, refused + self.rate.per_second(now))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ToldStatus:
@@ -173,9 +179,11 @@
             risky,
             others_rate=self._others_rate(traffic, len(candidates), now),
             bias=traffic.bias.seconds(now),
+            refused_share=traffic.refused_share(now),
         )
         choice = choose(candidates, figures, demand, now, self._rng)
         if choice.candidate is None:
+            traffic.refusals.take(now)
             return None, choice
         endpoint = choice.candidate.endpoint
         version = endpoint.weights if figures is not None else 0
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -26,7 +26,10 @@
 
 # Versions are named rarely; a watch that ends without news costs a call.
 WATCH_SECONDS = 20.0
-PAUSE_SECONDS = 0.3
+# Between two calls that fail. Forty sidecars that try three times a second are more calls than all
+# others make; a version is learned so much later at most once the store is back.
+PAUSE_SECONDS = 0.2
+LONGEST_PAUSE_SECONDS = 0.6
 # Who else there is, is read again when a version is named, and while this one lacks weights.
 MEMBERS_SECONDS = 2.0
 CHUNK_PORT_OFFSET = 1
@@ -134,17 +137,23 @@
 
     async def run(self) -> None:
         """Follows for ever."""
+        failures = 0
         while True:
             try:
                 revision = await self._read_all()
+                if failures:
+                    self._log.write(Event.STORE_BACK, failures=failures)
+                    failures = 0
                 while True:
                     reading = await self._store.watch(Watched.VERSIONS, revision, WATCH_SECONDS)
                     revision = reading.revision
                     for change in reading.changes:
                         await self._take_version(change)
             except CodedError as error:
-                self._log.write(Event.STORE_LOST, reason=str(error)[:200], evidence_age=0.0)
-                await asyncio.sleep(PAUSE_SECONDS)
+                if not failures:
+                    self._log.write(Event.STORE_LOST, reason=str(error)[:200], evidence_age=0.0)
+                failures += 1
+                await asyncio.sleep(min(LONGEST_PAUSE_SECONDS, PAUSE_SECONDS * failures))
 
     async def keep_members(self, lacking: collections.abc.Callable[[], bool]) -> None:
         """Reads again who else there is, while this engine lacks its weights, for ever."""
