Correct forecasts by their length, sooner and later

Of requests forecast at 0.4 s nine in a hundred came later than that, and they came 0.15 s sooner by the median: engines get through a queue sooner than by the figures, and the correction knew one way only. At 0.88 the replay has 198 in time at 270 a second and 49 at 80 a second; the bound of 180 at 330 a second stands again.

--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -13,9 +13,9 @@
 
 Grounds:
 - LATEST_FRACTION of the aimed latency: what else arrives meanwhile makes first events later than
-  forecast, never sooner. Over ten loads from nearly full to one and a half times what engines
-  carry, 0.7 serves a little less than 0.85 where load moves from one entry to another, and 0.9
-  has more late first events under overload (endpoint_choice_test.py replays some of them).
+  forecast, never sooner. At one and a half times what engines carry, 1.0 has 159 first events a
+  second in time and 0.9 has 189; at 0.7 callers are refused just below capacity
+  (endpoint_choice_test.py replays it with twelve entries and 24 engines).
 - OTHER_REGION_SECONDS: the way there and back, and what the thin link costs the others.
 - JITTER keeps entries that know the same from choosing the same endpoint together.
 - FAILURE_SECONDS: what a failure costs its caller, who asks again or is asked for elsewhere. An
@@ -37,8 +37,9 @@
 from .endpoint_load import EndpointLoad
 from .engine_forecast import first_event_seconds, run_seconds
 from .entry_share import OTHERS_SECONDS
+from .forecast_bias import Corrections, length_of
 
-LATEST_FRACTION = 0.95
+LATEST_FRACTION = 0.88
 OTHER_REGION_SECONDS = 0.03
 JITTER = 0.1
 FAILURE_SECONDS = 0.5
@@ -73,7 +74,7 @@
       latest: The seconds beyond which a first event is too late to be worth its place.
       risky: The request may not be repeated, so it is no probe where anything else can be.
       others_rate: Requests a second that other entries send to each endpoint.
-      bias: Seconds by which first events come later than forecast, lately.
+      corrections: What first events took more than forecast lately, by the forecast's length.
       refused_share: The part of requests that was refused lately.
     """
 
@@ -81,7 +82,7 @@
     latest: float
     risky: bool = False
     others_rate: float = 0.0
-    bias: float = 0.0
+    corrections: Corrections = ()
     refused_share: float = 0.0
 
 
@@ -96,6 +97,7 @@
       known: Endpoints that could take it by what they hold.
       able: Those of them that are healthy or due for a probe.
       report_age: The seconds since the oldest report of their load; zero where none was used.
+      raw: The first event of the one chosen by the figures alone, before any correction.
     """
 
     candidate: Candidate | None
@@ -104,17 +106,18 @@
     known: int = 0
     able: int = 0
     report_age: float = 0.0
+    raw: float = 0.0
 
 
 def forecast(
     candidate: Candidate, figures: EngineFigures | None, demand: Demand, now: float
 ) -> float:
-    """Returns the seconds until a request's first event, or its whole answer, would come."""
+    """Returns the seconds until a request's first event, or its whole answer, by the figures."""
     load = candidate.load
     if figures is not None:
         others_rate = 0.0 if candidate.first else demand.others_rate
         work = load.work(now, figures.usual_prompt, others_rate)
-        return demand.bias + first_event_seconds(figures, work, demand.prompt_tokens)
+        return first_event_seconds(figures, work, demand.prompt_tokens)
     work = load.work(now)
     waiting = max(0.0, work.requests + 1.0 - candidate.endpoint.slots)
     turns = waiting / max(1, candidate.endpoint.slots)
@@ -140,19 +143,21 @@
         return Choice(None, float("inf"), retry_when_probed(candidates, now), known)
     ranked = []
     for candidate in pool:
-        seconds = forecast(candidate, figures, demand, now)
+        raw = forecast(candidate, figures, demand, now)
+        seconds = raw + (demand.corrections[length_of(raw)] if demand.corrections else 0.0)
         # Others fill what this entry does not send to first; it stays out while that is near.
         owed = seconds if candidate.first else seconds + OTHERS_SECONDS
         handicap = 0.0 if candidate.near else OTHER_REGION_SECONDS
         handicap += FAILURE_SECONDS * candidate.load.failures.value(now)
-        ranked.append(Rank(owed * (1.0 + JITTER * rng.random()) + handicap, owed, candidate))
+        order = owed * (1.0 + JITTER * rng.random()) + handicap
+        ranked.append(Rank(order, owed, raw, candidate))
     in_time = [rank for rank in ranked if rank.seconds <= demand.latest]
     if not in_time:
         soonest = min(rank.seconds for rank in ranked)
         retry = retry_when_room(figures, soonest - demand.latest, demand.refused_share)
         return Choice(None, soonest, retry, known, len(pool), oldest_report(pool, now))
     best = min(in_time, key=lambda rank: rank.order)
-    return Choice(best.candidate, best.seconds, 0.0, known, len(pool))
+    return Choice(best.candidate, best.seconds, 0.0, known, len(pool), raw=best.raw)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,10 +167,12 @@
     Attributes:
       order: The lowest is chosen.
       seconds: The first event as it is held against the latest one.
+      raw: The first event by the figures alone.
     """
 
     order: float
     seconds: float
+    raw: float
     candidate: Candidate
 
 
--- a/wasabidrum/decisions/endpoint_choice_test.py
+++ b/wasabidrum/decisions/endpoint_choice_test.py
@@ -128,7 +128,7 @@
     def demand(self, prompt: int, latest: float, now: float) -> Demand:
         """Returns what a request asks here."""
         rate = self.rate.per_second(now) * self._others / len(self._endpoints)
-        return Demand(prompt, latest, False, rate, self.bias.seconds(now))
+        return Demand(prompt, latest, False, rate, self.bias.corrections(now))
 
 
 class Replay:
@@ -194,7 +194,7 @@
         if choice.candidate is None:
             job.refused = True
             return
-        job.forecast = choice.seconds - demand.bias
+        job.forecast = choice.raw
         choice.candidate.load.placed(prompt, now)
         entry.rate.take(now)
         place = self._endpoints.index(choice.candidate.endpoint)
@@ -286,7 +286,7 @@
         Callers wait for what comes too late, on engines that were never idle."""
         shared = replay(330.0, 24, entries=12)
         free = replay(330.0, 24, entries=12, share=False)
-        self.assertGreater(on_time(shared), 165.0)
+        self.assertGreater(on_time(shared), 180.0)
         self.assertGreater(on_time(shared), 1.3 * on_time(free))
 
     def test_just_below_capacity_most_are_served_in_time(self) -> None:
--- a/wasabidrum/decisions/entry_share.py
+++ b/wasabidrum/decisions/entry_share.py
@@ -12,14 +12,14 @@
 worse than before.
 
 Grounds: replayed with twelve entries, 24 engines and one and a half times the load that these
-carry (endpoint_choice_test.py), first events in time are 160 a second with shares and 41 without.
+carry (endpoint_choice_test.py), first events in time are 198 a second with shares and 126 without.
 OTHERS_SECONDS: at 0.05 s entries spill to each other too soon under overload, at 0.15 s one with
 more callers than its share refuses what others could do.
 """
 
 import collections.abc
 
-OTHERS_SECONDS = 0.07
+OTHERS_SECONDS = 0.08
 
 
 def deal(
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -41,14 +41,14 @@
     Attributes:
       weights: The version of the weights that must answer; zero for a plain service.
       seconds: The first event that was forecast.
-      bias: What of that is a correction by earlier forecasts.
+      raw: The same by the engine's figures alone.
     """
 
     endpoint: ListedEndpoint
     load: EndpointLoad
     weights: int
     seconds: float
-    bias: float = 0.0
+    raw: float = 0.0
 
 
 class Fellows(typing.Protocol):
@@ -178,7 +178,7 @@
             latest,
             risky,
             others_rate=self._others_rate(traffic, len(candidates), now),
-            bias=traffic.bias.seconds(now),
+            corrections=traffic.bias.corrections(now),
             refused_share=traffic.refused_share(now),
         )
         choice = choose(candidates, figures, demand, now, self._rng)
@@ -187,7 +187,7 @@
             return None, choice
         endpoint = choice.candidate.endpoint
         version = endpoint.weights if figures is not None else 0
-        return Placed(endpoint, choice.candidate.load, version, choice.seconds, demand.bias), choice
+        return Placed(endpoint, choice.candidate.load, version, choice.seconds, choice.raw), choice
 
     def traffic(self, service: str) -> ServiceTraffic:
         """Returns what this entry sends to a service."""
@@ -206,8 +206,7 @@
         """Takes a request's first event, some seconds after it was placed."""
         now = asyncio.get_running_loop().time()
         placed.load.first_event(prompt_tokens, now)
-        forecast = placed.seconds - placed.bias
-        self.traffic(placed.endpoint.service).bias.take(forecast, seconds, now)
+        self.traffic(placed.endpoint.service).bias.take(placed.raw, seconds, now)
 
     def take_failure(self, placed: Placed, reason: str) -> None:
         """Takes a failure that may be the endpoint's own."""
