--- /dev/null
+++ b/wasabidrum/decisions/entry_share_test.py
@@ -0,0 +1,75 @@
+"""Engines dealt out to entries."""
+
+import unittest
+
+from .entry_share import deal
+from .forecast_bias import LEAST_SECONDS, MOST_SECONDS, ForecastBias, length_of
+from .send_rate import SendRate
+
+ENTRIES = [("10.0.0.1", 1), ("10.0.0.2", 1), ("10.0.0.3", 1)]
+
+
+class DealTest(unittest.TestCase):
+    """Each engine has one entry that sends there first."""
+
+    def test_every_engine_belongs_to_one_entry_and_shares_are_even(self) -> None:
+        """Two entries that both send to an engine first each count half of what it has to do;
+        an engine that is nobody's stands idle while callers are refused."""
+        engines = [f"i-{n}" for n in range(8)]
+        shares = [deal(engines, ENTRIES, own) for own in ENTRIES]
+        self.assertEqual(sorted(name for share in shares for name in share), engines)
+        sizes = [len(share) for share in shares]
+        self.assertLessEqual(max(sizes) - min(sizes), 1)
+
+    def test_the_order_in_which_engines_are_known_does_not_matter(self) -> None:
+        engines = [f"i-{n}" for n in range(8)]
+        self.assertEqual(
+            deal(engines, ENTRIES, ENTRIES[1]), deal(reversed(engines), ENTRIES, ENTRIES[1])
+        )
+
+    def test_an_entry_alone_has_all(self) -> None:
+        self.assertEqual(deal(["a", "b"], ENTRIES[:1], ENTRIES[0]), {"a", "b"})
+
+
+class SendRateTest(unittest.TestCase):
+    """Requests a second."""
+
+    def test_it_follows_a_steady_load_and_forgets_it(self) -> None:
+        rate = SendRate()
+        for step in range(400):
+            rate.take(step * 0.05)
+        self.assertAlmostEqual(rate.per_second(20.0), 20.0, delta=2.0)
+        self.assertLess(rate.per_second(25.0), 0.5)
+
+
+class ForecastBiasTest(unittest.TestCase):
+    """Corrections by what was seen."""
+
+    def test_late_first_events_lengthen_forecasts_of_their_length_only(self) -> None:
+        """Engines have a queue that nobody's forecast knows of. Those forecast without a queue
+        are right, and must not be refused for it."""
+        bias = ForecastBias()
+        for step in range(50):
+            bias.take(0.4, 0.6, step * 0.02)
+            bias.take(0.1, 0.1, step * 0.02)
+        corrections = bias.corrections(1.0)
+        self.assertAlmostEqual(corrections[length_of(0.1)], 0.0, delta=0.01)
+        self.assertGreater(corrections[length_of(0.4)], 0.1)
+
+    def test_engines_that_are_quicker_than_their_figures_are_sent_more(self) -> None:
+        bias = ForecastBias()
+        for step in range(50):
+            bias.take(0.4, 0.28, step * 0.02)
+        self.assertLess(bias.corrections(1.0)[length_of(0.4)], -0.06)
+
+    def test_a_correction_is_bounded_and_fades(self) -> None:
+        """One engine stands still for a minute. An entry that took its word for all would
+        refuse everything, see no first events, and never learn that the others work."""
+        bias = ForecastBias()
+        for _ in range(100):
+            bias.take(0.4, 60.0, 1.0)
+        self.assertLessEqual(max(bias.corrections(1.0)), MOST_SECONDS)
+        self.assertLess(max(bias.corrections(9.0)), 0.01)
+        for _ in range(100):
+            bias.take(0.1, -5.0, 10.0)
+        self.assertGreaterEqual(min(bias.corrections(10.0)), LEAST_SECONDS)
--- a/wasabidrum/decisions/forecast_bias.py
+++ b/wasabidrum/decisions/forecast_bias.py
@@ -10,7 +10,8 @@
 Grounds:
 - EDGES: up to the first a request waits for the pass in progress only, beyond the second for
   others' answers to end.
-- WEIGHT: five first events move a correction most of the way, which an entry sees within half a second.
+- WEIGHT: five first events move a correction most of the way, which an entry sees within half
+  a second.
 - HALF_LIFE_SECONDS: an entry that refuses everything sees no first events. The correction must
   fade, or it would go on refusing.
 - MOST_SECONDS, LEAST_SECONDS: one engine that stands still must not have an entry refuse what
