--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -9,7 +9,7 @@
 nobody has told: callers are spread evenly over entries, so that the others send as much as this
 one does, and spread it over all engines alike. Replayed with three entries, six engines and
 reports 0.2 s old at one and a half times what the engines carry (endpoint_choice_test.py),
-requests with a first event in time rose from 31 to 43 a second by counting by rates what the
+requests with a first event in time rose from 31 to 39 a second by counting by rates what the
 others have sent, and not by this entry's own sends to the same engine.
 
 Grounds: TRUSTED_SECONDS is the length of a usual run; later, most of what a report counted has
--- a/wasabidrum/decisions/entry_share.py
+++ b/wasabidrum/decisions/entry_share.py
@@ -11,8 +11,8 @@
 entries know different ones for a moment, an engine has two that prefer it or none, which is no
 worse than before.
 
-Grounds: replayed with twelve entries, 24 engines and one and a half times the load that these
-carry (endpoint_choice_test.py), first events in time are 198 a second with shares and 126 without.
+Grounds: replayed with twelve entries, 24 engines and a third more load than these carry
+(endpoint_choice_test.py), first events in time are 198 a second with shares and 126 without.
 OTHERS_SECONDS: at 0.05 s entries spill to each other too soon under overload, at 0.15 s one with
 more callers than its share refuses what others could do.
 """
