Keep members' suspicion and what links need of their owners in one place; drop what nothing reads

Two watchers that never gossip implemented three members of LinkOwner that are asked for by gossip only, word for word: the protocol is split, and only those whom a watcher may ask for gossip implement the second. ListedEngines and ListedMembership held the same views and suspicion: MemberViews. explain printed events in two places. Nothing read EngineSetting.origin_data_centre, PublishedService.origin_data_centre and origin_mbit, and EvidenceLease.dated. Behaviour is as it was; no test changed.

--- a/wasabidrum/core/published.py
+++ b/wasabidrum/core/published.py
@@ -59,8 +59,6 @@
     engine: EngineFigures | None = None
     models: tuple[str, ...] = ()
     origin: tuple[str, int] | None = None
-    origin_data_centre: str = ""
-    origin_mbit: float = 0.0
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/wasabidrum/decisions/evidence_lease.py
+++ b/wasabidrum/decisions/evidence_lease.py
@@ -32,11 +32,6 @@
         self._bound = bound
         self._dated = float("-inf")
 
-    @property
-    def dated(self) -> float:
-        """When the question was asked whose answer renewed the lease last."""
-        return self._dated
-
     def renew(self, asked_at: float) -> None:
         """Takes that someone asked at a moment and heard of nothing newer than is in force."""
         self._dated = max(self._dated, asked_at)
--- a/wasabidrum/entry/endpoint_watcher.py
+++ b/wasabidrum/entry/endpoint_watcher.py
@@ -8,7 +8,7 @@
 from ..core.instance import Instance, InstanceRole
 from ..core.status import Status
 from ..decisions import endpoint_subset
-from ..decisions.member_news import MemberNews, MemberState
+from ..decisions.member_news import MemberState
 from ..decisions.member_record import MemberRecord, instance_from
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -48,24 +48,10 @@
         node.on_pause.append(self._forgive)
         table.find_member = self._find_member
 
-    @property
-    def list_as_of(self) -> float:
-        """See LinkOwner; not told on these links."""
-        return 0.0
-
-    @property
-    def list_digest(self) -> str:
-        """See LinkOwner; not told on these links."""
-        return ""
-
     def status(self) -> Status:
         """See LinkOwner."""
         return self._node.status()
 
-    def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberNews, ...]]:
-        """See LinkOwner; not told on these links."""
-        return cursor, ()
-
     def take_push(self, link: PeerLink, push: Push) -> None:
         """See LinkOwner."""
         self._node.take_push(link, push)
--- a/wasabidrum/gateway/load_watcher.py
+++ b/wasabidrum/gateway/load_watcher.py
@@ -6,7 +6,6 @@
 from ..config.deployment import Deployment
 from ..core.instance import Instance, InstanceRole
 from ..core.status import Status
-from ..decisions.member_news import MemberNews
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.outbound_links import OutboundLinks
@@ -44,16 +43,6 @@
         self._heard: set[str] = set()
         self.on_status = on_status
 
-    @property
-    def list_as_of(self) -> float:
-        """See LinkOwner; not told on these links."""
-        return 0.0
-
-    @property
-    def list_digest(self) -> str:
-        """See LinkOwner; not told on these links."""
-        return ""
-
     def status(self) -> Status:
         """See LinkOwner."""
         self._sequence += 1
@@ -65,10 +54,6 @@
             sequence=self._sequence,
         )
 
-    def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberNews, ...]]:
-        """See LinkOwner; not told on these links."""
-        return cursor, ()
-
     def take_push(self, link: PeerLink, push: Push) -> None:
         """See LinkOwner."""
         status = link.whole_status(push)
--- a/wasabidrum/peers/listed_membership.py
+++ b/wasabidrum/peers/listed_membership.py
@@ -6,24 +6,19 @@
 from ..core.errors import CodedError
 from ..core.instance import Instance
 from ..platform.instance_directory import InstanceDirectory
-from .member_view import MemberView
+from .member_view import MemberView, MemberViews
 
 READ_LIST_SECONDS = 1.0
 
 
-class ListedMembership:
+class ListedMembership(MemberViews):
     """Implements Membership by reading the list again and again."""
 
-    __slots__ = ("_directory", "_views")
+    __slots__ = ("_directory",)
 
     def __init__(self, directory: InstanceDirectory) -> None:
+        super().__init__()
         self._directory = directory
-        self._views: dict[str, MemberView] = {}
-
-    @property
-    def members(self) -> list[MemberView]:
-        """See Membership."""
-        return list(self._views.values())
 
     async def run(self) -> None:
         """Reads the list for ever."""
@@ -43,13 +38,3 @@
             else:
                 views[instance.name] = MemberView(instance)
         self._views = views
-
-    def report_failure(self, name: str) -> None:
-        """See Membership."""
-        if name in self._views:
-            self._views[name].suspected = True
-
-    def report_success(self, name: str) -> None:
-        """See Membership."""
-        if name in self._views:
-            self._views[name].suspected = False
--- a/wasabidrum/peers/member_view.py
+++ b/wasabidrum/peers/member_view.py
@@ -37,3 +37,27 @@
         """Whether the list or the daemon itself says that it takes no new work."""
         says_so = self.status is not None and self.status.leaving
         return says_so or self.instance.state is InstanceState.LEAVING
+
+
+class MemberViews:
+    """Daemons by name, with suspicion from this daemon's own traffic; see Membership."""
+
+    __slots__ = ("_views",)
+
+    def __init__(self) -> None:
+        self._views: dict[str, MemberView] = {}
+
+    @property
+    def members(self) -> list[MemberView]:
+        """See Membership."""
+        return list(self._views.values())
+
+    def report_failure(self, name: str) -> None:
+        """See Membership."""
+        if name in self._views:
+            self._views[name].suspected = True
+
+    def report_success(self, name: str) -> None:
+        """See Membership."""
+        if name in self._views:
+            self._views[name].suspected = False
--- a/wasabidrum/peers/peer_link.py
+++ b/wasabidrum/peers/peer_link.py
@@ -26,7 +26,17 @@
 
 
 class LinkOwner(typing.Protocol):
-    """What a link tells of, and whom it tells."""
+    """Whom a link tells of, and whom it tells."""
+
+    def status(self) -> Status:
+        """Returns this process's account of itself, with a new sequence."""
+
+    def take_push(self, link: "PeerLink", push: Push) -> None:
+        """Takes a message that arrived on a link."""
+
+
+class GossipOwner(LinkOwner, typing.Protocol):
+    """What a link tells besides where both ends push, as the one that watches asks."""
 
     @property
     def list_as_of(self) -> float:
@@ -36,15 +46,9 @@
     def list_digest(self) -> str:
         """The digest of that list."""
 
-    def status(self) -> Status:
-        """Returns this process's account of itself, with a new sequence."""
-
     def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberNews, ...]]:
         """Returns news after a place in the log, and the place after them."""
 
-    def take_push(self, link: "PeerLink", push: Push) -> None:
-        """Takes a message that arrived on a link."""
-
 
 class PeerLink:
     """What one end of a stream knows.
@@ -60,6 +64,7 @@
     __slots__ += ("_told", "_told_load", "_told_list", "_told_revision", "_cursor", "_receiving")
 
     def __init__(self, name: str, gossip: bool, owner: LinkOwner) -> None:
+        """Takes whom it tells of: a GossipOwner where both ends push."""
         self.name = name
         self.gossip = gossip
         self.heard_at = asyncio.get_running_loop().time()
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -85,12 +85,12 @@
 
     @property
     def list_as_of(self) -> float:
-        """See LinkOwner."""
+        """See GossipOwner."""
         return self.lists.roster.as_of
 
     @property
     def list_digest(self) -> str:
-        """See LinkOwner."""
+        """See GossipOwner."""
         return self.lists.roster.digest
 
     @property
@@ -137,7 +137,7 @@
         return self._account()
 
     def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberNews, ...]]:
-        """See LinkOwner."""
+        """See GossipOwner."""
         return self._news.after(cursor, limit)
 
     def wake_all(self) -> None:
--- a/wasabidrum/peers/peer_service.py
+++ b/wasabidrum/peers/peer_service.py
@@ -5,7 +5,7 @@
 from grpclib import const, server
 
 from . import peer_messages
-from .peer_link import LinkOwner, PeerLink
+from .peer_link import GossipOwner, PeerLink
 from .peer_messages import (
     ConfigurationReply,
     FetchConfiguration,
@@ -15,7 +15,7 @@
 )
 
 
-class PeerServiceOwner(LinkOwner, typing.Protocol):
+class PeerServiceOwner(GossipOwner, typing.Protocol):
     """What the service answers from."""
 
     def add_inbound(self, link: PeerLink) -> None:
--- a/wasabidrum/platform/published_records.py
+++ b/wasabidrum/platform/published_records.py
@@ -281,8 +281,6 @@
         engine=to_figures(wire.engine) if wire.engine else None,
         models=tuple(model.name for model in wire.engine.models) if wire.engine else (),
         origin=(origin.host, origin.port) if origin else None,
-        origin_data_centre=wire.zone,
-        origin_mbit=wire.linkMbps,
     )
 
 
--- a/wasabidrum/scripts/commands/explain.py
+++ b/wasabidrum/scripts/commands/explain.py
@@ -67,21 +67,28 @@
         print(f"no answer from {', '.join(silent)}")
 
 
-async def show(client: FleetClient, options: argparse.Namespace) -> int:
-    """Asks everyone and prints what they remember."""
-    listed = await client.read_list()
-    answers = await client.ask_events(listed.instances, options.request_id)
-    found = [event for answer in answers if answer.answer for event in answer.answer.events]
+def print_found(options: argparse.Namespace, found: list[dict[str, object]]) -> int:
+    """Prints events by their time, as lines or as JSON; returns the exit status."""
     found.sort(key=lambda event: event["t"])
     if options.json:
         for event in found:
             print(json.dumps(event))
     else:
         print_events(options.request_id, found)
-        print_memory(answers)
     return EXIT_OK if found else EXIT_FOUND
 
 
+async def show(client: FleetClient, options: argparse.Namespace) -> int:
+    """Asks everyone and prints what they remember."""
+    listed = await client.read_list()
+    answers = await client.ask_events(listed.instances, options.request_id)
+    found = [event for answer in answers if answer.answer for event in answer.answer.events]
+    status = print_found(options, found)
+    if not options.json:
+        print_memory(answers)
+    return status
+
+
 def read_events(lines: collections.abc.Iterable[str], request_id: str) -> list[dict[str, object]]:
     """Returns the events of a request in log lines; lines that are no events are passed over."""
     events = []
@@ -107,13 +114,7 @@
         except OSError as error:
             print(f"{name}: {error.strerror}", file=sys.stderr)
             return EXIT_USAGE
-    found.sort(key=lambda event: event["t"])
-    if options.json:
-        for event in found:
-            print(json.dumps(event))
-    else:
-        print_events(options.request_id, found)
-    return EXIT_OK if found else EXIT_FOUND
+    return print_found(options, found)
 
 
 def run(options: argparse.Namespace) -> int:
--- a/wasabidrum/sidecar/load_service.py
+++ b/wasabidrum/sidecar/load_service.py
@@ -34,12 +34,12 @@
 
     @property
     def list_as_of(self) -> float:
-        """See LinkOwner; not told on these links."""
+        """See GossipOwner; a watcher that asks for it is told of nothing."""
         return 0.0
 
     @property
     def list_digest(self) -> str:
-        """See LinkOwner; not told on these links."""
+        """See GossipOwner; a watcher that asks for it is told of nothing."""
         return ""
 
     async def start(self) -> None:
@@ -67,7 +67,7 @@
         return self._account()
 
     def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberNews, ...]]:
-        """See LinkOwner; not told on these links."""
+        """See GossipOwner; a watcher that asks for it is told of nothing."""
         return cursor, ()
 
     def take_push(self, link: PeerLink, push: Push) -> None:
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -12,7 +12,7 @@
 from ..core.store_change import StoreChange
 from ..observe.event import Event
 from ..observe.event_log import EventLog
-from ..peers.member_view import MemberView
+from ..peers.member_view import MemberView, MemberViews
 from ..platform import published_records
 from ..platform.published_records import ItemKind, kind_of
 from ..platform.store_client import StoreClient, Watched
@@ -35,9 +35,11 @@
 CHUNK_PORT_OFFSET = 1
 
 
-class ListedEngines:
+class ListedEngines(MemberViews):
     """Follows the versions that are named, and reads the rest when it is needed.
 
+    Its members are the sidecars beside this service's engines, this one included.
+
     Attributes:
       wanted: The newest version of this engine's model that was named; zero where none was.
       model: The model of this engine, empty before it is known.
@@ -52,12 +54,12 @@
         readings: SharedReadings,
         log: EventLog,
     ) -> None:
+        super().__init__()
         self._deployment = deployment
         self._store = store
         self._readings = readings
         self._log = log
         self._changed = asyncio.Condition()
-        self._views: dict[str, MemberView] = {}
         self._listed: tuple[ListedMember, ...] = ()
         self._known = False
         self._wanted_at = 0.0
@@ -82,11 +84,6 @@
         setting = self._readings.setting
         return setting.origin_host, setting.origin_port
 
-    @property
-    def members(self) -> list[MemberView]:
-        """See Membership: the sidecars beside this service's engines, this one included."""
-        return list(self._views.values())
-
     @property
     def listed(self) -> tuple[ListedMember, ...]:
         """Those members as they were read last."""
@@ -120,16 +117,6 @@
             name: view.instance.region for name, view in self._views.items() if name not in leaving
         }
 
-    def report_failure(self, name: str) -> None:
-        """See Membership."""
-        if name in self._views:
-            self._views[name].suspected = True
-
-    def report_success(self, name: str) -> None:
-        """See Membership."""
-        if name in self._views:
-            self._views[name].suspected = False
-
     async def wait_other_than(self, version: int) -> None:
         """Waits until another version is wanted than the one given."""
         async with self._changed:
@@ -278,7 +265,7 @@
     if own is None or origin is None or not own.models:
         return None
     host, port = origin.origin
-    return EngineSetting(own.models[0], own.engine.layers, host, port, origin.origin_data_centre)
+    return EngineSetting(own.models[0], own.engine.layers, host, port)
 
 
 def ignore_members() -> None:
--- a/wasabidrum/weights/shared_readings.py
+++ b/wasabidrum/weights/shared_readings.py
@@ -49,7 +49,6 @@
     layers: int
     origin_host: str
     origin_port: int
-    origin_data_centre: str
 
 
 class ListedMember(msgspec.Struct, frozen=True):
