Do less for each placement: no sorting of entries, an engine's figures once

For each request the roster was sorted twice (count, nearby), which only a message to another entry needs, and a pass was worked out and the service looked up for each engine. EndpointLoad.answering was counted and never read. Behaviour is as it was; no test changed.

--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -36,12 +36,11 @@
     Attributes:
       own: Requests of this entry in progress there.
       unread: Prompt tokens of those that have had no event yet.
-      answering: Requests that have had an event and are not over.
       failures: How often requests failed there, lately.
       run_seconds: How long a request of a plain service takes, on average.
     """
 
-    __slots__ = ("health", "own", "unread", "answering", "failures", "run_seconds")
+    __slots__ = ("health", "own", "unread", "failures", "run_seconds")
     __slots__ += ("_others", "_reported_at", "_made_at", "_pace", "_queued", "_sent")
     __slots__ += ("_quiet_since",)
 
@@ -49,7 +48,6 @@
         self.health = EndpointHealth(rng)
         self.own = 0
         self.unread = 0
-        self.answering = 0
         self.failures = FailureRate()
         # Since when nothing has come from there though this entry has work there.
         self._quiet_since = 0.0
@@ -74,7 +72,6 @@
     def first_event(self, prompt_tokens: int, now: float) -> None:
         """Counts a request whose first event came."""
         self.unread -= prompt_tokens
-        self.answering += 1
         self.progressed(now)
 
     def progressed(self, now: float) -> None:
@@ -98,9 +95,7 @@
           answered: Whether it had its first event.
         """
         self.own -= 1
-        if answered:
-            self.answering -= 1
-        else:
+        if not answered:
             self.unread -= prompt_tokens
 
     def take_run(self, seconds: float) -> None:
--- a/wasabidrum/decisions/entry_roster.py
+++ b/wasabidrum/decisions/entry_roster.py
@@ -65,11 +65,17 @@
         self._failed[address] = now
 
     def known(self, now: float) -> dict[Place, KnownEntry]:
-        """Returns the entries heard lately, the latest first."""
-        kept = [item for item in self._known.items() if now - item[1].heard_at <= FORGET_SECONDS]
-        self._known = dict(sorted(kept, key=lambda item: (-item[1].heard_at, item[0])))
+        """Returns the entries heard lately."""
+        late = [a for a, known in self._known.items() if now - known.heard_at > FORGET_SECONDS]
+        for address in late:
+            del self._known[address]
         return self._known
 
+    def latest(self, now: float) -> list[tuple[Place, KnownEntry]]:
+        """Returns those worth telling another of, the latest first."""
+        ranked = sorted(self.known(now).items(), key=lambda item: (-item[1].heard_at, item[0]))
+        return ranked[:LIST_SIZE]
+
     def count(self, now: float) -> int:
         """Returns how many entries there are, this one included."""
         return 1 + len(self.known(now))
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -1,7 +1,6 @@
 """What an entry asks of the others and tells them."""
 
 import asyncio
-import itertools
 import random
 
 from grpclib import server
@@ -12,7 +11,7 @@
 from ..core.background_tasks import BackgroundTasks
 from ..core.errors import CodedError
 from ..core.store_change import StoreChange, StoreReading
-from ..decisions.entry_roster import LIST_SIZE, MEET_SECONDS, EntryRoster, Place
+from ..decisions.entry_roster import MEET_SECONDS, EntryRoster, Place
 from ..decisions.poison import PoisonGuard
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -155,10 +154,9 @@
 
     def _meet(self) -> Meet:
         now = awake_seconds()
-        latest = itertools.islice(self._roster.known(now).items(), LIST_SIZE)
         addresses = tuple(
             EntryAddress(host, port, now - known.heard_at, known.data_centre)
-            for (host, port), known in latest
+            for (host, port), known in self._roster.latest(now)
         )
         return Meet(EntryAddress(*self._own, 0.0, self._data_centre), addresses)
 
@@ -199,18 +197,14 @@
         if reply is None:
             return
         now = asyncio.get_running_loop().time()
+        newer = reply.revision >= self._state.revision and reply.revision > 0
+        if newer:
+            self._take_changes(reply, now)
+        # Last, for a version is dated only once the changes have named it.
         for named in reply.named:
             self._state.take_told_version(named.model, named.version, named.seconds, now)
-        if reply.revision < self._state.revision or not reply.revision:
+        if not newer:
             return
-        changes = tuple(StoreChange(c.key, c.revision, c.value) for c in reply.changes)
-        reading = StoreReading(changes, reply.revision)
-        if reply.whole:
-            self._state.take_reading(reading, now, first=not self._state.revision)
-        else:
-            self._state.take_changes(reading, now)
-        for named in reply.named:
-            self._state.take_told_version(named.model, named.version, named.seconds, now)
         # What the other knew when it was asked is no older than its own evidence was then.
         self._state.lease.renew(asked_at - reply.age)
         if not self._relayed:
@@ -220,9 +214,17 @@
                 peer=address[0],
                 revision=reply.revision,
                 evidence_age=round(reply.age, 3),
-                changes=len(changes),
+                changes=len(reply.changes),
             )
 
+    def _take_changes(self, reply: ChangesReply, now: float) -> None:
+        changes = tuple(StoreChange(c.key, c.revision, c.value) for c in reply.changes)
+        reading = StoreReading(changes, reply.revision)
+        if reply.whole:
+            self._state.take_reading(reading, now, first=not self._state.revision)
+        else:
+            self._state.take_changes(reading, now)
+
     async def _call(
         self,
         address: Place,
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -5,10 +5,9 @@
 import random
 import typing
 
-import msgspec
-
 from ..config.deployment import Bounds
 from ..core.listed_endpoint import ListedEndpoint
+from ..core.published import EngineFigures
 from ..core.request_head import RequestHead
 from ..core.route import Route, RouteKind
 from ..core.status import Status
@@ -17,12 +16,12 @@
 from ..decisions.engine_forecast import pass_seconds
 from ..decisions.entry_roster import Place
 from ..decisions.entry_share import deal
-from ..decisions.forecast_bias import ForecastBias
 from ..decisions.retry_budget import RetryBudget
-from ..decisions.send_rate import SendRate
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .published_state import PublishedState
+from .service_traffic import ServiceTraffic
+from .told_engines import ToldEngines
 
 # A plain service's call is short; one is refused only where it could not end in its time.
 PLAIN_LATEST_FRACTION = 0.5
@@ -30,8 +29,6 @@
 # endpoints of others, and entries count each other only roughly.
 RETRY_PART = 0.7
 FEWEST_ENTRIES = 3
-# A sidecar tells something every 0.75 s; what is older is left to the platform's list.
-TOLD_SECONDS = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,30 +63,6 @@
         """Returns the entries of this one's data centre, in an order that all agree on."""
 
 
-class ServiceTraffic:
-    """What this entry sends to one service, and how its forecasts turn out."""
-
-    __slots__ = ("rate", "refusals", "bias")
-
-    def __init__(self) -> None:
-        self.rate = SendRate()
-        self.refusals = SendRate()
-        self.bias = ForecastBias()
-
-    def refused_share(self, now: float) -> float:
-        """Returns the part of requests that was refused for want of room lately."""
-        refused = self.refusals.per_second(now)
-        return refused / max(1.0, refused + self.rate.per_second(now))
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ToldStatus:
-    """What a sidecar told last, and when by the event loop's clock."""
-
-    status: Status
-    at: float
-
-
 class Placer:
     """The endpoints of one entry, and what it knows of each."""
 
@@ -114,7 +87,7 @@
         self._dealt_for: tuple[object, ...] = ()
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
         self._budgets: dict[str, RetryBudget] = {}
-        self._told: dict[str, ToldStatus] = {}
+        self._told = ToldEngines()
         self._rng = random.Random()
 
     @property
@@ -166,7 +139,8 @@
         """
         now = asyncio.get_running_loop().time()
         figures = self._state.engine_of(service)
-        candidates = self._candidates(service, tried, weights, now)
+        self._deal()
+        candidates = self._candidates(service, figures, tried, weights, now)
         if figures is None:
             latest = seconds_left * PLAIN_LATEST_FRACTION
         else:
@@ -213,12 +187,7 @@
         now = asyncio.get_running_loop().time()
         placed.load.take_end(True, now)
         if placed.load.health.take_failure(now):
-            self._log.write(
-                Event.ENDPOINT_EJECTED,
-                endpoint=placed.endpoint.id,
-                health=placed.load.health.health.value,
-                reason=reason,
-            )
+            self._tell_ejected(placed.endpoint, placed.load, reason)
 
     def take_success(self, placed: Placed) -> None:
         """Takes a whole answer."""
@@ -229,12 +198,12 @@
     def take_status(self, status: Status) -> None:
         """Takes what the sidecar beside an engine tells of it."""
         now = asyncio.get_running_loop().time()
-        self._told[status.host] = ToldStatus(status, now)
+        self._told.take(status, now)
+        load = status.load
+        figures = self._state.engine_of(status.service)
+        lag = figures.report_lag if figures is not None else 0.0
         for endpoint in self._state.endpoints.endpoints:
             if endpoint.host == status.host and endpoint.service == status.service:
-                load = status.load
-                figures = self._state.engine_of(status.service)
-                lag = figures.report_lag if figures is not None else 0.0
                 self.load_of(endpoint).take_report(load.running, load.waiting, load.pace, now, lag)
         if status.model and status.wanted_version.isdecimal():
             self._state.take_told_version(
@@ -242,36 +211,48 @@
             )
 
     def _candidates(
-        self, service: str, tried: frozenset[str], weights: int, now: float
+        self,
+        service: str,
+        figures: EngineFigures | None,
+        tried: frozenset[str],
+        weights: int,
+        now: float,
     ) -> list[Candidate]:
         found = []
-        self._deal()
-        engine = self._state.engine_of(service) is not None
+        one_pass = 0.0 if figures is None else pass_seconds(figures, figures.slots)
         for listed in self._state.endpoints.endpoints:
             if listed.service != service or listed.leaving or listed.id in tried:
                 continue
-            endpoint = self._as_told(listed, now) if engine else listed
-            if engine and not self._may_answer(endpoint, weights, now):
+            endpoint = listed if figures is None else self._told.as_told(listed, now)
+            if figures is not None and not self._may_answer(endpoint, weights, now):
                 continue
             near = endpoint.data_centre == self._near
-            first = not engine or endpoint.id in self._first
+            first = figures is None or endpoint.id in self._first
             load = self.load_of(endpoint)
-            self._judge_silence(endpoint, load, now)
+            usual = load.run_seconds if figures is None else one_pass
+            self._judge_silence(endpoint, load, usual, now)
             found.append(Candidate(endpoint, load, near, first))
         return found
 
-    def _judge_silence(self, endpoint: ListedEndpoint, load: EndpointLoad, now: float) -> None:
-        """Leaves out one that holds this entry's requests and says nothing."""
-        figures = self._state.engine_of(endpoint.service)
-        usual = load.run_seconds if figures is None else pass_seconds(figures, figures.slots)
+    def _judge_silence(
+        self, endpoint: ListedEndpoint, load: EndpointLoad, usual: float, now: float
+    ) -> None:
+        """Leaves out one that holds this entry's requests and says nothing.
+
+        Args:
+          usual: The seconds in which something comes from it as a rule.
+        """
         silent = load.silent_seconds(now)
         if load.health.take_silence(silent, usual, now):
-            self._log.write(
-                Event.ENDPOINT_EJECTED,
-                endpoint=endpoint.id,
-                health=load.health.health.value,
-                reason=f"silent for {silent:.2f} s",
-            )
+            self._tell_ejected(endpoint, load, f"silent for {silent:.2f} s")
+
+    def _tell_ejected(self, endpoint: ListedEndpoint, load: EndpointLoad, reason: str) -> None:
+        self._log.write(
+            Event.ENDPOINT_EJECTED,
+            endpoint=endpoint.id,
+            health=load.health.health.value,
+            reason=reason,
+        )
 
     def _others_rate(self, traffic: ServiceTraffic, endpoints: int, now: float) -> float:
         """Returns how many requests a second others send to each endpoint, on average."""
@@ -291,22 +272,6 @@
         shares = (deal(ids, entries, self._fellows.own) for ids in by_service.values())
         self._first = frozenset().union(*shares)
 
-    def _as_told(self, listed: ListedEndpoint, now: float) -> ListedEndpoint:
-        """Returns an engine with the weights that its sidecar tells of, where that is fresher.
-
-        The platform's list follows an engine's switch by a second. Until then entries would
-        send to it under the old version, be refused, and leave an engine idle that is ready.
-        """
-        told = self._told.get(listed.host)
-        if told is None or now - told.at > TOLD_SECONDS or told.status.service != listed.service:
-            return listed
-        status = told.status
-        able = status.load.slots > 0 and not status.switching
-        weights = int(status.version) if able and status.version.isdecimal() else 0
-        return msgspec.structs.replace(
-            listed, model=status.model or listed.model, weights=weights, whole=weights > 0
-        )
-
     def _may_answer(self, endpoint: ListedEndpoint, weights: int, now: float) -> bool:
         if not endpoint.whole or endpoint.weights <= 0:
             return False
