--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -3,28 +3,21 @@
 import asyncio
 import typing
 
-from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
-from ..core.request_head import ReplyHead, RequestHead
-from ..core.route import Route, RouteKind
+from ..core.request_head import RequestHead
+from ..core.route import Route
 from ..decisions import poison
 from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
 from ..observe.event import Event
-from ..platform import heads
-from . import endpoint_connection
-from .endpoint_connection import EndpointConnection, Part, PartKind
-from .event_stream import EventStream
+from .attempt import Attempt, AttemptError
+from .call import Call, StreamProgress
 from .placement import Placed
-from .whole_reply import WholeReply
 
 if typing.TYPE_CHECKING:
     from .daemon import Gateway
     from .exchange import CallerExchange
 
-# A connection within the fleet opens in some milliseconds; a machine that does not answer in
-# this time is dark or drops connections, and another one can still answer in time.
-CONNECT_SECONDS = 0.25
 # What a caller waits who says nothing of it.
 DEFAULT_DEADLINE_SECONDS = 30.0
 # An answer that takes longer to refuse than this is late for its caller in any case.
@@ -41,16 +34,6 @@
 DEATH_CODES = frozenset(("answer_lost", "answer_cut", "stream_cut"))
 
 
-class AttemptError(Exception):
-    """An attempt ended without an answer that can be passed on."""
-
-    def __init__(self, end: AttemptEnd, code: str, reply: WholeReply | None = None) -> None:
-        super().__init__(code)
-        self.end = end
-        self.code = code
-        self.reply = reply
-
-
 class Forwarding:
     """Forwards one request, to another endpoint where that is safe and useful."""
 
@@ -65,32 +48,18 @@
     ) -> None:
         self._exchange = exchange
         self._gateway = gateway
-        self._head = head
-        self._route = route
-        self._workspace = workspace
-        self._body = body
+        seconds = min(head.deadline or DEFAULT_DEADLINE_SECONDS, route.timeout)
+        self._call = Call(head, route, workspace, body, exchange.began + seconds)
+        self._progress = StreamProgress(head.last_event)
         self._history = AttemptHistory(route.idempotent, max(1, route.max_attempts))
         self._service = gateway.placer.pick_service(route)
         self._tried: frozenset[str] = frozenset()
         self._retries = 0
-        seconds = min(head.deadline or DEFAULT_DEADLINE_SECONDS, route.timeout)
-        self._ends_at = exchange.began + seconds
-        # A stream that goes on needs the version that it began with.
-        self._weights = 0
-        self._last_event = head.last_event
-        self._events = 0
-        self._first_event_at = 0.0
-        self._marks = AttemptMarks()
         caller = workspace or head.key
         self._fingerprint = poison.fingerprint_of_parts(
             head.method, head.host, head.target, caller, body
         )
 
-    @property
-    def left(self) -> float:
-        """Seconds until the caller or the route gives up."""
-        return self._ends_at - asyncio.get_running_loop().time()
-
     async def run(self) -> None:
         """Serves the request.
 
@@ -103,15 +72,20 @@
         while True:
             placed = self._place(failure)
             if placed is None:
-                self._exchange.cut_stream(failure, events=self._events)
+                self._exchange.cut_stream(failure, events=self._progress.events)
                 return
+            number = self._history.sends + 1
+            attempt = Attempt(
+                self._exchange, self._gateway, self._call, self._progress, placed, number
+            )
             try:
-                await self._attempt(placed)
+                await attempt.run()
+                self._gateway.guard.clear(self._fingerprint)
                 return
             except AttemptError as error:
                 failure = error.code
                 self._history.take(error.end)
-                self._note_end(placed, error)
+                self._note_end(placed, attempt, error)
                 self._tried |= {placed.endpoint.id}
                 if not self._may_go_on():
                     self._give_up(error)
@@ -134,17 +108,17 @@
         Raises:
           CodedError: It goes nowhere.
         """
-        left = self.left
+        call, left = self._call, self._call.left
         placer = self._gateway.placer
         placed, choice = placer.place(
-            self._route, self._service, self._head, self._tried, self._weights, left
+            call.route, self._service, call.head, self._tried, self._progress.weights, left
         )
         if placed is not None and left > SHORTEST_USEFUL_SECONDS:
             self._gateway.log.write(
                 Event.REQUEST_PLACED,
-                request=self._head.request_id,
-                workspace=self._workspace,
-                route=self._route.name,
+                request=call.head.request_id,
+                workspace=call.workspace,
+                route=call.route.name,
                 service=self._service,
                 endpoint=placed.endpoint.id,
                 weights=placed.weights,
@@ -170,7 +144,7 @@
         raise CodedError(code, message, 503, retry_after=retry)
 
     def _may_go_on(self) -> bool:
-        if self.left <= SHORTEST_USEFUL_SECONDS or not self._history.may_go_on():
+        if self._call.left <= SHORTEST_USEFUL_SECONDS or not self._history.may_go_on():
             return False
         now = asyncio.get_running_loop().time()
         if self._gateway.guard.is_blocked(self._fingerprint, now):
@@ -181,30 +155,30 @@
         return True
 
     def _give_up(self, error: AttemptError) -> None:
-        facts = {"events": self._events, "attempts": self._history.sends}
+        facts = {"events": self._progress.events, "attempts": self._history.sends}
         if self._exchange.streaming:
             self._exchange.cut_stream(error.code, **facts)
             return
         if error.reply is not None and error.end is AttemptEnd.FAILED:
             self._exchange.answer_whole(error.reply, **facts)
             return
-        late = self.left <= SHORTEST_USEFUL_SECONDS
+        late = self._call.left <= SHORTEST_USEFUL_SECONDS
         status = self._history.final_status(late)
         outcome = Outcome.UNKNOWN if self._history.may_have_run else Outcome.NOT_RUN
         retry = NOT_RUN_RETRY_SECONDS if outcome is Outcome.NOT_RUN else None
         raise CodedError(error.code, "no endpoint answered", status, outcome, retry_after=retry)
 
-    def _note_end(self, placed: Placed, error: AttemptError) -> None:
+    def _note_end(self, placed: Placed, attempt: Attempt, error: AttemptError) -> None:
         self._gateway.log.write(
             Event.CALL_PLACED_AGAIN,
-            request=self._head.request_id,
+            request=self._call.head.request_id,
             endpoint=placed.endpoint.id,
             code=error.code,
             end=error.end.value,
-            events=self._events,
+            events=self._progress.events,
         )
         # A caller's own short time says nothing of the endpoint.
-        waited = asyncio.get_running_loop().time() - self._marks.began
+        waited = asyncio.get_running_loop().time() - attempt.began
         if error.code != "timeout" or waited > OVERDUE_FACTOR * placed.seconds:
             self._gateway.placer.take_failure(placed, error.code)
         if error.code in DEATH_CODES:
@@ -213,152 +187,7 @@
             self._gateway.peers.tell_suspect(placed.endpoint.id, self._fingerprint)
             self._gateway.log.write(
                 Event.REQUEST_SUSPECTED,
-                request=self._head.request_id,
+                request=self._call.head.request_id,
                 endpoint=placed.endpoint.id,
                 fingerprint=self._fingerprint,
             )
-
-    async def _attempt(self, placed: Placed) -> None:
-        prompt = self._head.prompt_tokens
-        self._gateway.placer.begin(placed, prompt)
-        self._marks = marks = AttemptMarks()
-        connection: EndpointConnection | None = None
-        try:
-            endpoint = placed.endpoint
-            timeout = min(CONNECT_SECONDS, self.left)
-            try:
-                connection = await endpoint_connection.connect(
-                    endpoint.host, endpoint.port, timeout
-                )
-            except CodedError as error:
-                raise AttemptError(AttemptEnd.NOT_SENT, error.code) from error
-            await self._exchange_with(connection, placed, marks)
-            self._gateway.placer.take_success(placed)
-            self._gateway.guard.clear(self._fingerprint)
-        finally:
-            placed.load.ended(prompt, marks.answered)
-            if connection is not None:
-                connection.close()
-
-    async def _exchange_with(
-        self, connection: EndpointConnection, placed: Placed, marks: "AttemptMarks"
-    ) -> None:
-        state = self._gateway.state
-        # Looked at again just before the request leaves: it may have waited for a connection,
-        # or this process may have slept, since its key was judged.
-        if self._workspace and not state.lease.holds(awake_seconds()):
-            raise AttemptError(AttemptEnd.NOT_SENT, "not_ready")
-        headers = heads.write_forwarded(
-            self._head,
-            placed.endpoint,
-            self._workspace,
-            self.left,
-            len(self._body),
-            self._last_event,
-            placed.weights,
-            None,
-        )
-        sent_at = asyncio.get_running_loop().time()
-        connection.send(self._head.method, self._head.target, headers, self._body)
-        head = await self._read_head(connection)
-        if self._route.kind is RouteKind.STREAM and head.success:
-            await self._relay_stream(connection, placed, head, marks)
-            return
-        reply = await self._read_whole(connection, head)
-        if not head.success:
-            raise AttemptError(AttemptEnd.FAILED, f"status_{head.status}", reply)
-        placed.load.take_run(asyncio.get_running_loop().time() - sent_at)
-        if self._exchange.streaming:
-            raise AttemptError(AttemptEnd.LOST, "not_a_stream")
-        self._exchange.answer_whole(
-            reply, endpoint=placed.endpoint.id, attempts=self._history.sends + 1
-        )
-
-    async def _next_part(self, connection: EndpointConnection) -> Part:
-        try:
-            return await asyncio.wait_for(connection.next_part(), max(0.001, self.left))
-        except TimeoutError as error:
-            raise AttemptError(AttemptEnd.LOST, "timeout") from error
-
-    async def _read_head(self, connection: EndpointConnection) -> ReplyHead:
-        part = await self._next_part(connection)
-        if part.kind is not PartKind.HEAD:
-            raise AttemptError(AttemptEnd.LOST, "answer_lost")
-        head = part.head
-        if head.not_executed and not head.success:
-            raise AttemptError(AttemptEnd.REFUSED, f"refused_{head.status}")
-        crossed = head.request_id and head.request_id != self._head.request_id
-        if crossed or head.encoded or (head.success and not head.signed):
-            raise AttemptError(AttemptEnd.LOST, "answer_crossed" if crossed else "answer_broken")
-        return head
-
-    async def _read_whole(self, connection: EndpointConnection, head: ReplyHead) -> WholeReply:
-        parts = []
-        while True:
-            part = await self._next_part(connection)
-            if part.kind is PartKind.END:
-                return WholeReply(head, b"".join(parts))
-            if part.kind is PartKind.BROKEN:
-                raise AttemptError(AttemptEnd.LOST, "answer_cut")
-            parts.append(part.content)
-
-    async def _relay_stream(
-        self,
-        connection: EndpointConnection,
-        placed: Placed,
-        head: ReplyHead,
-        marks: "AttemptMarks",
-    ) -> None:
-        stream = EventStream()
-        loop = asyncio.get_running_loop()
-        while True:
-            part = await self._next_part(connection)
-            if part.kind is PartKind.BROKEN:
-                raise AttemptError(AttemptEnd.LOST, "stream_cut")
-            if part.kind is PartKind.END:
-                break
-            try:
-                events = stream.take(part.content)
-            except ValueError as error:
-                raise AttemptError(AttemptEnd.LOST, "answer_broken") from error
-            if not events.count:
-                continue
-            if not marks.answered:
-                marks.answered = True
-                seconds = loop.time() - marks.began
-                prompt = self._head.prompt_tokens
-                self._gateway.placer.take_first_event(placed, prompt, seconds)
-            if not self._exchange.streaming:
-                self._first_event_at = loop.time()
-                self._weights = placed.weights
-                await self._exchange.begin_stream(head)
-            placed.load.progressed(loop.time())
-            self._last_event = events.last_id or self._last_event
-            self._events += events.count
-            await self._exchange.write_events(events.content)
-        if stream.incomplete:
-            raise AttemptError(AttemptEnd.LOST, "stream_cut")
-        if not self._exchange.streaming:
-            await self._exchange.begin_stream(head)
-        first = self._first_event_at - self._exchange.began
-        self._exchange.end_stream(
-            endpoint=placed.endpoint.id,
-            events=self._events,
-            first_token=round(first, 4),
-            attempts=self._history.sends + 1,
-        )
-
-
-class AttemptMarks:
-    """What happened in one attempt.
-
-    Attributes:
-      answered: Whether its first event came.
-      began: When it was placed, by the event loop's clock.
-    """
-
-    __slots__ = ("answered", "began")
-
-    def __init__(self) -> None:
-        self.answered = False
-        self.began = asyncio.get_running_loop().time()
