End a probe whose caller leaves, so that another is sent

Found in reading again: an endpoint that is out of service gets one request at a time to find out whether it works. Where that request's caller left, or its own short time was over, nothing ended the probe, and no other was ever sent: the endpoint stood idle until it registered anew. Test: gateway_traps_test.ProbeTest, which timed out before.

--- a/tests/gateway_traps_test.py
+++ b/tests/gateway_traps_test.py
@@ -152,6 +152,36 @@
         self.assertEqual(reply.body.count(b"data: t"), 5)
 
 
+class ProbeTest(GatewayCase):
+    """An endpoint that is out of service, and the one request that tries it again."""
+
+    async def test_a_probe_whose_caller_leaves_is_followed_by_another(self) -> None:
+        """An endpoint is out of service and one request is sent to find out whether it works
+        again. Its caller leaves before there is an answer. Were that probe waited for, no
+        other would ever be sent, and the endpoint would stand idle until it restarts."""
+        await self.fleet.store.delete(names.ENDPOINT_PREFIX + "b")
+        listed = self.gateway.state.endpoints
+        await self.fleet.wait_until(lambda: listed.get("b") is None, 5.0)
+        self.a.behave = answer_misdirected
+        for number in range(2):
+            await self.fleet.ask(0, "tally", "safe", f"r{number}")
+        health = self.gateway.placer.load_of(listed.get("a")).health
+        self.assertNotEqual(health.health.value, "healthy")
+        self.a.behave = hold
+        loop = asyncio.get_running_loop()
+        await self.fleet.wait_until(lambda: health.may_take(loop.time()))
+        before = len(self.a.seen)
+        probe = asyncio.ensure_future(self.fleet.ask(0, "tally", "safe", "probe"))
+        await self.fleet.wait_until(lambda: len(self.a.seen) > before)
+        probe.cancel()
+        await asyncio.gather(probe, return_exceptions=True)
+        self.a.behave = answer_ok
+        await self.fleet.wait_until(lambda: health.may_take(loop.time()), 5.0)
+        reply = await self.fleet.ask(0, "tally", "safe", "r9")
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(health.health.value, "healthy")
+
+
 class SuspendedClockTest(GatewayCase):
     """An instance that stood still and does not know."""
 
--- a/wasabidrum/decisions/failure_rate.py
+++ b/wasabidrum/decisions/failure_rate.py
@@ -8,7 +8,8 @@
 
 Grounds:
 - WEIGHT: four failures of ten move the rate near 0.4 within some ten requests.
-- HALF_LIFE_SECONDS: one that gets nothing has to be tried again; after two half lives it is.
+- HALF_LIFE_SECONDS: one that gets nothing has to be tried again. What is left after thirteen
+  seconds is a twentieth; where the others are busier it is tried sooner.
 """
 
 WEIGHT = 0.15
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+from tornado import iostream
+
 from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
 from ..core.request_head import ReplyHead
@@ -86,6 +88,11 @@
                 raise AttemptError(AttemptEnd.NOT_SENT, error.code) from error
             await self._exchange_with(connection)
             self._gateway.placer.take_success(placed)
+        except (asyncio.CancelledError, iostream.StreamClosedError):
+            # Its caller has left. Were it a probe that is waited for, there would be no other,
+            # and the endpoint would stay out of service.
+            self._gateway.placer.take_no_verdict(placed)
+            raise
         finally:
             placed.load.ended(prompt, self._answered)
             if connection is not None:
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -181,6 +181,8 @@
         waited = asyncio.get_running_loop().time() - attempt.began
         if error.code != "timeout" or waited > OVERDUE_FACTOR * placed.seconds:
             self._gateway.placer.take_failure(placed, error.code)
+        else:
+            self._gateway.placer.take_no_verdict(placed)
         if error.code in DEATH_CODES:
             now = asyncio.get_running_loop().time()
             self._gateway.guard.saw_death(self._fingerprint, placed.endpoint.id, now)
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -195,6 +195,10 @@
         if placed.load.health.take_success(0.0):
             self._log.write(Event.ENDPOINT_RETURNED, endpoint=placed.endpoint.id)
 
+    def take_no_verdict(self, placed: Placed) -> None:
+        """Takes the end of a request that tells nothing of the endpoint."""
+        placed.load.health.probe_ended(asyncio.get_running_loop().time())
+
     def take_status(self, status: Status) -> None:
         """Takes what the sidecar beside an engine tells of it."""
         now = asyncio.get_running_loop().time()
