--- a/tests/listed_platform.py
+++ b/tests/listed_platform.py
@@ -360,7 +360,9 @@
         await self.store.put(names.ENDPOINT_PREFIX + endpoint_id, endpoint.entry())
         return endpoint
 
-    async def add_gateway(self, name: str, store_port: int | None = None) -> Gateway:
+    async def add_gateway(
+        self, name: str, store_port: int | None = None, bounds: Bounds | None = None
+    ) -> Gateway:
         """Starts an entry, whose store may be another port than the fleet's."""
         first = free_ports(PORTS_OF_ONE)
         seeds = tuple(d.peers_listen for d in self.deployments)
@@ -372,7 +374,7 @@
             region="rift",
             region_of={"rift-a": "rift"},
             store=Address(HOST, store_port or self.store.port),
-            bounds=Bounds(),
+            bounds=bounds or Bounds(),
             first_port=first,
             last_port=first + PORTS_OF_ONE,
             callers=Address(HOST, first + 3),
