Date versions by a clock that goes on while an entry is suspended

Callers of an entry that had been suspended between a version's naming and its bound were placed on the old weights for as long after the bound as it had stood still: the bound was counted by the event loop's clock, which does not move meanwhile. Versions are dated by the awake clock now, as the lease on the configuration is, so that whatever time passed unseen is counted.

--- a/tests/version_bound_test.py
+++ b/tests/version_bound_test.py
@@ -91,8 +91,7 @@
         named_at = await self.name_version(version)
 
         def heard() -> bool:
-            now = asyncio.get_running_loop().time()
-            return (MODEL, version) in [n[:2] for n in self.gateway.state.named_versions(now)]
+            return (MODEL, version) in [n[:2] for n in self.gateway.state.named_versions()]
 
         await self.fleet.wait_until(heard)
         return named_at
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -10,6 +10,8 @@
 how long a version has been wanted, unless another tells it; FIRST_SECONDS lets engines answer
 that are switching now, and is over before anyone counts on this process again, three seconds
 after its start.
+
+All times are of a clock that counts while the instance is suspended.
 """
 
 import dataclasses
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -109,13 +109,12 @@
     def reply_changes(self, message: FetchChanges) -> ChangesReply:
         """See EntryServiceOwner."""
         whole, changes = self._state.changes_after(message.after)
-        now = asyncio.get_running_loop().time()
         return ChangesReply(
             revision=self._state.revision,
             age=self._state.lease.age(awake_seconds()),
             whole=whole,
             changes=tuple(PeerChange(c.key, c.revision, c.value) for c in changes),
-            named=tuple(NamedVersion(*named) for named in self._state.named_versions(now)),
+            named=tuple(NamedVersion(*named) for named in self._state.named_versions()),
         )
 
     def take_suspects(self, message: TellSuspects) -> None:
@@ -202,7 +201,7 @@
             self._take_changes(reply, now)
         # Last, for a version is dated only once the changes have named it.
         for named in reply.named:
-            self._state.take_told_version(named.model, named.version, named.seconds, now)
+            self._state.take_told_version(named.model, named.version, named.seconds)
         if not newer:
             return
         # What the other knew when it was asked is no older than its own evidence was then.
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -211,7 +211,7 @@
                 self.load_of(endpoint).take_report(load.running, load.waiting, load.pace, now, lag)
         if status.model and status.wanted_version.isdecimal():
             self._state.take_told_version(
-                status.model, int(status.wanted_version), status.wanted_seconds, now
+                status.model, int(status.wanted_version), status.wanted_seconds
             )
 
     def _candidates(
@@ -228,7 +228,7 @@
             if listed.service != service or listed.leaving or listed.id in tried:
                 continue
             endpoint = listed if figures is None else self._told.as_told(listed, now)
-            if figures is not None and not self._may_answer(endpoint, weights, now):
+            if figures is not None and not self._may_answer(endpoint, weights):
                 continue
             near = endpoint.data_centre == self._near
             first = figures is None or endpoint.id in self._first
@@ -276,12 +276,12 @@
         shares = (deal(ids, entries, self._fellows.own) for ids in by_service.values())
         self._first = frozenset().union(*shares)
 
-    def _may_answer(self, endpoint: ListedEndpoint, weights: int, now: float) -> bool:
+    def _may_answer(self, endpoint: ListedEndpoint, weights: int) -> bool:
         if not endpoint.whole or endpoint.weights <= 0:
             return False
         if weights and endpoint.weights != weights:
             return False
-        return endpoint.weights >= self._state.oldest_allowed(endpoint.model, now)
+        return endpoint.weights >= self._state.oldest_allowed(endpoint.model)
 
     def _forget_unlisted(self) -> None:
         listed = {(e.id, e.started_at) for e in self._state.endpoints.endpoints}
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -1,6 +1,7 @@
 """What an entry knows from the platform's store, each part replaced in one step."""
 
 from ..config.deployment import Bounds
+from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
 from ..core.published import EngineFigures
 from ..core.store_change import StoreChange, StoreReading
@@ -48,19 +49,24 @@
         """The configuration version in force, zero before the first."""
         return self.routes.configuration.version if self.routes else 0
 
-    def oldest_allowed(self, model: str, now: float) -> int:
-        """Returns the oldest version of a model's weights that may begin a request."""
+    # Versions are dated by a clock that goes on while the instance is suspended. By the event
+    # loop's, an entry that wakes after a minute would place requests on weights whose time is
+    # long over, and callers would get text that nobody else serves any more.
+
+    def oldest_allowed(self, model: str) -> int:
+        """Returns the oldest version of a model's weights that may begin a request now."""
         floor = self._floors.get(model)
-        return floor.oldest_allowed(now) if floor else 0
+        return floor.oldest_allowed(awake_seconds()) if floor else 0
 
-    def take_told_version(self, model: str, version: int, seconds: float, now: float) -> None:
+    def take_told_version(self, model: str, version: int, seconds: float) -> None:
         """Takes from another process for how long a version has been wanted."""
         floor = self._floors.get(model)
         if floor is not None and version:
-            floor.take_told(version, seconds, now)
+            floor.take_told(version, seconds, awake_seconds())
 
-    def named_versions(self, now: float) -> list[tuple[str, int, float]]:
+    def named_versions(self) -> list[tuple[str, int, float]]:
         """Returns model, version and for how many seconds it has been wanted, of each."""
+        now = awake_seconds()
         return [
             (model, floor.newest, floor.newest_seconds(now))
             for model, floor in self._floors.items()
@@ -109,7 +115,7 @@
         elif kind is ItemKind.CONFIGURATION and change.value is not None:
             self._take_configuration(change)
         elif kind is ItemKind.VERSION and change.value is not None:
-            self._take_version(change, now, first)
+            self._take_version(change, first)
 
     def tick(self, now: float) -> None:
         """Ends what only time ends."""
@@ -154,7 +160,7 @@
             workspaces=len(configuration.workspaces),
         )
 
-    def _take_version(self, change: StoreChange, now: float, first: bool) -> None:
+    def _take_version(self, change: StoreChange, first: bool) -> None:
         try:
             model, version = published_records.decode_version(change.value or b"")
         except CodedError as error:
@@ -163,7 +169,7 @@
             )
             return
         floor = self._floors.setdefault(model, VersionFloor(self._bounds.version))
-        if floor.take(version, now, first):
+        if floor.take(version, awake_seconds(), first):
             self._log.write(Event.VERSION_NAMED, model=model, version=version)
 
     def _take_endpoint(self, endpoint_id: str, change: StoreChange, now: float) -> None:
