Date a version that is heard late by the last answer without it

A naming is now known to lie between the last answer without it and the first hearing; the bound counts from the first of these, unless the question was waiting at the store and was answered promptly. Where that would refuse everyone at once (evidence much older than the naming can be), the old version is good for UNKNOWN_SECONDS = 2.5 s still, which is over before anyone counts on the process again. Others are told of the hearing only, never of the worst guess. version_named tells the age of the evidence, which is what the logs lacked to date it.

The constants' test of a restarted process holds as before (1.5 s until nothing is placed).

--- a/wasabidrum/decisions/evidence_lease.py
+++ b/wasabidrum/decisions/evidence_lease.py
@@ -13,10 +13,13 @@
 - MARGIN_SECONDS: the clocks of two instances drift by milliseconds in five seconds; the rest is
   for a request that is sent on a moment after it was judged.
 - READY_FRACTION: no new callers come to an entry that will refuse them in a moment.
+- PROMPT_SECONDS: a change takes some milliseconds to those that wait for it; the rest is for a
+  process that is busy when it comes.
 """
 
 MARGIN_SECONDS = 0.25
 READY_FRACTION = 0.6
+PROMPT_SECONDS = 0.1
 
 
 class EvidenceLease:
@@ -32,6 +35,11 @@
         self._bound = bound
         self._dated = float("-inf")
 
+    @property
+    def dated(self) -> float:
+        """When the configuration in force was certainly the newest; minus infinity if never."""
+        return self._dated
+
     def renew(self, asked_at: float) -> None:
         """Takes that someone asked at a moment and heard of nothing newer than is in force."""
         self._dated = max(self._dated, asked_at)
@@ -47,3 +55,19 @@
     def is_ready(self, now: float) -> bool:
         """Returns whether new callers may be sent here."""
         return self.age(now) <= self._bound * READY_FRACTION
+
+
+def prompt_after(asked_at: float, answered_at: float, wait: float) -> float:
+    """Returns when what an answer brought had not happened yet, or minus infinity if unknown.
+
+    A question that waits at the store is answered as soon as something changes. Answered at
+    once, it tells of what happened before it was asked; answered later than it was to wait, it
+    was held up, as by a process that stood still, and tells nothing of the moment.
+
+    Args:
+      wait: The seconds that the question was to wait for a change.
+    """
+    waited = answered_at - asked_at
+    if PROMPT_SECONDS <= waited <= wait + PROMPT_SECONDS:
+        return answered_at - PROMPT_SECONDS
+    return float("-inf")
--- a/wasabidrum/decisions/evidence_lease_test.py
+++ b/wasabidrum/decisions/evidence_lease_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from .evidence_lease import MARGIN_SECONDS, EvidenceLease
+from .evidence_lease import MARGIN_SECONDS, PROMPT_SECONDS, EvidenceLease, prompt_after
 
 
 class EvidenceLeaseTest(unittest.TestCase):
@@ -38,3 +38,20 @@
         self.assertTrue(lease.is_ready(102.0))
         self.assertFalse(lease.is_ready(104.0))
         self.assertTrue(lease.holds(104.0))
+
+
+class PromptAfterTest(unittest.TestCase):
+    """When a change was made that a question brought which was to wait for 1.2 s."""
+
+    def test_one_that_waited_tells_the_moment(self) -> None:
+        self.assertEqual(prompt_after(100.0, 100.7, 1.2), 100.7 - PROMPT_SECONDS)
+
+    def test_one_that_was_answered_at_once_tells_of_what_was_before(self) -> None:
+        """A change is made while nobody asks. The next question is answered at once, and the
+        change may be as old as the pause before it."""
+        self.assertEqual(prompt_after(100.0, 100.01, 1.2), float("-inf"))
+
+    def test_one_that_was_held_up_tells_nothing(self) -> None:
+        """A process stands still while a change waits for it. Dated by when it was read, the
+        change would seem younger than it is by all that time."""
+        self.assertEqual(prompt_after(100.0, 104.5, 1.2), float("-inf"))
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -5,27 +5,45 @@
 would go on answering with what operators have replaced. So the old version is good until a
 moment before the bound that the users set, and then only engines that have switched get work.
 
-Grounds: MARGIN_SECONDS covers the time between a request's departure and its first token at a
-full engine, and how late a change is heard of. A process that has just started cannot know for
-how long a version has been wanted, unless another tells it; FIRST_SECONDS lets engines answer
-that are switching now, and is over before anyone counts on this process again, three seconds
-after its start.
+A process knows of a naming only that it came after the last answer without it, and before
+anyone heard of it. The bound is counted from the first of these two moments, so that a process
+that hears late does not prolong it. One that heard much later than its last answer, or has just
+started, would then often refuse everyone at once; it goes on for UNKNOWN_SECONDS instead.
 
 All times are of a clock that counts while the instance is suspended.
+
+Grounds:
+- PLACE_MARGIN_SECONDS covers the time between a request's departure and its first token at a
+  full engine: first events are forecast up to 0.45 s ahead where callers aim at half a second.
+- UNKNOWN_SECONDS is over before anyone counts on a process again, three seconds after it started
+  or woke.
 """
 
 import dataclasses
 
-MARGIN_SECONDS = 1.0
-FIRST_SECONDS = 1.5
+PLACE_MARGIN_SECONDS = 1.0
+UNKNOWN_SECONDS = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WantedVersion:
-    """A version that was named, and from when on older ones get no requests."""
+    """A version that was named, and when that may have been.
+
+    Attributes:
+      after: When it certainly had not been named yet; minus infinity where nothing is known.
+      before: When somebody had certainly heard of it.
+      heard_at: When this process heard of it.
+    """
 
     version: int
-    binding_from: float
+    after: float
+    before: float
+    heard_at: float
+
+    def binds_at(self, bound: float) -> float:
+        """Returns when, so many seconds after the naming, nothing older may begin."""
+        unknown = min(self.heard_at + UNKNOWN_SECONDS, self.before + bound)
+        return max(self.after + bound, unknown)
 
 
 class VersionFloor:
@@ -46,29 +64,32 @@
     def newest_seconds(self, now: float) -> float:
         """Returns for how long the newest version has been wanted, as far as is known."""
         newest = max(self._wanted, key=lambda wanted: wanted.version)
-        return max(0.0, now - (newest.binding_from - self._bound + MARGIN_SECONDS))
+        return max(0.0, now - newest.before)
+
+    def take(self, version: int, after: float, now: float) -> bool:
+        """Takes a version that was named; returns whether it is newer than all before.
 
-    def take(self, version: int, now: float, just_started: bool = False) -> bool:
-        """Takes a version that was named; returns whether it is newer than all before."""
+        Args:
+          after: When it certainly had not been named yet; minus infinity if unknown.
+        """
         if version <= self.newest:
             return False
-        wait = FIRST_SECONDS if just_started else self._bound - MARGIN_SECONDS
-        self._wanted.append(WantedVersion(version, now + wait))
+        self._wanted.append(WantedVersion(version, min(after, now), now, now))
         return True
 
     def take_told(self, version: int, seconds: float, now: float) -> None:
-        """Takes from a process that runs for longer how long a version has been wanted."""
-        binding_from = now - seconds + self._bound - MARGIN_SECONDS
+        """Takes from another process how long ago it had heard of a version."""
         self._wanted = [
             (
-                WantedVersion(w.version, min(w.binding_from, binding_from))
+                dataclasses.replace(w, before=max(w.after, min(w.before, now - seconds)))
                 if w.version == version
                 else w
             )
             for w in self._wanted
         ]
 
-    def oldest_allowed(self, now: float) -> int:
-        """Returns the oldest version that a request may begin on."""
-        bound = [wanted.version for wanted in self._wanted if now >= wanted.binding_from]
+    def oldest_to_place(self, now: float) -> int:
+        """Returns the oldest version that a request may be placed on."""
+        moment = now + PLACE_MARGIN_SECONDS
+        bound = [w.version for w in self._wanted if moment >= w.binds_at(self._bound)]
         return max(bound, default=0)
--- a/wasabidrum/decisions/version_floor_test.py
+++ b/wasabidrum/decisions/version_floor_test.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from .version_floor import FIRST_SECONDS, MARGIN_SECONDS, VersionFloor
+from .version_floor import PLACE_MARGIN_SECONDS, UNKNOWN_SECONDS, VersionFloor
 
 IN_TOUCH_SECONDS = 3.0
+NEVER = float("-inf")
 
 
 class VersionFloorTest(unittest.TestCase):
@@ -12,45 +13,69 @@
 
     def setUp(self) -> None:
         self.floor = VersionFloor(8.0)
-        self.floor.take(1, 0.0)
+        self.floor.take(1, 0.0, 0.0)
 
     def test_the_version_before_answers_until_just_before_the_bound(self) -> None:
-        self.floor.take(2, 100.0)
-        self.assertEqual(self.floor.oldest_allowed(100.0 + 8.0 - MARGIN_SECONDS - 0.01), 1)
-        self.assertEqual(self.floor.oldest_allowed(100.0 + 8.0 - MARGIN_SECONDS), 2)
+        self.floor.take(2, 100.0, 100.0)
+        self.assertEqual(self.floor.oldest_to_place(100.0 + 8.0 - PLACE_MARGIN_SECONDS - 0.01), 1)
+        self.assertEqual(self.floor.oldest_to_place(100.0 + 8.0 - PLACE_MARGIN_SECONDS), 2)
 
     def test_each_of_two_versions_binds_by_its_own_time(self) -> None:
         """A version is named before the one before it is everywhere. Judged by the newest
         alone, an engine two versions back would be good for as long as operators go on
         naming new ones."""
-        self.floor.take(2, 100.0)
-        self.floor.take(3, 102.0)
-        self.assertEqual(self.floor.oldest_allowed(107.5), 2)
-        self.assertEqual(self.floor.oldest_allowed(109.5), 3)
+        self.floor.take(2, 100.0, 100.0)
+        self.floor.take(3, 102.0, 102.0)
+        self.assertEqual(self.floor.oldest_to_place(107.5), 2)
+        self.assertEqual(self.floor.oldest_to_place(109.5), 3)
 
     def test_a_version_that_was_named_before_changes_nothing(self) -> None:
-        self.floor.take(2, 100.0)
-        self.assertFalse(self.floor.take(2, 200.0))
-        self.assertFalse(self.floor.take(1, 200.0))
-        self.assertEqual(self.floor.oldest_allowed(150.0), 2)
+        self.floor.take(2, 100.0, 100.0)
+        self.assertFalse(self.floor.take(2, 200.0, 200.0))
+        self.assertFalse(self.floor.take(1, 200.0, 200.0))
+        self.assertEqual(self.floor.oldest_to_place(150.0), 2)
 
     def test_a_restarted_process_does_not_serve_an_overdue_version(self) -> None:
         """All entries are killed seconds after a version was named. Whoever starts cannot
         know since when it has been wanted; counted from the start, callers would get the
         version before for seconds more than operators allow."""
         floor = VersionFloor(8.0)
-        floor.take(2, 100.0, just_started=True)
-        self.assertEqual(floor.oldest_allowed(100.0 + FIRST_SECONDS), 2)
-        self.assertLess(FIRST_SECONDS, IN_TOUCH_SECONDS)
+        floor.take(2, NEVER, 100.0)
+        binding = 100.0 + UNKNOWN_SECONDS - PLACE_MARGIN_SECONDS
+        self.assertEqual(floor.oldest_to_place(binding - 0.01), 0)
+        self.assertEqual(floor.oldest_to_place(binding), 2)
+        self.assertLess(UNKNOWN_SECONDS, IN_TOUCH_SECONDS)
 
     def test_another_process_tells_for_how_long_a_version_has_been_wanted(self) -> None:
         floor = VersionFloor(8.0)
-        floor.take(2, 100.0, just_started=True)
+        floor.take(2, NEVER, 100.0)
         floor.take_told(2, 7.5, 100.1)
-        self.assertEqual(floor.oldest_allowed(100.1), 2)
+        self.assertEqual(floor.oldest_to_place(100.1), 2)
 
     def test_a_younger_account_does_not_prolong_the_time(self) -> None:
-        self.floor.take(2, 100.0)
+        self.floor.take(2, 100.0, 100.0)
         self.floor.take_told(2, 0.0, 105.0)
-        self.assertEqual(self.floor.oldest_allowed(107.5), 2)
+        self.assertEqual(self.floor.oldest_to_place(107.5), 2)
         self.assertAlmostEqual(self.floor.newest_seconds(103.0), 3.0)
+
+    def test_a_version_that_is_heard_late_binds_by_the_last_answer_without_it(self) -> None:
+        """An entry wakes after 5 s and hears of a version then. Counted from its hearing, its
+        callers would get the version before until 5 s after everybody else has stopped."""
+        self.floor.take(2, 100.0, 105.0)
+        self.assertEqual(self.floor.oldest_to_place(100.0 + 8.0 - PLACE_MARGIN_SECONDS), 2)
+
+    def test_one_that_may_be_overdue_is_good_for_a_moment_still(self) -> None:
+        """The store was away for long, and a version is named as soon as it is back. Counted
+        from the last answer before, the bound is over already, and all callers would be
+        refused before any engine can have switched."""
+        self.floor.take(2, 80.0, 100.0)
+        last = 100.0 + UNKNOWN_SECONDS - PLACE_MARGIN_SECONDS
+        self.assertEqual(self.floor.oldest_to_place(last - 0.01), 1)
+        self.assertEqual(self.floor.oldest_to_place(last), 2)
+
+    def test_others_are_told_when_it_was_heard_of_and_not_when_it_may_have_been_named(self) -> None:
+        """An entry that has just started tells others for how long a version has been wanted.
+        Were it to tell its worst guess, those that know better would refuse their callers."""
+        floor = VersionFloor(8.0)
+        floor.take(2, NEVER, 100.0)
+        self.assertAlmostEqual(floor.newest_seconds(100.5), 0.5)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -21,7 +21,7 @@
 from .exchange import CallerExchange
 from .load_watcher import LoadWatcher
 from .placement import Placer
-from .published_state import PublishedState
+from .published_state import MOST_SECONDS_SHOWN, PublishedState
 from .store_follower import StoreFollower
 
 # The balancer asks once a second and needs two misses; meanwhile callers still come, and are
@@ -33,8 +33,6 @@
 # closed at the limit itself could cross a request.
 IDLE_SECONDS = 30.0
 METRICS_PORT_OFFSET = 2
-# Stands for "never" where a number is asked for.
-MOST_SECONDS_SHOWN = 1e6
 
 
 class CallerServer(httputil.HTTPServerConnectionDelegate):
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -220,7 +220,7 @@
         changes = tuple(StoreChange(c.key, c.revision, c.value) for c in reply.changes)
         reading = StoreReading(changes, reply.revision)
         if reply.whole:
-            self._state.take_reading(reading, now, first=not self._state.revision)
+            self._state.take_reading(reading, now)
         else:
             self._state.take_changes(reading, now)
 
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -281,7 +281,7 @@
             return False
         if weights and endpoint.weights != weights:
             return False
-        return endpoint.weights >= self._state.oldest_allowed(endpoint.model)
+        return endpoint.weights >= self._state.oldest_to_place(endpoint.model)
 
     def _forget_unlisted(self) -> None:
         listed = {(e.id, e.started_at) for e in self._state.endpoints.endpoints}
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -16,6 +16,8 @@
 
 # Endpoints of the two-year size and as many removals; beyond that the oldest removals go.
 MOST_ITEMS = 4096
+# Stands for "never" where a number is asked for.
+MOST_SECONDS_SHOWN = 1e6
 
 
 class PublishedState:
@@ -53,13 +55,13 @@
     # loop's, an entry that wakes after a minute would place requests on weights whose time is
     # long over, and callers would get text that nobody else serves any more.
 
-    def oldest_allowed(self, model: str) -> int:
-        """Returns the oldest version of a model's weights that may begin a request now."""
+    def oldest_to_place(self, model: str) -> int:
+        """Returns the oldest version of a model's weights that requests are placed on now."""
         floor = self._floors.get(model)
-        return floor.oldest_allowed(awake_seconds()) if floor else 0
+        return floor.oldest_to_place(awake_seconds()) if floor else 0
 
     def take_told_version(self, model: str, version: int, seconds: float) -> None:
-        """Takes from another process for how long a version has been wanted."""
+        """Takes from another process how long ago it had heard of a version."""
         floor = self._floors.get(model)
         if floor is not None and version:
             floor.take_told(version, seconds, awake_seconds())
@@ -80,20 +82,25 @@
             return True, [change for change in self._items.values() if change.value is not None]
         return False, [change for change in self._items.values() if change.revision > revision]
 
-    def take_changes(self, reading: StoreReading, now: float) -> None:
-        """Takes changes, in their order, up to a revision."""
+    def take_changes(self, reading: StoreReading, now: float, after: float = float("-inf")) -> None:
+        """Takes changes, in their order, up to a revision.
+
+        Args:
+          after: By the awake clock, when none of them had been made yet; the lease may know
+            a later moment.
+        """
         for change in sorted(reading.changes, key=lambda change: change.revision):
-            self.take_change(change, now)
+            self.take_change(change, now, after)
         self.revision = max(self.revision, reading.revision)
 
-    def take_reading(self, reading: StoreReading, now: float, first: bool) -> None:
+    def take_reading(self, reading: StoreReading, now: float) -> None:
         """Takes everything that the store holds."""
         # The configuration comes first: it says how many layers make an engine whole.
         ordered = sorted(
             reading.changes, key=lambda change: kind_of(change.key) is not ItemKind.CONFIGURATION
         )
         for change in ordered:
-            self.take_change(change, now, first)
+            self.take_change(change, now)
         listed = {
             published_records.endpoint_id_of(change.key)
             for change in reading.changes
@@ -106,8 +113,8 @@
         self._whole_after = reading.revision
         self.revision = max(self.revision, reading.revision)
 
-    def take_change(self, change: StoreChange, now: float, first: bool = False) -> None:
-        """Takes one item as it is now, or its removal."""
+    def take_change(self, change: StoreChange, now: float, after: float = float("-inf")) -> None:
+        """Takes one item as it is now, or its removal; see take_changes."""
         self._remember(change)
         kind = kind_of(change.key)
         if kind is ItemKind.ENDPOINT:
@@ -115,7 +122,7 @@
         elif kind is ItemKind.CONFIGURATION and change.value is not None:
             self._take_configuration(change)
         elif kind is ItemKind.VERSION and change.value is not None:
-            self._take_version(change, first)
+            self._take_version(change, max(after, self.lease.dated))
 
     def tick(self, now: float) -> None:
         """Ends what only time ends."""
@@ -160,7 +167,7 @@
             workspaces=len(configuration.workspaces),
         )
 
-    def _take_version(self, change: StoreChange, first: bool) -> None:
+    def _take_version(self, change: StoreChange, after: float) -> None:
         try:
             model, version = published_records.decode_version(change.value or b"")
         except CodedError as error:
@@ -169,8 +176,12 @@
             )
             return
         floor = self._floors.setdefault(model, VersionFloor(self._bounds.version))
-        if floor.take(version, awake_seconds(), first):
-            self._log.write(Event.VERSION_NAMED, model=model, version=version)
+        now = awake_seconds()
+        if floor.take(version, after, now):
+            age = min(now - after, MOST_SECONDS_SHOWN)
+            self._log.write(
+                Event.VERSION_NAMED, model=model, version=version, evidence_age=round(age, 3)
+            )
 
     def _take_endpoint(self, endpoint_id: str, change: StoreChange, now: float) -> None:
         if change.value is None:
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -4,6 +4,7 @@
 
 from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
+from ..decisions.evidence_lease import prompt_after
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..platform.store_client import StoreClient, Watched
@@ -53,17 +54,17 @@
     async def _step(self) -> None:
         asked_at = awake_seconds()
         state = self._state
-        first = not state.revision
-        if first or self._lost_history:
+        if not state.revision or self._lost_history:
             reading = await self._store.read(Watched.ALL)
             self._take_answer()
-            state.take_reading(reading, asyncio.get_running_loop().time(), first)
+            state.take_reading(reading, asyncio.get_running_loop().time())
             self._lost_history = False
         else:
             # One watch brings configuration, versions and endpoints in their order.
             reading = await self._store.watch(Watched.ALL, state.revision, WATCH_SECONDS)
             self._take_answer()
-            state.take_changes(reading, asyncio.get_running_loop().time())
+            after = prompt_after(asked_at, awake_seconds(), WATCH_SECONDS)
+            state.take_changes(reading, asyncio.get_running_loop().time(), after)
         state.lease.renew(asked_at)
         if reading.changes:
             await asyncio.sleep(GATHER_SECONDS)
