Take back what has not begun before a version's bound

Two callers of the incident got text from weights that had been replaced 8.4 s before, with a bound of 8 s. Their requests were placed in time, 5.5 and 5.8 s after the naming, at an engine that was suspended; it began them when it woke. The bound was judged once, where a request is placed, and counts where it begins; in between lie links, queues and engines that stand still, which no margin covers.

What is placed is judged once more as it leaves, for a process may have slept since. An engine is not blamed for what is taken back. It holds for whatever holds a request up, because it does not ask what does.

--- a/tests/version_bound_test.py
+++ b/tests/version_bound_test.py
@@ -18,6 +18,7 @@
 )
 from wasabidrum.config.deployment import Bounds
 from wasabidrum.core import awake_clock
+from wasabidrum.gateway import endpoint_connection
 from wasabidrum.platform import names
 
 MODEL = "m1"
@@ -183,6 +184,28 @@
             reply = await self.ask("r1")
         self.assertEqual((self.old.runs["r1"], reply.status), (0, 503))
 
+    async def test_a_request_under_way_while_the_entry_was_suspended_does_not_leave(self) -> None:
+        """A request is placed in time, and its entry is suspended while a connection opens.
+        Sent on waking, it would begin at once, on weights whose time is over."""
+        real = awake_clock.time.clock_gettime
+        connect = endpoint_connection.connect
+        ahead = [0.0]
+
+        async def connect_and_sleep(*arguments):
+            connection = await connect(*arguments)
+            ahead[0] = SUSPENDED_SECONDS
+            return connection
+
+        await self.name_and_hear(2)
+        with (
+            mock.patch.object(
+                awake_clock.time, "clock_gettime", lambda clock: real(clock) + ahead[0]
+            ),
+            mock.patch.object(endpoint_connection, "connect", connect_and_sleep),
+        ):
+            reply = await self.ask("r1")
+        self.assertEqual((self.old.runs["r1"], reply.status), (0, 503))
+
 
 class LateHearingTest(VersionBoundCase):
     """An entry that hears late how long ago a version was named."""
--- a/wasabidrum/decisions/version_floor_test.py
+++ b/wasabidrum/decisions/version_floor_test.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from .version_floor import PLACE_MARGIN_SECONDS, UNKNOWN_SECONDS, VersionFloor
+from .version_floor import (
+    BEGIN_MARGIN_SECONDS,
+    PLACE_MARGIN_SECONDS,
+    UNKNOWN_SECONDS,
+    VersionFloor,
+)
 
 IN_TOUCH_SECONDS = 3.0
 NEVER = float("-inf")
@@ -79,3 +84,12 @@
         floor = VersionFloor(8.0)
         floor.take(2, NEVER, 100.0)
         self.assertAlmostEqual(floor.newest_seconds(100.5), 0.5)
+
+    def test_what_was_placed_in_time_may_begin_a_little_longer(self) -> None:
+        """A request is placed in the last moment, and its engine takes half a second to begin
+        it. Taken back at once its caller would lose its turn for nothing; left for longer it
+        could begin after the bound."""
+        self.floor.take(2, 100.0, 100.0)
+        placed_last = 100.0 + 8.0 - PLACE_MARGIN_SECONDS
+        self.assertEqual(self.floor.oldest_to_begin(placed_last + 0.5), 1)
+        self.assertEqual(self.floor.oldest_to_begin(100.0 + 8.0 - BEGIN_MARGIN_SECONDS), 2)
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -25,6 +25,8 @@
 # A connection within the fleet opens in some milliseconds; a machine that does not answer in
 # this time is dark or drops connections, and another one can still answer in time.
 CONNECT_SECONDS = 0.25
+# Why an attempt is taken back: others have had newer weights for as long as the bound allows.
+WEIGHTS_OVERDUE = "weights_overdue"
 
 
 class AttemptError(Exception):
@@ -46,7 +48,7 @@
     """
 
     __slots__ = ("_exchange", "_gateway", "_call", "_progress", "_placed", "_answered")
-    __slots__ += ("number", "began")
+    __slots__ += ("_connection", "_taken_back", "number", "began")
 
     def __init__(
         self,
@@ -64,9 +66,25 @@
         self._placed = placed
         # Whether its first event came.
         self._answered = False
+        self._connection: EndpointConnection | None = None
+        # Why it may not begin any more; empty while it may.
+        self._taken_back = ""
         self.number = number
         self.began = asyncio.get_running_loop().time()
 
+    @property
+    def placed(self) -> Placed:
+        """Where it was sent, and on which weights."""
+        return self._placed
+
+    def take_back(self, reason: str) -> None:
+        """Drops the request where it waits, unless its endpoint has begun to answer."""
+        if self._connection is not None and self._connection.answering:
+            return
+        self._taken_back = reason
+        if self._connection is not None:
+            self._connection.break_off()
+
     async def run(self) -> None:
         """Returns once the answer was passed on.
 
@@ -76,17 +94,17 @@
         placed = self._placed
         prompt = self._call.head.prompt_tokens
         self._gateway.placer.begin(placed, prompt)
-        connection: EndpointConnection | None = None
+        self._gateway.unbegun.add(self)
         try:
             endpoint = placed.endpoint
             timeout = min(CONNECT_SECONDS, self._call.left)
             try:
-                connection = await endpoint_connection.connect(
+                self._connection = await endpoint_connection.connect(
                     endpoint.host, endpoint.port, timeout
                 )
             except CodedError as error:
                 raise AttemptError(AttemptEnd.NOT_SENT, error.code) from error
-            await self._exchange_with(connection)
+            await self._exchange_with(self._connection)
             self._gateway.placer.take_success(placed)
         except (asyncio.CancelledError, iostream.StreamClosedError):
             # Its caller has left. Were it a probe that is waited for, there would be no other,
@@ -94,16 +112,19 @@
             self._gateway.placer.take_no_verdict(placed)
             raise
         finally:
+            self._gateway.unbegun.discard(self)
             placed.load.ended(prompt, self._answered)
-            if connection is not None:
-                connection.close()
+            if self._connection is not None:
+                self._connection.close()
 
     async def _exchange_with(self, connection: EndpointConnection) -> None:
         call, placed = self._call, self._placed
         # Looked at again just before the request leaves: it may have waited for a connection,
-        # or this process may have slept, since its key was judged.
+        # or this process may have slept, since its key and its weights were judged.
         if call.workspace and not self._gateway.state.lease.holds(awake_seconds()):
             raise AttemptError(AttemptEnd.NOT_SENT, "not_ready")
+        if self._taken_back or not self._gateway.unbegun.may_begin(placed):
+            raise AttemptError(AttemptEnd.NOT_SENT, WEIGHTS_OVERDUE)
         headers = heads.write_forwarded(
             call.head,
             placed.endpoint,
@@ -130,9 +151,12 @@
 
     async def _next_part(self, connection: EndpointConnection) -> Part:
         try:
-            return await asyncio.wait_for(connection.next_part(), max(0.001, self._call.left))
+            part = await asyncio.wait_for(connection.next_part(), max(0.001, self._call.left))
         except TimeoutError as error:
             raise AttemptError(AttemptEnd.LOST, "timeout") from error
+        if part.kind is PartKind.BROKEN and self._taken_back:
+            raise AttemptError(AttemptEnd.LOST, self._taken_back)
+        return part
 
     async def _read_head(self, connection: EndpointConnection) -> ReplyHead:
         part = await self._next_part(connection)
@@ -191,6 +215,7 @@
         loop = asyncio.get_running_loop()
         if not self._answered:
             self._answered = True
+            self._gateway.unbegun.discard(self)
             prompt = self._call.head.prompt_tokens
             seconds = loop.time() - self.began
             self._gateway.placer.take_first_event(self._placed, prompt, seconds)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -23,6 +23,7 @@
 from .placement import Placer
 from .published_state import MOST_SECONDS_SHOWN, PublishedState
 from .store_follower import StoreFollower
+from .unbegun import UnbegunAttempts
 
 # The balancer asks once a second and needs two misses; meanwhile callers still come, and are
 # served. After that only those come that keep a connection.
@@ -75,6 +76,7 @@
         self.state = PublishedState(deployment.bounds, log)
         store = make_store_client(client, deployment.store)
         self._follower = StoreFollower(store, self.state, log)
+        self.unbegun = UnbegunAttempts(self.state)
         self.guard = PoisonGuard()
         self.peers = EntryPeers(deployment, self.state, self.guard, self.tasks, log)
         self.placer = Placer(self.state, log, deployment.data_centre, deployment.bounds, self.peers)
@@ -132,6 +134,7 @@
         self.tasks.start("store", self._follower.run())
         self.tasks.start("ticks", self._follower.tick())
         self.tasks.start("loads", self._watcher.run())
+        self.tasks.start("unbegun", self.unbegun.run())
         self.log.write(Event.DAEMON_STARTED, role="entry", caller_port=deployment.callers.port)
 
     def reload(self, deployment: Deployment) -> list[str]:
--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -52,6 +52,7 @@
 
     Attributes:
       sent: Whether a byte of the request may have left.
+      answering: Whether a byte of the answer's body has come.
     """
 
     def __init__(self, stream: iostream.IOStream) -> None:
@@ -64,6 +65,7 @@
         self._unframed = False
         self._ended = False
         self.sent = False
+        self.answering = False
 
     def send(self, method: str, target: str, headers: httputil.HTTPHeaders, body: bytes) -> None:
         """Sends the request and begins to read the answer."""
@@ -93,6 +95,14 @@
             self._room = None
         return part
 
+    def break_off(self) -> None:
+        """Drops the request where it waits; whoever reads the answer finds it broken."""
+        if self._ended:
+            return
+        self._drop_unsent()
+        self._put(Part(PartKind.BROKEN))
+        self._stream.close()
+
     def close(self) -> None:
         """Ends the connection, so that the endpoint stops work on the request."""
         if self.sent and not self._ended and not self._stream.closed():
@@ -126,6 +136,7 @@
 
     def data_received(self, chunk: bytes) -> asyncio.Future | None:
         """Takes some of the body; the reader waits where too much is held already."""
+        self.answering = True
         self._put(Part(PartKind.BODY, content=chunk))
         self._held += len(chunk)
         if self._held < READ_AHEAD_BYTES or self._ended:
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -10,7 +10,7 @@
 from ..decisions import poison
 from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
 from ..observe.event import Event
-from .attempt import Attempt, AttemptError
+from .attempt import WEIGHTS_OVERDUE, Attempt, AttemptError
 from .call import Call, StreamProgress
 from .placement import Placed
 
@@ -177,9 +177,7 @@
             end=error.end.value,
             events=self._progress.events,
         )
-        # A caller's own short time says nothing of the endpoint.
-        waited = asyncio.get_running_loop().time() - attempt.began
-        if error.code != "timeout" or waited > OVERDUE_FACTOR * placed.seconds:
+        if self._blames_endpoint(placed, attempt, error):
             self._gateway.placer.take_failure(placed, error.code)
         else:
             self._gateway.placer.take_no_verdict(placed)
@@ -193,3 +191,10 @@
                 endpoint=placed.endpoint.id,
                 fingerprint=self._fingerprint,
             )
+
+    def _blames_endpoint(self, placed: Placed, attempt: Attempt, error: AttemptError) -> bool:
+        # What is taken back, and a caller's own short time, say nothing of the endpoint.
+        if error.code == WEIGHTS_OVERDUE:
+            return False
+        waited = asyncio.get_running_loop().time() - attempt.began
+        return error.code != "timeout" or waited > OVERDUE_FACTOR * placed.seconds
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -60,6 +60,11 @@
         floor = self._floors.get(model)
         return floor.oldest_to_place(awake_seconds()) if floor else 0
 
+    def may_begin(self, model: str, weights: int) -> bool:
+        """Returns whether a request on its way may still begin on some weights of a model."""
+        floor = self._floors.get(model)
+        return floor is None or weights >= floor.oldest_to_begin(awake_seconds())
+
     def take_told_version(self, model: str, version: int, seconds: float) -> None:
         """Takes from another process how long ago it had heard of a version."""
         floor = self._floors.get(model)
