Take work away from an endpoint that stands still, where another can go on with it

Callers whose engine had been suspended waited 3.2 s for nothing beside engines that had room, and left; what the engine had read before, it began on waking, for nobody. The entry had found it silent after a second and sent it nothing more, but never looked again at what it had sent. Attempts in progress are looked through every 0.1 s: one whose endpoint is silent goes on elsewhere if it may run again, the retry budget covers it, and another endpoint would take it in time; otherwise it waits where it is. An entry whose own loop was late judges nobody's silence, because the answers may lie unread here.

--- a/wasabidrum/decisions/attempt_rule.py
+++ b/wasabidrum/decisions/attempt_rule.py
@@ -67,6 +67,10 @@
             return True
         return self._idempotent and self.runs < self._most_runs
 
+    def may_follow_a_run(self) -> bool:
+        """Returns whether a run may be given up for another, as far as outcomes go."""
+        return self._idempotent and self.runs + 1 < self._most_runs
+
     def final_status(self, late: bool) -> int:
         """Returns the status of a final answer that is not an endpoint's."""
         if not self.may_have_run:
--- a/wasabidrum/decisions/endpoint_health.py
+++ b/wasabidrum/decisions/endpoint_health.py
@@ -102,8 +102,7 @@
 
     def take_silence(self, seconds: float, median: float, now: float) -> bool:
         """Takes for how long answers in progress have stood still."""
-        silent = max(SHORTEST_SILENCE_SECONDS, SILENT_RATIO * median)
-        if seconds > silent and self._health is Health.HEALTHY:
+        if is_silent(seconds, median) and self._health is Health.HEALTHY:
             self._eject(Health.SLOW, now)
             return True
         return False
@@ -147,3 +146,8 @@
         self._tries += 1
         delay = backoff.delay_before(self._tries, self._rng, FIRST_PROBE_SECONDS)
         self._probe_at = now + delay
+
+
+def is_silent(seconds: float, median: float) -> bool:
+    """Returns whether answers in progress that stand still for so long are more than slow."""
+    return seconds > max(SHORTEST_SILENCE_SECONDS, SILENT_RATIO * median)
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -1,6 +1,8 @@
 """One attempt: a request sent to one endpoint, and its answer passed on."""
 
 import asyncio
+import collections.abc
+import enum
 import typing
 
 from tornado import iostream
@@ -25,8 +27,17 @@
 # A connection within the fleet opens in some milliseconds; a machine that does not answer in
 # this time is dark or drops connections, and another one can still answer in time.
 CONNECT_SECONDS = 0.25
-# Why an attempt is taken back: others have had newer weights for as long as the bound allows.
-WEIGHTS_OVERDUE = "weights_overdue"
+
+
+class TakenBack(enum.Enum):
+    """Why an attempt was taken back from its endpoint; none of it is the request's failure.
+
+    WEIGHTS_OVERDUE: It has not begun, and newer weights have been named for as long as the bound
+    allows. ENDPOINT_SILENT: Nothing comes from there, and another endpoint can go on with it.
+    """
+
+    WEIGHTS_OVERDUE = "weights_overdue"
+    ENDPOINT_SILENT = "endpoint_silent"
 
 
 class AttemptError(Exception):
@@ -48,7 +59,7 @@
     """
 
     __slots__ = ("_exchange", "_gateway", "_call", "_progress", "_placed", "_answered")
-    __slots__ += ("_connection", "_taken_back", "number", "began")
+    __slots__ += ("_connection", "_taken_back", "_may_move", "number", "began")
 
     def __init__(
         self,
@@ -58,6 +69,7 @@
         progress: StreamProgress,
         placed: Placed,
         number: int,
+        may_move: collections.abc.Callable[[Placed], bool],
     ) -> None:
         self._exchange = exchange
         self._gateway = gateway
@@ -67,8 +79,9 @@
         # Whether its first event came.
         self._answered = False
         self._connection: EndpointConnection | None = None
-        # Why it may not begin any more; empty while it may.
-        self._taken_back = ""
+        # Why it does not go on here; None while it does.
+        self._taken_back: TakenBack | None = None
+        self._may_move = may_move
         self.number = number
         self.began = asyncio.get_running_loop().time()
 
@@ -77,10 +90,22 @@
         """Where it was sent, and on which weights."""
         return self._placed
 
-    def take_back(self, reason: str) -> None:
-        """Drops the request where it waits, unless its endpoint has begun to answer."""
-        if self._connection is not None and self._connection.answering:
-            return
+    @property
+    def begun(self) -> bool:
+        """Whether something of an answer came, read by now or not."""
+        return self._connection is not None and self._connection.answering
+
+    @property
+    def taken_back(self) -> TakenBack | None:
+        """Why it was taken back, or None."""
+        return self._taken_back
+
+    def may_move(self) -> bool:
+        """Returns whether another endpoint may and can go on with it."""
+        return self._taken_back is None and self._may_move(self._placed)
+
+    def take_back(self, reason: TakenBack) -> None:
+        """Drops the request where it is; see AttemptsInProgress."""
         self._taken_back = reason
         if self._connection is not None:
             self._connection.break_off()
@@ -94,7 +119,7 @@
         placed = self._placed
         prompt = self._call.head.prompt_tokens
         self._gateway.placer.begin(placed, prompt)
-        self._gateway.unbegun.add(self)
+        self._gateway.attempts.add(self)
         try:
             endpoint = placed.endpoint
             timeout = min(CONNECT_SECONDS, self._call.left)
@@ -112,7 +137,7 @@
             self._gateway.placer.take_no_verdict(placed)
             raise
         finally:
-            self._gateway.unbegun.discard(self)
+            self._gateway.attempts.discard(self)
             placed.load.ended(prompt, self._answered)
             if self._connection is not None:
                 self._connection.close()
@@ -123,8 +148,10 @@
         # or this process may have slept, since its key and its weights were judged.
         if call.workspace and not self._gateway.state.lease.holds(awake_seconds()):
             raise AttemptError(AttemptEnd.NOT_SENT, "not_ready")
-        if self._taken_back or not self._gateway.unbegun.may_begin(placed):
-            raise AttemptError(AttemptEnd.NOT_SENT, WEIGHTS_OVERDUE)
+        if not self._gateway.attempts.may_begin(placed):
+            self._taken_back = TakenBack.WEIGHTS_OVERDUE
+        if self._taken_back is not None:
+            raise AttemptError(AttemptEnd.NOT_SENT, self._taken_back.value)
         headers = heads.write_forwarded(
             call.head,
             placed.endpoint,
@@ -154,8 +181,8 @@
             part = await asyncio.wait_for(connection.next_part(), max(0.001, self._call.left))
         except TimeoutError as error:
             raise AttemptError(AttemptEnd.LOST, "timeout") from error
-        if part.kind is PartKind.BROKEN and self._taken_back:
-            raise AttemptError(AttemptEnd.LOST, self._taken_back)
+        if part.kind is PartKind.BROKEN and self._taken_back is not None:
+            raise AttemptError(AttemptEnd.LOST, self._taken_back.value)
         return part
 
     async def _read_head(self, connection: EndpointConnection) -> ReplyHead:
@@ -215,7 +242,6 @@
         loop = asyncio.get_running_loop()
         if not self._answered:
             self._answered = True
-            self._gateway.unbegun.discard(self)
             prompt = self._call.head.prompt_tokens
             seconds = loop.time() - self.began
             self._gateway.placer.take_first_event(self._placed, prompt, seconds)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -17,13 +17,13 @@
 from ..platform import names
 from ..platform.store_client import make_store_client
 from ..wire import http_client
+from .attempts_in_progress import AttemptsInProgress
 from .entry_peers import EntryPeers
 from .exchange import CallerExchange
 from .load_watcher import LoadWatcher
 from .placement import Placer
 from .published_state import MOST_SECONDS_SHOWN, PublishedState
 from .store_follower import StoreFollower
-from .unbegun import UnbegunAttempts
 
 # The balancer asks once a second and needs two misses; meanwhile callers still come, and are
 # served. After that only those come that keep a connection.
@@ -76,10 +76,10 @@
         self.state = PublishedState(deployment.bounds, log)
         store = make_store_client(client, deployment.store)
         self._follower = StoreFollower(store, self.state, log)
-        self.unbegun = UnbegunAttempts(self.state)
         self.guard = PoisonGuard()
         self.peers = EntryPeers(deployment, self.state, self.guard, self.tasks, log)
         self.placer = Placer(self.state, log, deployment.data_centre, deployment.bounds, self.peers)
+        self.attempts = AttemptsInProgress(self.state, self.placer)
         self._watcher = LoadWatcher(
             deployment, self.state, log, make_incarnation(), self.placer.take_status
         )
@@ -134,7 +134,7 @@
         self.tasks.start("store", self._follower.run())
         self.tasks.start("ticks", self._follower.tick())
         self.tasks.start("loads", self._watcher.run())
-        self.tasks.start("unbegun", self.unbegun.run())
+        self.tasks.start("attempts", self.attempts.run())
         self.log.write(Event.DAEMON_STARTED, role="entry", caller_port=deployment.callers.port)
 
     def reload(self, deployment: Deployment) -> list[str]:
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -10,7 +10,7 @@
 from ..decisions import poison
 from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
 from ..observe.event import Event
-from .attempt import WEIGHTS_OVERDUE, Attempt, AttemptError
+from .attempt import Attempt, AttemptError
 from .call import Call, StreamProgress
 from .placement import Placed
 
@@ -76,7 +76,13 @@
                 return
             number = self._history.sends + 1
             attempt = Attempt(
-                self._exchange, self._gateway, self._call, self._progress, placed, number
+                self._exchange,
+                self._gateway,
+                self._call,
+                self._progress,
+                placed,
+                number,
+                self._may_move,
             )
             try:
                 await attempt.run()
@@ -143,6 +149,18 @@
         retry = min(choice.retry_after, RETRY_FRACTION * left) * (1.0 + 0.3 * placer.rng.random())
         raise CodedError(code, message, 503, retry_after=retry)
 
+    def _may_move(self, placed: Placed) -> bool:
+        """Returns whether another endpoint may and can go on with what was placed."""
+        call, placer = self._call, self._gateway.placer
+        if call.left <= SHORTEST_USEFUL_SECONDS or not self._history.may_follow_a_run():
+            return False
+        if not placer.budget(self._service).covers(self._retries):
+            return False
+        tried = self._tried | {placed.endpoint.id}
+        weights = self._progress.weights
+        choice = placer.choose(call.route, self._service, call.head, tried, weights, call.left)
+        return choice.candidate is not None
+
     def _may_go_on(self) -> bool:
         if self._call.left <= SHORTEST_USEFUL_SECONDS or not self._history.may_go_on():
             return False
@@ -194,7 +212,7 @@
 
     def _blames_endpoint(self, placed: Placed, attempt: Attempt, error: AttemptError) -> bool:
         # What is taken back, and a caller's own short time, say nothing of the endpoint.
-        if error.code == WEIGHTS_OVERDUE:
+        if attempt.taken_back is not None:
             return False
         waited = asyncio.get_running_loop().time() - attempt.began
         return error.code != "timeout" or waited > OVERDUE_FACTOR * placed.seconds
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -12,6 +12,7 @@
 from ..core.route import Route, RouteKind
 from ..core.status import Status
 from ..decisions.endpoint_choice import LATEST_FRACTION, Candidate, Choice, Demand, choose
+from ..decisions.endpoint_health import is_silent
 from ..decisions.endpoint_load import EndpointLoad
 from ..decisions.engine_forecast import pass_seconds
 from ..decisions.entry_roster import Place
@@ -138,6 +139,25 @@
           weights: The version that must answer, for a stream that goes on; zero for any.
         """
         now = asyncio.get_running_loop().time()
+        choice = self.choose(route, service, head, tried, weights, seconds_left)
+        if choice.candidate is None:
+            self.traffic(service).refusals.take(now)
+            return None, choice
+        endpoint = choice.candidate.endpoint
+        version = endpoint.weights if self._state.engine_of(service) is not None else 0
+        return Placed(endpoint, choice.candidate.load, version, choice.seconds, choice.raw), choice
+
+    def choose(
+        self,
+        route: Route,
+        service: str,
+        head: RequestHead,
+        tried: frozenset[str],
+        weights: int,
+        seconds_left: float,
+    ) -> Choice:
+        """Returns where a request would go now; see place."""
+        now = asyncio.get_running_loop().time()
         figures = self._state.engine_of(service)
         self._deal()
         candidates = self._candidates(service, figures, tried, weights, now)
@@ -155,13 +175,7 @@
             corrections=traffic.bias.corrections(now),
             refused_share=traffic.refused_share(now),
         )
-        choice = choose(candidates, figures, demand, now, self._rng)
-        if choice.candidate is None:
-            traffic.refusals.take(now)
-            return None, choice
-        endpoint = choice.candidate.endpoint
-        version = endpoint.weights if figures is not None else 0
-        return Placed(endpoint, choice.candidate.load, version, choice.seconds, choice.raw), choice
+        return choose(candidates, figures, demand, now, self._rng)
 
     def traffic(self, service: str) -> ServiceTraffic:
         """Returns what this entry sends to a service."""
@@ -233,11 +247,19 @@
             near = endpoint.data_centre == self._near
             first = figures is None or endpoint.id in self._first
             load = self.load_of(endpoint)
-            usual = load.run_seconds if figures is None else one_pass
-            self._judge_silence(endpoint, load, usual, now)
+            self._judge_silence(endpoint, load, one_pass or load.run_seconds, now)
             found.append(Candidate(endpoint, load, near, first))
         return found
 
+    def is_silent(self, placed: Placed) -> bool:
+        """Returns whether an endpoint stands still with requests of this entry."""
+        now = asyncio.get_running_loop().time()
+        figures = self._state.engine_of(placed.endpoint.service)
+        one_pass = 0.0 if figures is None else pass_seconds(figures, figures.slots)
+        usual = one_pass or placed.load.run_seconds
+        self._judge_silence(placed.endpoint, placed.load, usual, now)
+        return is_silent(placed.load.silent_seconds(now), usual)
+
     def _judge_silence(
         self, endpoint: ListedEndpoint, load: EndpointLoad, usual: float, now: float
     ) -> None:
