Take back what an endpoint that is leaving or gone has not begun before its bound

A request that was sent before its endpoint left the list, and lies unread because the endpoint is suspended, would begin on waking, seconds after the endpoint was to get no more work: its caller is answered by an instance that everybody else takes for gone. The bound was judged at placing only, as for weights. 0.4 s before it, an attempt of which nothing has come from a silent endpoint that is leaving or gone is reset, if it may run again. What may run only once stays, for it may have begun; it ends with its route's time. What has begun goes on (test).

--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -34,10 +34,13 @@
 
     WEIGHTS_OVERDUE: It has not begun, and newer weights have been named for as long as the bound
     allows. ENDPOINT_SILENT: Nothing comes from there, and another endpoint can go on with it.
+    ENDPOINT_RETIRED: Nothing comes from there, it has not begun, and the endpoint has been
+    leaving or gone for so long that it must get no more work.
     """
 
     WEIGHTS_OVERDUE = "weights_overdue"
     ENDPOINT_SILENT = "endpoint_silent"
+    ENDPOINT_RETIRED = "endpoint_retired"
 
 
 class AttemptError(Exception):
@@ -90,6 +93,11 @@
         """Where it was sent, and on which weights."""
         return self._placed
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether its request may run more than once."""
+        return self._call.route.idempotent
+
     @property
     def begun(self) -> bool:
         """Whether something of an answer came, read by now or not."""
--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -13,6 +13,8 @@
 LOOK_SECONDS = 0.1
 # A loop that is later than this has not read what came meanwhile: silence may be its own.
 LATE_SECONDS = 0.3
+# Before the bound after which an endpoint that leaves gets no more work, as for weights.
+RETIRED_MARGIN_SECONDS = 0.4
 
 
 class Waiting(typing.Protocol):
@@ -22,6 +24,10 @@
     def placed(self) -> Placed:
         """Where it was sent, and on which weights."""
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether its request may run more than once."""
+
     @property
     def begun(self) -> bool:
         """Whether something of an answer came."""
@@ -42,10 +48,14 @@
     an engine tell that it stands still; its callers notice, and leave after some seconds.
     """
 
-    __slots__ = ("_state", "_placer", "_attempts", "_looked_at")
+    __slots__ = ("_state", "_placer", "_attempts", "_looked_at", "_drain", "_retired_at")
 
-    def __init__(self, state: PublishedState, placer: Placer) -> None:
+    def __init__(self, state: PublishedState, placer: Placer, drain: float) -> None:
+        """Takes the seconds from an endpoint's leaving until it must get no more work."""
         self._state = state
+        self._drain = drain
+        # Since when each endpoint with work of this entry is leaving or gone, by its id.
+        self._retired_at: dict[str, float] = {}
         self._placer = placer
         self._attempts: set[Waiting] = set()
         self._looked_at = float("-inf")
@@ -76,8 +86,36 @@
         now = awake_seconds()
         late = now - self._looked_at > LOOK_SECONDS + LATE_SECONDS
         self._looked_at = now
+        self._note_retired(now)
         for attempt in list(self._attempts):
-            if not attempt.begun and not self.may_begin(attempt.placed):
-                attempt.take_back(TakenBack.WEIGHTS_OVERDUE)
-            elif not late and self._placer.is_silent(attempt.placed) and attempt.may_move():
-                attempt.take_back(TakenBack.ENDPOINT_SILENT)
+            reason = self._reason_to_take_back(attempt, now, late)
+            if reason is not None:
+                attempt.take_back(reason)
+
+    def _reason_to_take_back(self, attempt: Waiting, now: float, late: bool) -> TakenBack | None:
+        placed = attempt.placed
+        if not attempt.begun and not self.may_begin(placed):
+            return TakenBack.WEIGHTS_OVERDUE
+        if late or not self._placer.is_silent(placed):
+            return None
+        if attempt.may_move():
+            return TakenBack.ENDPOINT_SILENT
+        if not attempt.begun and attempt.repeatable and self._is_retired(placed, now):
+            return TakenBack.ENDPOINT_RETIRED
+        return None
+
+    def _note_retired(self, now: float) -> None:
+        listed = self._state.endpoints
+        used = {attempt.placed.endpoint.id for attempt in self._attempts}
+        known = ((name, listed.get(name)) for name in used)
+        retired = (name for name, endpoint in known if endpoint is None or endpoint.leaving)
+        self._retired_at = {name: self._retired_at.get(name, now) for name in retired}
+
+    def _is_retired(self, placed: Placed, now: float) -> bool:
+        """Returns whether an endpoint has been leaving, or gone, for as long as the bound allows.
+
+        Suspended, it would begin on waking what lies unread on its connections. What may run
+        only once stays: it may have begun, and then its answer is the only one there will be.
+        """
+        retired_at = self._retired_at.get(placed.endpoint.id, now)
+        return now - retired_at >= self._drain - RETIRED_MARGIN_SECONDS
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -79,7 +79,7 @@
         self.guard = PoisonGuard()
         self.peers = EntryPeers(deployment, self.state, self.guard, self.tasks, log)
         self.placer = Placer(self.state, log, deployment.data_centre, deployment.bounds, self.peers)
-        self.attempts = AttemptsInProgress(self.state, self.placer)
+        self.attempts = AttemptsInProgress(self.state, self.placer, deployment.bounds.drain)
         self._watcher = LoadWatcher(
             deployment, self.state, log, make_incarnation(), self.placer.take_status
         )
