--- a/wasabidrum/entry/attempt_judge.py
+++ b/wasabidrum/entry/attempt_judge.py
@@ -1,16 +1,12 @@
 """What attempts tell of the endpoints that they run at, and of the requests that they run."""
 
-import typing
-
 from ..decisions.endpoint_state import EndpointState
 from ..decisions.poison import PoisonGuard
 from ..observe.event import Event
 from ..observe.event_log import EventLog
+from .placement import Placement
 from .target_pool import TargetPool
 
-if typing.TYPE_CHECKING:
-    from .placement import Placement
-
 # Ends that say nothing against the endpoint.
 NEUTRAL_CODES = frozenset(
     (
@@ -37,7 +33,7 @@
         self._log = log
 
     def take_progress(
-        self, placement: "Placement", pool: TargetPool, tokens: int, now: float
+        self, placement: Placement, pool: TargetPool, tokens: int, now: float
     ) -> None:
         """Takes tokens that arrived at one attempt."""
         item, state = placement.item, placement.state
@@ -52,7 +48,7 @@
         elif state.health.take_tokens(tokens, now - last, pool.median, now):
             self.eject(pool, state, f"{state.health.token_seconds:.3f} s a token")
 
-    def take_end(self, placement: "Placement", pool: TargetPool, code: str, now: float) -> None:
+    def take_end(self, placement: Placement, pool: TargetPool, code: str, now: float) -> None:
         """Takes the end of one attempt."""
         item, state = placement.item, placement.state
         state.ended()
@@ -80,7 +76,7 @@
             reason=reason,
         )
 
-    def _take_success(self, placement: "Placement", pool: TargetPool, now: float) -> None:
+    def _take_success(self, placement: Placement, pool: TargetPool, now: float) -> None:
         item, state = placement.item, placement.state
         item.whole = True
         if item.fingerprint:
@@ -92,9 +88,7 @@
             pool.refresh_soon()
             self._log.write(Event.ENDPOINT_RETURNED, endpoint=state.name)
 
-    def _take_failure(
-        self, placement: "Placement", code: str, pool: TargetPool, now: float
-    ) -> None:
+    def _take_failure(self, placement: Placement, code: str, pool: TargetPool, now: float) -> None:
         item, state = placement.item, placement.state
         state.limit.take_failure(now)
         lost = code == "engine_lost" or placement.head_at is not None
--- a/wasabidrum/entry/placement.py
+++ b/wasabidrum/entry/placement.py
@@ -12,15 +12,25 @@
 from .endpoint_table import EndpointView
 from .work_item import WorkItem
 
-if typing.TYPE_CHECKING:
-    from .traffic import Traffic
+
+class PlacementOwner(typing.Protocol):
+    """Whom an attempt tells how it goes."""
+
+    def take_status(self, status: Status) -> None:
+        """Takes a status that came on an answer."""
+
+    def take_progress(self, placement: "Placement", tokens: int, now: float) -> None:
+        """Takes tokens that arrived at one attempt."""
+
+    def take_end(self, placement: "Placement", code: str, now: float) -> None:
+        """Takes the end of one attempt."""
 
 
 class Placement:
     """Tells the decisions how an attempt goes. Exactly one call of ended ends it."""
 
     __slots__ = ("item", "view", "state", "began", "head_at", "progress_at", "tokens")
-    __slots__ += ("suspect", "_traffic", "_ended")
+    __slots__ += ("suspect", "_owner", "_ended")
 
     def __init__(
         self,
@@ -28,7 +38,7 @@
         view: EndpointView,
         state: EndpointState,
         suspect: bool,
-        traffic: "Traffic",
+        owner: PlacementOwner,
     ) -> None:
         self.item = item
         self.view = view
@@ -38,7 +48,7 @@
         self.head_at: float | None = None
         self.progress_at: float | None = None
         self.tokens = 0
-        self._traffic = traffic
+        self._owner = owner
         self._ended = False
         view.in_progress += 1
 
@@ -52,18 +62,18 @@
         if told is None:
             return
         try:
-            self._traffic.take_status(msgspec.json.decode(told, type=Status))
+            self._owner.take_status(msgspec.json.decode(told, type=Status))
         except msgspec.MsgspecError:
             return
 
     def progressed(self, tokens: int) -> None:
         """Takes how many tokens arrived just now."""
         if tokens > 0:
-            self._traffic.take_progress(self, tokens, asyncio.get_running_loop().time())
+            self._owner.take_progress(self, tokens, asyncio.get_running_loop().time())
 
     def ended(self, code: str = "") -> None:
         """Ends the attempt: with no code where the answer was whole, else with the error's."""
         if not self._ended:
             self._ended = True
             self.view.in_progress -= 1
-            self._traffic.take_end(self, code, asyncio.get_running_loop().time())
+            self._owner.take_end(self, code, asyncio.get_running_loop().time())
