Untie the entry's daemon and its handlers for callers

The handlers named the whole Entry, which starts them: nine modules on one circle. They need six things of it; CallerHandlerOwner names these, and the daemon alone knows the handlers.

Behaviour stays.

--- a/wasabidrum/entry/caller_handler.py
+++ b/wasabidrum/entry/caller_handler.py
@@ -17,12 +17,10 @@
 from ..core.outcome import Outcome
 from ..observe.event import Event
 from ..wire import headers
+from .caller_handler_owner import CallerHandlerOwner
 from .caller_key import find_workspace
 from .caller_request import CallerRequest
 
-if typing.TYPE_CHECKING:
-    from .daemon import Entry
-
 REQUEST_ID_FORM = re.compile(r"[!-~]{1,128}")
 DEADLINE_FORM = re.compile(r"[0-9]{1,12}")
 BODY_SECONDS = 20.0
@@ -39,7 +37,7 @@
 class CallerHandler(web.RequestHandler):
     """Reads a caller's request, and answers it once."""
 
-    def initialize(self, entry: "Entry") -> None:
+    def initialize(self, entry: CallerHandlerOwner) -> None:
         """Takes the entry from the route."""
         self.entry = entry
         self.request_id = secrets.token_hex(12)
--- a/wasabidrum/entry/caller_routes.py
+++ b/wasabidrum/entry/caller_routes.py
@@ -1,10 +1,9 @@
 """The paths that callers reach, and the server that reads them."""
 
-import typing
-
 from tornado import httpserver, web
 
 from .caller_handler import BODY_SECONDS, DISCARDED_BYTES, LINGER_SECONDS
+from .caller_handler_owner import CallerHandlerOwner
 from .chat_handler import ChatHandler
 from .health_handler import HealthHandler
 from .key_handler import KeyHandler
@@ -12,15 +11,12 @@
 from .service_handler import ServiceHandler
 from .unknown_path_handler import UnknownPathHandler
 
-if typing.TYPE_CHECKING:
-    from .daemon import Entry
-
 # A head that trickles in is cut after this time, as is a connection with nothing to do.
 IDLE_CONNECTION_SECONDS = 60.0
 LARGEST_HEAD_BYTES = 16_384
 
 
-def make_caller_server(entry: "Entry") -> httpserver.HTTPServer:
+def make_caller_server(entry: CallerHandlerOwner) -> httpserver.HTTPServer:
     """Returns a server for callers that is not bound to a port yet."""
     given = {"entry": entry}
     application = web.Application(
