Untie the sidecar's daemon and its handlers of calls

The handlers named the whole Sidecar, which starts them. CallHandlerOwner names what they need of it, and the daemon alone knows the handlers.

Behaviour stays.

--- a/wasabidrum/sidecar/call_handlers.py
+++ b/wasabidrum/sidecar/call_handlers.py
@@ -15,11 +15,9 @@
 from ..endpoints.service_reply import ServiceReply
 from ..outcomes.call_digest import digest_answer
 from ..wire import headers
+from .call_handler_owner import CallHandlerOwner
 from .service_attempt import ServiceAttempt, read_attempt
 
-if typing.TYPE_CHECKING:
-    from .daemon import Sidecar
-
 # How long after its caller's deadline a charge may still answer, so that a resend of its
 # key learns the result instead of "unknown".
 LATE_ANSWER_SECONDS = 60.0
@@ -28,7 +26,7 @@
 class CallHandler(web.RequestHandler):
     """What the handlers of calls share."""
 
-    def initialize(self, sidecar: "Sidecar") -> None:
+    def initialize(self, sidecar: CallHandlerOwner) -> None:
         """Takes the sidecar from the route."""
         self.sidecar = sidecar
 
