Part the store's records as the platform writes them from their decoding

published_records held two jobs in 315 lines: the shapes that the platform's store sends, and what they mean in our own types. wire_records now has the shapes, which the engine's report uses too; published_records decodes.

Behaviour stays; only lines moved.

--- a/wasabidrum/platform/engine_client.py
+++ b/wasabidrum/platform/engine_client.py
@@ -9,7 +9,8 @@
 from ..core.outcome import Outcome
 from ..wire import http_client
 from . import names
-from .published_records import WireHeldModel, WireLayers, holds_all
+from .published_records import holds_all
+from .wire_records import WireHeldModel, WireLayers
 
 # An engine on the same instance answers in a millisecond, or is down.
 ANSWER_SECONDS = 1.0
