Part what a peer node hears, plans and doubts from its port and links

Behaviour stays; the order of calls and events is the same. Run: tests.control_members_test 4 passed, tests.control_partition_test 4 passed, tests.control_revision_test 6 passed.

--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -22,20 +22,20 @@
 from .claim_fetcher import ClaimFetcher
 from .configuration_follower import ConfigurationFollower
 from .control_report import ControlReport
+from .isolation_watch import IsolationWatch
 from .list_keeper import ListKeeper
-from .news_log import NewsLog
+from .member_watch import MemberWatch
 from .outbound_links import OutboundLinks
 from .peer_asker import PeerAsker
 from .peer_client import CODEC
 from .peer_link import PeerLink
 from .peer_messages import ConfigurationReply, FetchConfiguration, FetchList, ListReply, Push
 from .peer_service import PeerService
+from .plan_keeper import PlanKeeper
 from .service_reader import ServiceReader
 
 TICK_SECONDS = 0.25
-PLAN_SECONDS = 0.5
 GOSSIP_SILENCE_SECONDS = 3.0
-ISOLATION_ASK_SECONDS = 2.0
 
 
 class PeerNode:
@@ -63,18 +63,16 @@
         self._log = log
         self._tasks = BackgroundTasks(on_failure)
         self._gap = ClockGap(asyncio.get_running_loop().time())
-        self._news = NewsLog()
         self._inbound: set[PeerLink] = set()
         self._outbound = OutboundLinks(self, True, GOSSIP_SILENCE_SECONDS, self.lose)
         self._fetcher = ClaimFetcher(follower)
         self._server: server.Server | None = None
-        self._asking: asyncio.Task[None] | None = None
-        self._plan = ReaderPlan(())
-        self._planned_version = -1
-        self._planned_at = float("-inf")
         self._last_told: tuple[object, ...] = ()
         self.peer_port = 0
         self.table = MemberTable(settings.name)
+        self._members = MemberWatch(self.table, account, log, self.wake_all)
+        self._plans = PlanKeeper(self.table)
+        self._isolation = IsolationWatch(self.table, self.verify, self._tasks, log)
         self.lists = ListKeeper(directory, log, self._take_list)
         now = asyncio.get_running_loop().time()
         self._reader = ServiceReader(follower, self.lists, self._tasks, log, now)
@@ -101,7 +99,7 @@
     @property
     def plan(self) -> ReaderPlan:
         """Who reads and who hears from whom, by the members known here."""
-        return self._plan
+        return self._plans.plan
 
     @property
     def recently_verified(self) -> bool:
@@ -138,7 +136,7 @@
 
     def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberNews, ...]]:
         """See GossipOwner."""
-        return self._news.after(cursor, limit)
+        return self._members.news.after(cursor, limit)
 
     def wake_all(self) -> None:
         """Has every link push at once."""
@@ -154,7 +152,7 @@
         """See PeerServiceOwner."""
         self._inbound.discard(link)
         # A watcher whose plan changed ends its link too, and is no less alive for it.
-        if link.gossip and self._settings.name in self._plan.parents(link.name):
+        if link.gossip and self._settings.name in self.plan.parents(link.name):
             self.lose(link.name, False)
 
     def reply_configuration(self, request: FetchConfiguration) -> ConfigurationReply:
@@ -174,26 +172,12 @@
         status = link.whole_status(push)
         if status is None:
             return
-        known = self.table.get(link.name)
-        was = known.state if known is not None else None
-        if push.status is not None:
-            self.table.take_status(status, now)
-        else:
-            self.table.take_beat(link.name, push.sequence, now)
-        if was is None:
-            self._log.write(Event.MEMBER_JOINED, member=link.name)
-        elif was is not MemberState.ALIVE and known.state is MemberState.ALIVE:
-            self._log.write(Event.MEMBER_BACK, member=link.name)
+        self._members.take_sign_of_life(link.name, push, status, now)
         if push.status is not None or push.revision:
             self.take_claims(status)
         if push.list_digest:
             self.lists.take_claim(push.list_as_of, push.list_digest, status.host, status.peer_port)
-        refute = False
-        for news in push.news:
-            refute = self.table.take_news(news, now) or refute
-        if refute:
-            self._news.add(self._own_news())
-        self._pass_on_news()
+        self._members.take_news(push.news, now)
         if status.revision <= self._follower.revision:
             self._gap.hear(now)
 
@@ -204,8 +188,8 @@
             revision=self._follower.revision,
             highest_heard=self._follower.book.highest,
             reads_service=self.reads_service,
-            readers=tuple(self._plan.readers(self._settings.data_centre)),
-            parents=tuple(self._plan.parents(self._settings.name)),
+            readers=tuple(self.plan.readers(self._settings.data_centre)),
+            parents=tuple(self.plan.parents(self._settings.name)),
             linked=tuple(link.name for link in self._outbound.live),
             watchers=len(self._inbound),
             members=len(records),
@@ -231,14 +215,12 @@
         """Takes that a link to a daemon broke or fell silent, or that it refuses links."""
         now = asyncio.get_running_loop().time()
         self._notice_pause(now)
-        if self.table.suspect(name, now, refused):
-            self._log.write(Event.MEMBER_SUSPECTED, member=name, refused=refused)
-        self._pass_on_news()
+        self._members.suspect(name, refused, now)
 
     async def verify(self) -> int:
         """Asks a few peers for their revision and takes what is newer; returns how many
         answered."""
-        return await self._asker.verify(self._plan.parents(self._settings.name))
+        return await self._asker.verify(self.plan.parents(self._settings.name))
 
     async def _run(self) -> None:
         await self.lists.read()
@@ -259,15 +241,12 @@
         for link in list(self._inbound):
             if link.gossip and now - link.heard_at > GOSSIP_SILENCE_SECONDS:
                 link.end()
-        self._judge_isolation(now)
-        for name in self.table.tick(now):
-            self._log.write(Event.MEMBER_DEAD, member=name)
-        self._pass_on_news()
-        stale = self._planned_version != self.table.version
-        if stale and now - self._planned_at >= PLAN_SECONDS:
+        self._isolation.judge(self._outbound.names)
+        self._members.tick(now)
+        if self._plans.is_due(now):
             self._make_plan(now)
         connected = self._outbound.live or any(link.gossip for link in self._inbound)
-        self._reader.choose(self._plan.is_reader(self._settings.name), bool(connected), now)
+        self._reader.choose(self.plan.is_reader(self._settings.name), bool(connected), now)
         self._look_over_links()
 
     def _look_over_links(self) -> None:
@@ -282,29 +261,9 @@
             self.wake_all()
 
     def _make_plan(self, now: float) -> None:
-        self._planned_version = self.table.version
-        self._planned_at = now
-        members = {record.name: record.instance for record in self.table.usable(now)}
-        staying = [r.instance for r in self.table.usable(now) if not r.leaving]
-        self._plan = ReaderPlan((*staying, instance_from(self._account())))
-        wanted = [members[name] for name in self._plan.parents(self._settings.name)]
+        wanted = self._plans.make(instance_from(self._account()), now)
         self._outbound.keep(wanted, now)
 
-    def _judge_isolation(self, now: float) -> None:
-        looks = self.table.looks_isolated(self._outbound.names)
-        if not looks:
-            self.table.isolated = False
-        elif self._asking is None or self._asking.done():
-            if not self.table.isolated:
-                self._log.write(Event.MAYBE_ISOLATED, watched=len(self._outbound.names))
-            self.table.isolated = True
-            self._asking = self._tasks.start("isolation", self._ask_whether_isolated())
-
-    async def _ask_whether_isolated(self) -> None:
-        # Others that answer prove that the silent ones, and not this process, are gone.
-        self.table.isolated = not await self.verify()
-        await asyncio.sleep(ISOLATION_ASK_SECONDS)
-
     def _notice_pause(self, now: float) -> None:
         seconds = self._gap.observe(now)
         if not seconds:
@@ -323,23 +282,8 @@
 
     def _take_list(self) -> None:
         now = asyncio.get_running_loop().time()
-        implausible = self.table.list_is_implausible
-        self.table.take_list(self.lists.roster.instances, now)
-        if self.table.list_is_implausible and not implausible:
-            self._log.write(Event.LIST_IMPLAUSIBLE, listed=len(self.lists.roster.instances))
+        self._members.take_list(self.lists.roster.instances, now)
         self.wake_all()
 
     def _take_answer(self, asked_at: float) -> None:
         self._gap.confirm(asked_at, asyncio.get_running_loop().time())
-
-    def _pass_on_news(self) -> None:
-        fresh = self.table.take_news_to_pass_on()
-        for news in fresh:
-            self._news.add(news)
-        if fresh:
-            self.wake_all()
-
-    def _own_news(self) -> MemberNews:
-        own = self._account()
-        alive = MemberState.ALIVE
-        return MemberNews(own.name, alive, own.incarnation, own.sequence, own.leaving)
