Part what requests cost from the entry's traffic

Admission and placement stay together: they share the pools, and what one changes the other reads.

Behaviour stays.

--- a/wasabidrum/entry/traffic.py
+++ b/wasabidrum/entry/traffic.py
@@ -5,16 +5,13 @@
 import random
 
 from ..core.errors import CodedError
-from ..core.fleet import WorkspaceSpec
 from ..core.status import Status
 from ..decisions import backoff, poison, prefix_affinity
 from ..decisions.endpoint_health import Health
 from ..decisions.endpoint_state import EndpointState
 from ..decisions.entry_room import EntryRoom
-from ..decisions.expected_cost import ExpectedCost
 from ..decisions.retry_budget import RetryBudget
 from ..decisions.ticket import Refusal, Ticket, TicketState
-from ..decisions.token_allowance import TokenAllowance
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.configuration_follower import ConfigurationFollower
@@ -22,10 +19,11 @@
 from .endpoint_table import EndpointTable
 from .permit import Permit
 from .placement import Placement
+from .refusals import blocked_error, refusal_error
+from .request_costs import RequestCosts
 from .target_pool import REFRESH_SECONDS, TargetPool
 from .work_item import Priority, WorkItem
 
-SHORTEST_RETRY_SECONDS = 1.0
 SHORTEST_TIMER_SECONDS = 0.001
 
 
@@ -44,15 +42,12 @@
     ) -> None:
         self._table = table
         self._log = log
-        self._follower = follower
         self._region = region
         self._data_centre = data_centre
         self._rng = rng or random.Random()
         self._pools: dict[tuple[str, str], TargetPool] = {}
         self._room = EntryRoom()
-        self._costs = ExpectedCost()
-        self._allowance = TokenAllowance()
-        self._count_entries = count_entries
+        self._costs = RequestCosts(follower, count_entries, self._rng)
         self._budget = RetryBudget()
         self._guard = poison.PoisonGuard()
         self._judge = AttemptJudge(self._guard, log)
@@ -74,14 +69,18 @@
         self._advance(pool, now)
         if item.fingerprint and self._guard.is_blocked(item.fingerprint, now):
             raise blocked_error()
-        ticket = self._make_ticket(item)
+        ticket = self._costs.make_ticket(item)
         if not self._room.take(item.priority):
             raise refusal_error(Refusal("entry_full", "this entry holds too many requests", 1.0))
-        self._take_allowance(item, ticket.cost, now)
+        try:
+            self._costs.charge(item, ticket, now)
+        except CodedError:
+            self._room.give_back()
+            raise
         refusal = pool.queue.offer(ticket, now)
         if refusal is not None:
             self._room.give_back()
-            self._allowance.correct(item.workspace, ticket.cost, 0.0)
+            self._costs.refund(item, ticket)
             raise self._refuse(refusal, pool, now)
         permit = Permit(self, pool, ticket, item)
         if ticket.state is TicketState.RUNNING:
@@ -178,14 +177,7 @@
     def release(self, pool: TargetPool, ticket: Ticket, item: WorkItem) -> None:
         """Ends a request's admission, and lets those run whose turn it is now."""
         now = asyncio.get_running_loop().time()
-        cost = None
-        if item.whole:
-            cost = float(item.tokens_done) if item.model else 1.0
-        if item.model:
-            if item.whole:
-                self._costs.learn(item.workspace, item.model, item.tokens_done)
-            # A request may end early or in an error; what it generated is charged all the same.
-            self._allowance.correct(item.workspace, ticket.cost, float(item.tokens_done))
+        cost = self._costs.settle(item, ticket)
         pool.waiters.pop(ticket, None)
         pool.queue.end(ticket, now, cost)
         self._room.give_back()
@@ -221,39 +213,6 @@
         state = pool.endpoints.choose(healthy, preferred, now)
         return state or pool.endpoints.choose(allowed, preferred, now), preferred
 
-    def _take_allowance(self, item: WorkItem, cost: float, now: float) -> None:
-        """Takes a request's cost from its workspace's limit.
-
-        Raises:
-          CodedError: The workspace has used up its limit; nothing was started.
-        """
-        spec = self._workspace(item)
-        if not item.model or spec is None or spec.tokens_per_second <= 0.0:
-            return
-        per_second = spec.tokens_per_second / max(1, self._count_entries())
-        seconds = self._allowance.take(item.workspace, per_second, cost, now)
-        if seconds is None:
-            return
-        self._room.give_back()
-        retry = backoff.spread(max(seconds, SHORTEST_RETRY_SECONDS), self._rng)
-        raise CodedError(
-            "workspace_limit", "this workspace is at its limit", 429, retry_after=retry
-        )
-
-    def _workspace(self, item: WorkItem) -> WorkspaceSpec | None:
-        current = self._follower.current if self._follower else None
-        return current.fleet.workspaces.get(item.workspace) if current else None
-
-    def _make_ticket(self, item: WorkItem) -> Ticket:
-        cost = 1.0
-        if item.model:
-            cost = self._costs.estimate(item.workspace, item.model, item.max_tokens)
-        spec = self._workspace(item)
-        share = spec.share if spec is not None else 1.0
-        return Ticket(
-            item.request_id, item.workspace, int(item.priority), share, cost, item.deadline
-        )
-
     def _pool(self, item: WorkItem) -> TargetPool:
         key = (item.model, item.service)
         pool = self._pools.get(key)
@@ -306,18 +265,3 @@
         return refusal_error(
             Refusal(refusal.code, refusal.reason, backoff.spread(seconds, self._rng))
         )
-
-
-def refusal_error(refusal: Refusal) -> CodedError:
-    """Returns what a caller is told that is refused."""
-    return CodedError(refusal.code, refusal.reason, 503, retry_after=refusal.retry_after)
-
-
-def blocked_error() -> CodedError:
-    """Returns what the caller of a request is told that crashes endpoints."""
-    return CodedError(
-        "request_blocked",
-        "this request was in progress at two endpoints that died",
-        422,
-        retry_after=poison.BLOCK_SECONDS,
-    )
