Decide what is taken back in a pure module that replays a suspended engine

The reasons stood in the loop that looks after attempts and could be read and tested only with sockets; the reason's enum had closed a circle of imports. decisions/take_back.py says which load it answers and why, and its test replays an engine's suspension of 4.7 s with room elsewhere, with none, off the list, and for what may run once.

--- /dev/null
+++ b/wasabidrum/decisions/take_back_test.py
@@ -0,0 +1,96 @@
+"""Which requests are taken back, replayed over an engine's suspension."""
+
+import dataclasses
+import unittest
+
+from .take_back import BOUND_MARGIN_SECONDS, TakenBack, Waiting, reason_to_take_back
+
+DRAIN_SECONDS = 2.0
+# An engine says nothing for so long before it counts as standing still.
+SILENT_AFTER_SECONDS = 1.0
+SUSPENDED_SECONDS = 4.7
+WAITING = Waiting(
+    begun=False,
+    repeatable=True,
+    may_begin=True,
+    silent=False,
+    retired_seconds=0.0,
+    may_move=lambda: True,
+)
+
+
+def replay(overdue_after: float, gone_after: float, **facts: object) -> tuple[TakenBack, float]:
+    """Plays an engine's suspension; returns why a request was taken back from it, and when.
+
+    Args:
+      overdue_after: The seconds from its beginning until the weights may not be begun any more.
+      gone_after: The same until the engine is off the list.
+    """
+    for tenth in range(int(SUSPENDED_SECONDS * 10)):
+        now = tenth / 10
+        waiting = dataclasses.replace(
+            WAITING,
+            may_begin=now < overdue_after,
+            silent=now > SILENT_AFTER_SECONDS,
+            retired_seconds=max(0.0, now - gone_after),
+            **facts,
+        )
+        reason = reason_to_take_back(waiting, DRAIN_SECONDS)
+        if reason is not None:
+            return reason, now
+    return None, SUSPENDED_SECONDS
+
+
+def refuse_to_move() -> bool:
+    """Stands for a fleet in which no other endpoint would take the request."""
+    return False
+
+
+class ReplayTest(unittest.TestCase):
+    """An engine that is suspended for 4.7 s with requests that it has read or not."""
+
+    def test_where_there_is_room_a_request_moves_once_the_engine_is_silent(self) -> None:
+        """Callers of a suspended engine wait for seconds beside engines that have room."""
+        reason, at = replay(overdue_after=3.0, gone_after=3.2)
+        self.assertEqual(reason, TakenBack.ENDPOINT_SILENT)
+        self.assertAlmostEqual(at, SILENT_AFTER_SECONDS + 0.1)
+
+    def test_where_there_is_none_it_waits_until_its_weights_are_overdue(self) -> None:
+        """All other engines are full or have not switched yet. Left where it is, the request
+        would begin on the old weights when the engine wakes."""
+        reason, at = replay(overdue_after=3.0, gone_after=3.2, may_move=refuse_to_move)
+        self.assertEqual((reason, at), (TakenBack.WEIGHTS_OVERDUE, 3.0))
+
+    def test_where_no_version_is_named_it_waits_until_the_engine_counts_as_gone(self) -> None:
+        reason, at = replay(overdue_after=99.0, gone_after=2.0, may_move=refuse_to_move)
+        self.assertEqual(reason, TakenBack.ENDPOINT_RETIRED)
+        self.assertAlmostEqual(at, 2.0 + DRAIN_SECONDS - BOUND_MARGIN_SECONDS)
+
+    def test_what_may_run_once_stays_but_for_its_weights(self) -> None:
+        """Moved, a charge could run twice. What would begin on replaced weights is dropped all
+        the same, and its caller told that nobody knows."""
+        self.assertIsNone(replay(99.0, 1.0, repeatable=False)[0])
+        self.assertEqual(replay(3.0, 1.0, repeatable=False)[0], TakenBack.WEIGHTS_OVERDUE)
+
+    def test_what_has_begun_stays_where_nobody_goes_on_with_it(self) -> None:
+        """A stream that began in time is cut in the middle for its engine's pause, though the
+        rest comes a second later."""
+        begun = {"begun": True, "may_move": refuse_to_move}
+        self.assertIsNone(replay(overdue_after=1.0, gone_after=1.0, **begun)[0])
+
+
+class NoSuspensionTest(unittest.TestCase):
+    """Endpoints that answer."""
+
+    def test_what_waits_at_a_busy_engine_is_left_alone(self) -> None:
+        """Under overload a request waits long for its first event while others' events come.
+        Moved about, it would lose its turn everywhere."""
+        self.assertIsNone(reason_to_take_back(WAITING, DRAIN_SECONDS))
+
+    def test_a_leaving_endpoint_that_answers_keeps_what_it_has(self) -> None:
+        leaving = dataclasses.replace(WAITING, retired_seconds=10.0)
+        self.assertIsNone(reason_to_take_back(leaving, DRAIN_SECONDS))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -8,7 +8,7 @@
 The bound counts where a request begins, which is at its engine. Between the decision here and
 that moment lie links, queues and engines that stand still for seconds, and no margin covers them
 all. So there are two limits: one for placing a request, and a later one at which requests that
-no event has come of are taken back.
+no event has come of are taken back (take_back.py).
 
 A process knows of a naming only that it came after the last answer without it, and before
 anyone heard of it. The bound is counted from the first of these two moments, so that a process
@@ -20,17 +20,15 @@
 Grounds:
 - PLACE_MARGIN_SECONDS covers the time between a request's departure and its first token at a
   full engine: first events are forecast up to 0.45 s ahead where callers aim at half a second.
-- BEGIN_MARGIN_SECONDS is for taking back: the tick that looks for what is overdue (0.1 s), the
-  way of a reset over a busy link, and a busy process. An engine that was suspended with 15
-  requests unread began none of those whose connections had been reset before it woke.
 - UNKNOWN_SECONDS is over before anyone counts on a process again, three seconds after it started
   or woke.
 """
 
 import dataclasses
 
+from .take_back import BOUND_MARGIN_SECONDS
+
 PLACE_MARGIN_SECONDS = 1.0
-BEGIN_MARGIN_SECONDS = 0.4
 UNKNOWN_SECONDS = 2.5
 
 
@@ -103,7 +101,7 @@
 
     def oldest_to_begin(self, now: float) -> int:
         """Returns the oldest version that a request on its way may still begin on."""
-        return self._oldest(now + BEGIN_MARGIN_SECONDS)
+        return self._oldest(now + BOUND_MARGIN_SECONDS)
 
     def _oldest(self, moment: float) -> int:
         bound = [w.version for w in self._wanted if moment >= w.binds_at(self._bound)]
--- a/wasabidrum/decisions/version_floor_test.py
+++ b/wasabidrum/decisions/version_floor_test.py
@@ -2,12 +2,8 @@
 
 import unittest
 
-from .version_floor import (
-    BEGIN_MARGIN_SECONDS,
-    PLACE_MARGIN_SECONDS,
-    UNKNOWN_SECONDS,
-    VersionFloor,
-)
+from .take_back import BOUND_MARGIN_SECONDS
+from .version_floor import PLACE_MARGIN_SECONDS, UNKNOWN_SECONDS, VersionFloor
 
 IN_TOUCH_SECONDS = 3.0
 NEVER = float("-inf")
@@ -92,4 +88,4 @@
         self.floor.take(2, 100.0, 100.0)
         placed_last = 100.0 + 8.0 - PLACE_MARGIN_SECONDS
         self.assertEqual(self.floor.oldest_to_begin(placed_last + 0.5), 1)
-        self.assertEqual(self.floor.oldest_to_begin(100.0 + 8.0 - BEGIN_MARGIN_SECONDS), 2)
+        self.assertEqual(self.floor.oldest_to_begin(100.0 + 8.0 - BOUND_MARGIN_SECONDS), 2)
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import enum
 import typing
 
 from tornado import iostream
@@ -12,6 +11,7 @@
 from ..core.request_head import ReplyHead
 from ..core.route import RouteKind
 from ..decisions.attempt_rule import AttemptEnd
+from ..decisions.take_back import TakenBack
 from ..platform import heads
 from . import endpoint_connection
 from .call import Call, StreamProgress
@@ -29,20 +29,6 @@
 CONNECT_SECONDS = 0.25
 
 
-class TakenBack(enum.Enum):
-    """Why an attempt was taken back from its endpoint; none of it is the request's failure.
-
-    WEIGHTS_OVERDUE: It has not begun, and newer weights have been named for as long as the bound
-    allows. ENDPOINT_SILENT: Nothing comes from there, and another endpoint can go on with it.
-    ENDPOINT_RETIRED: Nothing comes from there, it has not begun, and the endpoint has been
-    leaving or gone for so long that it must get no more work.
-    """
-
-    WEIGHTS_OVERDUE = "weights_overdue"
-    ENDPOINT_SILENT = "endpoint_silent"
-    ENDPOINT_RETIRED = "endpoint_retired"
-
-
 class AttemptError(Exception):
     """An attempt ended without an answer that can be passed on."""
 
