--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -99,7 +99,9 @@
         """Drops the request where it waits; whoever reads the answer finds it broken."""
         if self._ended:
             return
-        self._drop_unsent()
+        # Reset by the endpoint in this very turn, it has no socket any more.
+        if not self._stream.closed():
+            self._drop_unsent()
         self._put(Part(PartKind.BROKEN))
         self._stream.close()
 
