Do not take an answer for prompt that this process read late

An entry that stood still for less than its question was to wait at the store dated a naming by when it read the answer: 0.9 s of suspension made the bound 0.8 s late, with margins of 0.4 s, so that callers could get replaced weights past the bound.

--- a/wasabidrum/decisions/evidence_lease.py
+++ b/wasabidrum/decisions/evidence_lease.py
@@ -57,17 +57,18 @@
         return self.age(now) <= self._bound * READY_FRACTION
 
 
-def prompt_after(asked_at: float, answered_at: float, wait: float) -> float:
+def prompt_after(asked_at: float, answered_at: float, wait: float, held_up: bool) -> float:
     """Returns when what an answer brought had not happened yet, or minus infinity if unknown.
 
     A question that waits at the store is answered as soon as something changes. Answered at
-    once, it tells of what happened before it was asked; answered later than it was to wait, it
-    was held up, as by a process that stood still, and tells nothing of the moment.
+    once, it tells of what happened before it was asked; answered later than it was to wait, or
+    read by a process that stood still meanwhile, it tells nothing of the moment.
 
     Args:
       wait: The seconds that the question was to wait for a change.
+      held_up: Whether this process stood still for a moment between question and answer.
     """
     waited = answered_at - asked_at
-    if PROMPT_SECONDS <= waited <= wait + PROMPT_SECONDS:
+    if not held_up and PROMPT_SECONDS <= waited <= wait + PROMPT_SECONDS:
         return answered_at - PROMPT_SECONDS
     return float("-inf")
--- a/wasabidrum/decisions/evidence_lease_test.py
+++ b/wasabidrum/decisions/evidence_lease_test.py
@@ -44,14 +44,19 @@
     """When a change was made that a question brought which was to wait for 1.2 s."""
 
     def test_one_that_waited_tells_the_moment(self) -> None:
-        self.assertEqual(prompt_after(100.0, 100.7, 1.2), 100.7 - PROMPT_SECONDS)
+        self.assertEqual(prompt_after(100.0, 100.7, 1.2, False), 100.7 - PROMPT_SECONDS)
 
     def test_one_that_was_answered_at_once_tells_of_what_was_before(self) -> None:
         """A change is made while nobody asks. The next question is answered at once, and the
         change may be as old as the pause before it."""
-        self.assertEqual(prompt_after(100.0, 100.01, 1.2), float("-inf"))
+        self.assertEqual(prompt_after(100.0, 100.01, 1.2, False), float("-inf"))
 
     def test_one_that_was_held_up_tells_nothing(self) -> None:
         """A process stands still while a change waits for it. Dated by when it was read, the
         change would seem younger than it is by all that time."""
-        self.assertEqual(prompt_after(100.0, 104.5, 1.2), float("-inf"))
+        self.assertEqual(prompt_after(100.0, 104.5, 1.2, False), float("-inf"))
+
+    def test_one_that_was_held_up_within_its_wait_tells_nothing_either(self) -> None:
+        """A process stands still for less than the question was to wait. The change was made
+        before or during that; only whoever knows that it stood still can tell."""
+        self.assertEqual(prompt_after(100.0, 101.05, 1.2, True), float("-inf"))
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -4,7 +4,7 @@
 
 from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
-from ..decisions.evidence_lease import prompt_after
+from ..decisions.evidence_lease import PROMPT_SECONDS, prompt_after
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..platform.store_client import StoreClient, Watched
@@ -28,6 +28,7 @@
     """Reads all once, then watches; reads again where the store has dropped its history."""
 
     __slots__ = ("_store", "_state", "_log", "_lost_history", "_failures")
+    __slots__ += ("_ticked_at", "_held_up")
 
     def __init__(self, store: StoreClient, state: PublishedState, log: EventLog) -> None:
         self._store = store
@@ -35,6 +36,9 @@
         self._log = log
         self._lost_history = False
         self._failures = 0
+        self._ticked_at = awake_seconds()
+        # Whether this process stood still since the store was last asked.
+        self._held_up = False
 
     async def run(self) -> None:
         """Follows for ever."""
@@ -48,11 +52,19 @@
         """Has time end what only time ends, for ever."""
         loop = asyncio.get_running_loop()
         while True:
+            self._note_standstill()
+            self._ticked_at = awake_seconds()
             self._state.tick(loop.time())
             await asyncio.sleep(TICK_SECONDS)
 
+    def _note_standstill(self) -> None:
+        # The tick is late by as much as the process was suspended, or busy with something else.
+        if awake_seconds() - self._ticked_at > TICK_SECONDS + PROMPT_SECONDS:
+            self._held_up = True
+
     async def _step(self) -> None:
         asked_at = awake_seconds()
+        self._held_up = False
         state = self._state
         if not state.revision or self._lost_history:
             reading = await self._store.read(Watched.ALL)
@@ -63,7 +75,8 @@
             # One watch brings configuration, versions and endpoints in their order.
             reading = await self._store.watch(Watched.ALL, state.revision, WATCH_SECONDS)
             self._take_answer()
-            after = prompt_after(asked_at, awake_seconds(), WATCH_SECONDS)
+            self._note_standstill()
+            after = prompt_after(asked_at, awake_seconds(), WATCH_SECONDS, self._held_up)
             state.take_changes(reading, asyncio.get_running_loop().time(), after)
         state.lease.renew(asked_at)
         if reading.changes:
