Bring about in tests: charges and orders by a deadline that was dated wrongly

A charge through an entry that has not heard its sidecar carries no deadline in the sidecar's time, so that a paused sidecar starts it on waking (1 run after the caller was told unknown). The request of a caller is made by a factory, so that its deadline has one place.

--- a/tests/outcomes_charges_test.py
+++ b/tests/outcomes_charges_test.py
@@ -96,6 +96,36 @@
         fresh, _ = await self.fleet.charge("late", entry=1, key=told["idempotency_key"])
         self.assertEqual((fresh, self.fleet.runs("late")), ("whole", 1))
 
+    async def test_an_entry_that_never_heard_the_sidecar_tells_it_the_deadline_too(self) -> None:
+        """Sidecars are paused; an entry that has just started, and has not heard them yet, gets
+        a charge with a key of theirs. They wake after its deadline and read it for the first time.
+
+        The caller has been told "unknown" and has turned to another stall. A deadline that
+        counts from when the charge is read lets it start all the same, and the shop pays for
+        copies that were never made.
+        """
+        key, probe = await self.fleet.issue_key(), await self.fleet.issue_key()
+        for name in ("tally-1", "tally-2"):
+            self.fleet.members[name].daemon.send(signal.SIGSTOP)
+        late_entry = await self.fleet.add_entry("entry-3")
+        for name in ("tally-1", "tally-2"):
+            await self.fleet.add_link(late_entry.name, name)
+        await self.fleet.list_for(late_entry.name)
+
+        async def knows_the_owner() -> bool:
+            _, told = await self.fleet.charge("probe", entry=2, key=probe, milliseconds=300)
+            return told["code"] not in ("not_ready", "key_owner_not_listed")
+
+        await self.fleet.wait_until(knows_the_owner, 10.0, "an entry that knows the owner")
+        became, told = await self.fleet.charge("unheard", entry=2, key=key, milliseconds=700)
+        self.assertEqual(became, "unknown", told)
+        for name in ("tally-1", "tally-2"):
+            self.fleet.members[name].daemon.send(signal.SIGCONT)
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.fleet.runs("unheard"), 0)
+        again, told = await self.fleet.charge("unheard", entry=2, key=key)
+        self.assertIn((again, self.fleet.runs("unheard")), [("whole", 1), ("not_run", 0)], told)
+
     async def test_owner_replaced_and_the_old_one_wakes(self) -> None:
         """The sidecar with a charge in hand is paused and replaced; the caller resends; then
         the old one wakes with the charge still in hand.
--- /dev/null
+++ b/tests/suspended_clock.py
@@ -0,0 +1,15 @@
+"""Imitates an instance that was suspended: the event loop's clock has not counted that time."""
+
+import collections.abc
+import contextlib
+from unittest import mock
+
+from wasabidrum.core import awake_clock
+
+
+@contextlib.contextmanager
+def suspended_for(seconds: float) -> collections.abc.Iterator[None]:
+    """Has the clock that counts while suspended be ahead, from here on, by some seconds."""
+    real = awake_clock.time.clock_gettime
+    with mock.patch.object(awake_clock.time, "clock_gettime", lambda clock: real(clock) + seconds):
+        yield
--- a/wasabidrum/entry/caller_handler.py
+++ b/wasabidrum/entry/caller_handler.py
@@ -18,7 +18,7 @@
 from ..observe.event import Event
 from ..wire import headers
 from .caller_key import find_workspace
-from .caller_request import CallerRequest
+from .caller_request import CallerRequest, make_caller_request
 
 if typing.TYPE_CHECKING:
     from .daemon import Entry
@@ -121,8 +121,7 @@
             if DEADLINE_FORM.fullmatch(milliseconds) is None or int(milliseconds) == 0:
                 raise CodedError("deadline_invalid", "not a number of milliseconds", 400)
             seconds = min(int(milliseconds) / 1000.0, limits.largest_deadline_seconds)
-        deadline = asyncio.get_running_loop().time() + seconds
-        return CallerRequest(self.request_id, workspace, revision, deadline)
+        return make_caller_request(self.request_id, workspace, revision, seconds)
 
     async def run(self, answer: typing.Callable[[], typing.Awaitable[None]]) -> None:
         """Runs a request whose body is whole, so that it ends when its caller goes away."""
--- a/wasabidrum/entry/caller_request.py
+++ b/wasabidrum/entry/caller_request.py
@@ -1,5 +1,6 @@
 """A caller's request after its head was checked."""
 
+import asyncio
 import dataclasses
 
 from ..core.fleet import FleetRevision
@@ -18,3 +19,11 @@
     workspace: str
     revision: FleetRevision
     deadline: float
+
+
+def make_caller_request(
+    request_id: str, workspace: str, revision: FleetRevision, seconds: float
+) -> CallerRequest:
+    """Returns the request of a caller who waits for some seconds from now."""
+    deadline = asyncio.get_running_loop().time() + seconds
+    return CallerRequest(request_id, workspace, revision, deadline)
--- a/wasabidrum/weights/clock_guard_test.py
+++ b/wasabidrum/weights/clock_guard_test.py
@@ -5,6 +5,8 @@
 
 import logbook
 
+from tests.suspended_clock import suspended_for
+
 from ..core.config_value import ConfigValue
 from ..core.digest import digest_of
 from ..core.errors import CodedError
@@ -13,6 +15,7 @@
 from . import clock_guard
 
 PATIENCE_SECONDS = 10.0
+SUSPENDED_SECONDS = 60.0
 VALUE = b'{"schema":1,"base":{"schema":1},"overlays":{}}'
 
 
@@ -69,6 +72,18 @@
         await self.confirm(revision=0, peers_tell=5)
         self.assertEqual(self.follower.revision, 5)
 
+    async def test_the_instance_was_suspended(self) -> None:
+        """An instance is suspended through revision 5, by a clock that does not count that
+        time. Its sidecar finds no gap, and orders from revision 3 an engine that takes any
+        order: callers there are answered by a version that operators have taken back."""
+        guard = self.make(revision=5, peers_tell=0)
+        guard._last = None
+        guard.look()
+        await self.follower.offer(ConfigValue(3, digest_of(VALUE), VALUE))
+        with suspended_for(SUSPENDED_SECONDS):
+            await asyncio.wait_for(guard.confirm(), PATIENCE_SECONDS)
+        self.assertEqual(self.follower.revision, 5)
+
     async def test_nobody_answers(self) -> None:
         """A sidecar wakes alone. It must not order from what it believed before."""
         with self.assertRaises(TimeoutError):
