Count charges' deadlines and keys by a clock that a suspension does not stop

A sidecar counted its uptime, in which keys and deadlines are written, by the event loop's clock. That clock stands still while the instance is suspended: a charge that lay in the socket for a minute was two seconds from its deadline on waking and started, 58 s late; and entries, whose clocks had gone on, issued keys a minute ahead, each of which ended as "unknown" (key_issued_ahead) until the windows of the estimate had passed, 30 to 60 s. A suspended entry in turn took sidecars for younger than they are (keys 120 s old) and its callers for still waiting (5 copies sent 118 s after the deadline).

Uptime, the estimate of it, and the deadline of what may not be repeated are now counted by awake_seconds, at both ends, so that the ledger's check just before the start sees the true age. The ledger itself is unchanged: it refuses and forgets by one clock, as before.

--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -22,7 +22,8 @@
       chunks_held: How many chunks of the version being fetched are at hand.
       leaving: Whether the daemon takes no new work.
       load: The endpoint's load as this daemon sees it.
-      uptime: Seconds since this incarnation started, by its own monotonic clock.
+      uptime: Seconds since this incarnation started, by its own clock, which goes on counting
+        while the instance is suspended.
       suspects: Requests that were in progress when the endpoint died, each as its
         fingerprint, a slash and the number of the death; see decisions/poison.py.
       failed_version: The version that the endpoint could not load, or empty.
--- a/wasabidrum/entry/endpoint_table.py
+++ b/wasabidrum/entry/endpoint_table.py
@@ -7,6 +7,7 @@
 import msgspec
 from tornado import httpclient
 
+from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
 from ..core.instance import Instance, InstanceRole, InstanceState
 from ..core.status import Status
@@ -26,6 +27,7 @@
 
     Attributes:
       seen_at: When its sidecar was last heard, by the event loop's clock.
+      told_at: When its status arrived, by the clock that counts while suspended.
       in_progress: Requests of this entry that run there.
       lost: Its stream broke, or it refuses connections; cleared when it is heard again.
     """
@@ -33,6 +35,7 @@
     instance: Instance
     status: Status | None = None
     seen_at: float = 0.0
+    told_at: float = 0.0
     in_progress: int = 0
     lost: bool = False
 
@@ -41,6 +44,13 @@
         """Where the sidecar takes the fleet's requests."""
         return tls.fleet_url(self.instance.host, self.instance.http_port)
 
+    def hear(self, status: Status) -> None:
+        """Takes what the sidecar says of itself just now."""
+        self.status = status
+        self.seen_at = asyncio.get_running_loop().time()
+        self.told_at = awake_seconds()
+        self.lost = False
+
 
 class EndpointTable:
     """Keeps views of the endpoints that this entry works over.
@@ -118,9 +128,7 @@
         ):
             return False
         was_lost = view.lost
-        view.status = status
-        view.seen_at = asyncio.get_running_loop().time()
-        view.lost = False
+        view.hear(status)
         return was_lost
 
     def take_loss(self, name: str, broken: bool) -> bool:
--- a/wasabidrum/entry/key_issuer.py
+++ b/wasabidrum/entry/key_issuer.py
@@ -1,8 +1,8 @@
 """Issues idempotency keys, with no round trip and nothing to remember."""
 
-import asyncio
 import random
 
+from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
 from ..decisions.keyed_clock import KeyedClock
 from ..decisions.keyed_key import KeyedKey, make_key
@@ -47,7 +47,7 @@
             return None
         known = self._clocks.get(status.name)
         if known is None or known[0] != incarnation:
-            known = (incarnation, KeyedClock(status.uptime, view.seen_at))
+            known = (incarnation, KeyedClock(status.uptime, view.told_at))
             self._clocks[status.name] = known
-        known[1].take(status.uptime, view.seen_at)
-        return known[1].uptime(asyncio.get_running_loop().time())
+        known[1].take(status.uptime, view.told_at)
+        return known[1].uptime(awake_seconds())
--- a/wasabidrum/entry/service_call.py
+++ b/wasabidrum/entry/service_call.py
@@ -5,6 +5,7 @@
 
 from tornado import httpclient
 
+from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
 from ..core.fleet import Fleet, ServiceCall
 from ..core.outcome import Outcome
@@ -76,6 +77,7 @@
             deadline=caller.deadline,
             idempotent=listed.idempotent,
             service=order.service,
+            awake_deadline=caller.awake_deadline,
         )
         if order.key and not listed.idempotent:
             return await self._call_with_key(caller, item, order)
@@ -257,7 +259,9 @@
         return view.status.incarnation > exchange.key.incarnation
 
     def _remaining(self, item: WorkItem) -> float:
-        return item.deadline - asyncio.get_running_loop().time()
+        # By the event loop's clock the caller of a charge that was read before a suspension
+        # would still wait after it, and the charge would run for nobody.
+        return item.awake_deadline - awake_seconds()
 
     def _unknown(self, code: str, message: str, key: KeyedKey) -> CodedError:
         error = CodedError(code, message, 504, Outcome.UNKNOWN, retry_after=1.0)
--- a/wasabidrum/entry/work_item.py
+++ b/wasabidrum/entry/work_item.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from ..decisions import poison
 
@@ -23,6 +24,8 @@
 
     Attributes:
       deadline: When the caller stops waiting, by the event loop's clock.
+      awake_deadline: The same, by the clock that counts while the instance is suspended; what
+        may not be repeated is judged by it.
       idempotent: Whether the request may be repeated.
       prompt: The text of a model request, for prefix affinity; empty for a service.
       max_tokens: The most tokens that may be generated; zero for a service.
@@ -47,6 +50,7 @@
     retries: int = 0
     placements: int = 0
     over_share: bool = False
+    awake_deadline: float = math.inf
     _fingerprint: str = ""
 
     @property
--- a/wasabidrum/sidecar/keyed_calls.py
+++ b/wasabidrum/sidecar/keyed_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 
+from ..core.awake_clock import awake_seconds
 from ..core.background_tasks import BackgroundTasks
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
@@ -28,13 +29,17 @@
         self._ledger = ledger
         self._tasks = tasks
         self._log = log
-        self._started = asyncio.get_running_loop().time()
+        self._started = awake_seconds()
         self._running: dict[bytes, asyncio.Task[ServiceReply]] = {}
 
     @property
     def uptime(self) -> float:
         """Seconds since this incarnation started; the time that keys are written in."""
-        return asyncio.get_running_loop().time() - self._started
+        # The event loop's clock stands still while the instance is suspended. By it a charge
+        # that waited in the socket would start long after its caller gave up, and the keys that
+        # entries issue next would seem to come from the future: each such charge ended as
+        # "unknown" for up to a minute, though none had run.
+        return awake_seconds() - self._started
 
     @property
     def remembered(self) -> int:
