Tell a charge's deadline in the sidecar's time through every entry

An entry that had not heard the one sidecar that may run a charge (just started, or working over other endpoints of a large fleet) sent the charge without its deadline in that sidecar's time. The sidecar then counted from when it read it: paused with the charge in its socket, it started it on waking, though the caller had been told "unknown" and had left. An ordinary pause is enough, no clock is wrong.

The entry now asks such a sidecar for its time before it sends; that is one round trip for a key whose owner it does not hear, none else. At the place of the effect a copy without that time no longer starts: it joins or replays an earlier one, or is refused for good, which is true.

--- a/wasabidrum/entry/endpoint_table.py
+++ b/wasabidrum/entry/endpoint_table.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 
 import msgspec
@@ -44,12 +45,19 @@
         """Where the sidecar takes the fleet's requests."""
         return tls.fleet_url(self.instance.host, self.instance.http_port)
 
-    def hear(self, status: Status) -> None:
-        """Takes what the sidecar says of itself just now."""
+    def hear(self, status: Status) -> bool:
+        """Takes what the sidecar says of itself, unless it is older than what is held."""
+        held = self.status
+        if held is not None and (held.incarnation, held.sequence) > (
+            status.incarnation,
+            status.sequence,
+        ):
+            return False
         self.status = status
         self.seen_at = asyncio.get_running_loop().time()
         self.told_at = awake_seconds()
         self.lost = False
+        return True
 
 
 class EndpointTable:
@@ -95,7 +103,7 @@
                 self.take_list(listed.instances)
             except CodedError:
                 pass
-            await asyncio.gather(*(self._ask(view) for view in self.views))
+            await asyncio.gather(*(self._poll(view) for view in self.views))
             await asyncio.sleep(POLL_SECONDS)
 
     def take_list(self, instances: tuple[Instance, ...]) -> None:
@@ -121,15 +129,8 @@
         view = self._views.get(status.name)
         if view is None:
             return False
-        held = view.status
-        if held is not None and (held.incarnation, held.sequence) > (
-            status.incarnation,
-            status.sequence,
-        ):
-            return False
         was_lost = view.lost
-        view.hear(status)
-        return was_lost
+        return view.hear(status) and was_lost
 
     def take_loss(self, name: str, broken: bool) -> bool:
         """Takes evidence that a sidecar is gone, or for now only that it is silent.
@@ -165,15 +166,22 @@
             return []
         return [view for view in able if now - view.seen_at <= LAST_RESORT_SECONDS]
 
-    async def _ask(self, view: EndpointView) -> None:
-        request = httpclient.HTTPRequest(
-            view.url + "/internal/status", request_timeout=STATUS_TIMEOUT_SECONDS
-        )
+    async def ask(self, view: EndpointView, timeout: float) -> None:
+        """Has a sidecar say how it is now, also one that this entry does not watch.
+
+        Raises:
+          CodedError: It did not answer; nothing was started.
+        """
+        request = httpclient.HTTPRequest(view.url + "/internal/status", request_timeout=timeout)
         try:
             response = await http_client.fetch(self._client, request, "status")
-            self.take_status(msgspec.json.decode(response.body, type=Status))
-        except (CodedError, msgspec.MsgspecError):
-            return
+            view.hear(msgspec.json.decode(response.body, type=Status))
+        except (CodedError, msgspec.MsgspecError) as error:
+            raise CodedError("status_unread", str(error), 502) from error
+
+    async def _poll(self, view: EndpointView) -> None:
+        with contextlib.suppress(CodedError):
+            await self.ask(view, STATUS_TIMEOUT_SECONDS)
 
 
 def can_serve(view: EndpointView, model: str, service: str) -> bool:
--- a/wasabidrum/entry/service_call.py
+++ b/wasabidrum/entry/service_call.py
@@ -214,11 +214,10 @@
             remaining = self._remaining(item)
             if remaining <= 0:
                 raise self._unknown("deadline_passed", "no answer in time", key)
-            uptime = self.keys.uptime(exchange.view, key.incarnation)
-            start_before = None if uptime is None else uptime + remaining
             waited = min(patience, remaining)
             try:
-                return await exchange.send(remaining, waited, start_before)
+                await self._learn_uptime(exchange, waited)
+                return await self._send(exchange, item, waited)
             except NotToldError as error:
                 failure = error
             except CodedError as error:
@@ -238,6 +237,32 @@
             self._log.write(Event.CALL_ASKED_AGAIN, request=item.request_id, code=failure.code)
             await asyncio.sleep(min(pause, max(0.0, self._remaining(item))))
 
+    async def _learn_uptime(self, exchange: ServiceExchange, patience: float) -> None:
+        """Asks the one sidecar how long it has run, where this entry has not heard it.
+
+        Raises:
+          NotToldError: It did not answer; no copy was sent.
+        """
+        # An entry that has just started, or that watches other endpoints, cannot tell the
+        # deadline in the sidecar's time. Counted from when a paused sidecar reads it, it would
+        # let the charge start long after its caller was told "unknown".
+        status = exchange.view.status
+        if status is not None and status.incarnation >= exchange.key.incarnation:
+            return
+        try:
+            await self._table.ask(exchange.view, patience)
+        except CodedError as error:
+            raise NotToldError(error.code, str(error), error.http_status) from error
+
+    async def _send(
+        self, exchange: ServiceExchange, item: WorkItem, patience: float
+    ) -> ServiceReply:
+        """Sends one copy with its deadline in the sidecar's time."""
+        remaining = self._remaining(item)
+        uptime = self.keys.uptime(exchange.view, exchange.key.incarnation)
+        start_before = None if uptime is None else uptime + remaining
+        return await exchange.send(remaining, patience, start_before)
+
     def _exchange(
         self,
         view: EndpointView,
--- a/wasabidrum/entry/service_exchange.py
+++ b/wasabidrum/entry/service_exchange.py
@@ -45,7 +45,8 @@
         Args:
           remaining: Seconds until the caller stops waiting.
           patience: Seconds after which this copy is given up.
-          start_before: The sidecar's uptime at the caller's deadline, where it is known.
+          start_before: The sidecar's uptime at the caller's deadline. Without it a call that
+            the sidecar has not seen never starts.
 
         Raises:
           NotToldError: The copy was not sent, or was lost, or its answer was.
--- a/wasabidrum/sidecar/service_attempt.py
+++ b/wasabidrum/sidecar/service_attempt.py
@@ -20,7 +20,8 @@
     Attributes:
       key: What names the only incarnation that may run the call; None for a read.
       patience: Seconds that the entry waits, counted from when this copy was read.
-      start_before: The sidecar's uptime after which the call must not start.
+      start_before: The sidecar's uptime after which the call must not start; zero where the
+        entry did not know that time, so that only an earlier copy's outcome is told.
     """
 
     attempt_id: str
@@ -71,7 +72,8 @@
         if key is None and (key_text or asked.get(headers.IDEMPOTENT) != "1"):
             raise ValueError("a call that may not be repeated has no valid key")
         patience = read_seconds(asked[headers.DEADLINE_MILLISECONDS], 0.001)
-        start_before = read_seconds(asked.get(headers.START_BEFORE, "1e12"), 1.0)
+        # Nobody can tell for how long a call without this time has waited in the socket.
+        start_before = read_seconds(asked.get(headers.START_BEFORE, "0"), 1.0)
         return ServiceAttempt(
             attempt_id=asked[headers.ATTEMPT_ID],
             workspace=call[0],
--- a/wasabidrum/sidecar/service_attempt_test.py
+++ b/wasabidrum/sidecar/service_attempt_test.py
@@ -9,6 +9,8 @@
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
 from ..decisions.keyed_key import make_key
+from ..decisions.keyed_ledger import make_ledger
+from ..decisions.keyed_verdict import Verdict
 from ..outcomes.call_digest import digest_call
 from ..wire import headers
 from .service_attempt import read_attempt
@@ -61,6 +63,17 @@
         self.assertIn(name, free)
         self.assertEqual((str(attempt.key), attempt.body), (KEY, b"{}"))
 
+    def test_a_call_without_a_deadline_in_the_sidecars_time_does_not_start(self) -> None:
+        """An entry cannot tell the deadline in the sidecar's time, and the call waits in a
+        paused sidecar's socket. Nobody can tell for how long: started, it may charge a caller
+        who was told "unknown" and has left."""
+        attempt = read_attempt(httputil.HTTPHeaders(make_headers()), b"{}")
+        self.assertEqual(attempt.start_before, 0.0)
+        verdict = make_ledger("0193c-aa").begin(
+            attempt.workspace, attempt.key, attempt.fingerprint, 2.0, attempt.start_before
+        )
+        self.assertIs(verdict.verdict, Verdict.NOT_RUN)
+
     def test_a_call_that_may_not_be_repeated_needs_a_key(self) -> None:
         call = ("w", "", "POST", "/charge", "", b"")
         given = make_headers() | {headers.WORKSPACE: "w", "Content-Type": ""}
