Let the guard of orders notice a suspension of its instance

The guard looked for a gap in the event loop's clock, which stands still while the instance is suspended. A sidecar that was suspended through a change of version found no gap, asked nobody, and ordered from the revision before an engine that takes any order: callers there got answers from a version that operators had taken back. The guard now looks at awake_seconds; what it does on a gap is unchanged.

--- a/wasabidrum/weights/clock_guard.py
+++ b/wasabidrum/weights/clock_guard.py
@@ -1,14 +1,16 @@
 """Notices that this process was stopped for a while, before it gives an order.
 
-A process that was paused wakes believing what was true before. Without this check a
-sidecar that slept through a change of version would order its engine back to the old one,
-and operators would see an accepted configuration revert on one instance. An engine that
-checks fencing numbers refuses such an order; for the others the process itself must know.
+A process that was paused, or whose instance was suspended, wakes believing what was true
+before. Without this check a sidecar that slept through a change of version would order its
+engine back to the old one, and operators would see an accepted configuration revert on one
+instance. An engine that checks fencing numbers refuses such an order; for the others the process
+itself must know.
 """
 
 import asyncio
 import collections.abc
 
+from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -21,7 +23,7 @@
 
 
 class ClockGuard:
-    """Compares the event loop's clock with when this process last ran."""
+    """Compares a clock that a suspension does not stop with when this process last ran."""
 
     __slots__ = ("_service", "_ask_peers", "_follower", "_log")
     __slots__ += ("_last", "_pauses", "_confirmed_pauses")
@@ -49,7 +51,9 @@
 
     def look(self) -> bool:
         """Returns whether this process woke late and has not read the configuration since."""
-        now = asyncio.get_running_loop().time()
+        # The event loop's clock shows no gap after a suspension, and the sidecar would order what
+        # operators took back meanwhile.
+        now = awake_seconds()
         if self._last is not None and now - self._last > LONGEST_GAP_SECONDS:
             self._pauses += 1
             self._log.write(Event.PROCESS_WOKE_LATE, seconds=round(now - self._last, 2))
