Let a daemon among its peers notice a suspension of its instance

ClockGap was asked by the event loop's clock, which a suspension stops: a daemon that woke after a minute saw no pause, told operators that its revision was verified just now, and asked nobody. It learned of a change, such as a key taken away, only once its dead streams were noticed, which takes up to the 3 s of silence. All moments of ClockGap are of awake_seconds now, those of questions included. When others were heard is still kept by the loop's clock, so no more is forgiven them than it counted.

Besides, the first to look used the pause up: a question of an operator or an answer of the service on waking, and nobody was forgiven or asked. The gap now sums what was paused, and the node acts on what it has not noticed yet.

--- a/wasabidrum/decisions/clock_gap.py
+++ b/wasabidrum/decisions/clock_gap.py
@@ -5,6 +5,9 @@
 would send orders under a revision that the fleet has left, and call every peer dead because
 none was heard for the length of its own sleep.
 
+All times are of a clock that counts while the instance is suspended; by one that stands still
+then, a suspension would be no pause.
+
 Grounds: the loop runs something at least every quarter of a second, so a second without
 a turn is a pause and not load; 3 s is the time within which a revision is in force.
 """
@@ -14,15 +17,21 @@
 
 
 class ClockGap:
-    """Notices pauses of the process from the turns of its event loop."""
+    """Notices pauses of the process from the turns of its event loop.
+
+    Attributes:
+      pauses: How many there were.
+      paused_seconds: How long they were together.
+    """
 
-    __slots__ = ("_turn_at", "_woke_at", "_verified_at", "pauses")
+    __slots__ = ("_turn_at", "_woke_at", "_verified_at", "pauses", "paused_seconds")
 
     def __init__(self, now: float) -> None:
         self._turn_at = now
         self._woke_at = now
         self._verified_at = float("-inf")
         self.pauses = 0
+        self.paused_seconds = 0.0
 
     def observe(self, now: float) -> float:
         """Takes a turn of the loop; returns the length of the pause before it, or zero.
@@ -36,6 +45,7 @@
             return 0.0
         self._woke_at = now
         self.pauses += 1
+        self.paused_seconds += length
         return length
 
     def confirm(self, asked_at: float, now: float) -> None:
--- a/wasabidrum/peers/configuration_follower.py
+++ b/wasabidrum/peers/configuration_follower.py
@@ -5,6 +5,7 @@
 import zlib
 
 from ..config.bundle import render_site
+from ..core.awake_clock import awake_seconds
 from ..core.config_value import ConfigValue
 from ..core.errors import CodedError
 from ..core.fleet import FleetRevision
@@ -28,7 +29,8 @@
     Attributes:
       book: The order of revisions here, with what was refused.
       on_change: Called once a revision is in force or was refused.
-      on_answer: Called with when the service was asked, where it knew nothing newer.
+      on_answer: Called with when the service was asked, by the clock that counts while the
+        instance is suspended, where it knew nothing newer.
     """
 
     __slots__ = ("_service", "_site", "_log", "_current", "_changed", "_compressed", "_rendering")
@@ -75,9 +77,8 @@
 
     async def run(self, watch_seconds: float = WATCH_SECONDS) -> None:
         """Watches the service for ever."""
-        loop = asyncio.get_running_loop()
         while True:
-            asked_at = loop.time()
+            asked_at = awake_seconds()
             try:
                 value = await self._service.watch(self.revision, watch_seconds)
             except CodedError as error:
--- a/wasabidrum/peers/peer_asker.py
+++ b/wasabidrum/peers/peer_asker.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
 from ..core.instance import Instance
 from ..decisions.clock_gap import ClockGap
@@ -41,14 +42,13 @@
         Returns:
           How many answered.
         """
-        loop = asyncio.get_running_loop()
-        asked_at = loop.time()
-        asked = self._choose(parents, asked_at)
+        asked_at = awake_seconds()
+        asked = self._choose(parents, asyncio.get_running_loop().time())
         answers = await asyncio.gather(*(self._ask(instance) for instance in asked))
         answered = sum(answers)
         await self._fetcher.wait()
         if answered and self._follower.revision >= self._follower.book.highest:
-            self._gap.confirm(asked_at, loop.time())
+            self._gap.confirm(asked_at, awake_seconds())
         self._log.write(
             Event.PEERS_ASKED,
             asked=len(asked),
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -7,6 +7,7 @@
 from tornado import netutil
 
 from ..config.settings import Settings
+from ..core.awake_clock import awake_seconds
 from ..core.background_tasks import BackgroundTasks
 from ..core.instance import Instance
 from ..core.status import Status
@@ -62,7 +63,8 @@
         self._account = account
         self._log = log
         self._tasks = BackgroundTasks(on_failure)
-        self._gap = ClockGap(asyncio.get_running_loop().time())
+        self._gap = ClockGap(awake_seconds())
+        self._noticed_seconds = 0.0
         self._news = NewsLog()
         self._inbound: set[PeerLink] = set()
         self._outbound = OutboundLinks(self, True, GOSSIP_SILENCE_SECONDS, self.lose)
@@ -76,7 +78,7 @@
         self.peer_port = 0
         self.table = MemberTable(settings.name)
         self.lists = ListKeeper(directory, log, self._take_list)
-        now = asyncio.get_running_loop().time()
+        self._turn_at = now = asyncio.get_running_loop().time()
         self._reader = ServiceReader(follower, self.lists, self._tasks, log, now)
         self._asker = PeerAsker(self.table, follower, self._fetcher, self._gap, log)
         self.on_pause: list[collections.abc.Callable[[float], None]] = []
@@ -106,7 +108,7 @@
     @property
     def recently_verified(self) -> bool:
         """Whether someone else confirmed this process's revision since it last slept."""
-        return self._gap.recently_verified(asyncio.get_running_loop().time())
+        return self._gap.recently_verified(awake_seconds())
 
     def find_listed(self) -> Instance | None:
         """Returns where the list says that this process listens, or None."""
@@ -195,7 +197,7 @@
             self._news.add(self._own_news())
         self._pass_on_news()
         if status.revision <= self._follower.revision:
-            self._gap.hear(now)
+            self._gap.hear(awake_seconds())
 
     def report(self) -> ControlReport:
         """Returns how this daemon stands among the others."""
@@ -306,10 +308,18 @@
         await asyncio.sleep(ISOLATION_ASK_SECONDS)
 
     def _notice_pause(self, now: float) -> None:
-        seconds = self._gap.observe(now)
-        if not seconds:
+        self._gap.observe(awake_seconds())
+        paused = self._gap.paused_seconds - self._noticed_seconds
+        counted = now - self._turn_at
+        self._turn_at = now
+        if not paused:
             return
-        self._log.write(Event.PROCESS_PAUSED, seconds=round(seconds, 2))
+        self._noticed_seconds = self._gap.paused_seconds
+        self._log.write(Event.PROCESS_PAUSED, seconds=round(paused, 2))
+        # When the others were heard is kept by the event loop's clock, which does not count a
+        # suspension. Moved on by more than it counted, these dates would lie in the future, and
+        # the dead would be taken for alive for as long.
+        seconds = min(paused, counted)
         self.table.forgive(seconds)
         self._outbound.forgive(seconds)
         for link in self._inbound:
@@ -330,7 +340,7 @@
         self.wake_all()
 
     def _take_answer(self, asked_at: float) -> None:
-        self._gap.confirm(asked_at, asyncio.get_running_loop().time())
+        self._gap.confirm(asked_at, awake_seconds())
 
     def _pass_on_news(self) -> None:
         fresh = self.table.take_news_to_pass_on()
--- a/wasabidrum/peers/peer_node_test.py
+++ b/wasabidrum/peers/peer_node_test.py
@@ -61,12 +61,24 @@
         them are of the clock that stood still. Moved on by the whole minute they would lie in
         the future, and it would send callers to the dead for that long."""
         self.node.table.take_status(Status(PEER, InstanceRole.SIDECAR, "j"), self.now())
+        self.node.lose(PEER, refused=False)
         with suspended_for(SUSPENDED_SECONDS):
             self.node.lose(PEER, refused=False)
         self.assertEqual(len(self.pauses), 1)
         self.assertLess(self.pauses[0], 1.0)
         self.assertLessEqual(self.node.table.get(PEER).suspected_at, self.now())
 
+    async def test_a_suspension_is_noticed_whoever_looks_first(self) -> None:
+        """A daemon wakes, and the first to look at the clock is an operator's question, or an
+        answer of the service to a question from before. The pause must not be used up by that:
+        the others would be asked by nobody, and those that were heard before it called dead."""
+        with suspended_for(SUSPENDED_SECONDS):
+            self.assertFalse(self.node.recently_verified)
+            self.follower.on_answer(awake_seconds() - SUSPENDED_SECONDS)
+            self.node.lose(PEER, refused=False)
+        self.assertEqual(len(self.pauses), 1)
+        self.assertFalse(self.node.recently_verified)
+
     def now(self) -> float:
         """Returns the event loop's time."""
         return asyncio.get_running_loop().time()
