Bring about in tests: weights that turn bad after they were read back

Staged pieces are read back one by one and then ordered to be loaded, however long ago the first was read.

--- /dev/null
+++ b/wasabidrum/weights/engine_keeper_test.py
@@ -0,0 +1,95 @@
+"""Tests of the last look at staged weights, before an engine is ordered to load them."""
+
+import contextlib
+import types
+import unittest
+
+import logbook
+
+from tests.suspended_clock import suspended_for
+
+from ..core.digest import digest_of
+from ..core.engine_report import PieceList
+from ..observe.event_log import EventLog
+from .engine_keeper import EngineKeeper
+from .staged_version import StagedVersion
+
+MODEL = "m"
+VERSION = 2
+PIECES = (b"aaaa", b"bbbb", b"cccc")
+SUSPENDED_SECONDS = 60.0
+
+
+class FakeEngine:
+    """A staging area, and what an order to load found there."""
+
+    def __init__(self) -> None:
+        self.held = dict(enumerate(PIECES))
+        self.loaded: list[dict[int, bytes]] = []
+        self.reads = 0
+        self.on_read = lambda number: None
+
+    async def staged(self, model: str) -> tuple[int, ...]:
+        """See EngineClient."""
+        return tuple(self.held)
+
+    async def read_piece(self, model: str, number: int) -> bytes | None:
+        """See EngineClient."""
+        content = self.held[number]
+        self.reads += 1
+        self.on_read(number)
+        return content
+
+    async def put_piece(self, model: str, number: int, content: bytes) -> None:
+        """See EngineClient."""
+        self.held[number] = content
+
+    async def start(self, model: str, version: int, fence: int) -> bool:
+        """See EngineClient; nothing is waited for after it."""
+        self.loaded.append(dict(self.held))
+        return False
+
+
+class ReadBackTest(unittest.IsolatedAsyncioTestCase):
+    """Pieces can turn bad where they lie, at any moment."""
+
+    async def asyncSetUp(self) -> None:
+        log = EventLog(logbook.Logger("test", level=logbook.CRITICAL), "test")
+        self.engine = FakeEngine()
+        store = {digest_of(piece): piece for piece in PIECES}
+        distributor = types.SimpleNamespace(store=store)
+        listed = types.SimpleNamespace(model=MODEL, on_members=None)
+        pieces = PieceList(MODEL, VERSION, len(PIECES[0]), tuple(store))
+        self.staged = StagedVersion(self.engine, distributor, pieces)
+        self.keeper = EngineKeeper(self.engine, None, distributor, listed, None, log)
+        self.clock = self.enterContext(contextlib.ExitStack())
+
+    async def test_what_was_read_back_before_a_suspension_is_read_back_again(self) -> None:
+        """An instance is suspended while its sidecar reads staged weights back, and a piece
+        that was read already turns bad before it wakes. The order that follows loads it: callers
+        get answers from spoilt weights, and nothing in any log tells why."""
+
+        def suspend(number: int) -> None:
+            if self.engine.reads == 2:
+                self.clock.enter_context(suspended_for(SUSPENDED_SECONDS))
+                self.engine.held[0] = b"spoilt"
+
+        self.engine.on_read = suspend
+        await self.keeper._order(self.staged, VERSION)
+        self.assertEqual(self.engine.loaded, [dict(enumerate(PIECES))])
+
+    async def test_an_engine_that_is_always_slow_to_read_gets_its_order(self) -> None:
+        """Reading back takes long each time, as at a machine with little of a processor. Waiting
+        for a quick reading, its engine would never get the version that all others have."""
+
+        def take_long(number: int) -> None:
+            self.clock.enter_context(suspended_for(SUSPENDED_SECONDS))
+
+        self.engine.on_read = take_long
+        await self.keeper._order(self.staged, VERSION)
+        self.assertEqual(len(self.engine.loaded), 1)
+        self.assertLessEqual(self.engine.reads, 2 * len(PIECES))
+
+
+if __name__ == "__main__":
+    unittest.main()
