Bring a lost text's end about: more suspects than engines

Callers see one text of 81 to 91 end in peer_unreachable when an engine's instance dies while another leaves. Each text lost with an engine is a suspect of its death, and suspects run alone; with three suspects and two engines left, the third finds no place and ends although both engines have room.

--- a/tests/outcomes_streams_test.py
+++ b/tests/outcomes_streams_test.py
@@ -6,6 +6,11 @@
 from bench.outcomes_fleet import OutcomesFleet
 
 ENGINES = ("worker-1", "worker-2")
+THREE_ENGINES = (*ENGINES, "worker-3")
+WARM_ROUNDS = 5
+WARM_AT_ONCE = 8
+LOST_STREAMS = 3
+LONGEST_WAIT_SECONDS = 10.0
 HONEST = ("whole", "failed", "refused", "unknown")
 
 
@@ -85,5 +90,41 @@
         self.assertEqual(await work, "failed", caller.problems)
 
 
+class SuspectStreamTest(unittest.IsolatedAsyncioTestCase):
+    """Streams that were in progress at a death go on, each beside no other of them."""
+
+    async def test_more_streams_lost_than_engines_left(self) -> None:
+        """An engine's instance dies with three streams, and two engines are left.
+
+        Each of the three may be what killed it, so two of them never run at one engine. The
+        caller of the third must get the rest of its text when one of the others has ended; it
+        would see its text end in an error while both engines have room.
+        """
+        fleet = await self.enterAsyncContext(OutcomesFleet())
+        await fleet.start_all([], list(THREE_ENGINES), entries=1)
+        members = [fleet.members[name] for name in THREE_ENGINES]
+        caller = fleet.caller()
+        for number in range(WARM_ROUNDS):
+            warm = [caller.generate(f"warm {number} {n}", 5) for n in range(WARM_AT_ONCE)]
+            await asyncio.gather(*warm)
+        streams: list[asyncio.Task[str]] = []
+        running = [0] * len(members)
+
+        async def enough_run() -> bool:
+            streams.append(asyncio.ensure_future(caller.generate(f"speech {len(streams)}", 300)))
+            await asyncio.sleep(0.1)
+            counters = [await fleet.counters(member.endpoint_port) for member in members]
+            running[:] = [counter["running"] for counter in counters]
+            return max(running) >= LOST_STREAMS
+
+        await fleet.wait_until(enough_run, LONGEST_WAIT_SECONDS, "three streams at one engine")
+        dying = members[running.index(max(running))]
+        await dying.endpoint.kill()
+        await dying.daemon.kill()
+        became = await asyncio.gather(*streams)
+        whole = ["whole"] * len(streams)
+        self.assertEqual(became, whole, (running, caller.codes, caller.problems))
+
+
 if __name__ == "__main__":
     unittest.main()
