Have a lost text wait for its turn to run alone

Callers saw a text end in peer_unreachable, or an answer refused as engine_lost, when an instance died: 50 ms after the death the request failed with no line of a placement. Each text lost there is a suspect and runs only where no other suspect of its entry runs; with three suspects and two engines left the choice found nobody, and that was taken for the end although both engines had room. That refusal is now an error of its own, and the rest of a text waits until a suspect has ended, within its deadline. Suspects still never run beside each other, so that a second death tells which it was; a new request is refused at once as before, since its caller holds nothing yet.

--- a/wasabidrum/entry/model_call.py
+++ b/wasabidrum/entry/model_call.py
@@ -12,6 +12,7 @@
 from .endpoint_table import EndpointTable
 from .generation_reader import Generation
 from .model_attempt import ModelAttempt
+from .no_place_alone import NoPlaceAloneError
 from .retry_rule import RetryRule
 from .traffic import Traffic
 from .work_item import Priority, WorkItem
@@ -130,6 +131,31 @@
         self._attempt = self._make_attempt(self._tried)
         await self._attempt.open()
 
+    async def _start_again(self) -> None:
+        """Starts an attempt after a failed one, in its turn where it must run alone."""
+        # An endpoint that dies with more streams than there are others leaves suspects without
+        # a place of their own. Their texts would end in an error half way, although endpoints
+        # have room; they wait until a suspect before them has ended instead.
+        waited = False
+        while True:
+            try:
+                await self._start()
+                return
+            except NoPlaceAloneError:
+                if not waited:
+                    self._log_wait()
+                waited = True
+                if not await self._traffic.suspect_turns.wait(self._item.deadline):
+                    raise
+
+    def _log_wait(self) -> None:
+        self._log.write(
+            Event.REQUEST_WAITING,
+            request=self._item.request_id,
+            workspace=self._item.workspace,
+            reason="alone",
+        )
+
     def _make_attempt(self, left_out: frozenset[str]) -> ModelAttempt:
         if self._next_token:
             # The caller holds tokens of one version; another's would make an answer that no
@@ -156,7 +182,7 @@
         self._tried |= {name}
         self._hand_on_at = None
         try:
-            await self._start()
+            await self._start_again()
         except CodedError as failure:
             if self._attempt is None:
                 raise error from failure
--- a/wasabidrum/entry/traffic.py
+++ b/wasabidrum/entry/traffic.py
@@ -20,8 +20,10 @@
 from ..peers.configuration_follower import ConfigurationFollower
 from .attempt_judge import AttemptJudge
 from .endpoint_table import EndpointTable
+from .no_place_alone import NoPlaceAloneError
 from .permit import Permit
 from .placement import Placement
+from .suspect_turns import SuspectTurns
 from .target_pool import REFRESH_SECONDS, TargetPool
 from .work_item import Priority, WorkItem
 
@@ -30,7 +32,11 @@
 
 
 class Traffic:
-    """Admission, placement and the retry budget of one entry."""
+    """Admission, placement and the retry budget of one entry.
+
+    Attributes:
+      suspect_turns: Where those wait that place refuses for other suspects' sake.
+    """
 
     def __init__(
         self,
@@ -56,6 +62,7 @@
         self._budget = RetryBudget()
         self._guard = poison.PoisonGuard()
         self._judge = AttemptJudge(self._guard, log)
+        self.suspect_turns = SuspectTurns()
 
     @property
     def waiting(self) -> int:
@@ -109,6 +116,7 @@
         """Chooses an endpoint that was not tried yet.
 
         Raises:
+          NoPlaceAloneError: One could, but for another suspect that runs there.
           CodedError: No endpoint can take the request now; outcome NOT_RUN.
         """
         now = asyncio.get_running_loop().time()
@@ -121,8 +129,8 @@
             suspect = self._guard.is_suspect(item.fingerprint, now)
         state, preferred = self._choose(pool, item, tried, suspect, now)
         if state is None:
-            retry = backoff.spread(max(1.0, pool.probe_seconds(now)), self._rng)
-            raise refusal_error(Refusal("no_endpoint", "no endpoint can answer now", retry))
+            alone = suspect and self._choose(pool, item, tried, False, now)[0] is not None
+            raise self._no_place_error(pool, alone, now)
         if not item.placements:
             self._budget.earn()
         item.placements += 1
@@ -174,6 +182,8 @@
     def take_end(self, placement: Placement, code: str, now: float) -> None:
         """Takes the end of one attempt."""
         self._judge.take_end(placement, self._pool(placement.item), code, now)
+        if placement.suspect:
+            self.suspect_turns.note_end()
 
     def release(self, pool: TargetPool, ticket: Ticket, item: WorkItem) -> None:
         """Ends a request's admission, and lets those run whose turn it is now."""
@@ -298,6 +308,16 @@
         loop = asyncio.get_running_loop()
         pool.timer = loop.call_later(seconds, lambda: self._advance(pool, loop.time()))
 
+    def _no_place_error(self, pool: TargetPool, alone: bool, now: float) -> CodedError:
+        """Returns why a request that was let in cannot be placed.
+
+        Args:
+          alone: Whether only other suspects keep it from an endpoint.
+        """
+        retry = backoff.spread(max(1.0, pool.probe_seconds(now)), self._rng)
+        kind = NoPlaceAloneError if alone else CodedError
+        return kind("no_endpoint", "no endpoint can answer now", 503, retry_after=retry)
+
     def _refuse(self, refusal: Refusal, pool: TargetPool, now: float) -> CodedError:
         seconds = refusal.retry_after
         if refusal.code == "no_endpoint":
