--- a/wasabidrum/decisions/endpoint_test.py
+++ b/wasabidrum/decisions/endpoint_test.py
@@ -108,6 +108,16 @@
                 retries += budget.spend(0)
             self.assertLessEqual(retries, EARNED_BY_REQUEST * requests + FIRST_PURSE + 1e-6)
 
+    def test_an_entry_that_has_just_started_makes_a_death_good(self) -> None:
+        """An entry was restarted a second ago, and an engine dies with four of its texts. With
+        next to nothing earned by then, one of them ends in an error halfway, although the
+        others go on elsewhere."""
+        budget = RetryBudget()
+        for _ in range(12):
+            budget.earn()
+        for _ in range(4):
+            self.assertTrue(budget.spend(0))
+
 
 class PoisonTest(unittest.TestCase):
     """Suspicion: who is blocked, who is not, and for how long."""
