--- a/wasabidrum/decisions/endpoint_test.py
+++ b/wasabidrum/decisions/endpoint_test.py
@@ -10,6 +10,7 @@
 from .death_record import MOST_TOLD, TOLD_SECONDS, DeathRecord
 from .endpoint_health import EndpointHealth, Health
 from .endpoint_limit import LARGEST_LIMIT, SMALLEST_LIMIT, EndpointLimit
+from .endpoint_state import EndpointState
 from .poison import BLOCK_SECONDS, FORGET_SECONDS, PoisonGuard
 from .prefix_affinity import PrefixRing
 from .retry_budget import EARNED_BY_REQUEST, FIRST_PURSE, RetryBudget
@@ -90,6 +91,36 @@
         self.assertTrue(health.may_take(later + backoff.LONGEST_SECONDS))
 
 
+class SilenceTest(unittest.TestCase):
+    """Which silence an entry that may itself have slept believes."""
+
+    def test_a_process_that_slept_takes_no_endpoint_for_silent(self) -> None:
+        """The entry itself stood still for more than a second, and the tokens that came
+        meanwhile wait in its sockets. Judged before they are read, every endpoint that works
+        for it is taken out, and its callers are refused although all engines are well."""
+        health = EndpointState("e", 0, random.Random(1)).health
+        self.assertFalse(health.take_silence(1.4, 0.01, 100.0))
+        self.assertFalse(health.take_silence(1.4, 0.01, 100.01))
+        self.assertFalse(health.take_silence(0.02, 0.01, 100.2))
+        self.assertIs(health.health, Health.HEALTHY)
+
+    def test_each_silence_is_looked_at_twice(self) -> None:
+        """The entry stands still twice, and tokens come in between. The second time must not
+        count as the second look at the first silence."""
+        health = EndpointState("e", 0, random.Random(1)).health
+        self.assertFalse(health.take_silence(1.4, 0.01, 100.0))
+        self.assertFalse(health.take_silence(1.4, 0.01, 102.0))
+        self.assertIs(health.health, Health.HEALTHY)
+
+    def test_a_silence_that_lasts_takes_an_endpoint_out(self) -> None:
+        """An engine's process is paused in the middle of answers while the entry is awake.
+        Whoever is sent there waits, so it must be out a moment after the silence is seen."""
+        health = EndpointState("e", 0, random.Random(1)).health
+        health.take_silence(0.6, 0.01, 100.0)
+        health.take_silence(0.8, 0.01, 100.2)
+        self.assertIs(health.health, Health.SLOW)
+
+
 class RetryBudgetTest(unittest.TestCase):
     """Retries add at most a tenth to the load."""
 
