Look twice before an entry believes a silence

Callers were refused as overloaded while both engines left were well. The entry had stood still for 1.25 s on a busy machine; the first task to run on waking let a request in, read the time, found an engine silent for 1.4 s and took it out, before a single token that waited in the sockets was read. Its pause was noticed 25 ms later, too late. An entry of the first dialect now believes a silence only if it is still the same 0.1 s after it was first found, by when what waits has been read; this needs no notice of the pause and holds for those too short to be one.

The gateway keeps its verdict at the first look: with the second look there too, test_an_endpoint_that_hangs_gets_nothing_more failed, since it looks only when it places.

--- a/wasabidrum/decisions/endpoint_health.py
+++ b/wasabidrum/decisions/endpoint_health.py
@@ -48,9 +48,10 @@
     """The verdict on one endpoint."""
 
     __slots__ = ("_health", "_token_seconds", "_samples", "_failures", "_tries")
-    __slots__ += ("_probe_at", "_probing", "_rng")
+    __slots__ += ("_probe_at", "_probing", "_confirmed_after", "_silence_seen_at", "_rng")
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, confirmed_after: float = 0.0) -> None:
+        """Takes how long a silence that was found must still last to be believed, in seconds."""
         self._health = Health.HEALTHY
         self._token_seconds = 0.0
         self._samples = 0
@@ -58,6 +59,8 @@
         self._tries = 0
         self._probe_at = 0.0
         self._probing = False
+        self._confirmed_after = confirmed_after
+        self._silence_seen_at = float("-inf")
         self._rng = rng
 
     @property
@@ -103,10 +106,14 @@
     def take_silence(self, seconds: float, median: float, now: float) -> bool:
         """Takes for how long answers in progress have stood still."""
         silent = max(SHORTEST_SILENCE_SECONDS, SILENT_RATIO * median)
-        if seconds > silent and self._health is Health.HEALTHY:
-            self._eject(Health.SLOW, now)
-            return True
-        return False
+        if seconds <= silent or self._health is not Health.HEALTHY:
+            return False
+        if self._silence_seen_at < now - seconds:
+            self._silence_seen_at = now
+        if now - self._silence_seen_at < self._confirmed_after:
+            return False
+        self._eject(Health.SLOW, now)
+        return True
 
     def take_success(self, median: float) -> bool:
         """Takes a whole answer; returns whether the verdict changed."""
--- a/wasabidrum/decisions/endpoint_state.py
+++ b/wasabidrum/decisions/endpoint_state.py
@@ -14,6 +14,10 @@
 RECENT_SECONDS = 5.0
 REPORT_AVERAGE_SECONDS = 2.0
 TRUST_SECONDS = 4.0
+# An entry that slept itself finds every endpoint silent on waking, while what they sent waits in
+# its sockets. Believed at once, that takes all of them out together and callers are refused. To
+# read what waits takes a few turns of the loop; a silence that is still there then is real.
+SILENCE_CONFIRMED_SECONDS = 0.1
 
 
 class EndpointState:
@@ -42,7 +46,7 @@
         self.name = name
         self.tier = tier
         self.limit = EndpointLimit()
-        self.health = EndpointHealth(rng)
+        self.health = EndpointHealth(rng, SILENCE_CONFIRMED_SECONDS)
         self.in_progress = 0
         self.streaming = 0
         self.progress_at = 0.0
