Hold an engine's pace to that of its peers at that moment

Callers were told no_endpoint or overloaded while engines answered: on a busy machine both engines left were out as slow within 5 ms. Three things made it so. The median was up to 0.1 s old, from before all of them slowed down, and held the engine's own pace too, so that the last one was out for being slower than itself. Each stream of an engine told of the same short pause as of a slow token of its own, so that one gap of some 80 ms was enough. Now the median is that of the other healthy engines at the moment of the verdict, a token that is overdue counted with them; without any there is no verdict, so that the last one stays; and an engine is out only if it is slow still after the time that a slow one takes for four tokens. All peers are read only where an engine is slow beside the fastest of the last look, since tokens come by thousands. The gateway judges no pace, so that nothing changes there.

--- a/wasabidrum/decisions/endpoint_health.py
+++ b/wasabidrum/decisions/endpoint_health.py
@@ -12,8 +12,9 @@
 Grounds:
 - SLOW_RATIO 3: engines with full batches differ up to twofold in time per token; three
   times the median is outside that, and well below the tenfold that callers notice.
-- TOKENS_JUDGED 4: at 10 to 69 ms a token the verdict on a tenfold slowdown is there within
-  half a second to two seconds.
+- TOKENS_JUDGED 4, and slow for as long as a slow endpoint takes for them: at 10 to 69 ms a
+  token the verdict on a tenfold slowdown is there within half a second to two seconds, and a
+  pause of a tenth of a second is over by then.
 - SILENT_RATIO 20 tokens' time, and at least 0.5 s, without a token: a pause of the process.
 - FAILURES_JUDGED 2 in a row: one failure may be the request's fault; a charge is never the
   probe where something else can be.
@@ -48,7 +49,8 @@
     """The verdict on one endpoint."""
 
     __slots__ = ("_health", "_token_seconds", "_samples", "_failures", "_tries")
-    __slots__ += ("_probe_at", "_probing", "_confirmed_after", "_silence_seen_at", "_rng")
+    __slots__ += ("_probe_at", "_probing", "_confirmed_after", "_silence_seen_at")
+    __slots__ += ("_slow_since", "_rng")
 
     def __init__(self, rng: random.Random, confirmed_after: float = 0.0) -> None:
         """Takes how long a silence that was found must still last to be believed, in seconds."""
@@ -61,6 +63,7 @@
         self._probing = False
         self._confirmed_after = confirmed_after
         self._silence_seen_at = float("-inf")
+        self._slow_since: float | None = None
         self._rng = rng
 
     @property
@@ -89,19 +92,36 @@
         if self._health is not Health.HEALTHY:
             self._probing = True
 
-    def take_tokens(self, tokens: int, seconds: float, median: float, now: float) -> bool:
-        """Takes how long some tokens took; returns whether the verdict changed."""
+    def take_tokens(self, tokens: int, seconds: float) -> None:
+        """Takes how long some tokens took."""
         for _ in range(min(tokens, TOKENS_JUDGED)):
             self._samples += 1
             sample = seconds / tokens
             if self._samples == 1:
                 self._token_seconds = sample
             self._token_seconds += SAMPLE_WEIGHT * (sample - self._token_seconds)
-        slow = median > 0.0 and self.token_seconds > SLOW_RATIO * median
-        if slow and self._health is Health.HEALTHY:
-            self._eject(Health.SLOW, now)
-            return True
-        return False
+
+    def is_slower(self, token_seconds: float) -> bool:
+        """Returns whether tokens take so much longer than elsewhere that callers notice."""
+        return self.token_seconds > SLOW_RATIO * token_seconds
+
+    def take_pace(self, median: float, now: float) -> bool:
+        """Holds the endpoint's pace to its peers'; returns whether the verdict changed.
+
+        Args:
+          median: The seconds per token of its peers now; zero where there are none.
+        """
+        if median <= 0.0 or self._health is not Health.HEALTHY or not self.is_slower(median):
+            self._slow_since = None
+            return False
+        # All streams of an endpoint tell of the same short pause, so that many slow tokens are
+        # no proof of slowness. One that is slow still is after the time of some tokens.
+        if self._slow_since is None:
+            self._slow_since = now
+        if now - self._slow_since < TOKENS_JUDGED * SLOW_RATIO * median:
+            return False
+        self._eject(Health.SLOW, now)
+        return True
 
     def take_silence(self, seconds: float, median: float, now: float) -> bool:
         """Takes for how long answers in progress have stood still."""
@@ -147,6 +167,7 @@
 
     def _eject(self, verdict: Health, now: float) -> None:
         self._health = verdict
+        self._slow_since = None
         self._probing = False
         self._schedule_probe(now)
 
--- a/wasabidrum/decisions/endpoint_state.py
+++ b/wasabidrum/decisions/endpoint_state.py
@@ -64,6 +64,18 @@
         """How many requests the endpoint says it runs at once."""
         return max(1, self._load.slots)
 
+    def pace(self, now: float) -> float:
+        """Returns seconds per token now; zero where too few were seen.
+
+        A token that is overdue counts with the time for which it has been awaited. Without it
+        an endpoint that slows down together with others seems as fast as ever until its next
+        token, and whichever of them sends one first is held to a pace of before.
+        """
+        seconds = self.health.token_seconds
+        if not seconds or not self.streaming:
+            return seconds
+        return max(seconds, now - self.progress_at)
+
     def take_report(self, load: Load, run_seconds: float, now: float) -> None:
         """Takes a report of load, and how long requests run on average."""
         keep = math.exp((self._reported_at - now) / REPORT_AVERAGE_SECONDS)
--- a/wasabidrum/entry/attempt_judge.py
+++ b/wasabidrum/entry/attempt_judge.py
@@ -49,7 +49,9 @@
         if last is None:
             state.streaming += 1
             state.limit.take_first_token(now - placement.began, state.in_progress, now)
-        elif state.health.take_tokens(tokens, now - last, pool.median, now):
+            return
+        state.health.take_tokens(tokens, now - last)
+        if self._is_slow(state, pool, now):
             self.eject(pool, state, f"{state.health.token_seconds:.3f} s a token")
 
     def take_end(self, placement: "Placement", pool: TargetPool, code: str, now: float) -> None:
@@ -80,6 +82,14 @@
             reason=reason,
         )
 
+    def _is_slow(self, state: EndpointState, pool: TargetPool, now: float) -> bool:
+        """Takes the pace of an endpoint; returns whether that takes it out of service."""
+        # Tokens come thousands of times a second, so that all peers are read only where the
+        # endpoint is slow beside the fastest one of the last refresh.
+        suspicious = state.health.is_slower(pool.fastest)
+        median = pool.peer_token_seconds(state, now) if suspicious else 0.0
+        return state.health.take_pace(median, now)
+
     def _take_success(self, placement: "Placement", pool: TargetPool, now: float) -> None:
         item, state = placement.item, placement.state
         item.whole = True
--- a/wasabidrum/entry/target_pool.py
+++ b/wasabidrum/entry/target_pool.py
@@ -33,6 +33,7 @@
         self.waiters: dict[Ticket, asyncio.Future[None]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.median = 0.0
+        self.fastest = 0.0
         self.views: dict[str, EndpointView] = {}
         self.states: dict[str, EndpointState] = {}
         self.endpoints = EndpointPool((), rng)
@@ -57,6 +58,7 @@
             if state.health.token_seconds and state.health.health is Health.HEALTHY
         ]
         self.median = statistics.median(seconds) if seconds else 0.0
+        self.fastest = min(seconds, default=0.0)
         for name, view in views.items():
             self.take_report(name, view, now)
         limits = [
@@ -81,6 +83,23 @@
             run_seconds = self.queue.mean_run_seconds
             self.states[name].take_report(view.status.load, run_seconds, now)
 
+    def peer_token_seconds(self, state: EndpointState, now: float) -> float:
+        """Returns the median seconds per token of an endpoint's healthy peers; zero without any.
+
+        Read at the moment of a verdict, since the last refresh may be from before all of them
+        became slow; and without the endpoint itself, since the last healthy one has nobody
+        who could serve its callers faster.
+        """
+        paces = [
+            peer.pace(now)
+            for peer in self.states.values()
+            if peer is not state
+            and peer.health.health is Health.HEALTHY
+            and peer.health.token_seconds
+            and self.can_take(peer.name)
+        ]
+        return statistics.median(paces) if paces else 0.0
+
     def can_take(self, name: str) -> bool:
         """Returns whether an endpoint is not leaving, as far as is known at this moment."""
         view = self.views[name]
