Begin callers' connections a few at a time

What callers saw: events that engines had sent came late; a stream that its engine ended at 6.9 s was not whole at its caller by 8.6 s, when its time was over. Engines worked on for callers that had left, and others waited for their places.

Cause: the library accepts up to 128 connections in one turn of the event loop and reads all their requests in the next. On an entry that runs four times slower under a burst such turns grew beyond a second, and within one neither closed connections nor timers are looked at. The deadline was counted from the reading of the head; what a request lay unread before was handed to the engine as if it were left.

Now an entry begins four connections a turn; the others wait accepted, so their requests' deadlines count from then on where the request was there already. Where its caller has closed meanwhile the connection is dropped unread, and a request whose time has passed is refused as not run. The time is counted only where it is certain that the request lay there: the lag of the loop is no such proof, and deducted it would cut answers that callers still wait for. Only connections are paced: requests on kept ones are read as they come, and make what is left of the long turns.

--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -20,6 +20,7 @@
 from .entry_peers import EntryPeers
 from .exchange import CallerExchange
 from .load_watcher import LoadWatcher
+from .paced_server import PacedServer
 from .placement import Placer
 from .published_state import PublishedState
 from .store_follower import StoreFollower
@@ -114,7 +115,7 @@
         """Listens and starts the background tasks."""
         deployment = self._deployment
         limits = CallerLimits()
-        server = httpserver.HTTPServer(
+        server = PacedServer(
             CallerServer(self),
             max_header_size=limits.header_bytes * 2,
             max_body_size=limits.body_bytes * 4,
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -44,15 +44,23 @@
         self._answered = False
         self._streaming = False
         self._began = 0.0
+        self._came_at: float | None = None
         self._inputs: dict[str, object] = {}
 
+    def lay_unread_since(self, came_at: float) -> None:
+        """Takes that the request was here since a time, by the event loop's clock."""
+        self._came_at = came_at
+
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> None:
         """Takes the head; see HTTPMessageDelegate."""
-        self._began = asyncio.get_running_loop().time()
+        # Counted from its reading, the deadline of a request that lay unread would end after its
+        # caller is gone, and an endpoint would work for nobody until then.
+        now = asyncio.get_running_loop().time()
+        self._began = now if self._came_at is None else self._came_at
         self._head = heads.read_request(start_line, headers)
 
     def data_received(self, chunk: bytes) -> None:
@@ -121,7 +129,7 @@
 
     @property
     def began(self) -> float:
-        """When the head of the request was read, by the event loop's clock."""
+        """When the request came, as far as is known, by the event loop's clock."""
         return self._began
 
     def note(self, **inputs: object) -> None:
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -67,6 +67,7 @@
           CodedError: It was not answered; the outcome says what that means.
         """
         self._check_poison()
+        self._check_time()
         self._gateway.placer.budget(self._service).earn()
         failure = ""
         while True:
@@ -102,6 +103,16 @@
             message = "this request was in progress at two endpoints that died"
             raise CodedError("request_blocked", message, 503, retry_after=BLOCKED_RETRY_SECONDS)
 
+    def _check_time(self) -> None:
+        """Refuses a request whose time was over before it was read.
+
+        Raises:
+          CodedError: It is one; it has not run.
+        """
+        if self._call.left <= SHORTEST_USEFUL_SECONDS:
+            message = "its time was over before it could be sent"
+            raise CodedError("deadline_passed", message, 503)
+
     def _place(self, failure: str) -> Placed | None:
         """Returns where the request goes, or None for a stream that cannot go on.
 
