--- a/tests/busy_entry_test.py
+++ b/tests/busy_entry_test.py
@@ -11,8 +11,10 @@
 import unittest
 from unittest import mock
 
+from tornado import iostream
+
 from tests.gateway_test import GatewayCase
-from tests.listed_platform import HOST, Reply, Seen, make_configuration, read_reply
+from tests.listed_platform import HOST, Reply, Seen, make_configuration, read_reply, refuse
 from wasabidrum.core.request_head import RequestHead
 from wasabidrum.gateway import endpoint_connection
 from wasabidrum.platform import heads, names
@@ -158,6 +160,45 @@
         await self.fleet.wait_until(lambda: {e.port for e in endpoints.endpoints} == {port})
 
 
+class SameTurnTest(BusyEntryCase):
+    """A caller that leaves in the very turn in which something else happens to its request."""
+
+    async def test_nothing_is_sent_once_its_caller_has_left(self) -> None:
+        """A caller leaves while a connection to an engine is being opened, and a busy entry
+        learns of both in one turn of its event loop. Its task is cancelled as its wait ends
+        well, and unless the cancellation counts the request is sent. Nobody cancels it again:
+        the engine keeps a place for it until its first event finds the caller gone."""
+        leaver = self.connect()
+        real_connect = iostream.IOStream.connect
+
+        def connect_as_caller_leaves(stream, address, *args):
+            connecting = real_connect(stream, address, *args)
+            if address[1] in (self.a.port, self.b.port):
+                leaver.close()
+            return connecting
+
+        with mock.patch.object(iostream.IOStream, "connect", connect_as_caller_leaves):
+            self.send(leaver, "unsafe", "r1")
+            await self.fleet.wait_until(lambda: leaver.fileno() < 0)
+            await asyncio.sleep(0.1)
+        self.assertEqual(self.seen("r1"), [])
+
+    async def test_a_refused_request_goes_nowhere_else_once_its_caller_has_left(self) -> None:
+        """An engine refuses a request in the turn in which its caller leaves. Unless the
+        cancellation counts, the request goes to another engine, for nobody."""
+        leaver = self.connect()
+
+        async def refuse_as_caller_leaves(endpoint, seen, writer) -> None:
+            await refuse(endpoint, seen, writer)
+            leaver.close()
+
+        self.set_both(refuse_as_caller_leaves)
+        self.send(leaver, "unsafe", "r1")
+        await self.fleet.wait_until(lambda: leaver.fileno() < 0)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.seen("r1")), 1)
+
+
 class UnreadTimeTest(BusyEntryCase):
     """Time that a request spends unread, where its route allows more than its caller."""
 
