Keep a cancellation that comes as a wait ends

What callers saw: nothing; others were refused for want of the places that engines spent on requests whose callers had left.

Cause: before Python 3.12 asyncio.wait_for returns the result and drops the cancellation where both come in one turn of the event loop. A caller leaves as the connection to an engine opens, or as a part of the answer comes; the request's task is cancelled once and never again. It is then sent, or goes on to another engine, and holds a place until the first event finds the caller gone or its time is over. Long turns, as on a slow instance, make it frequent.

The wait now raises the cancellation whatever the wait has given, as later versions of Python do; the task ends as if it had come a turn earlier, and its connection is reset.

--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -5,6 +5,7 @@
 
 from tornado import iostream
 
+from ..core import waiting
 from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
 from ..core.request_head import ReplyHead
@@ -130,7 +131,7 @@
 
     async def _next_part(self, connection: EndpointConnection) -> Part:
         try:
-            return await asyncio.wait_for(connection.next_part(), max(0.001, self._call.left))
+            return await waiting.wait_for(connection.next_part(), max(0.001, self._call.left))
         except TimeoutError as error:
             raise AttemptError(AttemptEnd.LOST, "timeout") from error
 
--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -9,6 +9,7 @@
 
 from tornado import http1connection, httputil, iostream
 
+from ..core import waiting
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
 from ..core.request_head import ReplyHead
@@ -171,7 +172,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     stream = iostream.IOStream(sock, max_buffer_size=LARGEST_BODY_BYTES)
     try:
-        await asyncio.wait_for(stream.connect((host, port)), timeout)
+        await waiting.wait_for(stream.connect((host, port)), timeout)
     except (OSError, TimeoutError, iostream.StreamClosedError) as error:
         stream.close()
         refused = isinstance(getattr(error, "real_error", error), ConnectionRefusedError)
