--- a/tests/version_bound_test.py
+++ b/tests/version_bound_test.py
@@ -18,13 +18,14 @@
 )
 from wasabidrum.config.deployment import Bounds
 from wasabidrum.core import awake_clock
+from wasabidrum.gateway import endpoint_connection
 from wasabidrum.platform import names
 
 MODEL = "m1"
 SERVICE = "text"
 BOUND_SECONDS = 2.0
-# After the bound by more than any process here is late.
-PAST_SECONDS = 0.4
+# Just after the bound: whatever is taken back must be gone by then.
+PAST_SECONDS = 0.05
 SUSPENDED_SECONDS = 60.0
 
 
@@ -91,8 +92,7 @@
         named_at = await self.name_version(version)
 
         def heard() -> bool:
-            now = asyncio.get_running_loop().time()
-            return (MODEL, version) in [n[:2] for n in self.gateway.state.named_versions(now)]
+            return (MODEL, version) in [n[:2] for n in self.gateway.state.named_versions()]
 
         await self.fleet.wait_until(heard)
         return named_at
@@ -184,6 +184,28 @@
             reply = await self.ask("r1")
         self.assertEqual((self.old.runs["r1"], reply.status), (0, 503))
 
+    async def test_a_request_under_way_while_the_entry_was_suspended_does_not_leave(self) -> None:
+        """A request is placed in time, and its entry is suspended while a connection opens.
+        Sent on waking, it would begin at once, on weights whose time is over."""
+        real = awake_clock.time.clock_gettime
+        connect = endpoint_connection.connect
+        ahead = [0.0]
+
+        async def connect_and_sleep(*arguments):
+            connection = await connect(*arguments)
+            ahead[0] = SUSPENDED_SECONDS
+            return connection
+
+        await self.name_and_hear(2)
+        with (
+            mock.patch.object(
+                awake_clock.time, "clock_gettime", lambda clock: real(clock) + ahead[0]
+            ),
+            mock.patch.object(endpoint_connection, "connect", connect_and_sleep),
+        ):
+            reply = await self.ask("r1")
+        self.assertEqual((self.old.runs["r1"], reply.status), (0, 503))
+
 
 class LateHearingTest(VersionBoundCase):
     """An entry that hears late how long ago a version was named."""
--- a/wasabidrum/entry/caller_handler.py
+++ b/wasabidrum/entry/caller_handler.py
@@ -17,11 +17,9 @@
 from ..core.outcome import Outcome
 from ..observe.event import Event
 from ..wire import headers
+from .caller_handler_owner import CallerHandlerOwner
 from .caller_key import find_workspace
-from .caller_request import CallerRequest
-
-if typing.TYPE_CHECKING:
-    from .daemon import Entry
+from .caller_request import CallerRequest, make_caller_request
 
 REQUEST_ID_FORM = re.compile(r"[!-~]{1,128}")
 DEADLINE_FORM = re.compile(r"[0-9]{1,12}")
@@ -39,7 +37,7 @@
 class CallerHandler(web.RequestHandler):
     """Reads a caller's request, and answers it once."""
 
-    def initialize(self, entry: "Entry") -> None:
+    def initialize(self, entry: CallerHandlerOwner) -> None:
         """Takes the entry from the route."""
         self.entry = entry
         self.request_id = secrets.token_hex(12)
@@ -121,8 +119,7 @@
             if DEADLINE_FORM.fullmatch(milliseconds) is None or int(milliseconds) == 0:
                 raise CodedError("deadline_invalid", "not a number of milliseconds", 400)
             seconds = min(int(milliseconds) / 1000.0, limits.largest_deadline_seconds)
-        deadline = asyncio.get_running_loop().time() + seconds
-        return CallerRequest(self.request_id, workspace, revision, deadline)
+        return make_caller_request(self.request_id, workspace, revision, seconds)
 
     async def run(self, answer: typing.Callable[[], typing.Awaitable[None]]) -> None:
         """Runs a request whose body is whole, so that it ends when its caller goes away."""
--- a/wasabidrum/entry/service_call.py
+++ b/wasabidrum/entry/service_call.py
@@ -5,6 +5,7 @@
 
 from tornado import httpclient
 
+from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
 from ..core.fleet import Fleet, ServiceCall
 from ..core.outcome import Outcome
@@ -76,6 +77,7 @@
             deadline=caller.deadline,
             idempotent=listed.idempotent,
             service=order.service,
+            awake_deadline=caller.awake_deadline,
         )
         if order.key and not listed.idempotent:
             return await self._call_with_key(caller, item, order)
@@ -212,11 +214,10 @@
             remaining = self._remaining(item)
             if remaining <= 0:
                 raise self._unknown("deadline_passed", "no answer in time", key)
-            uptime = self.keys.uptime(exchange.view, key.incarnation)
-            start_before = None if uptime is None else uptime + remaining
             waited = min(patience, remaining)
             try:
-                return await exchange.send(remaining, waited, start_before)
+                await self._learn_uptime(exchange, waited)
+                return await self._send(exchange, item, waited)
             except NotToldError as error:
                 failure = error
             except CodedError as error:
@@ -236,6 +237,32 @@
             self._log.write(Event.CALL_ASKED_AGAIN, request=item.request_id, code=failure.code)
             await asyncio.sleep(min(pause, max(0.0, self._remaining(item))))
 
+    async def _learn_uptime(self, exchange: ServiceExchange, patience: float) -> None:
+        """Asks the one sidecar how long it has run, where this entry has not heard it.
+
+        Raises:
+          NotToldError: It did not answer; no copy was sent.
+        """
+        # An entry that has just started, or that watches other endpoints, cannot tell the
+        # deadline in the sidecar's time. Counted from when a paused sidecar reads it, it would
+        # let the charge start long after its caller was told "unknown".
+        status = exchange.view.status
+        if status is not None and status.incarnation >= exchange.key.incarnation:
+            return
+        try:
+            await self._table.ask(exchange.view, patience)
+        except CodedError as error:
+            raise NotToldError(error.code, str(error), error.http_status) from error
+
+    async def _send(
+        self, exchange: ServiceExchange, item: WorkItem, patience: float
+    ) -> ServiceReply:
+        """Sends one copy with its deadline in the sidecar's time."""
+        remaining = self._remaining(item)
+        uptime = self.keys.uptime(exchange.view, exchange.key.incarnation)
+        start_before = None if uptime is None else uptime + remaining
+        return await exchange.send(remaining, patience, start_before)
+
     def _exchange(
         self,
         view: EndpointView,
@@ -257,7 +284,9 @@
         return view.status.incarnation > exchange.key.incarnation
 
     def _remaining(self, item: WorkItem) -> float:
-        return item.deadline - asyncio.get_running_loop().time()
+        # By the event loop's clock the caller of a charge that was read before a suspension
+        # would still wait after it, and the charge would run for nobody.
+        return item.awake_deadline - awake_seconds()
 
     def _unknown(self, code: str, message: str, key: KeyedKey) -> CodedError:
         error = CodedError(code, message, 504, Outcome.UNKNOWN, retry_after=1.0)
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -1,6 +1,7 @@
 """One attempt: a request sent to one endpoint, and its answer passed on."""
 
 import asyncio
+import collections.abc
 import typing
 
 from tornado import iostream
@@ -11,6 +12,7 @@
 from ..core.request_head import ReplyHead
 from ..core.route import RouteKind
 from ..decisions.attempt_rule import AttemptEnd
+from ..decisions.take_back import TakenBack
 from ..platform import heads
 from . import endpoint_connection
 from .call import Call, StreamProgress
@@ -47,7 +49,7 @@
     """
 
     __slots__ = ("_exchange", "_gateway", "_call", "_progress", "_placed", "_answered")
-    __slots__ += ("number", "began")
+    __slots__ += ("_connection", "_taken_back", "_reserve", "_heard_at", "number", "began")
 
     def __init__(
         self,
@@ -57,6 +59,7 @@
         progress: StreamProgress,
         placed: Placed,
         number: int,
+        reserve: collections.abc.Callable[[Placed], bool],
     ) -> None:
         self._exchange = exchange
         self._gateway = gateway
@@ -65,8 +68,52 @@
         self._placed = placed
         # Whether its first event came.
         self._answered = False
+        self._connection: EndpointConnection | None = None
+        # Why it does not go on here; None while it does.
+        self._taken_back: TakenBack | None = None
+        self._reserve = reserve
         self.number = number
-        self.began = asyncio.get_running_loop().time()
+        self.began = self._heard_at = asyncio.get_running_loop().time()
+
+    @property
+    def placed(self) -> Placed:
+        """Where it was sent, and on which weights."""
+        return self._placed
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether its request may run more than once."""
+        return self._call.route.idempotent
+
+    @property
+    def begun(self) -> bool:
+        """Whether something of an answer came, read by now or not."""
+        return self._connection is not None and self._connection.answering
+
+    @property
+    def taken_back(self) -> TakenBack | None:
+        """Why it was taken back, or None."""
+        return self._taken_back
+
+    @property
+    def tells_beginning(self) -> bool:
+        """Whether its answer begins when its endpoint begins to work on it."""
+        return self._call.route.kind is RouteKind.STREAM
+
+    @property
+    def heard_at(self) -> float:
+        """When something came of it, or it was placed, by the event loop's clock."""
+        return self._heard_at
+
+    def reserve_elsewhere(self) -> bool:
+        """Reserves a place at another endpoint that may go on with it, if there is one."""
+        return self._taken_back is None and self._reserve(self._placed)
+
+    def take_back(self, reason: TakenBack) -> None:
+        """Drops the request where it is; see AttemptsInProgress."""
+        self._taken_back = reason
+        if self._connection is not None:
+            self._connection.break_off()
 
     async def run(self) -> None:
         """Returns once the answer was passed on.
@@ -76,18 +123,17 @@
         """
         placed = self._placed
         prompt = self._call.head.prompt_tokens
-        self._gateway.placer.begin(placed, prompt)
-        connection: EndpointConnection | None = None
+        self._gateway.attempts.add(self)
         try:
             endpoint = placed.endpoint
             timeout = min(CONNECT_SECONDS, self._call.left)
             try:
-                connection = await endpoint_connection.connect(
+                self._connection = await endpoint_connection.connect(
                     endpoint.host, endpoint.port, timeout
                 )
             except CodedError as error:
                 raise AttemptError(AttemptEnd.NOT_SENT, error.code) from error
-            await self._exchange_with(connection)
+            await self._exchange_with(self._connection)
             self._gateway.placer.take_success(placed)
         except (asyncio.CancelledError, iostream.StreamClosedError):
             # Its caller has left. Were it a probe that is waited for, there would be no other,
@@ -95,16 +141,21 @@
             self._gateway.placer.take_no_verdict(placed)
             raise
         finally:
+            self._gateway.attempts.discard(self)
             placed.load.ended(prompt, self._answered)
-            if connection is not None:
-                connection.close()
+            if self._connection is not None:
+                self._connection.close()
 
     async def _exchange_with(self, connection: EndpointConnection) -> None:
         call, placed = self._call, self._placed
         # Looked at again just before the request leaves: it may have waited for a connection,
-        # or this process may have slept, since its key was judged.
+        # or this process may have slept, since its key and its weights were judged.
         if call.workspace and not self._gateway.state.lease.holds(awake_seconds()):
             raise AttemptError(AttemptEnd.NOT_SENT, "not_ready")
+        if not self._gateway.attempts.may_begin(placed):
+            self._taken_back = TakenBack.WEIGHTS_OVERDUE
+        if self._taken_back is not None:
+            raise AttemptError(AttemptEnd.NOT_SENT, self._taken_back.value)
         headers = heads.write_forwarded(
             call.head,
             placed.endpoint,
@@ -131,9 +182,12 @@
 
     async def _next_part(self, connection: EndpointConnection) -> Part:
         try:
-            return await waiting.wait_for(connection.next_part(), max(0.001, self._call.left))
+            part = await waiting.wait_for(connection.next_part(), max(0.001, self._call.left))
         except TimeoutError as error:
             raise AttemptError(AttemptEnd.LOST, "timeout") from error
+        if part.kind is PartKind.BROKEN and self._taken_back is not None:
+            raise AttemptError(AttemptEnd.LOST, self._taken_back.value)
+        return part
 
     async def _read_head(self, connection: EndpointConnection) -> ReplyHead:
         part = await self._next_part(connection)
@@ -199,4 +253,5 @@
             self._progress.first_event_at = loop.time()
             self._progress.weights = self._placed.weights
             await self._exchange.begin_stream(head)
-        self._placed.load.progressed(loop.time())
+        self._heard_at = loop.time()
+        self._placed.load.progressed(self._heard_at)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -17,12 +17,13 @@
 from ..platform import names
 from ..platform.store_client import make_store_client
 from ..wire import http_client
+from .attempts_in_progress import AttemptsInProgress
 from .entry_peers import EntryPeers
 from .exchange import CallerExchange
 from .load_watcher import LoadWatcher
 from .paced_server import PacedServer
 from .placement import Placer
-from .published_state import PublishedState
+from .published_state import MOST_SECONDS_SHOWN, PublishedState
 from .store_follower import StoreFollower
 
 # The balancer asks once a second and needs two misses; meanwhile callers still come, and are
@@ -34,8 +35,6 @@
 # closed at the limit itself could cross a request.
 IDLE_SECONDS = 30.0
 METRICS_PORT_OFFSET = 2
-# Stands for "never" where a number is asked for.
-MOST_SECONDS_SHOWN = 1e6
 
 
 class CallerServer(httputil.HTTPServerConnectionDelegate):
@@ -81,6 +80,7 @@
         self.guard = PoisonGuard()
         self.peers = EntryPeers(deployment, self.state, self.guard, self.tasks, log)
         self.placer = Placer(self.state, log, deployment.data_centre, deployment.bounds, self.peers)
+        self.attempts = AttemptsInProgress(self.state, self.placer, deployment.bounds.drain)
         self._watcher = LoadWatcher(
             deployment, self.state, log, make_incarnation(), self.placer.take_status
         )
@@ -135,6 +135,7 @@
         self.tasks.start("store", self._follower.run())
         self.tasks.start("ticks", self._follower.tick())
         self.tasks.start("loads", self._watcher.run())
+        self.tasks.start("attempts", self.attempts.run())
         self.log.write(Event.DAEMON_STARTED, role="entry", caller_port=deployment.callers.port)
 
     def reload(self, deployment: Deployment) -> list[str]:
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -12,11 +12,13 @@
 from ..core.route import Route, RouteKind
 from ..core.status import Status
 from ..decisions.endpoint_choice import LATEST_FRACTION, Candidate, Choice, Demand, choose
+from ..decisions.endpoint_health import is_silent
 from ..decisions.endpoint_load import EndpointLoad
 from ..decisions.engine_forecast import pass_seconds
 from ..decisions.entry_roster import Place
 from ..decisions.entry_share import deal
 from ..decisions.retry_budget import RetryBudget
+from ..decisions.take_back import is_stuck
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .published_state import PublishedState
@@ -137,6 +139,31 @@
         Args:
           weights: The version that must answer, for a stream that goes on; zero for any.
         """
+        choice = self.choose(route, service, head, tried, weights, seconds_left)
+        if choice.candidate is None:
+            self.traffic(service).refusals.take(asyncio.get_running_loop().time())
+        return self.placed_by(choice), choice
+
+    def placed_by(self, choice: Choice) -> Placed | None:
+        """Returns the endpoint that was chosen with what is counted of it, or None."""
+        if choice.candidate is None:
+            return None
+        endpoint, load = choice.candidate.endpoint, choice.candidate.load
+        is_engine = self._state.engine_of(endpoint.service) is not None
+        return Placed(
+            endpoint, load, endpoint.weights if is_engine else 0, choice.seconds, choice.raw
+        )
+
+    def choose(
+        self,
+        route: Route,
+        service: str,
+        head: RequestHead,
+        tried: frozenset[str],
+        weights: int,
+        seconds_left: float,
+    ) -> Choice:
+        """Returns where a request would go now; see place."""
         now = asyncio.get_running_loop().time()
         figures = self._state.engine_of(service)
         self._deal()
@@ -155,13 +182,7 @@
             corrections=traffic.bias.corrections(now),
             refused_share=traffic.refused_share(now),
         )
-        choice = choose(candidates, figures, demand, now, self._rng)
-        if choice.candidate is None:
-            traffic.refusals.take(now)
-            return None, choice
-        endpoint = choice.candidate.endpoint
-        version = endpoint.weights if figures is not None else 0
-        return Placed(endpoint, choice.candidate.load, version, choice.seconds, choice.raw), choice
+        return choose(candidates, figures, demand, now, self._rng)
 
     def traffic(self, service: str) -> ServiceTraffic:
         """Returns what this entry sends to a service."""
@@ -173,7 +194,7 @@
     def begin(self, placed: Placed, prompt_tokens: int) -> None:
         """Counts a request that is sent to its endpoint."""
         now = asyncio.get_running_loop().time()
-        placed.load.placed(prompt_tokens, now)
+        placed.load.placed(prompt_tokens, now, placed.seconds)
         self.traffic(placed.endpoint.service).rate.take(now)
 
     def take_first_event(self, placed: Placed, prompt_tokens: int, seconds: float) -> None:
@@ -211,7 +232,7 @@
                 self.load_of(endpoint).take_report(load.running, load.waiting, load.pace, now, lag)
         if status.model and status.wanted_version.isdecimal():
             self._state.take_told_version(
-                status.model, int(status.wanted_version), status.wanted_seconds, now
+                status.model, int(status.wanted_version), status.wanted_seconds
             )
 
     def _candidates(
@@ -228,16 +249,30 @@
             if listed.service != service or listed.leaving or listed.id in tried:
                 continue
             endpoint = listed if figures is None else self._told.as_told(listed, now)
-            if figures is not None and not self._may_answer(endpoint, weights, now):
+            if figures is not None and not self._may_answer(endpoint, weights):
                 continue
             near = endpoint.data_centre == self._near
             first = figures is None or endpoint.id in self._first
             load = self.load_of(endpoint)
-            usual = load.run_seconds if figures is None else one_pass
-            self._judge_silence(endpoint, load, usual, now)
+            self._judge_silence(endpoint, load, one_pass or load.run_seconds, now)
             found.append(Candidate(endpoint, load, near, first))
         return found
 
+    def is_stuck(self, placed: Placed, heard_at: float, begun: bool) -> bool:
+        """Returns whether a request waits at an endpoint that stands still.
+
+        Args:
+          heard_at: When something came of it, or it was placed.
+        """
+        now = asyncio.get_running_loop().time()
+        figures = self._state.engine_of(placed.endpoint.service)
+        one_pass = 0.0 if figures is None else pass_seconds(figures, figures.slots)
+        usual = one_pass or placed.load.run_seconds
+        self._judge_silence(placed.endpoint, placed.load, usual, now)
+        forecast = 0.0 if begun else placed.seconds
+        silent = is_silent(placed.load.silent_seconds(now), usual)
+        return silent and is_stuck(now - heard_at, forecast, usual)
+
     def _judge_silence(
         self, endpoint: ListedEndpoint, load: EndpointLoad, usual: float, now: float
     ) -> None:
@@ -276,12 +311,12 @@
         shares = (deal(ids, entries, self._fellows.own) for ids in by_service.values())
         self._first = frozenset().union(*shares)
 
-    def _may_answer(self, endpoint: ListedEndpoint, weights: int, now: float) -> bool:
+    def _may_answer(self, endpoint: ListedEndpoint, weights: int) -> bool:
         if not endpoint.whole or endpoint.weights <= 0:
             return False
         if weights and endpoint.weights != weights:
             return False
-        return endpoint.weights >= self._state.oldest_allowed(endpoint.model, now)
+        return endpoint.weights >= self._state.oldest_to_place(endpoint.model)
 
     def _forget_unlisted(self) -> None:
         listed = {(e.id, e.started_at) for e in self._state.endpoints.endpoints}
