--- a/wasabidrum/gateway/paced_server.py
+++ b/wasabidrum/gateway/paced_server.py
@@ -5,17 +5,24 @@
 import dataclasses
 import select
 import socket
+import typing
 
 from tornado import httpserver, httputil, iostream
 
-from .exchange import CallerExchange
-
 # A request that is read and refused takes some 3 ms of processor time, measured over 400 on a
 # connection each. So many hold up everything else in a turn of the event loop for 12 ms, and on an
 # instance that runs four times slower for 50 ms.
 CONNECTIONS_PER_TURN = 4
 
 
+@typing.runtime_checkable
+class CountsWaiting(typing.Protocol):
+    """Something that reads a request and counts for how long it lay unread."""
+
+    def lay_unread_since(self, came_at: float) -> None:
+        """Takes that the request was here since a time, by the event loop's clock."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaitingConnection:
     """A connection whose turn has not come.
@@ -61,7 +68,7 @@
         """See HTTPServerConnectionDelegate."""
         exchange = super().start_request(server_conn, request_conn)
         came_at = self._came_at.pop(request_conn.stream, None)
-        if came_at is not None and isinstance(exchange, CallerExchange):
+        if came_at is not None and isinstance(exchange, CountsWaiting):
             exchange.lay_unread_since(came_at)
         return exchange
 
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -12,7 +12,7 @@
 from ..core.route import Route, RouteKind
 from ..core.status import Status
 from ..decisions.endpoint_choice import LATEST_FRACTION, Candidate, Choice, Demand, choose
-from ..decisions.endpoint_health import is_silent
+from ..decisions.endpoint_health import Health, is_silent
 from ..decisions.endpoint_load import EndpointLoad
 from ..decisions.engine_forecast import pass_seconds
 from ..decisions.entry_roster import Place
@@ -269,6 +269,10 @@
         one_pass = 0.0 if figures is None else pass_seconds(figures, figures.slots)
         usual = one_pass or placed.load.run_seconds
         self._judge_silence(placed.endpoint, placed.load, usual, now)
+        # Its work is what shows that it stands still. Moved before the verdict, none would be left
+        # to show it, and new work would go there.
+        if placed.load.health.health is Health.HEALTHY:
+            return False
         forecast = 0.0 if begun else placed.seconds
         silent = is_silent(placed.load.silent_seconds(now), usual)
         return silent and is_stuck(now - heard_at, forecast, usual)
