Pass over a peer that is silent while others answer

What was seen: engines had a version 15 to 19 s after its naming where a third of the sidecars' links were narrow, 9 to 11 s where one sidecar was suspended. Cause: before each draw a sidecar waited up to 2 s for probes of such peers, so that draws took 5.7 s instead of 1.7; and a request waited 4 to 5 s at each. Behind a narrow link of its own a sidecar held that against all its peers and drew again what they had.

Change: a peer from which nothing comes is probed beside two others and passed over where it is silent half a second longer than another took; probes before a draw wait no longer. Where all are late and draws are slow, the own link is in doubt: peers are excused and draws left to others. One that left the list is waited at no more. Requests to peers moved from Distributor to PeerAsker; its test sets the client there and its stand-in takes the new argument.

--- a/tests/weights_held_up_test.py
+++ b/tests/weights_held_up_test.py
@@ -9,7 +9,7 @@
 ENGINES = 4
 # Twelve pieces of 4 KiB on loopback addresses, with what is read before them and the order after.
 WITHOUT_FAULT_SECONDS = 1.5
-# Reading a list past a silent peer takes 0.6 s, noticing it twice a second at most, the turn to draw
+# Reading a list past a silent peer takes 0.6 s, noticing it twice a second at most, a turn to draw
 # a quarter; the rest is for a machine that is busy. Waits that nobody ended took 8.7 s in all.
 NOTICED_SECONDS = 4.5
 
--- a/wasabidrum/decisions/chunk_evidence.py
+++ b/wasabidrum/decisions/chunk_evidence.py
@@ -18,6 +18,11 @@
 LACK_EXPIRES_SECONDS = 4.0
 TRIAL_SECONDS = 6.0
 DOUBLINGS = 5
+# One that was silent so often in a row is waited for, in case it is the only one to hold a chunk
+# and its link is always that slow; until then a trial that is silent as well costs a second.
+PATIENT_AFTER_SILENCES = 3
+# Requests to a peer that may fail in a row for the own link's sake; each takes two to five seconds.
+MOST_EXCUSES = 6
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,22 +34,25 @@
       avoid_until: Until when the peer is passed over.
       on_trial: Whether one request tries it now.
       corrupt: Whether it has sent other bytes than were asked for.
+      silences: How often in a row it was passed over for being slow.
     """
 
     failures: int = 0
     avoid_until: float = 0.0
     on_trial: bool = False
     corrupt: bool = False
+    silences: int = 0
 
 
 class ChunkEvidence:
     """Evidence about peers, and about which chunk each said that it lacks."""
 
-    __slots__ = ("_records", "_lacks")
+    __slots__ = ("_records", "_lacks", "_excuses")
 
     def __init__(self) -> None:
         self._records: dict[str, PeerRecord] = {}
         self._lacks: dict[tuple[str, str], float] = {}
+        self._excuses: dict[str, int] = {}
 
     def avoided(self, name: str, now: float) -> bool:
         """Returns whether a peer is to be passed over now."""
@@ -57,6 +65,17 @@
             record.avoid_until = max(record.avoid_until, now + TRIAL_SECONDS)
             record.on_trial = True
 
+    def silent(self, name: str, now: float) -> bool:
+        """Returns whether a peer is passed over now for being slow, and not tried either."""
+        record = self._records.get(name)
+        known = record is not None and now < record.avoid_until
+        return known and record.silences > 0 and not record.on_trial
+
+    def deserves_patience(self, name: str) -> bool:
+        """Returns whether a request is to wait for a peer, however long that is silent."""
+        record = self._records.get(name)
+        return record is not None and record.silences >= PATIENT_AFTER_SILENCES
+
     def lacks(self, name: str, digest: str, now: float) -> bool:
         """Returns whether a peer said lately that it neither holds nor expects a chunk."""
         return now < self._lacks.get((name, digest), 0.0)
@@ -74,9 +93,25 @@
         record.corrupt = record.corrupt or corrupt
         record.avoid_until = now + pause
 
+    def excuse(self, name: str) -> bool:
+        """Forgets a failure that may be due to the own link; False where it happened too often.
+
+        A sidecar that alone is left finds its peers silent too, and has to turn to the origin.
+        """
+        excuses = self._excuses[name] = self._excuses.get(name, 0) + 1
+        record = self._records.get(name)
+        if excuses > MOST_EXCUSES or (record is not None and record.corrupt):
+            return False
+        self._records.pop(name, None)
+        return True
+
     def note_slow(self, name: str, now: float) -> None:
-        """Takes that a peer gave a chunk much later than its own link should allow."""
+        """Takes that a peer answers much later than its own link should allow."""
         record = self._records.setdefault(name, PeerRecord())
+        # Several chunks asked of one silent peer find that out together.
+        if now >= record.avoid_until or record.on_trial:
+            record.silences += 1
+        record.on_trial = False
         record.avoid_until = max(record.avoid_until, now + SLOW_PAUSE_SECONDS)
 
     def note_lack(self, name: str, digest: str, now: float) -> None:
@@ -87,6 +122,7 @@
 
     def note_answer(self, name: str, gave_chunk: bool) -> None:
         """Takes that a peer answered; one that sent corrupted bytes has to give a right chunk."""
+        self._excuses.pop(name, None)
         record = self._records.get(name)
         if record is not None and (gave_chunk or not record.corrupt):
             del self._records[name]
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -8,9 +8,8 @@
 
 from ..config.settings import Settings
 from ..core.errors import CodedError
-from ..core.instance import InstanceRole
 from ..decisions import chunk_route
-from ..decisions.chunk_evidence import ChunkEvidence
+from ..decisions.chunk_evidence import SLOW_PAUSE_SECONDS
 from ..decisions.chunk_plan import ChunkPlan
 from ..decisions.chunk_route import Asker, Step, StepKind
 from ..observe.event import Event
@@ -21,10 +20,9 @@
 from .chunk_store import ChunkStore
 from .link_pacer import LinkPacer
 from .origin_draw import OriginDraw
-from .peer_chunk_client import PeerChunkClient
+from .peer_asker import ASK_WAIT_SECONDS, PeerAsker
 from .transfer_counts import TransferCounts
 
-ASK_WAIT_SECONDS = 3.0
 # A sidecar that nobody has asked yet stands last in its own eyes and waits for its peers. They may
 # have known it all the while, and wait for what the plan has it draw: as soon as one asks, it must
 # look again, or each waits for the other until the longer wait is over.
@@ -36,17 +34,17 @@
 # that passes between its return and the next try is one in which no engine has the version.
 FIRST_PAUSE_SECONDS = 0.25
 LONGEST_PAUSE_SECONDS = 0.75
-# A chunk passes an instance's link in a tenth of a second. From one whose link is a quarter as wide
-# as the settings say it comes this much later, and others hold it as well.
-SLOW_SECONDS = 0.5
+# How often a sidecar whose own link is narrow lets others draw a chunk, before it does so itself.
+# They notice within two seconds that they wait for it, and what it draws besides costs the origin
+# a chunk and takes its link from what they send it.
+ROUNDS_IN_DOUBT = 3
 
 
 class Distributor:
     """One sidecar's part in the distribution: its store, its evidence and its requests."""
 
-    __slots__ = ("_settings", "_membership", "_origin", "_log", "_peers", "store", "pacer")
-    __slots__ += ("evidence", "counts", "revision", "spread", "_asked", "_begun_at")
-    __slots__ += ("late_seconds", "holders")
+    __slots__ = ("_settings", "_origin", "_log", "asker", "store", "pacer", "counts")
+    __slots__ += ("spread", "_asked", "_begun_at")
 
     def __init__(
         self,
@@ -58,24 +56,22 @@
         log: EventLog,
     ) -> None:
         self._settings = settings
-        self._membership = membership
         self._origin = origin
         self._log = log
-        self._peers = PeerChunkClient(client, settings.name, settings.region)
         self.store = ChunkStore(settings.chunk_memory_bytes)
         self.pacer = LinkPacer(settings.region, settings.link_mbit, in_progress)
-        self.evidence = ChunkEvidence()
         self.counts = TransferCounts()
-        self.revision = 0
+        self.asker = PeerAsker(settings, membership, client, self.counts, log)
         # Whether the version is known to be in force somewhere, so that peers hold it.
         self.spread = False
-        # How late the last chunk of a peer was whole, beyond the time that it took to send.
-        self.late_seconds = 0.0
-        # Peers of this region that are known to hold the version that is being brought.
-        self.holders: frozenset[str] = frozenset()
         self._asked = asyncio.Event()
         self._begun_at = 0.0
 
+    @property
+    def late_seconds(self) -> float:
+        """How late the last chunk of a peer was whole, beyond the time that it took to send."""
+        return self.asker.late_seconds
+
     def state_of(self, digest: str, asker_revision: int = 0) -> ChunkState:
         """Returns what this sidecar can say of a chunk."""
         if self.store.get(digest) is not None:
@@ -84,7 +80,7 @@
             return ChunkState.DRAWING
         # An asker whose configuration is newer may want what this one will want in a moment.
         # To deny it here would send the asker to the origin for what is about to come.
-        behind = asker_revision > self.revision
+        behind = asker_revision > self.asker.revision
         if digest in self.store.expected or self.store.undecided or behind:
             return ChunkState.COMING
         return ChunkState.LACKING
@@ -103,12 +99,12 @@
         if region is None:
             return
         now = asyncio.get_running_loop().time()
-        members = self._members()
+        members = self.asker.members()
         carriers = [
             name
             for name in region.carriers
             if name == self._settings.name
-            or (name in members and not self.evidence.avoided(name, now))
+            or (name in members and not self.asker.evidence.avoided(name, now))
         ]
         # A stand-in for dead carriers is one of all, so all together keep within one share.
         mine = self._settings.name in region.carriers
@@ -130,13 +126,13 @@
             index = plan.index_of(digest)
             step = self._find_step(plan, index, digest)
             if step.kind is StepKind.ASK:
-                content, state = await self._ask(step.peer, digest, self._patience())
+                content, state = await self.asker.ask(step.peer, digest, self._patience())
                 waits += 1
                 stuck = waits % WAITS_BEFORE_OTHERS == 0
                 if state is ChunkState.LACKING or (state is ChunkState.COMING and stuck):
                     # One that waits for ever is passed over as well, for its own way to
                     # the chunk may be cut while another way is open.
-                    self.evidence.note_lack(step.peer, digest, self._now())
+                    self.asker.evidence.note_lack(step.peer, digest, self._now())
             else:
                 content = await self._bring_in(plan, index, digest, step, rounds)
                 rounds += 1
@@ -156,7 +152,7 @@
 
     def avoided_names(self) -> list[str]:
         """Returns the peers passed over now."""
-        return self.evidence.avoided_names(self._now())
+        return self.asker.evidence.avoided_names(self._now())
 
     def _patience(self) -> float:
         """Returns how long to wait at a peer for a chunk that it expects, in seconds."""
@@ -169,13 +165,6 @@
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
-    def _members(self) -> dict[str, MemberView]:
-        return {
-            view.name: view
-            for view in self._membership.members
-            if view.instance.role is InstanceRole.SIDECAR
-        }
-
     def _asker(self, members: dict[str, MemberView]) -> Asker:
         name = self._settings.name
         # Nobody finds an instance that the lists of others lack. What it drew nobody would
@@ -189,70 +178,31 @@
             return (
                 name in members
                 and name != self._settings.name
-                and not self.evidence.avoided(name, now)
-                and not self.evidence.lacks(name, digest, now)
+                and not self.asker.evidence.avoided(name, now)
+                and not self.asker.evidence.lacks(name, digest, now)
             )
 
         return usable
 
     def _find_step(self, plan: ChunkPlan, index: int, digest: str) -> Step:
-        members = self._members()
+        members = self.asker.members()
         asker = self._asker(members)
         usable = self._usable(digest, members)
         if self._settings.weights_from == "origin":
             return Step(StepKind.DRAW)
         if self._settings.weights_from == "chain":
             return chunk_route.find_chain_step(plan, asker, usable)
-        holder = chunk_route.find_holder(self.holders, asker.name, digest, usable)
+        holder = chunk_route.find_holder(self.asker.holders, asker.name, digest, usable)
         if holder:
             return Step(StepKind.ASK, holder)
         return chunk_route.find_step(plan, asker, index, usable)
 
     def _keep(self, plan: ChunkPlan, index: int, digest: str, content: bytes) -> None:
-        asker = self._asker(self._members())
+        asker = self._asker(self.asker.members())
         rank = chunk_route.rank_to_keep(plan, asker, digest)
         self.share_link(plan)
         self.store.add(digest, content, rank, chunk_route.count_children(plan, asker, index))
 
-    async def _ask(
-        self, name: str, digest: str, wait: float = ASK_WAIT_SECONDS, probe: bool = False
-    ) -> tuple[bytes | None, ChunkState | None]:
-        """Asks one peer; a failure becomes evidence, and the state is then None."""
-        view = self._members().get(name)
-        if view is None:
-            return None, None
-        self.counts.asks += 1
-        self.evidence.begin_ask(name, self._now())
-        try:
-            answer = await self._peers.ask(view.url, digest, wait, self.revision, probe)
-        except CodedError as error:
-            self._note_failure(name, digest, error)
-            return None, None
-        self._membership.report_success(name)
-        self.evidence.note_answer(name, answer.content is not None)
-        if answer.content is not None:
-            self.late_seconds = answer.late_seconds
-            if name in self.holders and answer.late_seconds > SLOW_SECONDS:
-                self.evidence.note_slow(name, self._now())
-            self.counts.asks_answered += 1
-            if view.instance.region == self._settings.region:
-                self.counts.from_own_region += len(answer.content)
-            else:
-                self.counts.from_other_regions += len(answer.content)
-        return answer.content, answer.state
-
-    def _note_failure(self, name: str, digest: str, error: CodedError) -> None:
-        corrupt = error.code == "chunk_corrupt"
-        if corrupt:
-            self.counts.corrupt += 1
-        else:
-            self.counts.peer_failures += 1
-            self._membership.report_failure(name)
-        known = self.evidence.avoided(name, self._now())
-        self.evidence.note_failure(name, self._now(), corrupt)
-        if not known or corrupt:
-            self._log.write(Event.CHUNK_PEER_PASSED_OVER, peer=name, chunk=digest, code=error.code)
-
     async def _bring_in(
         self, plan: ChunkPlan, index: int, digest: str, step: Step, rounds: int
     ) -> bytes | None:
@@ -265,7 +215,11 @@
             found, content = await self._ask_holders(plan, index, digest, rounds)
             if found or (self.spread and rounds < PROBE_ROUNDS_WHEN_SPREAD):
                 return content
+            if rounds < ROUNDS_IN_DOUBT and self.asker.own_link_in_doubt():
+                await asyncio.sleep(SLOW_PAUSE_SECONDS)
+                return None
         self.store.drawing.add(digest)
+        began = self._now()
         try:
             content = await self._origin.draw(digest)
         except CodedError as error:
@@ -275,6 +229,7 @@
         finally:
             self.store.drawing.discard(digest)
             self.store.wake(digest)
+            self.asker.note_draw(self._now() - began)
         if content is None:
             await asyncio.sleep(pause)
         else:
@@ -303,7 +258,7 @@
         self, plan: ChunkPlan, index: int, digest: str, rounds: int
     ) -> tuple[bool, bytes | None]:
         """Looks for a peer that holds the chunk or draws it now, and asks that one."""
-        members = self._members()
+        members = self.asker.members()
         asker = self._asker(members)
         # A peer that lacked the chunk a moment ago may have it by now; probes are cheap.
         now = self._now()
@@ -312,13 +267,13 @@
             asker,
             index,
             digest,
-            lambda name: name in members and not self.evidence.avoided(name, now),
+            lambda name: name in members and not self.asker.evidence.avoided(name, now),
             rounds,
         )
-        answers = await asyncio.gather(*(self._ask(name, digest, 0.0, True) for name in names))
+        states = await self.asker.probe(names, digest)
         for wanted in (ChunkState.HELD, ChunkState.DRAWING):
-            for name, (_, state) in zip(names, answers, strict=True):
+            for name, state in zip(names, states, strict=True):
                 if state is wanted:
-                    content, _ = await self._ask(name, digest)
+                    content, _ = await self.asker.ask(name, digest)
                     return True, content
         return False, None
--- a/wasabidrum/weights/distributor_test.py
+++ b/wasabidrum/weights/distributor_test.py
@@ -14,7 +14,7 @@
 from .chunk_state import ChunkState
 from .distributor import Distributor
 from .origin_draw import OriginDraw
-from .peer_chunk_client import PeerAnswer
+from .peer_chunk_client import HoldsUp, PeerAnswer
 
 CONTENT = b"a chunk"
 DIGEST = digest_of(CONTENT)
@@ -48,7 +48,13 @@
         self._fleet = fleet
 
     async def ask(
-        self, url: str, digest: str, wait: float, revision: int, probe: bool
+        self,
+        url: str,
+        digest: str,
+        wait: float,
+        revision: int,
+        probe: bool = False,
+        holds_up: HoldsUp | None = None,
     ) -> PeerAnswer:
         """See PeerChunkClient."""
         peer = next(d for name, d in self._fleet.items() if f"{name}:" in url)
@@ -93,7 +99,7 @@
         first, second = plan.regions["r"].order(0)
         fleet = {name: make_distributor(name) for name in ("a", "b")}
         for distributor in fleet.values():
-            distributor._peers = DirectPeers(fleet)
+            distributor.asker.peers = DirectPeers(fleet)
             distributor.store.expected = {DIGEST}
             distributor.begin()
         began = asyncio.get_running_loop().time()
--- a/wasabidrum/weights/engine_keeper.py
+++ b/wasabidrum/weights/engine_keeper.py
@@ -97,7 +97,7 @@
 
     def _take_holders(self) -> None:
         if self._staged:
-            self._distributor.holders = self._listed.holders(max(self._staged))
+            self._distributor.asker.holders = self._listed.holders(max(self._staged))
 
     def _tell(self, wanted: int, reason: str) -> None:
         if reason != self._reason:
--- /dev/null
+++ b/wasabidrum/weights/peer_asker.py
@@ -0,0 +1,163 @@
+"""Asks peers for chunks, and keeps what speaks against asking some of them."""
+
+import asyncio
+import functools
+
+from tornado import httpclient
+
+from ..config.settings import Settings
+from ..core.errors import CodedError
+from ..core.instance import InstanceRole
+from ..decisions.chunk_evidence import ChunkEvidence
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from ..peers.member_view import MemberView
+from ..peers.membership import Membership
+from .chunk_state import ChunkState
+from .peer_chunk_client import PeerChunkClient
+from .peer_watch import PeerWatch
+from .transfer_counts import TransferCounts
+
+ASK_WAIT_SECONDS = 3.0
+# A chunk passes an instance's link in a tenth of a second. From one whose link is a quarter as wide
+# as the settings say it comes this much later, and others hold it as well.
+SLOW_SECONDS = 0.5
+
+
+class PeerAsker:
+    """Requests of one sidecar to its peers.
+
+    Attributes:
+      peers: The client that asks.
+      evidence: What speaks against asking some of them.
+      holders: Peers of this region that are known to hold the version that is being brought.
+      revision: The configuration that this sidecar has; peers may lag behind it.
+      late_seconds: How late the last chunk was whole, beyond the time that it took to send.
+    """
+
+    __slots__ = ("_name", "_region", "_membership", "_log", "_watch", "_counts")
+    __slots__ += ("peers", "evidence", "holders", "late_seconds", "revision")
+
+    def __init__(
+        self,
+        settings: Settings,
+        membership: Membership,
+        client: httpclient.AsyncHTTPClient,
+        counts: TransferCounts,
+        log: EventLog,
+    ) -> None:
+        self._name = settings.name
+        self._region = settings.region
+        self._membership = membership
+        self._log = log
+        self._watch = PeerWatch(self._probe_one, self._others, self._note_held_up)
+        self._counts = counts
+        self.peers = PeerChunkClient(client, settings.name, settings.region)
+        self.evidence = ChunkEvidence()
+        self.holders: frozenset[str] = frozenset()
+        self.late_seconds = 0.0
+        self.revision = 0
+
+    def members(self) -> dict[str, MemberView]:
+        """Returns the sidecars that are listed, by name."""
+        return {
+            view.name: view
+            for view in self._membership.members
+            if view.instance.role is InstanceRole.SIDECAR
+        }
+
+    def own_link_in_doubt(self) -> bool:
+        """Returns whether this sidecar's own link seems to be what delays its peers' answers."""
+        return self._watch.promptness.own_link_in_doubt(self._now())
+
+    def note_draw(self, seconds: float) -> None:
+        """Takes how long a chunk took to come from the origin, or how long none came."""
+        self._watch.promptness.note_draw(seconds)
+
+    async def ask(
+        self, name: str, digest: str, wait: float = ASK_WAIT_SECONDS
+    ) -> tuple[bytes | None, ChunkState | None]:
+        """Asks one peer; a failure becomes evidence, and the state is then None."""
+        return await self._ask(name, digest, wait, probe=False)
+
+    async def probe(self, names: list[str], digest: str) -> list[ChunkState | None]:
+        """Returns what peers know of a chunk, without waiting for one that holds all up."""
+        return await self._watch.probe_all(names, digest)
+
+    async def _probe_one(self, name: str, digest: str) -> ChunkState | None:
+        _, state = await self._ask(name, digest, 0.0, probe=True)
+        return state
+
+    async def _ask(
+        self, name: str, digest: str, wait: float, probe: bool
+    ) -> tuple[bytes | None, ChunkState | None]:
+        view = self.members().get(name)
+        if view is None:
+            return None, None
+        self._counts.asks += 1
+        self.evidence.begin_ask(name, self._now())
+        holds_up = None if probe else functools.partial(self._holds_up, name, digest)
+        try:
+            answer = await self.peers.ask(view.url, digest, wait, self.revision, probe, holds_up)
+        except CodedError as error:
+            if error.code != "peer_held_up":
+                self._note_failure(name, digest, error)
+            return None, None
+        self._membership.report_success(name)
+        self.evidence.note_answer(name, answer.content is not None)
+        if answer.content is not None:
+            self._note_content(view, len(answer.content), answer.late_seconds)
+        return answer.content, answer.state
+
+    def _note_content(self, view: MemberView, size: int, late_seconds: float) -> None:
+        self.late_seconds = late_seconds
+        if view.name in self.holders and late_seconds > SLOW_SECONDS:
+            self.evidence.note_slow(view.name, self._now())
+        self._counts.asks_answered += 1
+        if view.instance.region == self._region:
+            self._counts.from_own_region += size
+        else:
+            self._counts.from_other_regions += size
+
+    def _others(self) -> list[str]:
+        """Returns the peers against which nothing speaks now."""
+        now = self._now()
+        names = (name for name in self.members() if name != self._name)
+        return [name for name in names if not self.evidence.avoided(name, now)]
+
+    async def _holds_up(self, name: str, digest: str) -> bool:
+        """Returns whether a request that waits at a peer is to go elsewhere."""
+        if name not in self.members():
+            # The platform has taken it off its list, and it cannot be probed any more. The
+            # request would wait for five seconds at one that nobody else asks.
+            return True
+        if self.evidence.deserves_patience(name):
+            return False
+        if self.evidence.silent(name, self._now()):
+            return True
+        return await self._watch.holds_up(name, digest)
+
+    def _note_held_up(self, name: str, digest: str) -> None:
+        """Takes that a peer is silent while others answer."""
+        if not self.evidence.avoided(name, self._now()):
+            self._log.write(Event.CHUNK_PEER_PASSED_OVER, peer=name, chunk=digest, code="held_up")
+        self.evidence.note_slow(name, self._now())
+
+    def _note_failure(self, name: str, digest: str, error: CodedError) -> None:
+        corrupt = error.code == "chunk_corrupt"
+        if corrupt:
+            self._counts.corrupt += 1
+        else:
+            self._counts.peer_failures += 1
+            if self.own_link_in_doubt() and self.evidence.excuse(name):
+                # All peers would be passed over for ever longer, for what this link does to
+                # them, and the origin would be asked for the whole version once more.
+                return
+            self._membership.report_failure(name)
+        known = self.evidence.avoided(name, self._now())
+        self.evidence.note_failure(name, self._now(), corrupt)
+        if not known or corrupt:
+            self._log.write(Event.CHUNK_PEER_PASSED_OVER, peer=name, chunk=digest, code=error.code)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/wasabidrum/weights/peer_asker_test.py
@@ -0,0 +1,18 @@
+"""Whom a request goes on waiting at."""
+
+import unittest
+
+from .distributor_test import FixedMembership, make_distributor
+
+
+class LeftListTest(unittest.IsolatedAsyncioTestCase):
+    """A request waits at a peer while the platform's list changes."""
+
+    async def test_one_that_left_the_list_is_waited_at_no_longer(self) -> None:
+        """A suspended sidecar is tried once more just before the platform takes it off the list.
+        It cannot be probed after that, and engines miss one chunk until it is back."""
+        asker = make_distributor("a").asker
+        membership = FixedMembership()
+        asker._membership = membership
+        membership.members = [view for view in membership.members if view.name != "b"]
+        self.assertTrue(await asker._holds_up("b", "digest"))
--- a/wasabidrum/weights/peer_chunk_client.py
+++ b/wasabidrum/weights/peer_chunk_client.py
@@ -1,12 +1,14 @@
 """Asks a peer for a chunk, and notices when the answer no longer moves."""
 
 import asyncio
+import collections.abc
 import dataclasses
 
 from tornado import httpclient, httputil
 
 from ..core.digest import digest_of
 from ..core.errors import CodedError
+from ..decisions.peer_promptness import LOOK_SECONDS, PROMPT_SECONDS
 from ..wire import headers, http_client
 from .chunk_state import ChunkState
 
@@ -16,6 +18,9 @@
 LONGEST_REQUEST_SECONDS = 900.0
 
 
+HoldsUp = collections.abc.Callable[[], collections.abc.Awaitable[bool]]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerAnswer:
     """What a peer answered; the content is verified, and None unless the state is HELD.
@@ -33,7 +38,7 @@
     """One request for a chunk while it runs."""
 
     __slots__ = ("_parts", "_loop", "_moves_until", "_ends_at", "_status", "_head", "given_up")
-    __slots__ += ("_due_at",)
+    __slots__ += ("_due_at", "_idle_from")
 
     def __init__(self, wait: float) -> None:
         self._loop = asyncio.get_running_loop()
@@ -43,6 +48,8 @@
         self._moves_until = self._loop.time() + wait + HEAD_GRACE_SECONDS
         self._ends_at = self._moves_until + LONGEST_REQUEST_SECONDS
         self.given_up = False
+        # Before the head comes, a look of half a second is due after the first half.
+        self._idle_from = self._loop.time() + PROMPT_SECONDS - LOOK_SECONDS
         self._due_at = self._loop.time()
 
     @property
@@ -55,6 +62,11 @@
         """The headers so far."""
         return self._head
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing has come for a while, be it that the peer's turn is still to come."""
+        return self._loop.time() > self._idle_from + LOOK_SECONDS
+
     @property
     def content(self) -> bytes:
         """The bytes so far."""
@@ -76,6 +88,7 @@
             seconds = float(self._head.get(headers.CHUNK_SECONDS, "0"))
             now = self._loop.time()
             self._due_at = now + max(0.0, starts_in) + seconds
+            self._idle_from = now
             self._moves_until = now + max(0.0, starts_in) + STALL_SECONDS
             self._ends_at = self._moves_until + SLOWEST_FACTOR * seconds + STALL_SECONDS
 
@@ -86,6 +99,7 @@
             # this a transfer that nobody waits for would go on and take up the link.
             raise httputil.HTTPInputError("given up")
         self._parts.append(part)
+        self._idle_from = self._loop.time()
         self._moves_until = max(self._moves_until, self._loop.time() + STALL_SECONDS)
 
 
@@ -100,14 +114,23 @@
         self._region = region
 
     async def ask(
-        self, url: str, digest: str, wait: float, revision: int, probe: bool = False
+        self,
+        url: str,
+        digest: str,
+        wait: float,
+        revision: int,
+        probe: bool = False,
+        holds_up: HoldsUp | None = None,
     ) -> PeerAnswer:
         """Asks a peer, who answers once it holds the chunk or the wait is over.
 
         A probe is answered at once, and without the content.
 
+        Args:
+          holds_up: Looks whether the peer is silent, while nothing comes from it.
+
         Raises:
-          CodedError: "peer_unreachable", "peer_stalled" or "chunk_corrupt".
+          CodedError: "peer_unreachable", "peer_stalled", "peer_held_up" or "chunk_corrupt".
         """
         download = ChunkDownload(wait)
         request = httpclient.HTTPRequest(
@@ -127,7 +150,12 @@
             while not answered.done():
                 if download.patience <= 0:
                     raise CodedError("peer_stalled", f"{url} stopped sending", 503)
-                await asyncio.wait((answered,), timeout=max(0.01, download.patience))
+                patience = max(0.01, download.patience)
+                await asyncio.wait((answered,), timeout=min(patience, PROMPT_SECONDS))
+                if holds_up is None or answered.done() or not download.idle:
+                    continue
+                if await holds_up() and download.idle and not answered.done():
+                    raise CodedError("peer_held_up", f"{url} is silent", 503)
         finally:
             download.given_up = True
             answered.cancel()
--- a/wasabidrum/weights/version_manager.py
+++ b/wasabidrum/weights/version_manager.py
@@ -66,7 +66,7 @@
             current = await self._follower.wait_after(revision)
             revision = current.revision
             wanted = find_target(current, self._name)
-            self._distributor.revision = revision
+            self._distributor.asker.revision = revision
             self._distributor.pacer.links = current.fleet.links
             # Most revisions change something else; to start again for each of those would
             # hold up a large version for as long as files keep changing.
