--- a/tests/version_bound_test.py
+++ b/tests/version_bound_test.py
@@ -162,6 +162,24 @@
         self.assertTrue(reply.whole)
         self.assertEqual((self.old.runs["r1"], self.new.runs["r1"]), (1, 0))
 
+    async def test_an_endpoint_that_gets_requests_late_gets_none_shortly_before_the_bound(
+        self,
+    ) -> None:
+        """An engine stands behind a narrow link that carries weights, and gets requests over a
+        second after they were sent. One that is placed there in time begins after the bound,
+        and the reset that takes it back comes behind it on the same link. The lines that settled
+        it: sent 0.15 s before nothing was placed any more, taken back 0.45 s before the bound,
+        read by the engine 1.0 s after it, begun, and cut 0.5 s later."""
+        engine = BeginsWhenWoken()
+        self.old.behave = engine
+        first = self.ask("r1")
+        await asyncio.sleep(1.2)
+        named_at = await self.name_and_hear(2)
+        await self.sleep_until(named_at + 0.4)
+        reply = await self.ask("r2")
+        self.assertEqual((len(self.old.seen), reply.status), (1, 503))
+        first.cancel()
+
     async def sleep_until(self, moment: float) -> None:
         """Sleeps until a moment of the event loop's clock."""
         await asyncio.sleep(moment - asyncio.get_running_loop().time())
