Allow for an endpoint's lateness when weights are about to be overdue

Over narrow links requests reach their engine seconds after they were sent, and what calls them back comes behind them. The worst lateness of the last 5 s at an endpoint, of requests that have begun and of those that wait, is added to the margin at placing: an engine that begins 2 s late gets nothing on the old weights in the 2 s before the usual limit.

Not mended: 5 s of bytes can wait on such a link, more than any entry has seen of it; the engine's own side must refuse.

--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -22,6 +22,7 @@
 from .endpoint_health import EndpointHealth
 from .engine_forecast import EngineWork
 from .failure_rate import FailureRate
+from .recent_lateness import RecentLateness
 
 TRUSTED_SECONDS = 1.5
 # More than an entry sends to one engine between two reports.
@@ -37,10 +38,11 @@
       own: Requests of this entry in progress there.
       unread: Prompt tokens of those that have had no event yet.
       failures: How often requests failed there, lately.
+      lateness: By how much requests lately began there later than forecast.
       run_seconds: How long a request of a plain service takes, on average.
     """
 
-    __slots__ = ("health", "own", "unread", "failures", "run_seconds")
+    __slots__ = ("health", "own", "unread", "failures", "run_seconds", "lateness")
     __slots__ += ("_others", "_reported_at", "_made_at", "_pace", "_queued", "_sent")
     __slots__ += ("_quiet_since",)
 
@@ -49,6 +51,7 @@
         self.own = 0
         self.unread = 0
         self.failures = FailureRate()
+        self.lateness = RecentLateness()
         # Since when nothing has come from there though this entry has work there.
         self._quiet_since = 0.0
         self.run_seconds = FIRST_RUN_SECONDS
--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -92,6 +92,8 @@
         self._note_retired(now)
         for attempt in list(self._attempts):
             placed = attempt.placed
+            if not attempt.begun:
+                self._placer.note_waiting(placed, attempt.heard_at)
             waiting = Waiting(
                 begun=attempt.begun,
                 repeatable=attempt.repeatable,
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -201,8 +201,14 @@
         """Takes a request's first event, some seconds after it was placed."""
         now = asyncio.get_running_loop().time()
         placed.load.first_event(prompt_tokens, now)
+        placed.load.lateness.take(seconds - placed.seconds, now)
         self.traffic(placed.endpoint.service).bias.take(placed.raw, seconds, now)
 
+    def note_waiting(self, placed: Placed, placed_at: float) -> None:
+        """Takes that a request has not begun yet, which may be later than forecast."""
+        now = asyncio.get_running_loop().time()
+        placed.load.lateness.take(now - placed_at - placed.seconds, now)
+
     def take_failure(self, placed: Placed, reason: str) -> None:
         """Takes a failure that may be the endpoint's own."""
         now = asyncio.get_running_loop().time()
@@ -249,11 +255,12 @@
             if listed.service != service or listed.leaving or listed.id in tried:
                 continue
             endpoint = listed if figures is None else self._told.as_told(listed, now)
-            if figures is not None and not self._may_answer(endpoint, weights):
+            load = self.load_of(endpoint)
+            late = load.lateness.worst(now)
+            if figures is not None and not self._may_answer(endpoint, weights, late):
                 continue
             near = endpoint.data_centre == self._near
             first = figures is None or endpoint.id in self._first
-            load = self.load_of(endpoint)
             self._judge_silence(endpoint, load, one_pass or load.run_seconds, now)
             found.append(Candidate(endpoint, load, near, first))
         return found
@@ -315,12 +322,17 @@
         shares = (deal(ids, entries, self._fellows.own) for ids in by_service.values())
         self._first = frozenset().union(*shares)
 
-    def _may_answer(self, endpoint: ListedEndpoint, weights: int) -> bool:
+    def _may_answer(self, endpoint: ListedEndpoint, weights: int, late: float) -> bool:
+        """Returns whether a request may be placed on what an engine holds.
+
+        Args:
+          late: By how many seconds requests have lately begun there later than forecast.
+        """
         if not endpoint.whole or endpoint.weights <= 0:
             return False
         if weights and endpoint.weights != weights:
             return False
-        return endpoint.weights >= self._state.oldest_to_place(endpoint.model)
+        return endpoint.weights >= self._state.oldest_to_place(endpoint.model, late)
 
     def _forget_unlisted(self) -> None:
         listed = {(e.id, e.started_at) for e in self._state.endpoints.endpoints}
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -55,10 +55,14 @@
     # loop's, an entry that wakes after a minute would place requests on weights whose time is
     # long over, and callers would get text that nobody else serves any more.
 
-    def oldest_to_place(self, model: str) -> int:
-        """Returns the oldest version of a model's weights that requests are placed on now."""
+    def oldest_to_place(self, model: str, late: float) -> int:
+        """Returns the oldest version of a model's weights that requests are placed on now.
+
+        Args:
+          late: The seconds by which a request may begin later than forecast where it goes.
+        """
         floor = self._floors.get(model)
-        return floor.oldest_to_place(awake_seconds()) if floor else 0
+        return floor.oldest_to_place(awake_seconds() + late) if floor else 0
 
     def may_begin(self, model: str, weights: int) -> bool:
         """Returns whether a request on its way may still begin on some weights of a model."""
