Count no idle time as slowness

An engine that paused in the last tokens of a text would be out at the first tokens of the next one, however well it went by then: its pace is an average that remembers the pause, and the time for which it must be slow had passed while nothing was asked of it. The time now begins anew after as long without a token as would be a silence.

--- a/wasabidrum/decisions/endpoint_health.py
+++ b/wasabidrum/decisions/endpoint_health.py
@@ -50,7 +50,7 @@
 
     __slots__ = ("_health", "_token_seconds", "_samples", "_failures", "_tries")
     __slots__ += ("_probe_at", "_probing", "_confirmed_after", "_silence_seen_at")
-    __slots__ += ("_slow_since", "_rng")
+    __slots__ += ("_slow_since", "_slow_at", "_rng")
 
     def __init__(self, rng: random.Random, confirmed_after: float = 0.0) -> None:
         """Takes how long a silence that was found must still last to be believed, in seconds."""
@@ -64,6 +64,7 @@
         self._confirmed_after = confirmed_after
         self._silence_seen_at = float("-inf")
         self._slow_since: float | None = None
+        self._slow_at = float("-inf")
         self._rng = rng
 
     @property
@@ -115,9 +116,12 @@
             self._slow_since = None
             return False
         # All streams of an endpoint tell of the same short pause, so that many slow tokens are
-        # no proof of slowness. One that is slow still is after the time of some tokens.
-        if self._slow_since is None:
+        # no proof of slowness. One that is slow still is after the time of some tokens; a time
+        # without any, as between two texts, proves nothing and begins it anew.
+        idle = now - self._slow_at > longest_silence(median)
+        if self._slow_since is None or idle:
             self._slow_since = now
+        self._slow_at = now
         if now - self._slow_since < TOKENS_JUDGED * SLOW_RATIO * median:
             return False
         self._eject(Health.SLOW, now)
@@ -125,8 +129,7 @@
 
     def take_silence(self, seconds: float, median: float, now: float) -> bool:
         """Takes for how long answers in progress have stood still."""
-        silent = max(SHORTEST_SILENCE_SECONDS, SILENT_RATIO * median)
-        if seconds <= silent or self._health is not Health.HEALTHY:
+        if seconds <= longest_silence(median) or self._health is not Health.HEALTHY:
             return False
         if self._silence_seen_at < now - seconds:
             self._silence_seen_at = now
@@ -175,3 +178,8 @@
         self._tries += 1
         delay = backoff.delay_before(self._tries, self._rng, FIRST_PROBE_SECONDS)
         self._probe_at = now + delay
+
+
+def longest_silence(median: float) -> float:
+    """Returns the seconds without a token beyond which answers in progress stand still."""
+    return max(SHORTEST_SILENCE_SECONDS, SILENT_RATIO * median)
--- a/wasabidrum/decisions/endpoint_test.py
+++ b/wasabidrum/decisions/endpoint_test.py
@@ -71,6 +71,19 @@
             health.take_pace(0.01, 0.3 + 0.1 * token)
         return health
 
+    def test_a_pause_of_long_ago_is_no_slowness(self) -> None:
+        """An engine pauses in the last tokens of a text, and nothing is asked of it for ten
+        seconds. If the idle time counts as slow, it is out at the next text's first tokens."""
+        health = EndpointHealth(random.Random(1))
+        for token in range(8):
+            health.take_tokens(1, 0.01)
+            health.take_pace(0.01, 1.0 + 0.01 * token)
+        health.take_tokens(1, 0.2)
+        health.take_pace(0.01, 1.3)
+        health.take_tokens(1, 0.01)
+        health.take_pace(0.01, 11.3)
+        self.assertIs(health.health, Health.HEALTHY)
+
     def test_only_one_probe_runs_at_a_time(self) -> None:
         """A slow engine is tried again. If all requests of that moment go there, all their
         callers wait."""
