--- a/wasabidrum/decisions/endpoint_health.py
+++ b/wasabidrum/decisions/endpoint_health.py
@@ -54,7 +54,8 @@
     """The verdict on one endpoint."""
 
     __slots__ = ("_health", "_token_seconds", "_samples", "_failures", "_tries")
-    __slots__ += ("_probe_at", "_probing", "_silence_seen_at", "_slow_since", "_rng")
+    __slots__ += ("_probe_at", "_probing", "_silence_seen_at", "_slow_since", "_slow_at")
+    __slots__ += ("_rng",)
 
     def __init__(self, rng: random.Random) -> None:
         self._health = Health.HEALTHY
@@ -66,6 +67,7 @@
         self._probing = False
         self._silence_seen_at = float("-inf")
         self._slow_since: float | None = None
+        self._slow_at = float("-inf")
         self._rng = rng
 
     @property
@@ -117,9 +119,12 @@
             self._slow_since = None
             return False
         # All streams of an endpoint tell of the same short pause, so that many slow tokens are
-        # no proof of slowness. One that is slow still is after the time of some tokens.
-        if self._slow_since is None:
+        # no proof of slowness. One that is slow still is after the time of some tokens; a time
+        # without any, as between two texts, proves nothing and begins it anew.
+        idle = is_silent(now - self._slow_at, median)
+        if self._slow_since is None or idle:
             self._slow_since = now
+        self._slow_at = now
         if now - self._slow_since < TOKENS_JUDGED * SLOW_RATIO * median:
             return False
         self._eject(Health.SLOW, now)
