Choose in one place, and count where a request is placed

Choosing an endpoint stood twice with the same six arguments, once with and once without counting a refusal, since places are reserved. One choose() counts nothing; Forwarding gathers its arguments once, and counts a refusal where it refuses. A length that nothing asked for is gone.

--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -63,9 +63,6 @@
         # Since when each endpoint with work of this entry is leaving or gone, by its id.
         self._retired_at: dict[str, float] = {}
 
-    def __len__(self) -> int:
-        return len(self._attempts)
-
     def add(self, attempt: AttemptInProgress) -> None:
         """Takes an attempt that is about to be sent."""
         self._attempts[attempt] = None
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -9,6 +9,7 @@
 from ..core.route import Route
 from ..decisions import poison
 from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
+from ..decisions.endpoint_choice import Choice
 from ..observe.event import Event
 from .attempt import Attempt, AttemptError
 from .call import Call, StreamProgress
@@ -137,14 +138,15 @@
             placed, self._reserved = self._reserved, None
             self._note_placed(placed, failure)
             return placed
-        call, left = self._call, self._call.left
+        left = self._call.left
         placer = self._gateway.placer
-        placed, choice = placer.place(
-            call.route, self._service, call.head, self._tried, self._progress.weights, left
-        )
-        if placed is not None and left > SHORTEST_USEFUL_SECONDS:
+        choice = self._choose(self._tried)
+        placed = placer.placed_by(choice)
+        if placed is None:
+            placer.take_refusal(self._service)
+        elif left > SHORTEST_USEFUL_SECONDS:
             self._note_placed(placed, failure)
-            placer.begin(placed, call.head.prompt_tokens)
+            placer.begin(placed, self._call.head.prompt_tokens)
             return placed
         if self._exchange.streaming:
             return None
@@ -162,22 +164,24 @@
         retry = min(choice.retry_after, RETRY_FRACTION * left) * (1.0 + 0.3 * placer.rng.random())
         raise CodedError(code, message, 503, retry_after=retry)
 
+    def _choose(self, tried: frozenset[str]) -> Choice:
+        call, weights = self._call, self._progress.weights
+        placer = self._gateway.placer
+        return placer.choose(call.route, self._service, call.head, tried, weights, call.left)
+
     def _reserve_elsewhere(self, placed: Placed) -> bool:
         """Reserves a place and a retry for what was placed; returns whether there are both.
 
         Counted at once, the place and the retry are not promised to others that are taken back
         in the same moment.
         """
-        call, placer = self._call, self._gateway.placer
+        placer = self._gateway.placer
         if not self._history.may_follow_a_run() or not self._may_retry():
             return False
-        tried = self._tried | {placed.endpoint.id}
-        weights = self._progress.weights
-        choice = placer.choose(call.route, self._service, call.head, tried, weights, call.left)
-        reserved = placer.placed_by(choice)
+        reserved = placer.placed_by(self._choose(self._tried | {placed.endpoint.id}))
         if reserved is None or not self._spend_retry():
             return False
-        placer.begin(reserved, call.head.prompt_tokens)
+        placer.begin(reserved, self._call.head.prompt_tokens)
         self._reserved = reserved
         return True
 
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -125,7 +125,7 @@
             return route.targets[0].service
         return self._rng.choices(route.targets, weights)[0].service
 
-    def place(
+    def choose(
         self,
         route: Route,
         service: str,
@@ -133,37 +133,12 @@
         tried: frozenset[str],
         weights: int,
         seconds_left: float,
-    ) -> tuple[Placed | None, Choice]:
-        """Chooses an endpoint that was not tried yet.
+    ) -> Choice:
+        """Chooses an endpoint that was not tried yet; counts nothing.
 
         Args:
           weights: The version that must answer, for a stream that goes on; zero for any.
         """
-        choice = self.choose(route, service, head, tried, weights, seconds_left)
-        if choice.candidate is None:
-            self.traffic(service).refusals.take(asyncio.get_running_loop().time())
-        return self.placed_by(choice), choice
-
-    def placed_by(self, choice: Choice) -> Placed | None:
-        """Returns the endpoint that was chosen with what is counted of it, or None."""
-        if choice.candidate is None:
-            return None
-        endpoint, load = choice.candidate.endpoint, choice.candidate.load
-        is_engine = self._state.engine_of(endpoint.service) is not None
-        return Placed(
-            endpoint, load, endpoint.weights if is_engine else 0, choice.seconds, choice.raw
-        )
-
-    def choose(
-        self,
-        route: Route,
-        service: str,
-        head: RequestHead,
-        tried: frozenset[str],
-        weights: int,
-        seconds_left: float,
-    ) -> Choice:
-        """Returns where a request would go now; see place."""
         now = asyncio.get_running_loop().time()
         figures = self._state.engine_of(service)
         self._deal()
@@ -184,6 +159,19 @@
         )
         return choose(candidates, figures, demand, now, self._rng)
 
+    def placed_by(self, choice: Choice) -> Placed | None:
+        """Returns the endpoint that was chosen with what is counted of it, or None."""
+        if choice.candidate is None:
+            return None
+        endpoint, load = choice.candidate.endpoint, choice.candidate.load
+        is_engine = self._state.engine_of(endpoint.service) is not None
+        version = endpoint.weights if is_engine else 0
+        return Placed(endpoint, load, version, choice.seconds, choice.raw)
+
+    def take_refusal(self, service: str) -> None:
+        """Counts a request that no endpoint could take."""
+        self.traffic(service).refusals.take(asyncio.get_running_loop().time())
+
     def traffic(self, service: str) -> ServiceTraffic:
         """Returns what this entry sends to a service."""
         traffic = self._traffic.get(service)
