Count a version's bound while the store answers, and date namings by the empty watch before

A naming was dated by when the watch before was asked, up to 1.2 s too early, also where that watch had ended without changes; it now counts until that end, but not where the store drops its history.

--- a/wasabidrum/config/deployment.py
+++ b/wasabidrum/config/deployment.py
@@ -11,7 +11,9 @@
       revocation: From then until a key that was taken away is refused everywhere.
       drain: From an endpoint's notice until it gets no new work.
       grace: From SIGTERM until the process is killed.
-      version: From a version's acknowledgement until no request begins on an older one.
+      version: From a version's acknowledgement until no request begins on an older one, while the
+        store answers.
+      settling: From the end of an outage of the store until it counts as answering again.
       retry_fraction: Retries for each request of a service.
       retry_extra: Retries more in each window, for all entries together.
       retry_window: The length of that window.
@@ -22,6 +24,7 @@
     drain: float = 2.0
     grace: float = 8.0
     version: float = 8.0
+    settling: float = 3.0
     retry_fraction: float = 0.2
     retry_extra: float = 100.0
     retry_window: float = 10.0
--- a/wasabidrum/decisions/evidence_lease.py
+++ b/wasabidrum/decisions/evidence_lease.py
@@ -57,6 +57,22 @@
         return self.age(now) <= self._bound * READY_FRACTION
 
 
+def quiet_until(asked_at: float, answered_at: float, wait: float, held_up: bool) -> float:
+    """Returns until when nothing had happened, where a watch ended without changes.
+
+    The store held the question for the whole wait, which began after it was asked. Dated by the
+    question instead, a change that comes with the next watch would seem to be older by a wait.
+    It holds only for what the next watch brings: where the store drops its history, watches may
+    have heard nothing of changes for a moment before.
+
+    Args:
+      wait: The seconds that the question was to wait for a change.
+      held_up: Whether this process stood still for a moment between question and answer.
+    """
+    waited = answered_at - asked_at
+    return asked_at + wait if waited >= wait and not held_up else asked_at
+
+
 def prompt_after(asked_at: float, answered_at: float, wait: float, held_up: bool) -> float:
     """Returns when what an answer brought had not happened yet, or minus infinity if unknown.
 
--- a/wasabidrum/decisions/evidence_lease_test.py
+++ b/wasabidrum/decisions/evidence_lease_test.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from .evidence_lease import MARGIN_SECONDS, PROMPT_SECONDS, EvidenceLease, prompt_after
+from .evidence_lease import (
+    MARGIN_SECONDS,
+    PROMPT_SECONDS,
+    EvidenceLease,
+    prompt_after,
+    quiet_until,
+)
 
 
 class EvidenceLeaseTest(unittest.TestCase):
@@ -28,6 +34,14 @@
         lease.renew(asked_at)
         self.assertFalse(lease.holds(answered_at + 2.0))
 
+    def test_a_watch_that_ended_without_changes_dates_what_the_next_one_brings(self) -> None:
+        """Dated by when the watch before was asked, a version would bind a wait too early."""
+        self.assertEqual(quiet_until(100.0, 101.21, 1.2, held_up=False), 101.2)
+
+    def test_a_watch_that_ended_early_or_was_read_late_dates_by_its_question(self) -> None:
+        self.assertEqual(quiet_until(100.0, 100.7, 1.2, held_up=False), 100.0)
+        self.assertEqual(quiet_until(100.0, 109.0, 1.2, held_up=True), 100.0)
+
     def test_nothing_holds_before_the_first_answer(self) -> None:
         self.assertFalse(EvidenceLease(5.0).holds(0.0))
         self.assertFalse(EvidenceLease(5.0).is_ready(0.0))
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -15,6 +15,9 @@
 that hears late does not prolong it. One that heard much later than its last answer, or has just
 started, would then often refuse everyone at once; it goes on for UNKNOWN_SECONDS instead.
 
+The bound counts only while the store answers (store_outage.py): in an outage nobody can hear of
+the version, and engines that have not heard of it cannot have switched.
+
 All times are of a clock that counts while the instance is suspended.
 
 Grounds:
@@ -26,6 +29,7 @@
 
 import dataclasses
 
+from .store_outage import NO_OUTAGE, Outage
 from .take_back import BOUND_MARGIN_SECONDS
 
 PLACE_MARGIN_SECONDS = 1.0
@@ -47,10 +51,19 @@
     before: float
     heard_at: float
 
-    def binds_at(self, bound: float) -> float:
-        """Returns when, so many seconds after the naming, nothing older may begin."""
+    def binds_at(self, bound: float, outage: Outage) -> float:
+        """Returns when nothing older may begin.
+
+        Args:
+          bound: The seconds that a version has, counted while the store answers.
+          outage: The store's last outage.
+        """
         unknown = min(self.heard_at + UNKNOWN_SECONDS, self.before + bound)
-        return max(self.after + bound, unknown)
+        counted_from = self.after
+        # One that was in force before the outage stays so.
+        if self.after + bound > outage.began:
+            counted_from = max(self.after, outage.over)
+        return max(counted_from + bound, unknown)
 
 
 class VersionFloor:
@@ -95,14 +108,18 @@
             for w in self._wanted
         ]
 
-    def oldest_to_place(self, now: float) -> int:
-        """Returns the oldest version that a request may be placed on."""
-        return self._oldest(now + PLACE_MARGIN_SECONDS)
+    def oldest_to_place(self, now: float, outage: Outage = NO_OUTAGE) -> int:
+        """Returns the oldest version that a request may be placed on.
+
+        Args:
+          outage: The store's last outage.
+        """
+        return self._oldest(now + PLACE_MARGIN_SECONDS, outage)
 
-    def oldest_to_begin(self, now: float) -> int:
+    def oldest_to_begin(self, now: float, outage: Outage = NO_OUTAGE) -> int:
         """Returns the oldest version that a request on its way may still begin on."""
-        return self._oldest(now + BOUND_MARGIN_SECONDS)
+        return self._oldest(now + BOUND_MARGIN_SECONDS, outage)
 
-    def _oldest(self, moment: float) -> int:
-        bound = [w.version for w in self._wanted if moment >= w.binds_at(self._bound)]
-        return max(bound, default=0)
+    def _oldest(self, moment: float, outage: Outage) -> int:
+        bound = (w for w in self._wanted if moment >= w.binds_at(self._bound, outage))
+        return max((wanted.version for wanted in bound), default=0)
--- a/wasabidrum/decisions/version_floor_test.py
+++ b/wasabidrum/decisions/version_floor_test.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from .store_outage import Outage
 from .take_back import BOUND_MARGIN_SECONDS
 from .version_floor import PLACE_MARGIN_SECONDS, UNKNOWN_SECONDS, VersionFloor
 
@@ -81,6 +82,25 @@
         floor.take(2, NEVER, 100.0)
         self.assertAlmostEqual(floor.newest_seconds(100.5), 0.5)
 
+    def test_an_outage_of_the_store_does_not_count(self) -> None:
+        """A version is named while the store does not answer. Counted from the naming, the bound
+        is over when the store is back, and all callers are refused for as long as weights take."""
+        self.floor.take(2, 100.0, 108.0)
+        last = 108.0 + 8.0 - PLACE_MARGIN_SECONDS
+        self.assertEqual(self.floor.oldest_to_place(last - 0.01, Outage(99.0, 108.0)), 1)
+        self.assertEqual(self.floor.oldest_to_place(last, Outage(99.0, 108.0)), 2)
+
+    def test_an_outage_after_the_bound_changes_nothing(self) -> None:
+        """A version binds, and then the store goes away. Counted anew, requests would be placed
+        on replaced weights again."""
+        self.floor.take(2, 100.0, 100.0)
+        self.assertEqual(self.floor.oldest_to_place(112.0, Outage(109.0, 113.0)), 2)
+
+    def test_a_version_named_after_an_outage_binds_by_its_own_time(self) -> None:
+        self.floor.take(2, 100.0, 100.0)
+        last = 100.0 + 8.0 - PLACE_MARGIN_SECONDS
+        self.assertEqual(self.floor.oldest_to_place(last, Outage(80.0, 90.0)), 2)
+
     def test_what_was_placed_in_time_may_begin_a_little_longer(self) -> None:
         """A request is placed in the last moment, and its engine takes half a second to begin
         it. Taken back at once its caller would lose its turn for nothing; left for longer it
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -8,6 +8,7 @@
 from ..decisions.endpoint_book import EndpointBook
 from ..decisions.evidence_lease import EvidenceLease
 from ..decisions.route_table import RouteTable
+from ..decisions.store_outage import Outage, StoreOutages
 from ..decisions.version_floor import VersionFloor
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -27,11 +28,12 @@
       routes: The configuration in force, or None before the first.
       endpoints: Who is registered.
       lease: How fresh all that is.
+      outages: When the store last did not answer.
       revision: The store's revision up to which everything was taken; zero before the first.
     """
 
     __slots__ = ("_log", "_bounds", "_floors", "_items", "_whole_after")
-    __slots__ += ("routes", "endpoints", "lease", "revision")
+    __slots__ += ("routes", "endpoints", "lease", "outages", "revision")
 
     def __init__(self, bounds: Bounds, log: EventLog) -> None:
         self._log = log
@@ -45,6 +47,7 @@
         self.routes: RouteTable | None = None
         self.endpoints = EndpointBook()
         self.lease = EvidenceLease(bounds.revocation)
+        self.outages = StoreOutages(bounds.settling)
 
     @property
     def version(self) -> int:
@@ -62,12 +65,16 @@
           late: The seconds by which a request may begin later than forecast where it goes.
         """
         floor = self._floors.get(model)
-        return floor.oldest_to_place(awake_seconds() + late) if floor else 0
+        if floor is None:
+            return 0
+        return floor.oldest_to_place(awake_seconds() + late, self._outage())
 
     def may_begin(self, model: str, weights: int) -> bool:
         """Returns whether a request on its way may still begin on some weights of a model."""
         floor = self._floors.get(model)
-        return floor is None or weights >= floor.oldest_to_begin(awake_seconds())
+        if floor is None:
+            return True
+        return weights >= floor.oldest_to_begin(awake_seconds(), self._outage())
 
     def take_told_version(self, model: str, version: int, seconds: float) -> None:
         """Takes from another process how long ago it had heard of a version."""
@@ -143,6 +150,9 @@
         known = self.routes.service(service) if self.routes else None
         return known.engine if known else None
 
+    def _outage(self) -> Outage:
+        return self.outages.latest(self.lease.dated)
+
     def _remember(self, change: StoreChange) -> None:
         known = self._items.get(change.key)
         if known is not None and known.revision >= change.revision:
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -4,7 +4,7 @@
 
 from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
-from ..decisions.evidence_lease import PROMPT_SECONDS, prompt_after
+from ..decisions.evidence_lease import PROMPT_SECONDS, prompt_after, quiet_until
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..platform.store_client import StoreClient, Watched
@@ -28,7 +28,7 @@
     """Reads all once, then watches; reads again where the store has dropped its history."""
 
     __slots__ = ("_store", "_state", "_log", "_lost_history", "_failures")
-    __slots__ += ("_ticked_at", "_held_up")
+    __slots__ += ("_ticked_at", "_held_up", "_asked_at", "_quiet_until")
 
     def __init__(self, store: StoreClient, state: PublishedState, log: EventLog) -> None:
         self._store = store
@@ -37,6 +37,9 @@
         self._lost_history = False
         self._failures = 0
         self._ticked_at = awake_seconds()
+        self._asked_at = awake_seconds()
+        # Until when nothing had happened before the watch in progress, as far as it shows.
+        self._quiet_until = float("-inf")
         # Whether this process stood still since the store was last asked.
         self._held_up = False
 
@@ -63,10 +66,11 @@
             self._held_up = True
 
     async def _step(self) -> None:
-        asked_at = awake_seconds()
+        asked_at = self._asked_at = awake_seconds()
         self._held_up = False
         state = self._state
         if not state.revision or self._lost_history:
+            self._quiet_until = float("-inf")
             reading = await self._store.read(Watched.ALL)
             self._take_answer()
             state.take_reading(reading, asyncio.get_running_loop().time())
@@ -76,13 +80,19 @@
             reading = await self._store.watch(Watched.ALL, state.revision, WATCH_SECONDS)
             self._take_answer()
             self._note_standstill()
-            after = prompt_after(asked_at, awake_seconds(), WATCH_SECONDS, self._held_up)
+            answered_at = awake_seconds()
+            after = prompt_after(asked_at, answered_at, WATCH_SECONDS, self._held_up)
+            after = max(after, self._quiet_until)
             state.take_changes(reading, asyncio.get_running_loop().time(), after)
+            self._quiet_until = asked_at
+            if not reading.changes:
+                self._quiet_until = quiet_until(asked_at, answered_at, WATCH_SECONDS, self._held_up)
         state.lease.renew(asked_at)
         if reading.changes:
             await asyncio.sleep(GATHER_SECONDS)
 
     def _take_answer(self) -> None:
+        self._state.outages.record_answer(self._state.lease.dated)
         if self._failures:
             self._log.write(Event.STORE_BACK, failures=self._failures)
             self._failures = 0
@@ -94,6 +104,12 @@
             self._log.write(Event.STORE_HISTORY_LOST, revision=self._state.revision)
             self._lost_history = True
             return
+        self._note_standstill()
+        if error.code != "store_throttled":
+            refused = error.code == "store_refused"
+            self._state.outages.record_failure(
+                self._asked_at, awake_seconds(), refused, self._held_up
+            )
         if not self._failures:
             self._log.write(
                 Event.STORE_LOST,
--- a/wasabidrum/platform/boot_settings.py
+++ b/wasabidrum/platform/boot_settings.py
@@ -18,6 +18,7 @@
     drainMs: float = 2000.0  # noqa: N815
     graceS: float = 8.0  # noqa: N815
     version_ms: float = 8000.0
+    stableMs: float = 3000.0  # noqa: N815
     retryBudgetRatio: float = 0.2  # noqa: N815
     budgetSlack: float = 100.0  # noqa: N815
     budgetWindowS: float = 10.0  # noqa: N815
@@ -105,6 +106,7 @@
             drain=bounds.drainMs / 1000.0,
             grace=bounds.graceS,
             version=bounds.version_ms / 1000.0,
+            settling=bounds.stableMs / 1000.0,
             retry_fraction=bounds.retryBudgetRatio,
             retry_extra=bounds.budgetSlack,
             retry_window=bounds.budgetWindowS,
--- a/wasabidrum/platform/store_client.py
+++ b/wasabidrum/platform/store_client.py
@@ -72,7 +72,8 @@
         """Returns every item whose key begins with a prefix.
 
         Raises:
-          CodedError: The store did not answer, or refused.
+          CodedError: The store did not answer, or refused: "store_refused" where it said that it
+            is not available, "store_throttled" where it had too many calls.
         """
         changes: list[StoreChange] = []
         first: int | None = None
@@ -115,6 +116,8 @@
         response = await http_client.fetch(self._client, request, "store")
         if response.code == 410:
             raise CodedError("history_lost", "the store dropped its history", 503)
+        if response.code == 429:
+            raise CodedError("store_throttled", "more calls than the store allows", 503)
         if response.code != 200:
             raise CodedError("store_refused", f"status {response.code}", 503)
         return response.body
