Let an outage stand where a peer's answer comes before one's own

An answer disproves the outage only where calls of this process fail after it as well. Entries that were restarted in the outage hear from peers since when their calls fail.

--- a/wasabidrum/decisions/store_outage.py
+++ b/wasabidrum/decisions/store_outage.py
@@ -5,15 +5,16 @@
 all callers would be refused before any engine could have heard of the version.
 
 Only what this process knows counts, and only as far as it knows it. A run of failed calls shows
-that the store was away when the last of them was sent. It shows nothing where a peer has had an
-answer since the run began, for then the store turns away this process alone, nor where the run is
-too short for peers to have been asked, nor where this process itself was suspended.
+that the store was away when the last of them was sent. It shows nothing of the time before a peer
+had an answer, where calls fail after that as well, for then the store turned away this process
+alone; nor where the run is too short for peers to have been asked, nor where this process itself
+was suspended.
 """
 
 import dataclasses
 
-# Peers are asked once the evidence is 1.7 s old, and answer within 0.6 s.
-SHORTEST_OUTAGE_SECONDS = 2.5
+# Peers are asked once the evidence is 1.7 s old; what they answer may itself be 2.4 s old.
+SHORTEST_OUTAGE_SECONDS = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,7 +50,12 @@
         self._latest = NO_OUTAGE
 
     def record_failure(
-        self, asked_at: float, failed_at: float, refused: bool, held_up: bool
+        self,
+        asked_at: float,
+        failed_at: float,
+        refused: bool,
+        held_up: bool,
+        evidence_date: float,
     ) -> None:
         """Records a call without an answer, or with a refusal, of the store.
 
@@ -60,31 +66,36 @@
           refused: The store itself said that it is not available. A call that ended otherwise may
             have been lost on the way.
           held_up: Whether this process stood still between the call and its end.
+          evidence_date: When the store last answered anyone, as far as is known.
         """
         if held_up and not refused:
             return
-        if self._first is None:
+        if self._first is None or self._first < evidence_date < asked_at:
             self._first = failed_at
         self._last = asked_at
         self._refused = refused
 
-    def record_answer(self, evidence_date: float) -> None:
-        """Records that the store answered.
+    def record_peer(self, unanswered_since: float) -> None:
+        """Records since when a peer's calls have been failing, which still do.
 
-        Args:
-          evidence_date: When the store last answered anyone before that, as far as is known.
+        A process that has just started knows nothing of how long an outage has lasted.
         """
-        self._latest = self.latest(evidence_date)
+        if self._first is not None:
+            self._first = min(self._first, unanswered_since)
+
+    def record_answer(self) -> None:
+        """Records that the store answered."""
+        self._latest = self.latest
         self._first = None
 
-    def latest(self, evidence_date: float) -> Outage:
-        """Returns the last outage, one that goes on included.
+    @property
+    def unanswered_since(self) -> float | None:
+        """When the first of the calls failed that have been failing since, or None."""
+        return self._first
 
-        Args:
-          evidence_date: As for record_answer.
-        """
-        if self._first is None or evidence_date > self._first:
-            return self._latest
-        if self._last - self._first < SHORTEST_OUTAGE_SECONDS:
+    @property
+    def latest(self) -> Outage:
+        """The last outage, one that goes on included."""
+        if self._first is None or self._last - self._first < SHORTEST_OUTAGE_SECONDS:
             return self._latest
         return Outage(self._first, self._last + (self._settling if self._refused else 0.0))
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -109,12 +109,15 @@
     def reply_changes(self, message: FetchChanges) -> ChangesReply:
         """See EntryServiceOwner."""
         whole, changes = self._state.changes_after(message.after)
+        now = awake_seconds()
+        since = self._state.outages.unanswered_since
         return ChangesReply(
             revision=self._state.revision,
-            age=self._state.lease.age(awake_seconds()),
+            age=self._state.lease.age(now),
             whole=whole,
             changes=tuple(PeerChange(c.key, c.revision, c.value) for c in changes),
             named=tuple(NamedVersion(*named) for named in self._state.named_versions()),
+            unanswered=now - since if since is not None else 0.0,
         )
 
     def take_suspects(self, message: TellSuspects) -> None:
@@ -195,6 +198,8 @@
         )
         if reply is None:
             return
+        if reply.unanswered > 0.0:
+            self._state.outages.record_peer(asked_at - reply.unanswered)
         now = asyncio.get_running_loop().time()
         newer = reply.revision >= self._state.revision and reply.revision > 0
         if newer:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -8,7 +8,7 @@
 from ..decisions.endpoint_book import EndpointBook
 from ..decisions.evidence_lease import EvidenceLease
 from ..decisions.route_table import RouteTable
-from ..decisions.store_outage import Outage, StoreOutages
+from ..decisions.store_outage import StoreOutages
 from ..decisions.version_floor import VersionFloor
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -67,14 +67,14 @@
         floor = self._floors.get(model)
         if floor is None:
             return 0
-        return floor.oldest_to_place(awake_seconds() + late, self._outage())
+        return floor.oldest_to_place(awake_seconds() + late, self.outages.latest)
 
     def may_begin(self, model: str, weights: int) -> bool:
         """Returns whether a request on its way may still begin on some weights of a model."""
         floor = self._floors.get(model)
         if floor is None:
             return True
-        return weights >= floor.oldest_to_begin(awake_seconds(), self._outage())
+        return weights >= floor.oldest_to_begin(awake_seconds(), self.outages.latest)
 
     def take_told_version(self, model: str, version: int, seconds: float) -> None:
         """Takes from another process how long ago it had heard of a version."""
@@ -150,9 +150,6 @@
         known = self.routes.service(service) if self.routes else None
         return known.engine if known else None
 
-    def _outage(self) -> Outage:
-        return self.outages.latest(self.lease.dated)
-
     def _remember(self, change: StoreChange) -> None:
         known = self._items.get(change.key)
         if known is not None and known.revision >= change.revision:
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -92,7 +92,7 @@
             await asyncio.sleep(GATHER_SECONDS)
 
     def _take_answer(self) -> None:
-        self._state.outages.record_answer(self._state.lease.dated)
+        self._state.outages.record_answer()
         if self._failures:
             self._log.write(Event.STORE_BACK, failures=self._failures)
             self._failures = 0
@@ -108,7 +108,11 @@
         if error.code != "store_throttled":
             refused = error.code == "store_refused"
             self._state.outages.record_failure(
-                self._asked_at, awake_seconds(), refused, self._held_up
+                self._asked_at,
+                awake_seconds(),
+                refused,
+                self._held_up,
+                self._state.lease.dated,
             )
         if not self._failures:
             self._log.write(
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -59,6 +59,8 @@
       revision: The store's revision up to which it has taken everything.
       age: Seconds since it asked the store and heard of nothing newer.
       whole: The changes are all items; what is not among them is gone.
+      unanswered: For how many seconds its own calls of the store have been failing; zero if they
+        are not.
     """
 
     revision: int
@@ -66,6 +68,7 @@
     whole: bool
     changes: tuple[PeerChange, ...] = ()
     named: tuple[NamedVersion, ...] = ()
+    unanswered: float = 0.0
 
 
 class TellSuspects(msgspec.Struct, frozen=True, array_like=True):
