Have entries hold weights and give them to the sidecars of their region

Named weights were complete at the first engine 6.4 s after the naming and at the last 6.8 s, where an instance's own link needs 4.4 s: each sidecar also sends about a copy to others, and all wait for the busiest uplink. Engines that replace others stood empty for as long as the origin was away, because the list of pieces was asked of nobody else while no version was named. Entries now bring one copy into each region, by the plan, evidence and repair that sidecars have among themselves, and sidecars take it from them at the rate of their own link; the tree among sidecars stays for regions without entries and for when these are gone. Sidecars learn of entries by the streams that these keep open.

--- a/wasabidrum/decisions/chunk_plan.py
+++ b/wasabidrum/decisions/chunk_plan.py
@@ -6,11 +6,12 @@
 the burst hangs on one process. Here each sidecar computes the same plan from what the
 configuration publishes (names, regions, the version's root) and needs no message for it.
 
-Grounds for the figures: each region draws with CARRIERS_PER_REGION instances, few enough
-that each may use a fixed part of the region's thin link and that the origin sees few
-connections, and enough that one death leaves three quarters of the rate. Inside a region
-a chunk travels along a binary tree, so that an instance sends about one copy in all; the
-inner places are dealt out evenly, because the busiest uplink sets the time of the whole.
+Inside a region a chunk travels along a binary tree, so that an instance sends about one copy in
+all; the inner places are dealt out evenly, because the busiest uplink sets the time of the whole.
+A region with relays has these bring chunks in and give them to every instance (RELAY_CHILDREN):
+a relay has a far wider link than an instance beside an engine, so that nobody's uplink is left
+to set the time. The tree remains for those that a relay does not serve, and for all once relays
+are gone.
 """
 
 import collections.abc
@@ -18,6 +19,8 @@
 
 CARRIERS_PER_REGION = 4
 CHILDREN = 2
+# How many instances a relay gives a chunk to, before these pass it on along the tree.
+RELAY_CHILDREN = 8
 SCORE_BYTES = 8
 
 
@@ -38,13 +41,19 @@
 class RegionPlan:
     """The order of one region's instances for each chunk, worked out as far as asked."""
 
-    __slots__ = ("_names", "_carriers", "_others", "_duties", "_rows", "_chunks", "_turns")
+    __slots__ = ("_names", "_relays", "_heads", "_others", "_duties", "_rows", "_chunks", "_turns")
 
     def __init__(
-        self, root: str, names: collections.abc.Iterable[str], chunks: tuple[str, ...], turns: int
+        self,
+        root: str,
+        names: collections.abc.Iterable[str],
+        chunks: tuple[str, ...],
+        turns: int,
+        relays: collections.abc.Iterable[str] = (),
     ) -> None:
         self._names = tuple(rank_names(root, names))
-        self._carriers = self._names[:CARRIERS_PER_REGION]
+        self._relays = tuple(rank_names(root, relays))
+        self._heads = self._names[:CARRIERS_PER_REGION]
         self._others = self._names[CARRIERS_PER_REGION:]
         self._duties = dict.fromkeys(self._others, 0)
         self._rows: list[tuple[str, ...]] = []
@@ -59,7 +68,12 @@
     @property
     def carriers(self) -> tuple[str, ...]:
         """The instances that bring chunks into the region."""
-        return self._carriers
+        return self._relays[:CARRIERS_PER_REGION] or self._heads
+
+    @property
+    def relays(self) -> tuple[str, ...]:
+        """The relays of the region, which hold chunks for its instances."""
+        return self._relays
 
     def order(self, index: int) -> tuple[str, ...]:
         """Returns the order for a chunk: who brings it in, then the tree's places by level."""
@@ -69,14 +83,27 @@
 
     def carrier(self, index: int) -> str:
         """Returns who brings a chunk into the region while all is well."""
-        return self._carriers[(index // self._turns) % len(self._carriers)]
+        carriers = self.carriers
+        return carriers[(index // self._turns) % len(carriers)]
 
     def _make_row(self, index: int) -> tuple[str, ...]:
-        count = len(self._carriers)
-        # The turn advances once per round of regions, so that each pair of region order
-        # and carrier comes up equally often.
-        first = (index // self._turns) % count
-        ring = self._carriers[first:] + self._carriers[:first]
+        carriers = self._relays[:CARRIERS_PER_REGION]
+        spare = self._relays[CARRIERS_PER_REGION:]
+        return self._turn(carriers, index) + spare + self._make_tree(index)
+
+    def _turn(self, names: tuple[str, ...], index: int) -> tuple[str, ...]:
+        """Returns carriers with the one first whose turn a chunk is.
+
+        The turn advances once per round of regions, so that each pair of region order and
+        carrier comes up equally often.
+        """
+        if not names:
+            return ()
+        first = (index // self._turns) % len(names)
+        return names[first:] + names[:first]
+
+    def _make_tree(self, index: int) -> tuple[str, ...]:
+        ring = self._turn(self._heads, index)
         # Two carriers stand at the top, so that the next in line is a carrier as well;
         # the other two come last, as leaves. Over all chunks each carrier sends a copy.
         top, last = ring[:CHILDREN], ring[CHILDREN:]
@@ -109,15 +136,21 @@
         chunks: tuple[str, ...],
         region_of: collections.abc.Mapping[str, str],
         origin_region: str = "",
+        relays: collections.abc.Mapping[str, str] | None = None,
     ) -> None:
+        """Takes the regions of all instances that want the version, and of relays, by name."""
         by_region: dict[str, list[str]] = {}
         for name, region in region_of.items():
             by_region.setdefault(region, []).append(name)
         self._names = tuple(rank_names(root, by_region))
         self._origin_region = origin_region if origin_region in by_region else ""
         turns = len(self._names)
+        relays_in: dict[str, list[str]] = {}
+        for name, region in (relays or {}).items():
+            relays_in.setdefault(region, []).append(name)
         self._regions = {
-            region: RegionPlan(root, names, chunks, turns) for region, names in by_region.items()
+            region: RegionPlan(root, names, chunks, turns, relays_in.get(region, ()))
+            for region, names in by_region.items()
         }
         self._index_of = {digest: index for index, digest in reversed(list(enumerate(chunks)))}
 
--- a/wasabidrum/decisions/chunk_route.py
+++ b/wasabidrum/decisions/chunk_route.py
@@ -14,7 +14,7 @@
 import dataclasses
 import enum
 
-from .chunk_plan import CHILDREN, ChunkPlan, rank_names, score
+from .chunk_plan import CHILDREN, RELAY_CHILDREN, ChunkPlan, rank_names, score
 
 SECONDS_PER_PLACE = 0.25
 SECONDS_PER_REGION = 0.5
@@ -76,6 +76,23 @@
     return ahead[(len(ahead) - 1) // CHILDREN] if ahead else ""
 
 
+def find_relay(plan: ChunkPlan, asker: Asker, index: int, usable: Usable) -> str:
+    """Returns the relay of the asker's region that it asks for a chunk, or empty.
+
+    A relay asks those ahead of it in turn, and an instance that is far back in the order asks
+    along the tree, so that no relay sends more than its link carries.
+    """
+    region = plan.regions.get(asker.region)
+    if region is None or not region.relays:
+        return ""
+    order = order_for(plan, asker, index)
+    place = order.index(asker.name)
+    if place >= len(region.relays) + RELAY_CHILDREN:
+        return ""
+    ahead = order[: min(place, len(region.relays))]
+    return next((name for name in ahead if usable(name)), "")
+
+
 def find_holder(
     holders: collections.abc.Iterable[str], name: str, digest: str, usable: Usable
 ) -> str:
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -16,6 +16,8 @@
 from ..observe.routes import make_routes
 from ..platform import names
 from ..platform.store_client import make_store_client
+from ..weights.listed_engines import CHUNK_PORT_OFFSET
+from ..weights.weights_relay import make_weights_relay
 from ..wire import http_client
 from .attempts_in_progress import AttemptsInProgress
 from .entry_peers import EntryPeers
@@ -84,6 +86,14 @@
         self._watcher = LoadWatcher(
             deployment, self.state, log, make_incarnation(), self.placer.take_status
         )
+        self._relay = make_weights_relay(
+            deployment,
+            client,
+            self.state,
+            self.peers.data_centres,
+            lambda: self.requests.count,
+            log,
+        )
         self._was_ready = False
         self._add_gauges()
 
@@ -131,10 +141,14 @@
         metrics = web.Application(make_routes(self.log), log_function=lambda handler: None)
         metrics_port = deployment.first_port + METRICS_PORT_OFFSET
         self._listen(httpserver.HTTPServer(metrics), Address(deployment.host, metrics_port))
+        relay = web.Application(self._relay.routes, log_function=lambda handler: None)
+        relay_port = deployment.first_port + CHUNK_PORT_OFFSET
+        self._listen(httpserver.HTTPServer(relay), Address(deployment.host, relay_port))
         await self.peers.start()
         self.tasks.start("store", self._follower.run())
         self.tasks.start("ticks", self._follower.tick())
         self.tasks.start("loads", self._watcher.run())
+        self.tasks.start("weights", self._relay.run())
         self.tasks.start("attempts", self.attempts.run())
         self.log.write(Event.DAEMON_STARTED, role="entry", caller_port=deployment.callers.port)
 
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -83,6 +83,12 @@
         """Returns the entries of this one's data centre, itself included, in an agreed order."""
         return self._roster.within(self._data_centre, awake_seconds())
 
+    def data_centres(self) -> dict[str, str]:
+        """Returns the data centres of all entries by their host, this one included."""
+        known = self._roster.known(awake_seconds())
+        found = {host: k.data_centre for (host, _), k in known.items() if k.data_centre}
+        return found | {self._own[0]: self._data_centre}
+
     def take_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Takes where some entries listen, by newer settings."""
         self._roster.take_seeds(tuple((seed.host, seed.port) for seed in seeds))
--- a/wasabidrum/gateway/load_watcher.py
+++ b/wasabidrum/gateway/load_watcher.py
@@ -11,6 +11,7 @@
 from ..peers.outbound_links import OutboundLinks
 from ..peers.peer_link import PeerLink
 from ..peers.peer_messages import Push
+from ..weights.listed_engines import CHUNK_PORT_OFFSET
 from .published_state import PublishedState
 
 CHOOSE_SECONDS = 0.25
@@ -52,6 +53,10 @@
             role=InstanceRole.ENTRY,
             incarnation=self._incarnation,
             sequence=self._sequence,
+            region=own.region,
+            data_centre=own.data_centre,
+            host=own.host,
+            http_port=own.first_port + CHUNK_PORT_OFFSET,
         )
 
     def take_push(self, link: PeerLink, push: Push) -> None:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -3,7 +3,8 @@
 from ..config.deployment import Bounds
 from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
-from ..core.published import EngineFigures
+from ..core.listed_endpoint import ListedEndpoint
+from ..core.published import EngineFigures, PublishedConfiguration
 from ..core.store_change import StoreChange, StoreReading
 from ..decisions.endpoint_book import EndpointBook
 from ..decisions.evidence_lease import EvidenceLease
@@ -54,6 +55,21 @@
         """The configuration version in force, zero before the first."""
         return self.routes.configuration.version if self.routes else 0
 
+    @property
+    def configuration(self) -> PublishedConfiguration | None:
+        """The configuration in force, or None before the first."""
+        return self.routes.configuration if self.routes else None
+
+    @property
+    def listed_endpoints(self) -> list[ListedEndpoint]:
+        """The endpoints that are registered, those that leave included."""
+        return self.endpoints.endpoints
+
+    def newest_version(self, model: str) -> int:
+        """Returns the newest version named of a model; zero where none was."""
+        floor = self._floors.get(model)
+        return floor.newest if floor else 0
+
     # Versions are dated by a clock that goes on while the instance is suspended. By the event
     # loop's, an entry that wakes after a minute would place requests on weights whose time is
     # long over, and callers would get text that nobody else serves any more.
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -48,6 +48,7 @@
     ENGINE_LOST = 3018
     ENGINE_BACK = 3019
     STAGED_PIECES_MENDED = 3020
+    VERSION_RELAYED = 3021
 
     # 4000: configuration and membership.
     REVISION_IN_FORCE = 4001
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -3,7 +3,6 @@
 from tornado import httpserver, netutil, web
 
 from ..config.deployment import Address, Deployment
-from ..config.settings import PlatformSettings, Settings
 from ..core.background_tasks import BackgroundTasks
 from ..core.engine_report import EngineReport
 from ..core.fleet import LinkSpec
@@ -18,6 +17,7 @@
 from ..platform.origin_client import make_origin_client
 from ..platform.store_client import make_store_client
 from ..weights.chunk_handler import ChunkHandler
+from ..weights.deployed_settings import distribution_settings
 from ..weights.distributor import Distributor
 from ..weights.engine_keeper import EngineKeeper
 from ..weights.listed_engines import CHUNK_PORT_OFFSET, ListedEngines
@@ -32,8 +32,6 @@
 # two seconds' worth of the link and has eight until it must be in force, of which switching
 # takes two or three; the rest of the link keeps the engine's events from waiting.
 WEIGHTS_FRACTION = 0.85
-# Two versions of some megabytes, the one in force and the one on its way, with room for growth.
-CHUNK_MEMORY_BYTES = 16 * 1_048_576
 
 
 class DeployedSidecar:
@@ -50,7 +48,7 @@
         self._readings = SharedReadings(client, log)
         self._listed = ListedEngines(deployment, store, self._readings, log)
         self._distributor = Distributor(
-            distribution_settings(deployment),
+            distribution_settings(deployment, "sidecar"),
             self._listed,
             client,
             OriginDraw([origin]),
@@ -67,6 +65,7 @@
         self._told: tuple[object, ...] = ()
         self._loads = LoadService(deployment, self.status)
         self._keeper.on_report = self._take_report
+        self._loads.on_relays = self._listed.set_relays
 
     async def start(self) -> None:
         """Listens and starts the background tasks."""
@@ -156,24 +155,6 @@
         self._log.write(Event.TASK_FAILED, task=name, reason=repr(error)[:500])
 
 
-def distribution_settings(deployment: Deployment) -> Settings:
-    """Returns what the distribution of weights needs to know of this process.
-
-    Members are named by their host: it is what the platform lists of each, the same to all.
-    """
-    unused = PlatformSettings(configuration="", instances="", origin="")
-    return Settings(
-        name=deployment.host,
-        role="sidecar",
-        site=deployment.data_centre,
-        region=deployment.region,
-        data_centre=deployment.data_centre,
-        platform=unused,
-        link_mbit=deployment.link_mbit,
-        chunk_memory_bytes=CHUNK_MEMORY_BYTES,
-    )
-
-
 def make_deployed_sidecar(deployment: Deployment, log: EventLog) -> DeployedSidecar:
     """Returns a sidecar that has not started."""
     return DeployedSidecar(deployment, log)
--- a/wasabidrum/sidecar/load_service.py
+++ b/wasabidrum/sidecar/load_service.py
@@ -6,6 +6,7 @@
 from tornado import netutil
 
 from ..config.deployment import Deployment
+from ..core.instance import InstanceRole
 from ..core.status import Status
 from ..decisions.member_news import MemberNews
 from ..peers.peer_client import CODEC
@@ -21,7 +22,11 @@
 
 
 class LoadService:
-    """Owns the peer port of a sidecar and the streams of those who watch it."""
+    """Owns the peer port of a sidecar and the streams of those who watch it.
+
+    Attributes:
+      on_relays: Called with the accounts of the entries that hold weights, as they come and go.
+    """
 
     def __init__(
         self, deployment: Deployment, account: collections.abc.Callable[[], Status]
@@ -30,7 +35,8 @@
         self._account = account
         self._inbound: set[PeerLink] = set()
         self._server: server.Server | None = None
-        self._told: Status | None = None
+        self._relays: dict[PeerLink, Status] = {}
+        self.on_relays: collections.abc.Callable[[list[Status]], None] = ignore_relays
 
     @property
     def list_as_of(self) -> float:
@@ -71,7 +77,11 @@
         return cursor, ()
 
     def take_push(self, link: PeerLink, push: Push) -> None:
-        """See LinkOwner; entries tell nothing here but who they are."""
+        """See LinkOwner; entries tell who they are, and where they hold weights for others."""
+        status = link.whole_status(push)
+        if status is not None and status.role is InstanceRole.ENTRY and status.http_port:
+            self._relays[link] = status
+            self.on_relays(list(self._relays.values()))
 
     def add_inbound(self, link: PeerLink) -> None:
         """See PeerServiceOwner."""
@@ -80,6 +90,8 @@
     def remove_inbound(self, link: PeerLink) -> None:
         """See PeerServiceOwner."""
         self._inbound.discard(link)
+        if self._relays.pop(link, None) is not None:
+            self.on_relays(list(self._relays.values()))
 
     def reply_configuration(self, request: FetchConfiguration) -> ConfigurationReply:
         """See PeerServiceOwner; a sidecar holds no configuration for others here."""
@@ -88,3 +100,7 @@
     def reply_list(self, request: FetchList) -> ListReply:
         """See PeerServiceOwner; as above."""
         return ListReply(0.0, "")
+
+
+def ignore_relays(statuses: list[Status]) -> None:
+    """Stands where nobody asked to be told of relays."""
--- a/wasabidrum/weights/chunk_handler.py
+++ b/wasabidrum/weights/chunk_handler.py
@@ -61,7 +61,8 @@
         """Sends a chunk in its reserved time."""
         loop = asyncio.get_running_loop()
         region = self.request.headers.get(headers.ASKER_REGION, "")
-        reserved = self.distributor.pacer.reserve(region, len(content))
+        rate = float(self.request.headers.get(headers.ASKER_RATE, "0"))
+        reserved = self.distributor.pacer.reserve(region, len(content), rate)
         # The asker is told when its turn comes, or it would take a wait in line for a stall.
         self.set_header(headers.CHUNK_STATE, ChunkState.HELD.value)
         self.set_header(headers.CHUNK_STARTS_IN, f"{reserved.start - loop.time():.3f}")
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -10,6 +10,7 @@
 from ..core.errors import CodedError
 from ..decisions import chunk_route
 from ..decisions.chunk_evidence import SLOW_PAUSE_SECONDS
+from ..decisions.chunk_pacing import BYTES_PER_MEGABIT
 from ..decisions.chunk_plan import ChunkPlan
 from ..decisions.chunk_route import Asker, Step, StepKind
 from ..observe.event import Event
@@ -38,6 +39,13 @@
 # They notice within two seconds that they wait for it, and what it draws besides costs the origin
 # a chunk and takes its link from what they send it.
 ROUNDS_IN_DOUBT = 3
+# Chunks asked of relays at once, and the part of the instance's own link that they may fill
+# together. A relay's link is wider than the asker's, so that the asker says how fast it may send;
+# requests to the engine would wait behind the chunks otherwise.
+RELAY_ASKS_AT_ONCE = 4
+RELAY_FRACTION = 0.95
+# Chunks asked of other peers at once. Most of these wait for the peer to get the chunk.
+ASKS_AT_ONCE = 12
 
 
 class Distributor:
@@ -119,6 +127,19 @@
         """Returns whether the plan has this sidecar's region draw a chunk from the origin."""
         return plan.region_order(index)[0] == self._settings.region
 
+    def asks_at_once(self, plan: ChunkPlan) -> int:
+        """Returns for how many chunks this instance asks its peers at once."""
+        region = plan.regions.get(self._settings.region)
+        relays = region.relays if region is not None else ()
+        now = self._now()
+        usable = any(
+            name in self.asker.members() and not self.asker.evidence.avoided(name, now)
+            for name in relays
+        )
+        if usable and self._settings.name not in relays:
+            return RELAY_ASKS_AT_ONCE
+        return ASKS_AT_ONCE
+
     async def fetch(self, plan: ChunkPlan, digest: str) -> bytes:
         """Returns a verified chunk, from the store, a peer or the origin, whatever it takes."""
         waits = rounds = 0
@@ -126,7 +147,8 @@
             index = plan.index_of(digest)
             step = self._find_step(plan, index, digest)
             if step.kind is StepKind.ASK:
-                content, state = await self.asker.ask(step.peer, digest, self._patience())
+                rate = self._inbound_rate(step.peer)
+                content, state = await self.asker.ask(step.peer, digest, self._patience(), rate)
                 waits += 1
                 stuck = waits % WAITS_BEFORE_OTHERS == 0
                 if state is ChunkState.LACKING or (state is ChunkState.COMING and stuck):
@@ -154,6 +176,13 @@
         """Returns the peers passed over now."""
         return self.asker.evidence.avoided_names(self._now())
 
+    def _inbound_rate(self, peer: str) -> float:
+        """Returns the bytes a second that a peer may send here; zero where it knows itself."""
+        if peer not in self.asker.relays or self._settings.role != "sidecar":
+            return 0.0
+        link = self._settings.link_mbit * BYTES_PER_MEGABIT
+        return link * RELAY_FRACTION / RELAY_ASKS_AT_ONCE
+
     def _patience(self) -> float:
         """Returns how long to wait at a peer for a chunk that it expects, in seconds."""
         return ASK_WAIT_SECONDS if self._known() else UNKNOWN_WAIT_SECONDS
@@ -192,6 +221,9 @@
             return Step(StepKind.DRAW)
         if self._settings.weights_from == "chain":
             return chunk_route.find_chain_step(plan, asker, usable)
+        relay = chunk_route.find_relay(plan, asker, index, usable)
+        if relay:
+            return Step(StepKind.ASK, relay)
         holder = chunk_route.find_holder(self.asker.holders, asker.name, digest, usable)
         if holder:
             return Step(StepKind.ASK, holder)
--- a/wasabidrum/weights/distributor_test.py
+++ b/wasabidrum/weights/distributor_test.py
@@ -55,6 +55,7 @@
         revision: int,
         probe: bool = False,
         holds_up: HoldsUp | None = None,
+        rate: float = 0.0,
     ) -> PeerAnswer:
         """See PeerChunkClient."""
         peer = next(d for name, d in self._fleet.items() if f"{name}:" in url)
--- a/wasabidrum/weights/engine_keeper.py
+++ b/wasabidrum/weights/engine_keeper.py
@@ -26,6 +26,9 @@
 # so for each piece on the same instance; where it takes longer than this, the process or its
 # instance most likely stood still.
 FRESH_SECONDS = 2.0
+# How long a sidecar that knows no relay waits for one before it plans without; entries open their
+# streams to it within half a second of its start.
+RELAYS_SECONDS = 1.0
 
 
 class EngineKeeper:
@@ -57,6 +60,7 @@
         self.switching = False
         self.on_report = ignore_report
         listed.on_members = self._take_holders
+        listed.on_relays = self._take_relays
 
     async def watch(self) -> None:
         """Reads the engine's report for ever."""
@@ -104,6 +108,9 @@
         if self._staged:
             self._distributor.asker.holders = self._listed.holders(max(self._staged))
 
+    def _take_relays(self) -> None:
+        self._distributor.asker.relays = frozenset(self._listed.relays)
+
     def _tell(self, wanted: int, reason: str) -> None:
         if reason != self._reason:
             self._reason = reason
@@ -125,7 +132,7 @@
         # Every region draws its part. Drawn by one region only, a copy takes twice as long to
         # leave the origin, which may be gone by then; it costs two thirds of a copy more on the
         # thin links.
-        await staged.bring(self._listed.region_of, "")
+        await staged.bring(self._listed.region_of, self._listed.relays)
         self._log.write(Event.VERSION_STAGED, version=version, chunks=0)
         await self._order(staged, version)
 
@@ -134,6 +141,7 @@
             return self._staged[wanted]
         if not wanted and self._staged:
             return self._staged[max(self._staged)]
+        await self._listed.wait_for_relays(RELAYS_SECONDS)
         pieces = await self._read_pieces(wanted)
         staged = StagedVersion(self._engine, self._distributor, pieces)
         adopted = await staged.adopt()
@@ -147,7 +155,7 @@
     async def _read_pieces(self, wanted: int) -> PieceList:
         """Reads a version's list and who else there is, or has it from one that has."""
         self._origin.set_address(*self._listed.origin)
-        shared = await self._listed.read_version(wanted) if wanted else None
+        shared = await self._listed.read_version(wanted)
         if shared is not None:
             self._origin.take_list(shared.pieces)
         else:
--- a/wasabidrum/weights/link_pacer.py
+++ b/wasabidrum/weights/link_pacer.py
@@ -23,8 +23,18 @@
         self.links = LinkSpec()
         self.senders = 1
 
-    def reserve(self, to_region: str, size: int) -> Reservation:
-        """Reserves the time in which some bytes may go to a region."""
+    def reserve(self, to_region: str, size: int, asker_rate: float = 0.0) -> Reservation:
+        """Reserves the time in which some bytes may go to a region.
+
+        Args:
+          asker_rate: The bytes a second that the one who asks can take; zero where it did not say.
+        """
+        sent = self._reserve(to_region, size)
+        if asker_rate <= 0.0:
+            return sent
+        return Reservation(sent.start, max(sent.seconds, size / asker_rate))
+
+    def _reserve(self, to_region: str, size: int) -> Reservation:
         now = asyncio.get_running_loop().time()
         fraction = self.links.weights_fraction_instance
         rate = instance_rate(self._link_mbit, fraction, self._in_progress())
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 
 from ..config.deployment import Deployment
 from ..core.awake_clock import awake_seconds
@@ -9,6 +10,7 @@
 from ..core.instance import Instance, InstanceRole
 from ..core.listed_endpoint import ListedEndpoint
 from ..core.published import PublishedConfiguration
+from ..core.status import Status
 from ..core.store_change import StoreChange
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -45,6 +47,7 @@
       model: The model of this engine, empty before it is known.
       layers: How many layers the model has.
       on_members: Called after members were read anew while the engine lacks its weights.
+      on_relays: Called after relays have come or gone.
     """
 
     def __init__(
@@ -66,7 +69,51 @@
         self.wanted = 0
         self.model = ""
         self.layers = 0
+        self._relays: dict[str, MemberView] = {}
+        self._relays_known = asyncio.Event()
         self.on_members = ignore_members
+        self.on_relays = ignore_members
+
+    @property
+    def members(self) -> list[MemberView]:
+        """See Membership; relays included."""
+        return [*self._views.values(), *self._relays.values()]
+
+    @property
+    def relays(self) -> dict[str, str]:
+        """The regions of the entries that hold weights for others, by name."""
+        return {name: view.instance.region for name, view in self._relays.items()}
+
+    def set_relays(self, statuses: collections.abc.Iterable[Status]) -> None:
+        """Records which entries hold weights, by their own accounts."""
+        self._relays = {
+            status.host: MemberView(
+                Instance(
+                    status.host,
+                    InstanceRole.ENTRY,
+                    status.region,
+                    status.data_centre,
+                    status.host,
+                    status.http_port,
+                    status.peer_port,
+                )
+            )
+            for status in statuses
+        }
+        if self._relays:
+            self._relays_known.set()
+        self.on_relays()
+
+    async def wait_for_relays(self, seconds: float) -> None:
+        """Waits until the first relay is known, or for some seconds at most.
+
+        All processes start together after a loss of power. A sidecar that plans without relays
+        draws from the origin what these are about to draw.
+        """
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._relays_known.wait(), seconds)
+        # Waited for once; where entries hold no weights none will ever come.
+        self._relays_known.set()
 
     @property
     def wanted_seconds(self) -> float:
@@ -161,13 +208,17 @@
         """Returns what another sidecar of the region has read of a version, or None."""
         asked = self._first_readers(f"{self.model}/{version}")
         reading = await self._readings.ask_version(asked, version)
-        if reading is not None:
+        if reading is None:
+            return None
+        if reading.members:
             self._take_members(reading.members)
+        else:
+            await self.read_members()
         return reading
 
     def _first_readers(self, subject: str) -> list[MemberView]:
         own = self._deployment
-        return first_readers(subject, own.host, own.region, self.members)
+        return first_readers(subject, own.host, own.region, self.members, self._relays)
 
     async def _read_all(self) -> int:
         await self._read_members()
--- a/wasabidrum/weights/peer_asker.py
+++ b/wasabidrum/weights/peer_asker.py
@@ -31,12 +31,13 @@
       peers: The client that asks.
       evidence: What speaks against asking some of them.
       holders: Peers of this region that are known to hold the version that is being brought.
+      relays: Members that hold chunks though they are no sidecars.
       revision: The configuration that this sidecar has; peers may lag behind it.
       late_seconds: How late the last chunk was whole, beyond the time that it took to send.
     """
 
     __slots__ = ("_name", "_region", "_membership", "_log", "_watch", "_counts")
-    __slots__ += ("peers", "evidence", "holders", "late_seconds", "revision")
+    __slots__ += ("peers", "evidence", "holders", "relays", "late_seconds", "revision")
 
     def __init__(
         self,
@@ -55,15 +56,16 @@
         self.peers = PeerChunkClient(client, settings.name, settings.region)
         self.evidence = ChunkEvidence()
         self.holders: frozenset[str] = frozenset()
+        self.relays: frozenset[str] = frozenset()
         self.late_seconds = 0.0
         self.revision = 0
 
     def members(self) -> dict[str, MemberView]:
-        """Returns the sidecars that are listed, by name."""
+        """Returns the sidecars that are listed and the relays, by name."""
         return {
             view.name: view
             for view in self._membership.members
-            if view.instance.role is InstanceRole.SIDECAR
+            if view.instance.role is InstanceRole.SIDECAR or view.name in self.relays
         }
 
     def own_link_in_doubt(self) -> bool:
@@ -75,10 +77,14 @@
         self._watch.promptness.note_draw(seconds)
 
     async def ask(
-        self, name: str, digest: str, wait: float = ASK_WAIT_SECONDS
+        self, name: str, digest: str, wait: float = ASK_WAIT_SECONDS, rate: float = 0.0
     ) -> tuple[bytes | None, ChunkState | None]:
-        """Asks one peer; a failure becomes evidence, and the state is then None."""
-        return await self._ask(name, digest, wait, probe=False)
+        """Asks one peer; a failure becomes evidence, and the state is then None.
+
+        Args:
+          rate: The most bytes a second that it is to send; zero leaves it to the peer.
+        """
+        return await self._ask(name, digest, wait, probe=False, rate=rate)
 
     async def probe(self, names: list[str], digest: str) -> list[ChunkState | None]:
         """Returns what peers know of a chunk, without waiting for one that holds all up."""
@@ -89,7 +95,7 @@
         return state
 
     async def _ask(
-        self, name: str, digest: str, wait: float, probe: bool
+        self, name: str, digest: str, wait: float, probe: bool, rate: float = 0.0
     ) -> tuple[bytes | None, ChunkState | None]:
         view = self.members().get(name)
         if view is None:
@@ -98,7 +104,9 @@
         self.evidence.begin_ask(name, self._now())
         holds_up = None if probe else functools.partial(self._holds_up, name, digest)
         try:
-            answer = await self.peers.ask(view.url, digest, wait, self.revision, probe, holds_up)
+            answer = await self.peers.ask(
+                view.url, digest, wait, self.revision, probe, holds_up, rate
+            )
         except CodedError as error:
             if error.code != "peer_held_up":
                 self._note_failure(name, digest, error)
--- a/wasabidrum/weights/peer_chunk_client.py
+++ b/wasabidrum/weights/peer_chunk_client.py
@@ -121,12 +121,14 @@
         revision: int,
         probe: bool = False,
         holds_up: HoldsUp | None = None,
+        rate: float = 0.0,
     ) -> PeerAnswer:
         """Asks a peer, who answers once it holds the chunk or the wait is over.
 
         A probe is answered at once, and without the content.
 
         Args:
+          rate: The most bytes a second that the peer is to send; zero leaves it to the peer.
           holds_up: Looks whether the peer is silent, while nothing comes from it.
 
         Raises:
@@ -140,6 +142,7 @@
                 headers.ASKER: self._name,
                 headers.ASKER_REGION: self._region,
                 headers.REVISION: str(revision),
+                headers.ASKER_RATE: f"{rate:.0f}",
             },
             header_callback=download.take_header_line,
             streaming_callback=download.take_part,
--- /dev/null
+++ b/wasabidrum/weights/relay_members.py
@@ -0,0 +1,68 @@
+"""Whom a relay knows: the sidecars beside a service's engines, and the other relays."""
+
+import collections.abc
+
+from ..core.instance import Instance, InstanceRole
+from ..core.listed_endpoint import ListedEndpoint
+from ..peers.member_view import MemberView, MemberViews
+from .listed_engines import CHUNK_PORT_OFFSET, to_member
+from .shared_readings import ListedMember
+
+
+class RelayMembers(MemberViews):
+    """Follows what an entry knows of endpoints and entries; see Membership."""
+
+    def __init__(self, region_of: collections.abc.Mapping[str, str], first_port: int) -> None:
+        """Takes the regions of all data centres, and the first port of every process."""
+        super().__init__()
+        self._region_of = region_of
+        self._first_port = first_port
+        self._listed: tuple[ListedMember, ...] = ()
+        self._relays: dict[str, str] = {}
+
+    @property
+    def listed(self) -> tuple[ListedMember, ...]:
+        """The sidecars' instances as the platform lists the engines beside them."""
+        return self._listed
+
+    @property
+    def relays(self) -> dict[str, str]:
+        """The regions of all relays by name, this one included."""
+        return {name: self._region(centre) for name, centre in self._relays.items()}
+
+    @property
+    def region_of(self) -> dict[str, str]:
+        """The regions of the sidecars that want weights, by name."""
+        return {m.host: self._region(m.data_centre) for m in self._listed if not m.leaving}
+
+    def holders(self, version: int, region: str) -> frozenset[str]:
+        """Returns the sidecars of a region whose engines answer with a version."""
+        return frozenset(
+            member.host
+            for member in self._listed
+            if member.weights == version and self._region(member.data_centre) == region
+        )
+
+    def update(
+        self,
+        endpoints: collections.abc.Iterable[ListedEndpoint],
+        relays: collections.abc.Mapping[str, str],
+    ) -> None:
+        """Takes the engines that are listed, and the data centres of all relays by name."""
+        self._listed = tuple(to_member(endpoint) for endpoint in endpoints)
+        self._relays = dict(relays)
+        places = {member.host: member.data_centre for member in self._listed}
+        views = {}
+        for host, centre in places.items():
+            views[host] = self._views.get(host) or self._make(host, centre, InstanceRole.SIDECAR)
+        for host, centre in relays.items():
+            views[host] = self._views.get(host) or self._make(host, centre, InstanceRole.ENTRY)
+        self._views = views
+
+    def _make(self, host: str, centre: str, role: InstanceRole) -> MemberView:
+        port = self._first_port + CHUNK_PORT_OFFSET
+        region = self._region(centre)
+        return MemberView(Instance(host, role, region, centre, host, port, self._first_port))
+
+    def _region(self, data_centre: str) -> str:
+        return self._region_of.get(data_centre, data_centre)
--- a/wasabidrum/weights/shared_readings.py
+++ b/wasabidrum/weights/shared_readings.py
@@ -7,12 +7,8 @@
 for as long as that lasts. The origin's link carries the list forty times before any piece.
 
 The first of a region in an order that all agree on reads; the others ask it, then the second.
-Who gets no answer reads for itself, so that nothing hangs on one process.
-
-Grounds: the figures of one engine and a list of pieces are some kilobytes. CONNECT_SECONDS is
-for a peer that is gone, SETTING_SECONDS for one that reads a large configuration over its link.
-VERSION_SECONDS is several times what a list takes; a peer behind a link that is full is not waited
-for, because a version has seconds.
+Who gets no answer reads for itself, so that nothing hangs on one process. Relays come first in that
+order; they know at any time who else there is.
 """
 
 import asyncio
@@ -40,6 +36,8 @@
 # A version is named and read by all within a second; later, others have come and gone.
 FRESH_SECONDS = 2.0
 STATUS_MISSING = 404
+# The name in a path of whichever version a peer knows as the latest.
+LATEST = "0"
 
 
 class EngineSetting(msgspec.Struct, frozen=True):
@@ -66,7 +64,11 @@
 
 
 class VersionReading(msgspec.Struct, frozen=True):
-    """What is read when a version is named: the list of its pieces, and who else there is."""
+    """What is read when a version is named: the list of its pieces, and who else there is.
+
+    Attributes:
+      members: Empty where they were read too long ago.
+    """
 
     pieces: PieceList
     members: tuple[ListedMember, ...] = ()
@@ -78,9 +80,10 @@
     Attributes:
       setting: What this sidecar knows of its engine, or None.
       version: The latest reading here, or None.
+      list_members: Returns who else there is now; None where that is known only from readings.
     """
 
-    __slots__ = ("_client", "_log", "_changed", "_read_at", "setting", "version")
+    __slots__ = ("_client", "_log", "_changed", "_read_at", "setting", "version", "list_members")
 
     def __init__(self, client: httpclient.AsyncHTTPClient, log: EventLog) -> None:
         self._client = client
@@ -89,6 +92,7 @@
         self._read_at = 0.0
         self.setting: EngineSetting | None = None
         self.version: VersionReading | None = None
+        self.list_members: collections.abc.Callable[[], tuple[ListedMember, ...]] | None = None
 
     async def keep_setting(self, setting: EngineSetting) -> None:
         """Keeps what was read, and answers those who wait for it."""
@@ -113,8 +117,15 @@
             return None
         if name == "setting":
             return self.setting
+        if name not in (LATEST, str(self.version.pieces.version)):
+            return None
+        return VersionReading(self.version.pieces, self._fresh_members())
+
+    def _fresh_members(self) -> tuple[ListedMember, ...]:
+        if self.list_members is not None:
+            return self.list_members()
         fresh = asyncio.get_running_loop().time() - self._read_at <= FRESH_SECONDS
-        return self.version if fresh and str(self.version.pieces.version) == name else None
+        return self.version.members if fresh else ()
 
     def _is_decided(self, name: str) -> bool:
         """Returns whether a reading is here, or will not come."""
@@ -128,7 +139,11 @@
         return await self._ask(peers, "setting", EngineSetting, SETTING_SECONDS)
 
     async def ask_version(self, peers: list[MemberView], version: int) -> VersionReading | None:
-        """Returns what the first of some peers read when a version was named, or None."""
+        """Returns what the first of some peers read of a version, or None.
+
+        Args:
+          version: Zero for the latest that a peer knows, as where none was named.
+        """
         return await self._ask(peers, str(version), VersionReading, VERSION_SECONDS)
 
     async def _ask(self, peers: list[MemberView], name: str, kind: type, seconds: float):
@@ -166,7 +181,11 @@
 
 
 def first_readers(
-    subject: str, own: str, region: str, members: collections.abc.Iterable[MemberView]
+    subject: str,
+    own: str,
+    region: str,
+    members: collections.abc.Iterable[MemberView],
+    relays: collections.abc.Collection[str] = (),
 ) -> list[MemberView]:
     """Returns whom a sidecar asks before it reads for itself; nobody where it comes first.
 
@@ -174,6 +193,8 @@
       subject: What is to be read; it deals the work out.
     """
     near = {member.name: member for member in members if member.instance.region == region}
-    ranked = rank_names(subject, {*near, own})
+    first = [name for name in {*near, own} if name in relays]
+    others = [name for name in {*near, own} if name not in relays]
+    ranked = rank_names(subject, first) + rank_names(subject, others)
     before = ranked[: ranked.index(own)]
     return [near[name] for name in before[:MOST_ASKED]]
--- a/wasabidrum/weights/staged_version.py
+++ b/wasabidrum/weights/staged_version.py
@@ -45,10 +45,15 @@
                 adopted += 1
         return adopted
 
-    async def bring(self, region_of: dict[str, str], origin_region: str) -> None:
-        """Brings every piece that is missing here, and stages all."""
+    async def bring(self, region_of: dict[str, str], relays: dict[str, str]) -> None:
+        """Brings every piece that is missing here, and stages all.
+
+        Args:
+          region_of: The regions of the sidecars that want the version, by name.
+          relays: The regions of the relays, by name.
+        """
         pieces = self._pieces
-        plan = ChunkPlan(self.root, pieces.digests, region_of, origin_region)
+        plan = ChunkPlan(self.root, pieces.digests, region_of, relays=relays)
         self._distributor.share_link(plan)
         self._distributor.store.want(frozenset(pieces.digests))
         every = list(range(len(pieces.digests)))
--- a/wasabidrum/weights/version_download.py
+++ b/wasabidrum/weights/version_download.py
@@ -19,8 +19,6 @@
 ASKS_WHILE_DRAWING = 2
 # Chunks that it brings in from another region, at once. Its senders there are several.
 IMPORTS_AT_ONCE = 4
-# Chunks asked of peers at once. Most of these wait for the peer to get the chunk.
-ASKS_AT_ONCE = 12
 
 Deliver = collections.abc.Callable[[int, bytes], collections.abc.Awaitable[None]]
 
@@ -37,7 +35,7 @@
     """One version on its way to one engine. Cancelling run ends every request for it."""
 
     __slots__ = ("_distributor", "_plan", "_manifest", "_deliver", "_places")
-    __slots__ += ("_group", "_asking", "_askers")
+    __slots__ += ("_group", "_asking", "_askers", "_draws_first")
 
     def __init__(
         self,
@@ -46,7 +44,14 @@
         manifest: Manifest,
         missing: list[int],
         deliver: Deliver,
+        draws_first: bool = True,
     ) -> None:
+        """Takes what is missing, and what to call with each chunk.
+
+        Args:
+          draws_first: What is drawn from the origin goes before all else for a while, as where
+            this instance's link is too narrow for both.
+        """
         self._distributor = distributor
         self._plan = plan
         self._manifest = manifest
@@ -55,6 +60,7 @@
         self._group: asyncio.TaskGroup | None = None
         self._asking: collections.abc.Iterator[str] | None = None
         self._askers = 0
+        self._draws_first = draws_first
         for index in missing:
             self._places.setdefault(manifest.chunks[index], []).append(index)
 
@@ -81,7 +87,7 @@
             drawing = self._start_lane(group, draws, DRAWS_AT_ONCE)
             asking = iter(asks)
             self._start(group, asking, min(ASKS_WHILE_DRAWING, len(asks)))
-            if drawing:
+            if drawing and self._draws_first:
                 # What it draws nobody else has. Were the link shared with what it asks of
                 # others, one slow instance would keep its part from the whole fleet for
                 # seconds, and for as long as the origin is away if that fails meanwhile.
@@ -109,7 +115,7 @@
         once then stand before its engine's requests for seconds: callers have left by the time
         that their requests arrive.
         """
-        if self._asking is None or self._askers >= ASKS_AT_ONCE:
+        if self._asking is None or self._askers >= self._distributor.asks_at_once(self._plan):
             return
         if self._distributor.late_seconds <= PROMPT_SECONDS:
             self._askers += 1
--- a/wasabidrum/weights/version_download_test.py
+++ b/wasabidrum/weights/version_download_test.py
@@ -29,6 +29,10 @@
         """Returns whether the plan names this sidecar."""
         return index % 3 == 0
 
+    def asks_at_once(self, plan: ChunkPlan) -> int:
+        """Returns how many chunks may be asked for together."""
+        return 12
+
     def is_first_region(self, plan: ChunkPlan, index: int) -> bool:
         """Returns whether its region draws."""
         return index % 2 == 0
--- /dev/null
+++ b/wasabidrum/weights/weights_relay.py
@@ -0,0 +1,252 @@
+"""Holds the newest weights at an entry and gives them to the sidecars of its region.
+
+Load pattern: a version is named, and every sidecar wants it at once over a link that carries two
+copies in the time that the version has. Where sidecars pass it on to each other, each also sends
+about one copy over the same link, and all wait for the busiest; an engine that is added or
+restarted takes that link from its neighbours again. Entries have far wider links. So the entries
+of a region bring one copy in, by the plan that sidecars have among themselves, and each sidecar
+takes it from them at the full rate of its own link.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import typing
+
+from tornado import httpclient
+
+from ..config.deployment import Deployment
+from ..core.digest import digest_of
+from ..core.engine_report import PieceList
+from ..core.errors import CodedError
+from ..core.fleet import LinkSpec
+from ..core.listed_endpoint import ListedEndpoint
+from ..core.manifest import Manifest, encode_manifest
+from ..core.published import PublishedConfiguration
+from ..decisions.chunk_plan import ChunkPlan
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+from ..platform.origin_client import make_origin_client
+from .chunk_handler import ChunkHandler
+from .deployed_settings import distribution_settings
+from .distributor import Distributor
+from .listed_engines import find_setting
+from .origin_draw import OriginDraw
+from .relay_members import RelayMembers
+from .shared_readings import PATH as READINGS_PATH
+from .shared_readings import (
+    EngineSetting,
+    ReadingsHandler,
+    SharedReadings,
+    VersionReading,
+    first_readers,
+)
+from .version_download import VersionDownload
+
+# The part of an entry's link that weights may take while it serves callers.
+LINK_FRACTION = 0.5
+# How many relays of a region hold each chunk: one serves it, the other where that one is gone.
+HOLDERS_OF_CHUNK = 2
+LOOK_SECONDS = 0.1
+PAUSE_SECONDS = 0.3
+# How often a relay that holds its part checks it against who else there is.
+REPLAN_SECONDS = 2.0
+
+
+class RelayState(typing.Protocol):
+    """What a relay needs to know of the platform."""
+
+    @property
+    def configuration(self) -> PublishedConfiguration | None:
+        """The configuration in force, or None before the first."""
+
+    @property
+    def listed_endpoints(self) -> collections.abc.Iterable[ListedEndpoint]:
+        """The endpoints that are registered."""
+
+    def newest_version(self, model: str) -> int:
+        """Returns the newest version named of a model; zero where none was."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayTarget:
+    """The weights that a relay is to hold.
+
+    Attributes:
+      version: Zero for whichever the origin has, as long as none was named.
+    """
+
+    service: str
+    setting: EngineSetting
+    version: int
+
+
+class WeightsRelay:
+    """Owns an entry's part in the distribution of one service's weights."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        client: httpclient.AsyncHTTPClient,
+        state: RelayState,
+        find_relays: collections.abc.Callable[[], dict[str, str]],
+        in_progress: collections.abc.Callable[[], int],
+        log: EventLog,
+    ) -> None:
+        """Takes whom to ask for the data centres of all relays, and for requests in progress."""
+        self._deployment = deployment
+        self._state = state
+        self._find_relays = find_relays
+        self._log = log
+        self._origin = make_origin_client(client)
+        self._members = RelayMembers(deployment.region_of, deployment.first_port)
+        self._readings = SharedReadings(client, log)
+        self._readings.list_members = lambda: self._members.listed
+        self._distributor = Distributor(
+            distribution_settings(deployment, "entry"),
+            self._members,
+            client,
+            OriginDraw([self._origin]),
+            in_progress,
+            log,
+        )
+        self._distributor.pacer.links = LinkSpec(weights_fraction_instance=LINK_FRACTION)
+        self._pieces: PieceList | None = None
+
+    @property
+    def routes(self) -> list[tuple]:
+        """What sidecars and other relays ask for."""
+        return [
+            (r"/internal/chunks/([0-9a-f]+)", ChunkHandler, {"distributor": self._distributor}),
+            (READINGS_PATH + r"(setting|[0-9]+)", ReadingsHandler, {"readings": self._readings}),
+        ]
+
+    async def run(self) -> None:
+        """Holds what is wanted, for ever."""
+        target: RelayTarget | None = None
+        work: asyncio.Task[None] | None = None
+        try:
+            while True:
+                found = self._find_target()
+                if found is not None:
+                    self._update_members(found.service)
+                if found != target:
+                    target = found
+                    await self._end(work)
+                    work = asyncio.ensure_future(self._keep(found)) if found else None
+                await asyncio.sleep(LOOK_SECONDS)
+        finally:
+            await self._end(work)
+
+    async def _end(self, work: asyncio.Task[None] | None) -> None:
+        if work is not None:
+            work.cancel()
+            await asyncio.gather(work, return_exceptions=True)
+        # Until its pieces are known, any chunk may belong to the version that comes next.
+        store = self._distributor.store
+        store.undecided = True
+        store.expected = set()
+        store.wake_all()
+
+    def _find_target(self) -> RelayTarget | None:
+        configuration = self._state.configuration
+        for service in configuration.services if configuration is not None else ():
+            setting = find_setting(configuration, service.name)
+            if setting is not None:
+                version = self._state.newest_version(setting.model)
+                return RelayTarget(service.name, setting, version)
+        return None
+
+    def _update_members(self, service: str) -> None:
+        endpoints = (e for e in self._state.listed_endpoints if e.service == service)
+        self._members.update(endpoints, self._find_relays())
+        self._distributor.asker.relays = frozenset(self._members.relays)
+
+    async def _keep(self, target: RelayTarget) -> None:
+        await self._readings.keep_setting(target.setting)
+        self._distributor.begin()
+        reason = ""
+        while True:
+            pause = PAUSE_SECONDS
+            try:
+                await self._bring(target)
+                pause = REPLAN_SECONDS
+            except* CodedError as errors:
+                if reason != (reason := str(errors.exceptions[0])):
+                    self._log.write(
+                        Event.VERSION_FAILED, version=target.version, reason=reason[:300]
+                    )
+            await asyncio.sleep(pause)
+
+    async def _bring(self, target: RelayTarget) -> None:
+        pieces = await self._read_pieces(target)
+        region, name = self._deployment.region, self._deployment.host
+        self._distributor.asker.holders = self._members.holders(pieces.version, region)
+        self._distributor.spread = bool(self._distributor.asker.holders)
+        total = pieces.piece_bytes * len(pieces.digests)
+        manifest = Manifest(pieces.piece_bytes, total, pieces.digests)
+        root = digest_of(encode_manifest(manifest))
+        plan = ChunkPlan(root, pieces.digests, self._members.region_of, relays=self._members.relays)
+        store = self._distributor.store
+        missing = [
+            index
+            for index in own_chunks(plan, region, name, len(pieces.digests))
+            if store.get(pieces.digests[index]) is None
+        ]
+        store.undecided = False
+        if not missing:
+            return
+        self._distributor.share_link(plan)
+        store.want(pieces.digests)
+        download = VersionDownload(
+            self._distributor, plan, manifest, missing, keep_nothing, draws_first=False
+        )
+        await download.run()
+        self._log.write(Event.VERSION_RELAYED, version=pieces.version, chunks=len(missing))
+
+    async def _read_pieces(self, target: RelayTarget) -> PieceList:
+        known = self._pieces
+        wanted = target.version
+        same_model = known is not None and known.model == target.setting.model
+        if same_model and wanted in (0, known.version):
+            return known
+        self._origin.set_address(target.setting.origin_host, target.setting.origin_port)
+        own = self._deployment
+        subject = f"{target.setting.model}/{wanted}"
+        relays = self._members.relays
+        members = [view for view in self._members.members if view.name in relays]
+        asked = first_readers(subject, own.host, own.region, members, relays)
+        shared = await self._readings.ask_version(asked, wanted)
+        if shared is not None:
+            pieces = shared.pieces
+            self._origin.take_list(pieces)
+        else:
+            pieces = await self._origin.read_list(target.setting.model, wanted)
+        self._pieces = pieces
+        await self._readings.keep_version(VersionReading(pieces))
+        self._log.write(Event.VERSION_WANTED, version=pieces.version, revision=wanted, adopted=0)
+        return pieces
+
+
+def own_chunks(plan: ChunkPlan, region: str, name: str, count: int) -> list[int]:
+    """Returns which chunks a relay of a region is to hold."""
+    own = plan.regions.get(region)
+    if own is None:
+        return []
+    return [i for i in range(count) if name in own.order(i)[:HOLDERS_OF_CHUNK]]
+
+
+async def keep_nothing(index: int, content: bytes) -> None:
+    """Delivers a chunk that is held in the store already, and nowhere else."""
+
+
+def make_weights_relay(
+    deployment: Deployment,
+    client: httpclient.AsyncHTTPClient,
+    state: RelayState,
+    find_relays: collections.abc.Callable[[], dict[str, str]],
+    in_progress: collections.abc.Callable[[], int],
+    log: EventLog,
+) -> WeightsRelay:
+    """Returns a relay that has not started; see WeightsRelay."""
+    return WeightsRelay(deployment, client, state, find_relays, in_progress, log)
--- a/wasabidrum/wire/headers.py
+++ b/wasabidrum/wire/headers.py
@@ -26,6 +26,7 @@
 # Headers of chunks between sidecars.
 ASKER = "X-Wd-Asker"
 ASKER_REGION = "X-Wd-Asker-Region"
+ASKER_RATE = "X-Wd-Asker-Rate"
 CHUNK_STATE = "X-Wd-Chunk"
 CHUNK_STARTS_IN = "X-Wd-Starts-In"
 CHUNK_SECONDS = "X-Wd-Seconds"
