Switch engines in two turns, and finish a version of which half is here

Names that follow each other: version 3 was named 2 s after version 2 and could not be drawn; 2 was dropped with its copy almost in all regions, and nothing came into force for 12 s.

--- a/tests/listed_engines.py
+++ b/tests/listed_engines.py
@@ -8,6 +8,7 @@
 
 from tests.listed_platform import ListedStore, free_ports, quiet_log
 from wasabidrum.config.deployment import Address, Bounds, Deployment
+from wasabidrum.gateway.daemon import Gateway, make_gateway
 from wasabidrum.platform import names
 from wasabidrum.sidecar.deployed import DeployedSidecar, make_deployed_sidecar
 
@@ -220,6 +221,8 @@
         self.origin = FakeOrigin()
         self.engines: list[FakeStagingEngine] = []
         self.sidecars: list[DeployedSidecar] = []
+        self.entries: list[Gateway] = []
+        self.entries_started = 0
         self.first_port = free_ports(PORTS_OF_ONE)
 
     async def start(self) -> None:
@@ -235,6 +238,8 @@
 
     async def stop(self) -> None:
         """Ends everything."""
+        for entry in list(self.entries):
+            await self.end_entry(entry)
         for sidecar in self.sidecars:
             await sidecar.stop()
         for engine in self.engines:
@@ -283,3 +288,37 @@
         sidecar = make_deployed_sidecar(deployment, quiet_log(host))
         await sidecar.start()
         return sidecar
+
+    async def add_entry(self) -> Gateway:
+        """Starts an entry that holds weights for the sidecars."""
+        self.entries_started += 1
+        host = f"127.0.0.{99 + self.entries_started}"
+        deployment = Deployment(
+            name=f"entry-{host}",
+            role="entry",
+            host=host,
+            data_centre="rift-a",
+            region="rift",
+            region_of={"rift-a": "rift"},
+            store=Address("127.0.0.1", self.store.port),
+            bounds=Bounds(),
+            first_port=self.first_port,
+            last_port=self.first_port + PORTS_OF_ONE,
+            callers=Address(host, self.first_port + 3),
+            readiness=Address(host, self.first_port + 4),
+            peers_listen=Address(host, self.first_port + 5),
+            seeds=(Address("127.0.0.100", self.first_port + 5),),
+        )
+        entry = make_gateway(deployment, quiet_log(host))
+        await entry.start()
+        self.entries.append(entry)
+        return entry
+
+    async def end_entry(self, entry: Gateway) -> None:
+        """Ends an entry as a kill does."""
+        self.entries.remove(entry)
+        for server in entry._servers:
+            server.stop()
+            await server.close_all_connections()
+        await entry.tasks.cancel_all()
+        await entry.peers.stop()
--- a/wasabidrum/decisions/chunk_plan.py
+++ b/wasabidrum/decisions/chunk_plan.py
@@ -128,7 +128,7 @@
 class ChunkPlan:
     """The plan of one version: an order of regions and, in each, of instances, per chunk."""
 
-    __slots__ = ("_regions", "_names", "_origin_region", "_index_of")
+    __slots__ = ("_regions", "_names", "_origin_region", "_index_of", "_chunk_count")
 
     def __init__(
         self,
@@ -152,6 +152,7 @@
             region: RegionPlan(root, names, chunks, turns, relays_in.get(region, ()))
             for region, names in by_region.items()
         }
+        self._chunk_count = len(chunks)
         self._index_of = {digest: index for index, digest in reversed(list(enumerate(chunks)))}
 
     @property
@@ -159,6 +160,11 @@
         """The plan within each region."""
         return self._regions
 
+    @property
+    def chunk_count(self) -> int:
+        """How many chunks the version has."""
+        return self._chunk_count
+
     def index_of(self, digest: str) -> int:
         """Returns the place of a chunk in the version."""
         return self._index_of[digest]
--- /dev/null
+++ b/wasabidrum/decisions/switch_turns_test.py
@@ -0,0 +1,51 @@
+"""Which engines load new weights first, and what that leaves to answer callers."""
+
+import unittest
+
+from .switch_turns import TURN_SECONDS, TURNS, seconds_until_turn, turn_of
+from .version_floor import PLACE_MARGIN_SECONDS
+
+REGIONS = ("north", "east", "south")
+ENGINES = {f"e{i}": REGIONS[i % 3] for i in range(10)}
+BOUND = 8.0
+STAGED_AT = 4.8
+# How long an engine takes nothing new while it loads weights.
+AWAY_SECONDS = 2.0
+
+
+class SwitchTurnsTest(unittest.TestCase):
+    """Ten engines in three regions, whose weights are complete at the same moment."""
+
+    def answering(self, at: float) -> int:
+        """Returns how many engines take requests, some seconds after a naming."""
+        count = 0
+        for name in ENGINES:
+            turn = turn_of(2, name, ENGINES)
+            began = STAGED_AT + seconds_until_turn(turn, 0.0, STAGED_AT, BOUND)
+            old = at < began and at < BOUND - PLACE_MARGIN_SECONDS
+            new = at >= began + AWAY_SECONDS
+            count += old or new
+        return count
+
+    def test_half_of_the_engines_answer_while_the_others_load(self) -> None:
+        """All engines load together, and nobody is served for two seconds."""
+        moments = [STAGED_AT + 0.1 * step for step in range(50)]
+        self.assertGreaterEqual(min(self.answering(at) for at in moments[:19]), 5)
+        self.assertEqual(self.answering(STAGED_AT + TURNS * TURN_SECONDS + 0.2), 10)
+
+    def test_no_region_is_without_an_engine(self) -> None:
+        for region in REGIONS:
+            names = [name for name, where in ENGINES.items() if where == region]
+            turns = {turn_of(2, name, ENGINES) for name in names}
+            self.assertEqual(turns, {0, 1})
+
+    def test_weights_that_come_late_are_loaded_at_once(self) -> None:
+        """Waiting for a turn beyond the bound, an engine would stand idle with old weights."""
+        self.assertEqual(seconds_until_turn(1, 0.0, BOUND, BOUND), 0.0)
+
+    def test_an_engine_that_answers_nothing_goes_first(self) -> None:
+        self.assertEqual(turn_of(2, "added", ENGINES), 0)
+
+    def test_the_last_turn_ends_its_wait_when_old_weights_may_not_answer_any_more(self) -> None:
+        named_for = BOUND - PLACE_MARGIN_SECONDS - 0.5
+        self.assertAlmostEqual(seconds_until_turn(1, 0.0, named_for, BOUND), 0.5)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -197,6 +197,11 @@
             lambda: len(self.state.endpoints.endpoints),
         )
         add("entries_known", "Entries, this one included.", lambda: self.peers.count)
+        add(
+            "weights_held",
+            "The version of which this daemon holds its part; zero while there is none.",
+            lambda: self._relay.held_version,
+        )
         add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
 
     def _listen(self, server: httpserver.HTTPServer, address: Address) -> None:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -70,6 +70,11 @@
         floor = self._floors.get(model)
         return floor.newest if floor else 0
 
+    def newest_seconds(self, model: str) -> float:
+        """Returns for how long the newest version of a model has been wanted; zero if none is."""
+        floor = self._floors.get(model)
+        return floor.newest_seconds(awake_seconds()) if floor and floor.newest else 0.0
+
     # Versions are dated by a clock that goes on while the instance is suspended. By the event
     # loop's, an entry that wakes after a minute would place requests on weights whose time is
     # long over, and callers would get text that nobody else serves any more.
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -58,7 +58,13 @@
         self._distributor.pacer.links = LinkSpec(weights_fraction_instance=WEIGHTS_FRACTION)
         engine = make_engine_client(client, deployment.endpoint)
         self._keeper = EngineKeeper(
-            engine, origin, self._distributor, self._listed, self._readings, log
+            engine,
+            origin,
+            self._distributor,
+            self._listed,
+            self._readings,
+            deployment.bounds.version,
+            log,
         )
         self._incarnation = make_incarnation()
         self._sequence = 0
--- a/wasabidrum/weights/engine_keeper.py
+++ b/wasabidrum/weights/engine_keeper.py
@@ -1,10 +1,13 @@
 """Keeps the engine beside a sidecar at the version that operators have named."""
 
 import asyncio
+import contextlib
 
 from ..core.awake_clock import awake_seconds
 from ..core.engine_report import EngineReport, PieceList
 from ..core.errors import CodedError
+from ..decisions.switch_turns import seconds_until_turn, turn_of
+from ..decisions.version_choice import VersionChoice
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..platform.engine_client import EngineClient
@@ -26,9 +29,10 @@
 # so for each piece on the same instance; where it takes longer than this, the process or its
 # instance most likely stood still.
 FRESH_SECONDS = 2.0
-# How long a sidecar that knows no relay waits for one before it plans without; entries open their
-# streams to it within half a second of its start.
-RELAYS_SECONDS = 1.0
+# How often it is looked whether another version is to be brought first.
+LOOK_SECONDS = 0.25
+# The version on its way, and the one that was set aside for it.
+VERSIONS_KNOWN = 2
 
 
 class EngineKeeper:
@@ -46,16 +50,23 @@
         distributor: Distributor,
         listed: ListedEngines,
         readings: SharedReadings,
+        bound: float,
         log: EventLog,
     ) -> None:
+        """Takes the seconds from a version's naming until older ones must not answer."""
         self._engine = engine
         self._origin = origin
         self._distributor = distributor
         self._listed = listed
         self._readings = readings
         self._log = log
+        self._bound = bound
         self._staged: dict[int, StagedVersion] = {}
         self._reason = ""
+        self._bringing = 0
+        self._accepted = 0
+        self._awaits_turn = False
+        self._begun_at = 0.0
         self.report: EngineReport | None = None
         self.switching = False
         self.on_report = ignore_report
@@ -81,19 +92,38 @@
 
     async def run(self) -> None:
         """Brings each wanted version about, for ever."""
+        choice = VersionChoice()
+        store = self._distributor.store
         while True:
-            wanted = self._listed.wanted
-            work = asyncio.ensure_future(self._keep(wanted))
-            changed = asyncio.ensure_future(self._listed.wait_other_than(wanted))
+            version = self._choose(choice)
+            self._begun_at = asyncio.get_running_loop().time()
+            work = asyncio.ensure_future(self._keep(version))
             try:
-                await asyncio.wait((work, changed), return_when=asyncio.FIRST_COMPLETED)
+                while self._choose(choice) == version:
+                    # Peers may ask for pieces of the newer version, whose list is not here yet.
+                    store.undecided = store.undecided or version != self._listed.wanted
+                    with contextlib.suppress(TimeoutError):
+                        await asyncio.wait_for(
+                            self._listed.wait_other_than(self._listed.wanted), LOOK_SECONDS
+                        )
             finally:
-                for task in (work, changed):
-                    task.cancel()
-                await asyncio.gather(work, changed, return_exceptions=True)
+                work.cancel()
+                await asyncio.gather(work, return_exceptions=True)
                 # Peers must not wait here for pieces that nobody fetches any more.
-                self._distributor.store.expected = set()
-                self._distributor.store.wake_all()
+                store.expected = set()
+                store.wake_all()
+
+    def _choose(self, choice: VersionChoice) -> int:
+        staged = self._find_staged(choice.version or 0)
+        if staged is None:
+            idle = asyncio.get_running_loop().time() - self._begun_at
+            return choice.choose(self._listed.wanted, 0.0, idle, complete=False)
+        held = self.report.weights if self.report is not None else 0
+        complete = staged.version in (self._accepted, held)
+        idle = 0.0
+        if not self._awaits_turn:
+            idle = asyncio.get_running_loop().time() - max(staged.progressed_at, self._begun_at)
+        return choice.choose(self._listed.wanted, staged.share, idle, complete)
 
     async def _keep(self, wanted: int) -> None:
         while True:
@@ -105,8 +135,8 @@
             await asyncio.sleep(PAUSE_SECONDS)
 
     def _take_holders(self) -> None:
-        if self._staged:
-            self._distributor.asker.holders = self._listed.holders(max(self._staged))
+        if self._bringing:
+            self._distributor.asker.holders = self._listed.holders(self._bringing)
 
     def _take_relays(self) -> None:
         self._distributor.asker.relays = frozenset(self._listed.relays)
@@ -117,12 +147,14 @@
             self._log.write(Event.VERSION_FAILED, version=wanted, reason=reason[:300])
 
     async def _bring(self, wanted: int) -> None:
-        report = self.report
-        if report is None or not self._listed.ready:
+        if self.report is None or not self._listed.ready:
             return
         staged = await self._stage_for(wanted)
-        version = max(self._staged)
-        if report.weights == version or report.busy:
+        version = self._bringing = staged.version
+        if self.report is None or self.report.weights == version:
+            return
+        # After a restart of this process its engine may still load what was ordered before.
+        if self.report.busy and not self._accepted:
             return
         # Others leave it out of their plans. What it drew from the origin nobody would ask it
         # for; the origin may go away before anyone else has drawn it.
@@ -134,21 +166,44 @@
         # thin links.
         await staged.bring(self._listed.region_of, self._listed.relays)
         self._log.write(Event.VERSION_STAGED, version=version, chunks=0)
-        await self._order(staged, version)
+        await self._wait_for_turn(version)
+        if self.report is not None and not self.report.busy:
+            await self._order(staged, version)
+
+    async def _wait_for_turn(self, version: int) -> None:
+        """Waits while other engines load a version and this one still answers."""
+        if self.report is None or not self.report.weights:
+            return
+        turn = turn_of(version, self._listed.own, self._listed.answering)
+        named_for = self._listed.named_for(version)
+        seconds = seconds_until_turn(turn, 0.0, named_for, self._bound)
+        if seconds <= 0.0:
+            return
+        self._log.write(Event.SWITCH_WAITS, version=version, seconds=round(seconds, 2))
+        self._awaits_turn = True
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self._awaits_turn = False
+
+    def _find_staged(self, wanted: int) -> StagedVersion | None:
+        """Returns what is known of a version; with zero, of the newest."""
+        return self._staged.get(wanted or max(self._staged, default=0))
 
     async def _stage_for(self, wanted: int) -> StagedVersion:
-        if wanted and wanted in self._staged:
-            return self._staged[wanted]
-        if not wanted and self._staged:
-            return self._staged[max(self._staged)]
-        await self._listed.wait_for_relays(RELAYS_SECONDS)
+        staged = self._find_staged(wanted)
+        if staged is not None:
+            return staged
+        await self._listed.wait_for_relays()
         pieces = await self._read_pieces(wanted)
         staged = StagedVersion(self._engine, self._distributor, pieces)
         adopted = await staged.adopt()
         self._log.write(
             Event.VERSION_WANTED, version=pieces.version, revision=wanted, adopted=adopted
         )
-        self._staged = {pieces.version: staged}
+        self._staged[pieces.version] = staged
+        for version in sorted(self._staged)[:-VERSIONS_KNOWN]:
+            del self._staged[version]
         self._distributor.begin()
         return staged
 
@@ -173,6 +228,7 @@
             accepted = await self._engine.start(self._listed.model, version, version)
             self._log.write(Event.ENGINE_ORDERED, version=version, accepted=accepted)
             if accepted:
+                self._accepted = version
                 await self._wait_in_force(version)
         finally:
             self.switching = False
--- a/wasabidrum/weights/engine_keeper_test.py
+++ b/wasabidrum/weights/engine_keeper_test.py
@@ -61,7 +61,7 @@
         listed = types.SimpleNamespace(model=MODEL, on_members=None)
         pieces = PieceList(MODEL, VERSION, len(PIECES[0]), tuple(store))
         self.staged = StagedVersion(self.engine, distributor, pieces)
-        self.keeper = EngineKeeper(self.engine, None, distributor, listed, None, log)
+        self.keeper = EngineKeeper(self.engine, None, distributor, listed, None, 8.0, log)
         self.clock = self.enterContext(contextlib.ExitStack())
 
     async def test_what_was_read_back_before_a_suspension_is_read_back_again(self) -> None:
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -35,6 +35,9 @@
 # Who else there is, is read again when a version is named, and while this one lacks weights.
 MEMBERS_SECONDS = 2.0
 CHUNK_PORT_OFFSET = 1
+# How long a process that has just started waits for a relay before it plans without; entries open
+# their streams to it within half a second.
+RELAYS_SECONDS = 1.0
 
 
 class ListedEngines(MemberViews):
@@ -65,12 +68,13 @@
         self._changed = asyncio.Condition()
         self._listed: tuple[ListedMember, ...] = ()
         self._known = False
-        self._wanted_at = 0.0
+        self._named_at: dict[int, float] = {}
         self.wanted = 0
         self.model = ""
         self.layers = 0
         self._relays: dict[str, MemberView] = {}
         self._relays_known = asyncio.Event()
+        self._started_at = awake_seconds()
         self.on_members = ignore_members
         self.on_relays = ignore_members
 
@@ -104,21 +108,26 @@
             self._relays_known.set()
         self.on_relays()
 
-    async def wait_for_relays(self, seconds: float) -> None:
-        """Waits until the first relay is known, or for some seconds at most.
+    async def wait_for_relays(self) -> None:
+        """Waits until the first relay is known, or for RELAYS_SECONDS after the start at most.
 
         All processes start together after a loss of power. A sidecar that plans without relays
         draws from the origin what these are about to draw.
         """
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._relays_known.wait(), seconds)
-        # Waited for once; where entries hold no weights none will ever come.
-        self._relays_known.set()
+        left = self._started_at + RELAYS_SECONDS - awake_seconds()
+        if left > 0.0:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._relays_known.wait(), left)
 
     @property
     def wanted_seconds(self) -> float:
         """For how long the wanted version has been known here."""
-        return awake_seconds() - self._wanted_at if self.wanted else 0.0
+        return self.named_for(self.wanted)
+
+    def named_for(self, version: int) -> float:
+        """Returns for how many seconds a version has been known to be wanted; zero if it is not."""
+        at = self._named_at.get(version)
+        return awake_seconds() - at if at is not None else 0.0
 
     @property
     def ready(self) -> bool:
@@ -141,6 +150,21 @@
         """Whether the engine beside this process takes no new work."""
         return any(m.leaving for m in self._listed if m.host == self._deployment.host)
 
+    @property
+    def own(self) -> str:
+        """The name of this sidecar."""
+        return self._deployment.host
+
+    @property
+    def answering(self) -> dict[str, str]:
+        """The regions of the engines that answer with some version, by name."""
+        regions = self._deployment.region_of
+        return {
+            member.host: regions.get(member.data_centre, member.data_centre)
+            for member in self._listed
+            if member.weights and not member.leaving
+        }
+
     def holders(self, version: int) -> frozenset[str]:
         """Returns the others of this region whose engines answer with a version."""
         own = self._deployment
@@ -210,6 +234,9 @@
         reading = await self._readings.ask_version(asked, version)
         if reading is None:
             return None
+        if version in self._named_at and version == self.wanted:
+            named_at = awake_seconds() - reading.named_for
+            self._named_at[version] = min(self._named_at[version], named_at)
         if reading.members:
             self._take_members(reading.members)
         else:
@@ -299,7 +326,7 @@
         self._log.write(Event.VERSION_NAMED, model=model, version=version)
         async with self._changed:
             self.wanted = version
-            self._wanted_at = awake_seconds()
+            self._named_at[version] = awake_seconds()
             self._changed.notify_all()
 
 
--- a/wasabidrum/weights/shared_readings.py
+++ b/wasabidrum/weights/shared_readings.py
@@ -68,10 +68,12 @@
 
     Attributes:
       members: Empty where they were read too long ago.
+      named_for: For how many seconds the version has been known to be wanted.
     """
 
     pieces: PieceList
     members: tuple[ListedMember, ...] = ()
+    named_for: float = 0.0
 
 
 class SharedReadings:
@@ -81,9 +83,11 @@
       setting: What this sidecar knows of its engine, or None.
       version: The latest reading here, or None.
       list_members: Returns who else there is now; None where that is known only from readings.
+      named_for: Returns for how many seconds the latest version has been known to be wanted.
     """
 
     __slots__ = ("_client", "_log", "_changed", "_read_at", "setting", "version", "list_members")
+    __slots__ += ("named_for",)
 
     def __init__(self, client: httpclient.AsyncHTTPClient, log: EventLog) -> None:
         self._client = client
@@ -93,6 +97,7 @@
         self.setting: EngineSetting | None = None
         self.version: VersionReading | None = None
         self.list_members: collections.abc.Callable[[], tuple[ListedMember, ...]] | None = None
+        self.named_for: collections.abc.Callable[[], float] = lambda: 0.0
 
     async def keep_setting(self, setting: EngineSetting) -> None:
         """Keeps what was read, and answers those who wait for it."""
@@ -119,7 +124,7 @@
             return self.setting
         if name not in (LATEST, str(self.version.pieces.version)):
             return None
-        return VersionReading(self.version.pieces, self._fresh_members())
+        return VersionReading(self.version.pieces, self._fresh_members(), self.named_for())
 
     def _fresh_members(self) -> tuple[ListedMember, ...]:
         if self.list_members is not None:
--- a/wasabidrum/weights/staged_version.py
+++ b/wasabidrum/weights/staged_version.py
@@ -16,9 +16,11 @@
 
     Attributes:
       root: What names the version's content, the same at every sidecar.
+      progressed_at: When a piece came that had not been here before, by the event loop's clock.
     """
 
-    __slots__ = ("_engine", "_distributor", "_pieces", "_manifest", "root")
+    __slots__ = ("_engine", "_distributor", "_pieces", "_manifest", "_here")
+    __slots__ += ("root", "progressed_at")
 
     def __init__(self, engine: EngineClient, distributor: Distributor, pieces: PieceList) -> None:
         self._engine = engine
@@ -27,6 +29,18 @@
         total = pieces.piece_bytes * len(pieces.digests)
         self._manifest = Manifest(pieces.piece_bytes, total, pieces.digests)
         self.root = digest_of(encode_manifest(self._manifest))
+        self._here: set[int] = set()
+        self.progressed_at = 0.0
+
+    @property
+    def version(self) -> int:
+        """The version's number."""
+        return self._pieces.version
+
+    @property
+    def share(self) -> float:
+        """The share of the pieces that have come."""
+        return len(self._here) / max(1, len(self._pieces.digests))
 
     async def adopt(self) -> int:
         """Takes sound pieces that lie in the staging area already; returns how many.
@@ -42,6 +56,7 @@
             content = await self._engine.read_piece(self._pieces.model, number)
             if content is not None and digest_of(content) == self._pieces.digests[number]:
                 self._distributor.store.add(self._pieces.digests[number], content)
+                self._here.add(number)
                 adopted += 1
         return adopted
 
@@ -82,3 +97,6 @@
 
     async def _put(self, number: int, content: bytes) -> None:
         await self._engine.put_piece(self._pieces.model, number, content)
+        if number not in self._here:
+            self._here.add(number)
+            self.progressed_at = asyncio.get_running_loop().time()
--- a/wasabidrum/weights/weights_relay.py
+++ b/wasabidrum/weights/weights_relay.py
@@ -24,8 +24,10 @@
 from ..core.manifest import Manifest, encode_manifest
 from ..core.published import PublishedConfiguration
 from ..decisions.chunk_plan import ChunkPlan
+from ..decisions.version_choice import VersionChoice
 from ..observe.event import Event
 from ..observe.event_log import EventLog
+from ..peers.member_view import MemberView
 from ..platform.origin_client import make_origin_client
 from .chunk_handler import ChunkHandler
 from .deployed_settings import distribution_settings
@@ -33,14 +35,15 @@
 from .listed_engines import find_setting
 from .origin_draw import OriginDraw
 from .relay_members import RelayMembers
-from .shared_readings import PATH as READINGS_PATH
 from .shared_readings import (
+    MOST_ASKED,
     EngineSetting,
     ReadingsHandler,
     SharedReadings,
     VersionReading,
     first_readers,
 )
+from .shared_readings import PATH as READINGS_PATH
 from .version_download import VersionDownload
 
 # The part of an entry's link that weights may take while it serves callers.
@@ -67,6 +70,9 @@
     def newest_version(self, model: str) -> int:
         """Returns the newest version named of a model; zero where none was."""
 
+    def newest_seconds(self, model: str) -> float:
+        """Returns for how long the newest version of a model has been wanted; zero if none is."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayTarget:
@@ -81,6 +87,23 @@
     version: int
 
 
+@dataclasses.dataclass(slots=True)
+class RelayEffort:
+    """How far the work for one target has come.
+
+    Attributes:
+      progressed_at: When a chunk came last, or the work began, by the event loop's clock.
+      digests: The chunks that this relay is to hold; empty before they are known.
+      held: How many of them are here.
+      complete: All of them have been here.
+    """
+
+    progressed_at: float
+    digests: tuple[str, ...] = ()
+    held: int = 0
+    complete: bool = False
+
+
 class WeightsRelay:
     """Owns an entry's part in the distribution of one service's weights."""
 
@@ -112,6 +135,12 @@
         )
         self._distributor.pacer.links = LinkSpec(weights_fraction_instance=LINK_FRACTION)
         self._pieces: PieceList | None = None
+        self._effort = RelayEffort(0.0)
+
+    @property
+    def held_version(self) -> int:
+        """The version of which this relay holds its part; zero while there is none."""
+        return self._pieces.version if self._pieces is not None and self._effort.complete else 0
 
     @property
     def routes(self) -> list[tuple]:
@@ -125,14 +154,16 @@
         """Holds what is wanted, for ever."""
         target: RelayTarget | None = None
         work: asyncio.Task[None] | None = None
+        choice = VersionChoice(returns=False)
         try:
             while True:
-                found = self._find_target()
+                found = self._find_target(choice)
                 if found is not None:
                     self._update_members(found.service)
                 if found != target:
                     target = found
                     await self._end(work)
+                    self._effort = RelayEffort(asyncio.get_running_loop().time())
                     work = asyncio.ensure_future(self._keep(found)) if found else None
                 await asyncio.sleep(LOOK_SECONDS)
         finally:
@@ -148,21 +179,37 @@
         store.expected = set()
         store.wake_all()
 
-    def _find_target(self) -> RelayTarget | None:
+    def _find_target(self, choice: VersionChoice) -> RelayTarget | None:
         configuration = self._state.configuration
         for service in configuration.services if configuration is not None else ():
             setting = find_setting(configuration, service.name)
             if setting is not None:
-                version = self._state.newest_version(setting.model)
+                newest = self._state.newest_version(setting.model)
+                version = self._choose(choice, newest)
+                # Sidecars may ask for pieces of the newer version, whose list is not here yet.
+                if version != newest:
+                    self._distributor.store.undecided = True
                 return RelayTarget(service.name, setting, version)
         return None
 
+    def _choose(self, choice: VersionChoice, newest: int) -> int:
+        effort, store = self._effort, self._distributor.store
+        now = asyncio.get_running_loop().time()
+        held = sum(store.get(digest) is not None for digest in effort.digests)
+        if held > effort.held:
+            effort.held = held
+            effort.progressed_at = now
+        complete = effort.complete or (bool(effort.digests) and held == len(effort.digests))
+        share = held / max(1, len(effort.digests))
+        return choice.choose(newest, share, now - effort.progressed_at, complete)
+
     def _update_members(self, service: str) -> None:
         endpoints = (e for e in self._state.listed_endpoints if e.service == service)
         self._members.update(endpoints, self._find_relays())
         self._distributor.asker.relays = frozenset(self._members.relays)
 
     async def _keep(self, target: RelayTarget) -> None:
+        self._readings.named_for = lambda: self._state.newest_seconds(target.setting.model)
         await self._readings.keep_setting(target.setting)
         self._distributor.begin()
         reason = ""
@@ -190,11 +237,13 @@
         store = self._distributor.store
         missing = [
             index
-            for index in own_chunks(plan, region, name, len(pieces.digests))
+            for index in own_chunks(plan, region, name)
             if store.get(pieces.digests[index]) is None
         ]
-        store.undecided = False
+        self._effort.digests = tuple(pieces.digests[i] for i in own_chunks(plan, region, name))
+        self._effort.complete = not missing
         if not missing:
+            store.undecided = False
             return
         self._distributor.share_link(plan)
         store.want(pieces.digests)
@@ -202,6 +251,7 @@
             self._distributor, plan, manifest, missing, keep_nothing, draws_first=False
         )
         await download.run()
+        self._effort.complete = True
         self._log.write(Event.VERSION_RELAYED, version=pieces.version, chunks=len(missing))
 
     async def _read_pieces(self, target: RelayTarget) -> PieceList:
@@ -213,27 +263,38 @@
         self._origin.set_address(target.setting.origin_host, target.setting.origin_port)
         own = self._deployment
         subject = f"{target.setting.model}/{wanted}"
-        relays = self._members.relays
-        members = [view for view in self._members.members if view.name in relays]
+        members, relays = self._members.members, self._members.relays
         asked = first_readers(subject, own.host, own.region, members, relays)
-        shared = await self._readings.ask_version(asked, wanted)
-        if shared is not None:
-            pieces = shared.pieces
-            self._origin.take_list(pieces)
-        else:
-            pieces = await self._origin.read_list(target.setting.model, wanted)
+        pieces = await self._ask_pieces(asked, wanted)
+        if pieces is None:
+            try:
+                pieces = await self._origin.read_list(target.setting.model, wanted)
+            except CodedError:
+                # Sidecars know the list as well, and the origin may be away for long.
+                near = [m for m in members if m.instance.region == own.region]
+                others = [m for m in near if m.name != own.host and m not in asked]
+                pieces = await self._ask_pieces(others[:MOST_ASKED], wanted)
+                if pieces is None:
+                    raise
         self._pieces = pieces
         await self._readings.keep_version(VersionReading(pieces))
         self._log.write(Event.VERSION_WANTED, version=pieces.version, revision=wanted, adopted=0)
         return pieces
 
+    async def _ask_pieces(self, peers: list[MemberView], wanted: int) -> PieceList | None:
+        shared = await self._readings.ask_version(peers, wanted)
+        if shared is None:
+            return None
+        self._origin.take_list(shared.pieces)
+        return shared.pieces
+
 
-def own_chunks(plan: ChunkPlan, region: str, name: str, count: int) -> list[int]:
+def own_chunks(plan: ChunkPlan, region: str, name: str) -> list[int]:
     """Returns which chunks a relay of a region is to hold."""
     own = plan.regions.get(region)
     if own is None:
         return []
-    return [i for i in range(count) if name in own.order(i)[:HOLDERS_OF_CHUNK]]
+    return [i for i in range(plan.chunk_count) if name in own.order(i)[:HOLDERS_OF_CHUNK]]
 
 
 async def keep_nothing(index: int, content: bytes) -> None:
