--- a/wasabidrum/scripts/daemon.py
+++ b/wasabidrum/scripts/daemon.py
@@ -8,7 +8,6 @@
 
 from ..config.deployment import Deployment
 from ..config.settings import Settings
-from ..config.settings_file import read_settings
 from ..core.errors import CodedError
 from ..core.finding import Finding
 from ..observe.event import Event
@@ -104,6 +103,9 @@
     options = parser.parse_args()
     if options.deployed:
         return main_deployed()
+    # The YAML reader costs a megabyte; the settings that the platform places are JSON.
+    from ..config.settings_file import read_settings
+
     settings, findings = read_settings(options.settings)
     for finding in findings:
         print(finding, file=sys.stderr)
