Have the origin's region draw weights where it has entries, and adopt staged pieces before waiting

Each region drew its part, because sidecars' links are narrow: two thirds of a copy more on the thin links (2.67 copies a version). Entries of the origin's region draw as fast as the origin sends, so that two copies cross.

--- a/wasabidrum/core/published.py
+++ b/wasabidrum/core/published.py
@@ -50,6 +50,7 @@
       engine: None for a plain service.
       models: The models that its engines run.
       most_connections: Connections that one endpoint takes from all callers together.
+      data_centre: Where the origin stands; empty for other services.
       origin: Host and port of the origin where this service gives weights, else empty.
     """
 
@@ -59,6 +60,7 @@
     engine: EngineFigures | None = None
     models: tuple[str, ...] = ()
     origin: tuple[str, int] | None = None
+    data_centre: str = ""
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/wasabidrum/platform/published_records.py
+++ b/wasabidrum/platform/published_records.py
@@ -159,6 +159,7 @@
         engine=to_figures(wire.engine) if wire.engine else None,
         models=tuple(model.name for model in wire.engine.models) if wire.engine else (),
         origin=(origin.host, origin.port) if origin else None,
+        data_centre=wire.zone,
     )
 
 
--- a/wasabidrum/weights/engine_keeper.py
+++ b/wasabidrum/weights/engine_keeper.py
@@ -6,6 +6,7 @@
 from ..core.awake_clock import awake_seconds
 from ..core.engine_report import EngineReport, PieceList
 from ..core.errors import CodedError
+from ..decisions.hold_rule import seconds_to_ready
 from ..decisions.switch_turns import seconds_until_turn, turn_of
 from ..decisions.version_choice import VersionChoice
 from ..observe.event import Event
@@ -24,6 +25,8 @@
 # What an engine may take after an order, before it is looked at anew: what runs there ends
 # first, and a run lasts for some seconds at most.
 LOAD_SECONDS = 7.0
+# From the last piece until an engine with nothing to do answers: reading back, and loading.
+LOADING_SECONDS = 0.6
 MOST_VERIFICATIONS = 5
 # For how long staged weights are believed after the reading back began. It is a millisecond or
 # so for each piece on the same instance; where it takes longer than this, the process or its
@@ -73,6 +76,23 @@
         listed.on_members = self._take_holders
         listed.on_relays = self._take_relays
 
+    @property
+    def fetching(self) -> int:
+        """The version that is being brought; zero while there is none."""
+        held = self.report.weights if self.report is not None else 0
+        return 0 if self._bringing in (0, held) else self._bringing
+
+    @property
+    def ready_in(self) -> float:
+        """The seconds until the engine is expected to answer with it; zero where unknown."""
+        staged = self._staged.get(self._bringing)
+        if not self.fetching or staged is None:
+            return 0.0
+        if self.switching:
+            return LOADING_SECONDS
+        elapsed = asyncio.get_running_loop().time() - self._begun_at
+        return seconds_to_ready(staged.share, elapsed, LOADING_SECONDS) or 0.0
+
     async def watch(self) -> None:
         """Reads the engine's report for ever."""
         lost = False
@@ -161,10 +181,9 @@
         if self._listed.leaving:
             return
         self._take_holders()
-        # Every region draws its part. Drawn by one region only, a copy takes twice as long to
-        # leave the origin, which may be gone by then; it costs two thirds of a copy more on the
-        # thin links.
-        await staged.bring(self._listed.region_of, self._listed.relays)
+        if staged.share < 1.0:
+            await self._listed.wait_for_relays()
+        await staged.bring(self._listed.region_of, self._listed.relays, self._listed.origin_region)
         self._log.write(Event.VERSION_STAGED, version=version, chunks=0)
         await self._wait_for_turn(version)
         if self.report is not None and not self.report.busy:
@@ -194,7 +213,6 @@
         staged = self._find_staged(wanted)
         if staged is not None:
             return staged
-        await self._listed.wait_for_relays()
         pieces = await self._read_pieces(wanted)
         staged = StagedVersion(self._engine, self._distributor, pieces)
         adopted = await staged.adopt()
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -140,6 +140,11 @@
         setting = self._readings.setting
         return setting.origin_host, setting.origin_port
 
+    @property
+    def origin_region(self) -> str:
+        """The region in which the origin stands; empty where that is not published."""
+        return self._deployment.region_of.get(self._readings.setting.origin_data_centre, "")
+
     @property
     def listed(self) -> tuple[ListedMember, ...]:
         """Those members as they were read last."""
@@ -343,7 +348,7 @@
     if own is None or origin is None or not own.models:
         return None
     host, port = origin.origin
-    return EngineSetting(own.models[0], own.engine.layers, host, port)
+    return EngineSetting(own.models[0], own.engine.layers, host, port, origin.data_centre)
 
 
 def ignore_members() -> None:
--- a/wasabidrum/weights/shared_readings.py
+++ b/wasabidrum/weights/shared_readings.py
@@ -41,12 +41,17 @@
 
 
 class EngineSetting(msgspec.Struct, frozen=True):
-    """What a sidecar needs of the configuration: its engine's model, and the origin's place."""
+    """What a sidecar needs of the configuration: its engine's model, and the origin's place.
+
+    Attributes:
+      origin_data_centre: Empty where it is not published.
+    """
 
     model: str
     layers: int
     origin_host: str
     origin_port: int
+    origin_data_centre: str = ""
 
 
 class ListedMember(msgspec.Struct, frozen=True):
--- a/wasabidrum/weights/staged_version.py
+++ b/wasabidrum/weights/staged_version.py
@@ -60,15 +60,21 @@
                 adopted += 1
         return adopted
 
-    async def bring(self, region_of: dict[str, str], relays: dict[str, str]) -> None:
+    async def bring(
+        self, region_of: dict[str, str], relays: dict[str, str], origin_region: str
+    ) -> None:
         """Brings every piece that is missing here, and stages all.
 
         Args:
           region_of: The regions of the sidecars that want the version, by name.
           relays: The regions of the relays, by name.
+          origin_region: Where the origin stands; empty where that is not known.
         """
         pieces = self._pieces
-        plan = ChunkPlan(self.root, pieces.digests, region_of, relays=relays)
+        # Relays of the origin's region draw a copy as fast as it leaves the origin. Sidecars have
+        # narrow links: drawn in one region only, a copy would take twice as long to leave it.
+        drawing = origin_region if relays else ""
+        plan = ChunkPlan(self.root, pieces.digests, region_of, drawing, relays)
         self._distributor.share_link(plan)
         self._distributor.store.want(frozenset(pieces.digests))
         every = list(range(len(pieces.digests)))
--- a/wasabidrum/weights/weights_relay.py
+++ b/wasabidrum/weights/weights_relay.py
@@ -233,7 +233,9 @@
         total = pieces.piece_bytes * len(pieces.digests)
         manifest = Manifest(pieces.piece_bytes, total, pieces.digests)
         root = digest_of(encode_manifest(manifest))
-        plan = ChunkPlan(root, pieces.digests, self._members.region_of, relays=self._members.relays)
+        origin_region = self._deployment.region_of.get(target.setting.origin_data_centre, "")
+        members = self._members
+        plan = ChunkPlan(root, pieces.digests, members.region_of, origin_region, members.relays)
         store = self._distributor.store
         missing = [
             index
