Take a refusal for want of weights for what it is, and no failure of the engine

After a loss of power the platform's list names for a second what engines held before; entries placed on it, were refused, and put every engine out of service with growing pauses, so that engines that were back got no work. An engine that refuses so gets none for a second or until its sidecar tells of it.

--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -31,6 +31,8 @@
 BLOCKED_RETRY_SECONDS = 30.0
 # A request that took so many times its forecast and had no answer was not slow but lost.
 OVERDUE_FACTOR = 10.0
+# An engine that does not hold the weights that were asked for refuses so.
+MISSING_WEIGHTS_CODE = "refused_421"
 # Ends at which the endpoint may have died of the request.
 DEATH_CODES = frozenset(("answer_lost", "answer_cut", "stream_cut"))
 
@@ -244,7 +246,9 @@
             end=error.end.value,
             events=self._progress.events,
         )
-        if self._blames_endpoint(placed, attempt, error):
+        if error.code == MISSING_WEIGHTS_CODE and placed.weights:
+            self._gateway.placer.take_missing_weights(placed)
+        elif self._blames_endpoint(placed, attempt, error):
             self._gateway.placer.take_failure(placed, error.code)
         else:
             self._gateway.placer.take_no_verdict(placed)
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -204,6 +204,12 @@
         if placed.load.health.take_failure(now):
             self._tell_ejected(placed.endpoint, placed.load, reason)
 
+    def take_missing_weights(self, placed: Placed) -> None:
+        """Takes that an engine does not hold the weights on which a request was placed there."""
+        now = asyncio.get_running_loop().time()
+        self._told.record_refusal(placed.endpoint.id, now)
+        placed.load.health.probe_ended(now)
+
     def take_success(self, placed: Placed) -> None:
         """Takes a whole answer."""
         placed.load.take_end(False, asyncio.get_running_loop().time())
--- a/wasabidrum/weights/engine_keeper.py
+++ b/wasabidrum/weights/engine_keeper.py
@@ -6,7 +6,6 @@
 from ..core.awake_clock import awake_seconds
 from ..core.engine_report import EngineReport, PieceList
 from ..core.errors import CodedError
-from ..decisions.hold_rule import seconds_to_ready
 from ..decisions.switch_turns import seconds_until_turn, turn_of
 from ..decisions.version_choice import VersionChoice
 from ..observe.event import Event
@@ -25,8 +24,6 @@
 # What an engine may take after an order, before it is looked at anew: what runs there ends
 # first, and a run lasts for some seconds at most.
 LOAD_SECONDS = 7.0
-# From the last piece until an engine with nothing to do answers: reading back, and loading.
-LOADING_SECONDS = 0.6
 MOST_VERIFICATIONS = 5
 # For how long staged weights are believed after the reading back began. It is a millisecond or
 # so for each piece on the same instance; where it takes longer than this, the process or its
@@ -76,23 +73,6 @@
         listed.on_members = self._take_holders
         listed.on_relays = self._take_relays
 
-    @property
-    def fetching(self) -> int:
-        """The version that is being brought; zero while there is none."""
-        held = self.report.weights if self.report is not None else 0
-        return 0 if self._bringing in (0, held) else self._bringing
-
-    @property
-    def ready_in(self) -> float:
-        """The seconds until the engine is expected to answer with it; zero where unknown."""
-        staged = self._staged.get(self._bringing)
-        if not self.fetching or staged is None:
-            return 0.0
-        if self.switching:
-            return LOADING_SECONDS
-        elapsed = asyncio.get_running_loop().time() - self._begun_at
-        return seconds_to_ready(staged.share, elapsed, LOADING_SECONDS) or 0.0
-
     async def watch(self) -> None:
         """Reads the engine's report for ever."""
         lost = False
