--- a/bench/plain_entry.py
+++ b/bench/plain_entry.py
@@ -11,7 +11,7 @@
 import sys
 
 from wasabidrum.core.errors import CodedError
-from wasabidrum.decisions.entry_room import EntryRoom
+from wasabidrum.decisions.in_progress_limit import InProgressLimit
 from wasabidrum.decisions.ticket import Ticket
 from wasabidrum.entry import daemon as entry_daemon
 from wasabidrum.entry.permit import Permit
@@ -40,7 +40,7 @@
 
     async def admit(self, item: WorkItem) -> Permit:
         """Lets the request run at once."""
-        self._room = EntryRoom(10**9)
+        self._room = InProgressLimit(10**9)
         pool = self._pool(item)
         return Permit(self, pool, Ticket(item.request_id, "", 2, 1.0, 1.0, item.deadline), item)
 
--- a/tests/choice_replay.py
+++ b/tests/choice_replay.py
@@ -6,10 +6,10 @@
 
 from wasabidrum.core.listed_endpoint import ListedEndpoint
 from wasabidrum.core.published import EngineFigures
+from wasabidrum.decisions.endpoint_assignment import assign_endpoints
 from wasabidrum.decisions.endpoint_choice import LATEST_FRACTION, Candidate, Demand, choose
 from wasabidrum.decisions.endpoint_load import EndpointLoad
 from wasabidrum.decisions.engine_forecast import pass_seconds, read_seconds
-from wasabidrum.decisions.entry_share import deal
 from wasabidrum.decisions.forecast_bias import ForecastBias
 from wasabidrum.decisions.send_rate import SendRate
 
@@ -104,9 +104,13 @@
         self.bias = ForecastBias()
         self._endpoints = endpoints
         self._others = entries - 1
-        fellows = [("entry", n) for n in range(number % places, entries, places)]
+        peer_entries = [("entry", n) for n in range(number % places, entries, places)]
         near = [e.id for e in endpoints if e.data_centre == self.data_centre]
-        self._first = deal(near, fellows, ("entry", number)) if share else frozenset(self.loads)
+        self._first = (
+            assign_endpoints(near, peer_entries, ("entry", number))
+            if share
+            else frozenset(self.loads)
+        )
 
     def candidates(self) -> list[Candidate]:
         """Returns every endpoint."""
--- a/wasabidrum/decisions/admission_queue.py
+++ b/wasabidrum/decisions/admission_queue.py
@@ -8,17 +8,6 @@
 cannot be served within the wait its class allows, or whole before its deadline, is refused
 on arrival with a time to come back; one whose chance passes while it waits is refused at
 that moment. The queue is therefore never longer than what can be served in time.
-
-Grounds:
-- Waits: the users want the first token within 1.2 s for 95 in 100, so generated text waits
-  at most half of that; a read keeps an attendant at the till, 1 s; a charge is worth 5 s of
-  waiting before the shopkeeper is told to come back.
-- A tenth of the room, one place at least where there are four, is kept for charges, and as
-  much again from generated text for reads, so that a place is free when a charge comes.
-- WAIT_MARGIN: one that would just about make it is likelier to be given up late than served.
-- The expected wait is corrected by what waits turned out to be; one that ended in giving up
-  would have lasted longer, and counts twice what it lasted.
-- A run's seconds per unit of cost move by 1/16 a sample, as in expected_cost.py.
 """
 
 import heapq
--- a/wasabidrum/decisions/backoff.py
+++ b/wasabidrum/decisions/backoff.py
@@ -3,10 +3,6 @@
 Load pattern: many clients or requests fail at the same moment, because what they share
 failed. Without jitter they all return at the same moment, and the second wave fails as the
 first did; operators see load in spikes of one period.
-
-Grounds: "full jitter" spreads a wave evenly over the whole interval. The first interval,
-50 ms, is a few round trips between regions; the longest, 8 s, keeps an idle probe cheap and
-still notices a recovery within the time that an operator would wait for it.
 """
 
 import random
--- a/wasabidrum/decisions/chunk_evidence.py
+++ b/wasabidrum/decisions/chunk_evidence.py
@@ -80,7 +80,7 @@
         """Returns whether a peer said lately that it neither holds nor expects a chunk."""
         return now < self._lacks.get((name, digest), 0.0)
 
-    def note_failure(self, name: str, now: float, corrupt: bool = False) -> None:
+    def record_failure(self, name: str, now: float, corrupt: bool = False) -> None:
         """Takes that a peer was unreachable, stalled, or sent other bytes than asked for."""
         record = self._records.setdefault(name, PeerRecord())
         # Several chunks asked of one dead peer fail together; that is one failure.
@@ -105,7 +105,7 @@
         self._records.pop(name, None)
         return True
 
-    def note_slow(self, name: str, now: float) -> None:
+    def record_slow(self, name: str, now: float) -> None:
         """Takes that a peer answers much later than its own link should allow."""
         record = self._records.setdefault(name, PeerRecord())
         # Several chunks asked of one silent peer find that out together.
@@ -114,13 +114,13 @@
         record.on_trial = False
         record.avoid_until = max(record.avoid_until, now + SLOW_PAUSE_SECONDS)
 
-    def note_lack(self, name: str, digest: str, now: float) -> None:
+    def record_lack(self, name: str, digest: str, now: float) -> None:
         """Takes that a peer neither holds nor expects a chunk."""
         if len(self._lacks) > 10_000:
             self._lacks = {key: until for key, until in self._lacks.items() if until > now}
         self._lacks[(name, digest)] = now + LACK_EXPIRES_SECONDS
 
-    def note_answer(self, name: str, gave_chunk: bool) -> None:
+    def record_answer(self, name: str, gave_chunk: bool) -> None:
         """Takes that a peer answered; one that sent corrupted bytes has to give a right chunk."""
         self._excuses.pop(name, None)
         record = self._records.get(name)
--- a/wasabidrum/decisions/chunk_evidence_test.py
+++ b/wasabidrum/decisions/chunk_evidence_test.py
@@ -20,11 +20,11 @@
         """Several chunks are waited for at a sidecar that is suspended. One of them finds that
         out; the others would each wait until they have found it out as well."""
         self.evidence.begin_ask("peer", 0.0)
-        self.evidence.note_slow("peer", 1.0)
+        self.evidence.record_slow("peer", 1.0)
         self.assertTrue(self.evidence.silent("peer", 1.1))
         self.evidence.begin_ask("peer", 1.0 + SLOW_PAUSE_SECONDS)
         self.assertFalse(self.evidence.silent("peer", 1.1 + SLOW_PAUSE_SECONDS))
-        self.evidence.note_answer("peer", True)
+        self.evidence.record_answer("peer", True)
         self.assertFalse(self.evidence.avoided("peer", 1.2 + SLOW_PAUSE_SECONDS))
 
     def test_one_that_is_always_silent_is_waited_for_at_last(self) -> None:
@@ -35,9 +35,9 @@
         for _ in range(PATIENT_AFTER_SILENCES):
             self.assertFalse(self.evidence.deserves_patience("peer"))
             self.evidence.begin_ask("peer", now)
-            self.evidence.note_slow("peer", now + 1.0)
+            self.evidence.record_slow("peer", now + 1.0)
             # The other requests that waited there say the same, and count once.
-            self.evidence.note_slow("peer", now + 1.0)
+            self.evidence.record_slow("peer", now + 1.0)
             now += 10.0
         self.assertTrue(self.evidence.deserves_patience("peer"))
 
@@ -46,14 +46,14 @@
         peers, these would be passed over for a minute after the link is well again; excused for
         ever, one that is left alone would never turn to the origin."""
         for _ in range(MOST_EXCUSES):
-            self.evidence.note_slow("peer", 0.0)
+            self.evidence.record_slow("peer", 0.0)
             self.assertTrue(self.evidence.excuse("peer"))
             self.assertFalse(self.evidence.avoided("peer", 0.1))
         self.assertFalse(self.evidence.excuse("peer"))
-        self.evidence.note_answer("peer", False)
+        self.evidence.record_answer("peer", False)
         self.assertTrue(self.evidence.excuse("peer"))
 
     def test_wrong_bytes_are_never_excused(self) -> None:
-        self.evidence.note_failure("peer", 0.0, corrupt=True)
+        self.evidence.record_failure("peer", 0.0, corrupt=True)
         self.assertFalse(self.evidence.excuse("peer"))
         self.assertTrue(self.evidence.avoided("peer", 1.0))
--- a/wasabidrum/decisions/chunk_route_test.py
+++ b/wasabidrum/decisions/chunk_route_test.py
@@ -59,19 +59,19 @@
         evidence = self.evidence[name]
         evidence.begin_ask(peer, self.now)
         if peer not in self.alive or self.random.random() < self.loss:
-            evidence.note_failure(peer, self.now)
+            evidence.record_failure(peer, self.now)
             return False
         if digest not in self.held[peer]:
-            evidence.note_answer(peer, False)
+            evidence.record_answer(peer, False)
             if not probe:
                 waits = self.waits[(name, digest)] = self.waits.get((name, digest), 0) + 1
                 if digest not in self.versions[self.wanted] or waits % WAITS_BEFORE_OTHERS == 0:
-                    evidence.note_lack(peer, digest, self.now)
+                    evidence.record_lack(peer, digest, self.now)
             return False
         if peer in self.liars:
-            evidence.note_failure(peer, self.now, corrupt=True)
+            evidence.record_failure(peer, self.now, corrupt=True)
             return False
-        evidence.note_answer(peer, True)
+        evidence.record_answer(peer, True)
         self.held[name].add(digest)
         return True
 
@@ -205,14 +205,14 @@
     def test_a_peer_that_failed_is_tried_by_one_request(self) -> None:
         """A stalled peer comes up for trial. Were all chunks to try it, all would stall."""
         evidence = ChunkEvidence()
-        evidence.note_failure("peer", 0.0)
+        evidence.record_failure("peer", 0.0)
         self.assertTrue(evidence.avoided("peer", 1.0))
         self.assertFalse(evidence.avoided("peer", 2.5))
         evidence.begin_ask("peer", 2.5)
         self.assertTrue(evidence.avoided("peer", 2.6))
-        evidence.note_failure("peer", 5.0)
+        evidence.record_failure("peer", 5.0)
         self.assertTrue(evidence.avoided("peer", 8.5))
-        evidence.note_answer("peer", True)
+        evidence.record_answer("peer", True)
         self.assertFalse(evidence.avoided("peer", 8.5))
 
     def test_chunks_follow_each_other_on_a_link(self) -> None:
--- a/wasabidrum/decisions/clock_gap.py
+++ b/wasabidrum/decisions/clock_gap.py
@@ -7,9 +7,6 @@
 
 All times are of a clock that counts while the instance is suspended; by one that stands still
 then, a suspension would be no pause.
-
-Grounds: the loop runs something at least every quarter of a second, so a second without
-a turn is a pause and not load; 3 s is the time within which a revision is in force.
 """
 
 PAUSE_SECONDS = 1.0
--- a/wasabidrum/decisions/death_record.py
+++ b/wasabidrum/decisions/death_record.py
@@ -2,10 +2,6 @@
 
 Load pattern: see poison.py. Without this record each entry would have to lose two engines to
 the same prompt before it knew, and there are hundreds of entries.
-
-Grounds: MOST_TOLD fingerprints of 16 letters keep a status under a kilobyte; they are told
-for TOLD_SECONDS, long enough for every entry that has this endpoint in its subset to hear a
-status, and entries remember longer.
 """
 
 import collections
--- a/wasabidrum/decisions/entry_share.py
+++ b/wasabidrum/decisions/endpoint_assignment.py
@@ -7,14 +7,9 @@
 nearly the whole truth. The others send there only when their own engines would take
 OTHERS_SECONDS longer.
 
-Nobody is asked or told: entries know each other, and all deal the engines out alike. Where two
+Nobody is asked or told: entries know each other, and all assign the engines alike. Where two
 entries know different ones for a moment, an engine has two that prefer it or none, which is no
 worse than before.
-
-Grounds: replayed with twelve entries, 24 engines and a third more load than these carry
-(endpoint_choice_test.py), first events in time are 198 a second with shares and 126 without.
-OTHERS_SECONDS: at 0.05 s entries spill to each other too soon under overload, at 0.15 s one with
-more callers than its share refuses what others could do.
 """
 
 import collections.abc
@@ -22,7 +17,7 @@
 OTHERS_SECONDS = 0.08
 
 
-def deal(
+def assign_endpoints(
     endpoint_ids: collections.abc.Iterable[str],
     entries: collections.abc.Sequence[tuple[str, int]],
     own: tuple[str, int],
--- a/wasabidrum/decisions/entry_share_test.py
+++ b/wasabidrum/decisions/endpoint_assignment_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from .entry_share import deal
+from .endpoint_assignment import assign_endpoints
 from .forecast_bias import LEAST_SECONDS, MOST_SECONDS, ForecastBias, length_of
 from .send_rate import SendRate
 
@@ -16,7 +16,7 @@
         """Two entries that both send to an engine first each count half of what it has to do;
         an engine that is nobody's stands idle while callers are refused."""
         engines = [f"i-{n}" for n in range(8)]
-        shares = [deal(engines, ENTRIES, own) for own in ENTRIES]
+        shares = [assign_endpoints(engines, ENTRIES, own) for own in ENTRIES]
         self.assertEqual(sorted(name for share in shares for name in share), engines)
         sizes = [len(share) for share in shares]
         self.assertLessEqual(max(sizes) - min(sizes), 1)
@@ -24,11 +24,12 @@
     def test_the_order_in_which_engines_are_known_does_not_matter(self) -> None:
         engines = [f"i-{n}" for n in range(8)]
         self.assertEqual(
-            deal(engines, ENTRIES, ENTRIES[1]), deal(reversed(engines), ENTRIES, ENTRIES[1])
+            assign_endpoints(engines, ENTRIES, ENTRIES[1]),
+            assign_endpoints(reversed(engines), ENTRIES, ENTRIES[1]),
         )
 
     def test_an_entry_alone_has_all(self) -> None:
-        self.assertEqual(deal(["a", "b"], ENTRIES[:1], ENTRIES[0]), {"a", "b"})
+        self.assertEqual(assign_endpoints(["a", "b"], ENTRIES[:1], ENTRIES[0]), {"a", "b"})
 
 
 class SendRateTest(unittest.TestCase):
--- a/wasabidrum/decisions/endpoint_book.py
+++ b/wasabidrum/decisions/endpoint_book.py
@@ -6,10 +6,6 @@
 they have registered again, within two seconds. So an endpoint that disappears around an outage
 keeps its place for that time, and goes then unless it is back. One that disappears while the
 store works is gone at once, or work would go on to an endpoint that has left.
-
-Grounds: RETURN_SECONDS is what the platform promises for the return of registrations.
-TROUBLE_SECONDS is how long after the last failed call a removal may still be of the outage's
-making: a heartbeat or two.
 """
 
 import collections.abc
@@ -45,7 +41,7 @@
         """Returns an endpoint, or None."""
         return self._endpoints.get(endpoint_id)
 
-    def note_trouble(self, now: float) -> None:
+    def record_trouble(self, now: float) -> None:
         """Takes that the store could not be asked just now."""
         self._trouble_at = now
 
--- a/wasabidrum/decisions/endpoint_book_test.py
+++ b/wasabidrum/decisions/endpoint_book_test.py
@@ -40,7 +40,7 @@
         """The store is down, and registrations lapse because nobody can renew them. Believed
         at once, every endpoint would be out together and every caller refused, until all have
         registered again two seconds later."""
-        self.book.note_trouble(50.0)
+        self.book.record_trouble(50.0)
         self.assertEqual(self.book.take_listed(set(), 50.1), [])
         self.assertEqual(ids_of(self.book), {"a", "b"})
         self.book.take(make_endpoint("a"), 20)
@@ -51,17 +51,17 @@
         """An endpoint says that it leaves, and its registration goes during an outage. It
         will not come back; kept, it would get work after its notice."""
         self.book.take(make_endpoint("a", leaving=True), 12)
-        self.book.note_trouble(50.0)
+        self.book.record_trouble(50.0)
         self.assertTrue(self.book.take_removal("a", 13, now=50.1))
 
     def test_a_removal_long_after_an_outage_counts_at_once(self) -> None:
-        self.book.note_trouble(50.0)
+        self.book.record_trouble(50.0)
         self.assertTrue(self.book.take_removal("a", 13, now=50.1 + TROUBLE_SECONDS))
 
     def test_a_second_removal_does_not_prolong_the_wait(self) -> None:
-        self.book.note_trouble(50.0)
+        self.book.record_trouble(50.0)
         self.book.take_listed({"b"}, 50.0)
-        self.book.note_trouble(51.0)
+        self.book.record_trouble(51.0)
         self.book.take_listed({"b"}, 51.0)
         self.assertEqual(self.book.expire(50.0 + RETURN_SECONDS), ["a"])
 
--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -6,25 +6,10 @@
 looked idle, every entry sends to it, and it is full while the others have room.
 
 Each endpoint's first event is forecast from what it has to do. The one that is soonest gets the
-request, with a handicap for those that other entries send to first (entry_share.py) and a small
-one for those in other regions, whose answers cross thin links. Where even the soonest is too
+request, with a handicap for those that other entries send to first (endpoint_assignment.py) and a
+small one for those in other regions, whose answers cross thin links. Where even the soonest is too
 late, the request is refused on arrival, with a time at which room is expected: waiting would
 only make it later.
-
-Grounds:
-- LATEST_FRACTION of the aimed latency: what else arrives meanwhile makes first events later than
-  forecast, never sooner. At one and a half times what engines carry, 1.0 has 159 first events a
-  second in time and 0.9 has 189; at 0.7 callers are refused just below capacity
-  (endpoint_choice_test.py replays it with twelve entries and 24 engines).
-- OTHER_REGION_SECONDS: the way there and back, and what the thin link costs the others.
-- JITTER keeps entries that know the same from choosing the same endpoint together.
-- FAILURE_SECONDS: what a failure costs its caller, who asks again or is asked for elsewhere. An
-  endpoint that fails two of five gets work where the others would take 0.2 s longer.
-- SHORTEST_RETRY_SECONDS: a slot of some engine comes free several times in that time.
-- OVERLOAD_SECONDS: most callers come back once. Where few are refused, one who is back at once is
-  served; where a third is, a third of those who are back at once is refused for good, while
-  bursts are over and engines are added within some seconds. LONGEST_RETRY_SECONDS is half of the
-  time that callers of text have.
 """
 
 import collections.abc
@@ -33,10 +18,10 @@
 
 from ..core.listed_endpoint import ListedEndpoint
 from ..core.published import EngineFigures
+from .endpoint_assignment import OTHERS_SECONDS
 from .endpoint_health import Health
 from .endpoint_load import EndpointLoad
 from .engine_forecast import first_event_seconds, run_seconds
-from .entry_share import OTHERS_SECONDS
 from .forecast_bias import Corrections, length_of
 
 LATEST_FRACTION = 0.88
--- a/wasabidrum/decisions/endpoint_health.py
+++ b/wasabidrum/decisions/endpoint_health.py
@@ -8,22 +8,6 @@
 An endpoint is held to its peers' median seconds per token, from tokens as they stream, and
 to silence in the middle of answers. Slow or failing, it loses its share at once and gets one
 probe at a time, at growing intervals with jitter; probes answered well bring it back.
-
-Grounds:
-- SLOW_RATIO 3: engines with full batches differ up to twofold in time per token; three
-  times the median is outside that, and well below the tenfold that callers notice.
-- TOKENS_JUDGED 4, and slow for as long as a slow endpoint takes for them: at 10 to 69 ms a
-  token the verdict on a tenfold slowdown is there within half a second to two seconds, and a
-  pause of a tenth of a second is over by then.
-- SILENT_RATIO 20 tokens' time, and at least 0.5 s, without a token: a pause of the process.
-- SILENCE_CONFIRMED_SECONDS: an entry that slept itself finds every endpoint silent on waking,
-  while what they sent waits in its sockets. Believed at once, that takes all of them out
-  together and callers are refused. To read what waits takes a few turns of the loop; a silence
-  that is still there then is real.
-- FAILURES_JUDGED 2 in a row: one failure may be the request's fault; a charge is never the
-  probe where something else can be.
-- Probes begin after 0.5 s and grow to 8 s (backoff.py). At 30 requests a second to an entry
-  and twenty endpoints, a probe a second is under 5% of new work.
 """
 
 import enum
--- a/wasabidrum/decisions/endpoint_limit.py
+++ b/wasabidrum/decisions/endpoint_limit.py
@@ -12,21 +12,6 @@
 
 Silence changes nothing: no limit shrinks for want of reports, so that lost reports cannot
 stop the fleet.
-
-Grounds:
-- LATE_SECONDS: a quarter of the 1.2 s that the users allow for the first token; prompts of
-  some hundred words prefill within it, so that long prompts are not taken for a queue.
-- QUEUE_SECONDS: a queue worth 0.1 s keeps slots busy over the round trip between a slot's
-  end and an entry's next request, and is below what a caller notices; one request at least.
-- GROWTH of a hundredth of the slots a second, the same for every entry whatever it has, is
-  what evens out entries that share an endpoint; cuts are in proportion. Twice as much made
-  limits of eight entries differ by four, this by two (docs/measurements/load.md).
-- IDLE_GROWTH of half the limit a second while the endpoint reports a fifth of its slots idle:
-  after a burst has cut the limits they are back within seconds, however many entries share
-  the endpoint, since they grow by the same factor; with slow growth alone a burst of 8 s was
-  followed by a minute of refusals before idle engines.
-- CUT at most once in CUT_PAUSE_SECONDS: reports lag by up to 1 s, and a cut shows only then;
-  cutting for the same queue again and again would collapse the limit.
 """
 
 CUT = 0.85
--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -11,9 +11,6 @@
 reports 0.2 s old at one and a half times what the engines carry (endpoint_choice_test.py),
 requests with a first event in time rose from 31 to 39 a second by counting by rates what the
 others have sent, and not by this entry's own sends to the same engine.
-
-Grounds: TRUSTED_SECONDS is the length of a usual run; later, most of what a report counted has
-ended.
 """
 
 import collections
--- a/wasabidrum/decisions/endpoint_subset.py
+++ b/wasabidrum/decisions/endpoint_subset.py
@@ -7,13 +7,6 @@
 same number of entries of its own data centre, and every entry takes the same number of
 endpoints, matched by rendezvous hashes: the match is even, the same wherever it is
 computed, and one instance more or less moves few pairs.
-
-Grounds: 16 endpoints let the choice of the less loaded work well and spread 30 requests a
-second thinly. All groups together stay within 26 streams: `make bench-control` measured 0.045%
-of a core for each message a second, a stream brings 1.33 of them and gossip about 10, and an
-entry may spend 1.9% of a core on control. With three groups each then has 8 endpoints, still
-enough to choose among. The floor of 2 entries for each endpoint keeps one entry's death from
-idling endpoints until the others notice.
 """
 
 import collections
--- a/wasabidrum/decisions/endpoint_test.py
+++ b/wasabidrum/decisions/endpoint_test.py
@@ -173,9 +173,9 @@
         guard = PoisonGuard()
         guard.saw_death("a", "e1", 10.0)
         for moment in range(11, 60):
-            guard.take_told("e1", ("a/1", "b/1"), float(moment))
+            guard.record_reported("e1", ("a/1", "b/1"), float(moment))
         self.assertFalse(guard.is_blocked("a", 60.0))
-        guard.take_told("e2", ("a/1",), 61.0)
+        guard.record_reported("e2", ("a/1",), 61.0)
         self.assertTrue(guard.is_blocked("a", 61.0))
         self.assertFalse(guard.is_blocked("b", 61.0))
 
@@ -183,9 +183,9 @@
         """A status names the dead engine's requests for a minute. An innocent one that was
         answered meanwhile must not become a suspect again with each status."""
         guard = PoisonGuard()
-        guard.take_told("e1", ("a/1",), 10.0)
+        guard.record_reported("e1", ("a/1",), 10.0)
         guard.clear("a")
-        guard.take_told("e1", ("a/1",), 11.0)
+        guard.record_reported("e1", ("a/1",), 11.0)
         self.assertFalse(guard.is_suspect("a", 11.0))
 
     def test_suspicion_ages_out(self) -> None:
--- a/wasabidrum/decisions/engine_forecast.py
+++ b/wasabidrum/decisions/engine_forecast.py
@@ -8,10 +8,6 @@
 each running request gets a token. A new request waits for the pass in progress, for the prompts
 before its own, for its own, and for the pass that gives its first tokens; with all slots taken
 also for one to come free.
-
-Grounds: on average half of the pass in progress is left. A slot comes free every run's length
-divided by the slots; how long runs last is worked out from the same figures and the usual
-sizes.
 """
 
 import dataclasses
--- a/wasabidrum/decisions/entry_roster.py
+++ b/wasabidrum/decisions/entry_roster.py
@@ -5,10 +5,6 @@
 it away; one that keeps the dead asks them first and waits. Entries that meet tell each other
 whom they know and when those were last heard, so that news of a new one reaches all within a
 few meetings, and one that nobody hears any more is forgotten by all.
-
-Grounds: entries meet someone every MEET_SECONDS, so that FORGET_SECONDS are many meetings missed.
-LIST_SIZE keeps a message below a kilobyte or two in a fleet of hundreds; ten meetings before one
-is forgotten tell of as many as that fleet has.
 """
 
 import dataclasses
--- a/wasabidrum/decisions/evidence_lease.py
+++ b/wasabidrum/decisions/evidence_lease.py
@@ -8,13 +8,6 @@
 renews it, from the moment of the question and not of the answer: what changed while the answer
 was on its way is not in it. The lease ends before the bound for revoked keys, and then requests
 with keys are refused until the store, or somebody who asked it, has answered again.
-
-Grounds:
-- MARGIN_SECONDS: the clocks of two instances drift by milliseconds in five seconds; the rest is
-  for a request that is sent on a moment after it was judged.
-- READY_FRACTION: no new callers come to an entry that will refuse them in a moment.
-- PROMPT_SECONDS: a change takes some milliseconds to those that wait for it; the rest is for a
-  process that is busy when it comes.
 """
 
 MARGIN_SECONDS = 0.25
--- a/wasabidrum/decisions/expected_cost.py
+++ b/wasabidrum/decisions/expected_cost.py
@@ -8,9 +8,6 @@
 as the Vertical Pod Autoscaler keeps of resource use, was measured beside it
 (bench/expected_cost.py): it guards a container against being killed for one excess, whereas
 here errors of both signs cost the same and are corrected as answers stream.
-
-Grounds: the weight of one sample, 1/16, follows a changed habit within some dozens of
-requests and lets one odd answer move the estimate by 6%.
 """
 
 SAMPLE_WEIGHT = 1.0 / 16.0
--- a/wasabidrum/decisions/failure_rate.py
+++ b/wasabidrum/decisions/failure_rate.py
@@ -5,11 +5,6 @@
 one good answer brings it back, so that it goes on failing a fifth of what all endpoints get. Its
 rate of failures stays high through the good answers in between, and counts against it whenever
 another endpoint could take the request as well.
-
-Grounds:
-- WEIGHT: four failures of ten move the rate near 0.4 within some ten requests.
-- HALF_LIFE_SECONDS: one that gets nothing has to be tried again. What is left after thirteen
-  seconds is a twentieth; where the others are busier it is tried sooner.
 """
 
 WEIGHT = 0.15
--- a/wasabidrum/decisions/fair_share.py
+++ b/wasabidrum/decisions/fair_share.py
@@ -7,11 +7,6 @@
 Each workspace's demand (what it runs and has waiting) is averaged. One that usually needs more
 than its share of the limit may start another request only while the room that the others
 usually need stays free. Others that are over their share as well have no claim on it.
-
-Grounds: demand of independent callers fluctuates by about its square root; keeping the mean
-and MARGIN roots free gives a place at once to most arrivals. AVERAGE_SECONDS spans a few
-dozen requests of the smallest workspaces at today's sizes; until it shows a sudden burst,
-running BURST times the part does.
 """
 
 import math
--- a/wasabidrum/decisions/forecast_bias.py
+++ b/wasabidrum/decisions/forecast_bias.py
@@ -6,16 +6,6 @@
 get through a queue faster than their figures say, and callers are refused whom they could have
 served in time. What was seen corrects the next forecasts, by how long they are: what stands in a
 queue is forecast worse than what does not.
-
-Grounds:
-- EDGES: up to the first a request waits for the pass in progress only, beyond the second for
-  others' answers to end.
-- WEIGHT: five first events move a correction most of the way, which an entry sees within half
-  a second.
-- HALF_LIFE_SECONDS: an entry that refuses everything sees no first events. The correction must
-  fade, or it would go on refusing.
-- MOST_SECONDS, LEAST_SECONDS: one engine that stands still must not have an entry refuse what
-  others can do, nor a lucky moment have it send what will be late.
 """
 
 EDGES = (0.2, 0.35)
--- a/wasabidrum/decisions/entry_room.py
+++ b/wasabidrum/decisions/in_progress_limit.py
@@ -5,17 +5,13 @@
 
 All that wait or run are counted against one bound, of which generated text may not use the
 last two tenths and reads not the last tenth.
-
-Grounds: at the two-year size an entry takes 30 requests a second; at some ten seconds each
-300 are in progress. 2,000 leaves room for a sixfold burst, at some 50 KB of buffers and task
-each 100 MB of process memory, of which control's 32 MB are no part.
 """
 
 MOST_IN_PROGRESS = 2000
 RESERVED_FRACTION = 0.1
 
 
-class EntryRoom:
+class InProgressLimit:
     """Requests that an entry holds, by class."""
 
     __slots__ = ("_held", "_most")
--- a/wasabidrum/decisions/keyed_clock.py
+++ b/wasabidrum/decisions/keyed_clock.py
@@ -4,12 +4,6 @@
 
 Without it an entry that takes a delayed status for a fresh one thinks the sidecar younger
 than it is; deadlines told in the sidecar's time are then early, and short calls are refused.
-
-Grounds for its figures: a status cannot arrive before it was written, so the sample with the
-largest difference has the smallest delay. Windows of 30 s forget old samples, as two clocks
-of ordinary quartz drift by under 5 ms in that time. Both clocks go on counting while an instance
-is suspended; of two that do not, one would be wrong by the whole suspension until the windows
-have passed.
 """
 
 WINDOW_SECONDS = 30.0
--- a/wasabidrum/decisions/keyed_ledger.py
+++ b/wasabidrum/decisions/keyed_ledger.py
@@ -5,11 +5,6 @@
 
 Without it a resend after a lost answer charges a family twice, or a caller that is told
 "not run" sees the charge run later.
-
-Grounds for its figures: a record costs about 0.4 KB (docs/measurements/outcomes.md), so
-50,000 records take 20 MB; with the entries' default lifetimes of 90 s and 300 s that is 550
-and 160 calls a second for one endpoint, many times what a billing service does. Answers of
-billing calls are under a kilobyte, so 8 MiB keep the newest 8,000 or more.
 """
 
 import hashlib
--- a/wasabidrum/decisions/member_readers.py
+++ b/wasabidrum/decisions/member_readers.py
@@ -10,9 +10,6 @@
 The first tree runs down the order and the second runs up it, so that whoever stands high
 in one is a leaf in the other: one death leaves everyone a parent, and the work is shared.
 Entries stand last in both, because they already hear from their endpoints.
-
-Grounds: with 256 processes in a data centre and a fan-out of 4, five links lead to the
-farthest one. A process has at most 2 x 4 children and 2 parents.
 """
 
 import collections.abc
--- a/wasabidrum/decisions/member_record.py
+++ b/wasabidrum/decisions/member_record.py
@@ -4,7 +4,7 @@
 
 from ..core.instance import Instance, InstanceState
 from ..core.status import Status
-from .member_news import MemberNews, MemberState
+from .member_update import MemberState, MemberUpdate
 
 FLAP_HALF_LIFE_SECONDS = 30.0
 
@@ -45,9 +45,9 @@
         """Whether it takes no new work, by its own word or by the list's."""
         return self.says_leaving or self.instance.state is InstanceState.LEAVING
 
-    def news(self) -> MemberNews:
+    def news(self) -> MemberUpdate:
         """Returns what to tell others."""
-        return MemberNews(
+        return MemberUpdate(
             self.name,
             self.state,
             self.incarnation,
--- a/wasabidrum/decisions/member_table.py
+++ b/wasabidrum/decisions/member_table.py
@@ -7,18 +7,14 @@
 broken network card would call everyone dead. So a silent member is suspected first, it can
 refute that with a later status of its own, and a process to which too many fell silent at
 once concludes nothing until it knows that others still answer it.
-
-Grounds: a gossip beat is 1 s, so 3 s without one is three lost; a suspicion stands 4 s, which
-a pause of a second and a resent packet or two do not fill; a member that came back four
-times in a minute is held back until half a minute of quiet.
 """
 
 import collections.abc
 
 from ..core.instance import Instance
 from ..core.status import Status
-from .member_news import MemberNews, MemberState
 from .member_record import MemberRecord, address_of, flaps_now, instance_from
+from .member_update import MemberState, MemberUpdate
 
 SUSPICION_SECONDS = 4.0
 REFUSED_SECONDS = 0.5
@@ -44,7 +40,7 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._records: dict[str, MemberRecord] = {}
-        self._news: list[MemberNews] = []
+        self._news: list[MemberUpdate] = []
         self._implausible_at: float | None = None
         # Those that time changes something about, so that a tick costs nothing for the rest.
         self._pending: set[str] = set()
@@ -75,7 +71,7 @@
             and record.instance.peer_port
         ]
 
-    def take_news_to_pass_on(self) -> list[MemberNews]:
+    def take_news_to_pass_on(self) -> list[MemberUpdate]:
         """Returns what became known since the last call, to be told to others."""
         news, self._news = self._news, []
         return news
@@ -143,7 +139,7 @@
             self._set_state(record, MemberState.ALIVE, now)
             self._tell(record)
 
-    def take_news(self, news: MemberNews, now: float) -> bool:
+    def take_news(self, news: MemberUpdate, now: float) -> bool:
         """Takes what somebody says of a member; returns whether this process must refute it."""
         if news.name == self._name:
             return news.state is not MemberState.ALIVE
--- a/wasabidrum/decisions/member_table_test.py
+++ b/wasabidrum/decisions/member_table_test.py
@@ -7,8 +7,8 @@
 from ..core.instance import Instance, InstanceRole
 from ..core.status import Status
 from . import member_record
-from .member_news import MemberNews, MemberState
 from .member_table import MemberTable
+from .member_update import MemberState, MemberUpdate
 
 
 def make_instance(name: str, port: int = 1) -> Instance:
@@ -97,10 +97,10 @@
         self.table.take_status(make_status("m1", 5), 0.0)
         self.table.suspect("m1", 3.0)
         self.assertTrue(MemberTable("m1").take_news(self.table.get("m1").news(), 3.1))
-        refuted = MemberNews("m1", MemberState.ALIVE, "1", 9)
+        refuted = MemberUpdate("m1", MemberState.ALIVE, "1", 9)
         self.table.take_news(refuted, 4.0)
         self.assertEqual(self.run_ticks(4.0, 20.0), [])
-        late = MemberNews("m1", MemberState.DEAD, "1", 5)
+        late = MemberUpdate("m1", MemberState.DEAD, "1", 5)
         self.table.take_news(late, 20.0)
         self.assertIn("m1", self.names(20.0))
 
@@ -133,7 +133,7 @@
             other.take_news(news, 9.0)
         self.assertIs(other.get("m2").state, MemberState.DEAD)
         self.assertTrue(other.take_news_to_pass_on())
-        for news in (self.table.get("m2").news(), MemberNews("m2", MemberState.ALIVE, "0", 99)):
+        for news in (self.table.get("m2").news(), MemberUpdate("m2", MemberState.ALIVE, "0", 99)):
             other.take_news(news, 9.5)
         self.assertEqual(other.take_news_to_pass_on(), [])
 
--- a/wasabidrum/decisions/member_news.py
+++ b/wasabidrum/decisions/member_update.py
@@ -15,7 +15,7 @@
     DEAD = 2
 
 
-class MemberNews(msgspec.Struct, frozen=True, array_like=True):
+class MemberUpdate(msgspec.Struct, frozen=True, array_like=True):
     """A member's state as of one of its own statuses.
 
     Attributes:
--- a/wasabidrum/decisions/peer_promptness.py
+++ b/wasabidrum/decisions/peer_responsiveness.py
@@ -10,12 +10,6 @@
 all answers come late behind what this sidecar's own link carries; to pass over everybody for
 that would cost the origin a copy.
 
-Grounds for the figures: between regions a probe takes 6 ms on a free link. Behind the sixteen
-chunks that a sidecar asks for at once it takes up to 1.3 s on a link of 4.7 Mbit/s, from every
-peer alike; PROMPT_SECONDS is what three chunks more would make of it. Behind a link of 1 Mbit/s
-one chunk takes 400 ms, and there are several. LOOK_SECONDS bounds probes to three a second for
-each peer at which this sidecar waits, some 10 KB a second in all while a version travels.
-
 What it costs the origin: what a silent peer had drawn is drawn once more, by one other. That is
 a sixth of a copy where one of six is lost, and a third where two are; nothing on a calm day.
 """
@@ -51,7 +45,7 @@
     return [name for name, seconds in answers.items() if seconds is None]
 
 
-class PeerPromptness:
+class PeerResponsiveness:
     """When each peer answered a probe last, and how this sidecar's own link seems to be."""
 
     __slots__ = ("_answered_at", "_doubted_at", "_draws_are_slow")
@@ -72,7 +66,7 @@
         elif fastest >= DOUBTFUL_SECONDS and len(answers) >= WITNESSES:
             self._doubted_at = now
 
-    def note_draw(self, seconds: float) -> None:
+    def record_draw(self, seconds: float) -> None:
         """Takes how long a chunk took to come from the origin; a prompt one clears the own link.
 
         One that is cut off from all its peers finds them silent too, and has the origin only.
@@ -83,7 +77,7 @@
         """Returns whether a peer has answered so lately that it need not be probed."""
         return now - self._answered_at.get(name, -LOOK_SECONDS) < LOOK_SECONDS
 
-    def own_link_in_doubt(self, now: float) -> bool:
+    def own_link_suspected(self, now: float) -> bool:
         """Returns whether several peers were probed lately and all were late, and draws as well."""
         return self._draws_are_slow and now - self._doubted_at < DOUBT_LASTS_SECONDS
 
--- a/wasabidrum/decisions/peer_promptness_test.py
+++ b/wasabidrum/decisions/peer_responsiveness_test.py
@@ -6,11 +6,11 @@
 from .chunk_evidence import ChunkEvidence
 from .chunk_plan import ChunkPlan
 from .chunk_route import Asker, StepKind
-from .peer_promptness import (
+from .peer_responsiveness import (
     LOOK_SECONDS,
     PROMPT_SECONDS,
     WITNESSES,
-    PeerPromptness,
+    PeerResponsiveness,
     find_silent,
 )
 
@@ -35,7 +35,7 @@
 
     def __init__(self) -> None:
         self.takes = {name: 0.01 for name in REGION_OF if name != "side-0"}
-        self.promptness = PeerPromptness()
+        self.responsiveness = PeerResponsiveness()
         self.evidence = ChunkEvidence()
         self.now = 0.0
 
@@ -44,10 +44,10 @@
         elapsed = min(LONGEST_SECONDS, min(self.takes.values()) + PROMPT_SECONDS)
         answers = {n: s if s <= elapsed else None for n, s in self.takes.items()}
         self.now += elapsed
-        self.promptness.note_round(answers, elapsed, self.now)
+        self.responsiveness.note_round(answers, elapsed, self.now)
         silent = set(find_silent(answers, elapsed))
         for name in silent:
-            self.evidence.note_slow(name, self.now)
+            self.evidence.record_slow(name, self.now)
         self.now += LOOK_SECONDS
         return silent
 
@@ -61,7 +61,7 @@
 
     def in_doubt(self) -> bool:
         """Returns whether the sidecar doubts its own link."""
-        return self.replay.promptness.own_link_in_doubt(self.replay.now)
+        return self.replay.responsiveness.own_link_suspected(self.replay.now)
 
     def test_one_that_is_suspended_is_passed_over_and_used_again_when_it_is_back(self) -> None:
         """A sidecar is suspended while others wait at it. Everyone would wait until the long
@@ -84,7 +84,7 @@
         """A sidecar's own link is narrow, and all answers come late. Were it to pass over
         everybody, it would draw the whole version from the origin once more."""
         self.replay.takes = dict.fromkeys(self.replay.takes, 1.8)
-        self.replay.promptness.note_draw(1.3)
+        self.replay.responsiveness.record_draw(1.3)
         for _ in range(5):
             self.assertEqual(self.replay.look(), set())
             self.assertTrue(self.in_doubt())
@@ -102,7 +102,7 @@
 
     def test_where_nobody_answers_nobody_is_to_blame(self) -> None:
         """The sidecar itself was suspended or is cut off."""
-        self.replay.promptness.note_draw(1.3)
+        self.replay.responsiveness.record_draw(1.3)
         self.replay.takes = dict.fromkeys(self.replay.takes, NEVER)
         self.assertEqual(self.replay.look(), set())
         self.assertTrue(self.in_doubt())
@@ -113,16 +113,16 @@
         self.replay.takes = dict.fromkeys(self.replay.takes, NEVER)
         self.replay.look()
         self.assertFalse(self.in_doubt())
-        self.replay.promptness.note_draw(0.1)
+        self.replay.responsiveness.record_draw(0.1)
         self.replay.look()
         self.assertFalse(self.in_doubt())
 
     def test_who_answered_last_is_asked_to_witness(self) -> None:
-        promptness = PeerPromptness()
+        responsiveness = PeerResponsiveness()
         others = list(REGION_OF)
-        self.assertEqual(len(promptness.choose_witnesses("side-1", others)), WITNESSES)
-        promptness.note_round({"side-2": 0.02}, 0.02, 5.0)
-        self.assertEqual(promptness.choose_witnesses("side-1", others)[0], "side-2")
+        self.assertEqual(len(responsiveness.choose_witnesses("side-1", others)), WITNESSES)
+        responsiveness.note_round({"side-2": 0.02}, 0.02, 5.0)
+        self.assertEqual(responsiveness.choose_witnesses("side-1", others)[0], "side-2")
 
 
 class DrawnAgainTest(unittest.TestCase):
--- a/wasabidrum/decisions/poison.py
+++ b/wasabidrum/decisions/poison.py
@@ -9,13 +9,6 @@
 there at two deaths is refused everywhere that its fingerprint is known. One that is answered
 whole is innocent. Sidecars tell the fingerprints that were in progress at their engine's
 death in their status, so that entries which never saw the request stop it too.
-
-Grounds:
-- Two deaths: with one, all innocents would be refused; the users allow two endpoints.
-- BLOCK_SECONDS 300, then it may run again, alone and as a suspect with one death left: a
-  caller who never stops costs one engine in five minutes at most, and a fault mended with a
-  new version does not block for ever. Forgotten an hour after the last death.
-- MOST_SUSPECTS bounds the memory; the oldest go first.
 """
 
 import collections
@@ -109,7 +102,7 @@
         """Takes that a request was in progress at an endpoint that died."""
         self._add(fingerprint, endpoint, now)
 
-    def take_told(self, endpoint: str, suspects: tuple[str, ...], now: float) -> None:
+    def record_reported(self, endpoint: str, suspects: tuple[str, ...], now: float) -> None:
         """Takes the suspects that an endpoint's sidecar names; each death counts once."""
         for told in suspects:
             fingerprint, _, death = told.partition("/")
--- a/wasabidrum/decisions/prefix_affinity.py
+++ b/wasabidrum/decisions/prefix_affinity.py
@@ -10,12 +10,6 @@
 change nothing. An endpoint that has had its part of the recent work, or has no room, is passed
 over for the next on the ring; a hot prefix thus spreads over as many as it needs, always the
 same ones. An endpoint that comes or goes moves only its own part of the prefixes.
-
-Grounds:
-- HEAD_WORDS 64: four cache blocks of sixteen words; below that a saved prefill is less than
-  one token's time.
-- POINTS 32 an endpoint keep the parts of the ring within some 20% of each other.
-- STEPS 4: beyond the fourth on the ring a hit is unlikely, and room counts more.
 """
 
 import bisect
--- a/wasabidrum/decisions/recent_lateness.py
+++ b/wasabidrum/decisions/recent_lateness.py
@@ -8,9 +8,6 @@
 
 So where a bound is near, what is placed allows for the worst lateness seen lately, of requests
 that have begun and of those that still wait.
-
-Grounds: KEPT_SECONDS is several requests to each endpoint of an entry, and as long as a link that
-was filled by a version stays full.
 """
 
 KEPT_SECONDS = 5.0
--- a/wasabidrum/decisions/retry_budget.py
+++ b/wasabidrum/decisions/retry_budget.py
@@ -6,12 +6,6 @@
 
 Each request earns a tenth of a retry, and a retry spends a whole one, so that retries add at
 most a tenth to the load. Only the entry retries: sidecars, sent one attempt, make one.
-
-Grounds: a tenth is what the users allow. The purse holds ten, so that the death of one
-endpoint, with some ten requests of this entry in progress, can be made good at once. It
-starts full, because a death may come in an entry's first seconds as well: with two to start
-with, and a tenth earned by each of 12 requests, the fourth of four texts lost together ended
-in an error. Where all entries start into an outage, that is ten retries more of each, once.
 """
 
 EARNED_BY_REQUEST = 0.1
--- a/wasabidrum/decisions/rollout_wave.py
+++ b/wasabidrum/decisions/rollout_wave.py
@@ -8,9 +8,6 @@
 endpoints switch in as many chains as may be away at once. In a chain one switches at a
 time, so the limit holds however late any of them is, and each asks only the few others of
 its chain, whatever the size of the fleet.
-
-Grounds for the figures: one failure may be the instance's own, two without a success are
-the version's; a model with few endpoints cannot spare two.
 """
 
 import collections.abc
--- a/wasabidrum/decisions/routing.py
+++ b/wasabidrum/decisions/routing.py
@@ -15,12 +15,6 @@
 
 Endpoints of the entry's data centre go first, then those of its region; the thin link
 between regions is crossed only when none of them has room.
-
-Grounds:
-- DRAWS 2 of each tier: the step from one to two draws takes the longest queue from log n to
-  log log n; a third gains little and follows the reports more closely, which herds.
-- REGION_PENALTY 0.05 of an endpoint's slots: the 1.5 ms to the next data centre.
-- AFFINITY_BOUND 1.2 of the mean recent work keeps the busiest within 1.3.
 """
 
 import collections.abc
--- a/wasabidrum/decisions/send_rate.py
+++ b/wasabidrum/decisions/send_rate.py
@@ -1,8 +1,4 @@
-"""How many requests an entry sends in a second, by its latest ones.
-
-Grounds: MEMORY_SECONDS is long beside the time between two requests of a busy entry and short
-beside a burst.
-"""
+"""How many requests an entry sends in a second, by its latest ones."""
 
 import math
 
--- a/wasabidrum/decisions/take_back.py
+++ b/wasabidrum/decisions/take_back.py
@@ -18,15 +18,6 @@
 - What has not begun at an endpoint that stands still, and has been leaving or gone for as long
   as the bound allows, is taken back if it may run again. What may run only once stays, for its
   answer may be on the way; its route's time ends it.
-
-Grounds:
-- BOUND_MARGIN_SECONDS, before the bound, is for the pause between two looks (0.1 s), the reset's
-  way over a busy link, and a busy process. An engine that was suspended with 15 requests unread
-  began none of those whose connections had been reset before it woke.
-- RETIRED_MARGIN_SECONDS is wider by what it takes to hear that an endpoint is leaving: changes
-  are gathered for 0.25 s.
-- OVERDUE_FACTOR: a first event is late by half of its forecast where queues are full; three
-  times the forecast without one is not lateness.
 """
 
 import collections.abc
@@ -91,7 +82,7 @@
     return None
 
 
-def is_stuck(waited: float, forecast: float, usual: float) -> bool:
+def is_stalled(waited: float, forecast: float, usual: float) -> bool:
     """Returns whether a request has waited for longer than an endpoint's work explains.
 
     A long prompt takes seconds to read, in which nothing comes; and a request that was sent a
--- a/wasabidrum/decisions/take_back_test.py
+++ b/wasabidrum/decisions/take_back_test.py
@@ -7,7 +7,7 @@
     RETIRED_MARGIN_SECONDS,
     TakenBack,
     Waiting,
-    is_stuck,
+    is_stalled,
     reason_to_take_back,
 )
 
@@ -109,11 +109,11 @@
     def test_a_long_prompt_is_read_to_its_end(self) -> None:
         """A prompt takes an engine a second to read. Half a second without an event is not
         silence then; moved, it would be read again from its start."""
-        self.assertFalse(is_stuck(waited=1.4, forecast=1.0, usual=0.01))
-        self.assertTrue(is_stuck(waited=3.1, forecast=1.0, usual=0.01))
+        self.assertFalse(is_stalled(waited=1.4, forecast=1.0, usual=0.01))
+        self.assertTrue(is_stalled(waited=3.1, forecast=1.0, usual=0.01))
 
     def test_what_was_sent_a_moment_ago_is_not_stuck(self) -> None:
-        self.assertFalse(is_stuck(waited=0.1, forecast=0.01, usual=0.01))
+        self.assertFalse(is_stalled(waited=0.1, forecast=0.01, usual=0.01))
 
 
 if __name__ == "__main__":
--- a/wasabidrum/decisions/token_allowance.py
+++ b/wasabidrum/decisions/token_allowance.py
@@ -7,13 +7,6 @@
 Each entry enforces its part, the limit divided by the entries in service, since the balancer
 spreads a workspace's requests evenly over them; nothing is shared between entries. While
 entries disagree about their number, a workspace gets a little more or less than its limit.
-
-Grounds:
-- BURST_SECONDS: committees and tills send in bursts; five seconds' worth may come at once,
-  which is well under the minute over which operators look at rates.
-- A request takes its expected cost when it is let in and is corrected to what it did cost, so
-  that a workspace is not charged for tokens that it never got. The level may go below zero by
-  one request: a request larger than the burst would otherwise never be served.
 """
 
 import dataclasses
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -19,12 +19,6 @@
 the version, and engines that have not heard of it cannot have switched.
 
 All times are of a clock that counts while the instance is suspended.
-
-Grounds:
-- PLACE_MARGIN_SECONDS covers the time between a request's departure and its first token at a
-  full engine: first events are forecast up to 0.45 s ahead where callers aim at half a second.
-- UNKNOWN_SECONDS is over before anyone counts on a process again, three seconds after it started
-  or woke.
 """
 
 import dataclasses
@@ -97,7 +91,7 @@
         self._wanted.append(WantedVersion(version, min(after, now), now, now))
         return True
 
-    def take_told(self, version: int, seconds: float, now: float) -> None:
+    def record_reported(self, version: int, seconds: float, now: float) -> None:
         """Takes from another process how long ago it had heard of a version."""
         self._wanted = [
             (
--- a/wasabidrum/decisions/version_floor_test.py
+++ b/wasabidrum/decisions/version_floor_test.py
@@ -51,12 +51,12 @@
     def test_another_process_tells_for_how_long_a_version_has_been_wanted(self) -> None:
         floor = VersionFloor(8.0)
         floor.take(2, NEVER, 100.0)
-        floor.take_told(2, 7.5, 100.1)
+        floor.record_reported(2, 7.5, 100.1)
         self.assertEqual(floor.oldest_to_place(100.1), 2)
 
     def test_a_younger_account_does_not_prolong_the_time(self) -> None:
         self.floor.take(2, 100.0, 100.0)
-        self.floor.take_told(2, 0.0, 105.0)
+        self.floor.record_reported(2, 0.0, 105.0)
         self.assertEqual(self.floor.oldest_to_place(107.5), 2)
         self.assertAlmostEqual(self.floor.newest_seconds(103.0), 3.0)
 
--- a/wasabidrum/entry/endpoint_watcher.py
+++ b/wasabidrum/entry/endpoint_watcher.py
@@ -8,8 +8,8 @@
 from ..core.instance import Instance, InstanceRole
 from ..core.status import Status
 from ..decisions import endpoint_subset
-from ..decisions.member_news import MemberState
 from ..decisions.member_record import MemberRecord, instance_from
+from ..decisions.member_update import MemberState
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.configuration_follower import ConfigurationFollower
--- a/wasabidrum/entry/traffic.py
+++ b/wasabidrum/entry/traffic.py
@@ -9,7 +9,7 @@
 from ..decisions import backoff, poison, prefix_affinity
 from ..decisions.endpoint_health import Health
 from ..decisions.endpoint_state import EndpointState
-from ..decisions.entry_room import EntryRoom
+from ..decisions.in_progress_limit import InProgressLimit
 from ..decisions.retry_budget import RetryBudget
 from ..decisions.ticket import Refusal, Ticket, TicketState
 from ..observe.event import Event
@@ -52,7 +52,7 @@
         self._data_centre = data_centre
         self._rng = rng or random.Random()
         self._pools: dict[tuple[str, str], TargetPool] = {}
-        self._room = EntryRoom()
+        self._room = InProgressLimit()
         self._costs = RequestCosts(follower, count_entries, self._rng)
         self._budget = RetryBudget()
         self._guard = poison.PoisonGuard()
@@ -169,7 +169,7 @@
         self._table.take_status(status)
         now = asyncio.get_running_loop().time()
         if status.suspects:
-            self._guard.take_told(status.name, status.suspects, now)
+            self._guard.record_reported(status.name, status.suspects, now)
         pool = self._pools.get((status.model, status.service))
         if pool is not None and status.name in pool.states:
             pool.take_report(status.name, pool.views[status.name], now)
@@ -254,7 +254,7 @@
                 self._judge.eject(pool, state, f"silent for {silent:.1f} s")
         for name, view in pool.views.items():
             if view.status is not None and view.status.suspects:
-                self._guard.take_told(name, view.status.suspects, now)
+                self._guard.record_reported(name, view.status.suspects, now)
 
     def _set_timer(self, pool: TargetPool, now: float) -> None:
         if pool.timer is not None:
--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -90,13 +90,14 @@
         for attempt in list(self._attempts):
             placed = attempt.placed
             if not attempt.begun:
-                self._placer.note_waiting(placed, attempt.heard_at)
+                self._placer.record_waiting(placed, attempt.heard_at)
             waiting = Waiting(
                 begun=attempt.begun,
                 repeatable=attempt.repeatable,
                 may_begin=self.may_begin(placed),
                 tells_beginning=attempt.tells_beginning,
-                silent=not late and self._placer.is_stuck(placed, attempt.heard_at, attempt.begun),
+                silent=not late
+                and self._placer.is_stalled(placed, attempt.heard_at, attempt.begun),
                 retired_seconds=now - self._retired_at.get(placed.endpoint.id, now),
                 reserve=attempt.reserve_elsewhere,
             )
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -212,7 +212,7 @@
             self._take_changes(reply, now)
         # Last, for a version is dated only once the changes have named it.
         for named in reply.named:
-            self._state.take_told_version(named.model, named.version, named.seconds)
+            self._state.record_reported_version(named.model, named.version, named.seconds)
         if not newer:
             return
         # What the other knew when it was asked is no older than its own evidence was then.
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -11,19 +11,19 @@
 from ..core.request_head import RequestHead
 from ..core.route import Route, RouteKind
 from ..core.status import Status
+from ..decisions.endpoint_assignment import assign_endpoints
 from ..decisions.endpoint_choice import LATEST_FRACTION, Candidate, Choice, Demand, choose
 from ..decisions.endpoint_health import Health, is_silent
 from ..decisions.endpoint_load import EndpointLoad
 from ..decisions.engine_forecast import pass_seconds
 from ..decisions.entry_roster import Place
-from ..decisions.entry_share import deal
 from ..decisions.retry_budget import RetryBudget
-from ..decisions.take_back import is_stuck
+from ..decisions.take_back import is_stalled
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .published_state import PublishedState
+from .reported_statuses import ReportedStatuses
 from .service_traffic import ServiceTraffic
-from .told_engines import ToldEngines
 
 # A plain service's call is short; one is refused only where it could not end in its time.
 PLAIN_LATEST_FRACTION = 0.5
@@ -50,7 +50,7 @@
     raw: float = 0.0
 
 
-class Fellows(typing.Protocol):
+class PeerEntries(typing.Protocol):
     """What is known of the other entries."""
 
     @property
@@ -69,7 +69,7 @@
     """The endpoints of one entry, and what it knows of each."""
 
     __slots__ = ("_state", "_log", "_near", "_loads", "_rng", "_budgets", "_bounds")
-    __slots__ += ("_told", "_fellows", "_traffic", "_first", "_dealt_for")
+    __slots__ += ("_told", "_peer_entries", "_traffic", "_first", "_dealt_for")
 
     def __init__(
         self,
@@ -77,19 +77,19 @@
         log: EventLog,
         data_centre: str,
         bounds: Bounds,
-        fellows: Fellows,
+        peer_entries: PeerEntries,
     ) -> None:
         self._state = state
         self._log = log
         self._near = data_centre
         self._bounds = bounds
-        self._fellows = fellows
+        self._peer_entries = peer_entries
         self._traffic: dict[str, ServiceTraffic] = {}
         self._first: frozenset[str] = frozenset()
         self._dealt_for: tuple[object, ...] = ()
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
         self._budgets: dict[str, RetryBudget] = {}
-        self._told = ToldEngines()
+        self._told = ReportedStatuses()
         self._rng = random.Random()
 
     @property
@@ -110,7 +110,7 @@
         """Returns the retries that a service may still be sent."""
         budget = self._budgets.get(service)
         if budget is None:
-            entries = max(FEWEST_ENTRIES, self._fellows.count)
+            entries = max(FEWEST_ENTRIES, self._peer_entries.count)
             part = RETRY_PART * self._bounds.retry_extra / entries
             earned = RETRY_PART * self._bounds.retry_fraction
             budget = self._budgets[service] = RetryBudget(earned, part, part)
@@ -192,7 +192,7 @@
         placed.load.lateness.take(seconds - placed.seconds, now)
         self.traffic(placed.endpoint.service).bias.take(placed.raw, seconds, now)
 
-    def note_waiting(self, placed: Placed, placed_at: float) -> None:
+    def record_waiting(self, placed: Placed, placed_at: float) -> None:
         """Takes that a request has not begun yet, which may be later than forecast."""
         now = asyncio.get_running_loop().time()
         placed.load.lateness.take(now - placed_at - placed.seconds, now)
@@ -231,7 +231,7 @@
             if endpoint.host == status.host and endpoint.service == status.service:
                 self.load_of(endpoint).take_report(load.running, load.waiting, load.pace, now, lag)
         if status.model and status.wanted_version.isdecimal():
-            self._state.take_told_version(
+            self._state.record_reported_version(
                 status.model, int(status.wanted_version), status.wanted_seconds
             )
 
@@ -248,7 +248,7 @@
         for listed in self._state.endpoints.endpoints:
             if listed.service != service or listed.leaving or listed.id in tried:
                 continue
-            endpoint = listed if figures is None else self._told.as_told(listed, now)
+            endpoint = listed if figures is None else self._told.with_reported_weights(listed, now)
             load = self.load_of(endpoint)
             late = load.lateness.worst(now)
             if figures is not None and not self._may_answer(endpoint, weights, late):
@@ -259,7 +259,7 @@
             found.append(Candidate(endpoint, load, near, first))
         return found
 
-    def is_stuck(self, placed: Placed, heard_at: float, begun: bool) -> bool:
+    def is_stalled(self, placed: Placed, heard_at: float, begun: bool) -> bool:
         """Returns whether a request waits at an endpoint that stands still.
 
         Args:
@@ -276,7 +276,7 @@
             return False
         forecast = 0.0 if begun else placed.seconds
         silent = is_silent(placed.load.silent_seconds(now), usual)
-        return silent and is_stuck(now - heard_at, forecast, usual)
+        return silent and is_stalled(now - heard_at, forecast, usual)
 
     def _judge_silence(
         self, endpoint: ListedEndpoint, load: EndpointLoad, usual: float, now: float
@@ -300,11 +300,11 @@
 
     def _others_rate(self, traffic: ServiceTraffic, endpoints: int, now: float) -> float:
         """Returns how many requests a second others send to each endpoint, on average."""
-        return traffic.rate.per_second(now) * (self._fellows.count - 1) / max(1, endpoints)
+        return traffic.rate.per_second(now) * (self._peer_entries.count - 1) / max(1, endpoints)
 
     def _deal(self) -> None:
         """Finds out which engines this entry sends to first, where anything has changed."""
-        entries = self._fellows.nearby()
+        entries = self._peer_entries.nearby()
         state = (self._state.endpoints.version, tuple(entries))
         if state == self._dealt_for:
             return
@@ -313,7 +313,9 @@
         for endpoint in self._state.endpoints.endpoints:
             if endpoint.data_centre == self._near and not endpoint.leaving:
                 by_service.setdefault(endpoint.service, []).append(endpoint.id)
-        shares = (deal(ids, entries, self._fellows.own) for ids in by_service.values())
+        shares = (
+            assign_endpoints(ids, entries, self._peer_entries.own) for ids in by_service.values()
+        )
         self._first = frozenset().union(*shares)
 
     def _may_answer(self, endpoint: ListedEndpoint, weights: int, late: float) -> bool:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -97,11 +97,11 @@
             return True
         return weights >= floor.oldest_to_begin(awake_seconds(), self.outages.latest)
 
-    def take_told_version(self, model: str, version: int, seconds: float) -> None:
+    def record_reported_version(self, model: str, version: int, seconds: float) -> None:
         """Takes from another process how long ago it had heard of a version."""
         floor = self._floors.get(model)
         if floor is not None and version:
-            floor.take_told(version, seconds, awake_seconds())
+            floor.record_reported(version, seconds, awake_seconds())
 
     def named_versions(self) -> list[tuple[str, int, float]]:
         """Returns model, version and for how many seconds it has been wanted, of each."""
--- a/wasabidrum/gateway/told_engines_test.py
+++ b/wasabidrum/gateway/reported_statuses_test.py
@@ -6,7 +6,7 @@
 from ..core.listed_endpoint import ListedEndpoint
 from ..core.load import Load
 from ..core.status import Status
-from .told_engines import REFUSED_SECONDS, REPORT_LAG_SECONDS, ToldEngines
+from .reported_statuses import REFUSED_SECONDS, REPORT_LAG_SECONDS, ReportedStatuses
 
 LISTED = ListedEndpoint("e1", "text", "10.0.0.1", 80, "rift-a", model="m", weights=2, whole=True)
 
@@ -25,25 +25,27 @@
     )
 
 
-class ToldEnginesTest(unittest.TestCase):
+class ReportedStatusesTest(unittest.TestCase):
     """An engine that the platform lists with version 2."""
 
     def setUp(self) -> None:
-        self.told = ToldEngines()
+        self.told = ReportedStatuses()
 
     def test_an_engine_that_lost_its_weights_gets_no_requests_for_a_moment(self) -> None:
         """All instances lost power, and the list still names what engines held. Each refusal
         was taken for a failure, and engines that were back stayed out of service."""
         self.told.record_refusal("e1", 10.0)
-        self.assertFalse(self.told.as_told(LISTED, 10.1).whole)
-        self.assertTrue(self.told.as_told(LISTED, 10.0 + REFUSED_SECONDS + 0.1).whole)
+        self.assertFalse(self.told.with_reported_weights(LISTED, 10.1).whole)
+        self.assertTrue(self.told.with_reported_weights(LISTED, 10.0 + REFUSED_SECONDS + 0.1).whole)
 
     def test_it_is_back_as_soon_as_its_sidecar_says_so(self) -> None:
         self.told.record_refusal("e1", 10.0)
         self.told.take(make_status("2"), 10.0 + REPORT_LAG_SECONDS)
-        self.assertTrue(self.told.as_told(LISTED, 10.0 + REPORT_LAG_SECONDS).whole)
+        self.assertTrue(self.told.with_reported_weights(LISTED, 10.0 + REPORT_LAG_SECONDS).whole)
 
     def test_an_account_that_may_be_older_than_the_refusal_does_not_count(self) -> None:
         self.told.record_refusal("e1", 10.0)
         self.told.take(make_status("2"), 10.0 + REPORT_LAG_SECONDS / 2)
-        self.assertFalse(self.told.as_told(LISTED, 10.0 + REPORT_LAG_SECONDS / 2).whole)
+        self.assertFalse(
+            self.told.with_reported_weights(LISTED, 10.0 + REPORT_LAG_SECONDS / 2).whole
+        )
--- a/wasabidrum/observe/line_budget.py
+++ b/wasabidrum/observe/line_budget.py
@@ -5,9 +5,6 @@
 whoever keeps the logs drops what they need most. So lines of what went well are bounded by the
 second and counted beyond that; every refusal, failure, retry, ejection, order and change of
 belief is written.
-
-Grounds: at the two-year size an entry takes 30 requests a second, which are 60 such lines; ten
-times that is a flood.
 """
 
 ROUTINE_LINES_PER_SECOND = 600
--- a/wasabidrum/peers/entry_counter.py
+++ b/wasabidrum/peers/entry_counter.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from ..core.instance import InstanceRole
-from ..decisions.member_news import MemberState
 from ..decisions.member_table import MemberTable
+from ..decisions.member_update import MemberState
 
 COUNT_SECONDS = 2.0
 
--- a/wasabidrum/peers/list_keeper.py
+++ b/wasabidrum/peers/member_list_cache.py
@@ -15,7 +15,7 @@
 OTHERS_SECONDS = 300.0
 
 
-class ListKeeper:
+class MemberListCache:
     """Reads the list at start and rarely, as a reader often, and takes it from peers.
 
     Attributes:
--- a/wasabidrum/peers/member_watch.py
+++ b/wasabidrum/peers/member_watch.py
@@ -4,12 +4,12 @@
 
 from ..core.instance import Instance
 from ..core.status import Status
-from ..decisions.member_news import MemberNews, MemberState
 from ..decisions.member_table import MemberTable
+from ..decisions.member_update import MemberState, MemberUpdate
 from ..observe.event import Event
 from ..observe.event_log import EventLog
-from .news_log import NewsLog
 from .peer_messages import Push
+from .update_log import UpdateLog
 
 
 class MemberWatch:
@@ -33,7 +33,7 @@
         self._account = account
         self._log = log
         self._on_news = on_news
-        self.news = NewsLog()
+        self.news = UpdateLog()
 
     def take_sign_of_life(self, name: str, push: Push, status: Status, now: float) -> None:
         """Takes a message of a member, and its whole status after it."""
@@ -48,7 +48,7 @@
         elif was is not MemberState.ALIVE and known.state is MemberState.ALIVE:
             self._log.write(Event.MEMBER_BACK, member=name)
 
-    def take_news(self, told: collections.abc.Iterable[MemberNews], now: float) -> None:
+    def take_news(self, told: collections.abc.Iterable[MemberUpdate], now: float) -> None:
         """Takes what a member says of others; what it says wrongly of this process is refuted."""
         refute = False
         for news in told:
@@ -83,6 +83,6 @@
         if fresh:
             self._on_news()
 
-    def _own_news(self) -> MemberNews:
+    def _own_news(self) -> MemberUpdate:
         own = self._account()
-        return MemberNews(own.name, MemberState.ALIVE, own.incarnation, own.sequence, own.leaving)
+        return MemberUpdate(own.name, MemberState.ALIVE, own.incarnation, own.sequence, own.leaving)
--- a/wasabidrum/peers/peer_link.py
+++ b/wasabidrum/peers/peer_link.py
@@ -7,7 +7,7 @@
 
 from ..core.load import Load
 from ..core.status import Status
-from ..decisions.member_news import MemberNews
+from ..decisions.member_update import MemberUpdate
 from .peer_messages import Push
 
 GOSSIP_BEAT_SECONDS = 1.0
@@ -46,7 +46,7 @@
     def list_digest(self) -> str:
         """The digest of that list."""
 
-    def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberNews, ...]]:
+    def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberUpdate, ...]]:
         """Returns news after a place in the log, and the place after them."""
 
 
@@ -98,7 +98,7 @@
         self._told_load = status.load
         changed = told_status is None and status.revision != self._told_revision
         self._told_revision = status.revision
-        news: tuple[MemberNews, ...] = ()
+        news: tuple[MemberUpdate, ...] = ()
         digest = ""
         if self.gossip:
             self._cursor, news = self._owner.news_after(self._cursor, NEWS_PER_PUSH)
--- a/wasabidrum/peers/peer_membership.py
+++ b/wasabidrum/peers/peer_membership.py
@@ -3,9 +3,9 @@
 import collections.abc
 
 from ..core.instance import Instance
-from ..decisions.member_news import MemberState
 from ..decisions.member_record import MemberRecord
 from ..decisions.member_table import MemberTable
+from ..decisions.member_update import MemberState
 from .member_view import MemberView
 
 
--- a/wasabidrum/peers/peer_messages.py
+++ b/wasabidrum/peers/peer_messages.py
@@ -8,7 +8,7 @@
 
 from ..core.instance import Instance
 from ..core.status import Status
-from ..decisions.member_news import MemberNews
+from ..decisions.member_update import MemberUpdate
 
 SERVICE_PATH = "/wasabidrum.Peer"
 WATCH_PATH = f"{SERVICE_PATH}/Watch"
@@ -40,7 +40,7 @@
     uptime: float = 0.0
     list_as_of: float = 0.0
     list_digest: str = ""
-    news: tuple[MemberNews, ...] = ()
+    news: tuple[MemberUpdate, ...] = ()
     revision: int = 0
     config_digest: str = ""
 
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -12,10 +12,10 @@
 from ..core.instance import Instance
 from ..core.status import Status
 from ..decisions.clock_gap import ClockGap
-from ..decisions.member_news import MemberNews, MemberState
 from ..decisions.member_readers import ReaderPlan
 from ..decisions.member_record import instance_from
 from ..decisions.member_table import MemberTable
+from ..decisions.member_update import MemberState, MemberUpdate
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..platform.instance_directory import InstanceDirectory
@@ -24,7 +24,7 @@
 from .configuration_follower import ConfigurationFollower
 from .control_report import ControlReport
 from .isolation_watch import IsolationWatch
-from .list_keeper import ListKeeper
+from .member_list_cache import MemberListCache
 from .member_watch import MemberWatch
 from .outbound_links import OutboundLinks
 from .peer_asker import PeerAsker
@@ -32,7 +32,7 @@
 from .peer_link import PeerLink
 from .peer_messages import ConfigurationReply, FetchConfiguration, FetchList, ListReply, Push
 from .peer_service import PeerService
-from .plan_keeper import PlanKeeper
+from .reader_assignment import ReaderAssignment
 from .service_reader import ServiceReader
 
 TICK_SECONDS = 0.25
@@ -73,9 +73,9 @@
         self.peer_port = 0
         self.table = MemberTable(settings.name)
         self._members = MemberWatch(self.table, account, log, self.wake_all)
-        self._plans = PlanKeeper(self.table)
+        self._plans = ReaderAssignment(self.table)
         self._isolation = IsolationWatch(self.table, self.verify, self._tasks, log)
-        self.lists = ListKeeper(directory, log, self._take_list)
+        self.lists = MemberListCache(directory, log, self._take_list)
         self._turn_at = now = asyncio.get_running_loop().time()
         self._reader = ServiceReader(follower, self.lists, self._tasks, log, now)
         self._asker = PeerAsker(self.table, follower, self._fetcher, self._gap, log)
@@ -136,7 +136,7 @@
         """See LinkOwner."""
         return self._account()
 
-    def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberNews, ...]]:
+    def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberUpdate, ...]]:
         """See GossipOwner."""
         return self._members.news.after(cursor, limit)
 
--- a/wasabidrum/peers/plan_keeper.py
+++ b/wasabidrum/peers/reader_assignment.py
@@ -7,7 +7,7 @@
 PLAN_SECONDS = 0.5
 
 
-class PlanKeeper:
+class ReaderAssignment:
     """Makes the plan anew once the members have changed, twice a second at most.
 
     Attributes:
--- a/wasabidrum/peers/service_reader.py
+++ b/wasabidrum/peers/service_reader.py
@@ -6,7 +6,7 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .configuration_follower import ConfigurationFollower
-from .list_keeper import ListKeeper
+from .member_list_cache import MemberListCache
 
 READER_WATCH_SECONDS = 2.0
 ALONE_SECONDS = 5.0
@@ -24,7 +24,7 @@
     def __init__(
         self,
         follower: ConfigurationFollower,
-        lists: ListKeeper,
+        lists: MemberListCache,
         tasks: BackgroundTasks,
         log: EventLog,
         now: float,
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -19,7 +19,7 @@
 from ..weights.chunk_handler import ChunkHandler
 from ..weights.deployed_settings import distribution_settings
 from ..weights.distributor import Distributor
-from ..weights.engine_keeper import EngineKeeper
+from ..weights.engine_controller import EngineController
 from ..weights.listed_engines import CHUNK_PORT_OFFSET, ListedEngines
 from ..weights.origin_draw import OriginDraw
 from ..weights.shared_readings import PATH as READINGS_PATH
@@ -57,7 +57,7 @@
         )
         self._distributor.pacer.links = LinkSpec(weights_fraction_instance=WEIGHTS_FRACTION)
         engine = make_engine_client(client, deployment.endpoint)
-        self._keeper = EngineKeeper(
+        self._keeper = EngineController(
             engine,
             origin,
             self._distributor,
--- a/wasabidrum/sidecar/load_service.py
+++ b/wasabidrum/sidecar/load_service.py
@@ -8,7 +8,7 @@
 from ..config.deployment import Deployment
 from ..core.instance import InstanceRole
 from ..core.status import Status
-from ..decisions.member_news import MemberNews
+from ..decisions.member_update import MemberUpdate
 from ..peers.peer_client import CODEC
 from ..peers.peer_link import PeerLink
 from ..peers.peer_messages import (
@@ -72,7 +72,7 @@
         """See LinkOwner."""
         return self._account()
 
-    def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberNews, ...]]:
+    def news_after(self, cursor: int, limit: int) -> tuple[int, tuple[MemberUpdate, ...]]:
         """See GossipOwner; a watcher that asks for it is told of nothing."""
         return cursor, ()
 
--- a/wasabidrum/weights/chunk_handler.py
+++ b/wasabidrum/weights/chunk_handler.py
@@ -28,7 +28,7 @@
         self.distributor = distributor
         self.closed = asyncio.Event()
         if headers.ASKER in self.request.headers:
-            distributor.note_asked()
+            distributor.record_asked()
 
     def head(self, digest: str) -> None:
         """Says what is known of the chunk, at once."""
@@ -87,7 +87,7 @@
         except (iostream.StreamClosedError, TimeoutError):
             self.request.connection.close()
             return
-        self.distributor.note_sent(digest, region, len(content))
+        self.distributor.record_sent(digest, region, len(content))
 
     def on_connection_close(self) -> None:
         """Stops waiting for an asker that went away."""
--- a/wasabidrum/weights/chunk_store.py
+++ b/wasabidrum/weights/chunk_store.py
@@ -57,7 +57,7 @@
         for held in self._held.values():
             held.wanted = held.digest in self._wanted
 
-    def note_served(self, digest: str) -> None:
+    def record_served(self, digest: str) -> None:
         """Takes that one peer has fetched a chunk."""
         if held := self._held.get(digest):
             held.serves_left -= 1
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -93,9 +93,9 @@
             return ChunkState.COMING
         return ChunkState.LACKING
 
-    def note_sent(self, digest: str, region: str, size: int) -> None:
+    def record_sent(self, digest: str, region: str, size: int) -> None:
         """Takes that a peer has got a chunk from here."""
-        self.store.note_served(digest)
+        self.store.record_served(digest)
         if region == self._settings.region:
             self.counts.to_own_region += size
         else:
@@ -154,7 +154,7 @@
                 if state is ChunkState.LACKING or (state is ChunkState.COMING and stuck):
                     # One that waits for ever is passed over as well, for its own way to
                     # the chunk may be cut while another way is open.
-                    self.asker.evidence.note_lack(step.peer, digest, self._now())
+                    self.asker.evidence.record_lack(step.peer, digest, self._now())
             else:
                 content = await self._bring_in(plan, index, digest, step, rounds)
                 rounds += 1
@@ -168,7 +168,7 @@
         self._asked.clear()
         self._begun_at = self._now()
 
-    def note_asked(self) -> None:
+    def record_asked(self) -> None:
         """Takes that a peer asked for something here, so that peers know of this sidecar."""
         self._asked.set()
 
@@ -247,7 +247,7 @@
             found, content = await self._ask_holders(plan, index, digest, rounds)
             if found or (self.spread and rounds < PROBE_ROUNDS_WHEN_SPREAD):
                 return content
-            if rounds < ROUNDS_IN_DOUBT and self.asker.own_link_in_doubt():
+            if rounds < ROUNDS_IN_DOUBT and self.asker.own_link_suspected():
                 await asyncio.sleep(SLOW_PAUSE_SECONDS)
                 return None
         self.store.drawing.add(digest)
@@ -261,7 +261,7 @@
         finally:
             self.store.drawing.discard(digest)
             self.store.wake(digest)
-            self.asker.note_draw(self._now() - began)
+            self.asker.record_draw(self._now() - began)
         if content is None:
             await asyncio.sleep(pause)
         else:
--- a/wasabidrum/weights/distributor_test.py
+++ b/wasabidrum/weights/distributor_test.py
@@ -60,7 +60,7 @@
         """See PeerChunkClient."""
         peer = next(d for name, d in self._fleet.items() if f"{name}:" in url)
         if not probe:
-            peer.note_asked()
+            peer.record_asked()
         await peer.store.wait(digest, wait)
         content = peer.store.get(digest)
         return PeerAnswer(peer.state_of(digest), content)
--- a/wasabidrum/weights/engine_keeper.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -35,7 +35,7 @@
 VERSIONS_KNOWN = 2
 
 
-class EngineKeeper:
+class EngineController:
     """Owns the orders to one engine; one piece of work at a time.
 
     Attributes:
--- a/wasabidrum/weights/engine_keeper_test.py
+++ b/wasabidrum/weights/engine_controller_test.py
@@ -11,7 +11,7 @@
 from ..core.digest import digest_of
 from ..core.engine_report import PieceList
 from ..observe.event_log import EventLog
-from .engine_keeper import EngineKeeper
+from .engine_controller import EngineController
 from .staged_version import StagedVersion
 
 MODEL = "m"
@@ -61,7 +61,7 @@
         listed = types.SimpleNamespace(model=MODEL, on_members=None)
         pieces = PieceList(MODEL, VERSION, len(PIECES[0]), tuple(store))
         self.staged = StagedVersion(self.engine, distributor, pieces)
-        self.keeper = EngineKeeper(self.engine, None, distributor, listed, None, 8.0, log)
+        self.keeper = EngineController(self.engine, None, distributor, listed, None, 8.0, log)
         self.clock = self.enterContext(contextlib.ExitStack())
 
     async def test_what_was_read_back_before_a_suspension_is_read_back_again(self) -> None:
--- a/wasabidrum/weights/peer_asker.py
+++ b/wasabidrum/weights/peer_asker.py
@@ -51,7 +51,7 @@
         self._region = settings.region
         self._membership = membership
         self._log = log
-        self._watch = PeerWatch(self._probe_one, self._others, self._note_held_up)
+        self._watch = PeerWatch(self._probe_one, self._others, self._record_held_up)
         self._counts = counts
         self.peers = PeerChunkClient(client, settings.name, settings.region)
         self.evidence = ChunkEvidence()
@@ -68,13 +68,13 @@
             if view.instance.role is InstanceRole.SIDECAR or view.name in self.relays
         }
 
-    def own_link_in_doubt(self) -> bool:
+    def own_link_suspected(self) -> bool:
         """Returns whether this sidecar's own link seems to be what delays its peers' answers."""
-        return self._watch.promptness.own_link_in_doubt(self._now())
+        return self._watch.responsiveness.own_link_suspected(self._now())
 
-    def note_draw(self, seconds: float) -> None:
+    def record_draw(self, seconds: float) -> None:
         """Takes how long a chunk took to come from the origin, or how long none came."""
-        self._watch.promptness.note_draw(seconds)
+        self._watch.responsiveness.record_draw(seconds)
 
     async def ask(
         self, name: str, digest: str, wait: float = ASK_WAIT_SECONDS, rate: float = 0.0
@@ -109,10 +109,10 @@
             )
         except CodedError as error:
             if error.code != "peer_held_up":
-                self._note_failure(name, digest, error)
+                self._record_failure(name, digest, error)
             return None, None
         self._membership.report_success(name)
-        self.evidence.note_answer(name, answer.content is not None)
+        self.evidence.record_answer(name, answer.content is not None)
         if answer.content is not None:
             self._note_content(view, len(answer.content), answer.late_seconds)
         return answer.content, answer.state
@@ -120,7 +120,7 @@
     def _note_content(self, view: MemberView, size: int, late_seconds: float) -> None:
         self.late_seconds = late_seconds
         if view.name in self.holders and late_seconds > SLOW_SECONDS:
-            self.evidence.note_slow(view.name, self._now())
+            self.evidence.record_slow(view.name, self._now())
         self._counts.asks_answered += 1
         if view.instance.region == self._region:
             self._counts.from_own_region += size
@@ -145,25 +145,25 @@
             return True
         return await self._watch.holds_up(name, digest)
 
-    def _note_held_up(self, name: str, digest: str) -> None:
+    def _record_held_up(self, name: str, digest: str) -> None:
         """Takes that a peer is silent while others answer."""
         if not self.evidence.avoided(name, self._now()):
             self._log.write(Event.CHUNK_PEER_PASSED_OVER, peer=name, chunk=digest, code="held_up")
-        self.evidence.note_slow(name, self._now())
+        self.evidence.record_slow(name, self._now())
 
-    def _note_failure(self, name: str, digest: str, error: CodedError) -> None:
+    def _record_failure(self, name: str, digest: str, error: CodedError) -> None:
         corrupt = error.code == "chunk_corrupt"
         if corrupt:
             self._counts.corrupt += 1
         else:
             self._counts.peer_failures += 1
-            if self.own_link_in_doubt() and self.evidence.excuse(name):
+            if self.own_link_suspected() and self.evidence.excuse(name):
                 # All peers would be passed over for ever longer, for what this link does to
                 # them, and the origin would be asked for the whole version once more.
                 return
             self._membership.report_failure(name)
         known = self.evidence.avoided(name, self._now())
-        self.evidence.note_failure(name, self._now(), corrupt)
+        self.evidence.record_failure(name, self._now(), corrupt)
         if not known or corrupt:
             self._log.write(Event.CHUNK_PEER_PASSED_OVER, peer=name, chunk=digest, code=error.code)
 
--- a/wasabidrum/weights/peer_chunk_client.py
+++ b/wasabidrum/weights/peer_chunk_client.py
@@ -8,7 +8,7 @@
 
 from ..core.digest import digest_of
 from ..core.errors import CodedError
-from ..decisions.peer_promptness import LOOK_SECONDS, PROMPT_SECONDS
+from ..decisions.peer_responsiveness import LOOK_SECONDS, PROMPT_SECONDS
 from ..wire import headers, http_client
 from .chunk_state import ChunkState
 
--- a/wasabidrum/weights/peer_watch.py
+++ b/wasabidrum/weights/peer_watch.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections.abc
 
-from ..decisions.peer_promptness import PROMPT_SECONDS, PeerPromptness, find_silent
+from ..decisions.peer_responsiveness import PROMPT_SECONDS, PeerResponsiveness, find_silent
 from .chunk_state import ChunkState
 
 Probe = collections.abc.Callable[[str, str], collections.abc.Awaitable[ChunkState | None]]
@@ -70,10 +70,10 @@
     """Probes peers, each once for all who wait at it.
 
     Attributes:
-      promptness: What the probes have shown.
+      responsiveness: What the probes have shown.
     """
 
-    __slots__ = ("_probe", "_others", "_on_held_up", "_looks", "promptness")
+    __slots__ = ("_probe", "_others", "_on_held_up", "_looks", "responsiveness")
 
     def __init__(
         self,
@@ -92,11 +92,11 @@
         self._others = others
         self._on_held_up = on_held_up
         self._looks: dict[str, asyncio.Task[bool]] = {}
-        self.promptness = PeerPromptness()
+        self.responsiveness = PeerResponsiveness()
 
     async def holds_up(self, name: str, digest: str) -> bool:
         """Returns whether a peer is silent while others answer."""
-        if self.promptness.answered_lately(name, asyncio.get_running_loop().time()):
+        if self.responsiveness.answered_lately(name, asyncio.get_running_loop().time()):
             return False
         look = self._looks.get(name)
         if look is None:
@@ -112,7 +112,7 @@
         return [probes.read_state(name) for name in names]
 
     async def _look(self, name: str, digest: str) -> bool:
-        witnesses = self.promptness.choose_witnesses(name, self._others())
+        witnesses = self.responsiveness.choose_witnesses(name, self._others())
         _, silent = await self._play_round([name, *witnesses], digest)
         return name in silent
 
@@ -124,7 +124,7 @@
         finally:
             probes.end()
         now = asyncio.get_running_loop().time()
-        self.promptness.note_round(probes.answers, probes.elapsed, now)
+        self.responsiveness.note_round(probes.answers, probes.elapsed, now)
         for name in silent:
             self._on_held_up(name, digest)
         return probes, silent
