End runs early at engines that load first

With weights complete 5.3 s after a naming and old ones good for 7, the first half of the engines was back only after the second half had to stop: for half a second nobody took requests. Engines of the first turn now take nothing new from 1.2 s before their weights are complete, so that their runs end while the last pieces come, and the second turn follows 0.8 s after instead of 2.

--- a/wasabidrum/decisions/switch_turns.py
+++ b/wasabidrum/decisions/switch_turns.py
@@ -3,9 +3,10 @@
 Load pattern: weights reach all engines within half a second of each other, for all are bound by
 links of the same width. An engine that is ordered to load them takes nothing new until its last
 run has ended, which takes a second or two. Ordered together, no engine takes anything, and
-queues stand at all of them when they are back. So half of the engines load at once, and the
-other half answers with the old weights until the first is back, or until the old weights may not
-answer any more.
+queues stand at all of them when they are back. So half of the engines load first, and the other
+half answers with the old weights until the first is back, or until the old weights may not answer
+any more. The first half takes nothing new from EARLY_SECONDS before its weights are complete, so
+that its runs end while the last pieces come, and it is back before the old weights' time is over.
 
 Everybody works out the same turns from the list of engines; where lists differ for a moment,
 somewhat more or fewer than half go first.
@@ -19,6 +20,9 @@
 # Runs last for a second or two, and loading for a fraction of one.
 TURN_SECONDS = 2.0
 TURNS = 2
+# Most runs end within that time; an engine that waits longer for weights that stall takes requests
+# again after twice as long.
+EARLY_SECONDS = 1.2
 
 
 def turn_of(version: int, own: str, region_of: collections.abc.Mapping[str, str]) -> int:
@@ -44,4 +48,18 @@
       bound: The seconds after the naming when the old weights may not answer any more.
     """
     left = bound - PLACE_MARGIN_SECONDS - named_for
-    return max(0.0, min(turn * TURN_SECONDS - staged_for, left))
+    after_first = turn * (TURN_SECONDS - EARLY_SECONDS)
+    return max(0.0, min(after_first - staged_for, left))
+
+
+def ends_runs_early(turn: int, answering: int, share: float, elapsed: float) -> bool:
+    """Returns whether an engine takes nothing new although its weights are not complete.
+
+    Args:
+      answering: How many engines answer, this one included.
+      share: The share of its weights that has come.
+      elapsed: The seconds since they began to come.
+    """
+    if turn or answering < TURNS or share <= 0.0:
+        return False
+    return elapsed * (1.0 - share) / share <= EARLY_SECONDS
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -6,7 +6,12 @@
 from ..core.awake_clock import awake_seconds
 from ..core.engine_report import EngineReport, PieceList
 from ..core.errors import CodedError
-from ..decisions.switch_turns import seconds_until_turn, turn_of
+from ..decisions.switch_turns import (
+    EARLY_SECONDS,
+    ends_runs_early,
+    seconds_until_turn,
+    turn_of,
+)
 from ..decisions.version_choice import VersionChoice
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -163,11 +168,38 @@
         self._take_holders()
         if staged.share < 1.0:
             await self._listed.wait_for_relays()
-        await staged.bring(self._listed.region_of, self._listed.relays, self._listed.origin_region)
-        self._log.write(Event.VERSION_STAGED, version=version, chunks=0)
-        await self._wait_for_turn(version)
-        if self.report is not None and not self.report.busy:
-            await self._order(staged, version)
+        ending = asyncio.ensure_future(self._end_runs_early(staged))
+        try:
+            listed = self._listed
+            await staged.bring(listed.region_of, listed.relays, listed.origin_region)
+            self._log.write(Event.VERSION_STAGED, version=version, chunks=0)
+            await self._wait_for_turn(version)
+            if self.report is not None and not self.report.busy:
+                await self._order(staged, version)
+        finally:
+            ending.cancel()
+            await asyncio.gather(ending, return_exceptions=True)
+            self._set_switching(False)
+
+    async def _end_runs_early(self, staged: StagedVersion) -> None:
+        """Has entries place nothing more here shortly before a version is complete."""
+        answering = self._listed.answering
+        turn = turn_of(staged.version, self._listed.own, answering)
+        if not self._listed.named_for(staged.version) or self._listed.own not in answering:
+            return
+        loop = asyncio.get_running_loop()
+        while not ends_runs_early(turn, len(answering), staged.share, loop.time() - self._begun_at):
+            await asyncio.sleep(REPORT_SECONDS)
+        self._set_switching(True)
+        await asyncio.sleep(2.0 * EARLY_SECONDS)
+        # The weights have stalled meanwhile; others may be as badly off.
+        if staged.share < 1.0:
+            self._set_switching(False)
+
+    def _set_switching(self, switching: bool) -> None:
+        if self.switching != switching:
+            self.switching = switching
+            self.on_report()
 
     async def _wait_for_turn(self, version: int) -> None:
         """Waits while other engines load a version and this one still answers."""
@@ -220,8 +252,7 @@
 
     async def _order(self, staged: StagedVersion, version: int) -> None:
         await self._verify(staged, version)
-        self.switching = True
-        self.on_report()
+        self._set_switching(True)
         try:
             accepted = await self._engine.start(self._listed.model, version, version)
             self._log.write(Event.ENGINE_ORDERED, version=version, accepted=accepted)
@@ -229,8 +260,7 @@
                 self._accepted = version
                 await self._wait_in_force(version)
         finally:
-            self.switching = False
-            self.on_report()
+            self._set_switching(False)
 
     async def _verify(self, staged: StagedVersion, version: int) -> None:
         """Reads staged weights back until all are sound, a few times at most.
