Begin work for a version again where it ended unforeseen, and hold no more than fits

A version larger than half of an entry's memory for weights would have been fetched again every two seconds; entries hold what fits, sidecars bring in the rest. Tests of the plan with entries.

--- a/wasabidrum/decisions/chunk_route_test.py
+++ b/wasabidrum/decisions/chunk_route_test.py
@@ -12,7 +12,7 @@
 from .chunk_eviction import HeldChunk, choose_victim
 from .chunk_evidence import ChunkEvidence
 from .chunk_pacing import LinkSchedule
-from .chunk_plan import ChunkPlan
+from .chunk_plan import RELAY_CHILDREN, ChunkPlan
 from .chunk_route import Asker, StepKind, find_holder
 
 REGIONS = ("rift-a", "nbi-a", "msa-a")
@@ -245,3 +245,51 @@
         }
         self.assertEqual(chosen, {"b"})
         self.assertEqual(find_holder(["a"], "new", "chunk", lambda name: False), "")
+
+
+class RelayTest(unittest.TestCase):
+    """Regions of four sidecars and two relays each, and one that is larger."""
+
+    def setUp(self) -> None:
+        self.chunks = tuple(f"c{i}" for i in range(24))
+        self.regions = make_regions(12)
+        places = sorted(set(self.regions.values()))
+        self.relays = {f"r{i}": places[i % len(places)] for i in range(2 * len(places))}
+        self.plan = ChunkPlan("root", self.chunks, self.regions, relays=self.relays)
+
+    def test_every_sidecar_asks_a_relay_of_its_region(self) -> None:
+        """Sidecars that also send a copy to others wait for the busiest link among them."""
+        for name, region in self.regions.items():
+            asker = Asker(name, region)
+            for index in range(len(self.chunks)):
+                asked = chunk_route.find_relay(self.plan, asker, index, lambda other: True)
+                self.assertEqual(self.relays[asked], region)
+
+    def test_relays_of_a_region_share_the_chunks(self) -> None:
+        region = next(iter(self.relays.values()))
+        carriers = [self.plan.regions[region].carrier(i) for i in range(len(self.chunks))]
+        counts = [carriers.count(name) for name in set(carriers)]
+        self.assertEqual(len(counts), 2)
+        self.assertLessEqual(max(counts) - min(counts), 3)
+
+    def test_a_dead_relay_is_passed_over_and_without_any_the_tree_is_left(self) -> None:
+        name, region = next(iter(self.regions.items()))
+        asker = Asker(name, region)
+        near = [relay for relay, where in self.relays.items() if where == region]
+        for dead in near:
+            asked = chunk_route.find_relay(self.plan, asker, 0, lambda other, d=dead: other != d)
+            self.assertEqual([asked], [relay for relay in near if relay != dead])
+        none_left = chunk_route.find_relay(self.plan, asker, 0, lambda other: other in self.regions)
+        self.assertEqual(none_left, "")
+        step = chunk_route.find_step(self.plan, asker, 0, lambda other: other in self.regions)
+        self.assertNotIn(step.peer, self.relays)
+
+    def test_a_relay_serves_a_few_and_the_rest_ask_along_the_tree(self) -> None:
+        """An entry with a narrow link would send a copy to each of two hundred sidecars."""
+        regions = {f"w{i}": "rift-a" for i in range(40)}
+        plan = ChunkPlan("root", self.chunks, regions, relays={"r0": "rift-a"})
+        asked = [
+            chunk_route.find_relay(plan, Asker(name, "rift-a"), 0, lambda other: True)
+            for name in regions
+        ]
+        self.assertEqual(asked.count("r0"), RELAY_CHILDREN)
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -104,7 +104,7 @@
             self._begun_at = asyncio.get_running_loop().time()
             work = asyncio.ensure_future(self._keep(version))
             try:
-                while self._choose(choice) == version:
+                while not work.done() and self._choose(choice) == version:
                     # Peers may ask for pieces of the newer version, whose list is not here yet.
                     store.undecided = store.undecided or version != self._listed.wanted
                     with contextlib.suppress(TimeoutError):
@@ -113,7 +113,10 @@
                         )
             finally:
                 work.cancel()
-                await asyncio.gather(work, return_exceptions=True)
+                (error,) = await asyncio.gather(work, return_exceptions=True)
+                if isinstance(error, Exception):
+                    # Whatever went wrong, the engine must not be left with nobody at work.
+                    self._tell(version, repr(error))
                 # Peers must not wait here for pieces that nobody fetches any more.
                 store.expected = set()
                 store.wake_all()
--- a/wasabidrum/weights/engine_controller_test.py
+++ b/wasabidrum/weights/engine_controller_test.py
@@ -1,5 +1,6 @@
 """Tests of the last look at staged weights, before an engine is ordered to load them."""
 
+import asyncio
 import contextlib
 import types
 import unittest
@@ -91,5 +92,42 @@
         self.assertLessEqual(self.engine.reads, 2 * len(PIECES))
 
 
+class WorkTest(unittest.IsolatedAsyncioTestCase):
+    """Work for a version that ends in a way that nobody foresaw."""
+
+    async def test_work_that_fails_unexpectedly_is_begun_again(self) -> None:
+        """Left alone, the engine would never get this version, nor any later one."""
+        log = EventLog(logbook.Logger("test", level=logbook.CRITICAL), "test")
+        store = types.SimpleNamespace(undecided=False, expected=set(), wake_all=lambda: None)
+        distributor = types.SimpleNamespace(store=store)
+        never = asyncio.Event()
+
+        async def wait_other_than(version: int) -> None:
+            await never.wait()
+
+        listed = types.SimpleNamespace(
+            model=MODEL, wanted=2, on_members=None, wait_other_than=wait_other_than
+        )
+        controller = EngineController(FakeEngine(), None, distributor, listed, None, 8.0, log)
+        begun = asyncio.Event()
+        tries = []
+
+        async def keep(version: int) -> None:
+            tries.append(version)
+            if len(tries) == 1:
+                raise ValueError("unforeseen")
+            begun.set()
+            await never.wait()
+
+        controller._keep = keep
+        running = asyncio.ensure_future(controller.run())
+        try:
+            await asyncio.wait_for(begun.wait(), 2.0)
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+        self.assertEqual(tries, [2, 2])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wasabidrum/weights/weights_relay.py
+++ b/wasabidrum/weights/weights_relay.py
@@ -30,7 +30,7 @@
 from ..peers.member_view import MemberView
 from ..platform.origin_client import make_origin_client
 from .chunk_handler import ChunkHandler
-from .deployed_settings import distribution_settings
+from .deployed_settings import CHUNK_MEMORY_BYTES, distribution_settings
 from .distributor import Distributor
 from .listed_engines import find_setting
 from .origin_draw import OriginDraw
@@ -50,6 +50,8 @@
 LINK_FRACTION = 0.5
 # How many relays of a region hold each chunk: one serves it, the other where that one is gone.
 HOLDERS_OF_CHUNK = 2
+# Of one version; the version before stays beside it until the newer one is in force.
+MOST_HELD_BYTES = CHUNK_MEMORY_BYTES // 2
 LOOK_SECONDS = 0.1
 PAUSE_SECONDS = 0.3
 # How often a relay that holds its part checks it against who else there is.
@@ -160,7 +162,7 @@
                 found = self._find_target(choice)
                 if found is not None:
                     self._update_members(found.service)
-                if found != target:
+                if found != target or (work is not None and work.done()):
                     target = found
                     await self._end(work)
                     self._effort = RelayEffort(asyncio.get_running_loop().time())
@@ -172,7 +174,9 @@
     async def _end(self, work: asyncio.Task[None] | None) -> None:
         if work is not None:
             work.cancel()
-            await asyncio.gather(work, return_exceptions=True)
+            (error,) = await asyncio.gather(work, return_exceptions=True)
+            if isinstance(error, Exception):
+                self._log.write(Event.TASK_FAILED, task="weights", reason=repr(error)[:500])
         # Until its pieces are known, any chunk may belong to the version that comes next.
         store = self._distributor.store
         store.undecided = True
@@ -237,12 +241,9 @@
         members = self._members
         plan = ChunkPlan(root, pieces.digests, members.region_of, origin_region, members.relays)
         store = self._distributor.store
-        missing = [
-            index
-            for index in own_chunks(plan, region, name)
-            if store.get(pieces.digests[index]) is None
-        ]
-        self._effort.digests = tuple(pieces.digests[i] for i in own_chunks(plan, region, name))
+        own = own_chunks(plan, region, name, MOST_HELD_BYTES // max(1, pieces.piece_bytes))
+        self._effort.digests = tuple(pieces.digests[index] for index in own)
+        missing = [index for index in own if store.get(pieces.digests[index]) is None]
         self._effort.complete = not missing
         if not missing:
             store.undecided = False
@@ -291,12 +292,17 @@
         return shared.pieces
 
 
-def own_chunks(plan: ChunkPlan, region: str, name: str) -> list[int]:
-    """Returns which chunks a relay of a region is to hold."""
+def own_chunks(plan: ChunkPlan, region: str, name: str, most: int) -> list[int]:
+    """Returns which chunks a relay of a region is to hold.
+
+    Args:
+      most: How many fit; the rest sidecars bring in themselves.
+    """
     own = plan.regions.get(region)
     if own is None:
         return []
-    return [i for i in range(plan.chunk_count) if name in own.order(i)[:HOLDERS_OF_CHUNK]]
+    indexes = range(plan.chunk_count)
+    return [i for i in indexes if name in own.order(i)[:HOLDERS_OF_CHUNK]][:most]
 
 
 async def keep_nothing(index: int, content: bytes) -> None:
