Let entries hear of versions from sidecars, and keep those waiting who ask for chunks not known yet

Entries now bring what sidecars report as wanted (nothing is refused for it), and answer 'coming' for chunks of no version that they know. An entry that starts in an outage takes a peer's word for its length also before its own first call has failed. Tests failed before: the reported version was not brought, the unknown chunk was 'lacking', the outage was none.

--- a/wasabidrum/decisions/store_outage.py
+++ b/wasabidrum/decisions/store_outage.py
@@ -39,12 +39,14 @@
     All times are of a clock that counts while the instance is suspended.
     """
 
-    __slots__ = ("_settling", "_first", "_last", "_refused", "_latest")
+    __slots__ = ("_settling", "_first", "_last", "_refused", "_latest", "_peers_first")
 
     def __init__(self, settling: float) -> None:
         """Takes the seconds after an outage until the store counts as answering again."""
         self._settling = settling
         self._first: float | None = None
+        # Since when peers said that their calls fail, before one of this process had failed.
+        self._peers_first = float("inf")
         self._last = 0.0
         self._refused = False
         self._latest = NO_OUTAGE
@@ -71,7 +73,8 @@
         if held_up and not refused:
             return
         if self._first is None or self._first < evidence_date < asked_at:
-            self._first = failed_at
+            self._first = min(failed_at, self._peers_first)
+            self._peers_first = float("inf")
         self._last = asked_at
         self._refused = refused
 
@@ -82,11 +85,14 @@
         """
         if self._first is not None:
             self._first = min(self._first, unanswered_since)
+        elif self._latest is NO_OUTAGE:
+            self._peers_first = unanswered_since
 
     def record_answer(self) -> None:
         """Records that the store answered."""
         self._latest = self.latest
         self._first = None
+        self._peers_first = float("inf")
 
     @property
     def unanswered_since(self) -> float | None:
--- a/wasabidrum/decisions/store_outage_test.py
+++ b/wasabidrum/decisions/store_outage_test.py
@@ -79,6 +79,13 @@
         self.outages.record_answer()
         self.assertEqual(self.outages.latest, Outage(10.0, 18.0 + SETTLING))
 
+    def test_it_may_hear_of_the_outage_before_its_own_first_call_has_failed(self) -> None:
+        """A store that says nothing lets a call fail only after seconds."""
+        self.outages.record_peer(10.0)
+        self.outages.record_failure(16.0, 18.0, False, False, NEVER)
+        self.outages.record_answer()
+        self.assertEqual(self.outages.latest, Outage(10.0, 16.0))
+
     def test_a_second_run_that_proves_nothing_leaves_the_first_standing(self) -> None:
         self.fail(10.0, 18.0)
         self.outages.record_answer()
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -33,13 +33,15 @@
       revision: The store's revision up to which everything was taken; zero before the first.
     """
 
-    __slots__ = ("_log", "_bounds", "_floors", "_items", "_whole_after")
+    __slots__ = ("_log", "_bounds", "_floors", "_items", "_whole_after", "_reported")
     __slots__ += ("routes", "endpoints", "lease", "outages", "revision")
 
     def __init__(self, bounds: Bounds, log: EventLog) -> None:
         self._log = log
         self._bounds = bounds
         self._floors: dict[str, VersionFloor] = {}
+        # The newest version of each model that other processes have heard of.
+        self._reported: dict[str, int] = {}
         # Every item as the store told it last, the removed included, for entries that the
         # store turns away.
         self._items: dict[str, StoreChange] = {}
@@ -66,9 +68,12 @@
         return self.endpoints.endpoints
 
     def newest_version(self, model: str) -> int:
-        """Returns the newest version named of a model; zero where none was."""
+        """Returns the newest version of a model that anybody has heard of; zero before the first.
+
+        Only weights are brought by that. What may answer is judged by what the store said.
+        """
         floor = self._floors.get(model)
-        return floor.newest if floor else 0
+        return max(floor.newest if floor else 0, self._reported.get(model, 0))
 
     def newest_seconds(self, model: str) -> float:
         """Returns for how long the newest version of a model has been wanted; zero if none is."""
@@ -99,6 +104,7 @@
 
     def record_reported_version(self, model: str, version: int, seconds: float) -> None:
         """Takes from another process how long ago it had heard of a version."""
+        self._reported[model] = max(version, self._reported.get(model, 0))
         floor = self._floors.get(model)
         if floor is not None and version:
             floor.record_reported(version, seconds, awake_seconds())
--- a/wasabidrum/weights/chunk_store.py
+++ b/wasabidrum/weights/chunk_store.py
@@ -57,6 +57,10 @@
         for held in self._held.values():
             held.wanted = held.digest in self._wanted
 
+    def is_wanted(self, digest: str) -> bool:
+        """Returns whether a chunk belongs to a version in force or wanted."""
+        return digest in self._wanted
+
     def record_served(self, digest: str) -> None:
         """Takes that one peer has fetched a chunk."""
         if held := self._held.get(digest):
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -52,7 +52,7 @@
     """One sidecar's part in the distribution: its store, its evidence and its requests."""
 
     __slots__ = ("_settings", "_origin", "_log", "asker", "store", "pacer", "counts")
-    __slots__ += ("spread", "_asked", "_begun_at")
+    __slots__ += ("spread", "hears_late", "_asked", "_begun_at")
 
     def __init__(
         self,
@@ -70,6 +70,9 @@
         self.pacer = LinkPacer(settings.region, settings.link_mbit, in_progress)
         self.counts = TransferCounts()
         self.asker = PeerAsker(settings, membership, client, self.counts, log)
+        # Whether a chunk of no known version is taken for one of a version that is heard of later
+        # here than at those who ask; refused, they would pass this process over for seconds.
+        self.hears_late = False
         # Whether the version is known to be in force somewhere, so that peers hold it.
         self.spread = False
         self._asked = asyncio.Event()
@@ -89,7 +92,8 @@
         # An asker whose configuration is newer may want what this one will want in a moment.
         # To deny it here would send the asker to the origin for what is about to come.
         behind = asker_revision > self.asker.revision
-        if digest in self.store.expected or self.store.undecided or behind:
+        newer = self.hears_late and not self.store.is_wanted(digest)
+        if digest in self.store.expected or self.store.undecided or behind or newer:
             return ChunkState.COMING
         return ChunkState.LACKING
 
--- a/wasabidrum/weights/distributor_test.py
+++ b/wasabidrum/weights/distributor_test.py
@@ -114,3 +114,18 @@
         self.assertEqual(contents, [CONTENT, CONTENT])
         self.assertLess(asyncio.get_running_loop().time() - began, 3.0)
         self.assertIs(fleet[first].state_of(DIGEST), ChunkState.HELD)
+
+
+class UnknownChunkTest(unittest.IsolatedAsyncioTestCase):
+    """An entry that is asked for a chunk of a version that it has not heard of."""
+
+    async def test_whoever_asks_is_kept_waiting_and_does_not_pass_the_entry_over(self) -> None:
+        """Told that the entry lacks the chunk, sidecars ask elsewhere for four seconds, and draw
+        from the origin what the entry is about to draw."""
+        relay = make_distributor("a")
+        relay.store.undecided = False
+        self.assertIs(relay.state_of(DIGEST), ChunkState.LACKING)
+        relay.hears_late = True
+        self.assertIs(relay.state_of(DIGEST), ChunkState.COMING)
+        relay.store.want({DIGEST})
+        self.assertIs(relay.state_of(DIGEST), ChunkState.LACKING)
--- a/wasabidrum/weights/weights_relay.py
+++ b/wasabidrum/weights/weights_relay.py
@@ -135,6 +135,7 @@
             in_progress,
             log,
         )
+        self._distributor.hears_late = True
         self._distributor.pacer.links = LinkSpec(weights_fraction_instance=LINK_FRACTION)
         self._pieces: PieceList | None = None
         self._effort = RelayEffort(0.0)
@@ -245,11 +246,11 @@
         self._effort.digests = tuple(pieces.digests[index] for index in own)
         missing = [index for index in own if store.get(pieces.digests[index]) is None]
         self._effort.complete = not missing
+        store.want(pieces.digests)
         if not missing:
             store.undecided = False
             return
         self._distributor.share_link(plan)
-        store.want(pieces.digests)
         download = VersionDownload(
             self._distributor, plan, manifest, missing, keep_nothing, draws_first=False
         )
