Begin the second turn when most engines of the first are back

The second half of the engines followed 0.8 s after weights were complete, when those of the first turn still ended their runs: for a moment nobody answered, though the bound left time. The turn still ends at the bound of the old weights.

--- a/wasabidrum/decisions/switch_turns.py
+++ b/wasabidrum/decisions/switch_turns.py
@@ -17,8 +17,8 @@
 from .chunk_plan import rank_names
 from .version_floor import PLACE_MARGIN_SECONDS
 
-# Runs last for a second or two, and loading for a fraction of one.
-TURN_SECONDS = 2.0
+# From when the first turn's weights are complete: by then most of its engines are back.
+TURN_SECONDS = 1.6
 TURNS = 2
 # Most runs end within that time; an engine that waits longer for weights that stall takes requests
 # again after twice as long.
@@ -48,8 +48,7 @@
       bound: The seconds after the naming when the old weights may not answer any more.
     """
     left = bound - PLACE_MARGIN_SECONDS - named_for
-    after_first = turn * (TURN_SECONDS - EARLY_SECONDS)
-    return max(0.0, min(after_first - staged_for, left))
+    return max(0.0, min(turn * TURN_SECONDS - staged_for, left))
 
 
 def ends_runs_early(turn: int, answering: int, share: float, elapsed: float) -> bool:
