Have one piece of code where entries and sidecars hold weights alike

Read again, the change had written some of the sidecar's code once more for the entry: the routes of chunks and readings, the making of a member from its host, the region of a data centre, the manifest and root of a list of pieces; and two tests' settings of a process. Each stands once now (weights/chunk_routes.py, weights/chunk_member.py, core/manifest.py, EngineFleet.make_deployment). Behaviour stays.

--- a/tests/listed_engines.py
+++ b/tests/listed_engines.py
@@ -268,12 +268,11 @@
         self.sidecars.append(await self.start_sidecar(engine))
         return engine
 
-    async def start_sidecar(self, engine: FakeStagingEngine) -> DeployedSidecar:
-        """Starts the sidecar beside an engine."""
-        host = engine.host
-        deployment = Deployment(
-            name=f"side-{host}",
-            role="sidecar",
+    def make_deployment(self, role: str, host: str, **facts: object) -> Deployment:
+        """Returns the settings of a process on a host of its own."""
+        return Deployment(
+            name=f"{role}-{host}",
+            role=role,
             host=host,
             data_centre="rift-a",
             region="rift",
@@ -282,6 +281,15 @@
             bounds=Bounds(),
             first_port=self.first_port,
             last_port=self.first_port + PORTS_OF_ONE,
+            **facts,
+        )
+
+    async def start_sidecar(self, engine: FakeStagingEngine) -> DeployedSidecar:
+        """Starts the sidecar beside an engine."""
+        host = engine.host
+        deployment = self.make_deployment(
+            "sidecar",
+            host,
             endpoint=Address(host, engine.port),
             service=SERVICE,
         )
@@ -293,17 +301,9 @@
         """Starts an entry that holds weights for the sidecars."""
         self.entries_started += 1
         host = f"127.0.0.{99 + self.entries_started}"
-        deployment = Deployment(
-            name=f"entry-{host}",
-            role="entry",
-            host=host,
-            data_centre="rift-a",
-            region="rift",
-            region_of={"rift-a": "rift"},
-            store=Address("127.0.0.1", self.store.port),
-            bounds=Bounds(),
-            first_port=self.first_port,
-            last_port=self.first_port + PORTS_OF_ONE,
+        deployment = self.make_deployment(
+            "entry",
+            host,
             callers=Address(host, self.first_port + 3),
             readiness=Address(host, self.first_port + 4),
             peers_listen=Address(host, self.first_port + 5),
--- a/tests/weights_held_up_test.py
+++ b/tests/weights_held_up_test.py
@@ -6,7 +6,7 @@
 from tests.listed_engines import EngineFleet, FakeStagingEngine
 from wasabidrum.decisions.switch_turns import TURN_SECONDS
 from wasabidrum.sidecar.deployed import DeployedSidecar
-from wasabidrum.weights.listed_engines import CHUNK_PORT_OFFSET
+from wasabidrum.weights.chunk_member import CHUNK_PORT_OFFSET
 
 ENGINES = 4
 # Twelve pieces of 4 KiB on loopback addresses, with what is read before them and the order after.
--- a/wasabidrum/core/manifest.py
+++ b/wasabidrum/core/manifest.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from .digest import Digest, digest_of
+from .engine_report import PieceList
 from .errors import CodedError
 
 
@@ -35,6 +36,17 @@
     return Manifest(chunk_bytes=chunk_bytes, total_bytes=len(content), chunks=chunks)
 
 
+def manifest_of(pieces: PieceList) -> Manifest:
+    """Returns the manifest of a version whose pieces are listed."""
+    total = pieces.piece_bytes * len(pieces.digests)
+    return Manifest(pieces.piece_bytes, total, pieces.digests)
+
+
+def root_of(manifest: Manifest) -> str:
+    """Returns the digest that names a version's content, the same at every process."""
+    return digest_of(encode_manifest(manifest))
+
+
 def encode_manifest(manifest: Manifest) -> bytes:
     """Returns the bytes whose digest the configuration publishes as the version's root."""
     return msgspec.json.encode(manifest)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -16,7 +16,7 @@
 from ..observe.routes import make_routes
 from ..platform import names
 from ..platform.store_client import make_store_client
-from ..weights.listed_engines import CHUNK_PORT_OFFSET
+from ..weights.chunk_member import CHUNK_PORT_OFFSET
 from ..weights.weights_relay import make_weights_relay
 from ..wire import http_client
 from .attempts_in_progress import AttemptsInProgress
--- a/wasabidrum/gateway/load_watcher.py
+++ b/wasabidrum/gateway/load_watcher.py
@@ -11,7 +11,7 @@
 from ..peers.outbound_links import OutboundLinks
 from ..peers.peer_link import PeerLink
 from ..peers.peer_messages import Push
-from ..weights.listed_engines import CHUNK_PORT_OFFSET
+from ..weights.chunk_member import CHUNK_PORT_OFFSET
 from .published_state import PublishedState
 
 CHOOSE_SECONDS = 0.25
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -16,14 +16,14 @@
 from ..platform.engine_client import make_engine_client
 from ..platform.origin_client import make_origin_client
 from ..platform.store_client import make_store_client
-from ..weights.chunk_handler import ChunkHandler
+from ..weights.chunk_member import CHUNK_PORT_OFFSET
+from ..weights.chunk_routes import make_chunk_routes
 from ..weights.deployed_settings import distribution_settings
 from ..weights.distributor import Distributor
 from ..weights.engine_controller import EngineController
-from ..weights.listed_engines import CHUNK_PORT_OFFSET, ListedEngines
+from ..weights.listed_engines import ListedEngines
 from ..weights.origin_draw import OriginDraw
-from ..weights.shared_readings import PATH as READINGS_PATH
-from ..weights.shared_readings import ReadingsHandler, SharedReadings
+from ..weights.shared_readings import SharedReadings
 from ..wire import http_client
 from .load_service import LoadService
 
@@ -76,11 +76,7 @@
     async def start(self) -> None:
         """Listens and starts the background tasks."""
         host, first = self._deployment.host, self._deployment.first_port
-        routes = [
-            (r"/internal/chunks/([0-9a-f]+)", ChunkHandler, {"distributor": self._distributor}),
-            (READINGS_PATH + r"(setting|[0-9]+)", ReadingsHandler, {"readings": self._readings}),
-        ]
-        self._listen(routes, CHUNK_PORT_OFFSET)
+        self._listen(make_chunk_routes(self._distributor, self._readings), CHUNK_PORT_OFFSET)
         self._listen(make_routes(self._log), METRICS_PORT_OFFSET)
         await self._loads.start()
         self._tasks.start("engine", self._keeper.watch())
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -18,6 +18,7 @@
 from ..platform import published_records
 from ..platform.published_records import ItemKind, kind_of
 from ..platform.store_client import StoreClient, Watched
+from .chunk_member import make_chunk_member, region_of_centre
 from .shared_readings import (
     EngineSetting,
     ListedMember,
@@ -34,7 +35,6 @@
 LONGEST_PAUSE_SECONDS = 0.6
 # Who else there is, is read again when a version is named, and while this one lacks weights.
 MEMBERS_SECONDS = 2.0
-CHUNK_PORT_OFFSET = 1
 # How long a process that has just started waits for a relay before it plans without; entries open
 # their streams to it within half a second.
 RELAYS_SECONDS = 1.0
@@ -163,9 +163,8 @@
     @property
     def answering(self) -> dict[str, str]:
         """The regions of the engines that answer with some version, by name."""
-        regions = self._deployment.region_of
         return {
-            member.host: regions.get(member.data_centre, member.data_centre)
+            member.host: self._region_of(member.data_centre)
             for member in self._listed
             if member.weights and not member.leaving
         }
@@ -303,18 +302,15 @@
         places = {member.host: member.data_centre for member in members}
         places[own.host] = own.data_centre
         self._views = {
-            host: self._views.get(host) or self._make_view(host, data_centre)
-            for host, data_centre in places.items()
+            host: self._views.get(host)
+            or make_chunk_member(
+                host, InstanceRole.SIDECAR, self._region_of(centre), centre, own.first_port
+            )
+            for host, centre in places.items()
         }
 
-    def _make_view(self, host: str, data_centre: str) -> MemberView:
-        own = self._deployment
-        region = own.region_of.get(data_centre, data_centre)
-        port = own.first_port + CHUNK_PORT_OFFSET
-        peer_port = own.first_port
-        return MemberView(
-            Instance(host, InstanceRole.SIDECAR, region, data_centre, host, port, peer_port)
-        )
+    def _region_of(self, data_centre: str) -> str:
+        return region_of_centre(self._deployment.region_of, data_centre)
 
     async def _take_version(self, change: StoreChange) -> None:
         if change.value is None:
--- a/wasabidrum/weights/relay_members.py
+++ b/wasabidrum/weights/relay_members.py
@@ -2,10 +2,11 @@
 
 import collections.abc
 
-from ..core.instance import Instance, InstanceRole
+from ..core.instance import InstanceRole
 from ..core.listed_endpoint import ListedEndpoint
 from ..peers.member_view import MemberView, MemberViews
-from .listed_engines import CHUNK_PORT_OFFSET, to_member
+from .chunk_member import make_chunk_member, region_of_centre
+from .listed_engines import to_member
 from .shared_readings import ListedMember
 
 
@@ -52,17 +53,17 @@
         self._listed = tuple(to_member(endpoint) for endpoint in endpoints)
         self._relays = dict(relays)
         places = {member.host: member.data_centre for member in self._listed}
-        views = {}
-        for host, centre in places.items():
-            views[host] = self._views.get(host) or self._make(host, centre, InstanceRole.SIDECAR)
-        for host, centre in relays.items():
-            views[host] = self._views.get(host) or self._make(host, centre, InstanceRole.ENTRY)
-        self._views = views
+        sidecars = self._find_views(places, InstanceRole.SIDECAR)
+        self._views = sidecars | self._find_views(relays, InstanceRole.ENTRY)
 
-    def _make(self, host: str, centre: str, role: InstanceRole) -> MemberView:
-        port = self._first_port + CHUNK_PORT_OFFSET
-        region = self._region(centre)
-        return MemberView(Instance(host, role, region, centre, host, port, self._first_port))
+    def _find_views(
+        self, places: collections.abc.Mapping[str, str], role: InstanceRole
+    ) -> dict[str, MemberView]:
+        return {
+            host: self._views.get(host)
+            or make_chunk_member(host, role, self._region(centre), centre, self._first_port)
+            for host, centre in places.items()
+        }
 
     def _region(self, data_centre: str) -> str:
-        return self._region_of.get(data_centre, data_centre)
+        return region_of_centre(self._region_of, data_centre)
--- a/wasabidrum/weights/staged_version.py
+++ b/wasabidrum/weights/staged_version.py
@@ -4,7 +4,7 @@
 
 from ..core.digest import digest_of
 from ..core.engine_report import PieceList
-from ..core.manifest import Manifest, encode_manifest
+from ..core.manifest import manifest_of, root_of
 from ..decisions.chunk_plan import ChunkPlan
 from ..platform.engine_client import EngineClient
 from .distributor import Distributor
@@ -26,9 +26,8 @@
         self._engine = engine
         self._distributor = distributor
         self._pieces = pieces
-        total = pieces.piece_bytes * len(pieces.digests)
-        self._manifest = Manifest(pieces.piece_bytes, total, pieces.digests)
-        self.root = digest_of(encode_manifest(self._manifest))
+        self._manifest = manifest_of(pieces)
+        self.root = root_of(self._manifest)
         self._here: set[int] = set()
         self.progressed_at = 0.0
 
--- a/wasabidrum/weights/weights_relay.py
+++ b/wasabidrum/weights/weights_relay.py
@@ -16,12 +16,11 @@
 from tornado import httpclient
 
 from ..config.deployment import Deployment
-from ..core.digest import digest_of
 from ..core.engine_report import PieceList
 from ..core.errors import CodedError
 from ..core.fleet import LinkSpec
 from ..core.listed_endpoint import ListedEndpoint
-from ..core.manifest import Manifest, encode_manifest
+from ..core.manifest import manifest_of, root_of
 from ..core.published import PublishedConfiguration
 from ..decisions.chunk_plan import ChunkPlan
 from ..decisions.version_choice import VersionChoice
@@ -29,7 +28,7 @@
 from ..observe.event_log import EventLog
 from ..peers.member_view import MemberView
 from ..platform.origin_client import make_origin_client
-from .chunk_handler import ChunkHandler
+from .chunk_routes import make_chunk_routes
 from .deployed_settings import CHUNK_MEMORY_BYTES, distribution_settings
 from .distributor import Distributor
 from .listed_engines import find_setting
@@ -38,12 +37,10 @@
 from .shared_readings import (
     MOST_ASKED,
     EngineSetting,
-    ReadingsHandler,
     SharedReadings,
     VersionReading,
     first_readers,
 )
-from .shared_readings import PATH as READINGS_PATH
 from .version_download import VersionDownload
 
 # The part of an entry's link that weights may take while it serves callers.
@@ -148,10 +145,7 @@
     @property
     def routes(self) -> list[tuple]:
         """What sidecars and other relays ask for."""
-        return [
-            (r"/internal/chunks/([0-9a-f]+)", ChunkHandler, {"distributor": self._distributor}),
-            (READINGS_PATH + r"(setting|[0-9]+)", ReadingsHandler, {"readings": self._readings}),
-        ]
+        return make_chunk_routes(self._distributor, self._readings)
 
     async def run(self) -> None:
         """Holds what is wanted, for ever."""
@@ -235,12 +229,12 @@
         region, name = self._deployment.region, self._deployment.host
         self._distributor.asker.holders = self._members.holders(pieces.version, region)
         self._distributor.spread = bool(self._distributor.asker.holders)
-        total = pieces.piece_bytes * len(pieces.digests)
-        manifest = Manifest(pieces.piece_bytes, total, pieces.digests)
-        root = digest_of(encode_manifest(manifest))
+        manifest = manifest_of(pieces)
         origin_region = self._deployment.region_of.get(target.setting.origin_data_centre, "")
         members = self._members
-        plan = ChunkPlan(root, pieces.digests, members.region_of, origin_region, members.relays)
+        plan = ChunkPlan(
+            root_of(manifest), pieces.digests, members.region_of, origin_region, members.relays
+        )
         store = self._distributor.store
         own = own_chunks(plan, region, name, MOST_HELD_BYTES // max(1, pieces.piece_bytes))
         self._effort.digests = tuple(pieces.digests[index] for index in own)
