Take who else there is into a relay only where it has changed

Ten times a second an entry made the list of all sidecars and relays anew from all endpoints, also where nothing had changed; at the two-year size that is 1,900 endpoints each time. It now looks at the version of the endpoint book first. Behaviour stays.

--- a/wasabidrum/decisions/endpoint_state.py
+++ b/wasabidrum/decisions/endpoint_state.py
@@ -7,10 +7,6 @@
 from .endpoint_health import EndpointHealth
 from .endpoint_limit import EndpointLimit
 
-# Grounds: recent work spans a few requests to each endpoint; reports are averaged over some
-# eight of them; a report counts by what is left of the requests that ran when it was made,
-# with four times the 1 s that it may lag, which was best of 1, 2, 4 and 8 both with fresh
-# reports and with late ones (docs/measurements/load.md).
 RECENT_SECONDS = 5.0
 REPORT_AVERAGE_SECONDS = 2.0
 TRUST_SECONDS = 4.0
--- a/wasabidrum/decisions/switch_turns.py
+++ b/wasabidrum/decisions/switch_turns.py
@@ -39,16 +39,15 @@
     return by_region.index(own) % TURNS if own in region_of else 0
 
 
-def seconds_until_turn(turn: int, staged_for: float, named_for: float, bound: float) -> float:
-    """Returns how long an engine waits before it loads what is staged.
+def seconds_until_turn(turn: int, named_for: float, bound: float) -> float:
+    """Returns how long an engine waits once its weights are complete.
 
     Args:
-      staged_for: The seconds since its weights were complete.
       named_for: The seconds since they were named.
       bound: The seconds after the naming when the old weights may not answer any more.
     """
     left = bound - PLACE_MARGIN_SECONDS - named_for
-    return max(0.0, min(turn * TURN_SECONDS - staged_for, left))
+    return max(0.0, min(turn * TURN_SECONDS, left))
 
 
 def ends_runs_early(turn: int, answering: int, share: float, elapsed: float) -> bool:
--- a/wasabidrum/decisions/switch_turns_test.py
+++ b/wasabidrum/decisions/switch_turns_test.py
@@ -21,7 +21,7 @@
         count = 0
         for name in ENGINES:
             turn = turn_of(2, name, ENGINES)
-            began = STAGED_AT + seconds_until_turn(turn, 0.0, STAGED_AT, BOUND)
+            began = STAGED_AT + seconds_until_turn(turn, STAGED_AT, BOUND)
             began -= 0.0 if turn else EARLY_SECONDS
             old = at < began and at < BOUND - PLACE_MARGIN_SECONDS
             new = at >= began + AWAY_SECONDS
@@ -51,11 +51,11 @@
 
     def test_weights_that_come_late_are_loaded_at_once(self) -> None:
         """Waiting for a turn beyond the bound, an engine would stand idle with old weights."""
-        self.assertEqual(seconds_until_turn(1, 0.0, BOUND, BOUND), 0.0)
+        self.assertEqual(seconds_until_turn(1, BOUND, BOUND), 0.0)
 
     def test_an_engine_that_answers_nothing_goes_first(self) -> None:
         self.assertEqual(turn_of(2, "added", ENGINES), 0)
 
     def test_the_last_turn_ends_its_wait_when_old_weights_may_not_answer_any_more(self) -> None:
         named_for = BOUND - PLACE_MARGIN_SECONDS - 0.5
-        self.assertAlmostEqual(seconds_until_turn(1, 0.0, named_for, BOUND), 0.5)
+        self.assertAlmostEqual(seconds_until_turn(1, named_for, BOUND), 0.5)
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -3,7 +3,6 @@
 from ..config.deployment import Bounds
 from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
-from ..core.listed_endpoint import ListedEndpoint
 from ..core.published import EngineFigures, PublishedConfiguration
 from ..core.store_change import StoreChange, StoreReading
 from ..decisions.endpoint_book import EndpointBook
@@ -62,11 +61,6 @@
         """The configuration in force, or None before the first."""
         return self.routes.configuration if self.routes else None
 
-    @property
-    def listed_endpoints(self) -> list[ListedEndpoint]:
-        """The endpoints that are registered, those that leave included."""
-        return self.endpoints.endpoints
-
     def newest_version(self, model: str) -> int:
         """Returns the newest version of a model that anybody has heard of; zero before the first.
 
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -210,7 +210,7 @@
             return
         turn = turn_of(version, self._listed.own, self._listed.answering)
         named_for = self._listed.named_for(version)
-        seconds = seconds_until_turn(turn, 0.0, named_for, self._bound)
+        seconds = seconds_until_turn(turn, named_for, self._bound)
         if seconds <= 0.0:
             return
         self._log.write(Event.SWITCH_WAITS, version=version, seconds=round(seconds, 2))
--- a/wasabidrum/weights/weights_relay.py
+++ b/wasabidrum/weights/weights_relay.py
@@ -19,10 +19,10 @@
 from ..core.engine_report import PieceList
 from ..core.errors import CodedError
 from ..core.fleet import LinkSpec
-from ..core.listed_endpoint import ListedEndpoint
 from ..core.manifest import manifest_of, root_of
 from ..core.published import PublishedConfiguration
 from ..decisions.chunk_plan import ChunkPlan
+from ..decisions.endpoint_book import EndpointBook
 from ..decisions.version_choice import VersionChoice
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -63,7 +63,7 @@
         """The configuration in force, or None before the first."""
 
     @property
-    def listed_endpoints(self) -> collections.abc.Iterable[ListedEndpoint]:
+    def endpoints(self) -> EndpointBook:
         """The endpoints that are registered."""
 
     def newest_version(self, model: str) -> int:
@@ -136,6 +136,8 @@
         self._distributor.pacer.links = LinkSpec(weights_fraction_instance=LINK_FRACTION)
         self._pieces: PieceList | None = None
         self._effort = RelayEffort(0.0)
+        # What the members were last taken from.
+        self._members_for: tuple[object, ...] = ()
 
     @property
     def held_version(self) -> int:
@@ -203,9 +205,14 @@
         return choice.choose(newest, share, now - effort.progressed_at, complete)
 
     def _update_members(self, service: str) -> None:
-        endpoints = (e for e in self._state.listed_endpoints if e.service == service)
-        self._members.update(endpoints, self._find_relays())
-        self._distributor.asker.relays = frozenset(self._members.relays)
+        """Takes who else there is, where that has changed since it was last looked at."""
+        book, relays = self._state.endpoints, self._find_relays()
+        known = (service, book.version, relays)
+        if known == self._members_for:
+            return
+        self._members_for = known
+        self._members.update((e for e in book.endpoints if e.service == service), relays)
+        self._distributor.asker.relays = frozenset(relays)
 
     async def _keep(self, target: RelayTarget) -> None:
         self._readings.named_for = lambda: self._state.newest_seconds(target.setting.model)
