Answer callers of an engine that stands still before they leave

What callers saw: a stream was sent to an engine whose instance was suspended 0.01 to 0.35 s later.

The request had been read 0.23 s before the suspension; on waking (17.068) the engine gives its first event in the same moment, 2.25 s after its connection was reset. So an engine looks at a reset only after the pass that it was in: no recall and no reset can be in time, and how much is sent ahead of free slots hardly matters, because a first event takes 0.2 to 0.4 s of passes in any case. What can be kept is that nobody is left by then.

Change: a stream that has not begun SHORTEST_BEGINNING_SECONDS (0.3 s) before its caller would leave is answered "unknown" (502), so that its caller can ask again at once; and nothing is placed whose caller has less than that. Until then a place elsewhere is looked for as before. When callers leave is published by the platform, and is decoded in platform/ into Route.patience. A stream of which something was passed on is never ended for its engine's silence.

--- a/tests/silent_endpoint_test.py
+++ b/tests/silent_endpoint_test.py
@@ -103,6 +103,18 @@
         reply = await asking
         self.assertTrue(reply.whole)
 
+    async def test_a_caller_whom_nobody_can_serve_is_answered_before_it_leaves(self) -> None:
+        """Guards against work that a suspended engine begins on waking for callers that left."""
+        await self.fleet.store.delete(names.ENDPOINT_PREFIX + "new")
+        endpoints = self.gateway.state.endpoints
+        await self.fleet.wait_until(lambda: endpoints.get("new") is None)
+        self.old.behave = BeginsWhenWoken()
+        began = asyncio.get_running_loop().time()
+        reply = await self.ask("r1")
+        self.assertLess(asyncio.get_running_loop().time() - began, CALLERS_DEADLINE_SECONDS)
+        self.assertEqual((reply.status, reply.whole), (502, True))
+        await self.fleet.wait_until(lambda: self.old.closed_early == 1)
+
     async def test_what_may_run_only_once_is_not_taken_elsewhere(self) -> None:
         """An endpoint stands still with a charge that it may have begun. Sent to another the
         charge would run twice."""
--- a/wasabidrum/core/route.py
+++ b/wasabidrum/core/route.py
@@ -32,6 +32,8 @@
       public: Whether callers need no key.
       resumable: Whether a stream may go on at another endpoint after its last event.
       largest_gap: The longest pause between events for which a stream is on time, in seconds.
+      patience: The seconds without an event after which callers leave a stream, before its first
+        event too; infinite where they only wait for the deadline.
     """
 
     name: str
@@ -46,6 +48,7 @@
     public: bool = False
     resumable: bool = False
     largest_gap: float = 0.0
+    patience: float = float("inf")
 
     @property
     def idempotent(self) -> bool:
--- a/wasabidrum/decisions/take_back.py
+++ b/wasabidrum/decisions/take_back.py
@@ -18,6 +18,9 @@
 - What has not begun at an endpoint that stands still, and has been leaving or gone for as long
   as the bound allows, is taken back if it may run again. What may run only once stays, for its
   answer may be on the way; its route's time ends it.
+- A stream that has not begun when its caller is about to leave is answered before that. An engine
+  that is suspended begins what it has read at the moment it wakes, before it looks at its
+  connections; for a caller that has left, nothing can call that back.
 """
 
 import collections.abc
@@ -29,6 +32,8 @@
 BOUND_MARGIN_SECONDS = 0.4
 RETIRED_MARGIN_SECONDS = 0.7
 OVERDUE_FACTOR = 3.0
+# No endpoint begins a request sooner under load: a pass with a prompt, and the way there and back.
+SHORTEST_BEGINNING_SECONDS = 0.3
 
 
 class TakenBack(enum.Enum):
@@ -37,6 +42,7 @@
     WEIGHTS_OVERDUE = "weights_overdue"
     ENDPOINT_SILENT = "endpoint_silent"
     ENDPOINT_RETIRED = "endpoint_retired"
+    CALLER_LEAVING = "caller_leaving"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +56,7 @@
       tells_beginning: Its answer begins when it does, as a stream's.
       silent: Its endpoint stands still with requests of this entry, this one among them.
       retired_seconds: For how long its endpoint has been leaving or gone; zero if it is not.
+      leaves_in: The seconds until its caller leaves; infinite once something was passed on.
       reserve: Reserves a place at another endpoint, and a retry; returns whether it could. Only
         called where the rest speaks for it.
     """
@@ -60,6 +67,7 @@
     tells_beginning: bool
     silent: bool
     retired_seconds: float
+    leaves_in: float
     reserve: collections.abc.Callable[[], bool]
 
 
@@ -72,6 +80,9 @@
     unbegun = not waiting.begun and (waiting.tells_beginning or waiting.repeatable)
     if unbegun and not waiting.may_begin:
         return TakenBack.WEIGHTS_OVERDUE
+    hopeless = waiting.tells_beginning and waiting.leaves_in <= SHORTEST_BEGINNING_SECONDS
+    if hopeless and not waiting.begun:
+        return TakenBack.CALLER_LEAVING
     if not waiting.silent:
         return None
     if waiting.repeatable and waiting.reserve():
--- a/wasabidrum/decisions/take_back_test.py
+++ b/wasabidrum/decisions/take_back_test.py
@@ -5,6 +5,7 @@
 
 from .take_back import (
     RETIRED_MARGIN_SECONDS,
+    SHORTEST_BEGINNING_SECONDS,
     TakenBack,
     Waiting,
     is_stalled,
@@ -22,16 +23,23 @@
     tells_beginning=True,
     silent=False,
     retired_seconds=0.0,
+    leaves_in=float("inf"),
     reserve=lambda: True,
 )
 
 
-def replay(overdue_after: float, gone_after: float, **facts: object) -> tuple[TakenBack, float]:
+def replay(
+    overdue_after: float,
+    gone_after: float,
+    caller_leaves_after: float = float("inf"),
+    **facts: object,
+) -> tuple[TakenBack, float]:
     """Plays an engine's suspension; returns why a request was taken back from it, and when.
 
     Args:
       overdue_after: The seconds from its beginning until the weights may not be begun any more.
       gone_after: The same until the engine is off the list.
+      caller_leaves_after: The same until the request's caller gives up.
     """
     for tenth in range(int(SUSPENDED_SECONDS * 10)):
         now = tenth / 10
@@ -40,6 +48,7 @@
             may_begin=now < overdue_after,
             silent=now > SILENT_AFTER_SECONDS,
             retired_seconds=max(0.0, now - gone_after),
+            leaves_in=caller_leaves_after - now,
             **facts,
         )
         reason = reason_to_take_back(waiting, DRAIN_SECONDS)
@@ -93,6 +102,17 @@
         begun = {"begun": True, "reserve": refuse}
         self.assertIsNone(replay(overdue_after=1.0, gone_after=1.0, **begun)[0])
 
+    def test_where_nobody_can_take_it_its_caller_is_answered_before_it_leaves(self) -> None:
+        """Guards against runs that begin on an engine's waking for callers that have left."""
+        reason, at = replay(99.0, 99.0, caller_leaves_after=3.2, reserve=refuse)
+        self.assertEqual(reason, TakenBack.CALLER_LEAVING)
+        self.assertGreater(at, 3.2 - SHORTEST_BEGINNING_SECONDS - 0.01)
+        self.assertLess(at, 3.2 - SHORTEST_BEGINNING_SECONDS + 0.11)
+
+    def test_a_stream_that_has_begun_is_not_ended_for_its_callers_patience(self) -> None:
+        begun = {"begun": True, "reserve": refuse}
+        self.assertIsNone(replay(99.0, 99.0, caller_leaves_after=3.2, **begun)[0])
+
 
 class NoSuspensionTest(unittest.TestCase):
     """Endpoints that answer."""
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -105,6 +105,13 @@
         """When something came of it, or it was placed, by the event loop's clock."""
         return self._heard_at
 
+    @property
+    def leaves_in(self) -> float:
+        """The seconds until its caller leaves; infinite once something was passed on."""
+        if self._exchange.streaming:
+            return float("inf")
+        return self._call.leaves_in(self._progress.last_event_at)
+
     def reserve_elsewhere(self) -> bool:
         """Reserves a place at another endpoint that may go on with it, if there is one."""
         return self._taken_back is None and self._reserve(self._placed)
@@ -253,5 +260,5 @@
             self._progress.first_event_at = loop.time()
             self._progress.weights = self._placed.weights
             await self._exchange.begin_stream(head)
-        self._heard_at = loop.time()
+        self._heard_at = self._progress.last_event_at = loop.time()
         self._placed.load.progressed(self._heard_at)
--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -36,6 +36,10 @@
     def heard_at(self) -> float:
         """When something came of it, or it was placed, by the event loop's clock."""
 
+    @property
+    def leaves_in(self) -> float:
+        """The seconds until its caller leaves; infinite once something was passed on."""
+
     def reserve_elsewhere(self) -> bool:
         """Reserves a place at another endpoint that may go on with it, if there is one."""
 
@@ -99,6 +103,7 @@
                 silent=not late
                 and self._placer.is_stalled(placed, attempt.heard_at, attempt.begun),
                 retired_seconds=now - self._retired_at.get(placed.endpoint.id, now),
+                leaves_in=attempt.leaves_in,
                 reserve=attempt.reserve_elsewhere,
             )
             reason = reason_to_take_back(waiting, self._drain)
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -6,10 +6,11 @@
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
 from ..core.request_head import RequestHead
-from ..core.route import Route
+from ..core.route import Route, RouteKind
 from ..decisions import poison
 from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
 from ..decisions.endpoint_choice import Choice
+from ..decisions.take_back import SHORTEST_BEGINNING_SECONDS, TakenBack
 from ..observe.event import Event
 from .attempt import Attempt, AttemptError
 from .call import Call, StreamProgress
@@ -52,7 +53,8 @@
         self._exchange = exchange
         self._gateway = gateway
         seconds = min(head.deadline or DEFAULT_DEADLINE_SECONDS, route.timeout)
-        self._call = Call(head, route, workspace, body, exchange.began + seconds)
+        came_at = exchange.began
+        self._call = Call(head, route, workspace, body, came_at, came_at + seconds)
         self._progress = StreamProgress(head.last_event)
         self._history = AttemptHistory(route.idempotent, max(1, route.max_attempts))
         self._service = gateway.placer.pick_service(route)
@@ -105,7 +107,8 @@
                 self._history.take(error.end)
                 self._note_end(placed, attempt, error)
                 self._tried |= {placed.endpoint.id}
-                if self._reserved is None and not self._may_go_on():
+                hopeless = attempt.taken_back is TakenBack.CALLER_LEAVING
+                if hopeless or (self._reserved is None and not self._may_go_on()):
                     self._give_up(error)
                     return
 
@@ -167,9 +170,13 @@
         raise CodedError(code, message, 503, retry_after=retry)
 
     def _choose(self, tried: frozenset[str]) -> Choice:
-        call, weights = self._call, self._progress.weights
-        placer = self._gateway.placer
-        return placer.choose(call.route, self._service, call.head, tried, weights, call.left)
+        call, progress = self._call, self._progress
+        leaves_in = call.leaves_in(progress.last_event_at)
+        if call.route.kind is RouteKind.STREAM:
+            leaves_in -= SHORTEST_BEGINNING_SECONDS
+        return self._gateway.placer.choose(
+            call.route, self._service, call.head, tried, progress.weights, leaves_in
+        )
 
     def _reserve_elsewhere(self, placed: Placed) -> bool:
         """Reserves a place and a retry for what was placed; returns whether there are both.
--- a/wasabidrum/platform/published_records.py
+++ b/wasabidrum/platform/published_records.py
@@ -32,6 +32,10 @@
 # An endpoint's states as the store spells them; another word names no endpoint to use.
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 WHOLE_WEIGHT = 1.0
+# When callers leave a stream that says nothing: the longest of these.
+LEAST_PATIENCE_MS = 2000.0
+PATIENCE_PER_TARGET = 4.0
+PATIENCE_PER_GAP = 8.0
 
 
 class ItemKind(enum.Enum):
@@ -146,9 +150,22 @@
         public=wire.public,
         resumable=wire.resumable,
         largest_gap=wire.gapTargetMs / 1000.0,
+        patience=patience_of(wire),
     )
 
 
+def patience_of(wire: WireRoute) -> float:
+    """Returns the seconds without an event after which callers leave a stream.
+
+    Source: the platform's protocol, "Requests".
+    """
+    if KINDS[wire.type] is not RouteKind.STREAM:
+        return float("inf")
+    by_target = PATIENCE_PER_TARGET * wire.targetLatencyMs
+    by_gap = PATIENCE_PER_GAP * wire.gapTargetMs
+    return max(LEAST_PATIENCE_MS, by_target, by_gap) / 1000.0
+
+
 def to_service(wire: WireService) -> PublishedService:
     """Returns a service in the project's types."""
     origin = parse_address(wire.origin) if wire.origin else None
--- a/wasabidrum/platform/published_records_test.py
+++ b/wasabidrum/platform/published_records_test.py
@@ -54,6 +54,16 @@
         self.assertEqual(route.kind, RouteKind.STREAM)
         self.assertTrue(route.idempotent)
 
+    def test_callers_leave_a_stream_after_the_longest_of_three_pauses(self) -> None:
+        def patience(**facts: object) -> float:
+            content = json.dumps({"version": 7, "routes": [ROUTE | facts]}).encode()
+            return decode_configuration(content).routes[0].patience
+
+        self.assertEqual(patience(), 3.2)
+        self.assertEqual(patience(targetLatencyMs=1000), 4.0)
+        self.assertEqual(patience(targetLatencyMs=100, gapTargetMs=0), 2.0)
+        self.assertEqual(patience(type="safe"), float("inf"))
+
     def test_a_stream_that_cannot_be_resumed_runs_once(self) -> None:
         """A stream that nobody may go on with is no more to be repeated than a charge."""
         content = json.dumps({"version": 7, "routes": [ROUTE | {"resumable": False}]}).encode()
