Move requests from a stalled engine only to sound ones, and only in their callers' time

Cause: the choice of a place for what is moved was the same as for what has just come: an ejected endpoint that is due for a probe is as good as a sound one, and by how much an endpoint lately began late counts only before a version's bound.

Change: what is moved is no probe, and goes nowhere where the forecast and the lateness of the last five seconds together reach beyond its caller's leaving. First placements stay as they were: engines that were all late once would otherwise get nothing for five seconds.

endpoint_choice_test: two tests, both failed before.

--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -42,12 +42,14 @@
     Attributes:
       near: It stands in the region of the entry.
       first: No other entry sends there before this one does.
+      late: By how many seconds requests have lately begun there later than forecast.
     """
 
     endpoint: ListedEndpoint
     load: EndpointLoad
     near: bool
     first: bool = True
+    late: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +63,8 @@
       others_rate: Requests a second that other entries send to each endpoint.
       corrections: What first events took more than forecast lately, by the forecast's length.
       refused_share: The part of requests that was refused lately.
+      moved: It was given up at another endpoint.
+      leaves_in: The seconds until its caller leaves.
     """
 
     prompt_tokens: int
@@ -69,6 +73,8 @@
     others_rate: float = 0.0
     corrections: Corrections = ()
     refused_share: float = 0.0
+    moved: bool = False
+    leaves_in: float = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,7 +128,8 @@
     able = [c for c in candidates if c.load.health.may_take(now)]
     healthy = [c for c in able if c.load.health.health is Health.HEALTHY]
     # A probe is worth a request only now and then; one that may not be repeated never is.
-    pool = healthy if demand.risky and healthy else able
+    # What was moved has waited at one stalled endpoint already.
+    pool = healthy if demand.moved or (demand.risky and healthy) else able
     known = len(candidates)
     if not pool:
         return Choice(None, float("inf"), retry_when_probed(candidates, now), known)
@@ -136,10 +143,11 @@
         handicap += FAILURE_SECONDS * candidate.load.failures.value(now)
         order = owed * (1.0 + JITTER * rng.random()) + handicap
         ranked.append(Rank(order, owed, raw, candidate))
-    in_time = [rank for rank in ranked if rank.seconds <= demand.latest]
+    in_time = [rank for rank in ranked if is_in_time(rank, demand)]
     if not in_time:
         soonest = min(rank.seconds for rank in ranked)
-        retry = retry_when_room(figures, soonest - demand.latest, demand.refused_share)
+        too_late = max(0.0, soonest - demand.latest)
+        retry = retry_when_room(figures, too_late, demand.refused_share)
         return Choice(None, soonest, retry, known, len(pool), oldest_report(pool, now))
     best = min(in_time, key=lambda rank: rank.order)
     return Choice(best.candidate, best.seconds, 0.0, known, len(pool), raw=best.raw)
@@ -161,6 +169,17 @@
     candidate: Candidate
 
 
+def is_in_time(rank: Rank, demand: Demand) -> bool:
+    """Returns whether a request begins soon enough at an endpoint to be worth its place.
+
+    What is moved late in its caller's time may not reach an endpoint later than forecast: it would
+    begin there when its caller has left, and the reset would come behind it.
+    """
+    if rank.seconds > demand.latest:
+        return False
+    return not demand.moved or rank.seconds + rank.candidate.late < demand.leaves_in
+
+
 def oldest_report(candidates: collections.abc.Sequence[Candidate], now: float) -> float:
     """Returns the seconds since the oldest report of load among those that reported at all."""
     ages = (candidate.load.report_age(now) for candidate in candidates)
--- a/wasabidrum/decisions/endpoint_choice_test.py
+++ b/wasabidrum/decisions/endpoint_choice_test.py
@@ -1,5 +1,6 @@
 """Where requests go and who is refused, under the loads that the choice is made for."""
 
+import dataclasses
 import random
 import statistics
 import unittest
@@ -117,6 +118,26 @@
             choice = choose([sound, failing], None, Demand(0, 1.0, True), 100.0, self.rng)
             self.assertEqual(choice.candidate.endpoint.id, "sound")
 
+    def test_what_is_moved_from_a_stalled_endpoint_is_no_probe_of_another(self) -> None:
+        """Guards against a move from one suspended engine to another that is suspended too."""
+        failing = self.make("failing")
+        failing.load.health.take_silence(2.0, 0.05, 0.0)
+        failing.load.health.take_silence(2.2, 0.05, 0.2)
+        probing = choose([failing], FIGURES, Demand(900, 1.0), 100.0, self.rng)
+        self.assertIsNotNone(probing.candidate)
+        moved = Demand(900, 1.0, moved=True)
+        self.assertIsNone(choose([failing], FIGURES, moved, 100.0, self.rng).candidate)
+
+    def test_what_is_moved_does_not_go_where_it_would_begin_after_its_caller_has_left(self) -> None:
+        """Guards against work that begins behind a slow link for a caller that has left."""
+        late, prompt = self.make("late"), self.make("prompt", near=False)
+        late = dataclasses.replace(late, late=0.8)
+        demand = Demand(900, 1.0, moved=True, leaves_in=0.6)
+        for _ in range(20):
+            choice = choose([late, prompt], FIGURES, demand, 0.0, self.rng)
+            self.assertEqual(choice.candidate.endpoint.id, "prompt")
+        self.assertIsNone(choose([late], FIGURES, demand, 0.0, self.rng).candidate)
+
     def test_where_nobody_can_take_it_a_time_to_come_back_is_told(self) -> None:
         self.assertIsNone(choose([], FIGURES, Demand(0, 1.0), 0.0, self.rng).candidate)
         choice = choose([], FIGURES, Demand(0, 1.0), 0.0, self.rng)
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -145,7 +145,7 @@
             return placed
         left = self._call.left
         placer = self._gateway.placer
-        choice = self._choose(self._tried)
+        choice = self._choose(self._tried, moved=False)
         placed = placer.placed_by(choice)
         if placed is None:
             placer.take_refusal(self._service)
@@ -169,13 +169,13 @@
         retry = min(choice.retry_after, RETRY_FRACTION * left) * (1.0 + 0.3 * placer.rng.random())
         raise CodedError(code, message, 503, retry_after=retry)
 
-    def _choose(self, tried: frozenset[str]) -> Choice:
+    def _choose(self, tried: frozenset[str], moved: bool) -> Choice:
         call, progress = self._call, self._progress
         leaves_in = call.leaves_in(progress.last_event_at)
         if call.route.kind is RouteKind.STREAM:
             leaves_in -= SHORTEST_BEGINNING_SECONDS
         return self._gateway.placer.choose(
-            call.route, self._service, call.head, tried, progress.weights, leaves_in
+            call.route, self._service, call.head, tried, progress.weights, leaves_in, moved
         )
 
     def _reserve_elsewhere(self, placed: Placed) -> bool:
@@ -187,7 +187,7 @@
         placer = self._gateway.placer
         if not self._history.may_follow_a_run() or not self._may_retry():
             return False
-        reserved = placer.placed_by(self._choose(self._tried | {placed.endpoint.id}))
+        reserved = placer.placed_by(self._choose(self._tried | {placed.endpoint.id}, moved=True))
         if reserved is None or not self._spend_retry():
             return False
         placer.begin(reserved, self._call.head.prompt_tokens)
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -132,21 +132,24 @@
         head: RequestHead,
         tried: frozenset[str],
         weights: int,
-        seconds_left: float,
+        leaves_in: float,
+        moved: bool = False,
     ) -> Choice:
         """Chooses an endpoint that was not tried yet; counts nothing.
 
         Args:
           weights: The version that must answer, for a stream that goes on; zero for any.
+          leaves_in: The seconds until its caller leaves.
+          moved: It is given up at another endpoint.
         """
         now = asyncio.get_running_loop().time()
         figures = self._state.engine_of(service)
         self._deal()
         candidates = self._candidates(service, figures, tried, weights, now)
         if figures is None:
-            latest = seconds_left * PLAIN_LATEST_FRACTION
+            latest = leaves_in * PLAIN_LATEST_FRACTION
         else:
-            latest = min(seconds_left, route.target_latency * LATEST_FRACTION)
+            latest = min(leaves_in, route.target_latency * LATEST_FRACTION)
         risky = route.kind is RouteKind.UNSAFE or not route.idempotent
         traffic = self.traffic(service)
         demand = Demand(
@@ -156,6 +159,8 @@
             others_rate=self._others_rate(traffic, len(candidates), now),
             corrections=traffic.bias.corrections(now),
             refused_share=traffic.refused_share(now),
+            moved=moved,
+            leaves_in=leaves_in,
         )
         return choose(candidates, figures, demand, now, self._rng)
 
@@ -256,7 +261,7 @@
             near = endpoint.data_centre == self._near
             first = figures is None or endpoint.id in self._first
             self._judge_silence(endpoint, load, one_pass or load.run_seconds, now)
-            found.append(Candidate(endpoint, load, near, first))
+            found.append(Candidate(endpoint, load, near, first, late))
         return found
 
     def is_stalled(self, placed: Placed, heard_at: float, begun: bool) -> bool:
