Log each chunk that a peer gave, and how late it was whole

The logs told neither what narrow links carry when a version is named nor how many chunks are under way to an instance, so that "weights fill the link" and "requests fill it" could not be told apart.

--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -49,6 +49,7 @@
     ENGINE_BACK = 3019
     STAGED_PIECES_MENDED = 3020
     VERSION_RELAYED = 3021
+    CHUNK_RECEIVED = 3022
 
     # 4000: configuration and membership.
     REVISION_IN_FORCE = 4001
--- a/wasabidrum/weights/peer_asker.py
+++ b/wasabidrum/weights/peer_asker.py
@@ -37,7 +37,7 @@
     """
 
     __slots__ = ("_name", "_region", "_membership", "_log", "_watch", "_counts")
-    __slots__ += ("peers", "evidence", "holders", "relays", "late_seconds", "revision")
+    __slots__ += ("peers", "evidence", "holders", "relays", "late_seconds", "revision", "_open")
 
     def __init__(
         self,
@@ -59,6 +59,7 @@
         self.relays: frozenset[str] = frozenset()
         self.late_seconds = 0.0
         self.revision = 0
+        self._open = 0
 
     def members(self) -> dict[str, MemberView]:
         """Returns the sidecars that are listed and the relays, by name."""
@@ -101,8 +102,10 @@
         if view is None:
             return None, None
         self._counts.asks += 1
+        asked_at = self._now()
         self.evidence.begin_ask(name, self._now())
         holds_up = None if probe else functools.partial(self._holds_up, name, digest)
+        self._open += 1
         try:
             answer = await self.peers.ask(
                 view.url, digest, wait, self.revision, probe, holds_up, rate
@@ -111,10 +114,20 @@
             if error.code != "peer_held_up":
                 self._record_failure(name, digest, error)
             return None, None
+        finally:
+            self._open -= 1
         self._membership.report_success(name)
         self.evidence.record_answer(name, answer.content is not None)
         if answer.content is not None:
             self._note_content(view, len(answer.content), answer.late_seconds)
+            self._log.write(
+                Event.CHUNK_RECEIVED,
+                chunk=digest,
+                peer=name,
+                seconds=round(self._now() - asked_at, 3),
+                late=round(answer.late_seconds, 3),
+                asks=self._open + 1,
+            )
         return answer.content, answer.state
 
     def _note_content(self, view: MemberView, size: int, late_seconds: float) -> None:
