Let weights yield to requests on a link that turns out narrow

A sidecar told relays to send as fast as its settings say that its link is, whatever came through; it only widened more slowly.

While the engine has no request, weights take all of the link. What this process slept through is not put down to the link.

inbound_pace_test replays links of 0.5 and 1 Mbit/s: the worst wait behind chunks is under 0.5 s, over 1.0 s without it.

--- /dev/null
+++ b/wasabidrum/decisions/inbound_pace_test.py
@@ -0,0 +1,68 @@
+"""How fast weights come over links of any width, replayed."""
+
+import unittest
+
+from .inbound_pace import InboundPace
+
+CHUNK_BYTES = 49_152
+CHUNKS = 48
+SETTINGS_RATE = 558_000.0
+AT_ONCE = 4
+
+
+def replay(link_rate: float, chunks: int, adapts: bool) -> tuple[float, float]:
+    """Plays chunks over a link; returns the worst wait behind them after the first, and the time.
+
+    A request that comes when a chunk has just been sent waits for all that is on its way.
+    """
+    pace = InboundPace(SETTINGS_RATE)
+    now = free_at = worst = 0.0
+    for number in range(chunks):
+        at_once = 1 if pace.narrow else AT_ONCE
+        seconds = at_once * CHUNK_BYTES / pace.rate
+        now += seconds
+        free_at = max(free_at, now - seconds) + at_once * CHUNK_BYTES / link_rate
+        late = max(0.0, free_at - now)
+        if number:
+            worst = max(worst, late)
+        now = max(now, free_at)
+        if adapts:
+            pace.record(CHUNK_BYTES, at_once, seconds, late)
+    return worst, now
+
+
+class InboundPaceTest(unittest.TestCase):
+    """Links as wide as their settings say, and others."""
+
+    def test_on_a_narrow_link_requests_do_not_wait_behind_weights(self) -> None:
+        """Guards against requests that reach an engine after their callers have left."""
+        for link_rate in (62_000.0, 125_000.0):
+            worst, _ = replay(link_rate, CHUNKS, adapts=True)
+            self.assertLess(worst, 0.5)
+            self.assertGreater(replay(link_rate, CHUNKS, adapts=False)[0], 1.0)
+
+    def test_a_sound_link_is_used_in_full(self) -> None:
+        worst, seconds = replay(587_000.0, CHUNKS, adapts=True)
+        self.assertLess(worst, 0.01)
+        self.assertAlmostEqual(seconds, AT_ONCE * CHUNKS * CHUNK_BYTES / SETTINGS_RATE, delta=0.5)
+
+    def test_a_link_that_is_wide_again_is_found_to_be(self) -> None:
+        """Guards against an engine that stays without weights long after its link is sound."""
+        pace = InboundPace(SETTINGS_RATE)
+        pace.record(CHUNK_BYTES, 2, 0.35, 3.0)
+        self.assertTrue(pace.narrow)
+        seconds = 0.0
+        while pace.narrow:
+            seconds += CHUNK_BYTES / pace.rate
+            pace.record(CHUNK_BYTES, 1, 0.0, 0.0)
+        self.assertLess(seconds, 8.0)
+
+    def test_it_never_stops_altogether(self) -> None:
+        pace = InboundPace(SETTINGS_RATE)
+        for _ in range(100):
+            pace.record(CHUNK_BYTES, 1, 1.0, 100.0)
+        self.assertGreater(pace.rate, 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -10,7 +10,6 @@
 from ..core.errors import CodedError
 from ..decisions import chunk_route
 from ..decisions.chunk_evidence import SLOW_PAUSE_SECONDS
-from ..decisions.chunk_pacing import BYTES_PER_MEGABIT
 from ..decisions.chunk_plan import ChunkPlan
 from ..decisions.chunk_route import Asker, Step, StepKind
 from ..observe.event import Event
@@ -39,11 +38,9 @@
 # They notice within two seconds that they wait for it, and what it draws besides costs the origin
 # a chunk and takes its link from what they send it.
 ROUNDS_IN_DOUBT = 3
-# Chunks asked of relays at once, and the part of the instance's own link that they may fill
-# together. A relay's link is wider than the asker's, so that the asker says how fast it may send;
-# requests to the engine would wait behind the chunks otherwise.
+# Chunks asked of relays at once. A relay's link is wider than the asker's, so that the asker says
+# how fast it may send; requests to the engine would wait behind the chunks otherwise.
 RELAY_ASKS_AT_ONCE = 4
-RELAY_FRACTION = 0.95
 # Chunks asked of other peers at once. Most of these wait for the peer to get the chunk.
 ASKS_AT_ONCE = 12
 
@@ -52,7 +49,8 @@
     """One sidecar's part in the distribution: its store, its evidence and its requests."""
 
     __slots__ = ("_settings", "_origin", "_log", "asker", "store", "pacer", "counts")
-    __slots__ += ("spread", "hears_late", "_asked", "_begun_at")
+    __slots__ += ("spread", "hears_late", "_asked", "_begun_at", "_one_at_a_time")
+    __slots__ += ("_in_progress",)
 
     def __init__(
         self,
@@ -77,6 +75,8 @@
         self.spread = False
         self._asked = asyncio.Event()
         self._begun_at = 0.0
+        self._one_at_a_time = asyncio.Lock()
+        self._in_progress = in_progress
 
     @property
     def late_seconds(self) -> float:
@@ -151,8 +151,9 @@
             index = plan.index_of(digest)
             step = self._find_step(plan, index, digest)
             if step.kind is StepKind.ASK:
-                rate = self._inbound_rate(step.peer)
-                content, state = await self.asker.ask(step.peer, digest, self._patience(), rate)
+                async with self._turn():
+                    rate = self._inbound_rate(step.peer)
+                    content, state = await self.asker.ask(step.peer, digest, self._patience(), rate)
                 waits += 1
                 stuck = waits % WAITS_BEFORE_OTHERS == 0
                 if state is ChunkState.LACKING or (state is ChunkState.COMING and stuck):
@@ -182,10 +183,26 @@
 
     def _inbound_rate(self, peer: str) -> float:
         """Returns the bytes a second that a peer may send here; zero where it knows itself."""
-        if peer not in self.asker.relays or self._settings.role != "sidecar":
+        pace = self.asker.pace
+        if self._settings.role != "sidecar":
             return 0.0
-        link = self._settings.link_mbit * BYTES_PER_MEGABIT
-        return link * RELAY_FRACTION / RELAY_ASKS_AT_ONCE
+        if self._yields():
+            return pace.rate
+        return pace.link_rate / RELAY_ASKS_AT_ONCE if peer in self.asker.relays else 0.0
+
+    @contextlib.asynccontextmanager
+    async def _turn(self) -> collections.abc.AsyncIterator[None]:
+        """Has chunks come one at a time over a narrow link that requests need."""
+        if not self._yields():
+            yield
+            return
+        async with self._one_at_a_time:
+            yield
+
+    def _yields(self) -> bool:
+        """Returns whether weights leave a narrow link to the requests of the engine beside it."""
+        beside_engine = self._settings.role == "sidecar"
+        return beside_engine and self.asker.pace.narrow and self._in_progress() > 0
 
     def _patience(self) -> float:
         """Returns how long to wait at a peer for a chunk that it expects, in seconds."""
--- a/wasabidrum/weights/distributor_test.py
+++ b/wasabidrum/weights/distributor_test.py
@@ -71,8 +71,8 @@
     return Instance(name, InstanceRole.SIDECAR, "r", "r", name, 1, 2)
 
 
-def make_distributor(name: str) -> Distributor:
-    """Returns a distributor that has not begun."""
+def make_distributor(name: str, in_progress: int = 0) -> Distributor:
+    """Returns a distributor that has not begun, beside an engine with some requests."""
     settings = Settings(
         name=name,
         role="sidecar",
@@ -83,7 +83,7 @@
     )
     log = EventLog(logbook.Logger("test", level=logbook.CRITICAL), "test")
     origin = OriginDraw([FixedOrigin()])
-    return Distributor(settings, FixedMembership(), None, origin, lambda: 0, log)
+    return Distributor(settings, FixedMembership(), None, origin, lambda: in_progress, log)
 
 
 class WaitTest(unittest.IsolatedAsyncioTestCase):
@@ -116,6 +116,63 @@
         self.assertIs(fleet[first].state_of(DIGEST), ChunkState.HELD)
 
 
+class CountingPeers:
+    """Gives chunks after a while, and counts how many are under way."""
+
+    def __init__(self, contents: dict[str, bytes]) -> None:
+        self.at_once = 0
+        self.rates: set[float] = set()
+        self._contents = contents
+        self._open = 0
+
+    async def ask(
+        self,
+        url: str,
+        digest: str,
+        wait: float,
+        revision: int,
+        probe: bool = False,
+        holds_up: HoldsUp | None = None,
+        rate: float = 0.0,
+    ) -> PeerAnswer:
+        """See PeerChunkClient."""
+        self._open += 1
+        self.at_once = max(self.at_once, self._open)
+        self.rates.add(rate)
+        await asyncio.sleep(0.01)
+        self._open -= 1
+        return PeerAnswer(ChunkState.HELD, self._contents[digest])
+
+
+class NarrowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """A sidecar whose link has turned out narrow."""
+
+    async def fetch_all(self, in_progress: int) -> CountingPeers:
+        """Fetches twelve chunks at once beside an engine with some requests."""
+        contents = {digest_of(bytes([n])): bytes([n]) for n in range(12)}
+        plan = ChunkPlan("root", tuple(contents), {"a": "r", "b": "r"})
+        distributor = make_distributor("a", in_progress)
+        peers = distributor.asker.peers = CountingPeers(contents)
+        distributor.asker.relays = frozenset(("b",))
+        distributor.asker.holders = frozenset(("b",))
+        distributor.asker.pace.record(49_152, 2, 0.4, 2.0)
+        distributor.begin()
+        await asyncio.gather(*(distributor.fetch(plan, digest) for digest in contents))
+        return peers
+
+    async def test_weights_leave_a_narrow_link_to_requests(self) -> None:
+        """Guards against requests that lie behind chunks until their callers have left."""
+        peers = await self.fetch_all(in_progress=3)
+        self.assertEqual(peers.at_once, 1)
+        self.assertLess(min(peers.rates), 100_000.0)
+
+    async def test_weights_take_all_of_a_link_that_no_request_needs(self) -> None:
+        """Guards against an engine without weights that gets them slowly for nobody's good."""
+        peers = await self.fetch_all(in_progress=0)
+        self.assertEqual(peers.at_once, 12)
+        self.assertGreater(min(peers.rates), 1_000_000.0)
+
+
 class UnknownChunkTest(unittest.IsolatedAsyncioTestCase):
     """An entry that is asked for a chunk of a version that it has not heard of."""
 
--- a/wasabidrum/weights/peer_asker.py
+++ b/wasabidrum/weights/peer_asker.py
@@ -9,12 +9,14 @@
 from ..core.errors import CodedError
 from ..core.instance import InstanceRole
 from ..decisions.chunk_evidence import ChunkEvidence
+from ..decisions.chunk_pacing import BYTES_PER_MEGABIT
+from ..decisions.inbound_pace import InboundPace
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.member_view import MemberView
 from ..peers.membership import Membership
 from .chunk_state import ChunkState
-from .peer_chunk_client import PeerChunkClient
+from .peer_chunk_client import PeerAnswer, PeerChunkClient
 from .peer_watch import PeerWatch
 from .transfer_counts import TransferCounts
 
@@ -22,6 +24,8 @@
 # A chunk passes an instance's link in a tenth of a second. From one whose link is a quarter as wide
 # as the settings say it comes this much later, and others hold it as well.
 SLOW_SECONDS = 0.5
+# Of the instance's link, for weights that come over it.
+LINK_FRACTION = 0.95
 
 
 class PeerAsker:
@@ -34,10 +38,20 @@
       relays: Members that hold chunks though they are no sidecars.
       revision: The configuration that this sidecar has; peers may lag behind it.
       late_seconds: How late the last chunk was whole, beyond the time that it took to send.
+      pace: How fast peers may send here.
     """
 
     __slots__ = ("_name", "_region", "_membership", "_log", "_watch", "_counts")
-    __slots__ += ("peers", "evidence", "holders", "relays", "late_seconds", "revision", "_open")
+    __slots__ += (
+        "peers",
+        "evidence",
+        "holders",
+        "relays",
+        "late_seconds",
+        "revision",
+        "pace",
+        "_open",
+    )
 
     def __init__(
         self,
@@ -60,6 +74,7 @@
         self.late_seconds = 0.0
         self.revision = 0
         self._open = 0
+        self.pace = InboundPace(settings.link_mbit * BYTES_PER_MEGABIT * LINK_FRACTION)
 
     def members(self) -> dict[str, MemberView]:
         """Returns the sidecars that are listed and the relays, by name."""
@@ -105,7 +120,7 @@
         asked_at = self._now()
         self.evidence.begin_ask(name, self._now())
         holds_up = None if probe else functools.partial(self._holds_up, name, digest)
-        self._open += 1
+        self._open += not probe
         try:
             answer = await self.peers.ask(
                 view.url, digest, wait, self.revision, probe, holds_up, rate
@@ -115,11 +130,11 @@
                 self._record_failure(name, digest, error)
             return None, None
         finally:
-            self._open -= 1
+            self._open -= not probe
         self._membership.report_success(name)
         self.evidence.record_answer(name, answer.content is not None)
         if answer.content is not None:
-            self._note_content(view, len(answer.content), answer.late_seconds)
+            self._note_content(view, answer)
             self._log.write(
                 Event.CHUNK_RECEIVED,
                 chunk=digest,
@@ -130,8 +145,10 @@
             )
         return answer.content, answer.state
 
-    def _note_content(self, view: MemberView, size: int, late_seconds: float) -> None:
+    def _note_content(self, view: MemberView, answer: PeerAnswer) -> None:
+        size, late_seconds = len(answer.content), answer.late_seconds
         self.late_seconds = late_seconds
+        self.pace.record(size, self._open + 1, answer.sending_seconds, late_seconds)
         if view.name in self.holders and late_seconds > SLOW_SECONDS:
             self.evidence.record_slow(view.name, self._now())
         self._counts.asks_answered += 1
--- a/wasabidrum/weights/peer_chunk_client.py
+++ b/wasabidrum/weights/peer_chunk_client.py
@@ -26,11 +26,13 @@
     """What a peer answered; the content is verified, and None unless the state is HELD.
 
     Attributes:
+      sending_seconds: In which the peer sent the content.
       late_seconds: How much later the content was whole than the peer had sent it.
     """
 
     state: ChunkState
     content: bytes | None = None
+    sending_seconds: float = 0.0
     late_seconds: float = 0.0
 
 
@@ -38,7 +40,7 @@
     """One request for a chunk while it runs."""
 
     __slots__ = ("_parts", "_loop", "_moves_until", "_ends_at", "_status", "_head", "given_up")
-    __slots__ += ("_due_at", "_idle_from")
+    __slots__ += ("_due_at", "_idle_from", "sending_seconds")
 
     def __init__(self, wait: float) -> None:
         self._loop = asyncio.get_running_loop()
@@ -51,6 +53,7 @@
         # Before the head comes, a look of half a second is due after the first half.
         self._idle_from = self._loop.time() + PROMPT_SECONDS - LOOK_SECONDS
         self._due_at = self._loop.time()
+        self.sending_seconds = 0.0
 
     @property
     def late_seconds(self) -> float:
@@ -88,10 +91,15 @@
             seconds = float(self._head.get(headers.CHUNK_SECONDS, "0"))
             now = self._loop.time()
             self._due_at = now + max(0.0, starts_in) + seconds
+            self.sending_seconds = seconds
             self._idle_from = now
             self._moves_until = now + max(0.0, starts_in) + STALL_SECONDS
             self._ends_at = self._moves_until + SLOWEST_FACTOR * seconds + STALL_SECONDS
 
+    def forgive(self, seconds: float) -> None:
+        """Takes that this process stood still for a while."""
+        self._due_at += seconds
+
     def take_part(self, part: bytes) -> None:
         """Takes some bytes of the body."""
         if self.given_up:
@@ -153,8 +161,12 @@
             while not answered.done():
                 if download.patience <= 0:
                     raise CodedError("peer_stalled", f"{url} stopped sending", 503)
-                patience = max(0.01, download.patience)
-                await asyncio.wait((answered,), timeout=min(patience, PROMPT_SECONDS))
+                timeout = min(max(0.01, download.patience), PROMPT_SECONDS)
+                began = asyncio.get_running_loop().time()
+                await asyncio.wait((answered,), timeout=timeout)
+                waited = asyncio.get_running_loop().time() - began
+                # Where this process stood still itself, the chunk is not late for its link.
+                download.forgive(max(0.0, waited - timeout))
                 if holds_up is None or answered.done() or not download.idle:
                     continue
                 if await holds_up() and download.idle and not answered.done():
@@ -173,7 +185,9 @@
             content = download.content
             if digest_of(content) != digest:
                 raise CodedError("chunk_corrupt", f"{digest} came with other bytes", 503)
-            return PeerAnswer(ChunkState.HELD, content, download.late_seconds)
+            return PeerAnswer(
+                ChunkState.HELD, content, download.sending_seconds, download.late_seconds
+            )
         return PeerAnswer(self._read_state(download))
 
     def _read_state(self, download: ChunkDownload) -> ChunkState:
