Keep the logs of the processes that tests launch, where asked

Of a test that was red once beside load only the assertion was left: the folder of its processes went with the run, so that KNOWN-RED.txt says "its output was not kept" and "suspected". WASABIDRUM_KEEP_LOGS=DIR keeps each cluster's folder.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -4,7 +4,9 @@
 import dataclasses
 import itertools
 import json
+import os
 import pathlib
+import shutil
 import signal
 import tempfile
 import time
@@ -17,6 +19,8 @@
 from .process import Process, launch
 
 STOP_SECONDS = 20.0
+# Where the logs of every run are kept; without it they go with the run.
+KEPT_FOLDER_VARIABLE = "WASABIDRUM_KEEP_LOGS"
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,6 +78,8 @@
             process.send(signal.SIGKILL)
         await asyncio.gather(*(process.wait(STOP_SECONDS) for process in self._processes))
         self.client.close()
+        if kept := os.environ.get(KEPT_FOLDER_VARIABLE):
+            shutil.copytree(self.folder, pathlib.Path(kept) / self.folder.name)
         self._folder.cleanup()
 
     async def launch(self, name: str, *arguments: str) -> Process:
