--- a/tests/choice_replay.py
+++ b/tests/choice_replay.py
@@ -173,7 +173,7 @@
         running, waiting = engine.account(now)
         for entry in self.entries:
             load = entry.loads[self._endpoints[number].id]
-            load.take_report(running, waiting, engine.pace, now, LAG_SECONDS)
+            load.record_report(running, waiting, engine.pace, now, LAG_SECONDS)
 
     def _arrive(self, now: float, _: int) -> None:
         rng = self._rng
--- a/tests/taken_back_race_test.py
+++ b/tests/recall_race_test.py
@@ -1,4 +1,4 @@
-"""Requests that are taken back in the moment in which their answer comes, or is lost."""
+"""Requests that are recalled in the moment in which their answer comes, or is lost."""
 
 import asyncio
 import time
@@ -11,14 +11,14 @@
 from wasabidrum.gateway import published_state
 from wasabidrum.platform import names
 
-# Before an entry takes back what has not begun, and well before the bound.
+# Before an entry recalls what has not begun, and well before the bound.
 IN_TIME_SECONDS = 1.4
 # For this long a busy process does not look at its sockets; then the bound has not come yet.
 BUSY_SECONDS = 0.55
 
 
 class BusyEntryTest(VersionBoundCase):
-    """An entry whose process is busy while its time to take back comes."""
+    """An entry whose process is busy while its time to recall a request comes."""
 
     async def test_an_answer_that_has_begun_and_was_not_read_yet_is_not_taken_back(self) -> None:
         """An engine begins a stream well before the bound, and its first event lies unread at an
@@ -52,9 +52,9 @@
     async def test_a_request_that_is_lost_while_it_is_taken_back_does_not_end_the_looking(
         self,
     ) -> None:
-        """An engine crashes just when its entry takes back what it holds. The connection is
+        """An engine crashes just when its entry recalls what it holds. The connection is
         closed already when the entry resets it; the error ends the task that looks after
-        attempts in progress, and nothing starts it again. From then on nothing is taken back
+        attempts in progress, and nothing starts it again. From then on nothing is recalled
         from any engine, and callers get text from weights that were replaced."""
         crash_at = asyncio.get_running_loop().create_future()
 
--- a/tests/taken_back_together_test.py
+++ b/tests/recall_together_test.py
@@ -1,4 +1,4 @@
-"""Many requests that are taken back from one endpoint in the same moment."""
+"""Many requests that are recalled from one endpoint in the same moment."""
 
 import asyncio
 import unittest
--- a/tests/version_bound_test.py
+++ b/tests/version_bound_test.py
@@ -167,7 +167,7 @@
     ) -> None:
         """An engine stands behind a narrow link that carries weights, and gets requests over a
         second after they were sent. One that is placed there in time begins after the bound,
-        and the reset that takes it back comes behind it on the same link. The lines that settled
+        and the reset that recalls it comes behind it on the same link. The lines that settled
         it: sent 0.15 s before nothing was placed any more, taken back 0.45 s before the bound,
         read by the engine 1.0 s after it, begun, and cut 0.5 s later."""
         engine = BeginsWhenWoken()
--- a/wasabidrum/decisions/chunk_evidence.py
+++ b/wasabidrum/decisions/chunk_evidence.py
@@ -81,7 +81,7 @@
         return now < self._lacks.get((name, digest), 0.0)
 
     def record_failure(self, name: str, now: float, corrupt: bool = False) -> None:
-        """Takes that a peer was unreachable, stalled, or sent other bytes than asked for."""
+        """Records that a peer was unreachable, stalled, or sent other bytes than asked for."""
         record = self._records.setdefault(name, PeerRecord())
         # Several chunks asked of one dead peer fail together; that is one failure.
         if now < record.avoid_until and not record.on_trial and not corrupt:
@@ -106,7 +106,7 @@
         return True
 
     def record_slow(self, name: str, now: float) -> None:
-        """Takes that a peer answers much later than its own link should allow."""
+        """Records that a peer answers much later than its own link should allow."""
         record = self._records.setdefault(name, PeerRecord())
         # Several chunks asked of one silent peer find that out together.
         if now >= record.avoid_until or record.on_trial:
@@ -115,13 +115,13 @@
         record.avoid_until = max(record.avoid_until, now + SLOW_PAUSE_SECONDS)
 
     def record_lack(self, name: str, digest: str, now: float) -> None:
-        """Takes that a peer neither holds nor expects a chunk."""
+        """Records that a peer neither holds nor expects a chunk."""
         if len(self._lacks) > 10_000:
             self._lacks = {key: until for key, until in self._lacks.items() if until > now}
         self._lacks[(name, digest)] = now + LACK_EXPIRES_SECONDS
 
     def record_answer(self, name: str, gave_chunk: bool) -> None:
-        """Takes that a peer answered; one that sent corrupted bytes has to give a right chunk."""
+        """Records that a peer answered; one that sent corrupted bytes has to give a right chunk."""
         self._excuses.pop(name, None)
         record = self._records.get(name)
         if record is not None and (gave_chunk or not record.corrupt):
--- a/wasabidrum/decisions/endpoint_book.py
+++ b/wasabidrum/decisions/endpoint_book.py
@@ -42,7 +42,7 @@
         return self._endpoints.get(endpoint_id)
 
     def record_trouble(self, now: float) -> None:
-        """Takes that the store could not be asked just now."""
+        """Records that the store could not be asked just now."""
         self._trouble_at = now
 
     def take(self, endpoint: ListedEndpoint, revision: int) -> bool:
--- a/wasabidrum/decisions/endpoint_choice_test.py
+++ b/wasabidrum/decisions/endpoint_choice_test.py
@@ -87,7 +87,7 @@
             candidates = []
             for number in range(6):
                 load = EndpointLoad(rng)
-                load.take_report(4 if number else 3, 0, 1.0, 0.0)
+                load.record_report(4 if number else 3, 0, 1.0, 0.0)
                 endpoint = ListedEndpoint(f"e{number}", "s", "10.0.0.1", 1, "z")
                 candidates.append(Candidate(endpoint, load, True))
             choice = choose(candidates, FIGURES, Demand(900, AIM_SECONDS), 0.0, rng)
@@ -111,9 +111,9 @@
         """An endpoint fails some of its calls. A charge that is sent there to find out
         whether it works again may end with an outcome that nobody knows."""
         sound, failing = self.make("sound"), self.make("failing")
-        failing.load.take_run(0.001)
+        failing.load.record_run(0.001)
         for _ in range(2):
-            failing.load.health.take_failure(0.0)
+            failing.load.health.record_failure(0.0)
         for _ in range(20):
             choice = choose([sound, failing], None, Demand(0, 1.0, True), 100.0, self.rng)
             self.assertEqual(choice.candidate.endpoint.id, "sound")
@@ -121,8 +121,8 @@
     def test_what_is_moved_from_a_stalled_endpoint_is_no_probe_of_another(self) -> None:
         """Guards against a move from one suspended engine to another that is suspended too."""
         failing = self.make("failing")
-        failing.load.health.take_silence(2.0, 0.05, 0.0)
-        failing.load.health.take_silence(2.2, 0.05, 0.2)
+        failing.load.health.record_silence(2.0, 0.05, 0.0)
+        failing.load.health.record_silence(2.2, 0.05, 0.2)
         probing = choose([failing], FIGURES, Demand(900, 1.0), 100.0, self.rng)
         self.assertIsNotNone(probing.candidate)
         moved = Demand(900, 1.0, moved=True)
@@ -162,7 +162,7 @@
     def test_a_plain_service_is_forecast_by_its_own_speed(self) -> None:
         quick, slow = self.make("quick"), self.make("slow")
         for _ in range(60):
-            slow.load.take_run(0.2)
+            slow.load.record_run(0.2)
         self.assertLess(
             forecast(quick, None, Demand(0, 1.0), 0.0),
             forecast(slow, None, Demand(0, 1.0), 0.0) / 3,
@@ -188,7 +188,7 @@
     def test_own_work_counts_at_once_and_others_by_the_last_report(self) -> None:
         load = EndpointLoad(random.Random(1))
         load.placed(900, 9.0)
-        load.take_report(running=5, queued=1, pace=1.0, now=10.0)
+        load.record_report(running=5, queued=1, pace=1.0, now=10.0)
         load.placed(900, 10.0)
         self.assertAlmostEqual(load.work(10.0).requests, 7.0)
 
@@ -198,19 +198,19 @@
         load = EndpointLoad(random.Random(1))
         load.placed(900, 9.0)
         load.placed(900, 9.9)
-        load.take_report(running=5, queued=0, pace=1.0, now=10.0, lag=0.2)
+        load.record_report(running=5, queued=0, pace=1.0, now=10.0, lag=0.2)
         self.assertAlmostEqual(load.work(10.0).requests, 6.0)
 
     def test_what_others_send_after_a_report_is_guessed_by_their_rate(self) -> None:
         """Entries see the same report and each sends its next request to the engine that
         looked best. Each sees only its own there, and the engine gets all of them."""
         load = EndpointLoad(random.Random(1))
-        load.take_report(running=5, queued=0, pace=1.0, now=10.0, lag=0.2)
+        load.record_report(running=5, queued=0, pace=1.0, now=10.0, lag=0.2)
         self.assertAlmostEqual(load.work(10.0, others_rate=10.0).requests, 7.0)
 
     def test_an_old_report_counts_for_nothing(self) -> None:
         load = EndpointLoad(random.Random(1))
-        load.take_report(running=16, queued=9, pace=1.0, now=10.0)
+        load.record_report(running=16, queued=9, pace=1.0, now=10.0)
         self.assertEqual(load.work(20.0).requests, 0.0)
 
     def test_forecasts_are_near_what_engines_do(self) -> None:
--- a/wasabidrum/decisions/endpoint_health.py
+++ b/wasabidrum/decisions/endpoint_health.py
@@ -80,8 +80,8 @@
         if self._health is not Health.HEALTHY:
             self._probing = True
 
-    def take_tokens(self, tokens: int, seconds: float) -> None:
-        """Takes how long some tokens took."""
+    def record_tokens(self, tokens: int, seconds: float) -> None:
+        """Records how long some tokens took."""
         for _ in range(min(tokens, TOKENS_JUDGED)):
             self._samples += 1
             sample = seconds / tokens
@@ -93,7 +93,7 @@
         """Returns whether tokens take so much longer than elsewhere that callers notice."""
         return self.token_seconds > SLOW_RATIO * token_seconds
 
-    def take_pace(self, median: float, now: float) -> bool:
+    def record_pace(self, median: float, now: float) -> bool:
         """Holds the endpoint's pace to its peers'; returns whether the verdict changed.
 
         Args:
@@ -114,8 +114,8 @@
         self._eject(Health.SLOW, now)
         return True
 
-    def take_silence(self, seconds: float, median: float, now: float) -> bool:
-        """Takes for how long answers in progress have stood still."""
+    def record_silence(self, seconds: float, median: float, now: float) -> bool:
+        """Records for how long answers in progress have stood still."""
         if not is_silent(seconds, median) or self._health is not Health.HEALTHY:
             return False
         if self._silence_seen_at < now - seconds:
@@ -125,8 +125,8 @@
         self._eject(Health.SLOW, now)
         return True
 
-    def take_success(self, median: float) -> bool:
-        """Takes a whole answer; returns whether the verdict changed."""
+    def record_success(self, median: float) -> bool:
+        """Records a whole answer; returns whether the verdict changed."""
         self._failures = 0
         self._probing = False
         if self._health is Health.HEALTHY:
@@ -137,8 +137,8 @@
         self._tries = 0
         return True
 
-    def take_failure(self, now: float) -> bool:
-        """Takes a refusal or a failure that may be the endpoint's own; as above."""
+    def record_failure(self, now: float) -> bool:
+        """Records a refusal or a failure that may be the endpoint's own; as above."""
         self._failures += 1
         if self._health is not Health.HEALTHY:
             self._probing = False
--- a/wasabidrum/decisions/endpoint_limit.py
+++ b/wasabidrum/decisions/endpoint_limit.py
@@ -86,10 +86,10 @@
         self._limit = min(self._limit, self._initial)
         self._slow_start = True
 
-    def take_report(
+    def record_report(
         self, running: float, waiting: float, slots: int, run_seconds: float, now: float
     ) -> None:
-        """Takes what an endpoint reports, averaged over some reports.
+        """Records what an endpoint reports, averaged over some reports.
 
         Args:
           run_seconds: How long requests run on average, or zero where that is not known.
@@ -101,16 +101,16 @@
             self._queue_until = now + CUT_PAUSE_SECONDS
             self._shrink(now)
 
-    def take_first_token(self, seconds: float, in_progress: int, now: float) -> None:
-        """Takes how long an answer took to begin, and how many requests ran then."""
+    def record_first_token(self, seconds: float, in_progress: int, now: float) -> None:
+        """Records how long an answer took to begin, and how many requests ran then."""
         self._least.take(seconds, now)
         if seconds - self._least.value > LATE_SECONDS:
             self._shrink(now)
         elif in_progress >= LIMITED_FRACTION * self._limit and now >= self._queue_until:
             self._grow(now)
 
-    def take_failure(self, now: float) -> None:
-        """Takes a refusal or a failure."""
+    def record_failure(self, now: float) -> None:
+        """Records a refusal or a failure."""
         self._shrink(now)
 
     def _grow(self, now: float) -> None:
--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -87,8 +87,8 @@
         """Returns for how long nothing has come from there, with work of this entry there."""
         return now - self._quiet_since if self.own else 0.0
 
-    def take_end(self, failed: bool, now: float) -> None:
-        """Takes whether a request failed in a way that may be the endpoint's own."""
+    def record_end(self, failed: bool, now: float) -> None:
+        """Records whether a request failed in a way that may be the endpoint's own."""
         self.failures.take(failed, now)
         if not failed:
             self.progressed(now)
@@ -103,14 +103,14 @@
         if not answered:
             self.unread -= prompt_tokens
 
-    def take_run(self, seconds: float) -> None:
-        """Takes how long a whole answer of a plain service took."""
+    def record_run(self, seconds: float) -> None:
+        """Records how long a whole answer of a plain service took."""
         self.run_seconds += SAMPLE_WEIGHT * (seconds - self.run_seconds)
 
-    def take_report(
+    def record_report(
         self, running: int, queued: int, pace: float, now: float, lag: float = 0.0
     ) -> None:
-        """Takes what an endpoint says of itself.
+        """Records what an endpoint says of itself.
 
         Args:
           lag: How old the account was when it was made, in seconds.
--- a/wasabidrum/decisions/endpoint_state.py
+++ b/wasabidrum/decisions/endpoint_state.py
@@ -68,8 +68,8 @@
             return seconds
         return max(seconds, now - self.progress_at)
 
-    def take_report(self, load: Load, run_seconds: float, now: float) -> None:
-        """Takes a report of load, and how long requests run on average."""
+    def record_report(self, load: Load, run_seconds: float, now: float) -> None:
+        """Records a report of load, and how long requests run on average."""
         keep = math.exp((self._reported_at - now) / REPORT_AVERAGE_SECONDS)
         self._queue_mean = keep * self._queue_mean + (1.0 - keep) * load.waiting
         self._running_mean = keep * self._running_mean + (1.0 - keep) * load.running
@@ -80,7 +80,7 @@
         # requests run for a fraction of that, and nearly all where they run for much longer.
         # Followed blindly, it sends every entry to the one that looked idle.
         self._trust = math.exp(-TRUST_SECONDS / run_seconds) if run_seconds else 0.0
-        self.limit.take_report(self._running_mean, self._queue_mean, load.slots, run_seconds, now)
+        self.limit.record_report(self._running_mean, self._queue_mean, load.slots, run_seconds, now)
 
     def load_by_others(self, now: float) -> float:
         """Returns what others probably run there, as far as the last report can be trusted."""
--- a/wasabidrum/decisions/endpoint_test.py
+++ b/wasabidrum/decisions/endpoint_test.py
@@ -40,11 +40,11 @@
         for kind, value, number in signals:
             now += value / 50.0
             if kind == "report":
-                limit.take_report(value, value, number, value, now)
+                limit.record_report(value, value, number, value, now)
             elif kind == "first":
-                limit.take_first_token(value, number, now)
+                limit.record_first_token(value, number, now)
             elif kind == "failure":
-                limit.take_failure(now)
+                limit.record_failure(now)
             elif kind == "restart":
                 limit.restart()
             self.assertGreaterEqual(limit.value, SMALLEST_LIMIT)
@@ -56,7 +56,7 @@
         second more. Cut for each report, the limit would collapse while the engine idles."""
         limit = EndpointLimit(8.0)
         for tick in range(10):
-            limit.take_report(8, 5, 8, 0.2, 100.0 + tick * 0.05)
+            limit.record_report(8, 5, 8, 0.2, 100.0 + tick * 0.05)
         self.assertAlmostEqual(limit.value, 8.0 * 0.85)
 
 
@@ -67,8 +67,8 @@
         """Returns an endpoint found slow at time 1."""
         health = EndpointHealth(random.Random(1))
         for token in range(8):
-            health.take_tokens(1, 0.1)
-            health.take_pace(0.01, 0.3 + 0.1 * token)
+            health.record_tokens(1, 0.1)
+            health.record_pace(0.01, 0.3 + 0.1 * token)
         return health
 
     def test_a_pause_of_long_ago_is_no_slowness(self) -> None:
@@ -76,12 +76,12 @@
         seconds. If the idle time counts as slow, it is out at the next text's first tokens."""
         health = EndpointHealth(random.Random(1))
         for token in range(8):
-            health.take_tokens(1, 0.01)
-            health.take_pace(0.01, 1.0 + 0.01 * token)
-        health.take_tokens(1, 0.2)
-        health.take_pace(0.01, 1.3)
-        health.take_tokens(1, 0.01)
-        health.take_pace(0.01, 11.3)
+            health.record_tokens(1, 0.01)
+            health.record_pace(0.01, 1.0 + 0.01 * token)
+        health.record_tokens(1, 0.2)
+        health.record_pace(0.01, 1.3)
+        health.record_tokens(1, 0.01)
+        health.record_pace(0.01, 11.3)
         self.assertIs(health.health, Health.HEALTHY)
 
     def test_only_one_probe_runs_at_a_time(self) -> None:
@@ -113,25 +113,25 @@
         meanwhile wait in its sockets. Judged before they are read, every endpoint that works
         for it is taken out, and its callers are refused although all engines are well."""
         health = EndpointState("e", 0, random.Random(1)).health
-        self.assertFalse(health.take_silence(1.4, 0.01, 100.0))
-        self.assertFalse(health.take_silence(1.4, 0.01, 100.01))
-        self.assertFalse(health.take_silence(0.02, 0.01, 100.2))
+        self.assertFalse(health.record_silence(1.4, 0.01, 100.0))
+        self.assertFalse(health.record_silence(1.4, 0.01, 100.01))
+        self.assertFalse(health.record_silence(0.02, 0.01, 100.2))
         self.assertIs(health.health, Health.HEALTHY)
 
     def test_each_silence_is_looked_at_twice(self) -> None:
         """The entry stands still twice, and tokens come in between. The second time must not
         count as the second look at the first silence."""
         health = EndpointState("e", 0, random.Random(1)).health
-        self.assertFalse(health.take_silence(1.4, 0.01, 100.0))
-        self.assertFalse(health.take_silence(1.4, 0.01, 102.0))
+        self.assertFalse(health.record_silence(1.4, 0.01, 100.0))
+        self.assertFalse(health.record_silence(1.4, 0.01, 102.0))
         self.assertIs(health.health, Health.HEALTHY)
 
     def test_a_silence_that_lasts_takes_an_endpoint_out(self) -> None:
         """An engine's process is paused in the middle of answers while the entry is awake.
         Whoever is sent there waits, so it must be out a moment after the silence is seen."""
         health = EndpointState("e", 0, random.Random(1)).health
-        health.take_silence(0.6, 0.01, 100.0)
-        health.take_silence(0.8, 0.01, 100.2)
+        health.record_silence(0.6, 0.01, 100.0)
+        health.record_silence(0.8, 0.01, 100.2)
         self.assertIs(health.health, Health.SLOW)
 
 
--- a/wasabidrum/decisions/entry_roster.py
+++ b/wasabidrum/decisions/entry_roster.py
@@ -56,8 +56,8 @@
         latest = max(heard_at, before.heard_at)
         self._known[address] = KnownEntry(latest, data_centre or before.data_centre)
 
-    def take_failure(self, address: Place, now: float) -> None:
-        """Takes that an entry did not answer this process."""
+    def record_failure(self, address: Place, now: float) -> None:
+        """Records that an entry did not answer this process."""
         self._failed[address] = now
 
     def known(self, now: float) -> dict[Place, KnownEntry]:
--- a/wasabidrum/decisions/entry_roster_test.py
+++ b/wasabidrum/decisions/entry_roster_test.py
@@ -30,7 +30,7 @@
         dead, alive = others(2)
         self.roster.take(dead, 1.0)
         self.roster.take(alive, 1.0)
-        self.roster.take_failure(dead, 2.0)
+        self.roster.record_failure(dead, 2.0)
         self.assertEqual(self.roster.choose(1, 3.0, self.rng), [alive])
 
     def test_one_that_nobody_hears_is_forgotten(self) -> None:
--- a/wasabidrum/decisions/failure_rate_test.py
+++ b/wasabidrum/decisions/failure_rate_test.py
@@ -50,11 +50,11 @@
             failed += fails
             load.placed(0, now)
             load.ended(0, False)
-            load.take_end(fails, now)
+            load.record_end(fails, now)
             if fails:
-                load.health.take_failure(now)
+                load.health.record_failure(now)
             else:
-                load.health.take_success(0.0)
+                load.health.record_success(0.0)
         self.assertLess(failed, 0.05 * 600)
 
 
--- a/wasabidrum/decisions/peer_responsiveness.py
+++ b/wasabidrum/decisions/peer_responsiveness.py
@@ -67,7 +67,7 @@
             self._doubted_at = now
 
     def record_draw(self, seconds: float) -> None:
-        """Takes how long a chunk took to come from the origin; a prompt one clears the own link.
+        """Records how long a chunk took to come from the origin; a prompt one clears the own link.
 
         One that is cut off from all its peers finds them silent too, and has the origin only.
         """
--- a/wasabidrum/decisions/poison.py
+++ b/wasabidrum/decisions/poison.py
@@ -103,7 +103,7 @@
         self._add(fingerprint, endpoint, now)
 
     def record_reported(self, endpoint: str, suspects: tuple[str, ...], now: float) -> None:
-        """Takes the suspects that an endpoint's sidecar names; each death counts once."""
+        """Records the suspects that an endpoint's sidecar names; each death counts once."""
         for told in suspects:
             fingerprint, _, death = told.partition("/")
             key = f"{endpoint}/{death}"
--- a/wasabidrum/decisions/recent_lateness.py
+++ b/wasabidrum/decisions/recent_lateness.py
@@ -3,7 +3,7 @@
 Load pattern: an endpoint's link is narrow and carries weights, or its queue is longer than told.
 Requests reach it seconds after they were sent, and what is sent behind them, a reset too, comes
 later still. A request that is placed there before a bound begins after it, and nothing can call
-it back: on a day with links of 1 Mbit/s, 11 requests that had been taken back 0.4 s before a bound
+it back: on a day with links of 1 Mbit/s, 11 requests that had been recalled 0.4 s before a bound
 reached their engine 1.0 s after it and began, because the reset came 0.5 s behind them.
 
 So where a bound is near, what is placed allows for the worst lateness seen lately, of requests
--- a/wasabidrum/decisions/take_back.py
+++ b/wasabidrum/decisions/request_recall.py
@@ -1,4 +1,4 @@
-"""Which requests are taken back from the endpoint that they were sent to.
+"""Which requests are recalled from the endpoint that they were sent to.
 
 Load pattern: an engine is suspended, or its link or its queue holds requests up, for seconds.
 What was placed there in time begins when that ends: on weights that have been replaced, at an
@@ -8,15 +8,15 @@
 suspended for 4.7 s.
 
 So what is in progress is judged again while it waits:
-- What has not begun, and may not begin any more where it is, is taken back. It may have begun
+- What has not begun, and may not begin any more where it is, is recalled. It may have begun
   unseen, so that its caller is told "unknown", never "not run". What may run only once and
   answers as a whole stays: nothing tells whether it has begun.
 - What waits at an endpoint that stands still goes on elsewhere, if it may run again and a place
   at another endpoint and a retry are reserved for it. Taken back with nowhere to go, a caller
   would lose an answer that comes a moment later; found able to go by itself, each of many that
-  are taken back together would be promised the same place.
+  are recalled together would be promised the same place.
 - What has not begun at an endpoint that stands still, and has been leaving or gone for as long
-  as the bound allows, is taken back if it may run again. What may run only once stays, for its
+  as the bound allows, is recalled if it may run again. What may run only once stays, for its
   answer may be on the way; its route's time ends it.
 - A stream that has not begun when its caller is about to leave is answered before that. An engine
   that is suspended begins what it has read at the moment it wakes, before it looks at its
@@ -36,8 +36,8 @@
 SHORTEST_BEGINNING_SECONDS = 0.3
 
 
-class TakenBack(enum.Enum):
-    """Why a request was taken back; none of it is the request's failure."""
+class RecallReason(enum.Enum):
+    """Why a request was recalled; none of it is the request's failure."""
 
     WEIGHTS_OVERDUE = "weights_overdue"
     ENDPOINT_SILENT = "endpoint_silent"
@@ -71,25 +71,25 @@
     reserve: collections.abc.Callable[[], bool]
 
 
-def reason_to_take_back(waiting: Waiting, drain: float) -> TakenBack | None:
-    """Returns why a request is taken back now, or None where it stays.
+def recall_reason(waiting: Waiting, drain: float) -> RecallReason | None:
+    """Returns why a request is recalled now, or None where it stays.
 
     Args:
       drain: The seconds from an endpoint's leaving until it must get no more work.
     """
     unbegun = not waiting.begun and (waiting.tells_beginning or waiting.repeatable)
     if unbegun and not waiting.may_begin:
-        return TakenBack.WEIGHTS_OVERDUE
+        return RecallReason.WEIGHTS_OVERDUE
     hopeless = waiting.tells_beginning and waiting.leaves_in <= SHORTEST_BEGINNING_SECONDS
     if hopeless and not waiting.begun:
-        return TakenBack.CALLER_LEAVING
+        return RecallReason.CALLER_LEAVING
     if not waiting.silent:
         return None
     if waiting.repeatable and waiting.reserve():
-        return TakenBack.ENDPOINT_SILENT
+        return RecallReason.ENDPOINT_SILENT
     retired = waiting.retired_seconds >= drain - RETIRED_MARGIN_SECONDS
     if retired and waiting.repeatable and not waiting.begun:
-        return TakenBack.ENDPOINT_RETIRED
+        return RecallReason.ENDPOINT_RETIRED
     return None
 
 
--- a/wasabidrum/decisions/take_back_test.py
+++ b/wasabidrum/decisions/request_recall_test.py
@@ -1,15 +1,15 @@
-"""Which requests are taken back, replayed over an engine's suspension."""
+"""Which requests are recalled, replayed over an engine's suspension."""
 
 import dataclasses
 import unittest
 
-from .take_back import (
+from .request_recall import (
     RETIRED_MARGIN_SECONDS,
     SHORTEST_BEGINNING_SECONDS,
-    TakenBack,
+    RecallReason,
     Waiting,
     is_stalled,
-    reason_to_take_back,
+    recall_reason,
 )
 
 DRAIN_SECONDS = 2.0
@@ -33,8 +33,8 @@
     gone_after: float,
     caller_leaves_after: float = float("inf"),
     **facts: object,
-) -> tuple[TakenBack, float]:
-    """Plays an engine's suspension; returns why a request was taken back from it, and when.
+) -> tuple[RecallReason, float]:
+    """Plays an engine's suspension; returns why a request was recalled from it, and when.
 
     Args:
       overdue_after: The seconds from its beginning until the weights may not be begun any more.
@@ -51,7 +51,7 @@
             leaves_in=caller_leaves_after - now,
             **facts,
         )
-        reason = reason_to_take_back(waiting, DRAIN_SECONDS)
+        reason = recall_reason(waiting, DRAIN_SECONDS)
         if reason is not None:
             return reason, now
     return None, SUSPENDED_SECONDS
@@ -68,25 +68,25 @@
     def test_where_there_is_room_a_request_moves_once_the_engine_is_silent(self) -> None:
         """Callers of a suspended engine wait for seconds beside engines that have room."""
         reason, at = replay(overdue_after=3.0, gone_after=3.2)
-        self.assertEqual(reason, TakenBack.ENDPOINT_SILENT)
+        self.assertEqual(reason, RecallReason.ENDPOINT_SILENT)
         self.assertAlmostEqual(at, SILENT_AFTER_SECONDS + 0.1)
 
     def test_where_there_is_none_it_waits_until_its_weights_are_overdue(self) -> None:
         """All other engines are full or have not switched yet. Left where it is, the request
         would begin on the old weights when the engine wakes."""
         reason, at = replay(overdue_after=3.0, gone_after=3.2, reserve=refuse)
-        self.assertEqual((reason, at), (TakenBack.WEIGHTS_OVERDUE, 3.0))
+        self.assertEqual((reason, at), (RecallReason.WEIGHTS_OVERDUE, 3.0))
 
     def test_where_no_version_is_named_it_waits_until_the_engine_counts_as_gone(self) -> None:
         reason, at = replay(overdue_after=99.0, gone_after=2.0, reserve=refuse)
-        self.assertEqual(reason, TakenBack.ENDPOINT_RETIRED)
+        self.assertEqual(reason, RecallReason.ENDPOINT_RETIRED)
         self.assertAlmostEqual(at, 2.0 + DRAIN_SECONDS - RETIRED_MARGIN_SECONDS, delta=0.11)
 
     def test_what_may_run_once_stays_but_for_its_weights(self) -> None:
         """Moved, a charge could run twice. What would begin on replaced weights is dropped all
         the same, and its caller told that nobody knows."""
         self.assertIsNone(replay(99.0, 1.0, repeatable=False)[0])
-        self.assertEqual(replay(3.0, 1.0, repeatable=False)[0], TakenBack.WEIGHTS_OVERDUE)
+        self.assertEqual(replay(3.0, 1.0, repeatable=False)[0], RecallReason.WEIGHTS_OVERDUE)
 
     def test_a_whole_answer_that_may_run_once_stays_whatever_its_weights(self) -> None:
         """A charge answers as a whole, so that one that runs looks like one that waits. Dropped,
@@ -94,7 +94,7 @@
         whole = {"repeatable": False, "tells_beginning": False}
         self.assertIsNone(replay(3.0, 1.0, **whole)[0])
         again = {"repeatable": True, "tells_beginning": False, "reserve": refuse}
-        self.assertEqual(replay(3.0, 9.0, **again)[0], TakenBack.WEIGHTS_OVERDUE)
+        self.assertEqual(replay(3.0, 9.0, **again)[0], RecallReason.WEIGHTS_OVERDUE)
 
     def test_what_has_begun_stays_where_nobody_goes_on_with_it(self) -> None:
         """A stream that began in time is cut in the middle for its engine's pause, though the
@@ -105,7 +105,7 @@
     def test_where_nobody_can_take_it_its_caller_is_answered_before_it_leaves(self) -> None:
         """Guards against runs that begin on an engine's waking for callers that have left."""
         reason, at = replay(99.0, 99.0, caller_leaves_after=3.2, reserve=refuse)
-        self.assertEqual(reason, TakenBack.CALLER_LEAVING)
+        self.assertEqual(reason, RecallReason.CALLER_LEAVING)
         self.assertGreater(at, 3.2 - SHORTEST_BEGINNING_SECONDS - 0.01)
         self.assertLess(at, 3.2 - SHORTEST_BEGINNING_SECONDS + 0.11)
 
@@ -120,11 +120,11 @@
     def test_what_waits_at_a_busy_engine_is_left_alone(self) -> None:
         """Under overload a request waits long for its first event while others' events come.
         Moved about, it would lose its turn everywhere."""
-        self.assertIsNone(reason_to_take_back(WAITING, DRAIN_SECONDS))
+        self.assertIsNone(recall_reason(WAITING, DRAIN_SECONDS))
 
     def test_a_leaving_endpoint_that_answers_keeps_what_it_has(self) -> None:
         leaving = dataclasses.replace(WAITING, retired_seconds=10.0)
-        self.assertIsNone(reason_to_take_back(leaving, DRAIN_SECONDS))
+        self.assertIsNone(recall_reason(leaving, DRAIN_SECONDS))
 
     def test_a_long_prompt_is_read_to_its_end(self) -> None:
         """A prompt takes an engine a second to read. Half a second without an event is not
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -8,7 +8,7 @@
 The bound counts where a request begins, which is at its engine. Between the decision here and
 that moment lie links, queues and engines that stand still for seconds, and no margin covers them
 all. So there are two limits: one for placing a request, and a later one at which requests that
-no event has come of are taken back (take_back.py).
+no event has come of are recalled (request_recall.py).
 
 A process knows of a naming only that it came after the last answer without it, and before
 anyone heard of it. The bound is counted from the first of these two moments, so that a process
@@ -23,8 +23,8 @@
 
 import dataclasses
 
+from .request_recall import BOUND_MARGIN_SECONDS
 from .store_outage import NO_OUTAGE, Outage
-from .take_back import BOUND_MARGIN_SECONDS
 
 PLACE_MARGIN_SECONDS = 1.0
 UNKNOWN_SECONDS = 2.5
@@ -92,7 +92,7 @@
         return True
 
     def record_reported(self, version: int, seconds: float, now: float) -> None:
-        """Takes from another process how long ago it had heard of a version."""
+        """Records from another process how long ago it had heard of a version."""
         self._wanted = [
             (
                 dataclasses.replace(w, before=max(w.after, min(w.before, now - seconds)))
--- a/wasabidrum/decisions/version_floor_test.py
+++ b/wasabidrum/decisions/version_floor_test.py
@@ -2,8 +2,8 @@
 
 import unittest
 
+from .request_recall import BOUND_MARGIN_SECONDS
 from .store_outage import Outage
-from .take_back import BOUND_MARGIN_SECONDS
 from .version_floor import PLACE_MARGIN_SECONDS, UNKNOWN_SECONDS, VersionFloor
 
 IN_TOUCH_SECONDS = 3.0
--- a/wasabidrum/entry/attempt_judge.py
+++ b/wasabidrum/entry/attempt_judge.py
@@ -32,10 +32,10 @@
         self._guard = guard
         self._log = log
 
-    def take_progress(
+    def record_progress(
         self, placement: Placement, pool: TargetPool, tokens: int, now: float
     ) -> None:
-        """Takes tokens that arrived at one attempt."""
+        """Records tokens that arrived at one attempt."""
         item, state = placement.item, placement.state
         last = placement.progress_at
         placement.progress_at = now
@@ -44,14 +44,14 @@
         state.progress_at = now
         if last is None:
             state.streaming += 1
-            state.limit.take_first_token(now - placement.began, state.in_progress, now)
+            state.limit.record_first_token(now - placement.began, state.in_progress, now)
             return
-        state.health.take_tokens(tokens, now - last)
+        state.health.record_tokens(tokens, now - last)
         if self._is_slow(state, pool, now):
             self.eject(pool, state, f"{state.health.token_seconds:.3f} s a token")
 
-    def take_end(self, placement: Placement, pool: TargetPool, code: str, now: float) -> None:
-        """Takes the end of one attempt."""
+    def record_end(self, placement: Placement, pool: TargetPool, code: str, now: float) -> None:
+        """Records the end of one attempt."""
         item, state = placement.item, placement.state
         state.ended()
         if placement.progress_at is not None:
@@ -84,7 +84,7 @@
         # endpoint is slow beside the fastest one of the last refresh.
         suspicious = state.health.is_slower(pool.fastest)
         median = pool.peer_token_seconds(state, now) if suspicious else 0.0
-        return state.health.take_pace(median, now)
+        return state.health.record_pace(median, now)
 
     def _take_success(self, placement: Placement, pool: TargetPool, now: float) -> None:
         item, state = placement.item, placement.state
@@ -92,15 +92,15 @@
         if item.fingerprint:
             self._guard.clear(item.fingerprint)
         if item.service:
-            state.limit.take_first_token(now - placement.began, state.in_progress + 1, now)
-        if state.health.take_success(pool.median):
+            state.limit.record_first_token(now - placement.began, state.in_progress + 1, now)
+        if state.health.record_success(pool.median):
             state.limit.restart()
             pool.refresh_soon()
             self._log.write(Event.ENDPOINT_RETURNED, endpoint=state.name)
 
     def _take_failure(self, placement: Placement, code: str, pool: TargetPool, now: float) -> None:
         item, state = placement.item, placement.state
-        state.limit.take_failure(now)
+        state.limit.record_failure(now)
         lost = code == "engine_lost" or placement.head_at is not None
         if item.fingerprint and lost and code in DEATH_CODES:
             self._guard.saw_death(item.fingerprint, state.name, now)
@@ -110,5 +110,5 @@
                 endpoint=state.name,
                 fingerprint=item.fingerprint,
             )
-        if state.health.take_failure(now):
+        if state.health.record_failure(now):
             self.eject(pool, state, code)
--- a/wasabidrum/entry/endpoint_table.py
+++ b/wasabidrum/entry/endpoint_table.py
@@ -132,8 +132,8 @@
         was_lost = view.lost
         return view.hear(status) and was_lost
 
-    def take_loss(self, name: str, broken: bool) -> bool:
-        """Takes evidence that a sidecar is gone, or for now only that it is silent.
+    def record_loss(self, name: str, broken: bool) -> bool:
+        """Records evidence that a sidecar is gone, or for now only that it is silent.
 
         Returns:
           Whether that takes it out of routing just now.
--- a/wasabidrum/entry/endpoint_watcher.py
+++ b/wasabidrum/entry/endpoint_watcher.py
@@ -90,7 +90,7 @@
         self._links.keep([e for e in chosen.values() if e.peer_port], now)
 
     def _lose(self, name: str, refused: bool) -> None:
-        if self._table.take_loss(name, refused):
+        if self._table.record_loss(name, refused):
             self._log.write(Event.ENDPOINT_OUT, endpoint=name, refused=refused)
         self._node.lose(name, refused)
 
--- a/wasabidrum/entry/placement.py
+++ b/wasabidrum/entry/placement.py
@@ -19,11 +19,11 @@
     def take_status(self, status: Status) -> None:
         """Takes a status that came on an answer."""
 
-    def take_progress(self, placement: "Placement", tokens: int, now: float) -> None:
-        """Takes tokens that arrived at one attempt."""
+    def record_progress(self, placement: "Placement", tokens: int, now: float) -> None:
+        """Records tokens that arrived at one attempt."""
 
-    def take_end(self, placement: "Placement", code: str, now: float) -> None:
-        """Takes the end of one attempt."""
+    def record_end(self, placement: "Placement", code: str, now: float) -> None:
+        """Records the end of one attempt."""
 
 
 class Placement:
@@ -69,11 +69,11 @@
     def progressed(self, tokens: int) -> None:
         """Takes how many tokens arrived just now."""
         if tokens > 0:
-            self._owner.take_progress(self, tokens, asyncio.get_running_loop().time())
+            self._owner.record_progress(self, tokens, asyncio.get_running_loop().time())
 
     def ended(self, code: str = "") -> None:
         """Ends the attempt: with no code where the answer was whole, else with the error's."""
         if not self._ended:
             self._ended = True
             self.view.in_progress -= 1
-            self._owner.take_end(self, code, asyncio.get_running_loop().time())
+            self._owner.record_end(self, code, asyncio.get_running_loop().time())
--- a/wasabidrum/entry/target_pool.py
+++ b/wasabidrum/entry/target_pool.py
@@ -60,7 +60,7 @@
         self.median = statistics.median(seconds) if seconds else 0.0
         self.fastest = min(seconds, default=0.0)
         for name, view in views.items():
-            self.take_report(name, view, now)
+            self.record_report(name, view, now)
         limits = [
             state.limit.value
             for state in self.states.values()
@@ -73,15 +73,15 @@
         """Has the next decision read the table again, because something changed."""
         self._refreshed_at = float("-inf")
 
-    def take_report(self, name: str, view: EndpointView, now: float) -> None:
-        """Takes a view's load where it is newer than the last one taken."""
+    def record_report(self, name: str, view: EndpointView, now: float) -> None:
+        """Records a view's load where it is newer than the last one taken."""
         if view.status is None or view.seen_at <= self._heard.get(name, float("-inf")):
             return
         self._heard[name] = view.seen_at
         # A plain service reports no load; its placeholder must not count as one slot.
         if self.model:
             run_seconds = self.queue.mean_run_seconds
-            self.states[name].take_report(view.status.load, run_seconds, now)
+            self.states[name].record_report(view.status.load, run_seconds, now)
 
     def peer_token_seconds(self, state: EndpointState, now: float) -> float:
         """Returns the median seconds per token of an endpoint's healthy peers; zero without any.
--- a/wasabidrum/entry/traffic.py
+++ b/wasabidrum/entry/traffic.py
@@ -172,15 +172,15 @@
             self._guard.record_reported(status.name, status.suspects, now)
         pool = self._pools.get((status.model, status.service))
         if pool is not None and status.name in pool.states:
-            pool.take_report(status.name, pool.views[status.name], now)
+            pool.record_report(status.name, pool.views[status.name], now)
 
-    def take_progress(self, placement: Placement, tokens: int, now: float) -> None:
-        """Takes tokens that arrived at one attempt."""
-        self._judge.take_progress(placement, self._pool(placement.item), tokens, now)
+    def record_progress(self, placement: Placement, tokens: int, now: float) -> None:
+        """Records tokens that arrived at one attempt."""
+        self._judge.record_progress(placement, self._pool(placement.item), tokens, now)
 
-    def take_end(self, placement: Placement, code: str, now: float) -> None:
-        """Takes the end of one attempt."""
-        self._judge.take_end(placement, self._pool(placement.item), code, now)
+    def record_end(self, placement: Placement, code: str, now: float) -> None:
+        """Records the end of one attempt."""
+        self._judge.record_end(placement, self._pool(placement.item), code, now)
         if placement.suspect:
             self.suspect_turns.note_end()
 
@@ -250,7 +250,7 @@
         # answers that have begun and stand still do.
         for state in pool.states.values():
             silent = now - state.progress_at
-            if state.streaming and state.health.take_silence(silent, pool.median, now):
+            if state.streaming and state.health.record_silence(silent, pool.median, now):
                 self._judge.eject(pool, state, f"silent for {silent:.1f} s")
         for name, view in pool.views.items():
             if view.status is not None and view.status.suspects:
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -12,7 +12,7 @@
 from ..core.request_head import ReplyHead
 from ..core.route import RouteKind
 from ..decisions.attempt_rule import AttemptEnd
-from ..decisions.take_back import TakenBack
+from ..decisions.request_recall import RecallReason
 from ..platform import heads
 from . import endpoint_connection
 from .call import Call, StreamProgress
@@ -49,7 +49,7 @@
     """
 
     __slots__ = ("_exchange", "_gateway", "_call", "_progress", "_placed", "_answered")
-    __slots__ += ("_connection", "_taken_back", "_reserve", "_heard_at", "number", "began")
+    __slots__ += ("_connection", "_recalled", "_reserve", "_heard_at", "number", "began")
 
     def __init__(
         self,
@@ -70,7 +70,7 @@
         self._answered = False
         self._connection: EndpointConnection | None = None
         # Why it does not go on here; None while it does.
-        self._taken_back: TakenBack | None = None
+        self._recalled: RecallReason | None = None
         self._reserve = reserve
         self.number = number
         self.began = self._heard_at = asyncio.get_running_loop().time()
@@ -91,9 +91,9 @@
         return self._connection is not None and self._connection.answering
 
     @property
-    def taken_back(self) -> TakenBack | None:
-        """Why it was taken back, or None."""
-        return self._taken_back
+    def recalled(self) -> RecallReason | None:
+        """Why it was recalled, or None."""
+        return self._recalled
 
     @property
     def tells_beginning(self) -> bool:
@@ -114,11 +114,11 @@
 
     def reserve_elsewhere(self) -> bool:
         """Reserves a place at another endpoint that may go on with it, if there is one."""
-        return self._taken_back is None and self._reserve(self._placed)
+        return self._recalled is None and self._reserve(self._placed)
 
-    def take_back(self, reason: TakenBack) -> None:
+    def recall(self, reason: RecallReason) -> None:
         """Drops the request where it is; see AttemptsInProgress."""
-        self._taken_back = reason
+        self._recalled = reason
         if self._connection is not None:
             self._connection.break_off()
 
@@ -141,11 +141,11 @@
             except CodedError as error:
                 raise AttemptError(AttemptEnd.NOT_SENT, error.code) from error
             await self._exchange_with(self._connection)
-            self._gateway.placer.take_success(placed)
+            self._gateway.placer.record_success(placed)
         except (asyncio.CancelledError, iostream.StreamClosedError):
             # Its caller has left. Were it a probe that is waited for, there would be no other,
             # and the endpoint would stay out of service.
-            self._gateway.placer.take_no_verdict(placed)
+            self._gateway.placer.record_no_verdict(placed)
             raise
         finally:
             self._gateway.attempts.discard(self)
@@ -160,9 +160,9 @@
         if call.workspace and not self._gateway.state.lease.holds(awake_seconds()):
             raise AttemptError(AttemptEnd.NOT_SENT, "not_ready")
         if not self._gateway.attempts.may_begin(placed):
-            self._taken_back = TakenBack.WEIGHTS_OVERDUE
-        if self._taken_back is not None:
-            raise AttemptError(AttemptEnd.NOT_SENT, self._taken_back.value)
+            self._recalled = RecallReason.WEIGHTS_OVERDUE
+        if self._recalled is not None:
+            raise AttemptError(AttemptEnd.NOT_SENT, self._recalled.value)
         headers = heads.write_forwarded(
             call.head,
             placed.endpoint,
@@ -182,7 +182,7 @@
         reply = await self._read_whole(connection, head)
         if not head.success:
             raise AttemptError(AttemptEnd.FAILED, f"status_{head.status}", reply)
-        placed.load.take_run(asyncio.get_running_loop().time() - sent_at)
+        placed.load.record_run(asyncio.get_running_loop().time() - sent_at)
         if self._exchange.streaming:
             raise AttemptError(AttemptEnd.LOST, "not_a_stream")
         self._exchange.answer_whole(reply, endpoint=placed.endpoint.id, attempts=self.number)
@@ -192,8 +192,8 @@
             part = await waiting.wait_for(connection.next_part(), max(0.001, self._call.left))
         except TimeoutError as error:
             raise AttemptError(AttemptEnd.LOST, "timeout") from error
-        if part.kind is PartKind.BROKEN and self._taken_back is not None:
-            raise AttemptError(AttemptEnd.LOST, self._taken_back.value)
+        if part.kind is PartKind.BROKEN and self._recalled is not None:
+            raise AttemptError(AttemptEnd.LOST, self._recalled.value)
         return part
 
     async def _read_head(self, connection: EndpointConnection) -> ReplyHead:
@@ -255,7 +255,7 @@
             self._answered = True
             prompt = self._call.head.prompt_tokens
             seconds = loop.time() - self.began
-            self._gateway.placer.take_first_event(self._placed, prompt, seconds)
+            self._gateway.placer.record_first_event(self._placed, prompt, seconds)
         if not self._exchange.streaming:
             self._progress.first_event_at = loop.time()
             self._progress.weights = self._placed.weights
--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -1,10 +1,10 @@
-"""Looks after what was sent to endpoints and waits there, and takes it back where that is due."""
+"""Looks after what was sent to endpoints and waits there, and recalls it where that is due."""
 
 import asyncio
 import typing
 
 from ..core.awake_clock import awake_seconds
-from ..decisions.take_back import TakenBack, Waiting, reason_to_take_back
+from ..decisions.request_recall import RecallReason, Waiting, recall_reason
 from .placement import Placed, Placer
 from .published_state import PublishedState
 
@@ -43,7 +43,7 @@
     def reserve_elsewhere(self) -> bool:
         """Reserves a place at another endpoint that may go on with it, if there is one."""
 
-    def take_back(self, reason: TakenBack) -> None:
+    def recall(self, reason: RecallReason) -> None:
         """Drops it where it is, so that its endpoint does not begin it or go on with it."""
 
 
@@ -80,13 +80,13 @@
         return not placed.weights or self._state.may_begin(placed.endpoint.model, placed.weights)
 
     async def run(self) -> None:
-        """Looks for what is to be taken back, for ever."""
+        """Looks for what is to be recalled, for ever."""
         while True:
             self.look()
             await asyncio.sleep(LOOK_SECONDS)
 
     def look(self) -> None:
-        """Takes back what may not begin any more, and what can go on elsewhere."""
+        """Recalls what may not begin any more, and what can go on elsewhere."""
         now = awake_seconds()
         late = now - self._looked_at > LOOK_SECONDS + LATE_SECONDS
         self._looked_at = now
@@ -106,9 +106,9 @@
                 leaves_in=attempt.leaves_in,
                 reserve=attempt.reserve_elsewhere,
             )
-            reason = reason_to_take_back(waiting, self._drain)
+            reason = recall_reason(waiting, self._drain)
             if reason is not None:
-                attempt.take_back(reason)
+                attempt.recall(reason)
 
     def _note_retired(self, now: float) -> None:
         listed = self._state.endpoints
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -248,7 +248,7 @@
         try:
             reply = await peer_client.call(host, port, path, message, kind, timeout)
         except CodedError as error:
-            self._roster.take_failure(address, awake_seconds())
+            self._roster.record_failure(address, awake_seconds())
             self._log.write(Event.PEER_SILENT, peer=f"{host}:{port}", reason=str(error)[:120])
             return None
         self._roster.take(address, awake_seconds())
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -10,7 +10,7 @@
 from ..decisions import poison
 from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
 from ..decisions.endpoint_choice import Choice
-from ..decisions.take_back import SHORTEST_BEGINNING_SECONDS, TakenBack
+from ..decisions.request_recall import SHORTEST_BEGINNING_SECONDS, RecallReason
 from ..observe.event import Event
 from .attempt import Attempt, AttemptError
 from .call import Call, StreamProgress
@@ -60,7 +60,7 @@
         self._service = gateway.placer.pick_service(route)
         self._tried: frozenset[str] = frozenset()
         self._retries = 0
-        # Where the request goes on, reserved when it was taken back from an endpoint.
+        # Where the request goes on, reserved when it was recalled from an endpoint.
         self._reserved: Placed | None = None
         caller = workspace or head.key
         self._fingerprint = poison.fingerprint_of_parts(
@@ -107,7 +107,7 @@
                 self._history.take(error.end)
                 self._note_end(placed, attempt, error)
                 self._tried |= {placed.endpoint.id}
-                hopeless = attempt.taken_back is TakenBack.CALLER_LEAVING
+                hopeless = attempt.recalled is RecallReason.CALLER_LEAVING
                 if hopeless or (self._reserved is None and not self._may_go_on()):
                     self._give_up(error)
                     return
@@ -148,7 +148,7 @@
         choice = self._choose(self._tried, moved=False)
         placed = placer.placed_by(choice)
         if placed is None:
-            placer.take_refusal(self._service)
+            placer.record_refusal(self._service)
         elif left > SHORTEST_USEFUL_SECONDS:
             self._note_placed(placed, failure)
             placer.begin(placed, self._call.head.prompt_tokens)
@@ -181,7 +181,7 @@
     def _reserve_elsewhere(self, placed: Placed) -> bool:
         """Reserves a place and a retry for what was placed; returns whether there are both.
 
-        Counted at once, the place and the retry are not promised to others that are taken back
+        Counted at once, the place and the retry are not promised to others that are recalled
         in the same moment.
         """
         placer = self._gateway.placer
@@ -198,7 +198,7 @@
         """Gives back what was reserved and not used, as when its caller has left meanwhile."""
         if self._reserved is not None:
             self._reserved.load.ended(self._call.head.prompt_tokens, False)
-            self._gateway.placer.take_no_verdict(self._reserved)
+            self._gateway.placer.record_no_verdict(self._reserved)
             self._reserved = None
 
     def _may_go_on(self) -> bool:
@@ -254,11 +254,11 @@
             events=self._progress.events,
         )
         if error.code == MISSING_WEIGHTS_CODE and placed.weights:
-            self._gateway.placer.take_missing_weights(placed)
+            self._gateway.placer.record_missing_weights(placed)
         elif self._blames_endpoint(placed, attempt, error):
-            self._gateway.placer.take_failure(placed, error.code)
+            self._gateway.placer.record_failure(placed, error.code)
         else:
-            self._gateway.placer.take_no_verdict(placed)
+            self._gateway.placer.record_no_verdict(placed)
         if error.code in DEATH_CODES:
             now = asyncio.get_running_loop().time()
             self._gateway.guard.saw_death(self._fingerprint, placed.endpoint.id, now)
@@ -271,8 +271,8 @@
             )
 
     def _blames_endpoint(self, placed: Placed, attempt: Attempt, error: AttemptError) -> bool:
-        # What is taken back, and a caller's own short time, say nothing of the endpoint.
-        if attempt.taken_back is not None:
+        # What is recalled, and a caller's own short time, say nothing of the endpoint.
+        if attempt.recalled is not None:
             return False
         waited = asyncio.get_running_loop().time() - attempt.began
         return error.code != "timeout" or waited > OVERDUE_FACTOR * placed.seconds
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -17,8 +17,8 @@
 from ..decisions.endpoint_load import EndpointLoad
 from ..decisions.engine_forecast import pass_seconds
 from ..decisions.entry_roster import Place
+from ..decisions.request_recall import is_stalled
 from ..decisions.retry_budget import RetryBudget
-from ..decisions.take_back import is_stalled
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .published_state import PublishedState
@@ -173,7 +173,7 @@
         version = endpoint.weights if is_engine else 0
         return Placed(endpoint, load, version, choice.seconds, choice.raw)
 
-    def take_refusal(self, service: str) -> None:
+    def record_refusal(self, service: str) -> None:
         """Counts a request that no endpoint could take."""
         self.traffic(service).refusals.take(asyncio.get_running_loop().time())
 
@@ -190,39 +190,39 @@
         placed.load.placed(prompt_tokens, now, placed.seconds)
         self.traffic(placed.endpoint.service).rate.take(now)
 
-    def take_first_event(self, placed: Placed, prompt_tokens: int, seconds: float) -> None:
-        """Takes a request's first event, some seconds after it was placed."""
+    def record_first_event(self, placed: Placed, prompt_tokens: int, seconds: float) -> None:
+        """Records a request's first event, some seconds after it was placed."""
         now = asyncio.get_running_loop().time()
         placed.load.first_event(prompt_tokens, now)
         placed.load.lateness.take(seconds - placed.seconds, now)
         self.traffic(placed.endpoint.service).bias.take(placed.raw, seconds, now)
 
     def record_waiting(self, placed: Placed, placed_at: float) -> None:
-        """Takes that a request has not begun yet, which may be later than forecast."""
+        """Records that a request has not begun yet, which may be later than forecast."""
         now = asyncio.get_running_loop().time()
         placed.load.lateness.take(now - placed_at - placed.seconds, now)
 
-    def take_failure(self, placed: Placed, reason: str) -> None:
-        """Takes a failure that may be the endpoint's own."""
+    def record_failure(self, placed: Placed, reason: str) -> None:
+        """Records a failure that may be the endpoint's own."""
         now = asyncio.get_running_loop().time()
-        placed.load.take_end(True, now)
-        if placed.load.health.take_failure(now):
+        placed.load.record_end(True, now)
+        if placed.load.health.record_failure(now):
             self._tell_ejected(placed.endpoint, placed.load, reason)
 
-    def take_missing_weights(self, placed: Placed) -> None:
-        """Takes that an engine does not hold the weights on which a request was placed there."""
+    def record_missing_weights(self, placed: Placed) -> None:
+        """Records that an engine does not hold the weights on which a request was placed there."""
         now = asyncio.get_running_loop().time()
         self._told.record_refusal(placed.endpoint.id, now)
         placed.load.health.probe_ended(now)
 
-    def take_success(self, placed: Placed) -> None:
-        """Takes a whole answer."""
-        placed.load.take_end(False, asyncio.get_running_loop().time())
-        if placed.load.health.take_success(0.0):
+    def record_success(self, placed: Placed) -> None:
+        """Records a whole answer."""
+        placed.load.record_end(False, asyncio.get_running_loop().time())
+        if placed.load.health.record_success(0.0):
             self._log.write(Event.ENDPOINT_RETURNED, endpoint=placed.endpoint.id)
 
-    def take_no_verdict(self, placed: Placed) -> None:
-        """Takes the end of a request that tells nothing of the endpoint."""
+    def record_no_verdict(self, placed: Placed) -> None:
+        """Records the end of a request that tells nothing of the endpoint."""
         placed.load.health.probe_ended(asyncio.get_running_loop().time())
 
     def take_status(self, status: Status) -> None:
@@ -234,7 +234,9 @@
         lag = figures.report_lag if figures is not None else 0.0
         for endpoint in self._state.endpoints.endpoints:
             if endpoint.host == status.host and endpoint.service == status.service:
-                self.load_of(endpoint).take_report(load.running, load.waiting, load.pace, now, lag)
+                self.load_of(endpoint).record_report(
+                    load.running, load.waiting, load.pace, now, lag
+                )
         if status.model and status.wanted_version.isdecimal():
             self._state.record_reported_version(
                 status.model, int(status.wanted_version), status.wanted_seconds
@@ -292,7 +294,7 @@
           usual: The seconds in which something comes from it as a rule.
         """
         silent = load.silent_seconds(now)
-        if load.health.take_silence(silent, usual, now):
+        if load.health.record_silence(silent, usual, now):
             self._tell_ejected(endpoint, load, f"silent for {silent:.2f} s")
 
     def _tell_ejected(self, endpoint: ListedEndpoint, load: EndpointLoad, reason: str) -> None:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -109,7 +109,7 @@
         return weights >= floor.oldest_to_begin(awake_seconds(), self.outages.latest)
 
     def record_reported_version(self, model: str, version: int, seconds: float) -> None:
-        """Takes from another process how long ago it had heard of a version."""
+        """Records from another process how long ago it had heard of a version."""
         self._reported[model] = max(version, self._reported.get(model, 0))
         floor = self._floors.get(model)
         if floor is not None and version:
--- a/wasabidrum/peers/member_watch.py
+++ b/wasabidrum/peers/member_watch.py
@@ -35,8 +35,8 @@
         self._on_news = on_news
         self.news = UpdateLog()
 
-    def take_sign_of_life(self, name: str, push: Push, status: Status, now: float) -> None:
-        """Takes a message of a member, and its whole status after it."""
+    def record_sign_of_life(self, name: str, push: Push, status: Status, now: float) -> None:
+        """Records a message of a member, and its whole status after it."""
         known = self._table.get(name)
         was = known.state if known is not None else None
         if push.status is not None:
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -174,7 +174,7 @@
         status = link.whole_status(push)
         if status is None:
             return
-        self._members.take_sign_of_life(link.name, push, status, now)
+        self._members.record_sign_of_life(link.name, push, status, now)
         if push.status is not None or push.revision:
             self.take_claims(status)
         if push.list_digest:
--- a/wasabidrum/weights/chunk_store.py
+++ b/wasabidrum/weights/chunk_store.py
@@ -62,7 +62,7 @@
         return digest in self._wanted
 
     def record_served(self, digest: str) -> None:
-        """Takes that one peer has fetched a chunk."""
+        """Records that one peer has fetched a chunk."""
         if held := self._held.get(digest):
             held.serves_left -= 1
 
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -98,7 +98,7 @@
         return ChunkState.LACKING
 
     def record_sent(self, digest: str, region: str, size: int) -> None:
-        """Takes that a peer has got a chunk from here."""
+        """Records that a peer has got a chunk from here."""
         self.store.record_served(digest)
         if region == self._settings.region:
             self.counts.to_own_region += size
@@ -174,7 +174,7 @@
         self._begun_at = self._now()
 
     def record_asked(self) -> None:
-        """Takes that a peer asked for something here, so that peers know of this sidecar."""
+        """Records that a peer asked for something here, so that peers know of this sidecar."""
         self._asked.set()
 
     def avoided_names(self) -> list[str]:
--- a/wasabidrum/weights/peer_asker.py
+++ b/wasabidrum/weights/peer_asker.py
@@ -89,7 +89,7 @@
         return self._watch.responsiveness.own_link_suspected(self._now())
 
     def record_draw(self, seconds: float) -> None:
-        """Takes how long a chunk took to come from the origin, or how long none came."""
+        """Records how long a chunk took to come from the origin, or how long none came."""
         self._watch.responsiveness.record_draw(seconds)
 
     async def ask(
