Put an entry's own pause to no endpoint's account

Cause: how late a first token comes is counted by the entry's own clock. While the entry itself stands still nothing is read, so that every answer in progress is late by its pause; that cuts the limits of all endpoints at once and ends their first quick growth for good.

Change: an attempt that was placed before a pause of this process tells nothing of the time to the first token. What is left: pauses under a second are not noticed, and a sidecar's pause does make its answers late for callers, and still counts.

attempt_judge_test.OwnPauseTest: a limit is cut by a pause of 1.5 s that is not noticed, and kept by one that is; before, the second did not exist.

--- a/wasabidrum/entry/attempt_judge.py
+++ b/wasabidrum/entry/attempt_judge.py
@@ -26,11 +26,16 @@
 class AttemptJudge:
     """Turns the course of attempts into health, limits and suspicion."""
 
-    __slots__ = ("_guard", "_log")
+    __slots__ = ("_guard", "_log", "_paused_at")
 
     def __init__(self, guard: PoisonGuard, log: EventLog) -> None:
         self._guard = guard
         self._log = log
+        self._paused_at = float("-inf")
+
+    def record_pause(self, now: float) -> None:
+        """Records that this process stood still until now."""
+        self._paused_at = now
 
     def record_progress(
         self, placement: Placement, pool: TargetPool, tokens: int, now: float
@@ -44,7 +49,7 @@
         state.progress_at = now
         if last is None:
             state.streaming += 1
-            state.limit.record_first_token(now - placement.began, state.in_progress, now)
+            self._record_first_token(placement, state.in_progress, now)
             return
         state.health.record_tokens(tokens, now - last)
         if self._is_slow(state, pool, now):
@@ -86,13 +91,20 @@
         median = pool.peer_token_seconds(state, now) if suspicious else 0.0
         return state.health.record_pace(median, now)
 
+    def _record_first_token(self, placement: Placement, in_progress: int, now: float) -> None:
+        # Taken for the endpoint's, this process's own pause would cut the limits of all endpoints
+        # and end their first quick growth: callers would be refused beside endpoints with room.
+        if placement.began > self._paused_at:
+            seconds = now - placement.began
+            placement.state.limit.record_first_token(seconds, in_progress, now)
+
     def _take_success(self, placement: Placement, pool: TargetPool, now: float) -> None:
         item, state = placement.item, placement.state
         item.whole = True
         if item.fingerprint:
             self._guard.clear(item.fingerprint)
         if item.service:
-            state.limit.record_first_token(now - placement.began, state.in_progress + 1, now)
+            self._record_first_token(placement, state.in_progress + 1, now)
         if state.health.record_success(pool.median):
             state.limit.restart()
             pool.refresh_soon()
--- a/wasabidrum/entry/attempt_judge_test.py
+++ b/wasabidrum/entry/attempt_judge_test.py
@@ -107,5 +107,39 @@
         self.assertEqual(self.play(self.play_slow), [Health.SLOW, Health.HEALTHY])
 
 
+class OwnPauseTest(unittest.TestCase):
+    """An entry whose own process stands still while its first requests are in progress."""
+
+    def play(self, notices: bool) -> float:
+        """Returns an engine's limit after a pause that the entry notices or does not."""
+
+        async def work() -> float:
+            fleet = FakeFleet(engines=2, slots=8)
+            await fleet.start()
+            traffic = fleet.traffics[0]
+            item = WorkItem("r", "w", Priority.GENERATE, 2000.0, True, "summaries", "", "", 1000)
+            for _ in range(3):
+                placement = traffic.place(item, frozenset(("e1",)))
+                await asyncio.sleep(0.01)
+                placement.progressed(1)
+                placement.ended()
+            limit = placement.state.limit
+            before = limit.value
+            placement = traffic.place(item, frozenset(("e1",)))
+            await asyncio.sleep(1.5)
+            if notices:
+                traffic.record_pause()
+            placement.progressed(1)
+            fleet.stop()
+            return limit.value / before
+
+        return run_with_paused_clock(work())
+
+    def test_an_entrys_own_pause_does_not_cut_the_limits_of_its_endpoints(self) -> None:
+        """Guards against refusals as overloaded beside endpoints with room, after a pause."""
+        self.assertLess(self.play(notices=False), 1.0)
+        self.assertGreaterEqual(self.play(notices=True), 1.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -77,6 +77,7 @@
             count_entries=entries.count,
         )
         self._add_gauges(traffic)
+        self.node.on_pause.append(lambda seconds: traffic.record_pause())
         self.models = ModelCaller(client, traffic, self.table, log)
         self.services = ServiceCaller(client, traffic, self.table, log)
 
--- a/wasabidrum/entry/traffic.py
+++ b/wasabidrum/entry/traffic.py
@@ -187,6 +187,10 @@
         if pool is not None and status.name in pool.states:
             pool.record_report(status.name, pool.views[status.name], now)
 
+    def record_pause(self) -> None:
+        """Records that this process stood still until now."""
+        self._judge.record_pause(asyncio.get_running_loop().time())
+
     def record_progress(self, placement: Placement, tokens: int, now: float) -> None:
         """Records tokens that arrived at one attempt."""
         self._judge.record_progress(placement, self._pool(placement.item), tokens, now)
