--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -155,6 +155,12 @@
         """See EndpointTable."""
         return [view for view in self.views if view.status is not None]
 
+    async def wait_until_heard(
+        self, model: str, service: str, deadline: float, tried: frozenset[str] = frozenset()
+    ) -> bool:
+        """See EndpointTable; engines that are not heard are not heard again."""
+        return False
+
     def take_status(self, status: Status) -> None:
         """See EndpointTable."""
 
