Wait for silence only, and read the change as a newcomer would

VersionFloor gives its limits a type instead of bare tuples; the deployed sidecar's controller is named so.

--- a/wasabidrum/decisions/request_recall.py
+++ b/wasabidrum/decisions/request_recall.py
@@ -12,7 +12,7 @@
   unseen, so that its caller is told "unknown", never "not run". What may run only once and
   answers as a whole stays: nothing tells whether it has begun.
 - What waits at an endpoint that stands still goes on elsewhere, if it may run again and a place
-  at another endpoint and a retry are reserved for it. Taken back with nowhere to go, a caller
+  at another endpoint and a retry are reserved for it. Recalled with nowhere to go, a caller
   would lose an answer that comes a moment later; found able to go by itself, each of many that
   are recalled together would be promised the same place.
 - What has not begun at an endpoint that stands still, and has been leaving or gone for as long
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -60,6 +60,20 @@
         return max(counted_from + bound, unknown)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FloorLimit:
+    """When requests are no longer placed on what a version replaces.
+
+    Attributes:
+      seconds: Until then; zero or less where that has passed.
+      put_off: By how many seconds an outage of the store has put it off.
+    """
+
+    version: int
+    seconds: float
+    put_off: float
+
+
 class VersionFloor:
     """The versions named of one model."""
 
@@ -110,21 +124,19 @@
         """
         return self._oldest(now + PLACE_MARGIN_SECONDS, outage)
 
-    def placing_limits(
-        self, now: float, outage: Outage = NO_OUTAGE
-    ) -> list[tuple[int, float, float]]:
+    def placing_limits(self, now: float, outage: Outage = NO_OUTAGE) -> list[FloorLimit]:
         """Returns when requests are no longer placed on what each version replaces.
 
-        Each is the version, the seconds until then, and by how many an outage has put that off.
         Versions whose time is over are left out but for the newest of them.
         """
         limits = []
         for wanted in sorted(self._wanted, key=lambda wanted: wanted.version):
             binds_at = wanted.binds_at(self._bound, outage)
             put_off = max(0.0, binds_at - wanted.binds_at(self._bound, NO_OUTAGE))
-            limits.append((wanted.version, binds_at - PLACE_MARGIN_SECONDS - now, put_off))
-        over = max((version for version, left, _ in limits if left <= 0.0), default=0)
-        return [limit for limit in limits if limit[0] >= over]
+            seconds = binds_at - PLACE_MARGIN_SECONDS - now
+            limits.append(FloorLimit(wanted.version, seconds, put_off))
+        over = max((limit.version for limit in limits if limit.seconds <= 0.0), default=0)
+        return [limit for limit in limits if limit.version >= over]
 
     def oldest_to_begin(self, now: float, outage: Outage = NO_OUTAGE) -> int:
         """Returns the oldest version that a request on its way may still begin on."""
--- a/wasabidrum/decisions/weights_retirement.py
+++ b/wasabidrum/decisions/weights_retirement.py
@@ -5,9 +5,8 @@
 them on the same way: they begin after the bound. Only what stands beside the engine can act then.
 
 Entries decide when old weights are no longer placed on, because they know of the store's outages.
-Each tells every sidecar how long that is. Once it has passed for all, nothing good can come any
-more, and the engine is taken off the old weights. An entry whose
-stream has ended is not waited for; what it sends on waking it judges anew.
+Each tells every sidecar how long that is. Once it has passed for all, the engine is taken off the
+old weights. An entry whose stream has ended is not waited for; it judges anew what it sends later.
 
 All times are of a clock that counts while the instance is suspended.
 """
--- a/wasabidrum/entry/endpoint_table.py
+++ b/wasabidrum/entry/endpoint_table.py
@@ -182,14 +182,19 @@
           deadline: When to give up, by the event loop's clock.
           tried: Endpoints that are of no use here.
         """
+        if self._is_heard(model, service, tried):
+            # Not for silence, then, does none take work.
+            return False
         loop = asyncio.get_running_loop()
         while loop.time() < deadline and self._may_be_heard(model, service, tried):
             await asyncio.sleep(HEARD_LOOK_SECONDS)
-            found = self.candidates(model, service)
-            if any(view.instance.name not in tried for view in found):
+            if self._is_heard(model, service, tried):
                 return True
         return False
 
+    def _is_heard(self, model: str, service: str, tried: frozenset[str]) -> bool:
+        return any(view.instance.name not in tried for view in self.candidates(model, service))
+
     def _may_be_heard(self, model: str, service: str, tried: frozenset[str]) -> bool:
         now = asyncio.get_running_loop().time()
         return any(
--- a/wasabidrum/entry/model_call.py
+++ b/wasabidrum/entry/model_call.py
@@ -148,7 +148,6 @@
                 if not await self._traffic.suspect_turns.wait(self._item.deadline):
                     raise
             except CodedError as error:
-                # Silence of all that have not been tried ends soon, or the wait does.
                 placed = self._attempt is not None
                 if placed or error.code != "no_endpoint":
                     raise
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -96,9 +96,9 @@
         """Returns until when requests are placed on weights that were replaced, by version."""
         now, outage = awake_seconds(), self.outages.latest
         return tuple(
-            PlacingLimit(model, version, round(seconds, 3), math.ceil(put_off))
+            PlacingLimit(model, limit.version, round(limit.seconds, 3), math.ceil(limit.put_off))
             for model, floor in self._floors.items()
-            for version, seconds, put_off in floor.placing_limits(now, outage)
+            for limit in floor.placing_limits(now, outage)
         )
 
     def may_begin(self, model: str, weights: int) -> bool:
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -58,7 +58,7 @@
         )
         self._distributor.pacer.links = LinkSpec(weights_fraction_instance=WEIGHTS_FRACTION)
         engine = make_engine_client(client, deployment.endpoint)
-        self._keeper = EngineController(
+        self._controller = EngineController(
             engine,
             origin,
             self._distributor,
@@ -71,7 +71,7 @@
         self._sequence = 0
         self._told: tuple[object, ...] = ()
         self._loads = LoadService(deployment, self.status)
-        self._keeper.on_report = self._take_report
+        self._controller.on_report = self._take_report
         log.metrics.add_gauge(
             "weights_inbound_bytes_per_second",
             "How fast weights may come here beside requests, by what came through lately.",
@@ -79,7 +79,7 @@
         )
         self._loads.on_relays = self._listed.set_relays
         self._loads.on_entry = self._record_limits
-        self._loads.on_entry_gone = self._keeper.retirement.forget
+        self._loads.on_entry_gone = self._controller.retirement.forget
 
     async def start(self) -> None:
         """Listens and starts the background tasks."""
@@ -87,10 +87,10 @@
         self._listen(make_chunk_routes(self._distributor, self._readings), CHUNK_PORT_OFFSET)
         self._listen(make_routes(self._log), METRICS_PORT_OFFSET)
         await self._loads.start()
-        self._tasks.start("engine", self._keeper.watch())
+        self._tasks.start("engine", self._controller.watch())
         self._tasks.start("listed", self._listed.run())
         self._tasks.start("members", self._listed.keep_members(self._lacks_weights))
-        self._tasks.start("versions", self._keeper.run())
+        self._tasks.start("versions", self._controller.run())
         self._log.write(
             Event.DAEMON_STARTED, role="sidecar", port=first + CHUNK_PORT_OFFSET, host=host
         )
@@ -111,7 +111,7 @@
     def status(self) -> Status:
         """Returns this daemon's own account of itself and of its engine."""
         self._sequence += 1
-        report = self._keeper.report or EngineReport()
+        report = self._controller.report or EngineReport()
         own = self._deployment
         return Status(
             name=own.host,
@@ -126,37 +126,37 @@
             model=report.model,
             service=own.service,
             version=str(report.weights) if report.weights else "",
-            switching=self._keeper.switching or report.busy,
+            switching=self._controller.switching or report.busy,
             load=self._load(),
             wanted_version=str(self._listed.wanted),
             wanted_seconds=self._listed.wanted_seconds,
         )
 
     def _load(self) -> Load:
-        report = self._keeper.report
+        report = self._controller.report
         # An engine that does not answer has no slots, so that entries leave it out.
         if report is None:
             return Load(slots=0)
         return Load(report.running, report.queued, pace=report.pace)
 
     def _take_report(self) -> None:
-        report = self._keeper.report
-        told = (self._load(), report and report.weights, self._keeper.switching)
+        report = self._controller.report
+        told = (self._load(), report and report.weights, self._controller.switching)
         if told != self._told:
             self._told = told
             self._loads.wake()
 
     def _record_limits(self, entry: Status) -> None:
-        self._keeper.retirement.record(
+        self._controller.retirement.record(
             entry.name, self._listed.model, entry.placing_limits, awake_seconds()
         )
 
     def _requests_at_engine(self) -> int:
-        report = self._keeper.report
+        report = self._controller.report
         return report.running + report.queued if report is not None else 0
 
     def _lacks_weights(self) -> bool:
-        report = self._keeper.report
+        report = self._controller.report
         return report is not None and (not report.weights or report.weights < self._listed.wanted)
 
     def _listen(self, routes: list[tuple], offset: int) -> None:
