Have one threshold of a prompt chunk and one type of placing limit

Read again, the change had written twice what stood once: when a chunk counts as prompt (inbound_pace.py and version_download.py, 0.1 s each), and the limit of a version (FloorLimit beside PlacingLimit, which carried the same fields and was copied into it). Whether a distributor stands beside an engine is asked in one place; a set that was built to look for one name is no longer built; a condition in model_call.py is one instead of two; a docstring that the renaming had bent says again what it means.

--- a/wasabidrum/decisions/inbound_pace.py
+++ b/wasabidrum/decisions/inbound_pace.py
@@ -12,7 +12,8 @@
 
 # More than peers, their turns and slices of other chunks make a chunk late on a sound link.
 LATE_SECONDS = 0.3
-# Less than this is as good as in time.
+# A chunk that is whole this much after its last byte was sent has met no queue worth speaking of:
+# a few times the way between regions, and a slice of another chunk.
 PROMPT_SECONDS = 0.1
 # Of what came through. The rest drains what waits, and is left to requests.
 YIELDING_FRACTION = 0.6
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -22,7 +22,9 @@
 """
 
 import dataclasses
+import math
 
+from ..core.placing_limit import PlacingLimit
 from .request_recall import BOUND_MARGIN_SECONDS
 from .store_outage import NO_OUTAGE, Outage
 
@@ -60,20 +62,6 @@
         return max(counted_from + bound, unknown)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FloorLimit:
-    """When requests are no longer placed on what a version replaces.
-
-    Attributes:
-      seconds: Until then; zero or less where that has passed.
-      put_off: By how many seconds an outage of the store has put it off.
-    """
-
-    version: int
-    seconds: float
-    put_off: float
-
-
 class VersionFloor:
     """The versions named of one model."""
 
@@ -124,8 +112,10 @@
         """
         return self._oldest(now + PLACE_MARGIN_SECONDS, outage)
 
-    def placing_limits(self, now: float, outage: Outage = NO_OUTAGE) -> list[FloorLimit]:
-        """Returns when requests are no longer placed on what each version replaces.
+    def placing_limits(
+        self, model: str, now: float, outage: Outage = NO_OUTAGE
+    ) -> list[PlacingLimit]:
+        """Returns when requests are no longer placed on what each version of the model replaces.
 
         Versions whose time is over are left out but for the newest of them.
         """
@@ -134,7 +124,7 @@
             binds_at = wanted.binds_at(self._bound, outage)
             put_off = max(0.0, binds_at - wanted.binds_at(self._bound, NO_OUTAGE))
             seconds = binds_at - PLACE_MARGIN_SECONDS - now
-            limits.append(FloorLimit(wanted.version, seconds, put_off))
+            limits.append(PlacingLimit(model, wanted.version, seconds, math.ceil(put_off)))
         over = max((limit.version for limit in limits if limit.seconds <= 0.0), default=0)
         return [limit for limit in limits if limit.version >= over]
 
--- a/wasabidrum/decisions/version_floor_test.py
+++ b/wasabidrum/decisions/version_floor_test.py
@@ -36,11 +36,11 @@
     ) -> None:
         self.floor.take(2, 100.0, 100.0)
         self.floor.take(3, 102.0, 102.0)
-        limits = self.floor.placing_limits(103.0)
+        limits = self.floor.placing_limits("m", 103.0)
         self.assertEqual([limit.version for limit in limits], [1, 2, 3])
         self.assertAlmostEqual(limits[1].seconds, 5.0 - PLACE_MARGIN_SECONDS)
-        self.assertEqual([limit.version for limit in self.floor.placing_limits(108.5)], [2, 3])
-        later = self.floor.placing_limits(108.5, Outage(101.0, 106.0))
+        self.assertEqual([limit.version for limit in self.floor.placing_limits("m", 108.5)], [2, 3])
+        later = self.floor.placing_limits("m", 108.5, Outage(101.0, 106.0))
         self.assertAlmostEqual(later[1].put_off, 6.0)
         self.assertAlmostEqual(later[1].seconds, 106.0 + 8.0 - PLACE_MARGIN_SECONDS - 108.5)
 
--- a/wasabidrum/entry/model_call.py
+++ b/wasabidrum/entry/model_call.py
@@ -148,10 +148,10 @@
                 if not await self._traffic.suspect_turns.wait(self._item.deadline):
                     raise
             except CodedError as error:
-                placed = self._attempt is not None
-                if placed or error.code != "no_endpoint":
-                    raise
-                if not await self._traffic.wait_for_endpoint(self._item, self._tried):
+                unplaced = self._attempt is None and error.code == "no_endpoint"
+                if not (
+                    unplaced and await self._traffic.wait_for_endpoint(self._item, self._tried)
+                ):
                     raise
 
     def _log_wait(self) -> None:
--- a/wasabidrum/entry/permit.py
+++ b/wasabidrum/entry/permit.py
@@ -8,7 +8,7 @@
 
 
 class PermitOwner(typing.Protocol):
-    """Who gave a permit, and recalls it."""
+    """Who gave a permit, and takes it back."""
 
     def release(self, pool: TargetPool, ticket: Ticket, item: WorkItem) -> None:
         """Ends a request's admission."""
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -1,7 +1,5 @@
 """What an entry knows from the platform's store, each part replaced in one step."""
 
-import math
-
 from ..config.deployment import Bounds
 from ..core.awake_clock import awake_seconds
 from ..core.errors import CodedError
@@ -96,9 +94,9 @@
         """Returns until when requests are placed on weights that were replaced, by version."""
         now, outage = awake_seconds(), self.outages.latest
         return tuple(
-            PlacingLimit(model, limit.version, round(limit.seconds, 3), math.ceil(limit.put_off))
+            limit
             for model, floor in self._floors.items()
-            for limit in floor.placing_limits(now, outage)
+            for limit in floor.placing_limits(model, now, outage)
         )
 
     def may_begin(self, model: str, weights: int) -> bool:
--- a/wasabidrum/sidecar/load_service.py
+++ b/wasabidrum/sidecar/load_service.py
@@ -99,7 +99,7 @@
     def remove_inbound(self, link: PeerLink) -> None:
         """See PeerServiceOwner."""
         self._inbound.discard(link)
-        if link.name not in {other.name for other in self._inbound}:
+        if all(other.name != link.name for other in self._inbound):
             self.on_entry_gone(link.name)
         if self._relays.pop(link, None) is not None:
             self.on_relays(list(self._relays.values()))
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -83,6 +83,10 @@
         """How late the last chunk of a peer was whole, beyond the time that it took to send."""
         return self.asker.late_seconds
 
+    @property
+    def _beside_engine(self) -> bool:
+        return self._settings.role == "sidecar"
+
     def state_of(self, digest: str, asker_revision: int = 0) -> ChunkState:
         """Returns what this sidecar can say of a chunk."""
         if self.store.get(digest) is not None:
@@ -184,11 +188,11 @@
     def _inbound_rate(self, peer: str) -> float:
         """Returns the bytes a second that a peer may send here; zero where it knows itself."""
         pace = self.asker.pace
-        if self._settings.role != "sidecar":
-            return 0.0
         if self._yields():
             return pace.rate
-        return pace.link_rate / RELAY_ASKS_AT_ONCE if peer in self.asker.relays else 0.0
+        if self._beside_engine and peer in self.asker.relays:
+            return pace.link_rate / RELAY_ASKS_AT_ONCE
+        return 0.0
 
     @contextlib.asynccontextmanager
     async def _turn(self) -> collections.abc.AsyncIterator[None]:
@@ -201,8 +205,7 @@
 
     def _yields(self) -> bool:
         """Returns whether weights leave a narrow link to the requests of the engine beside it."""
-        beside_engine = self._settings.role == "sidecar"
-        return beside_engine and self.asker.pace.narrow and self._in_progress() > 0
+        return self._beside_engine and self.asker.pace.narrow and self._in_progress() > 0
 
     def _patience(self) -> float:
         """Returns how long to wait at a peer for a chunk that it expects, in seconds."""
--- a/wasabidrum/weights/version_download.py
+++ b/wasabidrum/weights/version_download.py
@@ -5,6 +5,7 @@
 
 from ..core.manifest import Manifest, decode_manifest
 from ..decisions.chunk_plan import ChunkPlan
+from ..decisions.inbound_pace import PROMPT_SECONDS
 from .distributor import Distributor
 
 # Chunks that this sidecar draws from the origin, at once: enough that the next is under
@@ -12,9 +13,6 @@
 DRAWS_AT_ONCE = 2
 # How long draws go before all else; with an origin that is gone the rest must not wait longer.
 DRAWS_FIRST_SECONDS = 2.0
-# A chunk that is whole this much after its last byte was sent has met no queue worth speaking of:
-# a few times the way between regions, and a slice of another chunk.
-PROMPT_SECONDS = 0.1
 # Asked of peers meanwhile, so that they know of this sidecar, which they wait for.
 ASKS_WHILE_DRAWING = 2
 # Chunks that it brings in from another region, at once. Its senders there are several.
