Fail named test files that are red; count known red tests by themselves

Cause: `python -m tests.run NAME` returned 0 whatever its tests did, so that runs repeated by hand were counted green by their exit status, and a listed test that was red was added to the passed ones.

Change: a named file exits with 1 where any of its tests is red, listed or not, or none ran. The whole run passes over listed tests as before, and prints them as a count of their own before its last line.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,8 +1,9 @@
 """Runs every test file in a separate process and prints the total counts.
 
 Each file gets a fresh interpreter, so that a task, socket or patched clock leaked by one
-cannot change the result of another. Tests listed in KNOWN-RED.txt may fail: they are
-run and printed, but not counted as failed.
+cannot change the result of another. Tests listed in KNOWN-RED.txt are run and printed, and
+counted by themselves: they are neither passed nor failed. Files named on the command line run
+in this process, and there a red test fails the run whether it is listed or not.
 """
 
 import concurrent.futures
@@ -11,12 +12,26 @@
 import subprocess
 import sys
 import unittest
+from collections.abc import Sequence
+from typing import NamedTuple
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 FILES_AT_ONCE = 4
 FILE_TIMEOUT_SECONDS = 400
-COUNT_LINE = re.compile(r"^COUNT (\d+) (\d+)$", re.MULTILINE)
+COUNT_LINE = re.compile(r"^COUNT (\d+) (\d+) (\d+)$", re.MULTILINE)
+
+
+class Counts(NamedTuple):
+    """How many tests passed, failed, and failed while they are listed in KNOWN-RED.txt."""
+
+    passed: int = 0
+    failed: int = 0
+    known_red: int = 0
+
+    def add(self, other: "Counts") -> "Counts":
+        """Returns the sums of both."""
+        return Counts(*(mine + its for mine, its in zip(self, other, strict=True)))
 
 
 def read_known_red() -> frozenset[str]:
@@ -42,26 +57,28 @@
     return getattr(test, "test_case", test).id()
 
 
-def run_module_here(name: str) -> int:
+def run_module_here(name: str, known_red: frozenset[str]) -> Counts:
     """Runs one test file in this process and prints its counts, which the parent parses."""
-    known_red = read_known_red()
     suite = unittest.defaultTestLoader.loadTestsFromName(name)
     result = unittest.TextTestRunner(verbosity=1, buffer=False).run(suite)
     # A test with several failing subtests has one entry for each, but counts once.
     red = {id_of(test) for test, _ in result.failures + result.errors}
+    red |= {id_of(test) for test in result.unexpectedSuccesses}
     for test_id in sorted(red):
         print("KNOWN RED" if test_id in known_red else "FAILED", test_id)
-    failed = len(red - known_red) + len(result.unexpectedSuccesses)
-    print("COUNT", result.testsRun - failed, failed)
-    return 0
+    listed = len(red & known_red)
+    # The id of a failed class or module fixture is red, but it is no test that ran.
+    counts = Counts(max(result.testsRun - len(red), 0), len(red) - listed, listed)
+    print("COUNT", *counts, flush=True)
+    return counts
 
 
-def run_module(name: str) -> tuple[int, int, str]:
+def run_module(name: str) -> tuple[Counts, str]:
     """Runs one test file in a fresh interpreter.
 
     Returns:
-      The number of tests that passed, the number that failed, and the output. A file
-      that prints no count, because it crashed or timed out, counts as one failure.
+      The counts and the output. A file that prints no count, because it crashed or
+      timed out, counts as one failure.
     """
     command = [sys.executable, "-m", "tests.run", name]
     try:
@@ -69,30 +86,43 @@
             command, cwd=ROOT, capture_output=True, text=True, timeout=FILE_TIMEOUT_SECONDS
         )
     except subprocess.TimeoutExpired as error:
-        return 0, 1, f"{name}: no verdict after {FILE_TIMEOUT_SECONDS} s\n{error.stdout!r}"
+        text = f"{name}: no verdict after {FILE_TIMEOUT_SECONDS} s\n{error.stdout!r}"
+        return Counts(failed=1), text
     output = done.stdout + done.stderr
     count = COUNT_LINE.search(done.stdout)
     if count is None:
-        return 0, 1, f"{name}: printed no count\n{output}"
-    return int(count[1]), int(count[2]), output
+        return Counts(failed=1), f"{name}: printed no count\n{output}"
+    return Counts(*map(int, count.groups())), output
+
+
+def run_here(names: Sequence[str], known_red: frozenset[str]) -> int:
+    """Runs the named files in this process; returns 1 where a test is red or none ran."""
+    total = Counts()
+    for name in names:
+        total = total.add(run_module_here(name, known_red))
+    return 1 if total.failed or total.known_red or not total.passed else 0
+
+
+def run_all() -> int:
+    """Runs all test files in processes of their own; returns 1 where an unlisted test is red."""
+    total = Counts()
+    names = find_test_modules()
+    with concurrent.futures.ThreadPoolExecutor(FILES_AT_ONCE) as pool:
+        for name, (counts, output) in zip(names, pool.map(run_module, names), strict=True):
+            total = total.add(counts)
+            print(f"{name}: {counts.passed} passed, {counts.failed} failed", flush=True)
+            if counts.failed or counts.known_red:
+                print(output, flush=True)
+    print(f"known red: {total.known_red}")
+    print(f"{total.passed} passed, {total.failed} failed")
+    return 1 if total.failed or not total.passed else 0
 
 
 def main() -> int:
-    """Runs the modules named on the command line in this process, or all test files."""
+    """Runs the files named on the command line, or all test files."""
     if len(sys.argv) > 1:
-        return max(run_module_here(name) for name in sys.argv[1:])
-    passed = failed = 0
-    with concurrent.futures.ThreadPoolExecutor(FILES_AT_ONCE) as pool:
-        for name, result in zip(
-            find_test_modules(), pool.map(run_module, find_test_modules()), strict=True
-        ):
-            passed += result[0]
-            failed += result[1]
-            print(f"{name}: {result[0]} passed, {result[1]} failed", flush=True)
-            if result[1] or "KNOWN RED" in result[2]:
-                print(result[2], flush=True)
-    print(f"{passed} passed, {failed} failed")
-    return 1 if failed or not passed else 0
+        return run_here(sys.argv[1:], read_known_red())
+    return run_all()
 
 
 if __name__ == "__main__":
