Keep a log of the test process: daemons inside it, its tests, its loop's lag

Cause: tests that play caller, entry and engine in one process kept no logs (their daemons logged to /dev/null), and nothing told a process that waited for the processor from a product that was late.

Change: where WASABIDRUM_KEEP_LOGS names a folder, each test process writes one file: when tests start and end, the lines of daemons inside it, and each time its event loop ran timers more than 0.1 s late, with the processor time that it used meanwhile.

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -12,6 +12,7 @@
 
 from tornado import httpserver, netutil, web
 
+from tests import process_log
 from wasabidrum.config.deployment import Address, Bounds, Deployment
 from wasabidrum.gateway.daemon import Gateway, make_gateway
 from wasabidrum.observe.event_log import EventLog, make_event_log
@@ -461,5 +462,5 @@
 
 
 def quiet_log(name: str) -> EventLog:
-    """Returns a log whose lines are kept in memory only."""
-    return make_event_log(name, "/dev/null")
+    """Returns a log that is kept in memory, and in the log of the test process."""
+    return make_event_log(name, process_log.log_path())
--- a/tests/run.py
+++ b/tests/run.py
@@ -15,6 +15,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from . import process_log
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 FILES_AT_ONCE = 4
@@ -60,7 +62,8 @@
 def run_module_here(name: str, known_red: frozenset[str]) -> Counts:
     """Runs one test file in this process and prints its counts, which the parent parses."""
     suite = unittest.defaultTestLoader.loadTestsFromName(name)
-    result = unittest.TextTestRunner(verbosity=1, buffer=False).run(suite)
+    runner = unittest.TextTestRunner(verbosity=1, resultclass=process_log.start())
+    result = runner.run(suite)
     # A test with several failing subtests has one entry for each, but counts once.
     red = {id_of(test) for test, _ in result.failures + result.errors}
     red |= {id_of(test) for test in result.unexpectedSuccesses}
