Take engines off replaced weights also when nothing of the new ones arrived

The order names the number of orders before it, so that it can't undo a load. Retirement is a task of its own, so that it waits for no list of pieces, and works by the sidecar's own knowledge of the version where no entry is connected.

--- a/tests/fake_engines.py
+++ b/tests/fake_engines.py
@@ -124,6 +124,10 @@
         """Executes a load order."""
         order = msgspec.json.decode(self.request.body)
         layers = range(order.get("from", 0), order.get("to", LAYERS))
+        expected = order.get("precondition", self.engine.orders)
+        if expected != self.engine.orders:
+            self.set_status(409)
+            return
         self.set_status(202 if self.engine.start(order["version"], layers) else 409)
 
 
@@ -186,8 +190,11 @@
             self.staged[number] = bytes(len(content))
 
     def start(self, version: int, layers: range) -> bool:
-        """Loads some layers from the staging area."""
+        """Loads some layers from the staging area, or keeps some of those that it holds."""
         self.orders += 1
+        if version == self.version and set(layers) <= set(self.layers):
+            self.layers = layers
+            return True
         of_layer = PIECES // LAYERS
         correct = all(
             self.staged.get(number) == make_piece(version, number)
--- a/tests/weights_retirement_test.py
+++ b/tests/weights_retirement_test.py
@@ -40,6 +40,27 @@
         await self.wait_until(lambda: len(self.engine.layers) == LAYERS, 8.0)
         self.assertEqual(self.engine.wrong_loads, 0)
 
+    async def test_engine_without_any_new_layer_serves_nothing_on_old_weights(self) -> None:
+        """Guards against old weights that serve on because nothing of the new ones has arrived."""
+        self.fleet.origin.pieces_available = 0
+        await self.fleet.name_version(2)
+        await self.wait_until(lambda: len(self.engine.layers) < LAYERS, BOUND_SECONDS)
+        self.assertEqual(self.engine.version, 1)
+        self.fleet.origin.pieces_available = PIECES
+        await self.wait_until(lambda: self.engine.version == 2, 8.0)
+        await self.wait_until(lambda: len(self.engine.layers) == LAYERS, 8.0)
+        self.assertEqual(self.engine.wrong_loads, 0)
+
+    async def test_engine_that_no_entry_reaches_serves_nothing_on_old_weights(self) -> None:
+        """Guards against old weights that serve on because no entry says when their time is over.
+
+        Requests of entries that have gone may still be on their way.
+        """
+        self.fleet.origin.pieces_available = 0
+        await self.fleet.end_entry(self.fleet.entries[0])
+        await self.fleet.name_version(2)
+        await self.wait_until(lambda: len(self.engine.layers) < LAYERS, BOUND_SECONDS + 0.5)
+
     async def test_old_weights_stay_in_service_while_entries_may_place_on_them(self) -> None:
         """Guards against an engine that is taken out of service before the bound."""
         self.fleet.origin.pieces_available = PIECES // 2
--- a/wasabidrum/decisions/weights_retirement.py
+++ b/wasabidrum/decisions/weights_retirement.py
@@ -7,7 +7,8 @@
 Entries decide when requests are no longer placed on old weights, because they know of the store's
 outages. Each entry reports to every sidecar how long that is. Once the limits of all entries have
 passed, the engine gives up the old weights. An entry whose stream has ended is not waited for; it
-decides again about the requests that it sends later.
+decides again about the requests that it sends later. Without any entry, the bound counts from when
+this process learned of the newer version.
 
 All times are of a clock that also advances while the instance is suspended.
 """
@@ -33,9 +34,15 @@
 class WeightsRetirement:
     """The limits that each entry has reported."""
 
-    __slots__ = ("_limits",)
+    __slots__ = ("_bound", "_limits")
 
-    def __init__(self) -> None:
+    def __init__(self, bound: float) -> None:
+        """Creates a record without entries.
+
+        Args:
+          bound: Seconds after a version is named until which older versions may serve.
+        """
+        self._bound = bound
         self._limits: dict[str, tuple[EntryLimit, ...]] = {}
 
     def record(
@@ -52,16 +59,19 @@
         """Drops an entry's limits, for instance when its stream has ended."""
         self._limits.pop(entry, None)
 
-    def is_due(self, weights: int, now: float) -> bool:
+    def is_due(self, weights: int, now: float, replaced_for: float = 0.0) -> bool:
         """Returns whether all known entries have stopped placing requests on a version.
 
         Args:
           weights: The version that the engine holds.
+          replaced_for: For how many seconds this process has known of a newer version.
         """
         stops = [
             min((limit.stops_at for limit in limits if limit.version > weights), default=None)
             for limits in self._limits.values()
         ]
-        if not stops or None in stops:
+        if not stops:
+            return replaced_for >= self._bound
+        if None in stops:
             return False
         return now >= max(stops) + IN_FLIGHT_SECONDS
--- a/wasabidrum/decisions/weights_retirement_test.py
+++ b/wasabidrum/decisions/weights_retirement_test.py
@@ -6,6 +6,7 @@
 from .weights_retirement import IN_FLIGHT_SECONDS, WeightsRetirement
 
 MODEL = "m"
+BOUND_SECONDS = 8.0
 
 
 def limit(version: int, seconds: float, put_off: int = 0) -> PlacingLimit:
@@ -17,7 +18,7 @@
     """An engine that answers with version 1."""
 
     def setUp(self) -> None:
-        self.retirement = WeightsRetirement()
+        self.retirement = WeightsRetirement(BOUND_SECONDS)
 
     def test_weights_are_due_once_all_entries_have_stopped_placing_on_them(self) -> None:
         self.retirement.record("a", MODEL, [limit(2, 7.0)], 100.0)
@@ -37,6 +38,13 @@
     def test_without_known_entries_nothing_is_due(self) -> None:
         self.assertFalse(self.retirement.is_due(1, 200.0))
 
+    def test_without_known_entries_the_bound_counts_from_the_learning_of_a_version(self) -> None:
+        """Guards against an engine that keeps old weights because no entry can tell it to stop."""
+        self.assertFalse(self.retirement.is_due(1, 200.0, BOUND_SECONDS - 0.1))
+        self.assertTrue(self.retirement.is_due(1, 200.0, BOUND_SECONDS))
+        self.retirement.record("a", MODEL, [limit(2, 7.0)], 200.0)
+        self.assertFalse(self.retirement.is_due(1, 200.0, BOUND_SECONDS))
+
     def test_an_outage_of_the_store_delays_retirement(self) -> None:
         """Guards against an engine out of service while the bound does not count."""
         self.retirement.record("a", MODEL, [limit(2, 7.0)], 100.0)
--- a/wasabidrum/platform/engine_client.py
+++ b/wasabidrum/platform/engine_client.py
@@ -101,13 +101,22 @@
             )
 
     async def start(
-        self, model: str, version: int, fence: int, layers: range | None = None
+        self,
+        model: str,
+        version: int,
+        fence: int,
+        layers: range | None = None,
+        orders: int | None = None,
     ) -> bool:
-        """Orders the engine to load the staged version; returns whether it will load it, or has.
+        """Orders the engine to hold a version; returns whether it will do so, or already does.
+
+        The engine loads what it lacks from the staging area, and drops all other layers.
 
         Args:
           fence: The fencing token of the order.
-          layers: A contiguous range of layers to load; all layers where None.
+          layers: A contiguous range of layers to hold; all layers where None.
+          orders: How many orders the engine must have accepted before this one; any number
+            where None.
         """
         order = {
             "operation": "start",
@@ -118,6 +127,8 @@
         }
         if layers is not None:
             order |= {"from": layers.start, "to": layers.stop}
+        if orders is not None:
+            order["precondition"] = orders
         response = await http_client.post_json(
             self._client, self._url + names.ORDER_PATH, order, REQUEST_TIMEOUT_SECONDS
         )
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -92,6 +92,7 @@
         self._tasks.start("listed", self._listed.run())
         self._tasks.start("members", self._listed.refresh_members(self._needs_weights))
         self._tasks.start("versions", self._controller.run())
+        self._tasks.start("retirement", self._controller.retire_old_weights())
         self._log.write(
             Event.DAEMON_STARTED, role="sidecar", port=first + CHUNK_PORT_OFFSET, host=host
         )
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -82,7 +82,7 @@
         self.report: EngineReport | None = None
         self.switching = False
         self.on_report = ignore_report
-        self.retirement = WeightsRetirement()
+        self.retirement = WeightsRetirement(bound)
         listed.on_members = self._update_holders
         listed.on_relays = self._update_relays
 
@@ -129,6 +129,25 @@
                 store.expected = set()
                 store.wake_all()
 
+    async def retire_old_weights(self) -> None:
+        """Takes the engine off weights that no request may begin on any more, forever.
+
+        An engine with a single layer serves no requests. It rejects those for the old weights that
+        are still in flight, whatever holds them up on their way.
+        """
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            report = self.report
+            if report is None or report.busy or not report.weights:
+                continue
+            replaced_for = self._listed.replaced_for(report.weights)
+            if not self.retirement.is_due(report.weights, boot_seconds(), replaced_for):
+                continue
+            try:
+                await self._reduce_to_layer(report)
+            except CodedError as error:
+                self._log_failure(self._listed.wanted, f"old weights not unloaded: {error}")
+
     def _choose(self, choice: VersionChoice) -> int:
         staged = self._find_staged(choice.version or 0)
         if staged is None:
@@ -181,7 +200,7 @@
         self._update_holders()
         if staged.share < 1.0:
             await self._listed.wait_for_relays()
-        side_tasks = asyncio.gather(self._drain_early(staged), self._retire_old_weights(staged))
+        draining = asyncio.ensure_future(self._drain_early(staged))
         try:
             listed = self._listed
             await staged.fetch_missing(listed.region_of, listed.relays, listed.origin_region)
@@ -190,8 +209,8 @@
             if self.report is not None and not self.report.busy:
                 await self._load(staged, version)
         finally:
-            side_tasks.cancel()
-            await asyncio.gather(side_tasks, return_exceptions=True)
+            draining.cancel()
+            await asyncio.gather(draining, return_exceptions=True)
             self._set_switching(False)
 
     async def _drain_early(self, staged: StagedVersion) -> None:
@@ -212,34 +231,37 @@
         if staged.share < 1.0:
             self._set_switching(False)
 
-    async def _retire_old_weights(self, staged: StagedVersion) -> None:
-        """Unloads expired weights by having the engine load a single layer of the new version.
+    async def _reduce_to_layer(self, report: EngineReport) -> None:
+        """Orders the engine to hold one layer only.
 
-        An engine with a single layer serves no requests, and loads it in a moment. It then rejects
-        requests for the old weights that are still in flight.
+        It is a layer of the version that is being staged if one is complete, because the others
+        then load beside it. If none is, the engine keeps one that it has, for which it needs
+        nothing that still has to arrive.
         """
-        while True:
-            await asyncio.sleep(REPORT_SECONDS)
-            report = self.report
-            if report is None or report.busy or not 0 < report.weights < staged.version:
-                continue
-            if not self.retirement.is_due(report.weights, boot_seconds()):
-                continue
-            layer = staged.complete_layer(self._listed.layers)
-            # A complete version is about to be loaded as a whole.
-            if layer is None or staged.share >= 1.0:
-                continue
-            try:
-                await self._load_layer(staged, layer)
-            except CodedError as error:
-                self._log_failure(staged.version, f"old weights not unloaded: {error}")
-
-    async def _load_layer(self, staged: StagedVersion, layer: int) -> None:
-        version = staged.version
-        await self._verify(staged, version, staged.pieces_of(layer, self._listed.layers))
-        part = range(layer, layer + 1)
-        accepted = await self._engine.start(self._listed.model, version, version, part)
-        self._log.write(Event.OLD_WEIGHTS_RETIRED, version=version, layer=layer, accepted=accepted)
+        staged = self._find_staged(self._staging_version)
+        version, layer = report.weights, 0
+        if staged is not None and staged.version > report.weights and staged.share < 1.0:
+            complete = staged.complete_layer(self._listed.layers)
+            if complete is not None:
+                version, layer = staged.version, complete
+                numbers = staged.pieces_of(layer, self._listed.layers)
+                await self._verify(staged, version, numbers)
+        # The number of orders keeps this one from undoing a load that was ordered meanwhile.
+        accepted = await self._engine.start(
+            self._listed.model,
+            version,
+            max(version, self._staging_version),
+            range(layer, layer + 1),
+            report.orders,
+        )
+        self._log.write(
+            Event.OLD_WEIGHTS_RETIRED,
+            weights=report.weights,
+            version=version,
+            layer=layer,
+            accepted=accepted,
+            running=report.running,
+        )
 
     def _set_switching(self, switching: bool) -> None:
         if self.switching != switching:
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -129,6 +129,11 @@
         at = self._named_at.get(version)
         return boot_seconds() - at if at is not None else 0.0
 
+    def replaced_for(self, version: int) -> float:
+        """Returns the seconds since a newer version was learned to be named; zero if none was."""
+        newer = (at for named, at in self._named_at.items() if named > version)
+        return boot_seconds() - min(newer, default=boot_seconds())
+
     @property
     def ready(self) -> bool:
         """Whether members, engine settings and versions have been read."""
