Run tests that play all ends of their sockets on a paused clock

Cause, from the logs of red runs beside load: the only process of these tests was late, and its time-outs went on. weights_suspended_sidecar_test took 6.1 and 6.5 s at a load of 9, 4.0 s on an idle machine, by the same steps. RelayTest, provoked with endpoints 0.08 s slower, shows the second death reported after the second entry was asked.

Change: their event loop's clock, and with it the boot clock, stands still while the process works (looptime over the same sockets). Checks and bounds stay.

--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -1,7 +1,6 @@
 """End-to-end tests of published routes over real sockets, with misbehaving endpoints."""
 
 import asyncio
-import unittest
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
@@ -14,6 +13,7 @@
     run_and_reset,
     stream_events,
 )
+from tests.paused_clock import PausedClockCase
 from wasabidrum.core.boot_clock import boot_seconds
 from wasabidrum.core.errors import CodedError
 from wasabidrum.gateway.exchange import CallerExchange
@@ -23,12 +23,13 @@
 KEY = f"{names.AUTHORIZATION}: Bearer key-1"
 
 
-class GatewayCase(unittest.IsolatedAsyncioTestCase):
+class GatewayCase(PausedClockCase):
     """One entry with two endpoints behind it."""
 
     tenants = False
 
     async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         self.fleet = PlatformFleet()
         await self.fleet.start()
         await self.fleet.store.put(
--- a/tests/weights_relay_test.py
+++ b/tests/weights_relay_test.py
@@ -4,12 +4,14 @@
 import unittest
 
 from tests.fake_engines import PIECES, EngineFleet
+from tests.paused_clock import PausedClockCase
 
 
-class WeightsRelayTest(unittest.IsolatedAsyncioTestCase):
+class WeightsRelayTest(PausedClockCase):
     """Two entries and three engines of one region, which start with version 1."""
 
     async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         self.fleet = EngineFleet()
         await self.fleet.start()
         self.entries = [await self.fleet.add_entry() for _ in range(2)]
--- a/tests/weights_suspended_sidecar_test.py
+++ b/tests/weights_suspended_sidecar_test.py
@@ -1,9 +1,9 @@
 """Suspended sidecars that others wait for: real sidecars, each with a fake engine."""
 
 import asyncio
-import unittest
 
 from tests.fake_engines import EngineFleet, FakeStagingEngine
+from tests.paused_clock import PausedClockCase
 from wasabidrum.weights.chunk_member import CHUNK_PORT_OFFSET
 
 ENGINES = 4
@@ -35,10 +35,11 @@
         self._writers.append(writer)
 
 
-class HeldUpTest(unittest.IsolatedAsyncioTestCase):
+class HeldUpTest(PausedClockCase):
     """Four engines that start with version 1; version 2 is named."""
 
     async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         self.fleet = EngineFleet()
         await self.fleet.start()
         for _ in range(ENGINES):
