Run the overloaded entry's tests on a paused clock

Change: what a request of the burst costs the entry is advanced on the clock instead of slept, and the engine's end of the connection is looked at after each of them instead of by a thread that may itself be late. Checks, bounds and the burst stay as they are.

--- a/tests/busy_entry_test.py
+++ b/tests/busy_entry_test.py
@@ -1,13 +1,11 @@
 """An overloaded entry, tested over real sockets.
 
-Each request of a burst costs the entry as much processor time as on an instance that runs
-several times slower than usual, and all of them are waiting when the event loop next polls.
+Each request of a burst costs the entry as much time as on an instance that runs several times
+slower than usual, and all of them are waiting when the event loop next polls.
 """
 
 import asyncio
 import socket
-import threading
-import time
 import unittest
 from unittest import mock
 
@@ -35,43 +33,45 @@
 real_read_request = heads.read_request
 
 
-def read_request_slowly(start, headers) -> RequestHead:
-    """Reads a request head; one of the burst takes as long as on a slow instance."""
-    head = real_read_request(start, headers)
-    if head.request_id.startswith("crowd"):
-        time.sleep(SECONDS_PER_REQUEST)
-    return head
-
-
 # Limit for a response whose latency is not under test, long enough for a busy machine.
 RESPONSE_TIMEOUT_SECONDS = 20.0
 
 
-class WatchingEngine(threading.Thread):
-    """An engine on a thread of its own, which notices the end of a connection without delay.
+class WatchingEngine:
+    """An engine that can be asked at any time whether its connection has ended.
 
     Attributes:
       began: Whether a request has arrived.
-      ended_at: When its connection ended, by the event loop's clock.
+      ended_at: When the end of its connection was first seen, by the event loop's clock.
     """
 
     def __init__(self) -> None:
-        super().__init__(daemon=True)
         self.listener = socket.create_server((HOST, 0))
+        self.listener.setblocking(False)
         self.began = False
         self.ended_at = 0.0
-
-    def run(self) -> None:
-        """Accepts one request and waits for the end of its connection."""
-        connection, _ = self.listener.accept()
-        with connection:
-            connection.recv(65_536)
+        self._connection: socket.socket | None = None
+
+    def look(self) -> None:
+        """Accepts a request, or notes the end of its connection."""
+        try:
+            if self._connection is None:
+                self._connection, _ = self.listener.accept()
+                self._connection.setblocking(False)
+            ended = not self._connection.recv(65_536)
             self.began = True
-            try:
-                connection.recv(1)
-            except ConnectionResetError:
-                pass
-            self.ended_at = time.monotonic()
+        except BlockingIOError:
+            return
+        except ConnectionResetError:
+            ended = True
+        if ended and not self.ended_at:
+            self.ended_at = asyncio.get_running_loop().time()
+
+    def close(self) -> None:
+        """Closes its sockets."""
+        self.listener.close()
+        if self._connection is not None:
+            self._connection.close()
 
 
 class BusyEntryCase(GatewayCase):
@@ -80,7 +80,8 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.callers: list[socket.socket] = []
-        patched = mock.patch.object(heads, "read_request", read_request_slowly)
+        self.engine: WatchingEngine | None = None
+        patched = mock.patch.object(heads, "read_request", self.read_request_slowly)
         patched.start()
         self.addCleanup(patched.stop)
 
@@ -89,6 +90,15 @@
             caller.close()
         await super().asyncTearDown()
 
+    def read_request_slowly(self, start, headers) -> RequestHead:
+        """Reads a request head; one of the burst takes as long as on a slow instance."""
+        head = real_read_request(start, headers)
+        if head.request_id.startswith("crowd"):
+            self.loop.hold_up(SECONDS_PER_REQUEST)
+            if self.engine is not None:
+                self.engine.look()
+        return head
+
     def connect(self) -> socket.socket:
         """Opens a connection without yielding to the event loop."""
         address = self.fleet.deployments[0].callers
@@ -135,17 +145,16 @@
         neither for closed connections nor for timers for seconds; the engine would work for nobody
         while other requests wait for its slots, and the events of other streams would be delayed as
         long."""
-        engine = WatchingEngine()
-        self.addCleanup(engine.listener.close)
-        engine.start()
+        engine = self.engine = WatchingEngine()
+        self.addCleanup(engine.close)
         await self.move_endpoints_to(engine.listener.getsockname()[1])
         caller = self.connect()
         self.send(caller, "unsafe", "r1")
-        await self.fleet.wait_until(lambda: engine.began)
+        await self.fleet.wait_until(lambda: engine.look() or engine.began)
         self.send_burst()
         caller.close()
         left_at = asyncio.get_running_loop().time()
-        await self.fleet.wait_until(lambda: engine.ended_at, seconds=5.0)
+        await self.fleet.wait_until(lambda: engine.look() or engine.ended_at, seconds=5.0)
         self.assertLess(engine.ended_at - left_at, BURST_SECONDS / 2)
 
     async def test_unread_request_of_disconnected_caller_is_not_started(self) -> None:
