--- a/tests/fake_engines.py
+++ b/tests/fake_engines.py
@@ -150,6 +150,8 @@
         self.orders = 0
         self.corrupt_after = 0
         self.state = "ready"
+        # The port that is listed for requests; requests themselves are not served here.
+        self.requests_port = port
         self._puts = 0
         self._server: httpserver.HTTPServer | None = None
 
@@ -210,7 +212,7 @@
         report = self.report()
         return {
             "service": SERVICE,
-            "address": f"{self.host}:{self.port}",
+            "address": f"{self.host}:{self.requests_port}",
             "zone": "rift-a",
             "version": "v1",
             "slots": 16,
@@ -242,17 +244,19 @@
         self.entries_started = 0
         self.first_port = free_ports(PORTS_OF_ONE)
         self.bounds = Bounds()
+        self.configuration: dict = {}
 
     async def start(self) -> None:
         """Starts the store and the origin, and publishes the configuration."""
         await self.store.start()
         self.origin.start()
-        engine = {"layers": LAYERS, "models": [{"name": MODEL}], "chunks": PIECES}
+        engine = {"layers": LAYERS, "models": [{"name": MODEL}], "chunks": PIECES, "slots": 16}
         services = [
             {"name": SERVICE, "engine": engine},
             {"name": "weights", "origin": f"127.0.0.1:{self.origin.port}", "zone": "rift-a"},
         ]
-        await self.store.put(names.CONFIGURATION_KEY, {"version": 1, "services": services})
+        self.configuration = {"version": 1, "services": services}
+        await self.store.put(names.CONFIGURATION_KEY, self.configuration)
 
     async def stop(self) -> None:
         """Stops all entries, sidecars and engines, the origin and the store."""
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -440,9 +440,17 @@
             writer.close()
 
 
-async def read_reply(reader: asyncio.StreamReader) -> Reply:
-    """Reads a response, and checks that it is complete."""
-    head = await reader.readuntil(b"\r\n\r\n")
+async def read_reply(reader: asyncio.StreamReader, head_seconds: float | None = None) -> Reply:
+    """Reads a response, and checks that it is complete.
+
+    Args:
+      head_seconds: How long to wait for its head; None for no limit.
+
+    Raises:
+      TimeoutError: The head did not come in time.
+    """
+    async with asyncio.timeout(head_seconds):
+        head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode().split("\r\n")
     status = int(lines[0].split(" ")[1])
     headers = {n.lower(): v for n, v in (line.split(": ", 1) for line in lines[1:] if line)}
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -83,7 +83,12 @@
     def on_disconnect(self) -> None:
         """Cancels the request of a caller that has disconnected."""
         if self._task is not None and not self._task.done() and not self._completed:
-            self._log(Event.REQUEST_CANCELLED, code="cancelled", outcome=Outcome.UNKNOWN.value)
+            self._log(
+                Event.REQUEST_CANCELLED,
+                code="cancelled",
+                outcome=Outcome.UNKNOWN.value,
+                streaming=self.streaming,
+            )
             self._task.cancel()
 
     async def _run(self) -> None:
