Keep a listed address when another member passes on a reported one

Cause: weights_transfer_test.test_a_peer_always_sends_corrupted_bytes was red in one of two runs at a load of 20: in the kept logs 56 chunks came from the peer that the platform lists behind a corrupting proxy, none of them corrupt. A listed address was kept where the daemon itself reports another, but not where a third member, that heard of it before it read the list, passes its report on.

Change: such an address is set aside like a reported one, until the listed one refuses connections.

That the red run had this cause is read from the code and the chunks received: which member passed the address on is not logged.

--- a/wasabidrum/decisions/member_record.py
+++ b/wasabidrum/decisions/member_record.py
@@ -16,6 +16,7 @@
     Attributes:
       instance: The address in use.
       listed: What the list contains for its slot, or None if it is not listed.
+      passed_on: The address that another member passed on for its incarnation, or None.
       unlisted_at: Since when it has been missing from the list.
       reported_leaving: Whether it has reported that it is leaving; holds for the whole incarnation.
       last_message_at: When its last message arrived at this process.
@@ -25,6 +26,7 @@
 
     instance: Instance
     listed: Instance | None = None
+    passed_on: Instance | None = None
     unlisted_at: float = 0.0
     incarnation: str = ""
     sequence: int = 0
--- a/wasabidrum/decisions/member_table.py
+++ b/wasabidrum/decisions/member_table.py
@@ -172,7 +172,10 @@
             self._updates.append(update)
             self.version += 1
         if newer and update.instance is not None:
-            record.instance = update.instance
+            record.passed_on = update.instance
+            # As with a status, a listed address stays if the list can mean this incarnation.
+            if record.incarnation or record.listed is None:
+                record.instance = update.instance
         record.reported_leaving = (
             update.leaving if newer else record.reported_leaving or update.leaving
         )
@@ -272,11 +275,11 @@
 
     def _use_reported_address(self, record: MemberRecord) -> bool:
         # A frozen list has the address of the slot's previous process; the present one reported
-        # its own.
-        if record.status is None or not record.status.peer_port:
-            return False
-        reported = instance_from_status(record.status)
-        if address_of(reported) == address_of(record.instance):
+        # its own, here or to a member that passed it on.
+        reported = record.passed_on
+        if record.status is not None and record.status.peer_port:
+            reported = instance_from_status(record.status)
+        if reported is None or address_of(reported) == address_of(record.instance):
             return False
         record.instance = reported
         self.version += 1
--- a/wasabidrum/decisions/member_table_test.py
+++ b/wasabidrum/decisions/member_table_test.py
@@ -82,6 +82,14 @@
         self.assertEqual(self.table.get("m3").instance.peer_port, 9)
         self.assertTrue(self.table.suspect("m3", 3.0, refused=True))
 
+    def test_an_address_passed_on_by_others_does_not_replace_a_listed_one(self) -> None:
+        """Guards against the same where a member hears of a daemon from others first."""
+        reported = msgspec.structs.replace(self.instances[3], http_port=9, peer_port=9)
+        self.table.apply_update(MemberUpdate("m3", MemberState.ALIVE, "1", 1, False, reported), 1.0)
+        self.assertEqual(self.table.get("m3").instance.peer_port, 1)
+        self.assertFalse(self.table.suspect("m3", 2.0, refused=True))
+        self.assertEqual(self.table.get("m3").instance.peer_port, 9)
+
     def test_a_listed_instance_that_refuses_connections_is_declared_dead(self) -> None:
         """The list contains an instance that has ended and refuses connections. Without evidence
         an entry would send it requests until the list is updated."""
