Send a charge whose instance leaves without waiting for others

Cause, from the kept logs: the charge reached an entry 0.94 s after its instance began to leave, waited for admission behind the limit of the other, sleeping instance, and was admitted 2.0 s after its own had stopped. Only that one may run it, and it takes its keys for 1.5 s.

Change: a charge whose instance is leaving isn't admitted by the room of those that stay; it is sent at once, as one for which there was no room always was.

--- a/tests/outcomes_leaving_test.py
+++ b/tests/outcomes_leaving_test.py
@@ -5,6 +5,7 @@
 import unittest
 
 from bench.outcomes_fleet import OutcomesFleet
+from wasabidrum.decisions.idempotency_key import parse_key
 
 
 class LeavingTest(unittest.IsolatedAsyncioTestCase):
@@ -46,6 +47,24 @@
         self.assertEqual((became, self.fleet.count_runs("kept")), ("whole", 1), told)
         self.assertEqual(await leaving.wait(15.0), 0)
 
+    async def test_a_charge_whose_instance_leaves_does_not_wait_for_another(self) -> None:
+        """Guards against a charge that waits for room elsewhere while its only instance leaves."""
+        await self.fleet.start_all(["tally-1", "tally-2"], [])
+        key = await self.fleet.issue_key()
+        while parse_key(key).endpoint != "tally-1":
+            key = await self.fleet.issue_key()
+        busy = self.fleet.members["tally-2"].endpoint_port
+        await self.fleet.put_faults(busy, delay_after_seconds=4.0)
+        leaving = self.fleet.members["tally-1"].daemon
+        leaving.send(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        waiting = [asyncio.ensure_future(self.fleet.charge(f"w{i}")) for i in range(60)]
+        await asyncio.sleep(0.2)
+        became, told = await self.fleet.charge("kept", key=key)
+        self.assertEqual((became, self.fleet.count_runs("kept")), ("whole", 1), told)
+        self.assertEqual(await leaving.wait(15.0), 0)
+        await asyncio.gather(*waiting)
+
     async def test_engine_sidecar_leaves_under_long_streams(self) -> None:
         """An instance is drained while it runs a long stream; the list still shows it as live.
 
--- a/wasabidrum/entry/service_call.py
+++ b/wasabidrum/entry/service_call.py
@@ -94,19 +94,26 @@
         """Makes a call with the caller's key; other copies of it may exist at any entry."""
         key = self._check_key(caller, request)
         permit = None
-        try:
-            permit = await self._scheduler.admit(item)
-        except CodedError as error:
-            # The endpoint that the key names can report on calls that it knows, even if no
-            # endpoint accepts new work.
-            if error.code != "no_endpoint":
-                raise weaken_refusal(error, request.key) from error
+        # Admission waits for room at endpoints that stay. One that leaves accepts its keys for a
+        # moment only, and no other endpoint can run the call.
+        if not self._owner_is_leaving(key):
+            try:
+                permit = await self._scheduler.admit(item)
+            except CodedError as error:
+                # The endpoint that the key names can report on calls that it knows, even if no
+                # endpoint accepts new work.
+                if error.code != "no_endpoint":
+                    raise weaken_refusal(error, request.key) from error
         try:
             return await self._call_owner(item, request, key)
         finally:
             if permit is not None:
                 permit.release()
 
+    def _owner_is_leaving(self, key: IdempotencyKey) -> bool:
+        owner = self._find_owner(key)
+        return owner is not None and owner.status is not None and owner.status.leaving
+
     def _check_key(self, caller: CallerRequest, request: ServiceRequest) -> IdempotencyKey:
         """Validates a caller's key and returns it parsed.
 
