Hold callers of a stalled engine to their own bound again, on a paused clock

Cause: when silent_endpoint_test was red beside load, the time in which all callers must have their responses, 2 s from their asking, was replaced by 2 s from a request's arrival at the stalled engine; a test process that is late no longer failed it, and neither would an entry that is late before that.

Change: the tests of the version bound and of stalled engines run on the paused clock, and the bound from the asking is asserted again beside the other.

--- a/tests/silent_endpoint_test.py
+++ b/tests/silent_endpoint_test.py
@@ -66,11 +66,12 @@
         """Sends requests to both engines, one with the given handler; returns the replies.
 
         Each request on which the first engine stalls must reach the other before its caller
-        gives up.
+        gives up, and every caller must have its whole response by then.
         """
         old, new = TimedHandler(handler), TimedHandler(self.new.handler)
         self.old.handler, self.new.handler = old, new
-        replies = await asyncio.gather(*(self.ask(f"r{number}") for number in range(8)))
+        asking = (self.ask(f"r{number}") for number in range(8))
+        replies = await asyncio.wait_for(asyncio.gather(*asking), STREAM_GAP_LIMIT_SECONDS)
         self.assertGreater(len(old.arrived_at), 0)
         for request, arrived_at in old.arrived_at.items():
             self.assertLess(new.arrived_at[request] - arrived_at, STREAM_GAP_LIMIT_SECONDS)
--- a/tests/version_bound_test.py
+++ b/tests/version_bound_test.py
@@ -16,6 +16,7 @@
     make_configuration,
     stream_events,
 )
+from tests.paused_clock import PausedClockCase
 from wasabidrum.config.deployment import Bounds
 from wasabidrum.core import boot_clock
 from wasabidrum.gateway import endpoint_connection
@@ -54,12 +55,13 @@
         await self._stream(endpoint, request, writer)
 
 
-class VersionBoundCase(unittest.IsolatedAsyncioTestCase):
+class VersionBoundCase(PausedClockCase):
     """One entry, an engine that holds version 1, and another without weights."""
 
     bounds = Bounds(version=BOUND_SECONDS)
 
     async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         self.fleet = PlatformFleet()
         await self.fleet.start()
         await self.fleet.store.put(names.CONFIGURATION_KEY, make_engines_configuration())
