Put back two bounds of the replay below capacity

When the replay of endpoint_choice_test.py was made harder (reports 0.35 s old, callers spread unevenly), three of its bounds were eased: refused below capacity from 0.01 to 0.03 of the requests, in time from 0.97 to 0.95, and at one and a half times capacity from 50 to 45 a second. None of them came from a target.

Result: the first two hold on the harder replay too and are back.

--- a/wasabidrum/decisions/endpoint_choice_test.py
+++ b/wasabidrum/decisions/endpoint_choice_test.py
@@ -42,8 +42,8 @@
 
     def test_below_capacity_few_requests_are_refused(self) -> None:
         jobs = replay(36.0, 6)
-        self.assertLess(sum(job.refused for job in jobs), 0.03 * len(jobs))
-        self.assertGreater(on_time(jobs), 0.95 * len(jobs) / 15.0)
+        self.assertLess(sum(job.refused for job in jobs), 0.01 * len(jobs))
+        self.assertGreater(on_time(jobs), 0.97 * len(jobs) / 15.0)
 
     def test_a_slow_engine_gets_less(self) -> None:
         """One of six engines runs at a third of its speed. If only the number of requests
