Run the other tests of deployed sidecars on the paused clock

Cause: they play origin, engines and sidecars in one process like those that were red because that process was late, and could be red in the same way.

--- a/tests/listed_weights_test.py
+++ b/tests/listed_weights_test.py
@@ -2,17 +2,18 @@
 staged."""
 
 import asyncio
-import unittest
 
 from tests.fake_engines import MODEL, EngineFleet, make_piece
+from tests.paused_clock import PausedClockCase
 from wasabidrum.decisions.chunk_plan import rank_names
 from wasabidrum.platform import names
 
 
-class ListedWeightsTest(unittest.IsolatedAsyncioTestCase):
+class ListedWeightsTest(PausedClockCase):
     """Three engines that start with version 1."""
 
     async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         self.fleet = EngineFleet()
         await self.fleet.start()
         for _ in range(3):
--- a/tests/weights_retirement_test.py
+++ b/tests/weights_retirement_test.py
@@ -4,15 +4,17 @@
 import unittest
 
 from tests.fake_engines import LAYERS, PIECES, EngineFleet
+from tests.paused_clock import PausedClockCase
 from wasabidrum.config.deployment import Bounds
 
 BOUND_SECONDS = 3.0
 
 
-class RetirementTest(unittest.IsolatedAsyncioTestCase):
+class RetirementTest(PausedClockCase):
     """An engine with version 1 and one entry; version 2 is named but only partly available."""
 
     async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         self.fleet = EngineFleet()
         self.fleet.bounds = Bounds(version=BOUND_SECONDS)
         await self.fleet.start()
