Refund to a workspace only what it was charged

Cause: calls of plain services cost a workspace nothing, but one that was refused for want of room was refunded one token, so that a workspace over its limit of tokens could start generations again. Found by reading.

--- a/wasabidrum/entry/request_costs.py
+++ b/wasabidrum/entry/request_costs.py
@@ -64,7 +64,9 @@
 
     def refund(self, item: WorkItem, ticket: Ticket) -> None:
         """Returns the cost that charge deducted for a request that was not admitted."""
-        self._allowance.correct(item.workspace, ticket.cost, 0.0)
+        # Calls of plain services cost a workspace nothing.
+        if item.model:
+            self._allowance.correct(item.workspace, ticket.cost, 0.0)
 
     def settle(self, item: WorkItem, ticket: Ticket) -> float | None:
         """Replaces the expected cost of an ended request by the actual cost.
