--- a/tests/suspended_engines_test.py
+++ b/tests/suspended_engines_test.py
@@ -21,6 +21,8 @@
 # Callers leave a stream after the longest of two seconds, four targets and eight pauses.
 PATIENCE_SECONDS = 3.2
 NAMED_AT_SECONDS = 3.0
+# From when two engines are to be suspended until each has requests to be suspended with.
+LONGEST_WAIT_SECONDS = 3.0
 # How long after its caller has left an engine may still begin a request.
 GONE_SECONDS = 0.5
 
@@ -86,15 +88,17 @@
         await self.fleet.store.put(names.VERSION_PREFIX + MODEL, value)
 
     async def suspend_two(self, after: float, seconds: float) -> None:
-        """Suspends the two engines with most requests that were read and have not begun."""
+        """Suspends two engines, each with requests that it has read and not begun."""
         await asyncio.sleep(after)
-        while not all(engine.waiting for engine in self.engines[:2]):
-            await asyncio.sleep(0.01)
-        for engine in self.engines[:2]:
+        async with asyncio.timeout(LONGEST_WAIT_SECONDS):
+            while len(waiting := [engine for engine in self.engines if engine.waiting]) < 2:
+                await asyncio.sleep(0.01)
+        suspended = waiting[:2]
+        for engine in suspended:
             self.unbegun.append(len(engine.waiting))
             engine.suspend()
         await asyncio.sleep(seconds)
-        for engine in self.engines[:2]:
+        for engine in suspended:
             engine.wake()
 
     async def name_and_switch(self) -> None:
