--- a/tests/fake_instances.py
+++ b/tests/fake_instances.py
@@ -4,7 +4,7 @@
 import collections.abc
 import dataclasses
 
-from tests.fake_platform import ReceivedRequest, response_head
+from tests.fake_platform import ReceivedRequest, read_request, response_head
 from wasabidrum.platform import names
 
 # From a request's arrival until it begins: a pass of an engine that reads a prompt.
@@ -78,7 +78,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             await self._awake.wait()
-            request = await self._read(reader)
+            request = await read_request(reader)
             await self._awake.wait()
             if reader.at_eof() or reader.exception() is not None:
                 return
@@ -97,15 +97,6 @@
         finally:
             writer.close()
 
-    async def _read(self, reader: asyncio.StreamReader) -> ReceivedRequest:
-        head = await reader.readuntil(b"\r\n\r\n")
-        lines = head.decode().split("\r\n")
-        method, target, _ = lines[0].split(" ")
-        pairs = (line.split(": ", 1) for line in lines[1:] if line)
-        headers = {name.lower(): value for name, value in pairs}
-        body = await reader.readexactly(int(headers.get("content-length", "0")))
-        return ReceivedRequest(method, target, headers, body)
-
     async def _run(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         loop = asyncio.get_running_loop()
         request_id = request.headers[names.REQUEST_ID.lower()]
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -151,6 +151,17 @@
     body: bytes
 
 
+async def read_request(reader: asyncio.StreamReader) -> ReceivedRequest:
+    """Reads a request."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    pairs = (line.split(": ", 1) for line in lines[1:] if line)
+    headers = {name.lower(): value for name, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return ReceivedRequest(method, target, headers, body)
+
+
 class FakeEndpoint:
     """An endpoint whose responses are written by the test.
 
@@ -196,13 +207,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
-            head = await reader.readuntil(b"\r\n\r\n")
-            lines = head.decode().split("\r\n")
-            method, target, _ = lines[0].split(" ")
-            pairs = (line.split(": ", 1) for line in lines[1:] if line)
-            headers = {name.lower(): value for name, value in pairs}
-            body = await reader.readexactly(int(headers.get("content-length", "0")))
-            request = ReceivedRequest(method, target, headers, body)
+            request = await read_request(reader)
             self.received.append(request)
             working = asyncio.ensure_future(self.handler(self, request, writer))
             leaving = asyncio.ensure_future(reader.read(1))
--- a/tests/suspended_engines_test.py
+++ b/tests/suspended_engines_test.py
@@ -102,7 +102,7 @@
             engine.wake()
 
     async def name_and_switch(self) -> None:
-        """Names version 2; engines that run switch a few seconds later, the others on waking."""
+        """Names version 2, to which the engines switch one by one a few seconds later."""
         await asyncio.sleep(NAMED_AT_SECONDS)
         await self.name_version(2)
         await asyncio.sleep(4.0)
--- a/tests/version_narrow_links_test.py
+++ b/tests/version_narrow_links_test.py
@@ -118,6 +118,7 @@
                 engine = self.engines[0]
                 late = [at for at in engine.arrivals.values() if at > bound]
                 self.assertGreater(len(late), 0)
+                self.assertGreater(self.links[0].most_queued, WEIGHTS_BYTES)
                 begun = [run for run in engine.runs if run.weights == 1 and run.began_at > bound]
                 self.assertEqual(begun, [])
                 self.assertEqual([e.wrong_loads for e in self.fleet.engines], [0] * 3)
