Keep a report that is read late from moving the end of old weights

By a line added for a trial the entries' limits were right on waking, 0.87 s, and 2.2 to 2.3 s right after it: reports of entries, which give the time left, had waited unread while the instance was suspended, and replaced the limits.

Change: an earlier limit of the same entry for the same version stays unless the report tells of a longer outage of the store, also when its stream ended in between. Where no entry knows of an outage, the bound holds by the sidecar's own knowledge of the version. An assertion of this change's first test, that a report without outage may put the bound off, goes: it asserted the fault.

Result: two tests of weights_retirement_test, red before.

--- a/wasabidrum/decisions/weights_retirement.py
+++ b/wasabidrum/decisions/weights_retirement.py
@@ -10,31 +10,44 @@
 decides again about the requests that it sends later. Without any entry, the bound counts from when
 this process learned of the newer version.
 
+A limit is a duration from its report, and a report may be read seconds after it was sent, when the
+instance was suspended meanwhile or its link is narrow. Only an outage of the store delays a limit,
+so a later report with no longer outage never moves it, also after the entry has connected anew, and
+where no entry knows of an outage the bound holds from what this process knows itself.
+
 All times are of a clock that also advances while the instance is suspended.
 """
 
 import collections.abc
 import dataclasses
+import math
 
 from ..core.placing_limit import PlacingLimit
 
 # How long the last placed requests are in flight where links have their proper width. Also, an
 # engine whose last pieces are about to arrive is better off loading all of them at once.
 IN_FLIGHT_SECONDS = 0.5
+# Entries are replaced for months while a sidecar runs.
+MAX_FORMER_ENTRIES = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryLimit:
-    """When one entry stops placing requests on versions older than this one."""
+    """When one entry stops placing requests on versions older than this one.
+
+    Attributes:
+      put_off: By how many whole seconds an outage of the store has delayed that.
+    """
 
     version: int
     stops_at: float
+    put_off: int
 
 
 class WeightsRetirement:
     """The limits that each entry has reported."""
 
-    __slots__ = ("_bound", "_limits")
+    __slots__ = ("_bound", "_limits", "_former")
 
     def __init__(self, bound: float) -> None:
         """Creates a record without entries.
@@ -44,20 +57,33 @@
         """
         self._bound = bound
         self._limits: dict[str, tuple[EntryLimit, ...]] = {}
+        # The last limits of entries whose streams have ended.
+        self._former: dict[str, tuple[EntryLimit, ...]] = {}
 
     def record(
         self, entry: str, model: str, limits: collections.abc.Iterable[PlacingLimit], now: float
     ) -> None:
         """Records an entry's limits for a model, replacing its earlier ones."""
+        earlier = {
+            (limit.version, limit.put_off): limit.stops_at
+            for limit in self._limits.get(entry) or self._former.pop(entry, ())
+        }
         self._limits[entry] = tuple(
-            EntryLimit(limit.version, now + limit.seconds)
+            EntryLimit(
+                limit.version,
+                min(now + limit.seconds, earlier.get((limit.version, limit.put_off), math.inf)),
+                limit.put_off,
+            )
             for limit in limits
             if limit.model == model
         )
 
     def forget(self, entry: str) -> None:
-        """Drops an entry's limits, for instance when its stream has ended."""
-        self._limits.pop(entry, None)
+        """Sets an entry's limits aside, for instance when its stream has ended."""
+        if entry in self._limits:
+            self._former[entry] = self._limits.pop(entry)
+        if len(self._former) > MAX_FORMER_ENTRIES:
+            del self._former[next(iter(self._former))]
 
     def is_due(self, weights: int, now: float, replaced_for: float = 0.0) -> bool:
         """Returns whether all known entries have stopped placing requests on a version.
@@ -66,12 +92,14 @@
           weights: The version that the engine holds.
           replaced_for: For how many seconds this process has known of a newer version.
         """
-        stops = [
-            min((limit.stops_at for limit in limits if limit.version > weights), default=None)
+        newer = [
+            [limit for limit in limits if limit.version > weights]
             for limits in self._limits.values()
         ]
-        if not stops:
-            return replaced_for >= self._bound
-        if None in stops:
+        delayed = any(limit.put_off for limits in newer for limit in limits)
+        if replaced_for >= self._bound and all(newer) and not delayed:
+            return True
+        if not newer or not all(newer):
             return False
+        stops = [min(limit.stops_at for limit in limits) for limits in newer]
         return now >= max(stops) + IN_FLIGHT_SECONDS
--- a/wasabidrum/decisions/weights_retirement_test.py
+++ b/wasabidrum/decisions/weights_retirement_test.py
@@ -42,8 +42,23 @@
         """Guards against an engine that keeps old weights because no entry can tell it to stop."""
         self.assertFalse(self.retirement.is_due(1, 200.0, BOUND_SECONDS - 0.1))
         self.assertTrue(self.retirement.is_due(1, 200.0, BOUND_SECONDS))
+
+    def test_without_an_outage_the_bound_holds_whatever_entries_report(self) -> None:
+        """Guards against a report that is read late and lets old weights serve beyond the bound."""
         self.retirement.record("a", MODEL, [limit(2, 7.0)], 200.0)
+        self.assertFalse(self.retirement.is_due(1, 200.0, BOUND_SECONDS - 0.1))
+        self.assertTrue(self.retirement.is_due(1, 200.0, BOUND_SECONDS))
+        self.retirement.record("b", MODEL, [limit(2, 7.0, 3)], 200.0)
         self.assertFalse(self.retirement.is_due(1, 200.0, BOUND_SECONDS))
+        self.retirement.record("b", MODEL, [], 200.0)
+        self.assertFalse(self.retirement.is_due(1, 200.0, BOUND_SECONDS))
+
+    def test_a_report_that_is_read_late_does_not_move_a_limit(self) -> None:
+        """Guards against old weights that serve on because an instance was suspended."""
+        self.retirement.record("a", MODEL, [limit(2, 7.0)], 100.0)
+        self.retirement.forget("a")
+        self.retirement.record("a", MODEL, [limit(2, 2.3)], 106.0)
+        self.assertTrue(self.retirement.is_due(1, 107.0 + IN_FLIGHT_SECONDS))
 
     def test_an_outage_of_the_store_delays_retirement(self) -> None:
         """Guards against an engine out of service while the bound does not count."""
