Take tests' ports from below those that the system gives to connections

Cause: weights_retirement_test was red once in a row of 40, beside three loops of another test on the same loopback addresses: address already in use. Ports were looked for on 127.0.0.1 alone, among those that connections get.

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import json
+import random
 import socket
 
 from tornado import httpserver, netutil, web
@@ -20,20 +21,27 @@
 
 HOST = "127.0.0.1"
 PORTS_OF_ONE = 6
+LOWEST_PORT = 20_000
+HIGHEST_PORT = 32_000
 
 
 def free_ports(count: int) -> int:
-    """Returns the first port of a range of consecutive ports that are free."""
+    """Returns the first port of a range of consecutive ports that are free on all addresses.
+
+    They are below those that the system gives to connections, which would take one of them between
+    this search and its use.
+    """
     for _ in range(200):
-        with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            first = probe.getsockname()[1]
+        first = random.SystemRandom().randrange(LOWEST_PORT, HIGHEST_PORT - count)
+        held = []
         try:
-            held = [socket.create_server((HOST, first + offset)) for offset in range(count)]
-        except (OSError, OverflowError):
+            for offset in range(count):
+                held.append(socket.create_server(("", first + offset)))
+        except OSError:
             continue
-        for server in held:
-            server.close()
+        finally:
+            for server in held:
+                server.close()
         return first
     raise RuntimeError("found no range of consecutive free ports")
 
