--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -130,7 +130,7 @@
                 store.wake_all()
 
     async def retire_old_weights(self) -> None:
-        """Takes the engine off weights that no request may begin on any more, forever.
+        """Unloads the weights that no request may begin on any more, forever.
 
         An engine with a single layer serves no requests. It rejects those for the old weights that
         are still in flight, whatever holds them up on their way.
