Date a naming at followers by what their readers know

Cause: an entry that follows a reader learns of a version in its reader's answer, and dated its naming by its own last evidence before that, which is up to a watch older than what the reader knows: on our fakes five entries, two of them readers, stop placing on the old weights 6.40 and 5.05 s after a naming in the middle of a watch. Each follower thus refuses callers 1.3 s before its reader does, in the seconds in which engines switch.

Change: entries tell each other since when a version certainly had not been named, beside since when some process knew of it. Ages count from the answer at the earliest, as those of the lease do, so that no date grows younger.

--- a/tests/store_readers_test.py
+++ b/tests/store_readers_test.py
@@ -110,6 +110,18 @@
             # The reader is left out by now.
             await self.publish_and_wait(self.all[1:], 2.0 * APPLY_SECONDS + 0.25)
 
+    async def test_followers_place_on_old_weights_for_as_long_as_their_readers(self) -> None:
+        """Guards against followers that date a naming by their last answer before it, and refuse
+        callers a second or two before their readers do."""
+        for version in (1, 2):
+            # In the middle of a watch, whose answer is the readers' evidence.
+            await asyncio.sleep(2.9)
+            named = {"model": "m1", "version": version}
+            await self.fleet.store.put(f"{names.VERSION_PREFIX}m1", named)
+        await asyncio.sleep(0.5)
+        seconds = [gateway.state.placing_limits()[-1].seconds for gateway in self.all]
+        self.assertLess(max(seconds) - min(seconds), APPLY_SECONDS, seconds)
+
     async def test_slow_store_does_not_turn_followers_away(self) -> None:
         """Guards against readers that count as late because they pause after a change."""
         with contextlib.ExitStack() as stack:
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -15,9 +15,11 @@
 
 A process knows only that a version was named after the last answer of the store without it, and
 before any process had learned of it. The bound is counted from the first of these two moments, so
-that a process that learns of it late does not extend it. A process that learned of it much later
-than its last answer, or has just started, would then often refuse all requests at once; it goes on
-placing requests on the old version for UNKNOWN_NAMING_SECONDS instead.
+that a process that learns of it late does not extend it. Processes tell each other both: one that
+waited at the store when the version was named dates it to a tenth of a second, and one that follows
+it knows only an answer of a second or two before. A process that learned of it much later than its
+last answer, or has just started, would then often refuse all requests at once; it goes on placing
+requests on the old version for UNKNOWN_NAMING_SECONDS instead.
 
 The bound counts only while the store answers (store_outage.py): in an outage no process can learn
 of the version, and engines that have not learned of it cannot have switched.
@@ -33,6 +35,8 @@
 from .store_outage import NO_OUTAGE, Outage
 
 PLACE_MARGIN_SECONDS = 1.0
+# Versions that may still be replacing older ones, and whose dates other processes need.
+MAX_REPORTED_VERSIONS = 4
 UNKNOWN_NAMING_SECONDS = 2.5
 
 
@@ -65,6 +69,28 @@
             counted_from = max(self.after, outage.ended_at)
         return max(counted_from + bound, unknown)
 
+    def with_report(self, before: float, after: float) -> "NamedVersion":
+        """Returns this version with the evidence of another process added; see the attributes."""
+        # What is known here bounds what another process says, whose ages are rounded up by the
+        # time that its answer took.
+        latest = max(self.after, min(after, self.before))
+        earliest = max(latest, min(self.before, before))
+        return dataclasses.replace(self, after=latest, before=earliest)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamingEvidence:
+    """What a process knows of when a version was named.
+
+    Attributes:
+      known_for: The seconds since some process had certainly learned of it.
+      unnamed_ago: The seconds since it certainly had not been named yet; infinite if unknown.
+    """
+
+    version: int
+    known_for: float
+    unnamed_ago: float
+
 
 class VersionFloor:
     """The versions named for one model."""
@@ -101,14 +127,25 @@
         self._named.append(NamedVersion(version, min(after, now), now, now))
         return True
 
-    def record_reported(self, version: int, seconds: float, now: float) -> None:
-        """Records how many seconds ago another process learned of a version."""
+    def evidence(self, now: float) -> list[NamingEvidence]:
+        """Returns what is known of the namings of the newest versions, the newest first."""
+        newest = sorted(self._named, key=lambda named: named.version, reverse=True)
+        return [
+            NamingEvidence(named.version, max(0.0, now - named.before), max(0.0, now - named.after))
+            for named in newest[:MAX_REPORTED_VERSIONS]
+        ]
+
+    def record_reported(
+        self, version: int, seconds: float, now: float, unnamed_at: float = float("-inf")
+    ) -> None:
+        """Records what another process reported of a version.
+
+        Args:
+          seconds: How many seconds ago it learned of the version.
+          unnamed_at: A time at which the version certainly had not been named yet.
+        """
         self._named = [
-            (
-                dataclasses.replace(w, before=max(w.after, min(w.before, now - seconds)))
-                if w.version == version
-                else w
-            )
+            w.with_report(now - seconds, unnamed_at) if w.version == version else w
             for w in self._named
         ]
 
--- a/wasabidrum/decisions/version_floor_test.py
+++ b/wasabidrum/decisions/version_floor_test.py
@@ -73,6 +73,35 @@
         self.assertEqual(self.floor.oldest_to_place(107.5), 2)
         self.assertAlmostEqual(self.floor.newest_seconds(103.0), 3.0)
 
+    def test_an_entry_that_follows_another_counts_from_what_that_one_knows(self) -> None:
+        """Guards against followers that stop placing on the old version a second or two before
+        the entry that told them, while no engine holds the new one."""
+        reader, follower = VersionFloor(8.0), VersionFloor(8.0)
+        reader.add(2, 101.9, 102.0)
+        follower.add(2, 99.6, 102.1)
+        (told,) = reader.evidence(102.05)
+        follower.record_reported(2, told.known_for, 102.1, 102.05 - told.unnamed_ago)
+        limits = [floor.placing_limits("m", 102.1)[0].seconds for floor in (reader, follower)]
+        self.assertAlmostEqual(limits[0], limits[1])
+
+    def test_evidence_of_another_process_never_extends_the_time_past_what_is_known_here(
+        self,
+    ) -> None:
+        """Guards against a peer's rounded ages that date a naming after it was learned of here."""
+        self.floor.add(2, 100.0, 102.0)
+        self.floor.record_reported(2, 0.0, 105.0, 104.9)
+        self.assertAlmostEqual(
+            self.floor.placing_limits("m", 102.0)[-1].seconds, 8.0 - PLACE_MARGIN_SECONDS
+        )
+
+    def test_older_evidence_of_another_process_changes_nothing(self) -> None:
+        """Guards against a peer whose last answer is old and that shortens the time elsewhere."""
+        self.floor.add(2, 100.0, 100.2)
+        self.floor.record_reported(2, 0.0, 100.3, 95.0)
+        self.assertAlmostEqual(
+            self.floor.placing_limits("m", 100.3)[-1].seconds, 7.7 - PLACE_MARGIN_SECONDS
+        )
+
     def test_version_that_is_heard_of_late_counts_from_the_last_answer_without_it(self) -> None:
         """An entry wakes after 5 s and learns of a version only then. Counted from that moment,
         its callers would get the previous version until 5 s after all others have stopped."""
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -287,14 +287,17 @@
             except CodedError as error:
                 self._log.write(Event.PEER_SILENT, peer=address[0], reason=str(error)[:120])
                 return None
+        # The other entry answered, and its ages ended, at least as long after the question as it
+        # held that.
+        answered_at = asked_at + reply.held
         # After the changes, because only a version that they have named can be dated.
         for named in reply.named:
-            self._state.record_reported_version(named.model, named.version, named.seconds)
+            self._state.record_reported_version(
+                named.model, named.version, named.seconds, answered_at - named.unnamed_ago
+            )
         if not up_to_date:
             return None
-        # The other entry's evidence was this old when it answered, which was at least as long
-        # after the question as it held that.
-        self._state.lease.renew(asked_at + reply.held - reply.age)
+        self._state.lease.renew(answered_at - reply.age)
         if not hold and not self._relay_logged:
             self._relay_logged = True
             self._log.write(
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -147,24 +147,31 @@
             return True
         return weights >= floor.oldest_to_begin(boot_seconds(), self.outages.latest)
 
-    def record_reported_version(self, model: str, version: int, seconds: float) -> None:
+    def record_reported_version(
+        self, model: str, version: int, seconds: float, unnamed_at: float = float("-inf")
+    ) -> None:
         """Records a version that another process reported.
 
         Args:
           seconds: For how long the other process has known the version.
+          unnamed_at: A time by the boot clock at which it certainly had not been named yet.
         """
         self._reported_versions[model] = max(version, self._reported_versions.get(model, 0))
         floor = self._version_floors.get(model)
         if floor is not None and version:
-            floor.record_reported(version, seconds, boot_seconds())
+            floor.record_reported(version, seconds, boot_seconds(), unnamed_at)
+
+    def named_versions(self) -> list[tuple[str, int, float, float]]:
+        """Returns each model with its newest versions, and the evidence of when they were named.
 
-    def named_versions(self) -> list[tuple[str, int, float]]:
-        """Returns each model, its newest version, and for how many seconds that was wanted."""
+        The last two are the seconds since some process had certainly learned of the version, and
+        since it certainly had not been named yet.
+        """
         now = boot_seconds()
         return [
-            (model, floor.newest, floor.newest_seconds(now))
+            (model, known.version, known.known_for, known.unnamed_ago)
             for model, floor in self._version_floors.items()
-            if floor.newest
+            for known in floor.evidence(now)
         ]
 
     def changes_after(self, revision: int) -> tuple[bool, list[StoreChange]]:
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -62,11 +62,17 @@
 
 
 class NamedVersion(msgspec.Struct, frozen=True, array_like=True):
-    """A version of a model's weights, and for how many seconds it has been wanted."""
+    """A version of a model's weights, and what the sender knows of when it was named.
+
+    Attributes:
+      seconds: For how many seconds it has been wanted.
+      unnamed_ago: Seconds since it certainly had not been named yet; infinite if unknown.
+    """
 
     model: str
     version: int
     seconds: float
+    unnamed_ago: float = float("inf")
 
 
 class ChangesReply(msgspec.Struct, frozen=True, array_like=True):
@@ -76,7 +82,7 @@
       revision: The store's revision that the copy reflects.
       age: Seconds since it queried the store and there was nothing newer.
       whole: Whether the changes are all items; an item that is not among them was deleted.
-      named: The versions of models' weights, with how long each has been wanted.
+      named: The newest versions of models' weights.
       unanswered: For how many seconds its own calls of the store have been failing; zero if they
         are not.
       held: For how many seconds the responder held the request.
