Replay the load of any deployment: engines, kinds, callers that come back

The replay of endpoint choice had one deployment's engines built in, and its callers never came back. It takes them as a parameter now: engine figures, kinds of requests with their sizes and worth, the objective, what a late answer is worth, callers that come back once, leave without an event, and engines that are away for a while.

--- a/tests/choice_replay.py
+++ b/tests/choice_replay.py
@@ -10,6 +10,7 @@
 from wasabidrum.decisions.endpoint_choice import (
     FIRST_EVENT_LIMIT_FRACTION,
     Candidate,
+    Choice,
     Demand,
     choose,
 )
@@ -36,11 +37,84 @@
 DATA_CENTRES = 3
 # Relative traffic by data centre: callers are not spread evenly.
 TRAFFIC_WEIGHTS = (1.07, 0.81, 1.12)
+# The largest fraction of the time that a caller has left for which it waits before it comes back.
+MAX_CALLER_WAIT_FRACTION = 1.0 / 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of request.
+
+    Attributes:
+      share: Its share of the requests.
+      prompt: Median tokens of a prompt, and their spread.
+      answer: Median tokens of an answer, and their spread.
+      worth: What an answer in time is worth.
+    """
+
+    share: float
+    prompt: tuple[float, float]
+    answer: tuple[float, float]
+    worth: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """The load of a deployment, and the engines that serve it.
+
+    Attributes:
+      target: Seconds to the first event within which an answer has its full worth.
+      late_worth: The share of its worth that a later answer has.
+      comes_back: Whether a refused caller comes back once.
+      patience: Seconds without an event after which a caller leaves.
+      time_limit: Seconds after its first attempt at which a caller leaves.
+    """
+
+    figures: EngineFigures
+    kinds: tuple[Kind, ...]
+    target: float = FIRST_EVENT_TARGET_SECONDS
+    late_worth: float = 0.25
+    comes_back: bool = False
+    patience: float = float("inf")
+    time_limit: float = float("inf")
+
+
+USUAL_WORK = Work(FIGURES, (Kind(1.0, (6.6, 0.7), (4.2, 0.7)),))
+# Smaller engines with quicker steps, longer events, and callers that come back.
+SHORT_STEPS_WORK = Work(
+    EngineFigures(
+        slots=12,
+        step=0.0074,
+        step_per_request=0.0000387,
+        step_per_thousand_context=0.0000203,
+        read_rate=31_900.0,
+        read_per_million_pairs=0.000733,
+        read_chunk=2048,
+        stride=7,
+        usual_prompt=908.0,
+        usual_answer=111.0,
+        report_lag=0.2,
+    ),
+    (
+        Kind(0.334, (6.85, 0.75), (4.6, 0.6), 2.4),
+        Kind(0.405, (6.35, 0.75), (4.65, 0.5), 2.1),
+        Kind(0.261, (6.1, 0.75), (4.0, 0.6), 1.4),
+    ),
+    target=0.4,
+    comes_back=True,
+    patience=3.2,
+    time_limit=6.0,
+)
 
 
 @dataclasses.dataclass(slots=True)
 class Job:
-    """A request of the simulated load."""
+    """A request of the simulated load.
+
+    Attributes:
+      began: When its caller first sent it; later than `arrived` for none.
+      urgent: Whether an engine takes it before others that wait.
+    """
 
     arrived: float
     prompt: int
@@ -49,17 +123,31 @@
     first_event: float | None = None
     forecast: float = 0.0
     refused: bool = False
+    began: float = 0.0
+    worth: float = 1.0
+    attempt: int = 0
+    urgent: bool = True
+
+    def earned(self, work: Work) -> float:
+        """Returns what its answer is worth to its caller."""
+        if self.first_event is None:
+            return 0.0
+        in_time = self.first_event - self.began <= work.target
+        return self.worth * (1.0 if in_time else work.late_worth)
 
 
 class FakeEngine:
     """A simulated engine that runs in passes, with the times of the published figures."""
 
-    def __init__(self, pace: float = 1.0) -> None:
+    def __init__(self, pace: float = 1.0, figures: EngineFigures = FIGURES) -> None:
         self.pace = pace
+        self.figures = figures
         self.waiting: list[Job] = []
         self.running: list[list] = []
         self.ended: list[Job] = []
         self.free_at = 0.0
+        # Times at which it accepts nothing, as an engine that switches to other weights.
+        self.away: tuple[float, float] = (float("inf"), float("inf"))
         self._reports: list[tuple[float, int, int]] = []
 
     def lagged_report(self, now: float) -> tuple[int, int]:
@@ -77,19 +165,21 @@
     def run_pass(self, now: float) -> float:
         """Runs one pass and returns when it ends."""
         seconds = 0.0
-        while self.waiting and len(self.running) < FIGURES.slots:
-            job = self.waiting.pop(0)
-            seconds += read_seconds(FIGURES, job.prompt)
+        figures = self.figures
+        while self.waiting and len(self.running) < figures.slots:
+            job = next((job for job in self.waiting if job.urgent), self.waiting[0])
+            self.waiting.remove(job)
+            seconds += read_seconds(figures, job.prompt)
             self.running.append([job, job.answer])
             if seconds > 0.1:
                 break
-        seconds = (seconds + pass_seconds(FIGURES, len(self.running))) * self.pace
+        seconds = (seconds + pass_seconds(figures, len(self.running))) * self.pace
         self.ended = []
         for item in list(self.running):
             job = item[0]
             if job.first_event is None:
                 job.first_event = now + seconds
-            item[1] -= FIGURES.stride
+            item[1] -= figures.stride
             if item[1] <= 0:
                 self.running.remove(item)
                 self.ended.append(job)
@@ -106,6 +196,7 @@
         self.weight = TRAFFIC_WEIGHTS[number % data_centres]
         self.loads = {endpoint.id: EndpointLoad(rng) for endpoint in endpoints}
         self.rate = RequestRate()
+        self.refusals = RequestRate()
         self.bias = ForecastBias()
         self._endpoints = endpoints
         self._others = entries - 1
@@ -126,19 +217,34 @@
 
     def demand(self, prompt: int, latest: float, now: float) -> Demand:
         """Returns the demand of a request at this entry."""
-        rate = self.rate.per_second(now) * self._others / len(self._endpoints)
-        return Demand(prompt, latest, False, rate, self.bias.corrections(now))
+        sent = self.rate.per_second(now)
+        refused = self.refusals.per_second(now)
+        return Demand(
+            prompt,
+            latest,
+            False,
+            sent * self._others / len(self._endpoints),
+            self.bias.corrections(now),
+            refused / max(1.0, refused + sent),
+        )
 
 
 class Replay:
     """Simulates callers at a given rate, and entries whose reports are a third of a second old."""
 
     def __init__(
-        self, engines: list[FakeEngine], entries: int, latest: float, share: bool = True
+        self,
+        engines: list[FakeEngine],
+        entries: int,
+        latest: float,
+        share: bool = True,
+        work: Work = USUAL_WORK,
+        seed: int = 5,
     ) -> None:
-        self._rng = random.Random(5)
+        self._rng = random.Random(seed)
         self._engines = engines
         self._latest = latest
+        self._work = work
         self._endpoints = [
             ListedEndpoint(
                 f"e{n:02}", "s", "10.0.0.1", n, str(n % DATA_CENTRES), whole=True, weights=1
@@ -152,23 +258,39 @@
         self._order = iter(range(10**9))
         self._placements: dict[int, int] = {}
         self._first_event_recorded: set[int] = set()
+        # Refused callers that come back, by the number in their event.
+        self._returning: list[Job] = []
         self.jobs: list[Job] = []
 
     def play(self, rate: float, seconds: float = 20.0) -> list[Job]:
         """Runs the simulation and returns the jobs that arrived after the first five seconds."""
+        return self.play_steps([(seconds, rate)])
+
+    def play_steps(self, steps: list[tuple[float, float]], after: float = 5.0) -> list[Job]:
+        """Runs the simulation with rates that change, each until a time.
+
+        Returns:
+          The jobs whose callers sent them first after some time.
+        """
         when = 0.0
-        while when < seconds:
-            when += self._rng.expovariate(rate)
-            self._at(when, "arrive", 0)
+        for until, rate in steps:
+            while when < until:
+                when += self._rng.expovariate(rate)
+                self._at(when, "arrive", 0)
         count = len(self._engines)
-        for tick in range(int(seconds / REPORT_SECONDS)):
+        for tick in range(int(steps[-1][0] / REPORT_SECONDS)):
             for number in range(count):
                 self._at((tick + number / count) * REPORT_SECONDS, "report", number)
-        steps = {"arrive": self._arrive, "report": self._report, "pass": self._run_pass}
+        handlers = {
+            "arrive": self._arrive,
+            "return": self._return,
+            "report": self._report,
+            "pass": self._run_pass,
+        }
         while self._events:
             now, _, kind, number = heapq.heappop(self._events)
-            steps[kind](now, number)
-        return [job for job in self.jobs if job.arrived > 5.0]
+            handlers[kind](now, number)
+        return [job for job in self.jobs if job.began > after]
 
     def _at(self, when: float, kind: str, number: int) -> None:
         heapq.heappush(self._events, (when, next(self._order), kind, number))
@@ -182,19 +304,40 @@
 
     def _arrive(self, now: float, _: int) -> None:
         rng = self._rng
-        prompt = min(3880, max(60, int(rng.lognormvariate(6.6, 0.7))))
+        kinds = self._work.kinds
+        kind = kinds[0]
+        if len(kinds) > 1:
+            kind = rng.choices(kinds, [kind.share for kind in kinds])[0]
+        prompt = min(3880, max(60, int(rng.lognormvariate(*kind.prompt))))
         weights = [entry.weight for entry in self.entries]
         number = rng.choices(range(len(self.entries)), weights)[0]
-        job = Job(now, prompt, max(5, int(rng.lognormvariate(4.2, 0.7))), number)
+        answer = max(5, int(rng.lognormvariate(*kind.answer)))
+        job = Job(now, prompt, answer, number, began=now, worth=kind.worth)
         self.jobs.append(job)
-        entry = self.entries[number]
-        demand = entry.demand(prompt, self._latest, now)
-        choice = choose(entry.candidates(), FIGURES, demand, now, rng)
+        self._place(job, now)
+
+    def _return(self, now: float, number: int) -> None:
+        job = self._returning[number]
+        centre = self.entries[job.entry].data_centre
+        near = [n for n, entry in enumerate(self.entries) if entry.data_centre == centre]
+        job.entry, job.arrived, job.attempt = self._rng.choice(near), now, job.attempt + 1
+        self._place(job, now)
+
+    def _place(self, job: Job, now: float) -> None:
+        entry = self.entries[job.entry]
+        demand = self._demand(job, now)
+        candidates = [
+            candidate
+            for candidate, engine in zip(entry.candidates(), self._engines, strict=True)
+            if not engine.away[0] <= now < engine.away[1]
+        ]
+        choice = choose(candidates, self._work.figures, demand, now, self._rng)
         if choice.candidate is None:
-            job.refused = True
+            self._refuse(job, choice, now)
             return
+        job.refused = False
         job.forecast = choice.uncorrected_seconds
-        choice.candidate.load.record_placed(prompt, now)
+        choice.candidate.load.record_placed(job.prompt, now)
         entry.rate.record(now)
         place = self._endpoints.index(choice.candidate.endpoint)
         self._placements[id(job)] = place
@@ -204,6 +347,20 @@
             engine.free_at = now + 1e-9
             self._at(engine.free_at, "pass", place)
 
+    def _demand(self, job: Job, now: float) -> Demand:
+        entry = self.entries[job.entry]
+        return entry.demand(job.prompt, self._latest, now)
+
+    def _refuse(self, job: Job, choice: Choice, now: float) -> None:
+        job.refused = True
+        self.entries[job.entry].refusals.record(now)
+        if not self._work.comes_back or job.attempt:
+            return
+        left = job.began + self._work.time_limit - now
+        wait = min(choice.retry_after, MAX_CALLER_WAIT_FRACTION * left)
+        self._returning.append(job)
+        self._at(now + wait, "return", len(self._returning) - 1)
+
     def _run_pass(self, now: float, number: int) -> None:
         engine = self._engines[number]
         for job in [item[0] for item in engine.running] + engine.ended:
@@ -211,10 +368,16 @@
         for job in engine.ended:
             self._load(job, number).record_ended(job.prompt, True)
         engine.ended = []
+        for job in [job for job in engine.waiting if self._has_left(job, now)]:
+            engine.waiting.remove(job)
+            self._load(job, number).record_ended(job.prompt, False)
         if engine.requests:
             engine.free_at = engine.run_pass(now)
             self._at(engine.free_at, "pass", number)
 
+    def _has_left(self, job: Job, now: float) -> bool:
+        return now > min(job.arrived + self._work.patience, job.began + self._work.time_limit)
+
     def _record_first_event(self, job: Job, number: int, now: float) -> None:
         if id(job) in self._first_event_recorded:
             return
@@ -248,3 +411,8 @@
         and job.first_event - job.arrived <= FIRST_EVENT_TARGET_SECONDS
     ]
     return len(good) / 15.0
+
+
+def earned_share(jobs: list[Job], work: Work) -> float:
+    """Returns the share of what answers in time are worth that callers got."""
+    return sum(job.earned(work) for job in jobs) / sum(job.worth for job in jobs)
