Lower the limit for first events as callers are refused, most for those who come back

Cause: in lasting overload two thirds of the slots serve late answers. Forecasts are off by tenths where queues grow, so that requests placed just within the objective are late, and refused callers come back a second or two later, when their answers can only be late, and take the slots of those who could be in time.

Change: the limit falls from 0.88 of the objective to 0.65 as more callers are refused, for the wait and not for the own prompt. Callers who come back are placed while nobody is refused, and else only where an engine has room. They are told from new ones by the wait that they state, learnt by route in calm times.

--- a/tests/choice_replay.py
+++ b/tests/choice_replay.py
@@ -8,14 +8,14 @@
 from wasabidrum.core.published import EngineFigures
 from wasabidrum.decisions.endpoint_assignment import assign_endpoints
 from wasabidrum.decisions.endpoint_choice import (
-    FIRST_EVENT_LIMIT_FRACTION,
     Candidate,
     Choice,
     Demand,
     choose,
 )
 from wasabidrum.decisions.endpoint_load import EndpointLoad
-from wasabidrum.decisions.engine_forecast import pass_seconds, read_seconds
+from wasabidrum.decisions.engine_forecast import extra_read_seconds, pass_seconds, read_seconds
+from wasabidrum.decisions.first_event_limit import LIMIT_FRACTION, Caller, first_event_limit
 from wasabidrum.decisions.forecast_bias import ForecastBias
 from wasabidrum.decisions.request_rate import RequestRate
 
@@ -215,18 +215,16 @@
             for e in self._endpoints
         ]
 
+    def refused_share(self, now: float) -> float:
+        """Returns the fraction of recent requests that this entry refused."""
+        refused = self.refusals.per_second(now)
+        return refused / max(1.0, refused + self.rate.per_second(now))
+
     def demand(self, prompt: int, latest: float, now: float) -> Demand:
         """Returns the demand of a request at this entry."""
-        sent = self.rate.per_second(now)
-        refused = self.refusals.per_second(now)
-        return Demand(
-            prompt,
-            latest,
-            False,
-            sent * self._others / len(self._endpoints),
-            self.bias.corrections(now),
-            refused / max(1.0, refused + sent),
-        )
+        rate = self.rate.per_second(now) * self._others / len(self._endpoints)
+        corrections = self.bias.corrections(now)
+        return Demand(prompt, latest, False, rate, corrections, self.refused_share(now))
 
 
 class Replay:
@@ -236,11 +234,17 @@
         self,
         engines: list[FakeEngine],
         entries: int,
-        latest: float,
+        latest: float | None,
         share: bool = True,
         work: Work = USUAL_WORK,
         seed: int = 5,
     ) -> None:
+        """Creates a simulation.
+
+        Args:
+          latest: The latest forecast with which a request is placed; None to decide it by
+            first_event_limit.
+        """
         self._rng = random.Random(seed)
         self._engines = engines
         self._latest = latest
@@ -349,7 +353,12 @@
 
     def _demand(self, job: Job, now: float) -> Demand:
         entry = self.entries[job.entry]
-        return entry.demand(job.prompt, self._latest, now)
+        if self._latest is not None:
+            return entry.demand(job.prompt, self._latest, now)
+        extra = extra_read_seconds(self._work.figures, job.prompt)
+        caller = Caller(self._work.target, extra, returning=job.attempt > 0)
+        limit = first_event_limit(caller, entry.refused_share(now))
+        return entry.demand(job.prompt, limit, now)
 
     def _refuse(self, job: Job, choice: Choice, now: float) -> None:
         job.refused = True
@@ -392,7 +401,7 @@
 def replay(
     rate: float,
     engines: int | list[FakeEngine],
-    latest: float = FIRST_EVENT_TARGET_SECONDS * FIRST_EVENT_LIMIT_FRACTION,
+    latest: float = FIRST_EVENT_TARGET_SECONDS * LIMIT_FRACTION,
     entries: int = 3,
     share: bool = True,
 ) -> list[Job]:
--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -25,7 +25,6 @@
 from .engine_forecast import first_event_seconds, run_seconds
 from .forecast_bias import Corrections, length_class
 
-FIRST_EVENT_LIMIT_FRACTION = 0.88
 OTHER_REGION_PENALTY_SECONDS = 0.03
 JITTER = 0.1
 FAILURE_PENALTY_SECONDS = 0.5
--- a/wasabidrum/decisions/endpoint_choice_test.py
+++ b/wasabidrum/decisions/endpoint_choice_test.py
@@ -16,7 +16,6 @@
 
 from ..core.listed_endpoint import ListedEndpoint
 from .endpoint_choice import (
-    FIRST_EVENT_LIMIT_FRACTION,
     MAX_RETRY_SECONDS,
     Candidate,
     Demand,
@@ -26,6 +25,7 @@
 )
 from .endpoint_load import EndpointLoad
 from .engine_forecast import EngineWork, first_event_seconds
+from .first_event_limit import LIMIT_FRACTION
 
 
 class OverloadTest(unittest.TestCase):
@@ -75,7 +75,7 @@
         assigned to other entries, the entries there would refuse them while those engines
         idle."""
         engines = [FakeEngine() for _ in range(24)]
-        simulation = Replay(engines, 12, FIRST_EVENT_TARGET_SECONDS * FIRST_EVENT_LIMIT_FRACTION)
+        simulation = Replay(engines, 12, FIRST_EVENT_TARGET_SECONDS * LIMIT_FRACTION)
         for entry in simulation.entries:
             entry.weight = 2.0 if entry.data_centre == "0" else 0.5
         jobs = simulation.play(150.0)
--- a/wasabidrum/decisions/engine_forecast.py
+++ b/wasabidrum/decisions/engine_forecast.py
@@ -47,6 +47,12 @@
     return tokens / figures.read_rate + pairs * figures.read_per_million_pairs
 
 
+def extra_read_seconds(figures: EngineFigures, prompt_tokens: int) -> float:
+    """Returns how much longer the engine reads a prompt than one of usual size."""
+    own = prompt_tokens or figures.usual_prompt
+    return read_seconds(figures, own) - read_seconds(figures, figures.usual_prompt)
+
+
 def run_seconds(figures: EngineFigures, running: float) -> float:
     """Returns how long a request of usual size holds a slot, among others like it."""
     passes = max(1.0, figures.usual_answer / figures.stride)
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -16,17 +16,12 @@
 from ..core.route import Route, RouteKind
 from ..core.status import Status
 from ..decisions.endpoint_assignment import assign_endpoints
-from ..decisions.endpoint_choice import (
-    FIRST_EVENT_LIMIT_FRACTION,
-    Candidate,
-    Choice,
-    Demand,
-    choose,
-)
+from ..decisions.endpoint_choice import Candidate, Choice, Demand, choose
 from ..decisions.endpoint_health import Health, is_silent
 from ..decisions.endpoint_load import EndpointLoad
-from ..decisions.engine_forecast import pass_seconds
+from ..decisions.engine_forecast import extra_read_seconds, pass_seconds
 from ..decisions.entry_roster import HostPort
+from ..decisions.first_event_limit import Caller, first_event_limit
 from ..decisions.request_recall import is_stalled
 from ..decisions.retry_budget import RetryBudget
 from ..observe.event import Event
@@ -160,21 +155,30 @@
         figures = self._state.engine_figures(service)
         self._assign_endpoints()
         candidates = self._candidates(service, figures, tried, weights, now)
+        traffic = self.traffic(service)
+        refused_share = traffic.refused_share(now)
         if figures is None:
             latest = seconds_until_disconnect * PLAIN_LATEST_FRACTION
+        elif tried or moved or weights:
+            # What was done for it already is lost if it goes no further.
+            latest = first_event_limit(Caller(route.target_latency), 0.0)
         else:
-            latest = min(
-                seconds_until_disconnect, route.target_latency * FIRST_EVENT_LIMIT_FRACTION
+            caller = Caller(
+                route.target_latency,
+                extra_read_seconds(figures, head.prompt_tokens),
+                head.deadline is not None and traffic.is_return(route.name, head.deadline),
             )
+            latest = first_event_limit(caller, refused_share)
+        if figures is not None:
+            latest = min(latest, seconds_until_disconnect)
         risky = route.kind is RouteKind.UNSAFE or not route.idempotent
-        traffic = self.traffic(service)
         demand = Demand(
             head.prompt_tokens,
             latest,
             risky,
             others_rate=self._others_rate(traffic, len(candidates), now),
             corrections=traffic.bias.corrections(now),
-            refused_share=traffic.refused_share(now),
+            refused_share=refused_share,
             moved=moved,
             caller_leaves_in=seconds_until_disconnect,
         )
