Go on to a newer version when the older one stalls, and stay with it

The controller asked VersionChoice once to end the work and once more to begin the next; the second answer judged version 3, of which nothing had been asked yet, by when version 2 was begun, 1.9 s ago: a stall, so that version 2 was resumed. The same again at each stall of version 2.

Change: one choice ends the one and begins the other.

Measured: weights_relay_test, the new case, red before (version 3 is not in force after 5 s) and green now.

--- a/tests/fake_engines.py
+++ b/tests/fake_engines.py
@@ -44,6 +44,9 @@
             self.set_status(503)
             return
         version = int(self.get_query_argument("version", str(origin.newest)))
+        if version < origin.oldest:
+            self.set_status(410)
+            return
         if self.request.path.startswith(names.MANIFEST_PATH):
             origin.lists += 1
             digests = [digest_of_piece(version, number) for number in range(PIECES)]
@@ -65,6 +68,8 @@
 
     def __init__(self) -> None:
         self.newest = 1
+        # Older versions are not served any more.
+        self.oldest = 1
         self.down = False
         self.refuses_pieces = False
         # Pieces with this number or a higher one are refused.
--- a/tests/weights_relay_test.py
+++ b/tests/weights_relay_test.py
@@ -5,6 +5,7 @@
 
 from tests.fake_engines import PIECES, EngineFleet
 from tests.paused_clock import PausedClockCase
+from wasabidrum.decisions.version_choice import STALL_TIMEOUT_SECONDS
 from wasabidrum.platform import names
 
 
@@ -100,6 +101,19 @@
         await self.wait_until(self.entries_hold, 3)
         self.assertEqual(self.fleet.origin.lists, lists)
 
+    async def test_sidecars_go_on_to_a_newer_version_when_the_older_one_stalls(self) -> None:
+        """Guards against sidecars that go back at once to a version which nobody sends any more.
+
+        Version 3 is named when less than half of version 2 is there, and the rest never comes.
+        """
+        self.fleet.origin.pieces_available = PIECES // 2 - 1
+        await self.fleet.name_version(2)
+        await asyncio.sleep(2.0 * STALL_TIMEOUT_SECONDS)
+        self.fleet.origin.oldest = 3
+        self.fleet.origin.pieces_available = PIECES
+        await self.fleet.name_version(3)
+        await self.wait_until(self.engines_serve, 3, 5.0)
+
     async def test_sidecars_do_not_read_members_from_the_store(self) -> None:
         """Guards against a store that every sidecar asks for pages while it lacks a version."""
         self.fleet.origin.pieces_available = 0
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -107,18 +107,23 @@
         """Stages and activates each named version, forever."""
         choice = VersionChoice()
         store = self._distributor.store
+        self._restart_progress()
+        version = self._choose(choice)
         while True:
-            version = self._choose(choice)
-            self._begun_at = self._progressed_at = asyncio.get_running_loop().time()
+            chosen = version
+            self._restart_progress()
             work = asyncio.ensure_future(self._retry_forever(version))
             try:
-                while not work.done() and self._choose(choice) == version:
+                while not work.done() and chosen == version:
                     # Peers may request pieces of a newer version, whose list is not known yet.
                     store.chunks_unknown = store.chunks_unknown or version != self._listed.wanted
                     with contextlib.suppress(TimeoutError):
                         await asyncio.wait_for(
                             self._listed.wait_for_change(self._listed.wanted), CHOICE_SECONDS
                         )
+                    # One choice decides what ends and what begins. Another one would judge the
+                    # version that begins by the progress of the one that ends.
+                    chosen = self._choose(choice)
             finally:
                 work.cancel()
                 (error,) = await asyncio.gather(work, return_exceptions=True)
@@ -128,6 +133,7 @@
                 # Peers must not wait here for pieces that are no longer being fetched.
                 store.expected = set()
                 store.wake_all()
+            version = chosen
 
     async def retire_old_weights(self) -> None:
         """Unloads the weights that no request may begin on any more, forever.
@@ -148,6 +154,9 @@
             except CodedError as error:
                 self._log_failure(self._listed.wanted, f"old weights not unloaded: {error}")
 
+    def _restart_progress(self) -> None:
+        self._begun_at = self._progressed_at = asyncio.get_running_loop().time()
+
     def _choose(self, choice: VersionChoice) -> int:
         staged = self._find_staged(choice.version or 0)
         if staged is None:
