Try an origin that refuses ten times a second

Ways: a shorter pause alone would ask up to eight peers ten times a second for each chunk; so the origin alone is tried during the pause, and peers after it as before. A try costs a refused connection, and only the first is logged.

Measured: weights_relay_test, the new case: entries hold a version within 0.3 s of the origin's return, three times; red before, green now.

--- a/tests/weights_relay_test.py
+++ b/tests/weights_relay_test.py
@@ -101,6 +101,15 @@
         await self.wait_until(self.entries_hold, 3)
         self.assertEqual(self.fleet.origin.lists, lists)
 
+    async def test_origin_that_is_back_is_asked_at_once(self) -> None:
+        """Guards against entries that pause between tries while the origin is back."""
+        for version, seconds in ((2, 3.1), (3, 3.3), (4, 3.5)):
+            self.fleet.origin.pieces_available = 0
+            await self.fleet.name_version(version)
+            await asyncio.sleep(seconds)
+            self.fleet.origin.pieces_available = PIECES
+            await self.wait_until(self.entries_hold, version, 0.3)
+
     async def test_sidecars_go_on_to_a_newer_version_when_the_older_one_stalls(self) -> None:
         """Guards against sidecars that go back at once to a version which nobody sends any more.
 
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -35,10 +35,12 @@
 PROBE_ROUNDS_WHEN_ACTIVE = 4
 # How long after the start of a version a process assumes that peers know it.
 ASSUMED_KNOWN_SECONDS = 1.0
-# Pause between failed fetches from the origin. A try at an origin that is down costs one refused
-# connection; each second between its return and the next try delays the version on all engines.
+# Pause after a failed fetch from the origin until peers are asked again.
 MIN_PAUSE_SECONDS = 0.25
 MAX_PAUSE_SECONDS = 0.75
+# Pause between tries at an origin that refuses. Each second between its return and the next try
+# delays the version on all engines.
+ORIGIN_RETRY_SECONDS = 0.1
 # Rounds in which a sidecar that suspects its own link leaves a chunk to its peers before it fetches
 # the chunk from the origin itself. Peers notice within two seconds that they wait for it. A second
 # fetch would cost the origin one more copy and compete with what peers send over the same link.
@@ -321,25 +323,41 @@
             if rounds < OWN_LINK_DOUBT_ROUNDS and self.chunk_requester.own_link_suspected():
                 await asyncio.sleep(SLOW_BACKOFF_SECONDS)
                 return None
-        self.store.fetching_from_origin.add(digest)
-        began = self._now()
-        try:
-            content = await self._origin.fetch(digest)
-        except CodedError as error:
-            self._log.write(Event.CHUNK_DRAW_FAILED, chunk=digest, code=error.code)
-            pause = min(MAX_PAUSE_SECONDS, MIN_PAUSE_SECONDS * 2 ** min(rounds, 5))
-            content = None
-        finally:
-            self.store.fetching_from_origin.discard(digest)
-            self.store.wake(digest)
-            self.chunk_requester.record_origin_duration(self._now() - began)
-        if content is None:
-            await asyncio.sleep(pause)
-        else:
+        content = await self._draw(digest, rounds)
+        if content is not None:
             self.counts.from_origin += len(content)
             self._log.write(Event.CHUNK_DRAWN, chunk=digest, place=index, bytes=len(content))
         return content
 
+    async def _draw(self, digest: str, rounds: int) -> bytes | None:
+        """Fetches a chunk from the origin; None if that failed and a pause has passed since.
+
+        While the origin refuses, it is tried again during the pause, at the cost of a connection:
+        peers, which are asked after each pause, cost far more, and the origin's return decides
+        when all engines have the version.
+        """
+        pause_ends = self._now() + min(MAX_PAUSE_SECONDS, MIN_PAUSE_SECONDS * 2 ** min(rounds, 5))
+        logged = rounds > 0
+        while True:
+            began = self._now()
+            self.store.fetching_from_origin.add(digest)
+            try:
+                return await self._origin.fetch(digest)
+            except CodedError as error:
+                failure = error
+            finally:
+                self.store.fetching_from_origin.discard(digest)
+                self.store.wake(digest)
+                self.chunk_requester.record_origin_duration(self._now() - began)
+            if not logged:
+                logged = True
+                self._log.write(Event.CHUNK_DRAW_FAILED, chunk=digest, code=failure.code)
+            left = pause_ends - self._now()
+            refused = failure.code == "source_unreachable"
+            await asyncio.sleep(max(0.0, min(left, ORIGIN_RETRY_SECONDS) if refused else left))
+            if self._now() >= pause_ends:
+                return None
+
     async def _wait_before_origin(self, plan: ChunkPlan, step: FetchStep, rounds: int) -> None:
         """Waits before a fetch from the origin, first for a request that shows that peers know
         this process, then for its delay in the plan's order."""
