Ask for chunks in turn, so that one that nobody has holds up no other

Cause: a sidecar has four requests at relays, each for one chunk, held for three seconds and repeated until that chunk is there.

Change: a chunk that a peer lacks goes to the end of the queue. The first vain request is held for 0.05 s, further ones up to 0.8 s; one without others to ask for is held as before.

Ways weighed: more requests at once (when the chunks come, all of them take the link together, and requests to the engine wait behind them); a list of held chunks in each answer (more of a protocol than is needed for it).

Measured: weights_relay_test, the new case, red before (not all ready chunks after 4 s), green now.

--- a/tests/weights_relay_test.py
+++ b/tests/weights_relay_test.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from tests.fake_engines import PIECES, EngineFleet
+from tests.fake_engines import PIECES, EngineFleet, digest_of_piece, make_piece
 from tests.paused_clock import PausedClockCase
 from wasabidrum.decisions.version_choice import STALL_TIMEOUT_SECONDS
 from wasabidrum.platform import names
@@ -110,6 +110,28 @@
             self.fleet.origin.pieces_available = PIECES
             await self.wait_until(self.entries_hold, version, 0.3)
 
+    async def test_chunks_that_lie_ready_travel_while_others_are_missing(self) -> None:
+        """Guards against sidecars whose requests all wait for chunks that nobody has yet.
+
+        The first five chunks were lost with an entry, and the origin is away.
+        """
+        for sidecar in self.fleet.sidecars:
+            await sidecar.stop()
+        await self.fleet.name_version(2)
+        await self.wait_until(self.entries_hold, 2)
+        self.fleet.origin.down = True
+        lost = [digest_of_piece(2, number) for number in range(5)]
+        for entry in self.fleet.entries:
+            store = entry._relay._distributor.store
+            for digest in lost:
+                if store.get(digest) is not None:
+                    store._drop(digest)
+        self.fleet.sidecars = [await self.fleet.start_sidecar(e) for e in self.fleet.engines]
+        ready = {number: make_piece(2, number) for number in range(5, PIECES)}
+        async with asyncio.timeout(4.0):
+            while any(not ready.items() <= e.staged.items() for e in self.fleet.engines):
+                await asyncio.sleep(0.02)
+
     async def test_sidecars_go_on_to_a_newer_version_when_the_older_one_stalls(self) -> None:
         """Guards against sidecars that go back at once to a version which nobody sends any more.
 
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -29,7 +29,7 @@
 # it. It therefore waits only briefly before it checks again; otherwise each would wait for the
 # other until the longer wait ends.
 UNKNOWN_WAIT_SECONDS = 0.5
-# Waits for a chunk after which a peer that is itself waiting for it is skipped.
+# Full waits for a chunk after which a peer that is itself waiting for it is skipped.
 WAITS_BEFORE_SKIP = 4
 # Rounds of probes before a fetch from the origin, if some engine already serves the version.
 PROBE_ROUNDS_WHEN_ACTIVE = 4
@@ -52,6 +52,21 @@
 MAX_PEER_REQUESTS = 12
 
 
+class FetchAttempts:
+    """The attempts to get one chunk.
+
+    Attributes:
+      held_for: For how many seconds peers have held requests for it since one was last skipped.
+      rounds: The attempts without a peer to ask.
+    """
+
+    __slots__ = ("held_for", "rounds")
+
+    def __init__(self) -> None:
+        self.held_for = 0.0
+        self.rounds = 0
+
+
 class Distributor:
     """One process's part in the distribution: its chunk store, peer health and requests.
 
@@ -187,28 +202,54 @@
 
     async def fetch(self, plan: ChunkPlan, digest: str) -> bytes:
         """Returns a verified chunk from the store, a peer or the origin, with retries."""
-        waits = rounds = 0
-        while (content := self.store.get(digest)) is None:
-            index = plan.index_of(digest)
-            step = self._find_step(plan, index, digest)
-            if step.kind is FetchStepKind.FROM_PEER:
-                async with self._request_slot():
-                    rate = self._inbound_rate(step.peer)
-                    content, state = await self.chunk_requester.request_chunk(
-                        step.peer, digest, self._hold_seconds(), rate
-                    )
-                waits += 1
-                stuck = waits % WAITS_BEFORE_SKIP == 0
-                if state is ChunkState.LACKING or (state is ChunkState.COMING and stuck):
-                    # A peer that only waits itself is skipped too, because its path to the chunk
-                    # may be cut while another path works.
-                    self.chunk_requester.health.record_lack(step.peer, digest, self._now())
-            else:
-                content = await self._fetch_into_region(plan, index, digest, step, rounds)
-                rounds += 1
-            if content is not None:
-                self._store_chunk(plan, index, digest, content)
-                return content
+        attempts = FetchAttempts()
+        while (content := await self.try_fetch(plan, digest, attempts)) is None:
+            pass
+        return content
+
+    async def try_fetch(
+        self,
+        plan: ChunkPlan,
+        digest: str,
+        attempts: "FetchAttempts",
+        max_hold: float = REQUEST_WAIT_SECONDS,
+    ) -> bytes | None:
+        """Returns a verified chunk, or None if one attempt to get it was in vain.
+
+        Args:
+          attempts: The attempts so far, to which this one is added.
+          max_hold: For how many seconds a peer may hold the request until it has the chunk.
+        """
+        content = self.store.get(digest)
+        if content is not None:
+            return content
+        index = plan.index_of(digest)
+        step = self._find_step(plan, index, digest)
+        if step.kind is FetchStepKind.FROM_PEER:
+            content = await self._request_from(step.peer, digest, attempts, max_hold)
+        else:
+            content = await self._fetch_into_region(plan, index, digest, step, attempts.rounds)
+            attempts.rounds += 1
+        if content is not None:
+            self._store_chunk(plan, index, digest, content)
+        return content
+
+    async def _request_from(
+        self, peer: str, digest: str, attempts: "FetchAttempts", max_hold: float
+    ) -> bytes | None:
+        hold = min(self._hold_seconds(), max_hold)
+        async with self._request_slot():
+            content, state = await self.chunk_requester.request_chunk(
+                peer, digest, hold, self._inbound_rate(peer)
+            )
+        attempts.held_for += hold
+        stuck = attempts.held_for >= WAITS_BEFORE_SKIP * self._hold_seconds()
+        if stuck:
+            attempts.held_for = 0.0
+        if state is ChunkState.LACKING or (state is ChunkState.COMING and stuck):
+            # A peer that only waits itself is skipped too, because its path to the chunk
+            # may be cut while another path works.
+            self.chunk_requester.health.record_lack(peer, digest, self._now())
         return content
 
     def begin_version(self) -> None:
--- a/wasabidrum/weights/version_download.py
+++ b/wasabidrum/weights/version_download.py
@@ -1,12 +1,14 @@
 """Downloads the chunks of a version that an engine lacks, each as soon as it is available."""
 
 import asyncio
+import collections
 import collections.abc
 
 from ..core.manifest import Manifest, decode_manifest
 from ..decisions.chunk_plan import ChunkPlan
 from ..decisions.inbound_rate_limit import ON_TIME_SECONDS
-from .distributor import Distributor
+from .chunk_requester import REQUEST_WAIT_SECONDS
+from .distributor import Distributor, FetchAttempts
 
 # Concurrent fetches from the origin: enough that the next is in flight while one completes, few
 # enough that each chunk arrives soon and can be served to peers meanwhile.
@@ -22,6 +24,10 @@
 # The same for a relay. Most of them wait until the other region has the chunk. A relay that waits
 # for a few late chunks does not get those that are already there, and every region behind it waits.
 MAX_RELAY_IMPORTS = 16
+# For how long peers may hold a request for a chunk that they lack while others could be asked for:
+# briefly at first, because those may lie ready, then longer, because nothing seems to.
+MIN_HOLD_SECONDS = 0.05
+MAX_HOLD_SECONDS = 0.8
 
 Deliver = collections.abc.Callable[[int, bytes], collections.abc.Awaitable[None]]
 
@@ -38,7 +44,7 @@
     """The download of one version for one engine. Cancelling `run` cancels all its requests."""
 
     __slots__ = ("_distributor", "_plan", "_manifest", "_deliver", "_places")
-    __slots__ += ("_group", "_peer_queue", "_peer_workers", "_origin_first")
+    __slots__ += ("_group", "_peer_queue", "_peer_workers", "_origin_first", "_attempts")
 
     def __init__(
         self,
@@ -63,7 +69,8 @@
         self._deliver = deliver
         self._places: dict[str, list[int]] = {}
         self._group: asyncio.TaskGroup | None = None
-        self._peer_queue: collections.abc.Iterator[str] | None = None
+        self._peer_queue: collections.deque[str] = collections.deque()
+        self._attempts: dict[str, FetchAttempts] = {}
         self._peer_workers = 0
         self._origin_first = origin_first
         for index in missing:
@@ -90,8 +97,10 @@
         # chunks that this sidecar waits for, and the delay would spread through the fleet.
         async with asyncio.TaskGroup() as group:
             origin_workers = self._start_queue(group, from_origin, MAX_ORIGIN_FETCHES)
-            peer_queue = iter(from_peers)
-            self._start_workers(group, peer_queue, min(PEER_REQUESTS_AT_START, len(from_peers)))
+            self._group = group
+            self._peer_queue.extend(from_peers)
+            for _ in range(min(PEER_REQUESTS_AT_START, len(from_peers))):
+                group.create_task(self._work_on_peers())
             if origin_workers and self._origin_first:
                 # No other sidecar fetches these chunks from the origin. If they shared the link
                 # with requests to peers, one slow instance would delay the whole fleet by
@@ -99,20 +108,14 @@
                 await asyncio.wait(origin_workers, timeout=ORIGIN_FIRST_SECONDS)
             max_imports = MAX_IMPORTS if self._distributor.is_sidecar else MAX_RELAY_IMPORTS
             self._start_queue(group, from_regions, max_imports)
-            self._group = group
-            self._peer_queue = peer_queue
             self._peer_workers = PEER_REQUESTS_AT_START
             self._add_peer_worker()
 
     def _start_queue(
         self, group: asyncio.TaskGroup, queue: list[str], workers: int
     ) -> list[asyncio.Task]:
-        return self._start_workers(group, iter(queue), min(workers, len(queue)))
-
-    def _start_workers(
-        self, group: asyncio.TaskGroup, work: collections.abc.Iterator[str], workers: int
-    ) -> list[asyncio.Task]:
-        return [group.create_task(self._work(work)) for _ in range(workers)]
+        work = iter(queue)
+        return [group.create_task(self._work(work)) for _ in range(min(workers, len(queue)))]
 
     def _add_peer_worker(self) -> None:
         """Raises the number of concurrent requests by one if the last chunk arrived on time.
@@ -121,18 +124,35 @@
         once then delay its engine's requests by seconds, and callers give up before their
         requests arrive.
         """
-        if self._peer_queue is None or self._peer_workers >= self._distributor.max_requests(
-            self._plan
-        ):
+        # None are added while fetches from the origin take precedence.
+        if not 0 < self._peer_workers < self._distributor.max_requests(self._plan):
             return
         if self._distributor.late_seconds <= ON_TIME_SECONDS:
             self._peer_workers += 1
-            self._start_workers(self._group, self._peer_queue, 1)
+            self._group.create_task(self._work_on_peers())
 
     async def _work(self, digests: collections.abc.Iterator[str]) -> None:
         for digest in digests:
             content = await self._distributor.fetch(self._plan, digest)
-            self._add_peer_worker()
-            for index in self._places[digest]:
-                await self._deliver(index, content)
-            self._distributor.store.expected.discard(digest)
+            await self._complete(digest, content)
+
+    async def _work_on_peers(self) -> None:
+        """Requests chunks from peers in turn, so that one that none has yet holds up no other."""
+        hold = MIN_HOLD_SECONDS
+        while self._peer_queue:
+            digest = self._peer_queue.popleft()
+            attempts = self._attempts.setdefault(digest, FetchAttempts())
+            longest = hold if self._peer_queue else REQUEST_WAIT_SECONDS
+            content = await self._distributor.try_fetch(self._plan, digest, attempts, longest)
+            if content is None:
+                hold = min(MAX_HOLD_SECONDS, 2.0 * hold)
+                self._peer_queue.append(digest)
+            else:
+                hold = MIN_HOLD_SECONDS
+                await self._complete(digest, content)
+
+    async def _complete(self, digest: str, content: bytes) -> None:
+        self._add_peer_worker()
+        for index in self._places[digest]:
+            await self._deliver(index, content)
+        self._distributor.store.expected.discard(digest)
--- a/wasabidrum/weights/version_download_test.py
+++ b/wasabidrum/weights/version_download_test.py
@@ -50,6 +50,10 @@
         self.store.add(digest, self._contents[digest], self._chance.randrange(9))
         return self._contents[digest]
 
+    async def try_fetch(self, plan: ChunkPlan, digest: str, *_: object) -> bytes:
+        """See Distributor; never in vain."""
+        return await self.fetch(plan, digest)
+
 
 class VersionDownloadTest(unittest.TestCase):
     """Arbitrary orders of arrivals, cancellations and version changes."""
