Stop engines early only for weights that their relays hold

Change: only what arrived in the present download counts as its pace, and relays tell the sidecars, beside their links, which version they hold; an engine stops early only once all relays of its region hold the version.

--- a/tests/weights_relay_test.py
+++ b/tests/weights_relay_test.py
@@ -132,6 +132,17 @@
             while any(not ready.items() <= e.staged.items() for e in self.fleet.engines):
                 await asyncio.sleep(0.02)
 
+    async def test_sidecars_know_whether_their_relays_hold_a_version(self) -> None:
+        """Guards against engines that stop for weights of which the origin still has a part."""
+        listed = [sidecar._listed for sidecar in self.fleet.sidecars]
+        self.fleet.origin.pieces_available = PIECES - 1
+        await self.fleet.name_version(2)
+        await asyncio.sleep(2.0)
+        self.assertFalse(any(engines.relays_hold(2) for engines in listed))
+        self.fleet.origin.pieces_available = PIECES
+        await self.wait_until(self.entries_hold, 2)
+        await self.wait_until(lambda v: all(e.relays_hold(v) for e in listed), 2, 0.5)
+
     async def test_sidecars_go_on_to_a_newer_version_when_the_older_one_stalls(self) -> None:
         """Guards against sidecars that go back at once to a version which nobody sends any more.
 
--- a/wasabidrum/core/status.py
+++ b/wasabidrum/core/status.py
@@ -31,7 +31,8 @@
       refused_reason: All faults of that revision.
       alarm: An inconsistency among the revisions, such as one revision with two contents.
       reads_service: Whether the daemon reads the platform's service on behalf of its data centre.
-      staged: The version that the endpoint holds completely but has not switched to.
+      staged: The version that the endpoint holds completely but has not switched to; for a relay,
+        the one of which it holds its share.
       switching: Whether the endpoint is switching versions, or is about to.
       proven: The version that is known to have run on some endpoint for its soak time.
       stopped: The version whose rollout was stopped automatically, or empty.
--- a/wasabidrum/decisions/switch_turns.py
+++ b/wasabidrum/decisions/switch_turns.py
@@ -7,7 +7,9 @@
 other half answers with the old weights until the first half is back, or until the old weights may
 no longer answer. The first half stops accepting requests EARLY_DRAIN_SECONDS before its weights
 are complete, so that running requests end while the last pieces arrive, and it is back before the
-old weights expire.
+old weights expire. It does so only once the relays of its region hold all pieces: a download that
+waits for the origin looks like one that is about to end, and the engine would stop for weights that
+may not come.
 
 Each engine computes the same turns from the list of engines; while lists differ, somewhat more or
 fewer than half go first.
@@ -51,14 +53,24 @@
     return max(0.0, min(turn * TURN_SECONDS, left))
 
 
-def should_drain_early(turn: int, answering: int, share: float, elapsed: float) -> bool:
+def should_drain_early(
+    turn: int,
+    answering: int,
+    share: float,
+    elapsed: float,
+    share_before: float = 0.0,
+    within_reach: bool = True,
+) -> bool:
     """Returns whether an engine stops accepting requests before its weights are complete.
 
     Args:
       answering: How many engines answer, this one included.
       share: The share of its weights that has arrived.
-      elapsed: The seconds since they began to arrive.
+      elapsed: The seconds since the present download began.
+      share_before: The share that had arrived before that.
+      within_reach: Whether the rest is held where this engine gets its weights from.
     """
-    if turn or answering < TURN_COUNT or share <= 0.0:
+    arrived = share - share_before
+    if turn or answering < TURN_COUNT or arrived <= 0.0 or not within_reach:
         return False
-    return elapsed * (1.0 - share) / share <= EARLY_DRAIN_SECONDS
+    return elapsed * (1.0 - share) / arrived <= EARLY_DRAIN_SECONDS
--- a/wasabidrum/decisions/switch_turns_test.py
+++ b/wasabidrum/decisions/switch_turns_test.py
@@ -43,6 +43,15 @@
         self.assertFalse(should_drain_early(0, 1, 0.9, 4.0))
         self.assertFalse(should_drain_early(1, 10, 0.9, 4.0))
 
+    def test_engines_answer_while_the_rest_of_their_weights_is_not_within_reach(self) -> None:
+        """Guards against engines that stop for a version whose origin went away before the end."""
+        self.assertFalse(should_drain_early(0, 10, 0.8, 4.0, within_reach=False))
+
+    def test_what_had_arrived_before_does_not_count_as_speed(self) -> None:
+        """Guards against engines that stop as soon as they go on with a version set aside."""
+        self.assertFalse(should_drain_early(0, 10, 0.5, 0.2, share_before=0.48))
+        self.assertTrue(should_drain_early(0, 10, 0.8, 1.0, share_before=0.5))
+
     def test_no_region_is_without_an_engine(self) -> None:
         for region in REGIONS:
             names = [name for name, where in ENGINES.items() if where == region]
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -110,6 +110,7 @@
             lambda: self.requests.count,
             log,
         )
+        self._load_watcher.find_held_version = lambda: self._relay.held_version
         self._was_ready = False
         self._add_gauges()
 
--- a/wasabidrum/gateway/load_watcher.py
+++ b/wasabidrum/gateway/load_watcher.py
@@ -30,6 +30,7 @@
     Attributes:
       on_status: Called with each status.
       on_load: Called with each status of which only the load and the weights are new.
+      find_held_version: Returns the version of which this entry holds its share; zero if none.
     """
 
     def __init__(
@@ -50,11 +51,13 @@
         # The versions of the endpoints and the configuration that the links were opened for.
         self._linked_for = (-1, -1)
         self._connected: set[str] = set()
-        self._sent_limits: list[tuple[str, int, int]] = []
+        # What the sidecars were told last of the placing limits and of the version held here.
+        self._sent: tuple[list[tuple[str, int, int]], int] = ([], 0)
         self._order = ReportOrder()
         self._receiver = ReportReceiver(log, self._handle_report)
         self.on_status = on_status
         self.on_load = on_load
+        self.find_held_version = lambda: 0
 
     def status(self) -> Status:
         """See LinkOwner."""
@@ -72,6 +75,7 @@
             peer_port=deployment.first_port,
             placing_limits=self._state.placing_limits(),
             link_mbit=deployment.link_mbit,
+            staged=str(self.find_held_version() or ""),
         )
 
     def handle_push(self, link: PeerLink, push: Push) -> None:
@@ -91,7 +95,7 @@
         try:
             while True:
                 self._links.close_silent(loop.time())
-                self._push_changed_limits()
+                self._push_changes()
                 versions = (self._state.endpoints.version, self._state.version)
                 if versions != self._linked_for:
                     self._linked_for = versions
@@ -106,11 +110,13 @@
         if status is not None:
             self.on_load(status)
 
-    def _push_changed_limits(self) -> None:
-        """Sends the sidecars new placing limits, and those that a store outage has postponed."""
+    def _push_changes(self) -> None:
+        """Sends the sidecars new placing limits, those that a store outage has postponed, and the
+        version that this entry has come to hold."""
         limits = [(v.model, v.version, v.put_off) for v in self._state.placing_limits()]
-        if limits != self._sent_limits:
-            self._sent_limits = limits
+        current = (limits, self.find_held_version())
+        if current != self._sent:
+            self._sent = current
             self._links.wake_all()
 
     def _sidecars_to_watch(self) -> list[Instance]:
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -231,8 +231,14 @@
         if not self._listed.named_for(staged.version) or self._listed.own_name not in answering:
             return
         loop = asyncio.get_running_loop()
+        share_before = staged.share
         while not should_drain_early(
-            turn, len(answering), staged.share, loop.time() - self._begun_at
+            turn,
+            len(answering),
+            staged.share,
+            loop.time() - self._begun_at,
+            share_before,
+            self._listed.relays_hold(staged.version),
         ):
             await asyncio.sleep(REPORT_SECONDS)
         self._set_switching(True)
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -76,6 +76,8 @@
         self.layers = 0
         self._relays: dict[str, MemberView] = {}
         self._relay_links: dict[str, float] = {}
+        # The version of which each relay holds its share, by the relay's name.
+        self._relay_versions: dict[str, str] = {}
         self._relays_known = asyncio.Event()
         self._started_at = boot_seconds()
         self.on_members = ignore_update
@@ -96,9 +98,16 @@
         """The rates of the links of these entries in megabits per second, as far as known."""
         return self._relay_links
 
+    def relays_hold(self, version: int) -> bool:
+        """Returns whether the relays of this region hold a version; True if there are none."""
+        own = self._deployment.region
+        near = [name for name, region in self.relays.items() if region == own]
+        return all(self._relay_versions.get(name) == str(version) for name in near)
+
     def set_relays(self, statuses: collections.abc.Collection[Status]) -> None:
         """Replaces the relays with the entries whose statuses are given."""
         self._relay_links = {s.host: s.link_mbit for s in statuses if s.link_mbit}
+        self._relay_versions = {status.host: status.staged for status in statuses}
         self._relays = {
             status.host: MemberView(
                 Instance(
