Fetch weights while an added engine starts

Change: a sidecar whose engine does not answer yet fetches chunks from the engines of its region that serve the version, and from nobody else, so that a restart of all processes draws nothing. The work goes on as soon as the engine answers.

Ways weighed: relays, which are not known before the engine is listed; the origin, which would send a copy for engines that hold theirs.

Measured: listed_weights_test, the new case, red before (0 of 12 chunks while the engine starts), green now.

--- a/tests/fake_engines.py
+++ b/tests/fake_engines.py
@@ -285,10 +285,14 @@
         self.origin.newest = version
         await self.store.put(names.VERSION_PREFIX + MODEL, {"model": MODEL, "version": version})
 
+    def make_engine(self) -> FakeStagingEngine:
+        """Returns an engine that has not started yet."""
+        host = f"127.0.0.{10 + len(self.engines)}"
+        return FakeStagingEngine(host, self.first_port + PORTS_OF_ONE - 1)
+
     async def add_engine(self, version: int) -> FakeStagingEngine:
         """Starts an engine, which is empty if the version is zero, and its sidecar."""
-        host = f"127.0.0.{10 + len(self.engines)}"
-        engine = FakeStagingEngine(host, self.first_port + PORTS_OF_ONE - 1)
+        engine = self.make_engine()
         if version:
             engine.set_version(version)
         engine.listen()
--- a/tests/listed_weights_test.py
+++ b/tests/listed_weights_test.py
@@ -3,7 +3,7 @@
 
 import asyncio
 
-from tests.fake_engines import MODEL, EngineFleet, make_piece
+from tests.fake_engines import MODEL, PIECES, EngineFleet, make_piece
 from tests.paused_clock import PausedClockCase
 from wasabidrum.decisions.chunk_plan import rank_names
 from wasabidrum.platform import names
@@ -144,6 +144,23 @@
         for engine in self.fleet.engines:
             self.assertEqual(engine.staged[0], make_piece(3, 0))
 
+    async def test_chunks_travel_while_an_added_engine_starts(self) -> None:
+        """Guards against a link that is idle for as long as an added engine takes to start."""
+        await asyncio.sleep(1.0)
+        sent = self.fleet.origin.copies
+        added = self.fleet.make_engine()
+        sidecar = await self.fleet.start_sidecar(added)
+        self.fleet.sidecars.append(sidecar)
+        await asyncio.sleep(0.9)
+        self.assertEqual(sidecar._distributor.store.count, PIECES)
+        added.listen()
+        self.fleet.engines.append(added)
+        await self.fleet.register(added)
+        await self.wait_for(1, 1.5)
+        self.assertEqual((self.fleet.origin.copies, added.wrong_loads), (sent, 0))
+        self.fleet.engines.remove(added)
+        added.stop()
+
     async def test_added_empty_engine_gets_weights_from_peers(self) -> None:
         """A new engine holds nothing, and the origin's link is busy. Its peers send it the pieces
         that they found staged when they started."""
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -252,6 +252,37 @@
             self.chunk_requester.health.record_lack(peer, digest, self._now())
         return content
 
+    async def prefetch(
+        self,
+        digests: collections.abc.Iterable[str],
+        sources: collections.abc.Collection[str],
+        go_on: collections.abc.Callable[[], bool],
+    ) -> None:
+        """Fetches chunks into the store from peers that hold all of them, and from nobody else.
+
+        Args:
+          sources: The names of these peers.
+          go_on: Whether to begin with a further chunk.
+        """
+        queue = iter([digest for digest in digests if self.store.get(digest) is None])
+
+        async def work() -> None:
+            for digest in queue:
+                if not go_on():
+                    return
+                usable = self._usable(digest, self.chunk_requester.members())
+                source = chunk_source_choice.find_holder(
+                    sources, self._settings.name, digest, usable
+                )
+                if not source:
+                    return
+                rate = self.chunk_requester.inbound_limit.rate / MAX_RELAY_REQUESTS
+                content, _ = await self.chunk_requester.request_chunk(source, digest, 0.0, rate)
+                if content is not None:
+                    self.store.add(digest, content)
+
+        await asyncio.gather(*(work() for _ in range(MAX_RELAY_REQUESTS)))
+
     def begin_version(self) -> None:
         """Resets the state that belongs to the previous target version."""
         self._requested.clear()
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -72,6 +72,9 @@
         self._log = log
         self._bound = bound
         self._staged: dict[int, StagedVersion] = {}
+        self._engine_up = asyncio.Event()
+        # The lists of versions that were prefetched and are not staged yet.
+        self._pieces: dict[int, PieceList] = {}
         self._logged_reason = ""
         self._staging_version = 0
         self._accepted = 0
@@ -100,6 +103,10 @@
                 if not unreachable:
                     unreachable = True
                     self._log.write(Event.ENGINE_LOST, reason=str(error)[:200])
+            if self.report is None:
+                self._engine_up.clear()
+            else:
+                self._engine_up.set()
             self.on_report()
             await asyncio.sleep(REPORT_SECONDS)
 
@@ -180,6 +187,21 @@
                 self._log_failure(wanted, str(errors.exceptions[0]))
             await asyncio.sleep(PAUSE_SECONDS)
 
+    async def _prefetch(self, wanted: int) -> None:
+        """Fetches the chunks of a version while the engine is not up yet, as when it is added.
+
+        Only engines of this region that serve the version are asked. The engine may turn out to
+        hold it, as after a restart of all processes, when none serves it.
+        """
+        newest = wanted or max(self._listed.served_versions, default=0)
+        holders = self._listed.holders(newest)
+        if not holders:
+            return
+        pieces = self._pieces.get(wanted)
+        if pieces is None:
+            pieces = self._pieces[wanted] = await self._read_pieces(wanted)
+        await self._distributor.prefetch(pieces.digests, holders, lambda: self.report is None)
+
     def _update_holders(self) -> None:
         if self._staging_version:
             self._distributor.chunk_requester.holders = self._listed.holders(self._staging_version)
@@ -193,8 +215,11 @@
             self._log.write(Event.VERSION_FAILED, version=wanted, reason=reason[:300])
 
     async def _stage_and_load(self, wanted: int) -> None:
-        if self.report is None or not self._listed.ready:
+        if not self._listed.ready:
             return
+        if self.report is None:
+            await self._prefetch(wanted)
+            await self._engine_up.wait()
         staged = await self._get_staged(wanted)
         version = self._staging_version = staged.version
         if self.report is None or self.report.weights == version:
@@ -311,7 +336,7 @@
         staged = self._find_staged(wanted)
         if staged is not None:
             return staged
-        pieces = await self._read_pieces(wanted)
+        pieces = self._pieces.pop(wanted, None) or await self._read_pieces(wanted)
         staged = StagedVersion(self._engine, self._distributor, pieces)
         adopted = await staged.adopt()
         self._log.write(
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -192,6 +192,11 @@
             if member.weights and not member.leaving
         }
 
+    @property
+    def served_versions(self) -> frozenset[int]:
+        """The versions that the listed engines serve."""
+        return frozenset(member.weights for member in self._listed if member.weights)
+
     def holders(self, version: int) -> frozenset[str]:
         """Returns the other members of this region whose engines serve a version."""
         own = self._deployment
