--- a/wasabidrum/decisions/first_event_limit.py
+++ b/wasabidrum/decisions/first_event_limit.py
@@ -19,7 +19,7 @@
 # A forecast is seldom exact; one that is this close to the objective is late as often as not.
 LIMIT_FRACTION = 0.88
 # By how much the limit falls for each further fraction of the callers that is refused.
-OVERLOAD_SLOPE = 2.0
+OVERLOAD_SLOPE = 0.5
 MIN_LIMIT_FRACTION = 0.65
 # The same for callers who can only be late. The lowest limit is that of an engine with free slots.
 LATE_OVERLOAD_SLOPE = 6.0
