Log how many chunks a download brought, and no age where none is known

version_staged said chunks=0 always, and version_named an age of 1000000 where there is no evidence.

--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -285,9 +285,12 @@
         floor = self._version_floors.setdefault(model, VersionFloor(self._bounds.version))
         now = boot_seconds()
         if floor.add(version, not_before, now):
-            age = min(now - not_before, MAX_REPORTED_SECONDS)
+            known = not_before > float("-inf")
             self._log.write(
-                Event.VERSION_NAMED, model=model, version=version, evidence_age=round(age, 3)
+                Event.VERSION_NAMED,
+                model=model,
+                version=version,
+                evidence_age=round(now - not_before, 3) if known else None,
             )
 
     def _apply_endpoint(self, endpoint_id: str, change: StoreChange, now: float) -> None:
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -237,10 +237,10 @@
         draining = asyncio.ensure_future(self._drain_early(staged))
         try:
             listed = self._listed
-            await staged.fetch_missing(
+            fetched = await staged.fetch_missing(
                 listed.region_of, listed.relays, listed.relay_links, listed.origin_region
             )
-            self._log.write(Event.VERSION_STAGED, version=version, chunks=0)
+            self._log.write(Event.VERSION_STAGED, version=version, chunks=fetched)
             await self._wait_for_turn(version)
             if self.report is not None and not self.report.busy:
                 await self._load(staged, version)
--- a/wasabidrum/weights/staged_version.py
+++ b/wasabidrum/weights/staged_version.py
@@ -65,8 +65,8 @@
         relays: dict[str, str],
         relay_links: dict[str, float],
         origin_region: str,
-    ) -> None:
-        """Fetches every missing piece and stages them all.
+    ) -> int:
+        """Fetches every missing piece and stages them all; returns how many were not staged yet.
 
         Args:
           region_of: The regions of the sidecars that want the version, by name.
@@ -91,7 +91,9 @@
         self._distributor.share_link(plan)
         self._distributor.store.set_wanted(frozenset(pieces.digests))
         every_index = list(range(len(pieces.digests)))
+        missing = len(every_index) - len(self._staged)
         await VersionDownload(self._distributor, plan, self._manifest, every_index, self._put).run()
+        return missing
 
     def complete_layer(self, layers: int) -> int | None:
         """Returns the first layer whose pieces are all staged, or None."""
