Tell callers that come back from new ones while they come back

Test: returning_callers_test, at a real entry: refused under overload, served before and after; red before (200 instead of 503).

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -435,6 +435,7 @@
         method: str = "POST",
         body: bytes = b"x",
         seconds: float = 5.0,
+        deadline_ms: int = 3000,
     ) -> Reply:
         """Sends one request to an entry on a connection of its own."""
         address = self.deployments[number].callers
@@ -443,7 +444,7 @@
             f"{method} /{kind}/a?b=c HTTP/1.1",
             f"Host: {service}.example",
             f"{names.REQUEST_ID}: {request_id}",
-            f"{names.DEADLINE}: 3000",
+            f"{names.DEADLINE}: {deadline_ms}",
             f"Content-Length: {len(body)}",
             *lines,
         ]
--- a/wasabidrum/decisions/stated_waits.py
+++ b/wasabidrum/decisions/stated_waits.py
@@ -7,28 +7,35 @@
 in turn.
 
 A caller states how long it waits, and one that comes back states what it has left of that. New
-callers of one route state similar times, which are learnt while nobody is refused, so that nobody
-comes back. One that states clearly less than all but few of them is coming back. A caller that
-only has less patience than others is then taken for one that comes back, which matters only while
-there is too much work.
+callers of one route state similar times, and those of the longest times are new callers however
+many come back. So the spread of the long times tells how short a time a new caller states, and who
+states less is coming back. The more callers come back, the wider the spread seems, so that some
+pass for new ones. A caller that only has less patience than others is taken for one that comes
+back, which matters only while there is too much work.
 """
 
 import collections
 import collections.abc
+import statistics
 
 # Samples that are kept, and how many are needed before any caller is judged.
-MAX_SAMPLES = 64
-MIN_SAMPLES = 12
-# The shortest wait lies this many times as far below the median as the low quantile does. The
-# shortest sample itself may be of a caller that came back, or of a test of the route.
-LOW_QUANTILE = 0.1
-SPREAD_FACTOR = 1.5
-# Below this distance from the median a difference is no evidence, however alike the samples are.
+MAX_SAMPLES = 128
+MIN_SAMPLES = 24
+# The quantiles between which the spread of the long waits is measured; a few callers may state far
+# longer waits than all others.
+LOW_QUANTILE = 0.5
+HIGH_QUANTILE = 0.95
+# How far the mean between these quantiles lies below the higher one, as a fraction of the spread
+# of all waits of new callers, if these are spread evenly.
+MEAN_DISTANCE = 0.225
+# Room for waits that are not spread evenly, in spreads.
+MARGIN = 0.25
+# Below this distance from the long waits a difference is no evidence, however alike these are.
 MIN_SPREAD_FRACTION = 0.05
 
 
 class StatedWaits:
-    """The waits in seconds that new callers of one route state."""
+    """The waits in seconds that callers of one route state with new requests."""
 
     __slots__ = ("_samples", "_shortest")
 
@@ -38,7 +45,7 @@
         self._shortest: float | None = None
 
     def record(self, wait: float) -> None:
-        """Records the wait that a caller has stated while nobody came back."""
+        """Records the wait that a caller has stated."""
         self._samples.append(wait)
         self._shortest = None
 
@@ -47,13 +54,16 @@
         if len(self._samples) < MIN_SAMPLES:
             return False
         if self._shortest is None:
-            self._shortest = shortest_of(self._samples)
+            self._shortest = shortest_of_new(self._samples)
         return wait < self._shortest
 
 
-def shortest_of(samples: collections.abc.Iterable[float]) -> float:
-    """Returns the shortest wait of new callers, estimated from samples with few outliers."""
+def shortest_of_new(samples: collections.abc.Iterable[float]) -> float:
+    """Returns the shortest wait of new callers, estimated from the longer waits of all callers."""
     ordered = sorted(samples)
-    median = ordered[len(ordered) // 2]
-    low = ordered[int(LOW_QUANTILE * len(ordered))]
-    return median - max(SPREAD_FACTOR * (median - low), MIN_SPREAD_FRACTION * median)
+    high = int(HIGH_QUANTILE * len(ordered))
+    longest = ordered[high]
+    spread = (longest - statistics.fmean(ordered[int(LOW_QUANTILE * len(ordered)) : high + 1])) / (
+        MEAN_DISTANCE
+    )
+    return longest - max((HIGH_QUANTILE + MARGIN) * spread, MIN_SPREAD_FRACTION * longest)
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -61,6 +61,8 @@
         self._service = gateway.placer.pick_service(route)
         self._tried_endpoints: frozenset[str] = frozenset()
         self._retry_count = 0
+        # Whether the caller has waited before, so that its answer can only be late.
+        self._returning = False
         # Where the next attempt goes, reserved when the last one was recalled from its endpoint.
         self._reserved: Placement | None = None
         caller = workspace or head.key
@@ -76,7 +78,9 @@
         """
         self._check_poison()
         self._check_deadline()
-        self._gateway.placer.retry_budget(self._service).earn()
+        placer = self._gateway.placer
+        self._returning = placer.record_caller(self._service, self._call.route, self._call.head)
+        placer.retry_budget(self._service).earn()
         try:
             await self._try_endpoints()
         finally:
@@ -174,6 +178,7 @@
             endpoints_known=choice.known,
             endpoints_able=choice.available,
             report_age=choice.report_age,
+            returning=self._returning,
         )
         if choice.seconds < float("inf"):
             code = "overloaded"
@@ -199,6 +204,7 @@
             progress.weights,
             seconds_until_disconnect,
             moved,
+            self._returning,
         )
 
     def _reserve_elsewhere(self, placement: Placement) -> bool:
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -142,6 +142,7 @@
         weights: int,
         seconds_until_disconnect: float,
         moved: bool = False,
+        returning: bool = False,
     ) -> Choice:
         """Chooses an endpoint for a request without recording it.
 
@@ -150,6 +151,7 @@
           weights: The version that must answer, when a stream is resumed; zero for any.
           seconds_until_disconnect: Seconds until the caller will disconnect.
           moved: The request is being recalled from another endpoint.
+          returning: Its caller has waited before; see record_caller.
         """
         now = asyncio.get_running_loop().time()
         figures = self._state.engine_figures(service)
@@ -166,7 +168,7 @@
             caller = Caller(
                 route.target_latency,
                 extra_read_seconds(figures, head.prompt_tokens),
-                head.deadline is not None and traffic.is_return(route.name, head.deadline),
+                returning,
             )
             latest = first_event_limit(caller, refused_share)
         if figures is not None:
@@ -193,6 +195,16 @@
         version = endpoint.weights if is_engine else 0
         return Placement(endpoint, load, version, choice.seconds, choice.uncorrected_seconds)
 
+    def record_caller(self, service: str, route: Route, head: RequestHead) -> bool:
+        """Records a new request; returns whether its caller has waited before, by what it states.
+
+        Only callers of engines are told apart: those of plain services are served for as long as
+        they wait.
+        """
+        if head.deadline is None or self._state.engine_figures(service) is None:
+            return False
+        return self.traffic(service).record_wait(route.name, head.deadline)
+
     def record_refusal(self, service: str) -> None:
         """Records a request that no endpoint could take."""
         self.traffic(service).refusals.record(asyncio.get_running_loop().time())
--- a/wasabidrum/gateway/service_traffic.py
+++ b/wasabidrum/gateway/service_traffic.py
@@ -4,9 +4,6 @@
 from ..decisions.request_rate import RequestRate
 from ..decisions.stated_waits import StatedWaits
 
-# Below this fraction of refused requests, hardly any caller is coming back.
-CALM_REFUSED_SHARE = 0.005
-
 
 class ServiceTraffic:
     """Rates of one service.
@@ -30,12 +27,12 @@
         refused = self.refusals.per_second(now)
         return refused / max(1.0, refused + self.rate.per_second(now))
 
-    def record_new_caller(self, route: str, wait: float, now: float) -> None:
-        """Records the wait in seconds that the caller of a new request has stated."""
-        if self.refused_share(now) < CALM_REFUSED_SHARE:
-            self._waits.setdefault(route, StatedWaits()).record(wait)
+    def record_wait(self, route: str, wait: float) -> bool:
+        """Records the wait in seconds that the caller of a new request has stated.
 
-    def is_return(self, route: str, wait: float) -> bool:
-        """Returns whether the caller of a new request has been refused before, by its wait."""
-        waits = self._waits.get(route)
-        return waits is not None and waits.is_return(wait)
+        Returns:
+          Whether the caller has waited before, as far as the wait tells.
+        """
+        waits = self._waits.setdefault(route, StatedWaits())
+        waits.record(wait)
+        return waits.is_return(wait)
