Fetch chunks that no peer can be asked for aside from the others

Change: a chunk for which no peer is to be asked next is fetched by two tasks of its own, and the requests to peers go on with the others.

Test: version_download_test.LostChunksTest, without timing: red before, green now.

--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -200,6 +200,13 @@
             return MAX_RELAY_REQUESTS
         return MAX_PEER_REQUESTS
 
+    def has_peer_for(self, plan: ChunkPlan, digest: str) -> bool:
+        """Returns whether a chunk is here, or a peer is to be asked for it next."""
+        if self.store.get(digest) is not None:
+            return True
+        step = self._find_step(plan, plan.index_of(digest), digest)
+        return step.kind is FetchStepKind.FROM_PEER
+
     async def fetch(self, plan: ChunkPlan, digest: str) -> bytes:
         """Returns a verified chunk from the store, a peer or the origin, with retries."""
         attempts = FetchAttempts()
--- a/wasabidrum/weights/version_download.py
+++ b/wasabidrum/weights/version_download.py
@@ -45,6 +45,7 @@
 
     __slots__ = ("_distributor", "_plan", "_manifest", "_deliver", "_places")
     __slots__ += ("_group", "_peer_queue", "_peer_workers", "_origin_first", "_attempts")
+    __slots__ += ("_aside", "_aside_workers")
 
     def __init__(
         self,
@@ -71,6 +72,9 @@
         self._group: asyncio.TaskGroup | None = None
         self._peer_queue: collections.deque[str] = collections.deque()
         self._attempts: dict[str, FetchAttempts] = {}
+        # Chunks that no peer can be asked for, and how many tasks fetch them.
+        self._aside: collections.deque[str] = collections.deque()
+        self._aside_workers = 0
         self._peer_workers = 0
         self._origin_first = origin_first
         for index in missing:
@@ -141,6 +145,9 @@
         hold = MIN_HOLD_SECONDS
         while self._peer_queue:
             digest = self._peer_queue.popleft()
+            if not self._distributor.has_peer_for(self._plan, digest):
+                self._fetch_aside(digest)
+                continue
             attempts = self._attempts.setdefault(digest, FetchAttempts())
             longest = hold if self._peer_queue else REQUEST_WAIT_SECONDS
             content = await self._distributor.try_fetch(self._plan, digest, attempts, longest)
@@ -151,6 +158,22 @@
                 hold = MIN_HOLD_SECONDS
                 await self._complete(digest, content)
 
+    def _fetch_aside(self, digest: str) -> None:
+        """Fetches a chunk that no peer ahead of this process can be asked for.
+
+        It may come from the origin after a delay, or not at all for as long as that is away.
+        """
+        self._aside.append(digest)
+        if self._aside_workers < MAX_ORIGIN_FETCHES:
+            self._aside_workers += 1
+            self._group.create_task(self._work_aside())
+
+    async def _work_aside(self) -> None:
+        while self._aside:
+            digest = self._aside.popleft()
+            await self._complete(digest, await self._distributor.fetch(self._plan, digest))
+        self._aside_workers -= 1
+
     async def _complete(self, digest: str, content: bytes) -> None:
         self._add_peer_worker()
         for index in self._places[digest]:
--- a/wasabidrum/weights/version_download_test.py
+++ b/wasabidrum/weights/version_download_test.py
@@ -50,6 +50,10 @@
         self.store.add(digest, self._contents[digest], self._chance.randrange(9))
         return self._contents[digest]
 
+    def has_peer_for(self, plan: ChunkPlan, digest: str) -> bool:
+        """See Distributor."""
+        return True
+
     async def try_fetch(self, plan: ChunkPlan, digest: str, *_: object) -> bytes:
         """See Distributor; never in vain."""
         return await self.fetch(plan, digest)
@@ -194,3 +198,47 @@
         await self.download.run()
         imports = 4
         self.assertLessEqual(at_once, PEER_REQUESTS_AT_START + imports)
+
+
+class LostChunksDistributor(SlowDistributor):
+    """A distributor of whose chunks some can be had from nobody."""
+
+    def __init__(self, contents: dict[str, bytes], lost: set[int]) -> None:
+        super().__init__(contents, random.Random(1))
+        self._lost = lost
+
+    def is_ingress_node(self, plan: ChunkPlan, index: int) -> bool:
+        """See Distributor."""
+        return False
+
+    def has_peer_for(self, plan: ChunkPlan, digest: str) -> bool:
+        """See Distributor."""
+        return plan.index_of(digest) not in self._lost
+
+    async def fetch(self, plan: ChunkPlan, digest: str) -> bytes:
+        """Returns a chunk; waits without end for one that is lost."""
+        if plan.index_of(digest) in self._lost:
+            await asyncio.Event().wait()
+        return await super().fetch(plan, digest)
+
+
+class LostChunksTest(unittest.IsolatedAsyncioTestCase):
+    """A download of which no peer has the first part, and the origin is away."""
+
+    async def test_other_chunks_travel_meanwhile(self) -> None:
+        """Guards against requests to peers that are all held up by waits for the origin."""
+        text = bytes(range(240))
+        manifest = build_manifest(text, CHUNK_BYTES)
+        plan = ChunkPlan("root", manifest.chunks, {"w": "rift-a"})
+        contents = {digest_of(text[i : i + 4]): text[i : i + 4] for i in range(0, 240, 4)}
+        lost = set(range(20))
+        staged = set()
+
+        async def deliver(index: int, content: bytes) -> None:
+            staged.add(index)
+
+        distributor = LostChunksDistributor(contents, lost)
+        download = VersionDownload(distributor, plan, manifest, list(range(60)), deliver)
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(download.run(), 0.5)
+        self.assertEqual(staged, set(range(60)) - lost)
