Plan a download anew once the first relay is known

Change: a download that was planned before any relay was known is planned anew as soon as one is. What is staged stays staged.

Test: weights_relay_test, relays that connect after four seconds: not in force within four more before, in force now.

--- a/tests/weights_relay_test.py
+++ b/tests/weights_relay_test.py
@@ -7,6 +7,7 @@
 from tests.paused_clock import PausedClockCase
 from wasabidrum.decisions.version_choice import STALL_TIMEOUT_SECONDS
 from wasabidrum.platform import names
+from wasabidrum.weights.listed_engines import RELAYS_SECONDS
 
 
 class WeightsRelayTest(PausedClockCase):
@@ -132,6 +133,28 @@
             while any(not ready.items() <= e.staged.items() for e in self.fleet.engines):
                 await asyncio.sleep(0.02)
 
+    async def test_sidecar_that_planned_without_relays_turns_to_them(self) -> None:
+        """Guards against sidecars that ask the origin, which is away, for what relays hold.
+
+        Their relays connect to them later than they wait for these.
+        """
+        for sidecar in self.fleet.sidecars:
+            await sidecar.stop()
+        await self.fleet.name_version(2)
+        await self.wait_until(self.entries_hold, 2)
+        self.fleet.origin.refuses_pieces = True
+        late = [entry._load_watcher for entry in self.fleet.entries]
+        for watcher in late:
+            watcher._sidecars_to_watch = list
+            await watcher._links.close_all()
+            watcher._linked_for = (-1, -1)
+        self.fleet.sidecars = [await self.fleet.start_sidecar(e) for e in self.fleet.engines]
+        await asyncio.sleep(4.0 * RELAYS_SECONDS)
+        for watcher in late:
+            del watcher._sidecars_to_watch
+            watcher._linked_for = (-1, -1)
+        await self.wait_until(self.engines_serve, 2, 4.0)
+
     async def test_sidecars_know_whether_their_relays_hold_a_version(self) -> None:
         """Guards against engines that stop for weights of which the origin still has a part."""
         listed = [sidecar._listed for sidecar in self.fleet.sidecars]
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -236,10 +236,7 @@
             await self._listed.wait_for_relays()
         draining = asyncio.ensure_future(self._drain_early(staged))
         try:
-            listed = self._listed
-            fetched = await staged.fetch_missing(
-                listed.region_of, listed.relays, listed.relay_links, listed.origin_region
-            )
+            fetched = await self._fetch_missing(staged)
             self._log.write(Event.VERSION_STAGED, version=version, chunks=fetched)
             await self._wait_for_turn(version)
             if self.report is not None and not self.report.busy:
@@ -249,6 +246,31 @@
             await asyncio.gather(draining, return_exceptions=True)
             self._set_switching(False)
 
+    async def _fetch_missing(self, staged: StagedVersion) -> int:
+        """Stages the missing pieces; returns how many. Plans anew once the first relay is known.
+
+        A plan without relays has this sidecar fetch a part from the origin, which may be away.
+        """
+        if self._listed.relays_known.is_set():
+            return await self._fetch_as_planned(staged)
+        fetching = asyncio.ensure_future(self._fetch_as_planned(staged))
+        relay_found = asyncio.ensure_future(self._listed.relays_known.wait())
+        try:
+            await asyncio.wait((fetching, relay_found), return_when=asyncio.FIRST_COMPLETED)
+            if fetching.done():
+                return fetching.result()
+        finally:
+            fetching.cancel()
+            relay_found.cancel()
+            await asyncio.gather(fetching, relay_found, return_exceptions=True)
+        return await self._fetch_as_planned(staged)
+
+    async def _fetch_as_planned(self, staged: StagedVersion) -> int:
+        listed = self._listed
+        return await staged.fetch_missing(
+            listed.region_of, listed.relays, listed.relay_links, listed.origin_region
+        )
+
     async def _drain_early(self, staged: StagedVersion) -> None:
         """Makes entries stop placing requests here shortly before a version is complete."""
         answering = self._listed.answering
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -51,6 +51,7 @@
       wanted: The newest named version of this engine's model; zero if there is none.
       model: The model of this engine; empty before it is known.
       layers: The number of layers of the model.
+      relays_known: Set once the first relay is known.
       on_members: Called after a periodic read of the members while the engine lacks its weights.
       on_relays: Called after the relays were updated.
     """
@@ -78,7 +79,7 @@
         self._relay_links: dict[str, float] = {}
         # The version of which each relay holds its share, by the relay's name.
         self._relay_versions: dict[str, str] = {}
-        self._relays_known = asyncio.Event()
+        self.relays_known = asyncio.Event()
         self._started_at = boot_seconds()
         self.on_members = ignore_update
         self.on_relays = ignore_update
@@ -123,7 +124,7 @@
             for status in statuses
         }
         if self._relays:
-            self._relays_known.set()
+            self.relays_known.set()
         self.on_relays()
 
     async def wait_for_relays(self) -> None:
@@ -135,7 +136,7 @@
         left = self._started_at + RELAYS_SECONDS - boot_seconds()
         if left > 0.0:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._relays_known.wait(), left)
+                await asyncio.wait_for(self.relays_known.wait(), left)
 
     @property
     def wanted_seconds(self) -> float:
