Take what nothing uses out of the replay, and say what its parameters are

An order of urgent requests at the engine and engines that are away were prepared for ways that were not built. first_event_limit_test is as before.

--- a/tests/choice_replay.py
+++ b/tests/choice_replay.py
@@ -47,8 +47,8 @@
 
     Attributes:
       share: Its share of the requests.
-      prompt: Median tokens of a prompt, and their spread.
-      answer: Median tokens of an answer, and their spread.
+      prompt: Mean and standard deviation of the logarithm of a prompt's tokens.
+      answer: The same of an answer's tokens.
       worth: What an answer in time is worth.
     """
 
@@ -112,8 +112,9 @@
     """A request of the simulated load.
 
     Attributes:
-      began: When its caller first sent it; later than `arrived` for none.
-      urgent: Whether an engine takes it before others that wait.
+      arrived: When its caller sent it last.
+      began: When its caller sent it first.
+      attempt: How often its caller has come back.
     """
 
     arrived: float
@@ -126,7 +127,6 @@
     began: float = 0.0
     worth: float = 1.0
     attempt: int = 0
-    urgent: bool = True
 
     def earned(self, work: Work) -> float:
         """Returns what its answer is worth to its caller."""
@@ -146,8 +146,6 @@
         self.running: list[list] = []
         self.ended: list[Job] = []
         self.free_at = 0.0
-        # Times at which it accepts nothing, as an engine that switches to other weights.
-        self.away: tuple[float, float] = (float("inf"), float("inf"))
         self._reports: list[tuple[float, int, int]] = []
 
     def lagged_report(self, now: float) -> tuple[int, int]:
@@ -167,8 +165,7 @@
         seconds = 0.0
         figures = self.figures
         while self.waiting and len(self.running) < figures.slots:
-            job = next((job for job in self.waiting if job.urgent), self.waiting[0])
-            self.waiting.remove(job)
+            job = self.waiting.pop(0)
             seconds += read_seconds(figures, job.prompt)
             self.running.append([job, job.answer])
             if seconds > 0.1:
@@ -330,12 +327,7 @@
     def _place(self, job: Job, now: float) -> None:
         entry = self.entries[job.entry]
         demand = self._demand(job, now)
-        candidates = [
-            candidate
-            for candidate, engine in zip(entry.candidates(), self._engines, strict=True)
-            if not engine.away[0] <= now < engine.away[1]
-        ]
-        choice = choose(candidates, self._work.figures, demand, now, self._rng)
+        choice = choose(entry.candidates(), self._work.figures, demand, now, self._rng)
         if choice.candidate is None:
             self._refuse(job, choice, now)
             return
