--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -2,7 +2,7 @@
 
 Reads the benches' reports under docs/measured (copied there from out/ by `--take`), fits a
 line to each figure that was measured at several sizes, and works it out at the size that the
-users expect within two years.
+users expect within two years. The slopes of the users' bench come from its sweeps in journal/.
 """
 
 import argparse
@@ -16,6 +16,7 @@
 from wasabidrum.decisions import endpoint_subset
 from wasabidrum.peers import peer_link
 
+from . import sweep_slopes
 from .control_fleet import REGIONS
 from .report import OUTPUT_FOLDER
 
@@ -288,8 +289,8 @@
 }
 
 
-def render_page(reports: dict[str, dict]) -> str:
-    """Returns the page: figures over their limits, then all figures, then failures."""
+def render_page(reports: dict[str, dict], sweeps: list[sweep_slopes.Sweep]) -> str:
+    """Returns the page: figures over their limits, all figures, slopes of sweeps, failures."""
     figures = control_figures(reports["control"]) + weight_figures(reports["rollout"])
     figures += relay_figures(reports["load"]) + memory_figures(reports["product"])
     figures += ledger_figures(reports["outcomes"])
@@ -325,6 +326,7 @@
     lines += [figure.row() for figure in figures]
     lines += ["", "The commands are `make bench-control`, `bench-rollout`, `bench-load`,"]
     lines += ["`bench-outcomes` and `python -m bench.product`.", ""]
+    lines += sweep_slopes.render_lines(sweeps)
     lines += failure_lines(reports)
     return "\n".join(lines) + "\n"
 
@@ -364,7 +366,10 @@
     MEASURED_FOLDER.mkdir(exist_ok=True)
     for bench in options.take:
         shutil.copy(OUTPUT_FOLDER / f"{bench}.json", MEASURED_FOLDER / f"{bench}.json")
-    PAGE.write_text(render_page(read_reports()), encoding="utf-8")
+    sweeps = sweep_slopes.read_newest()
+    PAGE.write_text(render_page(read_reports(), sweeps), encoding="utf-8")
+    if sweeps:
+        sweep_slopes.draw_plot(sweeps)
     return 0
 
 
