--- a/bench/sweep_slopes.py
+++ b/bench/sweep_slopes.py
@@ -15,6 +15,7 @@
 # One cell: the middle and the busiest process, or the middle and the longest time.
 CELL = re.compile(r"([\d.]+) / ([\d.]+)")
 PLOTTED = ("entry: processor %", "sidecar: processor %", "entry: memory MB", "sidecar: memory MB")
+NOT_STATED = "-"
 # A figure that grows faster than the fleet does.
 BENDS_UPWARD = 1.0
 
@@ -26,13 +27,14 @@
     Attributes:
       busiest: The busiest process, or the longest time, at each size.
       power: The power of the fleet's size that the busiest grows as.
-      at_target: What that leads to at the size of the deployment's target; not played.
+      at_target: What that leads to at the size of the deployment's target; not played. None if
+        the deployment states no target.
     """
 
     name: str
     busiest: tuple[float, ...]
     power: float
-    at_target: float
+    at_target: float | None
 
     @property
     def bends_upward(self) -> bool:
@@ -46,19 +48,19 @@
 
     Attributes:
       sizes: The numbers of own machines that were played.
-      target: The number of machines that the slopes are carried on to.
+      target: The number of machines that the slopes are carried on to; None if none is stated.
       faults: What was wrong, by the name of the day; empty if all days were clean.
     """
 
     site: str
     entry: str
     sizes: tuple[int, ...]
-    target: int
+    target: int | None
     slopes: tuple[Slope, ...]
     faults: tuple[tuple[str, str], ...]
 
 
-def parse_table(digest: str) -> tuple[tuple[int, ...], int, tuple[Slope, ...]]:
+def parse_table(digest: str) -> tuple[tuple[int, ...], int | None, tuple[Slope, ...]]:
     """Returns the sizes, the target's size and the figures of a sweep's printed table.
 
     Raises:
@@ -68,16 +70,19 @@
     start = next((n for n, line in enumerate(lines) if line.startswith(TABLE_START)), None)
     if start is None:
         raise ValueError("no table of a sweep")
-    *sizes, target = map(int, re.findall(r"\d+", lines[start + 1]))
+    head, _, stated = lines[start + 1].partition("power")
+    sizes = tuple(map(int, head.split()))
+    target = next(map(int, re.findall(r"\d+", stated)), None)
     slopes = []
     for line in lines[start + 2 :]:
         cells = CELL.findall(line)
         if len(cells) != len(sizes):
             continue
         name = line[: CELL.search(line).start()].strip()
-        power, at_target = map(float, line.split()[-2:])
-        slopes.append(Slope(name, tuple(float(busy) for _, busy in cells), power, at_target))
-    return tuple(sizes), target, tuple(slopes)
+        *_, power, at_target = line.split()
+        carried = None if at_target == NOT_STATED else float(at_target)
+        slopes.append(Slope(name, tuple(float(busy) for _, busy in cells), float(power), carried))
+    return sizes, target, tuple(slopes)
 
 
 def read_sweep(path: pathlib.Path) -> Sweep | None:
@@ -125,11 +130,13 @@
         bends = [slope.name for slope in sweep.slopes if slope.bends_upward]
         lines.append(f"- Grows faster than the fleet: {', '.join(bends) or 'nothing'}.")
         sizes = " | ".join(str(size) for size in sweep.sizes)
-        lines += ["", f"| figure | {sizes} | power | at {sweep.target} |"]
+        at_target = f"at {sweep.target}" if sweep.target is not None else "no target is stated"
+        lines += ["", f"| figure | {sizes} | power | {at_target} |"]
         lines.append("|---" * (len(sweep.sizes) + 3) + "|")
         for slope in sweep.slopes:
             busiest = " | ".join(f"{value:g}" for value in slope.busiest)
-            lines.append(f"| {slope.name} | {busiest} | {slope.power:g} | {slope.at_target:g} |")
+            carried = f"{slope.at_target:g}" if slope.at_target is not None else ""
+            lines.append(f"| {slope.name} | {busiest} | {slope.power:g} | {carried} |")
         lines.append("")
     return [*lines, "docs/plots/sweep.png shows processor and memory by role.", ""]
 
--- a/bench/sweep_slopes_test.py
+++ b/bench/sweep_slopes_test.py
@@ -40,6 +40,15 @@
         self.assertEqual((slopes[0].power, slopes[0].at_target), (0.37, 18.7))
         self.assertEqual([slope.bends_upward for slope in slopes], [False, False, True])
 
+    def test_deployment_without_a_target_is_read_too(self) -> None:
+        """Guards against a page whose table is empty, or takes the largest size for the target."""
+        table = TABLE.replace("at 396", "at null")
+        for carried in ("18.7", "34.5", "2421"):
+            table = table.replace(f"  {carried}\n", "  -\n")
+        sizes, target, slopes = sweep_slopes.parse_table(table)
+        self.assertEqual((sizes, target, len(slopes)), ((30, 100), None, 3))
+        self.assertIsNone(slopes[0].at_target)
+
     def test_newest_sweep_of_a_deployment_counts_and_its_faults_are_told(self) -> None:
         """Guards against a page that calls a sweep clean whose day was given up."""
         broken = {"name": "sweep-100", "rules": {"VERSION": 2}, "fault": "too slow"}
