Fetch as many chunks aside as were fetched before

By reading: a chunk without a peer waits for this process's place in the order, up to three seconds, before the origin is asked. Where all peers of a region are gone, two at a time would take a version many such waits; before up to twelve waited together.

--- a/wasabidrum/weights/version_download.py
+++ b/wasabidrum/weights/version_download.py
@@ -164,7 +164,7 @@
         It may come from the origin after a delay, or not at all for as long as that is away.
         """
         self._aside.append(digest)
-        if self._aside_workers < MAX_ORIGIN_FETCHES:
+        if self._aside_workers < self._distributor.max_requests(self._plan):
             self._aside_workers += 1
             self._group.create_task(self._work_aside())
 
