--- a/wasabidrum/decisions/stated_waits.py
+++ b/wasabidrum/decisions/stated_waits.py
@@ -1,4 +1,4 @@
-"""Tells callers that come back from new ones by the time that they say they will wait.
+"""Distinguishes callers that come back from new ones by the wait that they state.
 
 Load pattern: callers that were refused under overload come back a second or two later, at another
 entry, on a new connection and with a new request id. Their objective has passed, so that an answer
