Give callers who come back the room that an engine has, and count no refusals for want of weights

And refusals for want of weights counted as overload.

Change: the lowest limit is what the published figures forecast at an engine with half of its slots taken; only refusals for too much work count towards the refused share.

--- a/wasabidrum/decisions/engine_forecast.py
+++ b/wasabidrum/decisions/engine_forecast.py
@@ -62,6 +62,15 @@
     return generating + reading * (1.0 + running)
 
 
+def free_slot_seconds(figures: EngineFigures, prompt_tokens: int) -> float:
+    """Returns the seconds until the first event at an engine that has room.
+
+    Half of its slots are taken, and it has one other prompt of usual size to read.
+    """
+    work = EngineWork(figures.slots / 2.0, figures.usual_prompt)
+    return first_event_seconds(figures, work, prompt_tokens)
+
+
 def first_event_seconds(figures: EngineFigures, work: EngineWork, prompt_tokens: int) -> float:
     """Returns the seconds until the first event of a request that is sent now."""
     running = min(work.requests, float(figures.slots))
--- a/wasabidrum/decisions/first_event_limit.py
+++ b/wasabidrum/decisions/first_event_limit.py
@@ -21,9 +21,8 @@
 # By how much the limit falls for each further fraction of the callers that is refused.
 OVERLOAD_SLOPE = 0.5
 MIN_LIMIT_FRACTION = 0.65
-# The same for callers who can only be late. The lowest limit is that of an engine with free slots.
+# The same for callers who can only be late.
 LATE_OVERLOAD_SLOPE = 6.0
-MIN_LATE_LIMIT_FRACTION = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,11 +34,13 @@
       extra_read_seconds: How much longer an engine reads its prompt than a usual one; negative
         for a short prompt.
       returning: Whether it has waited before, so that its answer can only be late.
+      free_slot_seconds: The forecast at an engine that has room for it.
     """
 
     target: float
     extra_read_seconds: float = 0.0
     returning: bool = False
+    free_slot_seconds: float = 0.0
 
 
 def first_event_limit(caller: Caller, refused_share: float) -> float:
@@ -50,7 +51,7 @@
     """
     if caller.returning:
         fraction = LIMIT_FRACTION - LATE_OVERLOAD_SLOPE * refused_share
-        return caller.target * max(MIN_LATE_LIMIT_FRACTION, fraction)
+        return max(caller.free_slot_seconds, caller.target * fraction)
     fraction = max(MIN_LIMIT_FRACTION, LIMIT_FRACTION - OVERLOAD_SLOPE * refused_share)
     limit = caller.target * fraction + max(0.0, caller.extra_read_seconds)
     return min(caller.target * LIMIT_FRACTION, limit)
--- a/wasabidrum/decisions/first_event_limit_test.py
+++ b/wasabidrum/decisions/first_event_limit_test.py
@@ -2,8 +2,11 @@
 
 import unittest
 
+import msgspec
+
 from tests.choice_replay import SHORT_STEPS_WORK, FakeEngine, Job, Replay, earned_share
 
+from .engine_forecast import EngineWork, first_event_seconds, free_slot_seconds
 from .first_event_limit import LIMIT_FRACTION, Caller, first_event_limit
 
 ENGINES = 17
@@ -61,6 +64,14 @@
         self.assertLess(first_event_limit(new, 0.3), first_event_limit(new, 0.05))
         self.assertLess(first_event_limit(back, 0.1), first_event_limit(new, 0.1))
 
+    def test_those_who_come_back_get_the_room_that_an_engine_has(self) -> None:
+        """Guards against engines slow to read that stand idle while such callers are refused."""
+        figures = msgspec.structs.replace(SHORT_STEPS_WORK.figures, read_rate=8_000.0)
+        room = free_slot_seconds(figures, 1200)
+        idle = first_event_seconds(figures, EngineWork(0.0, 0.0), 1200)
+        caller = Caller(TARGET, returning=True, free_slot_seconds=room)
+        self.assertLess(idle, first_event_limit(caller, 1.0))
+
     def test_a_long_prompt_does_not_extend_the_limit_past_the_objective(self) -> None:
         self.assertAlmostEqual(
             first_event_limit(Caller(TARGET, extra_read_seconds=5.0), 0.3),
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -161,7 +161,10 @@
         choice = self._choose(self._tried_endpoints, moved=False)
         placement = placer.placement_for(choice)
         if placement is None:
-            placer.record_refusal(self._service)
+            # That no endpoint has what it needs says nothing about their load. When some have it
+            # again, they have room.
+            if choice.seconds < float("inf"):
+                placer.record_refusal(self._service)
         elif left > MIN_USEFUL_SECONDS:
             self._log_placement(placement, failure)
             placer.record_sent(placement, self._call.head.prompt_tokens)
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -19,7 +19,7 @@
 from ..decisions.endpoint_choice import Candidate, Choice, Demand, choose
 from ..decisions.endpoint_health import Health, is_silent
 from ..decisions.endpoint_load import EndpointLoad
-from ..decisions.engine_forecast import extra_read_seconds, pass_seconds
+from ..decisions.engine_forecast import extra_read_seconds, free_slot_seconds, pass_seconds
 from ..decisions.entry_roster import HostPort
 from ..decisions.first_event_limit import Caller, first_event_limit
 from ..decisions.request_recall import is_stalled
@@ -169,6 +169,7 @@
                 route.target_latency,
                 extra_read_seconds(figures, head.prompt_tokens),
                 returning,
+                free_slot_seconds(figures, head.prompt_tokens),
             )
             latest = first_event_limit(caller, refused_share)
         if figures is not None:
@@ -206,7 +207,7 @@
         return self.traffic(service).record_wait(route.name, head.deadline)
 
     def record_refusal(self, service: str) -> None:
-        """Records a request that no endpoint could take."""
+        """Records a request that was refused because all endpoints have too much work."""
         self.traffic(service).refusals.record(asyncio.get_running_loop().time())
 
     def traffic(self, service: str) -> ServiceTraffic:
--- a/wasabidrum/gateway/service_traffic.py
+++ b/wasabidrum/gateway/service_traffic.py
@@ -10,7 +10,7 @@
 
     Attributes:
       rate: Requests sent to the service's endpoints.
-      refusals: Requests that were refused because no endpoint could take them.
+      refusals: Requests that were refused because all endpoints have too much work.
       bias: By how much the time to the first event differs from its forecast.
     """
 
@@ -23,7 +23,7 @@
         self._waits: dict[str, StatedWaits] = {}
 
     def refused_share(self, now: float) -> float:
-        """Returns the fraction of recent requests that no endpoint could take."""
+        """Returns the fraction of recent requests that were refused for too much work."""
         refused = self.refusals.per_second(now)
         return refused / max(1.0, refused + self.rate.per_second(now))
 
