Skip a peer that only waits itself as soon as before

Suspected by reading, not traced: a peer that waits for a chunk itself is passed over after twelve seconds of held requests. Since chunks are asked for in turn, with short holds and pauses between, twelve seconds of holding take most of a minute, in which two that wait for each other stay so.

Change: it counts from the first request in vain, as it did in effect before.

Measured: tests of weights green (distributor, download, relay, listed).

--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -56,14 +56,15 @@
     """The attempts to get one chunk.
 
     Attributes:
-      held_for: For how many seconds peers have held requests for it since one was last skipped.
+      waiting_since: When a peer was first asked in vain since one was last skipped, by the event
+        loop's clock; None if none was.
       rounds: The attempts without a peer to ask.
     """
 
-    __slots__ = ("held_for", "rounds")
+    __slots__ = ("waiting_since", "rounds")
 
     def __init__(self) -> None:
-        self.held_for = 0.0
+        self.waiting_since: float | None = None
         self.rounds = 0
 
 
@@ -245,14 +246,17 @@
         self, peer: str, digest: str, attempts: "FetchAttempts", max_hold: float
     ) -> bytes | None:
         hold = min(self._hold_seconds(), max_hold)
+        asked_at = self._now()
         async with self._request_slot():
             content, state = await self.chunk_requester.request_chunk(
                 peer, digest, hold, self._inbound_rate(peer)
             )
-        attempts.held_for += hold
-        stuck = attempts.held_for >= WAITS_BEFORE_SKIP * self._hold_seconds()
+        # Counted from the first request, because there are pauses between short ones.
+        if attempts.waiting_since is None:
+            attempts.waiting_since = asked_at
+        stuck = self._now() - attempts.waiting_since >= WAITS_BEFORE_SKIP * self._hold_seconds()
         if stuck:
-            attempts.held_for = 0.0
+            attempts.waiting_since = None
         if state is ChunkState.LACKING or (state is ChunkState.COMING and stuck):
             # A peer that only waits itself is skipped too, because its path to the chunk
             # may be cut while another path works.
