--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -375,10 +375,7 @@
     async def stop(self) -> None:
         """Stops all entries, the endpoints and the store."""
         for gateway in self.gateways:
-            for server in gateway._servers:
-                server.stop()
-            await gateway.tasks.cancel_all()
-            await gateway.peers.stop()
+            await kill_gateway(gateway)
         for endpoint in self.endpoints:
             await endpoint.stop()
         self.store.stop()
@@ -419,6 +416,14 @@
         self.deployments.append(deployment)
         return gateway
 
+    async def restart_gateway(self, number: int) -> Gateway:
+        """Kills an entry, and starts another one with its settings."""
+        await kill_gateway(self.gateways[number])
+        deployment = self.deployments[number]
+        gateway = self.gateways[number] = make_gateway(deployment, quiet_log(deployment.name))
+        await gateway.start()
+        return gateway
+
     async def wait_until(self, condition, seconds: float = 3.0) -> None:
         """Waits until a condition holds."""
         async with asyncio.timeout(seconds):
@@ -456,6 +461,15 @@
             writer.close()
 
 
+async def kill_gateway(gateway: Gateway) -> None:
+    """Ends an entry and its connections abruptly."""
+    for server in gateway._servers:
+        server.stop()
+        await server.close_all_connections()
+    await gateway.tasks.cancel_all()
+    await gateway.peers.stop()
+
+
 async def read_reply(reader: asyncio.StreamReader, head_seconds: float | None = None) -> Reply:
     """Reads a response, and checks that it is complete.
 
