--- a/wasabidrum/decisions/retry_budget.py
+++ b/wasabidrum/decisions/retry_budget.py
@@ -36,6 +36,11 @@
         self._earned_per_request = earned_per_request
         self._max_balance = max_balance
 
+    @property
+    def balance(self) -> float:
+        """Retries that may be spent now."""
+        return self._balance
+
     def earn(self) -> None:
         """Adds what one request earns when it is first placed."""
         self._balance = min(self._max_balance, self._balance + self._earned_per_request)
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -245,7 +245,15 @@
         return self._call.seconds_left > MIN_USEFUL_SECONDS and not self._is_blocked()
 
     def _spend_retry(self) -> bool:
-        if not self._gateway.placer.retry_budget(self._service).spend(self._retry_count):
+        budget = self._gateway.placer.retry_budget(self._service)
+        if not budget.spend(self._retry_count):
+            self._gateway.log.write(
+                Event.RETRY_WITHHELD,
+                request=self._call.head.request_id,
+                service=self._service,
+                retries_left=round(budget.balance, 2),
+                entries=self._gateway.peers.count,
+            )
             return False
         self._retry_count += 1
         return True
@@ -263,6 +271,7 @@
             forecast=round(placement.forecast_seconds, 3),
             in_progress=placement.load.own_requests,
             after=failure,
+            retries_left=round(self._gateway.placer.retry_budget(self._service).balance, 2),
         )
 
     def _give_up(self, error: AttemptError) -> None:
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -26,6 +26,7 @@
     REQUEST_SUSPECTED = 2007
     ENDPOINT_EJECTED = 2008
     ENDPOINT_RETURNED = 2009
+    RETRY_WITHHELD = 2010
 
     # 3000: weights.
     VERSION_WANTED = 3001
