Earn retries instead of granting a share at each start

Cause: the allowed extra retries are a sum over all entries, and each process gave itself a share of it: whole at its start, though the process before it had just spent the same, and divided by the entries known when the first request came, at least three, and never again.

Change: an entry starts with no retries and earns its part of the fraction from its own requests; it may hold its share of the extra ones by the entries known now, so that the sum at the start of any window is within the extra ones, whoever starts or dies in it (decisions/shared_retry_budget.py). Entries that cannot be reached keep their share for two hours, and are told to entries that start meanwhile. The platform says which start is the whole system's first; only that one begins with shares, once entries have met. Where shares are less than one, as with hundreds of entries, an entry holds one retry if its own requests pay for it; it had none.

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -11,6 +11,7 @@
 import random
 import socket
 
+import msgspec
 from tornado import httpserver, netutil, web
 
 from tests import process_log
@@ -409,6 +410,7 @@
             readiness=Address(HOST, first + 4),
             peers_listen=Address(HOST, first + 5),
             seeds=seeds,
+            first_start=True,
         )
         gateway = make_gateway(deployment, quiet_log(name))
         await gateway.start()
@@ -420,6 +422,7 @@
         """Kills an entry, and starts another one with its settings."""
         await kill_gateway(self.gateways[number])
         deployment = self.deployments[number]
+        deployment = msgspec.structs.replace(deployment, first_start=False)
         gateway = self.gateways[number] = make_gateway(deployment, quiet_log(deployment.name))
         await gateway.start()
         return gateway
--- a/tests/retry_budget_test.py
+++ b/tests/retry_budget_test.py
@@ -64,7 +64,7 @@
             ends = bisect.bisect_left(self._sent_at, start + seconds)
             return ends - bisect.bisect_left(self._sent_at, start)
 
-        worst = (-bounds.retry_extra, 0, bounds.retry_extra)
+        worst = (float("-inf"), 0, bounds.retry_extra)
         for place, start in enumerate(self._repeated_at):
             arrivals = bisect.bisect_left(self._repeated_at, start + seconds) - place
             requests = max(sent(start), sent(start - seconds / 2), sent(start - seconds))
--- a/wasabidrum/config/deployment.py
+++ b/wasabidrum/config/deployment.py
@@ -56,6 +56,8 @@
       store: The address of the platform's store.
       endpoint: The address of the endpoint beside a sidecar.
       service: The service of that endpoint.
+      first_start: Whether the whole system starts for the first time, so that no other process has
+        served before this one and those that start with it.
     """
 
     name: str
@@ -76,3 +78,4 @@
     memory_mb: int = 300
     endpoint: Address | None = None
     service: str = ""
+    first_start: bool = False
--- a/wasabidrum/decisions/entry_roster.py
+++ b/wasabidrum/decisions/entry_roster.py
@@ -4,7 +4,8 @@
 and no list names the entries. An entry that knows no other has only the store, which may refuse
 it; one that keeps dead entries asks them first and waits for their time-outs. Entries therefore
 exchange which entries they know and when each was last seen. A new entry is known to all after a
-few exchanges, and one that none has seen for a while is removed by all.
+few exchanges, and one that none has seen for a while is asked and counted no more. What all entries
+may do together is still divided by it, because it may only be out of reach.
 """
 
 import dataclasses
@@ -12,6 +13,11 @@
 
 EXCHANGE_INTERVAL_SECONDS = 2.0
 ENTRY_EXPIRES_SECONDS = 20.0
+# Regions may lose each other for an hour. An entry on the other side still uses its share of what
+# all entries may do together.
+SHARE_EXPIRES_SECONDS = 7200.0
+# Within this time entries that have all started together know each other.
+MEETING_SECONDS = 10.0
 MAX_EXCHANGED_ENTRIES = 32
 
 HostPort = tuple[str, int]
@@ -38,13 +44,14 @@
     All times are of a clock that keeps counting while the instance is suspended.
     """
 
-    __slots__ = ("_own", "_seeds", "_known", "_failed_at")
+    __slots__ = ("_own", "_seeds", "_known", "_failed_at", "_forget_at")
 
     def __init__(self, own: HostPort, seeds: tuple[HostPort, ...]) -> None:
         self._own = own
         self._seeds = tuple(seed for seed in seeds if seed != own)
         self._known: dict[HostPort, KnownEntry] = {}
         self._failed_at: dict[HostPort, float] = {}
+        self._forget_at = float("-inf")
 
     def replace_seeds(self, seeds: tuple[HostPort, ...]) -> None:
         """Replaces the seeds."""
@@ -67,23 +74,40 @@
         self._failed_at[address] = now
 
     def known(self, now: float) -> dict[HostPort, KnownEntry]:
-        """Removes the entries that were not seen lately and returns the others."""
-        expired = [
-            a for a, known in self._known.items() if now - known.seen_at > ENTRY_EXPIRES_SECONDS
-        ]
-        for address in expired:
-            del self._known[address]
-        return self._known
+        """Returns the entries that were seen lately."""
+        return {a: k for a, k in self._known.items() if now - k.seen_at <= ENTRY_EXPIRES_SECONDS}
 
     def most_recent(self, now: float) -> list[tuple[HostPort, KnownEntry]]:
-        """Returns the entries to send in an exchange, the most recently seen first."""
-        ranked = sorted(self.known(now).items(), key=lambda item: (-item[1].seen_at, item[0]))
+        """Returns the entries to send in an exchange, the most recently seen first.
+
+        Entries that none has seen lately are among them, because a new entry has to know them for
+        its share.
+        """
+        self._forget(now)
+        ranked = sorted(self._known.items(), key=lambda item: (-item[1].seen_at, item[0]))
         return ranked[:MAX_EXCHANGED_ENTRIES]
 
     def count(self, now: float) -> int:
         """Returns the number of known entries, including this one."""
         return 1 + len(self.known(now))
 
+    def count_to_share(self, now: float, met: bool) -> int | None:
+        """Returns the number of entries that what all may do together is divided by.
+
+        Entries that cannot be reached count, because they may still be serving.
+
+        Args:
+          met: Whether entries that started together have had the time to meet.
+
+        Returns:
+          None while it cannot be known: there are seeds, but no other entry has been heard from,
+          or none has heard of all others yet.
+        """
+        self._forget(now)
+        if self._seeds and not (met and self._known):
+            return None
+        return 1 + len(self._known)
+
     def in_data_centre(self, data_centre: str, now: float) -> list[HostPort]:
         """Returns the entries of a data centre, in the same order at each of them.
 
@@ -107,3 +131,11 @@
     def all_addresses(self, now: float) -> list[HostPort]:
         """Returns the addresses of all known entries and of the seeds."""
         return list(dict.fromkeys((*self.known(now), *self._seeds)))
+
+    def _forget(self, now: float) -> None:
+        if now < self._forget_at:
+            return
+        self._forget_at = now + ENTRY_EXPIRES_SECONDS
+        self._known = {
+            a: k for a, k in self._known.items() if now - k.seen_at <= SHARE_EXPIRES_SECONDS
+        }
--- a/wasabidrum/decisions/retry_budget.py
+++ b/wasabidrum/decisions/retry_budget.py
@@ -41,6 +41,15 @@
         """Retries that may be spent now."""
         return self._balance
 
+    def limit(self, max_balance: float) -> None:
+        """Replaces the upper limit of the balance, and lowers the balance to it."""
+        self._max_balance = max_balance
+        self._balance = min(self._balance, max_balance)
+
+    def fill(self) -> None:
+        """Raises the balance to its upper limit."""
+        self._balance = self._max_balance
+
     def earn(self) -> None:
         """Adds what one request earns when it is first placed."""
         self._balance = min(self._max_balance, self._balance + self._earned_per_request)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -91,7 +91,14 @@
         self.peers = EntryPeers(deployment, self.state, self.poison_guard, self.tasks, log)
         readers = ReaderFollower(self.peers, self.state, deployment.bounds, log)
         self._follower = StoreFollower(store, self.state, readers, self.peers.answer_followers, log)
-        self.placer = Placer(self.state, log, deployment.data_centre, deployment.bounds, self.peers)
+        self.placer = Placer(
+            self.state,
+            log,
+            deployment.data_centre,
+            deployment.bounds,
+            self.peers,
+            deployment.first_start,
+        )
         self.attempts = AttemptsInProgress(self.state, self.placer, deployment.bounds.drain)
         self._load_watcher = LoadWatcher(
             deployment,
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -17,7 +17,12 @@
 from ..core.errors import CodedError
 from ..core.store_change import StoreChange, StoreReading
 from ..decisions.configuration_lease import REPLY_TOLERANCE_SECONDS
-from ..decisions.entry_roster import EXCHANGE_INTERVAL_SECONDS, EntryRoster, HostPort
+from ..decisions.entry_roster import (
+    EXCHANGE_INTERVAL_SECONDS,
+    MEETING_SECONDS,
+    EntryRoster,
+    HostPort,
+)
 from ..decisions.poison import PoisonGuard
 from ..decisions.store_readers import seconds_until_late
 from ..observe.event import Event
@@ -83,6 +88,8 @@
         self._rng = random.Random()
         seeds = tuple((seed.host, seed.port) for seed in deployment.seeds)
         self._roster = EntryRoster(self._own_address, seeds)
+        # An entry that starts again learns of all others from the first that it meets.
+        self._met_at = boot_seconds() + MEETING_SECONDS if deployment.first_start else 0.0
         self._server: server.Server | None = None
         # Set, and replaced by another, at each answer of the store.
         self._evidence = asyncio.Event()
@@ -96,6 +103,12 @@
         """The number of entries, including this one."""
         return self._roster.count(boot_seconds())
 
+    @property
+    def count_to_share(self) -> int | None:
+        """See PeerEntries."""
+        now = boot_seconds()
+        return self._roster.count_to_share(now, now >= self._met_at)
+
     @property
     def own_address(self) -> HostPort:
         """The address at which this entry listens for others, by which they know it."""
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -80,7 +80,7 @@
         self._check_deadline()
         placer = self._gateway.placer
         self._returning = placer.record_caller(self._service, self._call.route, self._call.head)
-        placer.retry_budget(self._service).earn()
+        placer.record_request(self._service)
         try:
             await self._try_endpoints()
         finally:
@@ -245,14 +245,14 @@
         return self._call.seconds_left > MIN_USEFUL_SECONDS and not self._is_blocked()
 
     def _spend_retry(self) -> bool:
-        budget = self._gateway.placer.retry_budget(self._service)
-        if not budget.spend(self._retry_count):
+        placer = self._gateway.placer
+        if not placer.spend_retry(self._service, self._retry_count):
             self._gateway.log.write(
                 Event.RETRY_WITHHELD,
                 request=self._call.head.request_id,
                 service=self._service,
-                retries_left=round(budget.balance, 2),
-                entries=self._gateway.peers.count,
+                retries_left=round(placer.retries_left(self._service), 2),
+                entries=self._gateway.peers.count_to_share,
             )
             return False
         self._retry_count += 1
@@ -271,7 +271,7 @@
             forecast=round(placement.forecast_seconds, 3),
             in_progress=placement.load.own_requests,
             after=failure,
-            retries_left=round(self._gateway.placer.retry_budget(self._service).balance, 2),
+            retries_left=round(self._gateway.placer.retries_left(self._service), 2),
         )
 
     def _give_up(self, error: AttemptError) -> None:
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -23,7 +23,7 @@
 from ..decisions.entry_roster import HostPort
 from ..decisions.first_event_limit import Caller, first_event_limit
 from ..decisions.request_recall import is_stalled
-from ..decisions.retry_budget import RetryBudget
+from ..decisions.shared_retry_budget import RetryAllowance, SharedRetryBudget
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .published_state import PublishedState
@@ -33,11 +33,6 @@
 # A call of a plain service is short. It is refused if its forecast exceeds this fraction of the
 # time that its caller has left, because it could then not be expected to end in time.
 PLAIN_LATEST_FRACTION = 0.5
-# The share of the allowed retries that entries use. The rest is a reserve, because callers of one
-# service may send to endpoints of others, and entries know their own number only roughly.
-RETRY_SHARE = 0.7
-# The allowed retries are divided by at least this many entries.
-MIN_ENTRIES = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +59,10 @@
     def count(self) -> int:
         """The number of entries, including this one."""
 
+    @property
+    def count_to_share(self) -> int | None:
+        """The entries that something limited is divided by; None if that cannot be known."""
+
     @property
     def own_address(self) -> HostPort:
         """The address by which the other entries know this one."""
@@ -77,6 +76,7 @@
 
     __slots__ = ("_state", "_log", "_data_centre", "_loads", "_rng", "_retry_budgets", "_bounds")
     __slots__ += ("_statuses", "_peer_entries", "_traffic", "_preferred", "_assigned_for")
+    __slots__ += ("_first_start",)
 
     def __init__(
         self,
@@ -85,6 +85,7 @@
         data_centre: str,
         bounds: Bounds,
         peer_entries: PeerEntries,
+        first_start: bool = False,
     ) -> None:
         self._state = state
         self._log = log
@@ -96,7 +97,8 @@
         self._preferred: frozenset[str] = frozenset()
         self._assigned_for: tuple[object, ...] = ()
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
-        self._retry_budgets: dict[str, RetryBudget] = {}
+        self._retry_budgets: dict[str, SharedRetryBudget] = {}
+        self._first_start = first_start
         self._statuses = ReportedStatuses()
         self._rng = random.Random()
 
@@ -114,15 +116,20 @@
             load = self._loads[key] = EndpointLoad(self._rng)
         return load
 
-    def retry_budget(self, service: str) -> RetryBudget:
-        """Returns the budget of retries to a service."""
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            entries = max(MIN_ENTRIES, self._peer_entries.count)
-            share = RETRY_SHARE * self._bounds.retry_extra / entries
-            earned = RETRY_SHARE * self._bounds.retry_fraction
-            budget = self._retry_budgets[service] = RetryBudget(earned, share, share)
-        return budget
+    def record_request(self, service: str) -> None:
+        """Records a new request, which earns a part of a retry."""
+        now = asyncio.get_running_loop().time()
+        self._retry_budget(service).earn(now, self._peer_entries.count_to_share)
+
+    def spend_retry(self, service: str, retries_so_far: int) -> bool:
+        """Spends one retry to a service; returns whether this entry had one left."""
+        now = asyncio.get_running_loop().time()
+        entries = self._peer_entries.count_to_share
+        return self._retry_budget(service).spend(retries_so_far, now, entries)
+
+    def retries_left(self, service: str) -> float:
+        """Returns how many retries to a service this entry may spend now."""
+        return self._retry_budget(service).balance
 
     def pick_service(self, route: Route) -> str:
         """Returns one of a route's target services, chosen at random by their weights."""
@@ -341,6 +348,16 @@
         if load.health.record_silence(silent, usual, now):
             self._log_ejection(endpoint, load, f"silent for {silent:.2f} s")
 
+    def _retry_budget(self, service: str) -> SharedRetryBudget:
+        budget = self._retry_budgets.get(service)
+        if budget is None:
+            bounds = self._bounds
+            allowance = RetryAllowance(
+                bounds.retry_fraction, bounds.retry_extra, bounds.retry_window
+            )
+            budget = self._retry_budgets[service] = SharedRetryBudget(allowance, self._first_start)
+        return budget
+
     def _log_ejection(self, endpoint: ListedEndpoint, load: EndpointLoad, reason: str) -> None:
         self._log.write(
             Event.ENDPOINT_EJECTED,
--- a/wasabidrum/platform/boot_settings.py
+++ b/wasabidrum/platform/boot_settings.py
@@ -55,6 +55,7 @@
     serves: tuple[str, ...] = ()
     app: str = ""
     service: str = ""
+    bootstrap: bool = False
 
 
 def read_deployment() -> Deployment:
@@ -121,6 +122,7 @@
         memory_mb=int(wire.limits.memoryMb),
         endpoint=parse_address(wire.app) if wire.app else None,
         service=wire.service,
+        first_start=wire.bootstrap,
     )
 
 
--- a/wasabidrum/platform/boot_settings_test.py
+++ b/wasabidrum/platform/boot_settings_test.py
@@ -47,6 +47,16 @@
         self.assertEqual(deployment.endpoint, Address("10.1.0.41", 8001))
         self.assertEqual(deployment.service, "s")
 
+    def test_a_first_start_is_told_from_others(self) -> None:
+        """Guards against restarts that take themselves for the first start of the system."""
+        for wire, first in (
+            ({}, False),
+            ({"bootstrap": False}, False),
+            ({"bootstrap": True}, True),
+        ):
+            deployment = decode_deployment(json.dumps(ENTRY | wire).encode())
+            self.assertEqual(deployment.first_start, first)
+
     def test_an_invalid_file_raises_an_error(self) -> None:
         for content in (b"", b"{}", json.dumps(ENTRY | {"seeds": ["nowhere"]}).encode()):
             with self.assertRaises(CodedError):
