--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -181,6 +181,7 @@
       received: The requests that were received.
       runs: How many times each request id started to run here.
       closed_early: How many requests were cancelled by their sender before the response ended.
+      limit: The requests a second that its responses state as its limit; None for no statement.
     """
 
     def __init__(self, endpoint_id: str, service: str, zone: str = "rift-a") -> None:
@@ -192,6 +193,7 @@
         self.received: list[ReceivedRequest] = []
         self.runs: collections.Counter[str] = collections.Counter()
         self.closed_early = 0
+        self.limit: float | None = None
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -240,6 +242,8 @@
     lines = [f"HTTP/1.1 {status}"]
     lines.append(f"{names.REQUEST_ID}: {request.headers.get(names.REQUEST_ID.lower(), '')}")
     lines.append(f"{names.SIGNATURE}: {endpoint.id}")
+    if endpoint.limit is not None:
+        lines.append(f"{names.STATED_LIMIT}: {endpoint.limit}")
     return "\r\n".join([*lines, *more, "", ""]).encode()
 
 
--- a/wasabidrum/platform/names.py
+++ b/wasabidrum/platform/names.py
@@ -11,6 +11,8 @@
 EXPECT_VERSION = "Wasabidrum-Expect-Version"
 # The endpoint that answers, where it is not the expected one.
 INSTANCE = "Wasabidrum-Instance-Id"
+# The requests a second that an endpoint in need takes from all instances together.
+STATED_LIMIT = "Server-Limit"
 TENANT = "Wasabidrum-Tenant"
 PRIORITY = "Wasabidrum-Request-Priority"
 MODEL = "Wasabidrum-Model"
