Keep to the limits that endpoints state, over all entries together

What callers saw: nothing at once; engines in need got up to four times what they had said they take, and an engine that stays overloaded fails callers later.

Change: platform/heads.py reads the limit; decisions/stated_limits.py keeps to it. A few entries of those that all know are the senders of an endpoint, the same at each entry, and share its limit; their buckets start empty and hold no more together than the platform leaves above the rate. Entries out of reach keep their part. Statements travel with the addresses that entries exchange, the latest holds, and where none was heard for a while one request asks. Endpoints without room are left out of the choice; with none left the caller is refused at once, with the time until the first has room. limit_stated (2011) and the gauge endpoints_limited tell operators.

--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -91,6 +91,7 @@
       available: How many of them are healthy or due for a probe.
       report_age: Age in seconds of their oldest load report, set if the request is refused for
         overload; else zero.
+      limited: Number of endpoints left out because of limits that they have stated.
       uncorrected_seconds: Forecast for the chosen endpoint from the published figures, before
         corrections.
     """
@@ -101,6 +102,7 @@
     known: int = 0
     available: int = 0
     report_age: float = 0.0
+    limited: int = 0
     uncorrected_seconds: float = 0.0
 
 
--- /dev/null
+++ b/wasabidrum/decisions/stated_limits.py
@@ -0,0 +1,236 @@
+"""Keeps to the limits that endpoints state, summed over all entries.
+
+Load pattern: an endpoint in need states in its answers how many requests a second it takes from all
+entries together. Every entry goes on sending, because none knows what the others send; or each
+sends one request only, which together are still too many for a limit of one a second.
+
+No entry counts for the others. Each limit is divided among a few entries, the senders of the
+endpoint, which all entries work out in the same way from the entries that they know; the others
+send there nothing. A sender spends a bucket that fills at its part of the rate, and starts empty.
+The senders are few enough that their buckets together hold no more than the platform leaves above
+the rate. Entries that cannot be reached may still be sending: their part of the limit is left to
+them.
+
+The last statement holds, whoever heard it. Entries exchange statements with their age, so that
+those that send nothing also learn of a change. Where nobody has heard anything for a while, an
+entry asks with a single request, because a limit that nobody tests would never end.
+"""
+
+import collections.abc
+import dataclasses
+import random
+import zlib
+
+from .entry_roster import HostPort
+
+# What the platform leaves above four seconds of the limit, less a reserve for entries that have
+# not heard of a limit or of a new entry yet.
+BURST_SECONDS = 2.0
+BURST_REQUESTS = 2.0
+QUESTION_SECONDS = 5.0
+# By this part of QUESTION_SECONDS for each entry, the questions of several entries are spread.
+QUESTION_SPREAD = 0.25
+SHARE_UPDATE_SECONDS = 0.5
+FORGET_SECONDS = 60.0
+
+# The id of an endpoint, and when this run of it started.
+EndpointRun = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statement:
+    """What an endpoint has stated.
+
+    Attributes:
+      limit: Requests a second from all entries together; None if it states no limit any more.
+      heard_at: When an entry heard it.
+    """
+
+    limit: float | None
+    heard_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entries:
+    """The entries that share a limit, as one of them knows them.
+
+    Attributes:
+      own: The address of this entry.
+      reachable: The entries heard from lately and their data centres, including this one.
+      count: The number of all entries, including those out of reach; None if it is not known.
+    """
+
+    own: HostPort
+    reachable: collections.abc.Mapping[HostPort, str]
+    count: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """One entry's part of a limit.
+
+    Attributes:
+      rate: Requests a second; zero for an entry that is no sender.
+      burst: Requests that may be sent at once.
+    """
+
+    rate: float
+    burst: float
+
+
+NO_SHARE = Share(0.0, 0.0)
+
+
+def share_of(limit: float, endpoint_id: str, data_centre: str, entries: Entries) -> Share:
+    """Returns this entry's part of an endpoint's limit.
+
+    Args:
+      limit: Requests a second.
+      data_centre: That of the endpoint; entries there are its senders first.
+    """
+    if entries.count is None or limit <= 0.0:
+        return NO_SHARE
+    within_reach = len(entries.reachable) / max(entries.count, len(entries.reachable))
+    burst = (BURST_SECONDS * limit + BURST_REQUESTS) * within_reach
+    number = max(1, min(len(entries.reachable), int(burst)))
+
+    def order(address: HostPort) -> tuple[bool, int, HostPort]:
+        digest = zlib.crc32(f"{endpoint_id} {address[0]}:{address[1]}".encode())
+        return entries.reachable[address] != data_centre, digest, address
+
+    if entries.own not in sorted(entries.reachable, key=order)[:number]:
+        return NO_SHARE
+    return Share(limit * within_reach / number, max(1.0, burst / number))
+
+
+class StatedLimit:
+    """The last statement of one run of an endpoint, and what this entry may send there."""
+
+    __slots__ = ("statement", "_share", "_share_until", "_balance", "_updated_at", "_asked_at")
+    __slots__ += ("_luck",)
+
+    def __init__(self, statement: Statement, luck: float) -> None:
+        """Creates the state of an endpoint that has stated a limit.
+
+        Args:
+          luck: A random number from zero to one, by which entries ask at different times.
+        """
+        self.statement = statement
+        self._share = NO_SHARE
+        self._share_until = float("-inf")
+        self._balance = 0.0
+        self._updated_at = statement.heard_at
+        self._asked_at = float("-inf")
+        self._luck = luck
+
+    def replace(self, statement: Statement) -> None:
+        """Replaces the statement by a later one."""
+        if self.statement.limit is None:
+            self._balance = 0.0
+            self._updated_at = statement.heard_at
+        if statement.limit != self.statement.limit:
+            self._share_until = float("-inf")
+        self.statement = statement
+
+    def seconds_until_room(
+        self, endpoint_id: str, data_centre: str, entries: Entries, now: float
+    ) -> float:
+        """Returns in how many seconds this entry may send a request there; infinite if unknown."""
+        limit = self.statement.limit
+        if limit is None:
+            return 0.0
+        if now >= self._share_until:
+            self._share_until = now + SHARE_UPDATE_SECONDS
+            self._share = share_of(limit, endpoint_id, data_centre, entries)
+        share = self._share
+        earned = share.rate * max(0.0, now - self._updated_at)
+        self._balance = min(share.burst, self._balance + earned)
+        self._updated_at = now
+        if self._balance >= 1.0:
+            return 0.0
+        missing = (1.0 - self._balance) / share.rate if share.rate else float("inf")
+        return min(missing, self._seconds_until_question(len(entries.reachable), now))
+
+    def record_sent(self, now: float) -> None:
+        """Records that a request was sent there."""
+        if self._balance >= 1.0:
+            self._balance -= 1.0
+        else:
+            self._asked_at = now
+
+    def _seconds_until_question(self, entries: int, now: float) -> float:
+        wait = QUESTION_SECONDS * (1.0 + QUESTION_SPREAD * entries * self._luck)
+        return max(0.0, max(self.statement.heard_at, self._asked_at) + wait - now)
+
+
+class StatedLimits:
+    """The limits that endpoints have stated, as one entry knows them.
+
+    All times are of a clock that keeps counting while the instance is suspended.
+    """
+
+    __slots__ = ("_limits", "_rng", "_forget_at")
+
+    def __init__(self, rng: random.Random) -> None:
+        self._limits: dict[EndpointRun, StatedLimit] = {}
+        self._rng = rng
+        self._forget_at = float("-inf")
+
+    @property
+    def count(self) -> int:
+        """The number of endpoints whose last statement is a limit."""
+        return sum(known.statement.limit is not None for known in self._limits.values())
+
+    def __bool__(self) -> bool:
+        return bool(self._limits)
+
+    def record(self, run: EndpointRun, limit: float | None, heard_at: float) -> bool:
+        """Records a statement, unless a later one is known; returns whether the limit changed.
+
+        Args:
+          limit: Requests a second; None if the endpoint states no limit.
+        """
+        known = self._limits.get(run)
+        if known is None:
+            if limit is None:
+                return False
+            self._forget(heard_at)
+            self._limits[run] = StatedLimit(Statement(limit, heard_at), self._rng.random())
+            return True
+        if heard_at < known.statement.heard_at:
+            return False
+        changed = known.statement.limit != limit
+        known.replace(Statement(limit, heard_at))
+        return changed
+
+    def seconds_until_room(
+        self, run: EndpointRun, data_centre: str, entries: Entries, now: float
+    ) -> float:
+        """Returns in how many seconds this entry may send a request to an endpoint.
+
+        Returns:
+          Zero if it may now, as where no limit is stated; infinite if that cannot be told.
+        """
+        known = self._limits.get(run)
+        return 0.0 if known is None else known.seconds_until_room(run[0], data_centre, entries, now)
+
+    def record_sent(self, run: EndpointRun, now: float) -> None:
+        """Records that a request was sent to an endpoint."""
+        known = self._limits.get(run)
+        if known is not None:
+            known.record_sent(now)
+
+    def statements(self, now: float) -> list[tuple[EndpointRun, Statement]]:
+        """Returns all statements, for the other entries."""
+        self._forget(now)
+        return [(run, known.statement) for run, known in self._limits.items()]
+
+    def _forget(self, now: float) -> None:
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_SECONDS / 4.0
+        self._limits = {
+            run: known
+            for run, known in self._limits.items()
+            if now - known.statement.heard_at <= FORGET_SECONDS
+        }
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -222,6 +222,7 @@
         if part.kind is not PartKind.HEAD:
             raise AttemptError(AttemptEnd.LOST, "answer_lost")
         head = part.head
+        self._record_stated_limit(head)
         if head.not_executed and not head.success:
             raise AttemptError(AttemptEnd.REFUSED, f"refused_{head.status}")
         mismatched = head.request_id and head.request_id != self._call.head.request_id
@@ -229,6 +230,14 @@
             raise AttemptError(AttemptEnd.LOST, "answer_crossed" if mismatched else "answer_broken")
         return head
 
+    def _record_stated_limit(self, head: ReplyHead) -> None:
+        # An answer to another request, or of another endpoint at this address, says nothing about
+        # the one that the request was sent to.
+        if head.status == 421 or head.request_id != self._call.head.request_id:
+            return
+        if head.stated_limit is not None or head.withdraws_limit:
+            self._gateway.placer.record_stated_limit(self._placement, head.stated_limit)
+
     async def _read_complete_reply(
         self, connection: EndpointConnection, head: ReplyHead
     ) -> CompleteReply:
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -1,6 +1,7 @@
 """The entry daemon for platforms that publish routes."""
 
 import asyncio
+import random
 
 from tornado import httpserver, httputil, netutil, web
 
@@ -11,6 +12,7 @@
 from ..core.published import CallerLimits
 from ..core.requests_in_progress import RequestsInProgress
 from ..decisions.poison import PoisonGuard
+from ..decisions.stated_limits import StatedLimits
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..observe.routes import make_routes
@@ -88,7 +90,8 @@
         self.state = PublishedState(deployment.bounds, log)
         store = make_store_client(client, deployment.store)
         self.poison_guard = PoisonGuard()
-        self.peers = EntryPeers(deployment, self.state, self.poison_guard, self.tasks, log)
+        self._limits = limits = StatedLimits(random.Random())
+        self.peers = EntryPeers(deployment, self.state, self.poison_guard, self.tasks, log, limits)
         readers = ReaderFollower(self.peers, self.state, deployment.bounds, log)
         self._follower = StoreFollower(store, self.state, readers, self.peers.answer_followers, log)
         self.placer = Placer(
@@ -97,6 +100,7 @@
             deployment.data_centre,
             deployment.bounds,
             self.peers,
+            limits,
             deployment.first_start,
         )
         self.attempts = AttemptsInProgress(self.state, self.placer, deployment.bounds.drain)
@@ -222,6 +226,11 @@
             "Endpoints registered, those leaving included.",
             lambda: len(self.state.endpoints.endpoints),
         )
+        add(
+            "endpoints_limited",
+            "Endpoints that take only so many requests a second, as they state.",
+            lambda: self._limits.count,
+        )
         add("entries_known", "Entries, this one included.", lambda: self.peers.count)
         add(
             "weights_held",
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -24,6 +24,7 @@
     HostPort,
 )
 from ..decisions.poison import PoisonGuard
+from ..decisions.stated_limits import Entries, StatedLimits
 from ..decisions.store_readers import seconds_until_late
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -33,6 +34,7 @@
     ChangesReply,
     EntryAddress,
     FetchChanges,
+    LimitStatement,
     Meet,
     NamedVersion,
     PeerChange,
@@ -76,6 +78,7 @@
         guard: PoisonGuard,
         tasks: BackgroundTasks,
         log: EventLog,
+        limits: StatedLimits,
     ) -> None:
         listen = deployment.peers_listen
         self._own_address: HostPort = (listen.host, listen.port)
@@ -83,6 +86,7 @@
         self._link_mbit = deployment.link_mbit
         self._state = state
         self._guard = guard
+        self._limits = limits
         self._tasks = tasks
         self._log = log
         self._rng = random.Random()
@@ -114,6 +118,13 @@
         """The address at which this entry listens for others, by which they know it."""
         return self._own_address
 
+    def entries(self) -> Entries:
+        """See PeerEntries."""
+        known = self._roster.known(boot_seconds())
+        reachable = {address: k.data_centre for address, k in known.items()}
+        reachable[self._own_address] = self._data_centre
+        return Entries(self._own_address, reachable, self.count_to_share)
+
     def local_entries(self) -> list[HostPort]:
         """Returns the entries of this data centre, itself included, in the same order at each."""
         return self._roster.in_data_centre(self._data_centre, boot_seconds())
@@ -244,13 +255,26 @@
             for (host, port), known in self._roster.most_recent(now)
         )
         own = EntryAddress(*self._own_address, 0.0, self._data_centre, self._link_mbit)
-        return Meet(own, addresses)
+        limits = tuple(
+            LimitStatement(*run, statement.limit, now - statement.heard_at)
+            for run, statement in self._limits.statements(now)
+        )
+        return Meet(own, addresses, limits)
 
     def _record_known(self, message: Meet) -> None:
         now = boot_seconds()
         for known in (message.own, *message.known):
             address = (known.host, known.port)
             self._roster.record_seen(address, now - known.age, known.data_centre, known.link_mbit)
+        for stated in message.limits:
+            run = (stated.endpoint, stated.started_at)
+            if self._limits.record(run, stated.limit, now - stated.age):
+                self._log.write(
+                    Event.LIMIT_STATED,
+                    endpoint=stated.endpoint,
+                    limit=stated.limit,
+                    peer=message.own.host,
+                )
 
     async def _run_store_relay(self) -> None:
         """Fetches from other entries what this process cannot get from the store."""
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -163,7 +163,7 @@
         if placement is None:
             # That no endpoint has what it needs says nothing about their load. When some have it
             # again, they have room.
-            if choice.seconds < float("inf"):
+            if choice.seconds < float("inf") or choice.limited:
                 placer.record_refusal(self._service)
         elif left > MIN_USEFUL_SECONDS:
             self._log_placement(placement, failure)
@@ -180,12 +180,16 @@
             service=self._service,
             endpoints_known=choice.known,
             endpoints_able=choice.available,
+            endpoints_limited=choice.limited,
             report_age=choice.report_age,
             returning=self._returning,
         )
         if choice.seconds < float("inf"):
             code = "overloaded"
             message = f"the forecast time to the first response is {choice.seconds:.2f} s"
+        elif choice.limited:
+            code = "overloaded"
+            message = f"{choice.limited} of {choice.known} endpoints take no more, as they state"
         else:
             code = "no_endpoint"
             message = f"no endpoint can take it now; {choice.known} have what it needs"
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -10,13 +10,20 @@
 import typing
 
 from ..config.deployment import Bounds
+from ..core.boot_clock import boot_seconds
 from ..core.listed_endpoint import ListedEndpoint
 from ..core.published import EngineFigures
 from ..core.request_head import RequestHead
 from ..core.route import Route, RouteKind
 from ..core.status import Status
 from ..decisions.endpoint_assignment import assign_endpoints
-from ..decisions.endpoint_choice import Candidate, Choice, Demand, choose
+from ..decisions.endpoint_choice import (
+    Candidate,
+    Choice,
+    Demand,
+    choose,
+    retry_after_overload,
+)
 from ..decisions.endpoint_health import Health, is_silent
 from ..decisions.endpoint_load import EndpointLoad
 from ..decisions.engine_forecast import extra_read_seconds, free_slot_seconds, pass_seconds
@@ -24,6 +31,7 @@
 from ..decisions.first_event_limit import Caller, first_event_limit
 from ..decisions.request_recall import is_stalled
 from ..decisions.shared_retry_budget import RetryAllowance, SharedRetryBudget
+from ..decisions.stated_limits import Entries, StatedLimits
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .published_state import PublishedState
@@ -67,6 +75,9 @@
     def own_address(self) -> HostPort:
         """The address by which the other entries know this one."""
 
+    def entries(self) -> Entries:
+        """Returns the entries that share the limits of endpoints."""
+
     def local_entries(self) -> list[HostPort]:
         """Returns the entries of this data centre, in the same order at each of them."""
 
@@ -76,7 +87,7 @@
 
     __slots__ = ("_state", "_log", "_data_centre", "_loads", "_rng", "_retry_budgets", "_bounds")
     __slots__ += ("_statuses", "_peer_entries", "_traffic", "_preferred", "_assigned_for")
-    __slots__ += ("_first_start",)
+    __slots__ += ("_first_start", "_limits")
 
     def __init__(
         self,
@@ -85,6 +96,7 @@
         data_centre: str,
         bounds: Bounds,
         peer_entries: PeerEntries,
+        limits: StatedLimits,
         first_start: bool = False,
     ) -> None:
         self._state = state
@@ -99,6 +111,7 @@
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
         self._first_start = first_start
+        self._limits = limits
         self._statuses = ReportedStatuses()
         self._rng = random.Random()
 
@@ -164,6 +177,7 @@
         figures = self._state.engine_figures(service)
         self._assign_endpoints()
         candidates = self._candidates(service, figures, tried, weights, now)
+        full, seconds_until_room = self._leave_out_limited(candidates)
         traffic = self.traffic(service)
         refused_share = traffic.refused_share(now)
         if figures is None:
@@ -192,7 +206,11 @@
             moved=moved,
             caller_leaves_in=seconds_until_disconnect,
         )
-        return choose(candidates, figures, demand, now, self._rng)
+        choice = choose(candidates, figures, demand, now, self._rng)
+        if not full or choice.seconds < float("inf"):
+            return dataclasses.replace(choice, limited=full) if full else choice
+        retry_after = retry_after_overload(figures, seconds_until_room, refused_share)
+        return Choice(None, float("inf"), retry_after, choice.known + full, limited=full)
 
     def placement_for(self, choice: Choice) -> Placement | None:
         """Returns the placement on the endpoint that was chosen; None for a refusal."""
@@ -229,6 +247,15 @@
         now = asyncio.get_running_loop().time()
         placement.load.record_placed(prompt_tokens, now, placement.forecast_seconds)
         self.traffic(placement.endpoint.service).rate.record(now)
+        endpoint = placement.endpoint
+        self._limits.record_sent((endpoint.id, endpoint.started_at), boot_seconds())
+
+    def record_stated_limit(self, placement: Placement, limit: float | None) -> None:
+        """Records the limit that an endpoint has stated in an answer; None if it stated none."""
+        endpoint = placement.endpoint
+        run = (endpoint.id, endpoint.started_at)
+        if self._limits.record(run, limit, boot_seconds()):
+            self._log.write(Event.LIMIT_STATED, endpoint=endpoint.id, limit=limit, peer="")
 
     def record_first_event(self, placement: Placement, prompt_tokens: int, seconds: float) -> None:
         """Records the first event of a request, and how long after the placement it arrived."""
@@ -314,6 +341,26 @@
             found.append(Candidate(endpoint, load, near, first, late))
         return found
 
+    def _leave_out_limited(self, candidates: list[Candidate]) -> tuple[int, float]:
+        """Removes the endpoints whose stated limits leave no room for a request now.
+
+        Returns:
+          How many there are, and in how many seconds the first has room.
+        """
+        if not self._limits:
+            return 0, 0.0
+        now = boot_seconds()
+        entries = self._peer_entries.entries()
+        waits = {}
+        for candidate in candidates:
+            endpoint = candidate.endpoint
+            run = (endpoint.id, endpoint.started_at)
+            wait = self._limits.seconds_until_room(run, endpoint.data_centre, entries, now)
+            if wait > 0.0:
+                waits[endpoint.id] = wait
+        candidates[:] = [c for c in candidates if c.endpoint.id not in waits]
+        return len(waits), min(waits.values(), default=0.0)
+
     def is_stalled(
         self, placement: Placement, last_activity_at: float, response_started: bool
     ) -> bool:
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -27,6 +27,7 @@
     ENDPOINT_EJECTED = 2008
     ENDPOINT_RETURNED = 2009
     RETRY_WITHHELD = 2010
+    LIMIT_STATED = 2011
 
     # 3000: weights.
     VERSION_WANTED = 3001
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -30,14 +30,30 @@
     link_mbit: float = 0.0
 
 
+class LimitStatement(msgspec.Struct, frozen=True, array_like=True):
+    """A limit that an endpoint has stated.
+
+    Attributes:
+      started_at: When this run of the endpoint started, in Unix milliseconds; zero if unknown.
+      limit: Requests a second from all entries together; None if it states no limit any more.
+      age: Seconds since an entry heard it.
+    """
+
+    endpoint: str
+    started_at: int
+    limit: float | None
+    age: float
+
+
 class Meet(msgspec.Struct, frozen=True, array_like=True):
-    """The sender's own address and those of the entries that it knows.
+    """The sender's own address, those of the entries that it knows, and what endpoints stated.
 
     The reply is a Meet with the same data of the responder.
     """
 
     own: EntryAddress
     known: tuple[EntryAddress, ...] = ()
+    limits: tuple[LimitStatement, ...] = ()
 
 
 class FetchChanges(msgspec.Struct, frozen=True, array_like=True):
--- a/wasabidrum/platform/heads.py
+++ b/wasabidrum/platform/heads.py
@@ -1,5 +1,7 @@
 """Reads and writes the headers of requests and answers as the platform's protocol defines them."""
 
+import re
+
 from tornado import httputil
 
 from ..core.listed_endpoint import ListedEndpoint
@@ -20,6 +22,7 @@
         "expect",
     )
 )
+RATE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 # Headers that are not copied from the caller. write_forwarded sets them where they apply, except
 # Authorization: it holds the caller's key, which endpoints must not see.
 NOT_COPIED_HEADERS = frozenset(
@@ -118,18 +121,28 @@
     for name, value in headers.get_all():
         if name.lower() not in dropped:
             passed.add(name, value)
+    stated = headers.get(names.STATED_LIMIT)
+    signed = names.SIGNATURE in headers
     return ReplyHead(
         status=start.code,
         reason=start.reason,
         not_executed=names.NOT_EXECUTED in headers or start.code == 421,
-        signed=names.SIGNATURE in headers,
+        signed=signed,
         request_id=headers.get(names.REQUEST_ID, ""),
         instance=headers.get(names.INSTANCE, ""),
         encoded="Content-Encoding" in headers,
         headers=passed,
+        stated_limit=None if stated is None else read_rate(stated),
+        # A refusal may be made by what stands before the endpoint, which knows nothing of it.
+        withdraws_limit=stated is None and signed and 200 <= start.code < 300,
     )
 
 
+def read_rate(text: str) -> float | None:
+    """Converts a decimal number of requests a second; returns None if the text is none."""
+    return float(text) if RATE.fullmatch(text) else None
+
+
 def write_refusal(request_id: str, retry_after: float | None) -> httputil.HTTPHeaders:
     """Returns the headers of an error that this system answers itself."""
     headers = httputil.HTTPHeaders({"Content-Type": "application/json"})
