Bound what entries say and work out for stated limits

With hundreds of entries and endpoints in need, each share was sorted out anew twice a second, and each exchange carried every statement: some hundred kilobytes where a thousand endpoints are in need. Shares are worked out when the limit or the entries change; an exchange has the 64 latest statements.

--- a/wasabidrum/decisions/stated_limits.py
+++ b/wasabidrum/decisions/stated_limits.py
@@ -32,6 +32,7 @@
 QUESTION_SPREAD = 0.25
 SHARE_UPDATE_SECONDS = 0.5
 FORGET_SECONDS = 60.0
+MAX_EXCHANGED_STATEMENTS = 64
 
 # The id of an endpoint, and when this run of it started.
 EndpointRun = tuple[str, int]
@@ -107,7 +108,7 @@
     """The last statement of one run of an endpoint, and what this entry may send there."""
 
     __slots__ = ("statement", "_share", "_share_until", "_balance", "_updated_at", "_asked_at")
-    __slots__ += ("_luck",)
+    __slots__ += ("_luck", "_shared_among")
 
     def __init__(self, statement: Statement, luck: float) -> None:
         """Creates the state of an endpoint that has stated a limit.
@@ -117,6 +118,8 @@
         """
         self.statement = statement
         self._share = NO_SHARE
+        # The limit and the entries that the share was worked out from.
+        self._shared_among: tuple[float, Entries] | None = None
         self._share_until = float("-inf")
         self._balance = 0.0
         self._updated_at = statement.heard_at
@@ -141,7 +144,9 @@
             return 0.0
         if now >= self._share_until:
             self._share_until = now + SHARE_UPDATE_SECONDS
-            self._share = share_of(limit, endpoint_id, data_centre, entries)
+            if self._shared_among != (limit, entries):
+                self._shared_among = (limit, entries)
+                self._share = share_of(limit, endpoint_id, data_centre, entries)
         share = self._share
         earned = share.rate * max(0.0, now - self._updated_at)
         self._balance = min(share.burst, self._balance + earned)
@@ -221,9 +226,11 @@
             known.record_sent(now)
 
     def statements(self, now: float) -> list[tuple[EndpointRun, Statement]]:
-        """Returns all statements, for the other entries."""
+        """Returns the latest statements, for the other entries."""
         self._forget(now)
-        return [(run, known.statement) for run, known in self._limits.items()]
+        held = [(run, known.statement) for run, known in self._limits.items()]
+        held.sort(key=lambda item: -item[1].heard_at)
+        return held[:MAX_EXCHANGED_STATEMENTS]
 
     def _forget(self, now: float) -> None:
         if now < self._forget_at:
