--- a/tests/retry_budget_test.py
+++ b/tests/retry_budget_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import bisect
+import collections.abc
 import contextlib
 import unittest
 from unittest import mock
@@ -19,6 +20,9 @@
 from wasabidrum.gateway.entry_peers import EntryPeers
 from wasabidrum.platform import names
 
+Handler = collections.abc.Callable[
+    [FakeEndpoint, ReceivedRequest, asyncio.StreamWriter], collections.abc.Awaitable[None]
+]
 SERVICE = "tally"
 ENDPOINTS = 16
 BOUNDS = Bounds(retry_fraction=0.2, retry_extra=24.0, retry_window=10.0)
@@ -45,16 +49,20 @@
         """Records that a caller sent a request."""
         self._sent_at.append(asyncio.get_running_loop().time())
 
-    async def handle(
-        self, endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        """Handles a request at an endpoint."""
+    def choose_handler(self, request: ReceivedRequest) -> Handler:
+        """Records a request at an endpoint; returns what answers it."""
         name = request.headers[names.REQUEST_ID.lower()]
         repeated = name in self._seen
         self._seen.add(name)
         if repeated:
             self._repeated_at.append(asyncio.get_running_loop().time())
-        await (refuse if self.failing and not repeated else answer_ok)(endpoint, request, writer)
+        return refuse if self.failing and not repeated else answer_ok
+
+    async def handle(
+        self, endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Handles a request at an endpoint."""
+        await self.choose_handler(request)(endpoint, request, writer)
 
     def worst_window(self, bounds: Bounds) -> tuple[float, int, float]:
         """Returns by how much a window exceeds the allowed arrivals at most, and both figures."""
