Soak: count only the time for which an entry ran towards a late refusal

A suspended process can't refuse. The check now counts the time for which the entry ran, and no longer leaves out refusals while endpoints refuse first sends.

--- a/tests/entry_soak.py
+++ b/tests/entry_soak.py
@@ -54,11 +54,32 @@
         self.host = f"127.0.1.{number + 1}"
         self.port = first_port + 3
         self.process: Process | None = None
+        self._suspended_seconds = 0.0
+        self._suspended_at: float | None = None
         self._store_port = store_port
         self._first_port = first_port
         self._settings = folder / f"{self.name}.json"
         self._output = folder / f"{self.name}.log"
 
+    @property
+    def running_seconds(self) -> float:
+        """Seconds for which it was not suspended."""
+        now = asyncio.get_running_loop().time()
+        until = now if self._suspended_at is None else self._suspended_at
+        return until - self._suspended_seconds
+
+    async def suspend(self, seconds: float) -> None:
+        """Suspends the process for some time."""
+        process = self.process
+        process.send(signal.SIGSTOP)
+        if self._suspended_at is not None:
+            return
+        self._suspended_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(seconds)
+        self._suspended_seconds += asyncio.get_running_loop().time() - self._suspended_at
+        self._suspended_at = None
+        process.send(signal.SIGCONT)
+
     async def start(self, bootstrap: bool) -> None:
         """Starts the process."""
         settings = {
@@ -119,7 +140,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.statuses: collections.Counter[int] = collections.Counter()
         self.not_run: set[str] = set()
-        self.late_refusals = 0
+        self.late_refusals: list[str] = []
         self.played: list[str] = []
 
     async def play(self, seconds: float) -> dict[str, object]:
@@ -180,12 +201,14 @@
                 reader, writer = await asyncio.open_connection(entry.host, entry.port)
                 while not self._ends:
                     await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
-                    await self._ask(reader, writer)
+                    await self._ask(entry, reader, writer)
             if writer is not None:
                 writer.close()
             await asyncio.sleep(0.1)
 
-    async def _ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _ask(
+        self, entry: Entry, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         self._asked += 1
         name = f"r{self._asked}"
         kind = self._rng.choice(("safe", "safe", "unsafe"))
@@ -196,8 +219,7 @@
             f"{names.DEADLINE}: 3000",
             "Content-Length: 1",
         )
-        loop = asyncio.get_running_loop()
-        began = loop.time()
+        began = entry.running_seconds
         self.repeats.record_sent()
         writer.write(("\r\n".join(head) + "\r\n\r\nx").encode())
         async with asyncio.timeout(REPLY_SECONDS):
@@ -205,8 +227,9 @@
         self.statuses[reply.status] += 1
         if reply.status == 503:
             self.not_run.add(name)
-            waited = loop.time() - began
-            self.late_refusals += waited > REFUSAL_SECONDS and not self.repeats.failing
+            waited = entry.running_seconds - began
+            if waited > REFUSAL_SECONDS:
+                self.late_refusals.append(f"{name} {entry.name} {waited:.2f} s {reply.body!r}")
 
     async def _play_signals(self) -> None:
         while not self._ends:
@@ -226,9 +249,7 @@
                 process.send(signal.SIGHUP)
                 continue
             else:
-                process.send(signal.SIGSTOP)
-                await asyncio.sleep(self._rng.uniform(0.3, 3.0))
-                process.send(signal.SIGCONT)
+                await entry.suspend(self._rng.uniform(0.3, 3.0))
                 continue
             if entry.process is process:
                 await entry.start(False)
