Tell an entry that starts of the requests that crash endpoints

Cause: entries tell each other of deaths when they happen; what an entry knew ends with it, and nobody tells the next one.

--- a/wasabidrum/decisions/poison.py
+++ b/wasabidrum/decisions/poison.py
@@ -20,6 +20,7 @@
 SUSPECT_LIFETIME_SECONDS = 3600.0
 SAME_DEATH_SECONDS = 5.0
 MAX_SUSPECTS = 1024
+MAX_TOLD_DEATHS = 256
 
 
 def fingerprint_of(prompt: str) -> str:
@@ -104,6 +105,21 @@
         """Records that a request was in progress at an endpoint that died."""
         self._add(fingerprint, endpoint, now)
 
+    def recent_deaths(self, now: float) -> list[tuple[str, str, float]]:
+        """Returns what an entry that has just started should know, the latest deaths last.
+
+        Returns:
+          The fingerprint, the endpoint and the seconds since the death of each.
+        """
+        deaths = [
+            (fingerprint, endpoint, now - at)
+            for fingerprint, suspect in self._suspects.items()
+            for endpoint, at in suspect.deaths
+            if now - at < BLOCK_SECONDS
+        ]
+        deaths.sort(key=lambda death: -death[2])
+        return deaths[-MAX_TOLD_DEATHS:]
+
     def record_reported_deaths(self, endpoint: str, suspects: tuple[str, ...], now: float) -> None:
         """Records the suspects in a sidecar's status; each death counts once.
 
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -8,6 +8,7 @@
 import contextlib
 import random
 
+import msgspec
 from grpclib import server
 from tornado import netutil
 
@@ -38,6 +39,7 @@
     Meet,
     NamedVersion,
     PeerChange,
+    SuspectDeath,
     SuspectsReport,
 )
 from ..peers.peer_client import CODEC
@@ -99,6 +101,8 @@
         self._evidence = asyncio.Event()
         # Fingerprints of requests that are to be reported as suspects, by endpoint.
         self._pending_suspects: dict[str, list[str]] = {}
+        # Whether another entry has told of the endpoints that died before this process started.
+        self._knows_deaths = False
         # Whether EVIDENCE_RELAYED was logged since the evidence was last fresh.
         self._relay_logged = False
 
@@ -162,7 +166,12 @@
     def handle_meet(self, message: Meet) -> Meet:
         """See EntryServiceOwner."""
         self._record_known(message)
-        return self._make_meet()
+        reply = self._make_meet()
+        if not message.wants_deaths:
+            return reply
+        now = asyncio.get_running_loop().time()
+        deaths = tuple(SuspectDeath(*death) for death in self._guard.recent_deaths(now))
+        return msgspec.structs.replace(reply, deaths=deaths)
 
     async def handle_fetch_changes(self, message: FetchChanges) -> ChangesReply:
         """See EntryServiceOwner."""
@@ -246,8 +255,18 @@
                 reply = await self._call(address, entry_messages.MEET_PATH, self._make_meet(), Meet)
                 if reply is not None:
                     self._record_known(reply)
+                    self._record_deaths(reply)
             await asyncio.sleep(EXCHANGE_INTERVAL_SECONDS * self._rng.uniform(0.7, 1.0))
 
+    def _record_deaths(self, reply: Meet) -> None:
+        # Only once: what this entry has cleared since must not come back from the others.
+        if self._knows_deaths:
+            return
+        self._knows_deaths = True
+        now = asyncio.get_running_loop().time()
+        for death in reply.deaths:
+            self._guard.record_death(death.fingerprint, death.endpoint, now - death.age)
+
     def _make_meet(self) -> Meet:
         now = boot_seconds()
         addresses = tuple(
@@ -259,7 +278,7 @@
             LimitStatement(*run, statement.limit, now - statement.heard_at)
             for run, statement in self._limits.statements(now)
         )
-        return Meet(own, addresses, limits)
+        return Meet(own, addresses, limits, wants_deaths=not self._knows_deaths)
 
     def _record_known(self, message: Meet) -> None:
         now = boot_seconds()
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -45,15 +45,29 @@
     age: float
 
 
+class SuspectDeath(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was in progress when an endpoint died, and seconds since the death."""
+
+    fingerprint: str
+    endpoint: str
+    age: float
+
+
 class Meet(msgspec.Struct, frozen=True, array_like=True):
     """The sender's own address, those of the entries that it knows, and what endpoints stated.
 
     The reply is a Meet with the same data of the responder.
+
+    Attributes:
+      wants_deaths: Whether the sender has just started, and knows of no deaths yet.
+      deaths: The latest deaths of endpoints, in a reply to such a sender; the latest last.
     """
 
     own: EntryAddress
     known: tuple[EntryAddress, ...] = ()
     limits: tuple[LimitStatement, ...] = ()
+    wants_deaths: bool = False
+    deaths: tuple[SuspectDeath, ...] = ()
 
 
 class FetchChanges(msgspec.Struct, frozen=True, array_like=True):
