Leave it to the entry whether an answer withdraws a limit

platform/heads.py decided that only a signed success does. It now says what the answer states, and the attempt decides. No change of what is decided; a test at an entry shows that refusals end no limit.

--- a/tests/stated_limits_test.py
+++ b/tests/stated_limits_test.py
@@ -14,6 +14,7 @@
     Reply,
     answer_ok,
     make_configuration,
+    refuse,
 )
 from tests.paused_clock import PausedClockCase
 from wasabidrum.gateway.entry_peers import EntryPeers
@@ -111,6 +112,17 @@
         await asyncio.sleep(RUN_SECONDS)
         await answer_ok(endpoint, request, writer)
 
+    async def refuse_some(
+        self, endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Refuses every second request, without stating a limit."""
+        log = self.logs[endpoint.id]
+        if len(log.arrived_at) % 2:
+            await self.answer(endpoint, request, writer)
+            return
+        log.arrived_at.append(self.loop.time())
+        await refuse(endpoint, request, writer)
+
     def state_limit(self, number: int, limit: float | None) -> None:
         """Makes an endpoint state a limit in its responses, or none."""
         endpoint = self.fleet.endpoints[number]
@@ -167,6 +179,14 @@
         await self.load(7.0)
         self.assertGreaterEqual(self.arrivals(0, 2.0), 0.5 * self.usual * 2.0)
 
+    async def test_refusal_does_not_withdraw_a_limit(self) -> None:
+        """Guards against a limit that ends with an answer that the endpoint itself has not made."""
+        self.state_limit(0, 1.5)
+        await self.load(4.0)
+        self.fleet.endpoints[0].handler = self.refuse_some
+        await self.load(8.0)
+        self.assert_limits_kept()
+
     async def test_limit_changes_from_response_to_response(self) -> None:
         """Guards against entries that keep to the first limit that they have heard."""
         for limit in (6.0, 0.5, 4.0, 1.0):
--- a/wasabidrum/core/request_head.py
+++ b/wasabidrum/core/request_head.py
@@ -45,9 +45,8 @@
       signed: Whether it carries an endpoint's signature.
       request_id: The id of the request that it states to answer, or empty.
       instance: The endpoint that answered in place of the expected one, or empty.
-      stated_limit: The requests a second that the endpoint takes from all entries together; None
-        if it states no limit, or one that cannot be read.
-      withdraws_limit: Whether it is an answer of the endpoint itself, and states no limit.
+      states_limit: Whether the endpoint states how many requests a second it takes.
+      stated_limit: That number, from all entries together; None if it cannot be read.
       encoded: Whether it has a Content-Encoding, a sign that its body was changed in transit.
       headers: The headers that are passed to the caller.
     """
@@ -61,7 +60,7 @@
     encoded: bool
     headers: httputil.HTTPHeaders
     stated_limit: float | None = None
-    withdraws_limit: bool = False
+    states_limit: bool = False
 
     @property
     def success(self) -> bool:
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -235,7 +235,9 @@
         # the one that the request was sent to.
         if head.status == 421 or head.request_id != self._call.head.request_id:
             return
-        if head.stated_limit is not None or head.withdraws_limit:
+        # A refusal may be made by what stands before the endpoint, which knows nothing of a limit.
+        withdrawn = not head.states_limit and head.signed and head.success
+        if withdrawn or head.stated_limit is not None:
             self._gateway.placer.record_stated_limit(self._placement, head.stated_limit)
 
     async def _read_complete_reply(
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -59,6 +59,7 @@
     The reply is a Meet with the same data of the responder.
 
     Attributes:
+      limits: The latest statements of endpoints, whoever heard them.
       wants_deaths: Whether the sender has just started, and knows of no deaths yet.
       deaths: The latest deaths of endpoints, in a reply to such a sender; the latest last.
     """
--- a/wasabidrum/platform/heads.py
+++ b/wasabidrum/platform/heads.py
@@ -121,20 +121,17 @@
     for name, value in headers.get_all():
         if name.lower() not in dropped:
             passed.add(name, value)
-    stated = headers.get(names.STATED_LIMIT)
-    signed = names.SIGNATURE in headers
     return ReplyHead(
         status=start.code,
         reason=start.reason,
         not_executed=names.NOT_EXECUTED in headers or start.code == 421,
-        signed=signed,
+        signed=names.SIGNATURE in headers,
         request_id=headers.get(names.REQUEST_ID, ""),
         instance=headers.get(names.INSTANCE, ""),
         encoded="Content-Encoding" in headers,
         headers=passed,
-        stated_limit=None if stated is None else read_rate(stated),
-        # A refusal may be made by what stands before the endpoint, which knows nothing of it.
-        withdraws_limit=stated is None and signed and 200 <= start.code < 300,
+        states_limit=names.STATED_LIMIT in headers,
+        stated_limit=read_rate(headers.get(names.STATED_LIMIT, "")),
     )
 
 
--- a/wasabidrum/platform/heads_test.py
+++ b/wasabidrum/platform/heads_test.py
@@ -97,16 +97,9 @@
         for text, limit in (("1.5", 1.5), ("0", 0.0), ("20", 20.0)):
             self.assertEqual(self.read(200, **{names.STATED_LIMIT: text}).stated_limit, limit)
         for text in ("", "-1", "nan", "inf", "1e9", "1,5", "many", "1.5, 2.0"):
-            head = self.read(200, **{names.STATED_LIMIT: text, names.SIGNATURE: "s"})
-            self.assertIsNone(head.stated_limit)
-            self.assertFalse(head.withdraws_limit, text)
-
-    def test_only_a_signed_success_without_a_limit_withdraws_it(self) -> None:
-        """Guards against a refusal by what stands before an endpoint that ends its limit."""
-        signed = {names.SIGNATURE: "s"}
-        self.assertTrue(self.read(200, **signed).withdraws_limit)
-        self.assertFalse(self.read(200).withdraws_limit)
-        self.assertFalse(self.read(503, **signed).withdraws_limit)
+            head = self.read(200, **{names.STATED_LIMIT: text})
+            self.assertEqual((head.states_limit, head.stated_limit), (True, None), text)
+        self.assertFalse(self.read(200).states_limit)
 
     def test_retry_after_has_fractions_of_a_second(self) -> None:
         self.assertEqual(write_refusal("r1", 0.25)[names.RETRY_AFTER], "0.250")
