Ask several entries at once until one has told what it knows of limits

What callers saw: an entry that starts goes on for up to two seconds without what the others know, where the first address that it asks is that of a dead or suspended entry. It sends to limited endpoints meanwhile.

Change: until the first answer an entry asks three addresses at once, with pauses from 0.1 s on that double.

--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -53,6 +53,9 @@
 QUERY_INTERVAL_SECONDS = 0.35
 PEER_TIMEOUT_SECONDS = 0.6
 PEERS_PER_QUERY = 2
+# How many entries an entry that has started asks at once, until one answers, and the first pause.
+FIRST_EXCHANGES = 3
+FIRST_EXCHANGE_PAUSE_SECONDS = 0.1
 # An entry that starts reads a snapshot from the store, which takes a second over a thin link with
 # a thousand routes. Other entries are asked for a snapshot only if the store has not answered
 # within this time, and then one at a time, because several replies would saturate the link that
@@ -250,14 +253,24 @@
             )
 
     async def _run_gossip(self) -> None:
+        pause = FIRST_EXCHANGE_PAUSE_SECONDS
+        while not self._knows_deaths and pause < EXCHANGE_INTERVAL_SECONDS:
+            # Any of the seeds may be gone, and until one answers nothing is known of limits.
+            addresses = self._roster.choose(FIRST_EXCHANGES, boot_seconds(), self._rng)
+            await asyncio.gather(*(self._exchange(address) for address in addresses))
+            await asyncio.sleep(pause)
+            pause *= 2.0
         while True:
             for address in self._roster.choose(1, boot_seconds(), self._rng):
-                reply = await self._call(address, entry_messages.MEET_PATH, self._make_meet(), Meet)
-                if reply is not None:
-                    self._record_known(reply)
-                    self._record_deaths(reply)
+                await self._exchange(address)
             await asyncio.sleep(EXCHANGE_INTERVAL_SECONDS * self._rng.uniform(0.7, 1.0))
 
+    async def _exchange(self, address: HostPort) -> None:
+        reply = await self._call(address, entry_messages.MEET_PATH, self._make_meet(), Meet)
+        if reply is not None:
+            self._record_known(reply)
+            self._record_deaths(reply)
+
     def _record_deaths(self, reply: Meet) -> None:
         # Only once: what this entry has cleared since must not come back from the others.
         if self._knows_deaths:
