--- a/tests/fake_instances.py
+++ b/tests/fake_instances.py
@@ -39,6 +39,7 @@
       runs: The requests that began.
       waiting: The ids of requests that were read and have not begun.
       arrivals: When each request was read, by its id.
+      limit: The requests a second that its responses state as its limit; None for no statement.
     """
 
     def __init__(self, engine_id: str, weights: collections.abc.Callable[[], int]) -> None:
@@ -49,6 +50,7 @@
         """
         self.id = engine_id
         self.port = 0
+        self.limit: float | None = None
         self.runs: list[EngineRun] = []
         self.waiting: set[str] = set()
         self.arrivals: dict[str, float] = {}
