Red tests: retry shares of entries that have not met, and windows across a suspension

What callers would see: more repeats than the platform allows where entries that start for the first time meet few others within ten seconds, and where many entries are suspended together in a fleet so large that a share is less than one.

--- a/tests/retry_budget_test.py
+++ b/tests/retry_budget_test.py
@@ -16,7 +16,9 @@
     refuse,
 )
 from tests.paused_clock import PausedClockCase
+from tests.suspended_clock import suspended_for
 from wasabidrum.config.deployment import Bounds
+from wasabidrum.decisions.entry_roster import HostPort
 from wasabidrum.gateway.entry_peers import EntryPeers
 from wasabidrum.platform import names
 
@@ -45,6 +47,11 @@
         self._repeated_at: list[float] = []
         self._seen: set[str] = set()
 
+    @property
+    def repeats(self) -> int:
+        """How many arrivals beyond the first of their request there were."""
+        return len(self._repeated_at)
+
     def record_sent(self) -> None:
         """Records that a caller sent a request."""
         self._sent_at.append(asyncio.get_running_loop().time())
@@ -85,6 +92,7 @@
     """Entries before endpoints that refuse the first attempt of each request."""
 
     entries = 3
+    bounds = BOUNDS
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -106,7 +114,7 @@
     async def start_entries(self) -> None:
         """Starts the entries, and waits until each can serve."""
         for number in range(self.entries):
-            await self.fleet.add_gateway(f"entry-{number}", bounds=BOUNDS)
+            await self.fleet.add_gateway(f"entry-{number}", bounds=self.bounds)
         await self.fleet.wait_until(lambda: all(g.ready for g in self.fleet.gateways), 10.0)
 
     async def load(self, seconds: float, per_second: float) -> None:
@@ -163,6 +171,45 @@
         self.assert_within_budget()
 
 
+class UnmetEntriesTest(FleetRetryCase):
+    """Entries that start together and of which each meets only one other."""
+
+    entries = 12
+
+    async def test_entries_that_have_not_met_hold_no_shares(self) -> None:
+        """Guards against a first start that grants shares by the few entries met until then."""
+        real_call = EntryPeers._call
+
+        async def call(peers: EntryPeers, address: HostPort, *args: object, **named: object):
+            pairs = {d.peers_listen.port: n // 2 for n, d in enumerate(self.fleet.deployments)}
+            if pairs.get(address[1]) != pairs.get(peers.own_address[1]):
+                return None
+            return await real_call(peers, address, *args, **named)
+
+        with mock.patch.object(EntryPeers, "_call", call):
+            await self.start_entries()
+            await asyncio.sleep(SETTLE_SECONDS)
+            self.arrivals.failing = True
+            await self.load(10.0, 12.0)
+        self.assert_within_budget()
+
+
+class SuspendedEntryTest(FleetRetryCase):
+    """An entry whose share of the extra retries is less than one."""
+
+    entries = 1
+    bounds = Bounds(retry_fraction=0.2, retry_extra=1.0, retry_window=10.0)
+
+    async def test_requests_before_a_suspension_pay_for_no_retry_after_it(self) -> None:
+        """Guards against a window that doesn't count the time for which an entry was suspended."""
+        await self.start_entries()
+        await self.load(8.0, 5.0)
+        self.arrivals.failing = True
+        with suspended_for(2.0 * self.bounds.retry_window):
+            await self._ask(0, -1)
+        self.assertEqual(self.arrivals.repeats, 0)
+
+
 class SeparatedEntriesTest(FleetRetryCase):
     """Entries that cannot reach each other."""
 
