Red tests: stated limits after a quiet time, and of entries that reach no other

What an endpoint in need would see: all entries at their full rate when callers come back after a quiet minute, and one request of each entry in the same moment where entries are cut off from each other.

--- a/tests/stated_limits_test.py
+++ b/tests/stated_limits_test.py
@@ -27,6 +27,7 @@
 ALLOWED_EXTRA = 5.0
 # Until entries that have started together know each other.
 MEETING_SECONDS = 12.0
+QUIET_SECONDS = 150.0
 RUN_SECONDS = 0.1
 
 
@@ -75,6 +76,7 @@
     entries = 3
     endpoints = 2
     per_second = 16.0
+    run_seconds = RUN_SECONDS
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -108,7 +110,7 @@
     ) -> None:
         """Handles a request at an endpoint."""
         self.logs[endpoint.id].arrived_at.append(self.loop.time())
-        await asyncio.sleep(RUN_SECONDS)
+        await asyncio.sleep(self.run_seconds)
         await answer_ok(endpoint, request, writer)
 
     def state_limit(self, number: int, limit: float | None) -> None:
@@ -219,6 +221,15 @@
         await self.load(30.0)
         self.assertGreater(self.arrivals(0, 2.0), 0.5 * self.usual * 2.0)
 
+    async def test_limit_holds_after_a_quiet_time(self) -> None:
+        """Guards against entries that forget a limit while nobody sends anything."""
+        self.run_seconds = 1.0
+        self.state_limit(0, 0.3)
+        await self.load(6.0)
+        await asyncio.sleep(QUIET_SECONDS)
+        await self.load(6.0)
+        self.assert_limits_kept()
+
     async def test_endpoint_that_starts_again_has_stated_nothing(self) -> None:
         """Guards against a limit that outlives the endpoint that has stated it."""
         self.state_limit(0, 0.2)
--- a/wasabidrum/decisions/stated_limits_test.py
+++ b/wasabidrum/decisions/stated_limits_test.py
@@ -120,6 +120,13 @@
         self.assertFalse(self.limits)
 
 
+def worst_window(sent: list[float]) -> int:
+    """Returns the most requests in any window."""
+    return max(
+        bisect.bisect_left(sent, start + WINDOW_SECONDS) - place for place, start in enumerate(sent)
+    )
+
+
 class AllEntriesTest(unittest.TestCase):
     """Entries that always have a request to send, and hear of each other late."""
 
@@ -152,12 +159,29 @@
                     limits.record(RUN, limit, now)
                 elif rng.random() < 0.01:
                     limits.record(RUN, limit, now)
-        worst = max(
-            bisect.bisect_left(sent, start + WINDOW_SECONDS) - place
-            for place, start in enumerate(sent)
-        )
         allowed = ALLOWED_FACTOR * WINDOW_SECONDS * limit + ALLOWED_EXTRA
-        return worst - allowed, len(sent) / 40.0 / limit
+        return worst_window(sent) - allowed, len(sent) / 40.0 / limit
+
+    def test_entries_that_reach_no_other_send_no_more_than_allowed(self) -> None:
+        """Guards against entries cut off from each other that each save up one request."""
+        for seed, (count, limit) in enumerate(((14, 0.3), (14, 1.5), (36, 0.3), (36, 1.5))):
+            rng = random.Random(seed)
+            all_limits = [StatedLimits(rng) for _ in range(count)]
+            for limits in all_limits:
+                limits.record(RUN, limit, rng.random())
+            sent = []
+            for step in range(10, 4000):
+                now = step / 10.0
+                for own, limits in enumerate(all_limits):
+                    address = (f"10.0.0.{own}", 1)
+                    entries = Entries(address, {address: "a"}, count)
+                    if limits.seconds_until_room(RUN, "a", entries, now) == 0.0:
+                        limits.record_sent(RUN, now)
+                        limits.record(RUN, limit, now)
+                        sent.append(now)
+            excess = worst_window(sent) - ALLOWED_FACTOR * WINDOW_SECONDS * limit - ALLOWED_EXTRA
+            self.assertLessEqual(excess, 0.0, (count, limit))
+            self.assertGreater(len(sent), 0)
 
     def test_no_window_exceeds_what_is_allowed(self) -> None:
         """Guards against shares, bursts and questions that add up to too much."""
