Grant a retry share only to an only entry

What callers would see: entries that start for the first time and meet few others in ten seconds grant themselves shares by those few, and endpoints get more repeats than the platform allows.

Cause: the grant at a first start trusted that ten seconds suffice to meet everyone.

Change: only an entry whose settings name no other, at the first start of the whole system, holds its share without having earned it. The unit test of the grant is replaced by one of the only entry, and the others no longer start from a granted share.

--- a/wasabidrum/decisions/entry_roster.py
+++ b/wasabidrum/decisions/entry_roster.py
@@ -53,6 +53,11 @@
         self._failed_at: dict[HostPort, float] = {}
         self._forget_at = float("-inf")
 
+    @property
+    def has_seeds(self) -> bool:
+        """Whether there are seeds besides this entry."""
+        return bool(self._seeds)
+
     def replace_seeds(self, seeds: tuple[HostPort, ...]) -> None:
         """Replaces the seeds."""
         self._seeds = tuple(seed for seed in seeds if seed != self._own)
--- a/wasabidrum/decisions/retry_budget.py
+++ b/wasabidrum/decisions/retry_budget.py
@@ -46,10 +46,6 @@
         self._max_balance = max_balance
         self._balance = min(self._balance, max_balance)
 
-    def fill(self) -> None:
-        """Raises the balance to its upper limit."""
-        self._balance = self._max_balance
-
     def earn(self) -> None:
         """Adds what one request earns when it is first placed."""
         self._balance = min(self._max_balance, self._balance + self._earned_per_request)
--- a/wasabidrum/decisions/shared_retry_budget.py
+++ b/wasabidrum/decisions/shared_retry_budget.py
@@ -11,10 +11,10 @@
 number of entries known now. The sum over all entries is thus bounded at the start of each window
 by the extra retries, and grows within it only by what requests earn.
 
-A process of the first start of the whole system follows no other, and holds its share as soon as
-the entries know each other. An entry that does not know the number of entries holds no share; one
-retry at a time is covered by the unused part of what its own requests allow. The same covers one
-retry at a time where the entries are so many that a share is less than one.
+An only entry at the first start of the whole system follows no process and shares with none, so
+that it holds its share at once. An entry that does not know the number of entries holds no share;
+one retry at a time is covered by the unused part of what its own requests allow. The same covers
+one retry at a time where the entries are so many that a share is less than one.
 """
 
 from .retry_budget import RetryBudget
@@ -58,18 +58,16 @@
     """One entry's part of the retries to one service."""
 
     __slots__ = ("_allowance", "_budget", "_requests", "_requests_before", "_half_began_at")
-    __slots__ += ("_share_pending",)
 
-    def __init__(self, allowance: RetryAllowance, first_start: bool) -> None:
+    def __init__(self, allowance: RetryAllowance, only_entry: bool = False) -> None:
         """Creates a budget.
 
         Args:
-          first_start: No process has sent requests before this one and those started with it.
+          only_entry: No process has sent requests before this one, and none does beside it.
         """
         self._allowance = allowance
-        self._budget = RetryBudget(USED_PART * allowance.fraction, 0.0, 0.0)
-        # Whether the share of a first start is still to be added, once it is known.
-        self._share_pending = first_start
+        initial = allowance.share(MIN_ENTRIES) if only_entry else 0.0
+        self._budget = RetryBudget(USED_PART * allowance.fraction, initial, initial)
         # Requests in the current half of a window, and in the one before it.
         self._requests = 0
         self._requests_before = 0
@@ -102,9 +100,6 @@
     def _update(self, now: float, entries: int | None) -> None:
         self._advance(now)
         self._budget.limit(self._max_balance(entries))
-        if self._share_pending and entries is not None:
-            self._share_pending = False
-            self._budget.fill()
 
     def _max_balance(self, entries: int | None) -> float:
         unused = (1.0 - USED_PART) * self._allowance.fraction
--- a/wasabidrum/decisions/shared_retry_budget_test.py
+++ b/wasabidrum/decisions/shared_retry_budget_test.py
@@ -19,15 +19,14 @@
 class SharedRetryBudgetTest(unittest.TestCase):
     """One entry's part."""
 
-    def test_first_start_holds_its_share_once_the_entries_are_known(self) -> None:
-        budget = SharedRetryBudget(ALLOWANCE, first_start=True)
-        self.assertEqual(spend_all(budget, 0.0, None), 0)
-        self.assertEqual(spend_all(budget, 1.0, 7), int(USED_PART * 30.0 / 7))
-        self.assertEqual(spend_all(budget, 20.0, 7), 0)
+    def test_only_entry_holds_its_share_at_its_first_start(self) -> None:
+        budget = SharedRetryBudget(ALLOWANCE, only_entry=True)
+        self.assertEqual(spend_all(budget, 0.0, 1), int(USED_PART * 30.0 / MIN_ENTRIES))
+        self.assertEqual(spend_all(budget, 20.0, 1), 0)
 
     def test_restart_holds_only_what_its_requests_earn(self) -> None:
         """Guards against a share that each start grants anew."""
-        budget = SharedRetryBudget(ALLOWANCE, first_start=False)
+        budget = SharedRetryBudget(ALLOWANCE)
         self.assertEqual(spend_all(budget, 0.0, MIN_ENTRIES), 0)
         for _ in range(15):
             budget.earn(0.5, MIN_ENTRIES)
@@ -35,20 +34,21 @@
 
     def test_share_shrinks_when_entries_join(self) -> None:
         """Guards against a share that was worked out before the other entries were known."""
-        budget = SharedRetryBudget(ALLOWANCE, first_start=True)
-        budget.earn(0.0, 1)
+        budget = SharedRetryBudget(ALLOWANCE)
+        for _ in range(100):
+            budget.earn(0.0, 1)
         self.assertEqual(spend_all(budget, 1.0, 21), 1)
 
     def test_one_retry_at_a_time_where_a_share_is_less_than_one(self) -> None:
         """Guards against hundreds of entries none of which may ever retry."""
-        budget = SharedRetryBudget(ALLOWANCE, first_start=False)
+        budget = SharedRetryBudget(ALLOWANCE)
         for number in range(100):
             budget.earn(number / 50.0, 400)
         self.assertEqual(spend_all(budget, 2.0, 400), 1)
 
     def test_entries_with_few_requests_hold_no_single_retry(self) -> None:
         """Guards against hundreds of idle entries that hold one retry each for the same window."""
-        budget = SharedRetryBudget(ALLOWANCE, first_start=False)
+        budget = SharedRetryBudget(ALLOWANCE)
         for number in range(100):
             budget.earn(number * 2.0, 400)
         self.assertEqual(spend_all(budget, 200.0, 400), 0)
@@ -62,7 +62,7 @@
         rng = random.Random(seed)
         entries = rng.choice((1, 3, 6, 12, 40, 150))
         rate = rng.choice((3.0, 20.0, 120.0))
-        budgets = [SharedRetryBudget(ALLOWANCE, first_start=True) for _ in range(entries)]
+        budgets = [SharedRetryBudget(ALLOWANCE) for _ in range(entries)]
         requests, retries = [], []
         now = 0.0
         failing = False
@@ -71,7 +71,7 @@
             requests.append(now)
             number = rng.randrange(entries)
             if rng.random() < 0.002 * entries:
-                budgets[number] = SharedRetryBudget(ALLOWANCE, first_start=False)
+                budgets[number] = SharedRetryBudget(ALLOWANCE)
             if rng.random() < 0.01:
                 failing = not failing
             known = rng.choice((entries, entries, None))
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -101,7 +101,7 @@
             deployment.bounds,
             self.peers,
             limits,
-            deployment.first_start,
+            deployment.first_start and not self.peers.has_seeds,
         )
         self.attempts = AttemptsInProgress(self.state, self.placer, deployment.bounds.drain)
         self._load_watcher = LoadWatcher(
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -114,6 +114,11 @@
         """The number of entries, including this one."""
         return self._roster.count(boot_seconds())
 
+    @property
+    def has_seeds(self) -> bool:
+        """Whether the settings name other entries."""
+        return self._roster.has_seeds
+
     @property
     def count_to_share(self) -> int | None:
         """See PeerEntries."""
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -87,7 +87,7 @@
 
     __slots__ = ("_state", "_log", "_data_centre", "_loads", "_rng", "_retry_budgets", "_bounds")
     __slots__ += ("_statuses", "_peer_entries", "_traffic", "_preferred", "_assigned_for")
-    __slots__ += ("_first_start", "_limits")
+    __slots__ += ("_only_entry", "_limits")
 
     def __init__(
         self,
@@ -97,7 +97,7 @@
         bounds: Bounds,
         peer_entries: PeerEntries,
         limits: StatedLimits,
-        first_start: bool = False,
+        only_entry: bool = False,
     ) -> None:
         self._state = state
         self._log = log
@@ -110,7 +110,7 @@
         self._assigned_for: tuple[object, ...] = ()
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
-        self._first_start = first_start
+        self._only_entry = only_entry
         self._limits = limits
         self._statuses = ReportedStatuses()
         self._rng = random.Random()
@@ -402,7 +402,7 @@
             allowance = RetryAllowance(
                 bounds.retry_fraction, bounds.retry_extra, bounds.retry_window
             )
-            budget = self._retry_budgets[service] = SharedRetryBudget(allowance, self._first_start)
+            budget = self._retry_budgets[service] = SharedRetryBudget(allowance, self._only_entry)
         return budget
 
     def _log_ejection(self, endpoint: ListedEndpoint, load: EndpointLoad, reason: str) -> None:
