Count a retry window by the clock that includes suspensions

What callers would see: in a fleet so large that a share is less than one, entries that are suspended together and wake make one repeat each that no request of the window pays for.

Cause: requests were counted in windows by the event loop's clock, which stands still while an instance is suspended.

Change: the windows follow the clock that goes on.

--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -131,12 +131,12 @@
 
     def record_request(self, service: str) -> None:
         """Records a new request, which earns a part of a retry."""
-        now = asyncio.get_running_loop().time()
+        now = boot_seconds()
         self._retry_budget(service).earn(now, self._peer_entries.count_to_share)
 
     def spend_retry(self, service: str, retries_so_far: int) -> bool:
         """Spends one retry to a service; returns whether this entry had one left."""
-        now = asyncio.get_running_loop().time()
+        now = boot_seconds()
         entries = self._peer_entries.count_to_share
         return self._retry_budget(service).spend(retries_so_far, now, entries)
 
