Remember a limit through quiet times

What an endpoint in need would see: all entries at their full rate when callers come back after a minute without any.

Cause: statements were forgotten after sixty seconds without a renewal. That was meant for withdrawals, which are kept only to be told to others.

Change: a limit is remembered for an hour, a withdrawal for a minute as before; the unit test of forgetting checks both times now.

--- a/wasabidrum/decisions/stated_limits.py
+++ b/wasabidrum/decisions/stated_limits.py
@@ -32,6 +32,8 @@
 QUESTION_SPREAD = 0.25
 SHARE_UPDATE_SECONDS = 0.5
 FORGET_SECONDS = 60.0
+# A limit outlasts quiet times; whether it still holds is asked when callers come back.
+FORGET_LIMIT_SECONDS = 3600.0
 MAX_EXCHANGED_STATEMENTS = 64
 
 # The id of an endpoint, and when this run of it started.
@@ -126,6 +128,11 @@
         self._asked_at = float("-inf")
         self._luck = luck
 
+    @property
+    def lifetime(self) -> float:
+        """Seconds after which the statement is forgotten."""
+        return FORGET_SECONDS if self.statement.limit is None else FORGET_LIMIT_SECONDS
+
     def replace(self, statement: Statement) -> None:
         """Replaces the statement by a later one."""
         if self.statement.limit is None:
@@ -239,5 +246,5 @@
         self._limits = {
             run: known
             for run, known in self._limits.items()
-            if now - known.statement.heard_at <= FORGET_SECONDS
+            if now - known.statement.heard_at <= known.lifetime
         }
--- a/wasabidrum/decisions/stated_limits_test.py
+++ b/wasabidrum/decisions/stated_limits_test.py
@@ -7,6 +7,7 @@
 from .stated_limits import (
     BURST_REQUESTS,
     BURST_SECONDS,
+    FORGET_LIMIT_SECONDS,
     FORGET_SECONDS,
     NO_SHARE,
     QUESTION_SECONDS,
@@ -115,8 +116,11 @@
 
     def test_statements_are_forgotten(self) -> None:
         self.limits.record(RUN, 1.0, 0.0)
-        self.assertEqual(len(self.limits.statements(FORGET_SECONDS - 1.0)), 1)
-        self.assertEqual(self.limits.statements(2.0 * FORGET_SECONDS), [])
+        self.assertEqual(len(self.limits.statements(FORGET_LIMIT_SECONDS - 1.0)), 1)
+        now = FORGET_LIMIT_SECONDS
+        self.limits.record(RUN, None, now)
+        self.assertEqual(len(self.limits.statements(now + FORGET_SECONDS - 1.0)), 1)
+        self.assertEqual(self.limits.statements(now + 2.0 * FORGET_SECONDS), [])
         self.assertFalse(self.limits)
 
 
