Red test: every entry asks at once when callers come back

Found while mending what was forgotten in quiet times. What an endpoint in need would see: one request of each entry in the same moment.

Evidence: 36 entries, a limit of 0.3, 200 quiet seconds: 36 requests in a window that allows 6.

--- a/wasabidrum/decisions/stated_limits_test.py
+++ b/wasabidrum/decisions/stated_limits_test.py
@@ -187,6 +187,24 @@
             self.assertLessEqual(excess, 0.0, (count, limit))
             self.assertGreater(len(sent), 0)
 
+    def test_entries_do_not_all_ask_when_callers_come_back(self) -> None:
+        """Guards against questions that have become due at every entry in a quiet time."""
+        count, limit = 36, 0.3
+        rng = random.Random(1)
+        all_limits = [StatedLimits(rng) for _ in range(count)]
+        for limits in all_limits:
+            limits.record(RUN, limit, rng.random())
+        sent = []
+        for step in range(2000, 2400):
+            now = step / 10.0
+            for own, limits in enumerate(all_limits):
+                if limits.seconds_until_room(RUN, "a", make_entries(count, own), now) == 0.0:
+                    limits.record_sent(RUN, now)
+                    limits.record(RUN, limit, now)
+                    sent.append(now)
+        allowed = ALLOWED_FACTOR * WINDOW_SECONDS * limit + ALLOWED_EXTRA
+        self.assertLessEqual(worst_window(sent), allowed)
+
     def test_no_window_exceeds_what_is_allowed(self) -> None:
         """Guards against shares, bursts and questions that add up to too much."""
         for seed in range(12):
