Let entries that reach almost no other only ask at a limited endpoint

What an endpoint in need would see: entries that are cut off from each other each save up one request, and send it in the same moment.

Cause: every side of a partition had a bucket of one request at least, however small its part of the limit; and the questions of entries that hear nothing were spread by the entries within reach, which is one.

Change: a side whose part of the burst is less than a request sends none of the limit. It asks as an entry does that hears nothing, at times drawn anew for each question and spread by the number of all entries.

--- a/wasabidrum/decisions/stated_limits.py
+++ b/wasabidrum/decisions/stated_limits.py
@@ -9,7 +9,7 @@
 send there nothing. A sender spends a bucket that fills at its part of the rate, and starts empty.
 The senders are few enough that their buckets together hold no more than the platform leaves above
 the rate. Entries that cannot be reached may still be sending: their part of the limit is left to
-them.
+them, and entries that reach so few others that their part is less than a request send none of it.
 
 The last statement holds, whoever heard it. Entries exchange statements with their age, so that
 those that send nothing also learn of a change. Where nobody has heard anything for a while, an
@@ -29,7 +29,7 @@
 BURST_REQUESTS = 2.0
 QUESTION_SECONDS = 5.0
 # By this part of QUESTION_SECONDS for each entry, the questions of several entries are spread.
-QUESTION_SPREAD = 0.25
+QUESTION_SPREAD = 1.0
 SHARE_UPDATE_SECONDS = 0.5
 FORGET_SECONDS = 60.0
 # A limit outlasts quiet times; whether it still holds is asked when callers come back.
@@ -95,7 +95,9 @@
         return NO_SHARE
     within_reach = len(entries.reachable) / max(entries.count, len(entries.reachable))
     burst = (BURST_SECONDS * limit + BURST_REQUESTS) * within_reach
-    number = max(1, min(len(entries.reachable), int(burst)))
+    if burst < 1.0:
+        return NO_SHARE
+    number = min(len(entries.reachable), int(burst))
 
     def order(address: HostPort) -> tuple[bool, int, HostPort]:
         digest = zlib.crc32(f"{endpoint_id} {address[0]}:{address[1]}".encode())
@@ -103,7 +105,7 @@
 
     if entries.own not in sorted(entries.reachable, key=order)[:number]:
         return NO_SHARE
-    return Share(limit * within_reach / number, max(1.0, burst / number))
+    return Share(limit * within_reach / number, burst / number)
 
 
 class StatedLimit:
@@ -161,14 +163,20 @@
         if self._balance >= 1.0:
             return 0.0
         missing = (1.0 - self._balance) / share.rate if share.rate else float("inf")
-        return min(missing, self._seconds_until_question(len(entries.reachable), now))
+        number = entries.count or len(entries.reachable)
+        return min(missing, self._seconds_until_question(number, now))
+
+    def record_sent(self, now: float, luck: float) -> None:
+        """Records that a request was sent there.
 
-    def record_sent(self, now: float) -> None:
-        """Records that a request was sent there."""
+        Args:
+          luck: As at the creation, for the next question.
+        """
         if self._balance >= 1.0:
             self._balance -= 1.0
         else:
             self._asked_at = now
+            self._luck = luck
 
     def _seconds_until_question(self, entries: int, now: float) -> float:
         wait = QUESTION_SECONDS * (1.0 + QUESTION_SPREAD * entries * self._luck)
@@ -230,7 +238,7 @@
         """Records that a request was sent to an endpoint."""
         known = self._limits.get(run)
         if known is not None:
-            known.record_sent(now)
+            known.record_sent(now, self._rng.random())
 
     def statements(self, now: float) -> list[tuple[EndpointRun, Statement]]:
         """Returns the latest statements, for the other entries."""
