Ask at a limited endpoint some time after callers began to want it

What an endpoint in need would see: when callers come back after a quiet time, one request of every entry in the same moment.

Cause: a question became due some seconds after the last statement, whether anybody wanted the endpoint or not, so that after a quiet time all were due.

Change: the wait begins when requests begin to find no room there.

--- a/wasabidrum/decisions/stated_limits.py
+++ b/wasabidrum/decisions/stated_limits.py
@@ -13,7 +13,9 @@
 
 The last statement holds, whoever heard it. Entries exchange statements with their age, so that
 those that send nothing also learn of a change. Where nobody has heard anything for a while, an
-entry asks with a single request, because a limit that nobody tests would never end.
+entry whose callers want the endpoint asks with a single request, because a limit that nobody tests
+would never end. It waits from when they began to want it: in a quiet time the questions of all
+entries would become due, and be asked together when callers come back.
 """
 
 import collections.abc
@@ -112,7 +114,7 @@
     """The last statement of one run of an endpoint, and what this entry may send there."""
 
     __slots__ = ("statement", "_share", "_share_until", "_balance", "_updated_at", "_asked_at")
-    __slots__ += ("_luck", "_shared_among")
+    __slots__ += ("_luck", "_shared_among", "_wanted_since", "_wanted_at")
 
     def __init__(self, statement: Statement, luck: float) -> None:
         """Creates the state of an endpoint that has stated a limit.
@@ -128,6 +130,9 @@
         self._balance = 0.0
         self._updated_at = statement.heard_at
         self._asked_at = float("-inf")
+        # Since when, and when last, requests have found no room here.
+        self._wanted_since = float("-inf")
+        self._wanted_at = float("-inf")
         self._luck = luck
 
     @property
@@ -179,8 +184,12 @@
             self._luck = luck
 
     def _seconds_until_question(self, entries: int, now: float) -> float:
+        if now - self._wanted_at > QUESTION_SECONDS:
+            self._wanted_since = now
+        self._wanted_at = now
         wait = QUESTION_SECONDS * (1.0 + QUESTION_SPREAD * entries * self._luck)
-        return max(0.0, max(self.statement.heard_at, self._asked_at) + wait - now)
+        began = max(self.statement.heard_at, self._asked_at, self._wanted_since)
+        return max(0.0, began + wait - now)
 
 
 class StatedLimits:
