Red test: an entry that starts spends what it would have earned before it started

What an endpoint in need sees: entries that start in a row each send one or two requests at once, beyond its limit.

The cause is in how a bucket begins: it is credited from when the statement was heard, by whatever entry, seconds before this one started. The unit test shows it.

--- a/wasabidrum/decisions/stated_limits_test.py
+++ b/wasabidrum/decisions/stated_limits_test.py
@@ -88,6 +88,12 @@
         self.limits.record_sent(RUN, 0.5)
         self.assertAlmostEqual(self.wait(0.5), 0.5)
 
+    def test_entry_that_has_just_started_has_saved_up_nothing(self) -> None:
+        """Guards against an entry that hears of an old statement, and spends what it would have
+        earned before it started."""
+        self.limits.record(RUN, 2.0, 0.0)
+        self.assertAlmostEqual(self.wait(10.0), 0.5)
+
     def test_later_statement_holds(self) -> None:
         """Guards against an older statement of another entry that undoes a later one."""
         self.limits.record(RUN, 2.0, 5.0)
