Begin a bucket when its entry first wants to send

What an endpoint in need saw: entries that start in a row each send one or two requests at once, beyond its limit.

Cause: an entry that learns of a limit from another one credited its bucket from when the statement was heard, seconds before it started itself.

Change: a bucket earns from when its entry first looks for room, after a statement and after a limit that is stated again.

--- a/wasabidrum/decisions/stated_limits.py
+++ b/wasabidrum/decisions/stated_limits.py
@@ -128,7 +128,8 @@
         self._shared_among: tuple[float, Entries] | None = None
         self._share_until = float("-inf")
         self._balance = 0.0
-        self._updated_at = statement.heard_at
+        # None until this entry has first wanted to send: it earns nothing for the time before.
+        self._updated_at: float | None = None
         self._asked_at = float("-inf")
         # Since when, and when last, requests have found no room here.
         self._wanted_since = float("-inf")
@@ -144,7 +145,7 @@
         """Replaces the statement by a later one."""
         if self.statement.limit is None:
             self._balance = 0.0
-            self._updated_at = statement.heard_at
+            self._updated_at = None
         if statement.limit != self.statement.limit:
             self._share_until = float("-inf")
         self.statement = statement
@@ -162,7 +163,8 @@
                 self._shared_among = (limit, entries)
                 self._share = share_of(limit, endpoint_id, data_centre, entries)
         share = self._share
-        earned = share.rate * max(0.0, now - self._updated_at)
+        since = now if self._updated_at is None else self._updated_at
+        earned = share.rate * max(0.0, now - since)
         self._balance = min(share.burst, self._balance + earned)
         self._updated_at = now
         if self._balance >= 1.0:
--- a/wasabidrum/decisions/stated_limits_test.py
+++ b/wasabidrum/decisions/stated_limits_test.py
@@ -106,6 +106,7 @@
 
     def test_nothing_was_saved_up_when_a_limit_is_stated_again(self) -> None:
         self.limits.record(RUN, 1.0, 0.0)
+        self.assertAlmostEqual(self.wait(0.0), 1.0)
         self.assertEqual(self.wait(10.0), 0.0)
         self.limits.record(RUN, None, 11.0)
         self.limits.record(RUN, 1.0, 20.0)
