Name probes, jitter and settling of limits and rosters as the field does

Names only: the single requests that test a limit are probes, their random part is the jitter, and a roster settles.

--- a/wasabidrum/decisions/entry_roster.py
+++ b/wasabidrum/decisions/entry_roster.py
@@ -17,7 +17,7 @@
 # all entries may do together.
 SHARE_EXPIRES_SECONDS = 7200.0
 # Within this time entries that have all started together know each other.
-MEETING_SECONDS = 10.0
+ROSTER_SETTLING_SECONDS = 10.0
 MAX_EXCHANGED_ENTRIES = 32
 
 HostPort = tuple[str, int]
@@ -96,20 +96,20 @@
         """Returns the number of known entries, including this one."""
         return 1 + len(self.known(now))
 
-    def count_to_share(self, now: float, met: bool) -> int | None:
+    def count_to_share(self, now: float, settled: bool) -> int | None:
         """Returns the number of entries that what all may do together is divided by.
 
         Entries that cannot be reached count, because they may still be serving.
 
         Args:
-          met: Whether entries that started together have had the time to meet.
+          settled: Whether entries that started together have had the time to learn of each other.
 
         Returns:
           None while it cannot be known: there are seeds, but no other entry has been heard from,
           or none has heard of all others yet.
         """
         self._forget(now)
-        if self._seeds and not (met and self._known):
+        if self._seeds and not (settled and self._known):
             return None
         return 1 + len(self._known)
 
--- a/wasabidrum/decisions/entry_roster_test.py
+++ b/wasabidrum/decisions/entry_roster_test.py
@@ -44,19 +44,19 @@
             self.roster.record_seen(address, 1.0)
         late = 1.1 + ENTRY_EXPIRES_SECONDS
         self.assertEqual(self.roster.count(late), 1)
-        self.assertEqual(self.roster.count_to_share(late, met=True), 5)
+        self.assertEqual(self.roster.count_to_share(late, settled=True), 5)
         self.assertEqual(len(self.roster.most_recent(late)), 4)
         forgotten = 2.0 + SHARE_EXPIRES_SECONDS
         self.roster.record_seen(others(1)[0], forgotten)
-        self.assertEqual(self.roster.count_to_share(forgotten, met=True), 2)
+        self.assertEqual(self.roster.count_to_share(forgotten, settled=True), 2)
 
     def test_number_of_entries_is_unknown_until_one_was_met(self) -> None:
         """Guards against an entry that has just started and takes itself for the only one."""
-        self.assertIsNone(self.roster.count_to_share(1.0, met=True))
+        self.assertIsNone(self.roster.count_to_share(1.0, settled=True))
         self.roster.record_seen(SEED, 1.0)
-        self.assertIsNone(self.roster.count_to_share(1.0, met=False))
-        self.assertEqual(self.roster.count_to_share(1.0, met=True), 2)
-        self.assertEqual(EntryRoster(OWN, (OWN,)).count_to_share(1.0, met=False), 1)
+        self.assertIsNone(self.roster.count_to_share(1.0, settled=False))
+        self.assertEqual(self.roster.count_to_share(1.0, settled=True), 2)
+        self.assertEqual(EntryRoster(OWN, (OWN,)).count_to_share(1.0, settled=False), 1)
 
     def test_all_entries_are_known_to_all_after_a_few_exchanges(self) -> None:
         """Twelve entries start with one seed each, and exchange with one entry every two seconds.
--- a/wasabidrum/decisions/stated_limits.py
+++ b/wasabidrum/decisions/stated_limits.py
@@ -13,9 +13,9 @@
 
 The last statement holds, whoever heard it. Entries exchange statements with their age, so that
 those that send nothing also learn of a change. Where nobody has heard anything for a while, an
-entry whose callers want the endpoint asks with a single request, because a limit that nobody tests
-would never end. It waits from when they began to want it: in a quiet time the questions of all
-entries would become due, and be asked together when callers come back.
+entry sends a single request as a probe, because a limit that nobody tests would never end. The
+wait for it begins with the first request that finds no room: otherwise the probes of all entries
+would become due in a quiet time, and be sent together when callers come back.
 """
 
 import collections.abc
@@ -29,12 +29,12 @@
 # not heard of a limit or of a new entry yet.
 BURST_SECONDS = 2.0
 BURST_REQUESTS = 2.0
-QUESTION_SECONDS = 5.0
-# By this part of QUESTION_SECONDS for each entry, the questions of several entries are spread.
-QUESTION_SPREAD = 1.0
+PROBE_SECONDS = 5.0
+# The part of PROBE_SECONDS for each entry over which the probes of all entries are spread.
+PROBE_SPREAD = 1.0
 SHARE_UPDATE_SECONDS = 0.5
 FORGET_SECONDS = 60.0
-# A limit outlasts quiet times; whether it still holds is asked when callers come back.
+# A limit outlasts quiet times; a probe tells whether it still holds.
 FORGET_LIMIT_SECONDS = 3600.0
 MAX_EXCHANGED_STATEMENTS = 64
 
@@ -113,14 +113,14 @@
 class StatedLimit:
     """The last statement of one run of an endpoint, and what this entry may send there."""
 
-    __slots__ = ("statement", "_share", "_share_until", "_balance", "_updated_at", "_asked_at")
-    __slots__ += ("_luck", "_shared_among", "_wanted_since", "_wanted_at")
+    __slots__ = ("statement", "_share", "_share_until", "_balance", "_updated_at", "_probed_at")
+    __slots__ += ("_jitter", "_shared_among", "_blocked_since", "_blocked_at")
 
-    def __init__(self, statement: Statement, luck: float) -> None:
+    def __init__(self, statement: Statement, jitter: float) -> None:
         """Creates the state of an endpoint that has stated a limit.
 
         Args:
-          luck: A random number from zero to one, by which entries ask at different times.
+          jitter: A random number from zero to one, which spreads the probes of the entries.
         """
         self.statement = statement
         self._share = NO_SHARE
@@ -130,11 +130,11 @@
         self._balance = 0.0
         # None until this entry has first wanted to send: it earns nothing for the time before.
         self._updated_at: float | None = None
-        self._asked_at = float("-inf")
+        self._probed_at = float("-inf")
         # Since when, and when last, requests have found no room here.
-        self._wanted_since = float("-inf")
-        self._wanted_at = float("-inf")
-        self._luck = luck
+        self._blocked_since = float("-inf")
+        self._blocked_at = float("-inf")
+        self._jitter = jitter
 
     @property
     def lifetime(self) -> float:
@@ -171,26 +171,26 @@
             return 0.0
         missing = (1.0 - self._balance) / share.rate if share.rate else float("inf")
         number = entries.count or len(entries.reachable)
-        return min(missing, self._seconds_until_question(number, now))
+        return min(missing, self._seconds_until_probe(number, now))
 
-    def record_sent(self, now: float, luck: float) -> None:
+    def record_sent(self, now: float, jitter: float) -> None:
         """Records that a request was sent there.
 
         Args:
-          luck: As at the creation, for the next question.
+          jitter: As at the creation, for the next probe.
         """
         if self._balance >= 1.0:
             self._balance -= 1.0
         else:
-            self._asked_at = now
-            self._luck = luck
-
-    def _seconds_until_question(self, entries: int, now: float) -> float:
-        if now - self._wanted_at > QUESTION_SECONDS:
-            self._wanted_since = now
-        self._wanted_at = now
-        wait = QUESTION_SECONDS * (1.0 + QUESTION_SPREAD * entries * self._luck)
-        began = max(self.statement.heard_at, self._asked_at, self._wanted_since)
+            self._probed_at = now
+            self._jitter = jitter
+
+    def _seconds_until_probe(self, entries: int, now: float) -> float:
+        if now - self._blocked_at > PROBE_SECONDS:
+            self._blocked_since = now
+        self._blocked_at = now
+        wait = PROBE_SECONDS * (1.0 + PROBE_SPREAD * entries * self._jitter)
+        began = max(self.statement.heard_at, self._probed_at, self._blocked_since)
         return max(0.0, began + wait - now)
 
 
--- a/wasabidrum/decisions/stated_limits_test.py
+++ b/wasabidrum/decisions/stated_limits_test.py
@@ -10,7 +10,7 @@
     FORGET_LIMIT_SECONDS,
     FORGET_SECONDS,
     NO_SHARE,
-    QUESTION_SECONDS,
+    PROBE_SECONDS,
     Entries,
     StatedLimits,
     share_of,
@@ -117,11 +117,11 @@
         self.limits.record(RUN, 0.0, 0.0)
         now = 0.0
         while self.wait(now) > 0.0:
-            self.assertLess(now, 2.0 * QUESTION_SECONDS)
+            self.assertLess(now, 2.0 * PROBE_SECONDS)
             now += 0.1
-        self.assertGreaterEqual(now, QUESTION_SECONDS)
+        self.assertGreaterEqual(now, PROBE_SECONDS)
         self.limits.record_sent(RUN, now)
-        self.assertGreaterEqual(self.wait(now), QUESTION_SECONDS)
+        self.assertGreaterEqual(self.wait(now), PROBE_SECONDS)
 
     def test_statements_are_forgotten(self) -> None:
         self.limits.record(RUN, 1.0, 0.0)
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -20,7 +20,7 @@
 from ..decisions.configuration_lease import REPLY_TOLERANCE_SECONDS
 from ..decisions.entry_roster import (
     EXCHANGE_INTERVAL_SECONDS,
-    MEETING_SECONDS,
+    ROSTER_SETTLING_SECONDS,
     EntryRoster,
     HostPort,
 )
@@ -98,7 +98,9 @@
         seeds = tuple((seed.host, seed.port) for seed in deployment.seeds)
         self._roster = EntryRoster(self._own_address, seeds)
         # An entry that starts again learns of all others from the first that it meets.
-        self._met_at = boot_seconds() + MEETING_SECONDS if deployment.first_start else 0.0
+        self._settled_at = (
+            boot_seconds() + ROSTER_SETTLING_SECONDS if deployment.first_start else 0.0
+        )
         self._server: server.Server | None = None
         # Set, and replaced by another, at each answer of the store.
         self._evidence = asyncio.Event()
@@ -123,7 +125,7 @@
     def count_to_share(self) -> int | None:
         """See PeerEntries."""
         now = boot_seconds()
-        return self._roster.count_to_share(now, now >= self._met_at)
+        return self._roster.count_to_share(now, now >= self._settled_at)
 
     @property
     def own_address(self) -> HostPort:
