--- a/tests/busy_entry_test.py
+++ b/tests/busy_entry_test.py
@@ -11,14 +11,7 @@
 
 from tornado import iostream
 
-from tests.fake_platform import (
-    HOST,
-    ReceivedRequest,
-    Reply,
-    make_configuration,
-    read_reply,
-    refuse,
-)
+from tests.fake_platform import HOST, ReceivedRequest, Reply, make_configuration, read_reply, refuse
 from tests.gateway_test import GatewayCase
 from wasabidrum.core.request_head import RequestHead
 from wasabidrum.gateway import endpoint_connection
--- a/tests/entry_soak.py
+++ b/tests/entry_soak.py
@@ -20,6 +20,7 @@
 
 from bench.cluster import KEPT_FOLDER_VARIABLE
 from bench.process import ROOT, Process
+from standins.ports import free_ports
 from tests.fake_crashes import (
     FIRST_PART,
     MAX_LATER_ARRIVALS,
@@ -32,7 +33,6 @@
     ReceivedRequest,
     Reply,
     answer_ok,
-    free_ports,
     make_configuration,
     read_reply,
     reset,
--- a/tests/fake_engines.py
+++ b/tests/fake_engines.py
@@ -6,7 +6,9 @@
 import msgspec
 from tornado import httpserver, netutil, web
 
-from tests.fake_platform import FakeStore, free_ports, quiet_log
+from standins.key_value_store import FakeStore
+from standins.ports import free_ports
+from tests.fake_platform import quiet_log
 from wasabidrum.config.deployment import Address, Bounds, Deployment
 from wasabidrum.gateway.daemon import Gateway, make_gateway
 from wasabidrum.platform import names
--- a/tests/partial_store_outage_test.py
+++ b/tests/partial_store_outage_test.py
@@ -11,7 +11,8 @@
 from collections.abc import Iterator
 from unittest import mock
 
-from tests.fake_platform import FakeEndpoint, PlatformFleet, StoreView, kill_gateway, stream_events
+from standins.key_value_store import StoreView
+from tests.fake_platform import FakeEndpoint, PlatformFleet, kill_gateway, stream_events
 from tests.paused_clock import PausedClockCase
 from tests.version_bound_test import MODEL, SERVICE, make_engines_configuration
 from wasabidrum.config.deployment import Bounds
--- a/tests/store_evidence_soak.py
+++ b/tests/store_evidence_soak.py
@@ -15,7 +15,8 @@
 
 import msgspec
 
-from tests.fake_platform import PlatformFleet, StoreView
+from standins.key_value_store import StoreView
+from tests.fake_platform import PlatformFleet
 from tests.paused_clock import PausedClockPolicy
 from tests.version_bound_test import MODEL, SERVICE, make_engines_configuration
 from wasabidrum.config.deployment import Bounds
--- a/tests/weights_retirement_test.py
+++ b/tests/weights_retirement_test.py
@@ -5,8 +5,8 @@
 
 from tornado import httputil
 
+from standins.key_value_store import StoreView
 from tests.fake_engines import LAYERS, PIECES, SERVICE, EngineFleet
-from tests.fake_platform import StoreView
 from tests.paused_clock import PausedClockCase
 from wasabidrum.config.deployment import Bounds
 from wasabidrum.core.request_head import RequestHead
--- a/wasabidrum/platform/store_client_test.py
+++ b/wasabidrum/platform/store_client_test.py
@@ -3,7 +3,7 @@
 import time
 import unittest
 
-from tests.fake_platform import FakeStore
+from standins.key_value_store import FakeStore
 
 from ..config.deployment import Address
 from ..core.errors import CodedError
