Log each request for replaced weights with the limit that its entry believed in

- replaced_weights_asked (2017), never left out, for each request that was sent for weights that a newer version replaces: when it begins, is recalled or ends.
It has the limit then and at the sending, for how long the version has been known, what outages put off, when the head of the response came, and how many bytes of the request the endpoint's instance had not confirmed.
- process_woke_late (3012) also from deployed entries and sidecars.
- old_weights_retired tells what ran and waited at the engine, and how late it was.

Tests: the line is there where routine lines are exhausted, for a request that began and for one that was recalled. No decision changes.

--- a/tests/version_bound_test.py
+++ b/tests/version_bound_test.py
@@ -22,7 +22,10 @@
 from tests.paused_clock import PausedClockCase
 from wasabidrum.config.deployment import Bounds
 from wasabidrum.core import boot_clock
+from wasabidrum.decisions.request_recall import BOUND_MARGIN_SECONDS
 from wasabidrum.gateway import endpoint_connection
+from wasabidrum.observe.event import Event
+from wasabidrum.observe.line_rate_limit import ROUTINE_LINES_PER_SECOND
 from wasabidrum.platform import names
 
 MODEL = "m1"
@@ -271,6 +274,42 @@
         engine.woken.set()
         reply = await asking
         self.assertEqual((self.old.runs["r1"], reply.status), (0, 502))
+        self.assertIn(b"process_woke_late", self.gateway.log.metrics.expose())
+
+
+class LoggedLimitTest(VersionBoundCase):
+    """What the log of an entry tells of a request that was sent for replaced weights."""
+
+    def lines_of(self, request_id: str) -> list[dict]:
+        """Returns the lines of a request that are written however many others there are."""
+        lines = self.gateway.log.buffer.find(request_id)
+        return [line for line in lines if line["event"] == "replaced_weights_asked"]
+
+    async def test_line_of_a_request_that_began_names_the_limit_of_its_entry(self) -> None:
+        """Guards against a log that cannot tell which bound an entry believed in when it sent a
+        request that was answered: lines of answers are left out where there are many."""
+        for _ in range(2 * ROUTINE_LINES_PER_SECOND):
+            self.gateway.log.write(Event.REQUEST_DONE)
+        await self.name_version_and_wait(2)
+        await self.ask("r1")
+        (line,) = self.lines_of("r1")
+        self.assertEqual((line["outcome"], line["weights"], line["version"]), ("begun", 1, 2))
+        self.assertGreater(line["left_at_sending"], BOUND_SECONDS - 0.5)
+        self.assertEqual((line["put_off"], line["unacknowledged"]), (0.0, 0))
+        self.assertLessEqual(line["head"], line["seconds"])
+
+    async def test_line_of_a_request_that_is_recalled_tells_that_its_engine_had_it(self) -> None:
+        """Guards against a log that cannot tell a request that lay at its engine from one that lay
+        on the way there."""
+        self.old.handler = StartsWhenWoken()
+        asking = self.ask("r1")
+        await self.fleet.wait_until(lambda: bool(self.old.received))
+        await self.name_version_and_wait(2)
+        await asking
+        (line,) = self.lines_of("r1")
+        self.assertEqual((line["outcome"], line["head"]), ("weights_overdue", None))
+        self.assertEqual((line["left_at_sending"], line["unacknowledged"]), (None, 0))
+        self.assertAlmostEqual(line["left"], BOUND_MARGIN_SECONDS, delta=0.2)
 
 
 class SuspendedEntryTest(VersionBoundCase):
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -94,6 +94,23 @@
     unnamed_ago: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BeginLimit:
+    """Until when requests may begin on weights that a newer version replaces.
+
+    Attributes:
+      version: The newer version whose bound ends first.
+      seconds: The seconds left until its bound; negative once that has passed.
+      known_for: The seconds since some process had certainly learned of that version.
+      put_off: By how many seconds outages of the store have delayed the bound.
+    """
+
+    version: int
+    seconds: float
+    known_for: float
+    put_off: float
+
+
 class VersionFloor:
     """The versions named for one model."""
 
@@ -180,6 +197,23 @@
         over = max((limit.version for limit in limits if limit.seconds <= 0.0), default=0)
         return [limit for limit in limits if limit.version >= over]
 
+    def begin_limit(self, weights: int, now: float, *outages: Outage) -> BeginLimit | None:
+        """Returns until when requests may begin on a version; None while none is newer."""
+        limits = [
+            (named.enforced_from(self._bound, *outages), named)
+            for named in self._named
+            if named.version > weights
+        ]
+        if not limits:
+            return None
+        enforced_from, named = min(limits, key=lambda limit: limit[0])
+        return BeginLimit(
+            named.version,
+            enforced_from - now,
+            max(0.0, now - named.before),
+            max(0.0, enforced_from - named.enforced_from(self._bound)),
+        )
+
     def oldest_to_begin(self, now: float, *outages: Outage) -> int:
         """Returns the oldest version on which a request that was already sent may begin."""
         return self._oldest(now + BOUND_MARGIN_SECONDS, outages)
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -13,6 +13,8 @@
 from ..core.route import RouteKind
 from ..decisions.attempt_rule import AttemptEnd
 from ..decisions.request_recall import RecallReason
+from ..decisions.version_floor import BeginLimit
+from ..observe.event import Event
 from ..platform import heads
 from . import endpoint_connection
 from .call import Call, StreamProgress
@@ -69,6 +71,10 @@
         "_recall_reason",
         "_reserve",
         "_last_activity_at",
+        "_sent_at",
+        "_head_at",
+        "_limit_at_sending",
+        "_limit_logged",
         "number",
         "started_at",
     )
@@ -94,6 +100,11 @@
         self._recall_reason: RecallReason | None = None
         self._reserve = reserve
         self._may_send = may_send
+        # Both by the event loop's clock; None before.
+        self._sent_at: float | None = None
+        self._head_at: float | None = None
+        self._limit_at_sending: BeginLimit | None = None
+        self._limit_logged = False
         self.number = number
         self.started_at = self._last_activity_at = asyncio.get_running_loop().time()
 
@@ -141,6 +152,7 @@
     def recall(self, reason: RecallReason) -> None:
         """Withdraws the request from its endpoint; see AttemptsInProgress."""
         self._recall_reason = reason
+        self._log_limit(reason.value)
         if self._connection is not None:
             self._connection.abort()
 
@@ -170,6 +182,8 @@
             self._gateway.placer.record_inconclusive_end(placement)
             raise
         finally:
+            if not self._first_event_received:
+                self._log_limit("ended")
             self._gateway.attempts.discard(self)
             placement.load.record_ended(prompt, self._first_event_received)
             if self._connection is not None:
@@ -198,7 +212,8 @@
             placement.weights,
             None,
         )
-        sent_at = asyncio.get_running_loop().time()
+        sent_at = self._sent_at = asyncio.get_running_loop().time()
+        self._limit_at_sending = self._begin_limit()
         connection.send(call.head.method, call.head.target, headers, call.body)
         head = await self._read_reply_head(connection)
         if call.route.kind is RouteKind.STREAM and head.success:
@@ -228,6 +243,7 @@
         if part.kind is not PartKind.HEAD:
             raise AttemptError(AttemptEnd.LOST, "answer_lost")
         head = part.head
+        self._head_at = asyncio.get_running_loop().time()
         self._record_stated_limit(head)
         if head.not_executed and not head.success:
             raise AttemptError(AttemptEnd.REFUSED, f"refused_{head.status}")
@@ -293,6 +309,7 @@
         loop = asyncio.get_running_loop()
         if not self._first_event_received:
             self._first_event_received = True
+            self._log_limit("begun")
             prompt = self._call.head.prompt_tokens
             seconds = loop.time() - self.started_at
             self._gateway.placer.record_first_event(self._placement, prompt, seconds)
@@ -302,3 +319,37 @@
             await self._exchange.start_stream(head)
         self._last_activity_at = self._progress.last_event_at = loop.time()
         self._placement.load.record_progress(self._last_activity_at)
+
+    def _begin_limit(self) -> BeginLimit | None:
+        placement = self._placement
+        if not placement.weights:
+            return None
+        return self._gateway.state.begin_limit(placement.endpoint.model, placement.weights)
+
+    def _log_limit(self, outcome: str) -> None:
+        """Logs once what became of a request that was sent for weights that were replaced.
+
+        Args:
+          outcome: "begun", "ended" without having begun, or why it is recalled.
+        """
+        limit = self._begin_limit()
+        if self._sent_at is None or self._limit_logged or limit is None:
+            return
+        self._limit_logged = True
+        sent = self._limit_at_sending
+        now = asyncio.get_running_loop().time()
+        self._gateway.log.write(
+            Event.REPLACED_WEIGHTS_ASKED,
+            request=self._call.head.request_id,
+            endpoint=self._placement.endpoint.id,
+            weights=self._placement.weights,
+            version=limit.version,
+            outcome=outcome,
+            seconds=round(now - self._sent_at, 3),
+            head=None if self._head_at is None else round(self._head_at - self._sent_at, 3),
+            left=round(limit.seconds, 3),
+            left_at_sending=None if sent is None else round(sent.seconds, 3),
+            known_for=round(limit.known_for, 3),
+            put_off=round(limit.put_off, 3),
+            unacknowledged=self._connection.unacknowledged_bytes,
+        )
--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -9,6 +9,8 @@
 
 from ..core.boot_clock import boot_seconds
 from ..decisions.request_recall import PlacedRequest, RecallReason, recall_reason
+from ..observe.event import Event
+from ..observe.event_log import EventLog
 from .placement import Placement, Placer
 from .published_state import PublishedState
 
@@ -61,8 +63,11 @@
     """
 
     __slots__ = ("_state", "_placer", "_drain_seconds", "_attempts", "_checked_at", "_retired_at")
+    __slots__ += ("_log",)
 
-    def __init__(self, state: PublishedState, placer: Placer, drain_seconds: float) -> None:
+    def __init__(
+        self, state: PublishedState, placer: Placer, drain_seconds: float, log: EventLog
+    ) -> None:
         """Initializes the set.
 
         Args:
@@ -72,6 +77,7 @@
         self._state = state
         self._placer = placer
         self._drain_seconds = drain_seconds
+        self._log = log
         # Ordered by the time of sending, so that the request that has waited longest is the first
         # to get a place elsewhere.
         self._attempts: dict[AttemptInProgress, None] = {}
@@ -102,9 +108,10 @@
     def check(self) -> None:
         """Recalls requests that must not begin any more, or that another endpoint can take."""
         now = boot_seconds()
-        loop_delayed = (
-            now - self._checked_at > CHECK_INTERVAL_SECONDS + LOOP_DELAY_TOLERANCE_SECONDS
-        )
+        delay = now - self._checked_at - CHECK_INTERVAL_SECONDS
+        loop_delayed = delay > LOOP_DELAY_TOLERANCE_SECONDS
+        if loop_delayed and self._checked_at > float("-inf"):
+            self._log.write(Event.PROCESS_WOKE_LATE, seconds=round(delay, 3))
         self._checked_at = now
         self._update_retired(now)
         for attempt in list(self._attempts):
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -110,7 +110,7 @@
             limits,
             deployment.first_start and not self.peers.has_seeds,
         )
-        self.attempts = AttemptsInProgress(self.state, self.placer, deployment.bounds.drain)
+        self.attempts = AttemptsInProgress(self.state, self.placer, deployment.bounds.drain, log)
         self._load_watcher = LoadWatcher(
             deployment,
             self.state,
--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -4,8 +4,10 @@
 import collections
 import dataclasses
 import enum
+import fcntl
 import socket
 import struct
+import termios
 
 from tornado import http1connection, httputil, iostream
 
@@ -99,6 +101,18 @@
             self._room_waiter = None
         return part
 
+    @property
+    def unacknowledged_bytes(self) -> int | None:
+        """Sent bytes that the endpoint's instance has not confirmed; None where unknown.
+
+        Those confirmed may still be unread there.
+        """
+        try:
+            count = fcntl.ioctl(self._stream.socket, termios.TIOCOUTQ, b"\0" * 4)
+        except (OSError, ValueError, AttributeError):
+            return None
+        return struct.unpack("i", count)[0]
+
     def abort(self) -> None:
         """Resets the connection; the reader of the reply gets a BROKEN part."""
         if self._ended:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -13,7 +13,7 @@
 from ..decisions.endpoint_registry import EndpointRegistry
 from ..decisions.route_table import RouteTable
 from ..decisions.store_outage import StoreOutages
-from ..decisions.version_floor import VersionFloor
+from ..decisions.version_floor import BeginLimit, VersionFloor
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..platform import published_records
@@ -159,6 +159,13 @@
             return True
         return weights >= floor.oldest_to_begin(boot_seconds(), *self.outages.known)
 
+    def begin_limit(self, model: str, weights: int) -> BeginLimit | None:
+        """Returns until when requests may begin on a version; None while none is newer."""
+        floor = self._version_floors.get(model)
+        if floor is None:
+            return None
+        return floor.begin_limit(weights, boot_seconds(), *self.outages.known)
+
     def record_reported_version(
         self, model: str, version: int, seconds: float, unnamed_at: float = float("-inf")
     ) -> None:
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -33,6 +33,7 @@
     PART_CLEARED = 2014
     PART_TESTED = 2015
     PART_TEST_INCONCLUSIVE = 2016
+    REPLACED_WEIGHTS_ASKED = 2017
 
     # 3000: weights.
     VERSION_WANTED = 3001
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -36,6 +36,8 @@
 MAX_VERIFY_SECONDS = 2.0
 # Interval at which the choice of the version to stage is reconsidered.
 CHOICE_SECONDS = 0.25
+# A later run of a periodic task shows that the process was suspended or had no processor.
+MAX_PAUSE_SECONDS = 0.3
 # The version being staged, and the one that was set aside for it.
 MAX_STAGED_VERSIONS = 2
 
@@ -148,8 +150,13 @@
         An engine with a single layer serves no requests. It rejects those for the old weights that
         are still in flight, whatever holds them up on their way.
         """
+        checked_at = boot_seconds()
         while True:
             await asyncio.sleep(REPORT_SECONDS)
+            paused = boot_seconds() - checked_at - REPORT_SECONDS
+            checked_at = boot_seconds()
+            if paused > MAX_PAUSE_SECONDS:
+                self._log.write(Event.PROCESS_WOKE_LATE, seconds=round(paused, 3))
             report = self.report
             if report is None or report.busy or not report.weights or not self._listed.ready:
                 continue
@@ -326,6 +333,8 @@
             layer=layer,
             accepted=accepted,
             running=report.running,
+            queued=report.queued,
+            replaced_for=round(self._listed.replaced_for(report.weights), 3),
         )
 
     def _set_switching(self, switching: bool) -> None:
