--- a/standins/key_value_store.py
+++ b/standins/key_value_store.py
@@ -10,6 +10,8 @@
 from wasabidrum.platform import names
 
 HOST = "127.0.0.1"
+# Where the stand-ins of endpoints write their entries; no part of the platform's protocol.
+ITEM_PATH = "/stand-in/item"
 
 
 class StoreHandler(web.RequestHandler):
@@ -41,6 +43,14 @@
         events = await store.wait(prefix, after, seconds)
         self.write({"events": events, "asOf": store.revision})
 
+    async def put(self) -> None:
+        """Writes the entry of an endpoint, unless it is the same as before."""
+        store = self.store
+        if store.fault:
+            self.set_status(503)
+            return
+        await store.renew(self.get_query_argument("key"), self.request.body)
+
 
 class FakeStore:
     """An in-memory store that tests write to."""
@@ -54,6 +64,8 @@
         self.fault = ""
         self.calls = 0
         self.reads: collections.Counter[str] = collections.Counter()
+        # When each entry of an endpoint was last renewed, by the event loop's clock.
+        self._renewed_at: dict[str, float] = {}
         self.port = 0
         self._changed = asyncio.Condition()
         self._server: httpserver.HTTPServer | None = None
@@ -86,6 +98,20 @@
         self.items.pop(key, None)
         await self._tell({"key": key, "revision": self.revision, "deleted": True})
 
+    async def renew(self, key: str, content: bytes) -> None:
+        """Writes an item that expires; one that is the same as before is kept as it is."""
+        self._renewed_at[key] = asyncio.get_running_loop().time()
+        known = self.items.get(key)
+        if known is None or known["value"] != base64.b64encode(content).decode():
+            await self.put(key, content)
+
+    async def expire(self, seconds: float) -> None:
+        """Removes the items that were not renewed for some time."""
+        oldest = asyncio.get_running_loop().time() - seconds
+        for key in [key for key, at in self._renewed_at.items() if at < oldest]:
+            del self._renewed_at[key]
+            await self.delete(key)
+
     def page(self, prefix: str, after: str) -> dict:
         """Returns one page of a range read."""
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
