--- a/bench/real_processes.py
+++ b/bench/real_processes.py
@@ -58,6 +58,7 @@
 
     Attributes:
       played: What was done, and when.
+      origin: Where sidecars and entries fetch weights.
     """
 
     def __init__(
@@ -74,12 +75,12 @@
         self._folder = folder
         self._counts = entries, engines
         self._store = FakeStore()
-        self._bounds = bounds or Bounds()
-        self._judge = VersionJudge(self._bounds.version, self._bounds.settling)
-        self._origin = WeightsOrigin(MODEL, PIECES, PIECE_BYTES, make_limiter_mbit(ORIGIN_MBIT))
+        self.bounds = bounds or Bounds()
+        self._judge = VersionJudge(self.bounds.version, self.bounds.settling)
+        self.origin = WeightsOrigin(MODEL, PIECES, PIECE_BYTES, make_limiter_mbit(ORIGIN_MBIT))
         self._origin_server: httpserver.HTTPServer | None = None
         self._first_port = free_ports(PORTS_OF_ONE)
-        self.fleet = DeployedFleet(self._store, folder, self._first_port, self._bounds, root)
+        self.fleet = DeployedFleet(self._store, folder, self._first_port, self.bounds, root)
         self._callers = Callers(self.fleet, self._rng_of("callers"), per_second)
         self._per_second = per_second
         # Daemons that a series has taken, so that no other one signals them meanwhile.
@@ -96,37 +97,33 @@
         with open(self._folder / "played.log", "a", encoding="utf-8") as log:
             log.write(self.played[-1] + "\n")
 
-    async def play(
-        self,
-        seconds: float,
-        series: collections.abc.Sequence[collections.abc.Callable] = (),
-    ) -> dict[str, object]:
-        """Runs the schedule; returns what was seen.
-
-        Args:
-          series: What is played beside the callers; everything if empty.
-        """
+    async def play(self, series: collections.abc.Callable) -> dict[str, object]:
+        """Runs callers beside a coroutine until that has ended; returns what was seen."""
         try:
             await self._start()
             running = [self._callers.run(), self._expire_entries()]
             tasks = [asyncio.ensure_future(each) for each in running]
             await asyncio.sleep(MEETING_SECONDS)
-            chosen = series or self.all_series()
-            playing = [asyncio.ensure_future(play()) for play in chosen]
-            done, _ = await asyncio.wait(
-                playing, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION
-            )
-            for task in done:
-                task.result()
-            for task in (*playing, *tasks):
+            await series()
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(*playing, *tasks, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
             await self._callers.stop()
         finally:
             await self._stop()
         return self._figures()
 
-    def all_series(self) -> list[collections.abc.Callable]:
+    async def play_all(self, seconds: float) -> None:
+        """Plays all series beside each other for some time."""
+        playing = [asyncio.ensure_future(play()) for play in self._all_series()]
+        done, _ = await asyncio.wait(playing, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION)
+        for task in playing:
+            task.cancel()
+        await asyncio.gather(*playing, return_exceptions=True)
+        for task in done:
+            task.result()
+
+    def _all_series(self) -> list[collections.abc.Callable]:
         """Returns the series of a whole run."""
         series = [self._play_namings, self._play_entries, self._play_entries]
         series += [self._play_instances, self._play_instances, self._play_cuts, self._play_load]
@@ -138,7 +135,7 @@
     async def _start(self) -> None:
         entries, engines = self._counts
         await self._store.start()
-        routes = [(r"/.*", OriginHandler, {"origin": self._origin})]
+        routes = [(r"/.*", OriginHandler, {"origin": self.origin})]
         application = web.Application(routes, log_function=lambda handler: None)
         self._origin_server = httpserver.HTTPServer(application)
         sockets = netutil.bind_sockets(0, HOST)
@@ -168,7 +165,7 @@
     async def name_version(self) -> None:
         """Names the next version, as an operator does."""
         self._version += 1
-        self._origin.newest = self._version
+        self.origin.newest = self._version
         value = {"model": MODEL, "version": self._version}
         await self._store.put(names.VERSION_PREFIX + MODEL, value)
         self._judge.acknowledged[self._version] = time.time()
@@ -404,7 +401,7 @@
         else:
             folder = stack.enter_context(tempfile.TemporaryDirectory())
         run = RealProcesses(seed, entries, engines, per_second, pathlib.Path(folder), root)
-        figures = await run.play(seconds)
+        figures = await run.play(lambda: run.play_all(seconds))
         (pathlib.Path(folder) / "figures.json").write_text(json.dumps(figures, indent=1))
         return figures
 
