Ask no closed connection for its unacknowledged bytes

The line of a request for replaced weights ended the supervision of all requests where the connection had been reset in the same moment: a closed stream has no socket, and ioctl raises TypeError. Found by recall_race_test's ResetTest, red on, green now.

--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -107,9 +107,11 @@
 
         Those confirmed may still be unread there.
         """
+        if self._stream.closed():
+            return None
         try:
-            count = fcntl.ioctl(self._stream.socket, termios.TIOCOUTQ, b"\0" * 4)
-        except (OSError, ValueError, AttributeError):
+            count = fcntl.ioctl(self._stream.socket, termios.TIOCOUTQ, bytes(4))
+        except OSError:
             return None
         return struct.unpack("i", count)[0]
 
