Send an engine the body of a request once it has asked for it

What callers saw: text from weights that operators had replaced, of requests that lay in the socket of a suspended engine. Their entry had recalled them seconds before.

Cause: a recall is a reset, and a process that wakes is given the bytes of a request before the reset that follows them. Whatever was sent to a process that stands still is run when it wakes, however long ago it was taken back. The class: what was sent can't be recalled, so what may have to be recalled must not be sent to one that may not be there.

Mend: a request for an engine is announced by its head (Expect: 100-continue, HTTP/1.1); the body goes out when the engine's process asks for it. Until then the engine cannot run it, a recall is certain, and the caller is told that it has not run (503 instead of 502). The bound is checked again before the body goes. An endpoint that is not known to ask gets the body after 0.1 s, and at once from then on if it answers without having asked.

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -32,13 +32,17 @@
     body: bytes
 
 
-async def read_request(reader: asyncio.StreamReader) -> ReceivedRequest:
-    """Reads a request."""
+async def read_request(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter | None = None
+) -> ReceivedRequest:
+    """Reads a request; asks for its body, if that is held back and a writer is given."""
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode().split("\r\n")
     method, target, _ = lines[0].split(" ")
     pairs = (line.split(": ", 1) for line in lines[1:] if line)
     headers = {name.lower(): value for name, value in pairs}
+    if writer is not None and headers.pop("expect", "") == "100-continue":
+        writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     return ReceivedRequest(method, target, headers, body)
 
@@ -90,7 +94,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
-            request = await read_request(reader)
+            request = await read_request(reader, writer)
             self.received.append(request)
             working = asyncio.ensure_future(self.handler(self, request, writer))
             leaving = asyncio.ensure_future(reader.read(1))
--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -39,6 +39,8 @@
       failures: Recent failure rate there.
       lateness: How much later than forecast requests have recently started there.
       run_seconds: Average time for a request of a plain service.
+      asks_for_body: Whether it asks for the body of a request whose head announces one (100
+        Continue); None while that is not known.
     """
 
     __slots__ = ("health", "own_requests", "unread_tokens", "failures", "run_seconds", "lateness")
@@ -50,7 +52,7 @@
         "_queued",
         "_unreported_sends",
     )
-    __slots__ += ("_silent_since",)
+    __slots__ += ("_silent_since", "asks_for_body")
 
     def __init__(self, rng: random.Random) -> None:
         self.health = EndpointHealth(rng)
@@ -61,6 +63,7 @@
         # Time from which silence counts while this entry has requests there.
         self._silent_since = 0.0
         self.run_seconds = INITIAL_RUN_SECONDS
+        self.asks_for_body: bool | None = None
         self._other_requests = 0.0
         self._queued = 0
         self._pace = 1.0
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -31,6 +31,8 @@
 # A connection within the fleet opens in a few milliseconds. An instance that does not answer
 # within this time is unreachable, and another one can still answer before the deadline.
 CONNECT_TIMEOUT_SECONDS = 0.25
+# An endpoint asks for the body within milliseconds if it ever does so.
+BODY_REQUEST_TIMEOUT_SECONDS = 0.1
 
 
 class AttemptError(Exception):
@@ -202,6 +204,9 @@
             raise AttemptError(AttemptEnd.NOT_SENT, self._recall_reason.value)
         if not self._may_send():
             raise AttemptError(AttemptEnd.NOT_SENT, BLOCKED_CODE)
+        # A process that is suspended reads on waking what lies in its socket, and only then learns
+        # that the request was recalled. So it gets the body only when it has asked for it.
+        held = bool(placement.weights and call.body) and placement.load.asks_for_body is not False
         headers = heads.write_forwarded(
             call.head,
             placement.endpoint,
@@ -211,11 +216,15 @@
             self._progress.last_event_id,
             placement.weights,
             None,
+            held,
         )
-        sent_at = self._sent_at = asyncio.get_running_loop().time()
-        self._limit_at_sending = self._begin_limit()
-        connection.send(call.head.method, call.head.target, headers, call.body)
-        head = await self._read_reply_head(connection)
+        connection.send(call.head.method, call.head.target, headers, call.body, held)
+        sent_at = asyncio.get_running_loop().time()
+        if held:
+            head = await self._send_held_body(connection)
+        else:
+            self._record_sent()
+            head = self._read_reply_head(await self._next_part(connection))
         if call.route.kind is RouteKind.STREAM and head.success:
             await self._relay_stream(connection, head)
             return
@@ -227,6 +236,60 @@
             raise AttemptError(AttemptEnd.LOST, "not_a_stream")
         self._exchange.send_reply(reply, endpoint=placement.endpoint.id, attempts=self.number)
 
+    async def _send_held_body(self, connection: EndpointConnection) -> ReplyHead:
+        """Sends the body once the endpoint asks for it, or if it is not known to ask.
+
+        Returns:
+          The head of the reply, which an endpoint may also send instead of asking.
+
+        Raises:
+          AttemptError: There was no reply that can be passed on.
+        """
+        load = self._placement.load
+        part = await self._wait_for_body_request(connection)
+        if part is not None and part.kind is not PartKind.CONTINUE:
+            return self._read_reply_head(part)
+        if not self._gateway.attempts.may_begin(self._placement):
+            raise AttemptError(AttemptEnd.NOT_SENT, RecallReason.WEIGHTS_OVERDUE.value)
+        self._record_sent()
+        connection.send_held_body()
+        first = await self._next_part(connection)
+        if part is not None:
+            load.asks_for_body = True
+        elif first.kind is PartKind.CONTINUE:
+            load.asks_for_body = True
+            first = await self._next_part(connection)
+        elif first.kind is PartKind.HEAD:
+            load.asks_for_body = False
+        return self._read_reply_head(first)
+
+    async def _wait_for_body_request(self, connection: EndpointConnection) -> Part | None:
+        """Returns what the endpoint sends before it has the body; None if it need not ask for it.
+
+        Raises:
+          AttemptError: It did not ask for the body, so that it has not run the request.
+        """
+        asks = self._placement.load.asks_for_body
+        waits = self._call.seconds_left
+        if not asks:
+            waits = min(waits, BODY_REQUEST_TIMEOUT_SECONDS)
+        try:
+            part = await waiting.wait_for(connection.next_part(), max(0.001, waits))
+        except TimeoutError as error:
+            if asks:
+                raise AttemptError(AttemptEnd.NOT_SENT, "timeout") from error
+            return None
+        if part.kind is PartKind.BROKEN:
+            reason = self._recall_reason
+            code = "endpoint_unreachable" if reason is None else reason.value
+            raise AttemptError(AttemptEnd.NOT_SENT, code)
+        return part
+
+    def _record_sent(self) -> None:
+        """Records that the endpoint has, or is about to have, all that it needs to begin."""
+        self._sent_at = asyncio.get_running_loop().time()
+        self._limit_at_sending = self._begin_limit()
+
     async def _next_part(self, connection: EndpointConnection) -> Part:
         try:
             part = await waiting.wait_for(
@@ -238,8 +301,7 @@
             raise AttemptError(AttemptEnd.LOST, self._recall_reason.value)
         return part
 
-    async def _read_reply_head(self, connection: EndpointConnection) -> ReplyHead:
-        part = await self._next_part(connection)
+    def _read_reply_head(self, part: Part) -> ReplyHead:
         if part.kind is not PartKind.HEAD:
             raise AttemptError(AttemptEnd.LOST, "answer_lost")
         head = part.head
--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -29,9 +29,11 @@
 class PartKind(enum.Enum):
     """The kind of a part of a reply.
 
-    BROKEN means that the connection ended before the reply was complete.
+    CONTINUE asks for the body of the request. BROKEN means that the connection ended before the
+    reply was complete.
     """
 
+    CONTINUE = "continue"
     HEAD = "head"
     BODY = "body"
     END = "end"
@@ -67,14 +69,27 @@
         self._room_waiter: asyncio.Future[None] | None = None
         self._buffered_bytes = 0
         self._read_task: asyncio.Future | None = None
+        self._request: http1connection.HTTP1Connection | None = None
+        self._held_body = b""
         # Whether the reply has no length, so that only the end of the connection ends it.
         self._ends_with_connection = False
         self._ended = False
         self.sent = False
         self.body_started = False
 
-    def send(self, method: str, target: str, headers: httputil.HTTPHeaders, body: bytes) -> None:
-        """Sends the request and starts to read the reply."""
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: httputil.HTTPHeaders,
+        body: bytes,
+        hold_body: bool = False,
+    ) -> None:
+        """Sends the request and starts to read the reply.
+
+        Args:
+          hold_body: Whether only the head is sent; the body follows with send_held_body.
+        """
         params = http1connection.HTTP1ConnectionParameters(
             no_keep_alive=True,
             max_header_size=MAX_HEAD_BYTES,
@@ -83,11 +98,21 @@
         connection = http1connection.HTTP1Connection(self._stream, True, params)
         self.sent = True
         start = httputil.RequestStartLine(method, target, "")
-        connection.write_headers(start, headers, body)
-        connection.finish()
+        if hold_body:
+            self._request, self._held_body = connection, body
+            connection.write_headers(start, headers)
+        else:
+            connection.write_headers(start, headers, body)
+            connection.finish()
         self._read_task = asyncio.ensure_future(connection.read_response(self))
         self._read_task.add_done_callback(self._on_read_done)
 
+    def send_held_body(self) -> None:
+        """Sends the body that was held back; without it the endpoint cannot run the request."""
+        if not self._stream.closed():
+            self._request.write(self._held_body)
+            self._request.finish()
+
     async def next_part(self) -> Part:
         """Returns the next part of the reply; must not be called after END or BROKEN."""
         while not self._parts:
@@ -154,6 +179,8 @@
     ) -> None:
         """Handles the reply's head; see HTTPMessageDelegate."""
         if start_line.code < 200:
+            if start_line.code == 100:
+                self._append(Part(PartKind.CONTINUE))
             return
         self._ends_with_connection = (
             "Content-Length" not in headers and "Transfer-Encoding" not in headers
--- a/wasabidrum/platform/heads.py
+++ b/wasabidrum/platform/heads.py
@@ -95,6 +95,7 @@
     last_event: str,
     weights: int,
     priority: int | None,
+    body_held: bool = False,
 ) -> httputil.HTTPHeaders:
     """Returns the headers of a request to forward to an endpoint.
 
@@ -102,6 +103,7 @@
       workspace: The workspace of the caller's key; empty where the route needs no key.
       weights: The version that must answer; zero where any may.
       priority: The priority for the engine's queue, lower first; None for the default.
+      body_held: Whether the body is sent only once the endpoint asks for it.
     """
     dropped = CONNECTION_HEADERS | NOT_COPIED_HEADERS | hop_by_hop_names(head.headers)
     forwarded = httputil.HTTPHeaders()
@@ -113,6 +115,8 @@
     forwarded[names.DEADLINE] = str(max(1, int(seconds_left * 1000)))
     forwarded[names.EXPECT_INSTANCE] = endpoint.id
     forwarded["Connection"] = "close"
+    if body_held:
+        forwarded["Expect"] = "100-continue"
     if workspace:
         forwarded[names.TENANT] = workspace
     if weights:
