Give engines a deadline that ends before the bound of a request's weights

What callers saw: text from replaced weights of requests that a suspended engine had read and not begun. It woke after the bound; the pass in which it woke ended with tokens for all.

Cause: the bound was kept by the entry, which recalls, and by the sidecar, which has the engine give old weights up. The one is heard after the pass, the other sleeps as well. Only what the engine has with the request can stop it: its deadline, which was the caller's.

Mend: where the answer is forecast to end before the bound (a quarter longer than forecast, by the engine's load and the most tokens it may have), the deadline that is sent along ends 0.2 s before the bound; also while no newer version is known, as one may be named at any moment. An engine that stops there has not crashed: no suspicion, no ejection.

--- a/bench/deployed_callers.py
+++ b/bench/deployed_callers.py
@@ -16,7 +16,7 @@
 PATIENCE_SECONDS = 3.2
 CONNECT_SECONDS = 1.0
 MAX_KEPT = 40
-# Sheets of the platform's users: tokens of the prompt, and of the longest answer.
+# As the sheets of the platform's users have them; the last one is longer.
 KINDS = ((1330, 100), (827, 100), (647, 70), (900, 240))
 
 
@@ -25,6 +25,7 @@
 
     Attributes:
       per_second: New requests a second.
+      kinds: Tokens of the prompt, and of the longest answer, of each kind of request.
       sent: The entry and the time of each request, by id.
       outcomes: How many requests ended how.
     """
@@ -33,6 +34,7 @@
         self._fleet = fleet
         self._rng = rng
         self.per_second = per_second
+        self.kinds = KINDS
         self.sent: dict[str, tuple[str, float]] = {}
         self.outcomes: collections.Counter[str] = collections.Counter()
         self._kept: dict[str, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {}
@@ -59,7 +61,7 @@
             return
         entry = self._rng.choice(running)
         name = f"{len(self.sent):08x}"
-        prompt, total = self._rng.choice(KINDS)
+        prompt, total = self._rng.choice(self.kinds)
         writer = None
         try:
             reader, writer = await self._connect(entry)
--- a/bench/real_processes.py
+++ b/bench/real_processes.py
@@ -59,6 +59,7 @@
     Attributes:
       played: What was done, and when.
       origin: Where sidecars and entries fetch weights.
+      callers: Who asks for text.
     """
 
     def __init__(
@@ -81,7 +82,7 @@
         self._origin_server: httpserver.HTTPServer | None = None
         self._first_port = free_ports(PORTS_OF_ONE)
         self.fleet = DeployedFleet(self._store, folder, self._first_port, self.bounds, root)
-        self._callers = Callers(self.fleet, self._rng_of("callers"), per_second)
+        self.callers = Callers(self.fleet, self._rng_of("callers"), per_second)
         self._per_second = per_second
         # Daemons that a series has taken, so that no other one signals them meanwhile.
         self._taken: set[Daemon] = set()
@@ -101,14 +102,14 @@
         """Runs callers beside a coroutine until that has ended; returns what was seen."""
         try:
             await self._start()
-            running = [self._callers.run(), self._expire_entries()]
+            running = [self.callers.run(), self._expire_entries()]
             tasks = [asyncio.ensure_future(each) for each in running]
             await asyncio.sleep(MEETING_SECONDS)
             await series()
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-            await self._callers.stop()
+            await self.callers.stop()
         finally:
             await self._stop()
         return self._figures()
@@ -299,14 +300,14 @@
         while True:
             await asyncio.sleep(rng.uniform(3.0, 10.0))
             factor = rng.choice((0.5, 1.0, 1.0, 1.6, 2.2))
-            self._callers.per_second = factor * self._per_second
+            self.callers.per_second = factor * self._per_second
             self.record(f"load times {factor}")
 
     def _first_tokens(self) -> list[FirstToken]:
         tokens = []
         for instance in self.fleet.instances:
             for line in instance.engine.lines("began"):
-                entry, sent_at = self._callers.sent[line["request"]]
+                entry, sent_at = self.callers.sent[line["request"]]
                 tokens.append(
                     FirstToken(
                         line["request"],
@@ -330,7 +331,7 @@
             "loaded_wrong": wrong,
             "first_tokens": len(tokens),
             "versions": self._version,
-            "outcomes": dict(self._callers.outcomes),
+            "outcomes": dict(self.callers.outcomes),
         }
 
     def _describe(self, late: LateToken) -> dict[str, object]:
--- a/tests/real_processes_test.py
+++ b/tests/real_processes_test.py
@@ -5,6 +5,7 @@
 import tempfile
 import unittest
 
+from bench.deployed_callers import KINDS
 from bench.real_processes import RealProcesses
 from standins.rate_limiter import make_limiter_mbit
 
@@ -19,17 +20,21 @@
 class SuspendedInstanceTest(unittest.IsolatedAsyncioTestCase):
     """Instances that are suspended around a naming until its bound has passed."""
 
-    async def play(self, *suspended_at: float) -> list[dict[str, object]]:
+    async def play(
+        self, *suspended_at: float, kinds: tuple[tuple[int, int], ...] = KINDS
+    ) -> list[dict[str, object]]:
         """Names a version and suspends instances, engine and sidecar together; returns the first
         tokens that were too late.
 
         Args:
           suspended_at: Seconds from the naming, one for each instance.
+          kinds: Tokens of prompts and answers.
         """
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         run = RealProcesses(SEED, 2, 4, PER_SECOND, pathlib.Path(folder.name))
         run.origin.link = make_limiter_mbit(TOO_SLOW_MBIT)
+        run.callers.kinds = kinds
         bound = run.bounds.version
 
         async def suspend(number: int, seconds: float) -> None:
@@ -62,6 +67,12 @@
         late = await self.play(3.2, 4.0, 4.8)
         self.assertEqual([each for each in late if each["received"] <= 8.0], [])
 
+    async def test_engine_that_wakes_with_requests_that_end_by_the_bound_begins_none(self) -> None:
+        """Guards against the same where answers are short enough to be complete by the bound, so
+        that the engine can be told to stop there."""
+        late = await self.play(2.6, 3.2, 4.0, kinds=KINDS[:3])
+        self.assertEqual([each for each in late if each["received"] <= 8.0], [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/version_bound_test.py
+++ b/tests/version_bound_test.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import unittest
 from unittest import mock
@@ -47,6 +48,11 @@
     return configuration
 
 
+async def drain() -> None:
+    """Waits as an engine does between two events."""
+    await asyncio.sleep(0.5)
+
+
 class StartsWhenWoken:
     """A handler of an engine that accepts requests and starts them only once it is woken."""
 
@@ -277,6 +283,42 @@
         self.assertIn(b"process_woke_late", self.gateway.log.metrics.expose())
 
 
+class DeadlineTest(VersionBoundCase):
+    """The deadline that an engine gets, by which it stops work on a request."""
+
+    async def stream_until_deadline(
+        self, endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Streams more events than the deadline allows, and breaks off there."""
+        self.seconds = int(request.headers[names.DEADLINE.lower()]) / 1000.0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.seconds):
+                await stream_events(1, 5)(endpoint, request, mock.Mock(wraps=writer, drain=drain))
+        reset(writer)
+
+    async def test_engine_is_told_to_stop_at_the_bound(self) -> None:
+        """Guards against an engine that is suspended with a request that it has read, and may begin
+        it after the bound because its caller would still wait."""
+        self.old.handler = self.stream_until_deadline
+        await self.name_version_and_wait(2)
+        await self.ask("r1")
+        self.assertLess(self.seconds, BOUND_SECONDS)
+        self.assertGreater(self.seconds, BOUND_SECONDS / 2)
+
+    async def test_engine_that_stops_at_the_bound_has_not_crashed(self) -> None:
+        """Guards against requests that are blocked, and engines that are left out, because engines
+        have stopped when they were told to."""
+        self.old.handler = self.stream_until_deadline
+        await self.name_version_and_wait(2)
+        reply = await self.ask("r1")
+        self.assertFalse(reply.whole)
+        lines = self.gateway.log.buffer.find("r1")
+        self.assertEqual(lines[-1]["code"], "weights_overdue")
+        events = {line["event"] for line in lines}
+        self.assertNotIn("request_suspected", events)
+        self.assertNotIn(b"endpoint_ejected", self.gateway.log.metrics.expose())
+
+
 class LoggedLimitTest(VersionBoundCase):
     """What the log of an entry tells of a request that was sent for replaced weights."""
 
--- /dev/null
+++ b/wasabidrum/decisions/begin_deadline.py
@@ -0,0 +1,31 @@
+"""Determines the deadline that is sent along with a request, so that it cannot begin too late.
+
+Load pattern: an engine is suspended together with its sidecar, with requests that it has read and
+not begun. Their entry recalls them, but the pass in which the engine wakes ends with tokens for all
+of them, before it looks at its connections. Whatever is decided at a distance comes too late.
+
+The engine itself keeps the deadline of a request, by a clock that goes on while it is suspended. So
+a request whose answer is expected to be complete before the bound of its weights is sent with a
+deadline that ends before the bound. That holds also while no newer version is known, because one
+may be named at any moment. Others keep the deadline of their caller: with a shorter one, the engine
+would stop answers that began in time, and callers would lose what they have read.
+"""
+
+# For the engine's last pass, and for the time after which it reads the request.
+DEADLINE_MARGIN_SECONDS = 0.2
+# An answer takes longer than forecast where an engine fills up meanwhile.
+NEEDED_FACTOR = 1.25
+
+
+def limit_seconds(seconds_left: float, seconds_until_bound: float, needed: float) -> float:
+    """Returns the seconds that an engine gets for a request.
+
+    Args:
+      seconds_left: Seconds until the deadline of its caller.
+      seconds_until_bound: Seconds until nothing may begin on the request's weights any more.
+      needed: Forecast seconds until its answer is complete.
+    """
+    allowed = seconds_until_bound - DEADLINE_MARGIN_SECONDS
+    if needed * NEEDED_FACTOR > allowed:
+        return seconds_left
+    return min(seconds_left, allowed)
--- a/wasabidrum/decisions/engine_forecast.py
+++ b/wasabidrum/decisions/engine_forecast.py
@@ -62,6 +62,19 @@
     return generating + reading * (1.0 + running)
 
 
+def answer_seconds(figures: EngineFigures, work: EngineWork, tokens: int) -> float:
+    """Returns how long an engine writes an answer after its first event.
+
+    Args:
+      work: The engine's work before and beside the request.
+      tokens: The most tokens that the answer may have; zero for a usual one.
+    """
+    running = min(work.requests + 1.0, float(figures.slots))
+    usual = run_seconds(figures, running) - read_seconds(figures, figures.usual_prompt)
+    share = (tokens or figures.usual_answer) / max(1.0, figures.usual_answer)
+    return usual * share * work.slowdown
+
+
 def free_slot_seconds(figures: EngineFigures, prompt_tokens: int) -> float:
     """Returns the seconds until the first event at an engine that has room.
 
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -11,6 +11,7 @@
 from ..core.errors import CodedError
 from ..core.request_head import ReplyHead
 from ..core.route import RouteKind
+from ..decisions import begin_deadline
 from ..decisions.attempt_rule import AttemptEnd
 from ..decisions.request_recall import RecallReason
 from ..decisions.version_floor import BeginLimit
@@ -77,6 +78,7 @@
         "_head_at",
         "_limit_at_sending",
         "_limit_logged",
+        "_stopped_at",
         "number",
         "started_at",
     )
@@ -107,6 +109,8 @@
         self._head_at: float | None = None
         self._limit_at_sending: BeginLimit | None = None
         self._limit_logged = False
+        # When the endpoint stops work on the request before its caller's deadline.
+        self._stopped_at = float("inf")
         self.number = number
         self.started_at = self._last_activity_at = asyncio.get_running_loop().time()
 
@@ -211,7 +215,7 @@
             call.head,
             placement.endpoint,
             call.workspace,
-            call.seconds_left,
+            self._limit_deadline(),
             len(call.body),
             self._progress.last_event_id,
             placement.weights,
@@ -297,8 +301,11 @@
             )
         except TimeoutError as error:
             raise AttemptError(AttemptEnd.LOST, "timeout") from error
-        if part.kind is PartKind.BROKEN and self._recall_reason is not None:
-            raise AttemptError(AttemptEnd.LOST, self._recall_reason.value)
+        if part.kind is PartKind.BROKEN:
+            if asyncio.get_running_loop().time() >= self._stopped_at:
+                self._recall_reason = RecallReason.WEIGHTS_OVERDUE
+            if self._recall_reason is not None:
+                raise AttemptError(AttemptEnd.LOST, self._recall_reason.value)
         return part
 
     def _read_reply_head(self, part: Part) -> ReplyHead:
@@ -382,6 +389,19 @@
         self._last_activity_at = self._progress.last_event_at = loop.time()
         self._placement.load.record_progress(self._last_activity_at)
 
+    def _limit_deadline(self) -> float:
+        """Returns the seconds that the endpoint gets, and records if it is to stop early."""
+        placement, left = self._placement, self._call.seconds_left
+        if not placement.weights:
+            return left
+        limit = self._begin_limit()
+        bound = self._gateway.state.shortest_bound if limit is None else limit.seconds
+        needed = self._gateway.placer.needed_seconds(placement, self._call.head)
+        seconds = begin_deadline.limit_seconds(left, bound, needed)
+        if seconds < left:
+            self._stopped_at = asyncio.get_running_loop().time() + seconds
+        return seconds
+
     def _begin_limit(self) -> BeginLimit | None:
         placement = self._placement
         if not placement.weights:
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -26,7 +26,12 @@
 )
 from ..decisions.endpoint_health import Health, is_silent
 from ..decisions.endpoint_load import EndpointLoad
-from ..decisions.engine_forecast import extra_read_seconds, free_slot_seconds, pass_seconds
+from ..decisions.engine_forecast import (
+    answer_seconds,
+    extra_read_seconds,
+    free_slot_seconds,
+    pass_seconds,
+)
 from ..decisions.entry_roster import HostPort
 from ..decisions.first_event_limit import Caller, first_event_limit
 from ..decisions.request_recall import is_stalled
@@ -221,6 +226,14 @@
         version = endpoint.weights if is_engine else 0
         return Placement(endpoint, load, version, choice.seconds, choice.uncorrected_seconds)
 
+    def needed_seconds(self, placement: Placement, head: RequestHead) -> float:
+        """Returns the forecast seconds until the answer of an engine is complete."""
+        figures = self._state.engine_figures(placement.endpoint.service)
+        if figures is None:
+            return placement.forecast_seconds
+        work = placement.load.work(asyncio.get_running_loop().time())
+        return placement.forecast_seconds + answer_seconds(figures, work, head.max_tokens)
+
     def record_caller(self, service: str, route: Route, head: RequestHead) -> bool:
         """Records a new request; returns whether its caller has waited before, by what it states.
 
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -159,6 +159,14 @@
             return True
         return weights >= floor.oldest_to_begin(boot_seconds(), *self.outages.known)
 
+    @property
+    def shortest_bound(self) -> float:
+        """The least seconds for which requests may begin on weights that are not replaced yet.
+
+        A newer version may have been named since the last answer of the store.
+        """
+        return self._bounds.version - self.lease.age(boot_seconds())
+
     def begin_limit(self, model: str, weights: int) -> BeginLimit | None:
         """Returns until when requests may begin on a version; None while none is newer."""
         floor = self._version_floors.get(model)
