Write no piece between the verification of staged pieces and the order to load them

What callers could get: text from a layer of two versions (WHOLE).

Cause: the versions of a model share one staging area, and two tasks use it. A sidecar that had been suspended chose to go back to version 10, whose pieces were written, in the moment in which the other task had verified layer 0 of version 11 and ordered it: version_staged 10, and old_weights_retired with layer 0 of version 11, 1.2 s apart; the engine had taken pieces 0 and 1 of another version.

Mend: the area is held from the verification until the engine has taken the order; pieces that arrive meanwhile wait. The class is that of the incident: what was checked in one place holds in another only as long as nothing comes between.

Test: engine_controller_test, red before (the engine loaded a piece of another version). An order whose answer is lost is not covered: it may still lie in the engine's socket.

--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -74,6 +74,8 @@
         self._log = log
         self._bound = bound
         self._staged: dict[int, StagedVersion] = {}
+        # See StagedVersion.
+        self._staging_area = asyncio.Lock()
         self._engine_up = asyncio.Event()
         # The lists of versions that were prefetched and are not staged yet.
         self._pieces: dict[int, PieceList] = {}
@@ -310,22 +312,23 @@
         then load beside it. If none is, the engine keeps one that it has, for which it needs
         nothing that still has to arrive.
         """
-        staged = self._find_staged(self._staging_version)
-        version, layer = report.weights, 0
-        if staged is not None and staged.version > report.weights and staged.share < 1.0:
-            complete = staged.complete_layer(self._listed.layers)
-            if complete is not None:
-                version, layer = staged.version, complete
-                numbers = staged.pieces_of(layer, self._listed.layers)
-                await self._verify(staged, version, numbers)
-        # The number of orders keeps this one from undoing a load that was ordered meanwhile.
-        accepted = await self._engine.start(
-            self._listed.model,
-            version,
-            max(version, self._staging_version),
-            range(layer, layer + 1),
-            report.orders,
-        )
+        async with self._staging_area:
+            staged = self._find_staged(self._staging_version)
+            version, layer = report.weights, 0
+            if staged is not None and staged.version > report.weights and staged.share < 1.0:
+                complete = staged.complete_layer(self._listed.layers)
+                if complete is not None:
+                    version, layer = staged.version, complete
+                    numbers = staged.pieces_of(layer, self._listed.layers)
+                    await self._verify(staged, version, numbers)
+            # The number of orders keeps this one from undoing a load that was ordered meanwhile.
+            accepted = await self._engine.start(
+                self._listed.model,
+                version,
+                max(version, self._staging_version),
+                range(layer, layer + 1),
+                report.orders,
+            )
         self._log.write(
             Event.OLD_WEIGHTS_RETIRED,
             weights=report.weights,
@@ -369,7 +372,7 @@
         if staged is not None:
             return staged
         pieces = self._pieces.pop(wanted, None) or await self._read_pieces(wanted)
-        staged = StagedVersion(self._engine, self._distributor, pieces)
+        staged = StagedVersion(self._engine, self._distributor, pieces, self._staging_area)
         adopted = await staged.adopt()
         self._log.write(
             Event.VERSION_WANTED, version=pieces.version, revision=wanted, adopted=adopted
@@ -394,10 +397,11 @@
         return shared.pieces
 
     async def _load(self, staged: StagedVersion, version: int) -> None:
-        await self._verify(staged, version)
-        self._set_switching(True)
         try:
-            accepted = await self._engine.start(self._listed.model, version, version)
+            async with self._staging_area:
+                await self._verify(staged, version)
+                self._set_switching(True)
+                accepted = await self._engine.start(self._listed.model, version, version)
             self._log.write(Event.ENGINE_ORDERED, version=version, accepted=accepted)
             if accepted:
                 self._accepted = version
--- a/wasabidrum/weights/engine_controller_test.py
+++ b/wasabidrum/weights/engine_controller_test.py
@@ -64,8 +64,10 @@
         distributor = types.SimpleNamespace(store=store)
         listed = types.SimpleNamespace(model=MODEL, on_members=None)
         pieces = PieceList(MODEL, VERSION, len(PIECES[0]), tuple(store))
-        self.staged = StagedVersion(self.engine, distributor, pieces)
         self.controller = EngineController(self.engine, None, distributor, listed, None, 8.0, log)
+        area = self.controller._staging_area
+        self.staged = StagedVersion(self.engine, distributor, pieces, area)
+        self.other = StagedVersion(self.engine, distributor, pieces, area)
         self.clock = self.enterContext(contextlib.ExitStack())
 
     async def test_pieces_verified_before_a_suspension_are_verified_again(self) -> None:
@@ -82,6 +84,21 @@
         await self.controller._load(self.staged, VERSION)
         self.assertEqual(self.engine.loaded, [dict(enumerate(PIECES))])
 
+    async def test_piece_of_another_version_waits_until_the_verified_ones_are_loaded(self) -> None:
+        """Guards against an engine that loads a piece of another version: the sidecar goes back to
+        that one, and writes its pieces, while it orders a layer that it has just verified."""
+        putting = []
+
+        def put_another(number: int) -> None:
+            if number == 0:
+                putting.append(asyncio.ensure_future(self.other._put(0, b"zzzz")))
+
+        self.engine.on_read = put_another
+        await self.controller._load(self.staged, VERSION)
+        self.assertEqual(self.engine.loaded, [dict(enumerate(PIECES))])
+        await asyncio.gather(*putting)
+        self.assertEqual(self.engine.held[0], b"zzzz")
+
     async def test_an_engine_that_is_slow_to_read_is_still_loaded(self) -> None:
         """Verification is slow each time, as on an instance with little processor time. If the
         sidecar insisted on a fast one, its engine would never load the version."""
--- a/wasabidrum/weights/staged_version.py
+++ b/wasabidrum/weights/staged_version.py
@@ -19,11 +19,24 @@
       progressed_at: When a new piece last arrived, by the event loop's clock.
     """
 
-    __slots__ = ("_engine", "_distributor", "_pieces", "_manifest", "_staged")
+    __slots__ = ("_engine", "_distributor", "_pieces", "_manifest", "_staged", "_area")
     __slots__ += ("root", "progressed_at")
 
-    def __init__(self, engine: EngineClient, distributor: Distributor, pieces: PieceList) -> None:
+    def __init__(
+        self,
+        engine: EngineClient,
+        distributor: Distributor,
+        pieces: PieceList,
+        area: asyncio.Lock,
+    ) -> None:
+        """Creates a version of which nothing is known to be staged.
+
+        Args:
+          area: Held while pieces are written, and from the verification of pieces until the engine
+            was ordered to load them. The versions of a model share one staging area.
+        """
         self._engine = engine
+        self._area = area
         self._distributor = distributor
         self._pieces = pieces
         self._manifest = manifest_of(pieces)
@@ -110,7 +123,8 @@
         """Reads staged pieces back and rewrites those that are missing or corrupt.
 
         Pieces can become corrupt in the staging area. The engine does not check them and would
-        serve from corrupt weights, so they are read back just before the load command.
+        serve from corrupt weights, so they are read back just before the load command. The caller
+        holds the staging area until then.
 
         Args:
           numbers: The pieces to verify; None for all.
@@ -130,12 +144,16 @@
                 intact = self._distributor.store.get(digest)
                 if intact is None:
                     return -1
-                await self._put(number, intact)
+                await self._write(number, intact)
                 rewritten += 1
             await asyncio.sleep(0)
         return rewritten
 
     async def _put(self, number: int, content: bytes) -> None:
+        async with self._area:
+            await self._write(number, content)
+
+    async def _write(self, number: int, content: bytes) -> None:
         await self._engine.put_piece(self._pieces.model, number, content)
         if number not in self._staged:
             self._staged.add(number)
--- a/wasabidrum/weights/staged_version_test.py
+++ b/wasabidrum/weights/staged_version_test.py
@@ -1,5 +1,6 @@
 """Tests which layers of a partly staged version are complete."""
 
+import asyncio
 import unittest
 
 from ..core.engine_report import PieceList
@@ -21,7 +22,9 @@
 
     async def test_a_layer_is_complete_once_all_its_pieces_are_staged(self) -> None:
         """Guards against a command to load a layer of which a piece is missing."""
-        staged = StagedVersion(AcceptingEngine(), None, PieceList("m", 2, 1, PIECES))
+        staged = StagedVersion(
+            AcceptingEngine(), None, PieceList("m", 2, 1, PIECES), asyncio.Lock()
+        )
         for number in (0, 1, 6, 7, 11):
             await staged._put(number, b"x")
         self.assertIsNone(staged.complete_layer(LAYERS))
