Send no body on account of time to an engine that may be suspended

Cause: silence was taken for an engine of other software.

Mend: an engine that is not known to ask gets the body once its sidecar reports, later than the head was sent by more than a report's age, that it answers: then it ran, and did not ask.

--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -41,6 +41,7 @@
       run_seconds: Average time for a request of a plain service.
       asks_for_body: Whether it asks for the body of a request whose head announces one (100
         Continue); None while that is not known.
+      reported_at: When a report arrived last that says that it answers.
     """
 
     __slots__ = ("health", "own_requests", "unread_tokens", "failures", "run_seconds", "lateness")
@@ -52,7 +53,7 @@
         "_queued",
         "_unreported_sends",
     )
-    __slots__ += ("_silent_since", "asks_for_body")
+    __slots__ += ("_silent_since", "asks_for_body", "reported_at")
 
     def __init__(self, rng: random.Random) -> None:
         self.health = EndpointHealth(rng)
@@ -64,6 +65,7 @@
         self._silent_since = 0.0
         self.run_seconds = INITIAL_RUN_SECONDS
         self.asks_for_body: bool | None = None
+        self.reported_at = float("-inf")
         self._other_requests = 0.0
         self._queued = 0
         self._pace = 1.0
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import typing
 
 from tornado import iostream
@@ -17,7 +18,7 @@
 from ..decisions.version_floor import BeginLimit
 from ..observe.event import Event
 from ..platform import heads
-from . import endpoint_connection
+from . import endpoint_connection, reported_statuses
 from .call import Call, StreamProgress
 from .complete_reply import CompleteReply
 from .endpoint_connection import EndpointConnection, Part, PartKind
@@ -32,8 +33,9 @@
 # A connection within the fleet opens in a few milliseconds. An instance that does not answer
 # within this time is unreachable, and another one can still answer before the deadline.
 CONNECT_TIMEOUT_SECONDS = 0.25
-# An endpoint asks for the body within milliseconds if it ever does so.
-BODY_REQUEST_TIMEOUT_SECONDS = 0.1
+# An endpoint that runs asks for the body within milliseconds if it ever does so. A report that
+# arrives this much later than the head was sent shows that it ran meanwhile.
+BODY_REQUEST_TIMEOUT_SECONDS = reported_statuses.REPORT_LAG_SECONDS
 
 
 class AttemptError(Exception):
@@ -270,19 +272,22 @@
     async def _wait_for_body_request(self, connection: EndpointConnection) -> Part | None:
         """Returns what the endpoint sends before it has the body; None if it need not ask for it.
 
+        Silence alone does not show that: the endpoint may be suspended.
+
         Raises:
           AttemptError: It did not ask for the body, so that it has not run the request.
         """
-        asks = self._placement.load.asks_for_body
-        waits = self._call.seconds_left
-        if not asks:
-            waits = min(waits, BODY_REQUEST_TIMEOUT_SECONDS)
-        try:
-            part = await waiting.wait_for(connection.next_part(), max(0.001, waits))
-        except TimeoutError as error:
-            if asks:
-                raise AttemptError(AttemptEnd.NOT_SENT, "timeout") from error
-            return None
+        loop, load = asyncio.get_running_loop(), self._placement.load
+        ran_at = loop.time() + BODY_REQUEST_TIMEOUT_SECONDS
+        part = None
+        while part is None:
+            if self._call.seconds_left <= 0.0:
+                raise AttemptError(AttemptEnd.NOT_SENT, "timeout")
+            waits = min(self._call.seconds_left, BODY_REQUEST_TIMEOUT_SECONDS)
+            with contextlib.suppress(TimeoutError):
+                part = await waiting.wait_for(connection.next_part(), max(0.001, waits))
+            if part is None and load.asks_for_body is None and load.reported_at >= ran_at:
+                return None
         if part.kind is PartKind.BROKEN:
             reason = self._recall_reason
             code = "endpoint_unreachable" if reason is None else reason.value
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -316,9 +316,11 @@
         lag = figures.report_lag if figures is not None else 0.0
         for endpoint in self._state.endpoints.at_host(status.host):
             if endpoint.service == status.service:
-                self.load_of(endpoint).record_report(
-                    load.running, load.waiting, load.pace, now, lag
-                )
+                known = self.load_of(endpoint)
+                known.record_report(load.running, load.waiting, load.pace, now, lag)
+                # A sidecar reports no slots while its engine does not answer.
+                if load.slots > 0:
+                    known.reported_at = now
 
     def record_status(self, status: Status) -> None:
         """Records a status that the sidecar of an engine sent."""
