Check all again before a body that was held back is sent

Found by reading the diff. Between the head of a request and its body an engine may take seconds; only the weights were checked again. The key's evidence may be too old by then, a part of the prompt suspected, and an engine whose body was kept on account of its weights was blamed for it. A sidecar's line process_woke_late counted its own waiting for the engine.

Mend: one check before the head and before the body; the pause is measured around the sleep.

Tests: held_body_test, two, red before (the request ran: 200 instead of 503; a failure rate of 0.15 instead of none).

--- a/tests/held_body_test.py
+++ b/tests/held_body_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -12,6 +13,8 @@
 from wasabidrum.core.load import Load
 from wasabidrum.core.status import Status
 from wasabidrum.gateway.attempt import BODY_REQUEST_TIMEOUT_SECONDS
+from wasabidrum.gateway.attempts_in_progress import AttemptsInProgress
+from wasabidrum.gateway.part_guard import PartGuard
 
 HEAD_END = b"\r\n\r\n"
 
@@ -103,6 +106,35 @@
         self.assertFalse(self.received[0].endswith(HEAD_END + b"x"))
         self.assertEqual((reply.status, self.old.runs.total()), (503, 0))
 
+    async def test_engine_that_asks_after_the_bound_gets_no_body_and_no_blame(self) -> None:
+        """Guards against a body that goes out after the bound where no supervision has run since,
+        and against an engine that is left out because its entry kept the body."""
+        await self.ask("r0")
+        self.running.clear()
+        named_at = await self.name_version_and_wait(2)
+        asking = self.ask("r1")
+        await self.fleet.wait_until(lambda: len(self.received) == 2)
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(AttemptsInProgress, "check"):
+            await asyncio.sleep(named_at + BOUND_SECONDS + PAST_SECONDS - loop.time())
+            self.running.set()
+            reply = await asking
+        self.assertEqual((reply.status, self.old.runs.total()), (503, 1))
+        failures = self.gateway.placer.load_of(self.gateway.state.endpoints.get("old")).failures
+        self.assertEqual(failures.value(loop.time()), 0.0)
+
+    async def test_body_stays_if_its_part_is_suspected_meanwhile(self) -> None:
+        """Guards against a request that reaches an engine after others with the same part have
+        crashed theirs, because the engine asked late for its body."""
+        await self.ask("r0")
+        self.running.clear()
+        asking = self.ask("r1")
+        await self.fleet.wait_until(lambda: len(self.received) == 2)
+        with mock.patch.object(PartGuard, "allows", return_value=False):
+            self.running.set()
+            reply = await asking
+        self.assertEqual((reply.status, self.old.runs.total()), (503, 1))
+
     def report(self, load: Load) -> None:
         """Lets the engine's sidecar report its load."""
         placer = self.gateway.placer
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -199,17 +199,7 @@
 
     async def _send_and_relay(self, connection: EndpointConnection) -> None:
         call, placement = self._call, self._placement
-        # The API key, the weights and the prompt's parts were checked before the connection was
-        # opened. All are checked again just before the request is sent, because opening the
-        # connection may have taken long, or this process may have been suspended.
-        if call.workspace and not self._gateway.state.lease.is_valid(boot_seconds()):
-            raise AttemptError(AttemptEnd.NOT_SENT, "not_ready")
-        if not self._gateway.attempts.may_begin(placement):
-            self._recall_reason = RecallReason.WEIGHTS_OVERDUE
-        if self._recall_reason is not None:
-            raise AttemptError(AttemptEnd.NOT_SENT, self._recall_reason.value)
-        if not self._may_send():
-            raise AttemptError(AttemptEnd.NOT_SENT, BLOCKED_CODE)
+        self._check_may_send()
         # A process that is suspended reads on waking what lies in its socket, and only then learns
         # that the request was recalled. So it gets the body only when it has asked for it.
         held = bool(placement.weights and call.body) and placement.load.asks_for_body is not False
@@ -242,6 +232,25 @@
             raise AttemptError(AttemptEnd.LOST, "not_a_stream")
         self._exchange.send_reply(reply, endpoint=placement.endpoint.id, attempts=self.number)
 
+    def _check_may_send(self) -> None:
+        """Checks the API key, the weights and the prompt's parts just before something is sent.
+
+        They were checked before the connection was opened. Opening it may have taken long, or the
+        endpoint may have asked late for the body, or this process may have been suspended.
+
+        Raises:
+          AttemptError: The request may not be sent any more.
+        """
+        gateway = self._gateway
+        if self._call.workspace and not gateway.state.lease.is_valid(boot_seconds()):
+            raise AttemptError(AttemptEnd.NOT_SENT, "not_ready")
+        if not gateway.attempts.may_begin(self._placement):
+            self._recall_reason = RecallReason.WEIGHTS_OVERDUE
+        if self._recall_reason is not None:
+            raise AttemptError(AttemptEnd.NOT_SENT, self._recall_reason.value)
+        if not self._may_send():
+            raise AttemptError(AttemptEnd.NOT_SENT, BLOCKED_CODE)
+
     async def _send_held_body(self, connection: EndpointConnection) -> ReplyHead:
         """Sends the body once the endpoint asks for it, or if it is not known to ask.
 
@@ -255,8 +264,7 @@
         part = await self._wait_for_body_request(connection)
         if part is not None and part.kind is not PartKind.CONTINUE:
             return self._read_reply_head(part)
-        if not self._gateway.attempts.may_begin(self._placement):
-            raise AttemptError(AttemptEnd.NOT_SENT, RecallReason.WEIGHTS_OVERDUE.value)
+        self._check_may_send()
         self._record_sent()
         connection.send_held_body()
         first = await self._next_part(connection)
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -152,11 +152,10 @@
         An engine with a single layer serves no requests. It rejects those for the old weights that
         are still in flight, whatever holds them up on their way.
         """
-        checked_at = boot_seconds()
         while True:
+            began = boot_seconds()
             await asyncio.sleep(REPORT_SECONDS)
-            paused = boot_seconds() - checked_at - REPORT_SECONDS
-            checked_at = boot_seconds()
+            paused = boot_seconds() - began - REPORT_SECONDS
             if paused > MAX_PAUSE_SECONDS:
                 self._log.write(Event.PROCESS_WOKE_LATE, seconds=round(paused, 3))
             report = self.report
