--- a/bench/deployed_fleet.py
+++ b/bench/deployed_fleet.py
@@ -28,31 +28,46 @@
     """A process with a fixed address that can be killed, suspended and started again.
 
     Attributes:
-      process: The running process; None while there is none.
+      process: The running process; None before its first start.
       view: The address at which it reaches the store, if that is its own.
+      settings: What it gets as the platform's settings at each start, if it reads any.
     """
 
-    def __init__(self, name: str, host: str, command: list[str], folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        command: list[str],
+        ready_event: str,
+        folder: pathlib.Path,
+        root: pathlib.Path = ROOT,
+    ) -> None:
+        """Creates a process that has not started.
+
+        Args:
+          command: The module to run, and its arguments.
+          ready_event: The line by which it tells that it listens.
+          root: The checkout that it runs from.
+        """
         self.name = name
         self.host = host
         self.process: Process | None = None
         self.view: StoreView | None = None
-        self.environment: dict[str, str] = {}
+        self.settings: dict[str, object] = {}
         self._command = command
+        self._ready_event = ready_event
         self._output = folder / f"{name}.log"
-        self._root = ROOT
+        self._settings_file = folder / f"{name}.json"
+        self._root = root
 
     @property
     def alive(self) -> bool:
         """Whether its process runs, or is suspended."""
         return self.process is not None and self.process.alive
 
-    def set_root(self, root: pathlib.Path) -> None:
-        """Runs it from another checkout."""
-        self._root = root
-
     async def start(self) -> None:
         """Starts the process."""
+        self._settings_file.write_text(json.dumps(self.settings))
         with open(self._output, "ab") as stream:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -61,10 +76,14 @@
                 cwd=self._root,
                 stdout=stream,
                 stderr=stream,
-                env=os.environ | self.environment,
+                env=os.environ | {names.SETTINGS_VARIABLE: str(self._settings_file)},
             )
         self.process = Process(self.name, process, self._output)
 
+    async def wait_until_ready(self) -> None:
+        """Waits until it listens."""
+        await self.process.read_event(self._ready_event)
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal if it runs."""
         if self.process is not None:
@@ -178,7 +197,7 @@
         command += ["--port", str(self._first_port + ENGINE), "--service", SERVICE]
         command += ["--zone", zone, "--store", f"{HOST}:{self._store.port}"]
         command += ["--figures", json.dumps(figures), "--holds", str(holds)]
-        engine = Daemon(f"engine-{number}", host, command, self._folder)
+        engine = Daemon(f"engine-{number}", host, command, "started", self._folder)
         instance = Instance(engine, sidecar, engine_id)
         self.instances.append(instance)
         return instance
@@ -187,11 +206,8 @@
         """Starts all processes, the whole system for the first time."""
         await asyncio.gather(*(daemon.start() for daemon in self.daemons))
         for daemon in self.daemons:
-            await daemon.process.read_event(
-                "daemon_started" if daemon.view is not None else "started"
-            )
-        for daemon in (*self.entries, *(instance.sidecar for instance in self.instances)):
-            self._write_settings(daemon, bootstrap=False)
+            await daemon.wait_until_ready()
+            daemon.settings["bootstrap"] = False
 
     async def stop(self) -> None:
         """Kills all processes."""
@@ -202,13 +218,10 @@
 
     def _make_daemon(self, name: str, host: str, zone: str, settings: dict) -> Daemon:
         command = ["wasabidrum.scripts.daemon", "--deployed"]
-        daemon = Daemon(name, host, command, self._folder)
-        daemon.set_root(self._root)
+        daemon = Daemon(name, host, command, "daemon_started", self._folder, self._root)
         daemon.view = StoreView(self._store)
-        path = self._folder / f"{name}.json"
-        daemon.environment = {names.SETTINGS_VARIABLE: str(path)}
         first, bounds = self._first_port, self._bounds
-        settings |= {
+        daemon.settings = settings | {
             "nodeName": name,
             "ip": host,
             "zone": zone,
@@ -222,12 +235,6 @@
                 "stableMs": bounds.settling * 1000.0,
                 "graceS": GRACE_SECONDS,
             },
+            "bootstrap": True,
         }
-        path.write_text(json.dumps(settings))
-        self._write_settings(daemon, bootstrap=True)
         return daemon
-
-    def _write_settings(self, daemon: Daemon, bootstrap: bool) -> None:
-        path = self._folder / f"{daemon.name}.json"
-        settings = json.loads(path.read_text()) | {"bootstrap": bootstrap}
-        path.write_text(json.dumps(settings))
--- a/bench/real_processes.py
+++ b/bench/real_processes.py
@@ -175,17 +175,27 @@
     @contextlib.contextmanager
     def disturb(self, *daemons: Daemon) -> collections.abc.Iterator[None]:
         """Takes daemons for some time, and records them as disturbed."""
-        began = time.time()
+        self._taken.update(daemons)
+        try:
+            with self._recorded(daemons):
+                yield
+        finally:
+            self._taken.difference_update(daemons)
+
+    @contextlib.contextmanager
+    def _recorded(
+        self, daemons: collections.abc.Collection[Daemon]
+    ) -> collections.abc.Iterator[None]:
+        """Records that daemons are not in touch for some time; such times may overlap."""
+        lasting = (time.time(), float("inf"))
         spans = [self._judge.disturbed.setdefault(daemon.name, []) for daemon in daemons]
         for span in spans:
-            span.append((began, float("inf")))
-        self._taken.update(daemons)
+            span.append(lasting)
         try:
             yield
         finally:
             for span in spans:
-                span[span.index((began, float("inf")))] = (began, time.time())
-            self._taken.difference_update(daemons)
+                span[span.index(lasting)] = (lasting[0], time.time())
 
     async def suspend(self, seconds: float, *daemons: Daemon) -> None:
         """Suspends daemons together."""
@@ -202,18 +212,14 @@
     async def cut(self, fault: str, seconds: float, *daemons: Daemon) -> None:
         """Cuts daemons off from the store."""
         self.record(f"cut {' '.join(each.name for each in daemons)} {fault} for {seconds:.2f}")
-        began = time.time()
-        spans = [self._judge.disturbed.setdefault(daemon.name, []) for daemon in daemons]
-        for daemon in daemons:
-            daemon.view.fail(fault)
-        for span in spans:
-            span.append((began, float("inf")))
-        try:
-            await asyncio.sleep(seconds)
-        finally:
-            for daemon, span in zip(daemons, spans, strict=True):
-                daemon.view.recover()
-                span[span.index((began, float("inf")))] = (began, time.time())
+        with self._recorded(daemons):
+            for daemon in daemons:
+                daemon.view.fail(fault)
+            try:
+                await asyncio.sleep(seconds)
+            finally:
+                for daemon in daemons:
+                    daemon.view.recover()
 
     async def fail_store(self, fault: str, seconds: float) -> None:
         """Makes the store fail for everybody."""
