Deadlines before the bound for answers of usual length, not only for those certain to end by it

Callers (and the operator) saw first tokens on replaced weights up to 4 s after the bound: an engine read a request in time, was suspended with its sidecar before the first token, and ended that pass when it woke.

Cause: the deadline that ends before the bound was sent only where the longest answer that the request allows would be complete by the bound. Most requests of the last four seconds allow more tokens than fit, so that they kept their caller's deadline, and nothing at the engine held the bound.

A test on the paused clock: the engine got 3.0 s where the bound was 2.0 s away; red before, green now.

Change: once a newer version is known, the answer counts as of the service's usual length (or less, where the request allows less). A longer one is stopped at the bound. While none is known the longest answer counts, as before: the bound then ends a full period later, and streams would be cut for a naming that hardly ever comes; a second test is red if the usual length counts there too.

Conclusion: what may still begin late is what is sent so shortly before the bound that not even a usual answer ends by it.

--- a/tests/version_bound_test.py
+++ b/tests/version_bound_test.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import itertools
+import typing
 import unittest
 from unittest import mock
 
@@ -36,15 +37,22 @@
 PAST_SECONDS = 0.4
 SUSPENDED_SECONDS = 60.0
 EVENT_SECONDS = 0.1
+# Tokens of the prompt, and of an answer that takes longer than the bound.
+LONG_ANSWER = f"{names.TOKEN_USAGE}: 100,400"
 
 
-def make_engines_configuration() -> dict:
-    """Returns a configuration with one engine service and routes with a long time limit."""
+def make_engines_configuration(**figures: object) -> dict:
+    """Returns a configuration with one engine service and routes with a long time limit.
+
+    Args:
+      figures: Further figures of the engines.
+    """
     configuration = make_configuration(7, SERVICE)
     for route in configuration["routes"]:
         route.update(timeoutMs=6000, targetLatencyMs=3000)
     models = [{"name": MODEL}]
-    configuration["services"] = [{"name": SERVICE, "engine": {"slots": 4, "models": models}}]
+    engine = {"slots": 4, "models": models} | figures
+    configuration["services"] = [{"name": SERVICE, "engine": engine}]
     return configuration
 
 
@@ -72,12 +80,14 @@
     """One entry, an engine that holds version 1, and another without weights."""
 
     bounds = Bounds(version=BOUND_SECONDS)
+    figures: typing.ClassVar[dict[str, object]] = {}
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.fleet = PlatformFleet()
         await self.fleet.start()
-        await self.fleet.store.put(names.CONFIGURATION_KEY, make_engines_configuration())
+        configuration = make_engines_configuration(**self.figures)
+        await self.fleet.store.put(names.CONFIGURATION_KEY, configuration)
         self.old = await self.fleet.add_endpoint("old", SERVICE)
         self.new = await self.fleet.add_endpoint("new", SERVICE)
         self.old.handler = self.new.handler = stream_events(1, 5)
@@ -112,9 +122,9 @@
         await self.fleet.wait_until(is_known)
         return named_at
 
-    def ask(self, request_id: str, kind: str = "streaming") -> "asyncio.Future[Reply]":
+    def ask(self, request_id: str, *lines: str, kind: str = "streaming") -> "asyncio.Future[Reply]":
         """Sends a request whose response may take long."""
-        asking = self.fleet.ask(0, SERVICE, kind, request_id, seconds=8.0)
+        asking = self.fleet.ask(0, SERVICE, kind, request_id, *lines, seconds=8.0)
         return asyncio.ensure_future(asking)
 
 
@@ -286,6 +296,12 @@
 class DeadlineTest(VersionBoundCase):
     """The deadline that an engine gets, by which it stops work on a request."""
 
+    # A usual answer takes a quarter of the bound.
+    figures: typing.ClassVar[dict[str, object]] = {
+        "usual": {"prompt": 100, "answer": 50},
+        "step_ms": 10.0,
+    }
+
     async def stream_until_deadline(
         self, endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
@@ -305,6 +321,20 @@
         self.assertLess(self.seconds, BOUND_SECONDS)
         self.assertGreater(self.seconds, BOUND_SECONDS / 2)
 
+    async def test_engine_is_told_to_stop_if_the_usual_answer_ends_by_the_bound(self) -> None:
+        """Guards against the same with a request that allows more tokens than it is likely to get:
+        its engine has no limit where the longest answer counts."""
+        self.old.handler = self.stream_until_deadline
+        await self.name_version_and_wait(2)
+        await self.ask("r1", LONG_ANSWER)
+        self.assertLess(self.seconds, BOUND_SECONDS)
+
+    async def test_long_answer_is_not_stopped_while_no_version_is_named(self) -> None:
+        """Guards against streams that are broken off although their weights were never replaced."""
+        self.old.handler = self.stream_until_deadline
+        await self.ask("r1", LONG_ANSWER)
+        self.assertGreater(self.seconds, BOUND_SECONDS)
+
     async def test_engine_that_stops_at_the_bound_has_not_crashed(self) -> None:
         """Guards against requests that are blocked, and engines that are left out, because engines
         have stopped when they were told to."""
--- a/wasabidrum/decisions/begin_deadline.py
+++ b/wasabidrum/decisions/begin_deadline.py
@@ -6,9 +6,13 @@
 
 The engine itself keeps the deadline of a request, by a clock that goes on while it is suspended. So
 a request whose answer is expected to be complete before the bound of its weights is sent with a
-deadline that ends before the bound. That holds also while no newer version is known, because one
-may be named at any moment. Others keep the deadline of their caller: with a shorter one, the engine
-would stop answers that began in time, and callers would lose what they have read.
+deadline that ends before the bound. Others keep the deadline of their caller.
+
+Once a newer version is known, the answer is expected to be of usual length. A longer one is stopped
+at the bound, and its caller loses what it has read; if every answer that may be longer kept the
+caller's deadline, most of those that begin too late would remain. While no newer version is known,
+one may be named at any moment, and hardly ever is. Then the bound ends a full period from now, and
+only what is certain to be complete by then gets the earlier deadline.
 """
 
 # For the engine's last pass, and for the time after which it reads the request.
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -226,13 +226,20 @@
         version = endpoint.weights if is_engine else 0
         return Placement(endpoint, load, version, choice.seconds, choice.uncorrected_seconds)
 
-    def needed_seconds(self, placement: Placement, head: RequestHead) -> float:
-        """Returns the forecast seconds until the answer of an engine is complete."""
+    def needed_seconds(self, placement: Placement, head: RequestHead, longest: bool) -> float:
+        """Returns the forecast seconds until the answer of an engine is complete.
+
+        Args:
+          longest: Whether the answer is the longest that the request allows, or else a usual one.
+        """
         figures = self._state.engine_figures(placement.endpoint.service)
         if figures is None:
             return placement.forecast_seconds
         work = placement.load.work(asyncio.get_running_loop().time())
-        return placement.forecast_seconds + answer_seconds(figures, work, head.max_tokens)
+        tokens = head.max_tokens
+        if not longest and tokens > figures.usual_answer:
+            tokens = 0
+        return placement.forecast_seconds + answer_seconds(figures, work, tokens)
 
     def record_caller(self, service: str, route: Route, head: RequestHead) -> bool:
         """Records a new request; returns whether its caller has waited before, by what it states.
