--- a/tests/version_bound_test.py
+++ b/tests/version_bound_test.py
@@ -122,7 +122,7 @@
         await self.fleet.wait_until(is_known)
         return named_at
 
-    def ask(self, request_id: str, *lines: str, kind: str = "streaming") -> "asyncio.Future[Reply]":
+    def ask(self, request_id: str, kind: str = "streaming", *lines: str) -> "asyncio.Future[Reply]":
         """Sends a request whose response may take long."""
         asking = self.fleet.ask(0, SERVICE, kind, request_id, *lines, seconds=8.0)
         return asyncio.ensure_future(asking)
@@ -326,13 +326,13 @@
         its engine has no limit where the longest answer counts."""
         self.old.handler = self.stream_until_deadline
         await self.name_version_and_wait(2)
-        await self.ask("r1", LONG_ANSWER)
+        await self.ask("r1", "streaming", LONG_ANSWER)
         self.assertLess(self.seconds, BOUND_SECONDS)
 
     async def test_long_answer_is_not_stopped_while_no_version_is_named(self) -> None:
         """Guards against streams that are broken off although their weights were never replaced."""
         self.old.handler = self.stream_until_deadline
-        await self.ask("r1", LONG_ANSWER)
+        await self.ask("r1", "streaming", LONG_ANSWER)
         self.assertGreater(self.seconds, BOUND_SECONDS)
 
     async def test_engine_that_stops_at_the_bound_has_not_crashed(self) -> None:
