Add a soak of entries that stop, judged by their callers

Callers use their connections until the process is gone, others connect and send at once, a few milliseconds later or in two pieces; SIGTERMs come in series beside large configurations, SIGHUPs, silent endpoints, and turns in which an entry gets no processor. bench/lost_judge.py holds what counts as lost, crossed or excused; crossings are counted apart.

All are first requests of new connections that reached no endpoint, and all were reset, 2.5 to 2.9 s after SIGTERM. No request on a kept connection was lost, and 2 crossed a close.

--- a/tests/entry_soak.py
+++ b/tests/entry_soak.py
@@ -93,7 +93,14 @@
 class Entry:
     """One entry process, and the settings that each start of it gets."""
 
-    def __init__(self, number: int, first_port: int, folder: pathlib.Path, store_port: int) -> None:
+    def __init__(
+        self,
+        number: int,
+        first_port: int,
+        folder: pathlib.Path,
+        store_port: int,
+        grace: float = GRACE_SECONDS,
+    ) -> None:
         self.name = f"entry-{number}"
         self.host = f"127.0.1.{number + 1}"
         self.port = first_port + 3
@@ -104,6 +111,7 @@
         self._suspended_at: float | None = None
         self._disturbed_until = float("-inf")
         self._store_port = store_port
+        self._grace = grace
         self._first_port = first_port
         self._settings = folder / f"{self.name}.json"
         self._output = folder / f"{self.name}.log"
@@ -174,7 +182,7 @@
                 "retryBudgetRatio": BOUNDS.retry_fraction,
                 "budgetSlack": BOUNDS.retry_extra,
                 "budgetWindowS": BOUNDS.retry_window,
-                "graceS": GRACE_SECONDS,
+                "graceS": self._grace,
             },
             "bootstrap": bootstrap,
         }
--- /dev/null
+++ b/tests/entry_stops_soak.py
@@ -0,0 +1,502 @@
+"""Real entry processes that are stopped in series, beside changes and short of processor.
+
+Some callers use their connections until the process is gone, others connect and send until then.
+Every whole request that was sent must get an answer or a refusal. The schedule follows from the
+seed: `python -m tests.entry_stops_soak --seed 7 --seeds 50 --entries 6 --seconds 20`. What
+processes do meanwhile is not replayed, so a fault may need several plays of its seed.
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+from bench.cluster import KEPT_FOLDER_VARIABLE
+from bench.lost_judge import CallerRequest, Ending, LostJudge
+from bench.process import Process
+from standins.ports import free_ports
+from tests.entry_soak import (
+    MEETING_SECONDS,
+    PIECES,
+    PORTS_OF_ONE,
+    SERVICE,
+    Entry,
+    answer_pieces,
+)
+from tests.fake_platform import (
+    FakeEndpoint,
+    PlatformFleet,
+    ReceivedRequest,
+    make_configuration,
+    read_reply,
+    response_head,
+)
+from wasabidrum.platform import names
+
+ENDPOINTS = 6
+GRACE_SECONDS = 8.0
+# As the routes of the configuration have it.
+TIMEOUT_SECONDS = 1.5
+RUN_SECONDS = 0.03
+SILENT_SECONDS = 1.0
+CALLER_SECONDS = 8.0
+KEPT_CALLERS = 3
+# While an entry stops, so that requests meet each of its last moments.
+STOPPING_PAUSE_SECONDS = 0.02
+FEW_MILLISECONDS = 0.01
+BETWEEN_PIECES_SECONDS = 0.05
+# Of all connections: those of callers who go on after an answer that announces the end.
+IMPOLITE_FRACTION = 0.5
+SERVICES = (0, 0, 30, 400)
+KILL_FRACTION = 0.1
+TICK_SECONDS = 0.01
+KEPT_FOLDER = os.environ.get(KEPT_FOLDER_VARIABLE, "")
+BROKEN = ("lost", "false_answers")
+SMALLEST_LOAD_TO_JUDGE = 50
+
+
+@dataclasses.dataclass(slots=True)
+class Connection:
+    """A connection of a caller to an entry's process."""
+
+    entry: Entry
+    process: Process | None
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    polite: bool
+    used: bool = False
+
+    @property
+    def ended(self) -> bool:
+        """Whether the caller has seen the end of it."""
+        return self.reader.at_eof() or self.reader.exception() is not None
+
+
+class LoopDelay:
+    """For how long the event loop could not run."""
+
+    def __init__(self) -> None:
+        self._seconds = 0.0
+        self._due_at = float("inf")
+
+    @property
+    def seconds(self) -> float:
+        """Seconds so far."""
+        return self._seconds + max(0.0, asyncio.get_running_loop().time() - self._due_at)
+
+    async def run(self) -> None:
+        """Measures until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self._due_at = loop.time() + TICK_SECONDS
+            await asyncio.sleep(TICK_SECONDS)
+            self._seconds = self.seconds
+
+
+class EntryStopsSoak:
+    """Plays one schedule, and judges how the requests of its callers ended."""
+
+    def __init__(self, seed: int, entries: int, per_second: float, folder: pathlib.Path) -> None:
+        self._seed = seed
+        # Callers draw from their own, so that they change nothing in the schedule of a seed.
+        self._rng = random.Random(f"callers {seed}")
+        self._per_second = per_second
+        self._folder = folder
+        self._count = entries
+        self._fleet = PlatformFleet()
+        self._entries: list[Entry] = []
+        self._judge = LostJudge(TIMEOUT_SECONDS, GRACE_SECONDS)
+        self._delay = LoopDelay()
+        self._ends = False
+        self._asked = 0
+        self._version = 1
+        self._silent_until: dict[str, float] = {}
+        self._arrived: set[str] = set()
+        self._finished: set[str] = set()
+        # Entries that a series has taken, and since when those that stop do.
+        self._taken: set[Entry] = set()
+        self._stopping: dict[Entry, float] = {}
+        self._term_at: dict[Process, float] = {}
+        self._killed: set[Process] = set()
+        self._asking: set[asyncio.Task] = set()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.statuses: collections.Counter[int] = collections.Counter()
+        self.lost: list[str] = []
+        self.false_answers: list[str] = []
+        self.played: list[str] = []
+
+    def write_line(self, event: str, **facts: object) -> None:
+        """Writes a line beside the entries' logs, in their format."""
+        line = {"t": round(time.time(), 3), "event": event, "daemon": "soak"} | facts
+        with open(self._folder / "soak.log", "a", encoding="utf-8") as log:
+            log.write(json.dumps(line) + "\n")
+
+    def _record_played(self, action: str) -> None:
+        self.played.append(action)
+        self.write_line("played", action=action)
+
+    async def play(self, seconds: float) -> dict[str, object]:
+        """Runs the schedule; returns what was seen."""
+        tasks: list[asyncio.Task] = []
+        try:
+            await self._start()
+            running = [self._delay.run(), *map(self._connect_often, self._entries)]
+            running += [self._call(entry) for entry in self._entries * KEPT_CALLERS]
+            tasks = [asyncio.ensure_future(each) for each in running]
+            await asyncio.sleep(MEETING_SECONDS)
+            stops = max(2, self._count // 6)
+            series = [self._play_stops] * stops + [self._play_turns] * stops
+            series += [self._play_changes, self._play_reloads, self._play_silence]
+            playing = [
+                asyncio.ensure_future(play(random.Random(f"{self._seed} {number}")))
+                for number, play in enumerate(series)
+            ]
+            await asyncio.sleep(seconds)
+            self._ends = True
+            await asyncio.gather(*playing)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            if self._asking:
+                await asyncio.wait(self._asking, timeout=CALLER_SECONDS)
+            return self._figures()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await self._stop()
+
+    async def _start(self) -> None:
+        store = self._fleet.store
+        await store.start()
+        await self._change(0)
+        for number in range(ENDPOINTS):
+            endpoint = await self._fleet.add_endpoint(f"e{number}", SERVICE)
+            endpoint.handler = self._answer
+        first = free_ports(PORTS_OF_ONE)
+        self._entries = [
+            Entry(number, first, self._folder, store.port, GRACE_SECONDS)
+            for number in range(self._count)
+        ]
+        await asyncio.gather(*(entry.start(True) for entry in self._entries))
+        await asyncio.gather(*(e.process.read_event("daemon_started") for e in self._entries))
+
+    async def _stop(self) -> None:
+        for entry in self._entries:
+            if entry.process is not None:
+                entry.process.send(signal.SIGCONT)
+                await entry.process.kill()
+        await self._fleet.stop()
+
+    async def _answer(
+        self, endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        name = request.headers[names.REQUEST_ID.lower()]
+        self._arrived.add(name)
+        silent = self._silent_until.get(endpoint.id, 0.0) - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(RUN_SECONDS, silent))
+        pieces = answer_pieces(name)
+        lines = [f"Content-Length: {sum(map(len, pieces))}"]
+        if streams := name.endswith("-streaming"):
+            lines = ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+            pieces = pieces[int(request.headers.get(names.LAST_EVENT_ID.lower(), "0")) :]
+        writer.write(response_head(request, endpoint, "200 OK", *lines))
+        try:
+            for piece in pieces:
+                writer.write(b"%x\r\n%s\r\n" % (len(piece), piece) if streams else piece)
+                await writer.drain()
+                await asyncio.sleep(RUN_SECONDS / PIECES)
+            writer.write(b"0\r\n\r\n" * streams)
+        except ConnectionError:
+            # Its entry is gone.
+            return
+        self._finished.add(name)
+
+    async def _connect(self, entry: Entry) -> Connection | None:
+        """Opens a connection; returns None where nothing listens."""
+        try:
+            reader, writer = await asyncio.open_connection(entry.host, entry.port)
+        except ConnectionRefusedError:
+            self.counts["refused_connections"] += 1
+            return None
+        except ConnectionError:
+            # The listener was closed before the caller saw that it was connected.
+            self.counts["reset_connects"] += 1
+            return None
+        polite = self._rng.random() >= IMPOLITE_FRACTION
+        return Connection(entry, entry.process, reader, writer, polite)
+
+    def _pause_of(self, entry: Entry, usual: float) -> float:
+        """Returns how long a caller waits between two requests; usual is in seconds."""
+        limit = STOPPING_PAUSE_SECONDS if entry in self._stopping else 2.0 * usual
+        return self._rng.uniform(0.0, limit)
+
+    async def _call(self, entry: Entry) -> None:
+        """Sends requests on a connection that is kept until it ends, and then on the next."""
+        usual = 2.0 * self._count * KEPT_CALLERS / self._per_second
+        while True:
+            connection = await self._connect(entry)
+            if connection is None:
+                await asyncio.sleep(0.1)
+                continue
+            while not connection.ended and await self._ask(connection):
+                await asyncio.sleep(self._pause_of(entry, usual))
+            connection.writer.close()
+
+    async def _connect_often(self, entry: Entry) -> None:
+        """Sends first requests on new connections."""
+        usual = 2.0 * self._count / self._per_second
+        while True:
+            await asyncio.sleep(self._pause_of(entry, usual))
+            asking = asyncio.ensure_future(self._ask_once(entry))
+            self._asking.add(asking)
+            asking.add_done_callback(self._asking.discard)
+
+    async def _ask_once(self, entry: Entry) -> None:
+        connection = await self._connect(entry)
+        if connection is not None:
+            if self._rng.random() < 0.5:
+                await asyncio.sleep(self._rng.uniform(0.0, FEW_MILLISECONDS))
+            await self._ask(connection)
+            connection.writer.close()
+
+    async def _ask(self, connection: Connection) -> bool:
+        """Sends a request; returns whether the caller may send another one."""
+        loop = asyncio.get_running_loop()
+        self._asked += 1
+        kind = self._rng.choice(("safe", "unsafe", "streaming"))
+        name = f"r{self._asked}-{self._entries.index(connection.entry)}-{kind}"
+        content = request_of(name, kind)
+        cut = len(content)
+        if self._rng.random() < 0.3:
+            cut -= self._rng.randint(1, len(name))
+        request = CallerRequest(name, not connection.used, loop.time())
+        connection.used = True
+        delayed = self._delay.seconds
+        reading = asyncio.ensure_future(read_reply(connection.reader))
+        try:
+            connection.writer.write(content[:cut])
+            if cut < len(content):
+                await asyncio.sleep(self._rng.uniform(0.0, BETWEEN_PIECES_SECONDS))
+                if connection.ended and not reading.done():
+                    await asyncio.wait((reading,))
+                ended_half = connection.ended
+                connection.writer.write(content[cut:])
+            else:
+                ended_half = False
+            request.sent_at = loop.time()
+            await asyncio.wait((reading,), timeout=CALLER_SECONDS)
+        finally:
+            reading.cancel()
+        if not reading.done() or reading.cancelled():
+            self.counts["overdue"] += 1
+            self.write_line("overdue", request=name, entry=connection.entry.name)
+            return False
+        request.ended_at = loop.time()
+        request.delayed = self._delay.seconds - delayed
+        reply = None if reading.exception() else reading.result()
+        request.answered = reply is not None and reply.whole
+        if ended_half and not request.answered:
+            self.counts["ended_half"] += 1
+            return False
+        self._record_end(connection, request, reading)
+        if not request.answered:
+            return False
+        self.statuses[reply.status] += 1
+        if reply.status == 200 and reply.body != b"".join(answer_pieces(name)):
+            self.false_answers.append(f"{name} {reply.body!r}")
+        return not (connection.polite and reply.headers.get("connection") == "close")
+
+    def _record_end(
+        self, connection: Connection, request: CallerRequest, reading: asyncio.Future
+    ) -> None:
+        request.passed_on = request.name in self._arrived
+        request.at_work = request.passed_on and request.name not in self._finished
+        request.term_at = self._term_at.get(connection.process)
+        request.killed = connection.process in self._killed
+        ending = self._judge.judge(request)
+        self.counts[ending.value] += 1
+        if ending is Ending.ANSWERED:
+            return
+        since = None if request.term_at is None else request.sent_at - request.term_at
+        facts = {
+            "entry": connection.entry.name,
+            "first": request.first,
+            "passed_on": request.passed_on,
+            "at_work": request.at_work,
+            "polite": connection.polite,
+            "after_term": since and round(since, 3),
+            "sending": round(request.sent_at - request.began_at, 3),
+            "waited": round(request.waited, 3),
+            "delayed": round(request.delayed, 3),
+            "seen": repr(reading.exception() or "cut inside an answer"),
+        }
+        self.write_line(ending.value, request=request.name, **facts)
+        if ending is Ending.LOST:
+            self.lost.append(f"{request.name} {json.dumps(facts)}")
+
+    async def _play_stops(self, rng: random.Random) -> None:
+        while not self._ends:
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
+            entry = rng.choice(self._entries)
+            kills = rng.random() < KILL_FRACTION
+            signals = rng.choices((signal.SIGTERM, signal.SIGHUP), k=rng.choice((0, 0, 1, 2)))
+            pauses = [rng.uniform(0.1, 2.4) for _ in signals]
+            if entry in self._taken or len(self._taken) > self._count // 2:
+                continue
+            self._taken.add(entry)
+            process = entry.process
+            self._record_played(f"{'kill' if kills else 'stop'} {entry.name}")
+            if kills:
+                self._killed.add(process)
+            else:
+                await self._end(entry, process, dict(zip(pauses, signals, strict=True)))
+            await process.kill()
+            self._stopping.pop(entry, None)
+            await entry.replace(process)
+            await entry.process.read_event("daemon_started")
+            self._taken.discard(entry)
+
+    async def _end(self, entry: Entry, process: Process, more: dict[float, signal.Signals]) -> None:
+        """Stops a process, and sends it more signals while it stops.
+
+        Args:
+          more: Signals by the seconds after the first one.
+        """
+        loop = asyncio.get_running_loop()
+        self._term_at[process] = self._stopping[entry] = loop.time()
+        process.send(signal.SIGTERM)
+        timers = [loop.call_later(after, process.send, number) for after, number in more.items()]
+        status = await process.wait(GRACE_SECONDS)
+        for timer in timers:
+            timer.cancel()
+        self.counts["outlived" if status is None else "stops"] += 1
+        self.write_line("ended", entry=entry.name, status=status)
+
+    async def _play_turns(self, rng: random.Random) -> None:
+        """Lets entries run only in short turns, those that stop first of all."""
+        while not self._ends:
+            await asyncio.sleep(rng.uniform(0.1, 1.0))
+            entry = rng.choice(list(self._stopping) or self._entries)
+            process = entry.process
+            self._record_played(f"turns of {entry.name}")
+            for _ in range(rng.randint(2, 12)):
+                if process is None or not process.alive or entry.process is not process:
+                    break
+                await entry.suspend(rng.choice((0.02, 0.1, 0.3, 0.4)))
+                await asyncio.sleep(rng.uniform(0.005, 0.15))
+
+    async def _play_changes(self, rng: random.Random) -> None:
+        while not self._ends:
+            await asyncio.sleep(rng.uniform(0.1, 1.5))
+            for _ in range(rng.choice((1, 1, 2, 6))):
+                await self._change(rng.choice(SERVICES))
+                await asyncio.sleep(rng.uniform(0.0, 0.1))
+
+    async def _change(self, services: int) -> None:
+        """Writes the next configuration, with some services beside the one that serves."""
+        self._version += 1
+        others = (f"other{number}" for number in range(services))
+        value = make_configuration(self._version, SERVICE, *others)
+        await self._fleet.store.put(names.CONFIGURATION_KEY, value)
+        self._record_played(f"configuration {self._version} with {services} more services")
+
+    async def _play_reloads(self, rng: random.Random) -> None:
+        while not self._ends:
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            for entry in rng.sample(self._entries, rng.randint(1, max(1, self._count // 2))):
+                if entry.process is not None:
+                    entry.process.send(signal.SIGHUP)
+
+    async def _play_silence(self, rng: random.Random) -> None:
+        while not self._ends:
+            await asyncio.sleep(rng.uniform(0.2, 2.0))
+            endpoint = rng.choice(self._fleet.endpoints)
+            until = asyncio.get_running_loop().time() + SILENT_SECONDS
+            self._silent_until[endpoint.id] = until
+
+    def _figures(self) -> dict[str, object]:
+        return {
+            "requests": self._asked,
+            "statuses": dict(self.statuses),
+            "counts": dict(self.counts),
+            "late_loop": round(self._delay.seconds, 2),
+            "lost": self.lost,
+            "false_answers": self.false_answers,
+        }
+
+
+def request_of(name: str, kind: str) -> bytes:
+    """Returns a request whose body is its name."""
+    lines = (
+        f"POST /{kind}/a HTTP/1.1",
+        f"Host: {SERVICE}.example",
+        f"{names.REQUEST_ID}: {name}",
+        f"{names.DEADLINE}: 3000",
+        f"Content-Length: {len(name)}",
+    )
+    return ("\r\n".join(lines) + f"\r\n\r\n{name}").encode()
+
+
+def broken_promises(figures: dict[str, object]) -> list[str]:
+    """Returns the names of the figures that violate a guarantee."""
+    broken = [name for name in BROKEN if figures[name]]
+    served = figures["statuses"].get(200, 0) >= SMALLEST_LOAD_TO_JUDGE
+    if not served or not figures["counts"].get("stops"):
+        broken.append("served")
+    return broken
+
+
+async def play_soak(
+    seed: int, entries: int, seconds: float, per_second: float, kept_folder: str = KEPT_FOLDER
+) -> tuple[dict[str, object], list[str]]:
+    """Runs one schedule; returns its figures, and what was played.
+
+    Args:
+      kept_folder: Where the logs are kept, in a folder for each play; empty to keep none.
+    """
+    with contextlib.ExitStack() as stack:
+        if kept_folder:
+            pathlib.Path(kept_folder).mkdir(parents=True, exist_ok=True)
+            folder = tempfile.mkdtemp(prefix=f"stops-{seed}-", dir=kept_folder)
+        else:
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+        soak = EntryStopsSoak(seed, entries, per_second, pathlib.Path(folder))
+        figures = await soak.play(seconds)
+        soak.write_line("judged", figures=figures)
+        return figures, soak.played
+
+
+def main() -> int:
+    """Runs schedules one after the other; returns 1 if one violated a guarantee."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="the first")
+    parser.add_argument("--seeds", type=int, default=1, help="how many")
+    parser.add_argument("--entries", type=int, default=5)
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--per-second", type=float, default=60.0, help="requests of all callers")
+    parser.add_argument("--keep-logs", metavar="DIR", default=KEPT_FOLDER, help="of all processes")
+    options = parser.parse_args()
+    red = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        figures, played = asyncio.run(
+            play_soak(seed, options.entries, options.seconds, options.per_second, options.keep_logs)
+        )
+        broken = broken_promises(figures)
+        red += bool(broken)
+        if broken:
+            print("\n".join(played))
+        print(json.dumps({"seed": seed, "broken": broken} | figures), flush=True)
+    return 1 if red else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
