Entries log how the connections of their caller port ended

An entry that closes its listening sockets, or connections without a request, leaves no line, so that a request that nobody logged may have been lost in the backlog, on a connection that was accepted and not read, or with half a request. connections_ended (1009) counts each of these, and says how late the event loop was when it stopped listening.

--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -57,6 +57,7 @@
         self._sequence = 0
         self.requests = RequestsInProgress()
         self._http_port = 0
+        self._caller_port = 0
         self._servers: list[httpserver.HTTPServer] = []
         self._caller_server: EndingServer | None = None
         self.log = log
@@ -97,7 +98,7 @@
         )
         listen = self._settings.listen
         self._caller_server = make_caller_server(self)
-        caller_port = self._listen(self._caller_server, listen.caller_port)
+        self._caller_port = self._listen(self._caller_server, listen.caller_port)
         server = httpserver.HTTPServer(internal, ssl_options=tls.server_context())
         self._http_port = self._listen(server, listen.http_port)
         if self._settings.control == "service":
@@ -112,7 +113,7 @@
         self.log.write(
             Event.DAEMON_STARTED,
             role="entry",
-            caller_port=caller_port,
+            caller_port=self._caller_port,
             port=self._http_port,
             peer_port=self.node.peer_port,
             incarnation=self._incarnation,
@@ -132,13 +133,17 @@
 
     async def stop(self) -> None:
         """Shuts down gracefully: refuses new requests, drains those in progress, then stops."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         self.leaving = True
         self.node.wake_all()
         self.log.write(Event.DAEMON_LEAVING, in_progress=self.requests.count)
         await asyncio.sleep(LEAVING_NOTICE_SECONDS)
         for server in self._servers:
             server.stop()
+        late = loop.time() - began - LEAVING_NOTICE_SECONDS
         await self._caller_server.end_connections(self.requests, self._settings.drain_seconds)
+        self._caller_server.counts.write(self.log, self._caller_port, late)
         await self.tasks.cancel_all()
         await self.node.stop()
         self.log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -201,7 +201,8 @@
 
     async def stop(self) -> None:
         """Shuts down gracefully: refuses new requests, lets those in progress end, then stops."""
-        began = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         self.shutting_down = True
         self.log.write(Event.DAEMON_LEAVING, in_progress=self.requests.count)
         await asyncio.sleep(LOAD_BALANCER_DELAY_SECONDS)
@@ -210,9 +211,11 @@
         self.accepts_requests = False
         for server in self._servers:
             server.stop()
-        spent = asyncio.get_running_loop().time() - began
+        spent = loop.time() - began
         left = self._deployment.bounds.grace - SHUTDOWN_MARGIN_SECONDS - spent
         await self._caller_server.end_connections(self.requests, left)
+        late = spent - LOAD_BALANCER_DELAY_SECONDS
+        self._caller_server.counts.write(self.log, self._deployment.callers.port, late)
         await self.tasks.cancel_all()
         await self.peers.stop()
         self.log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
--- a/wasabidrum/gateway/paced_server.py
+++ b/wasabidrum/gateway/paced_server.py
@@ -61,6 +61,11 @@
         """Whether connections were accepted from which nothing is read yet."""
         return bool(self._waiting)
 
+    @property
+    def unread_count(self) -> int:
+        """The number of connections that were accepted and from which nothing was ever read."""
+        return super().unread_count + len(self._waiting)
+
     def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
         """Starts an accepted connection or lets it wait; see TCPServer."""
         if self._started_this_iteration < CONNECTIONS_PER_ITERATION and not self._waiting:
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -15,6 +15,7 @@
     READINESS_CHANGED = 1006
     LINES_LEFT_OUT = 1007
     SETTINGS_REFUSED = 1008
+    CONNECTIONS_ENDED = 1009
 
     # 2000: requests.
     REQUEST_PLACED = 2001
--- /dev/null
+++ b/wasabidrum/wire/connection_counts.py
@@ -0,0 +1,44 @@
+"""How the connections of a server ended, for the log."""
+
+import dataclasses
+
+from ..observe.event import Event
+from ..observe.event_log import EventLog
+
+
+@dataclasses.dataclass(slots=True)
+class ConnectionCounts:
+    """What became of the connections of a server that has ended.
+
+    Attributes:
+      backlog: Connections that the kernel had accepted and the server had not when it stopped
+        listening; None where the system does not tell.
+      unread: Connections that it had accepted by then, and from which it had read nothing.
+      partial: Connections that were ended with a part of a request.
+      idle: Connections that were ended without any part of a request.
+      unanswered: Connections that were open when the server gave up waiting for them.
+    """
+
+    backlog: int | None = 0
+    unread: int = 0
+    partial: int = 0
+    idle: int = 0
+    unanswered: int = 0
+
+    def write(self, log: EventLog, port: int, late_seconds: float) -> None:
+        """Logs the counts.
+
+        Args:
+          port: The port of the server.
+          late_seconds: How late the event loop was when the server stopped listening.
+        """
+        log.write(
+            Event.CONNECTIONS_ENDED,
+            port=port,
+            backlog=self.backlog,
+            unread=self.unread,
+            partial=self.partial,
+            idle=self.idle,
+            unanswered=self.unanswered,
+            late=round(late_seconds, 4),
+        )
--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -3,13 +3,18 @@
 import asyncio
 import select
 import socket
+import struct
 
 from tornado import httpserver, httputil
 
 from ..core.requests_in_progress import RequestsInProgress
+from .connection_counts import ConnectionCounts
 
 # How soon connections on which a request was being read are looked at again.
 CLOSE_INTERVAL_SECONDS = 0.01
+# struct tcp_info of Linux: of a listening socket, tcpi_unacked is the length of its backlog.
+TCP_INFO_SIZE = 104
+TCPI_UNACKED_OFFSET = 24
 
 
 class WatchedRequest(httputil.HTTPMessageDelegate):
@@ -17,11 +22,13 @@
 
     Attributes:
       delegate: Receives the request.
+      begun: Whether its head was received.
       received: Whether it was received completely.
     """
 
     def __init__(self, delegate: httputil.HTTPMessageDelegate) -> None:
         self.delegate = delegate
+        self.begun = False
         self.received = False
 
     def headers_received(
@@ -30,6 +37,7 @@
         headers: httputil.HTTPHeaders,
     ) -> object:
         """See HTTPMessageDelegate."""
+        self.begun = True
         return self.delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes) -> object:
@@ -51,6 +59,9 @@
 
     A request counts as in progress only once its handler runs. If the process ended as soon as none
     is in progress, callers whose request was just read would get no answer.
+
+    Attributes:
+      counts: How its connections have ended.
     """
 
     def initialize(self, *args: object, **kwargs: object) -> None:
@@ -58,12 +69,25 @@
         super().initialize(*args, **kwargs)
         # The latest request of each open connection, from the time at which it is waited for.
         self._latest: dict[object, WatchedRequest] = {}
+        self.counts = ConnectionCounts()
 
     @property
     def has_unstarted(self) -> bool:
         """Whether connections were accepted from which nothing is read yet."""
         return False
 
+    @property
+    def unread_count(self) -> int:
+        """The number of connections that were accepted and from which nothing was ever read."""
+        return sum(connection not in self._latest for connection in self._connections)
+
+    def stop(self) -> None:
+        """Stops listening; see TCPServer."""
+        lengths = [backlog_length(sock) for sock in self._sockets.values()]
+        self.counts.backlog = None if None in lengths else sum(lengths)
+        self.counts.unread = self.unread_count
+        super().stop()
+
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> WatchedRequest:
@@ -88,7 +112,10 @@
         ends_at = loop.time() + seconds
         while True:
             await requests.wait_until_idle(max(0.0, ends_at - loop.time()))
-            if self._close_idle_connections() or loop.time() >= ends_at:
+            if self._close_idle_connections():
+                return
+            if loop.time() >= ends_at:
+                self.counts.unanswered = sum(not c.stream.closed() for c in self._connections)
                 return
             await asyncio.sleep(CLOSE_INTERVAL_SECONDS)
 
@@ -105,10 +132,23 @@
         for connection, latest in list(self._latest.items()):
             stream = connection.stream
             if not latest.received and stream.reading() and not has_input(stream.socket):
+                if latest.begun or stream._read_buffer_size:
+                    self.counts.partial += 1
+                else:
+                    self.counts.idle += 1
                 stream.close()
         return not self.has_unstarted and all(c.stream.closed() for c in self._latest)
 
 
+def backlog_length(sock: socket.socket) -> int | None:
+    """Returns the number of connections that wait to be accepted; None if it is not known."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+        return struct.unpack_from("I", info, TCPI_UNACKED_OFFSET)[0]
+    except (OSError, struct.error):
+        return None
+
+
 def has_input(sock: socket.socket) -> bool:
     """Returns whether data, or the end of the connection, is waiting to be read."""
     return has_event(sock, select.POLLIN)
