Let other soaks use the callers of the soak of stops

Its series, what endpoints say in their answers and what is done with a reply become methods, so that a soak of endpoints' notices plays the same callers, entries and changes.

--- a/tests/entry_stops_soak.py
+++ b/tests/entry_stops_soak.py
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import collections
+import collections.abc
 import contextlib
 import dataclasses
 import json
@@ -36,6 +37,7 @@
     FakeEndpoint,
     PlatformFleet,
     ReceivedRequest,
+    Reply,
     make_configuration,
     read_reply,
     response_head,
@@ -59,8 +61,8 @@
 SERVICES = (0, 0, 30, 400)
 KILL_FRACTION = 0.1
 TICK_SECONDS = 0.01
+Series = collections.abc.Callable[[random.Random], collections.abc.Awaitable[None]]
 KEPT_FOLDER = os.environ.get(KEPT_FOLDER_VARIABLE, "")
-BROKEN = ("lost", "false_answers")
 SMALLEST_LOAD_TO_JUDGE = 50
 
 
@@ -103,7 +105,13 @@
 
 
 class EntryStopsSoak:
-    """Plays one schedule, and judges how the requests of its callers ended."""
+    """Plays one schedule, and judges how the requests of its callers ended.
+
+    Attributes:
+      broken: The figures that violate a guarantee unless they are empty.
+    """
+
+    broken = ("lost", "false_answers")
 
     def __init__(self, seed: int, entries: int, per_second: float, folder: pathlib.Path) -> None:
         self._seed = seed
@@ -153,12 +161,9 @@
             running += [self._call(entry) for entry in self._entries * KEPT_CALLERS]
             tasks = [asyncio.ensure_future(each) for each in running]
             await asyncio.sleep(MEETING_SECONDS)
-            stops = max(2, self._count // 6)
-            series = [self._play_stops] * stops + [self._play_turns] * stops
-            series += [self._play_changes, self._play_reloads, self._play_silence]
             playing = [
                 asyncio.ensure_future(play(random.Random(f"{self._seed} {number}")))
-                for number, play in enumerate(series)
+                for number, play in enumerate(self._series())
             ]
             await asyncio.sleep(seconds)
             self._ends = True
@@ -174,6 +179,12 @@
                 task.cancel()
             await self._stop()
 
+    def _series(self) -> list[Series]:
+        """Returns what is played beside each other."""
+        stops = max(2, self._count // 6)
+        series = [self._play_stops] * stops + [self._play_turns] * stops
+        return [*series, self._play_changes, self._play_reloads, self._play_silence]
+
     async def _start(self) -> None:
         store = self._fleet.store
         await store.start()
@@ -208,6 +219,7 @@
         if streams := name.endswith("-streaming"):
             lines = ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
             pieces = pieces[int(request.headers.get(names.LAST_EVENT_ID.lower(), "0")) :]
+        lines += self._notices(endpoint, name)
         writer.write(response_head(request, endpoint, "200 OK", *lines))
         try:
             for piece in pieces:
@@ -220,6 +232,10 @@
             return
         self._finished.add(name)
 
+    def _notices(self, endpoint: FakeEndpoint, name: str) -> list[str]:
+        """Returns what an endpoint says of itself in its answer to a request."""
+        return []
+
     async def _connect(self, entry: Entry) -> Connection | None:
         """Opens a connection; returns None where nothing listens."""
         try:
@@ -310,11 +326,14 @@
         self._record_end(connection, request, reading)
         if not request.answered:
             return False
-        self.statuses[reply.status] += 1
-        if reply.status == 200 and reply.body != b"".join(answer_pieces(name)):
-            self.false_answers.append(f"{name} {reply.body!r}")
+        self._record_reply(connection, request, reply)
         return not (connection.polite and reply.headers.get("connection") == "close")
 
+    def _record_reply(self, connection: Connection, request: CallerRequest, reply: Reply) -> None:
+        self.statuses[reply.status] += 1
+        if reply.status == 200 and reply.body != b"".join(answer_pieces(request.name)):
+            self.false_answers.append(f"{request.name} {reply.body!r}")
+
     def _record_end(
         self, connection: Connection, request: CallerRequest, reading: asyncio.Future
     ) -> None:
@@ -446,9 +465,11 @@
     return ("\r\n".join(lines) + f"\r\n\r\n{name}").encode()
 
 
-def broken_promises(figures: dict[str, object]) -> list[str]:
+def broken_promises(
+    figures: dict[str, object], kind: type[EntryStopsSoak] = EntryStopsSoak
+) -> list[str]:
     """Returns the names of the figures that violate a guarantee."""
-    broken = [name for name in BROKEN if figures[name]]
+    broken = [name for name in kind.broken if figures[name]]
     served = figures["statuses"].get(200, 0) >= SMALLEST_LOAD_TO_JUDGE
     if not served or not figures["counts"].get("stops"):
         broken.append("served")
@@ -456,7 +477,12 @@
 
 
 async def play_soak(
-    seed: int, entries: int, seconds: float, per_second: float, kept_folder: str = KEPT_FOLDER
+    seed: int,
+    entries: int,
+    seconds: float,
+    per_second: float,
+    kept_folder: str = KEPT_FOLDER,
+    kind: type[EntryStopsSoak] = EntryStopsSoak,
 ) -> tuple[dict[str, object], list[str]]:
     """Runs one schedule; returns its figures, and what was played.
 
@@ -466,18 +492,18 @@
     with contextlib.ExitStack() as stack:
         if kept_folder:
             pathlib.Path(kept_folder).mkdir(parents=True, exist_ok=True)
-            folder = tempfile.mkdtemp(prefix=f"stops-{seed}-", dir=kept_folder)
+            folder = tempfile.mkdtemp(prefix=f"{kind.__name__}-{seed}-", dir=kept_folder)
         else:
             folder = stack.enter_context(tempfile.TemporaryDirectory())
-        soak = EntryStopsSoak(seed, entries, per_second, pathlib.Path(folder))
+        soak = kind(seed, entries, per_second, pathlib.Path(folder))
         figures = await soak.play(seconds)
         soak.write_line("judged", figures=figures)
         return figures, soak.played
 
 
-def main() -> int:
+def main(kind: type[EntryStopsSoak] = EntryStopsSoak) -> int:
     """Runs schedules one after the other; returns 1 if one violated a guarantee."""
-    parser = argparse.ArgumentParser(description=__doc__)
+    parser = argparse.ArgumentParser(description=kind.__doc__)
     parser.add_argument("--seed", type=int, default=1, help="the first")
     parser.add_argument("--seeds", type=int, default=1, help="how many")
     parser.add_argument("--entries", type=int, default=5)
@@ -488,9 +514,16 @@
     red = 0
     for seed in range(options.seed, options.seed + options.seeds):
         figures, played = asyncio.run(
-            play_soak(seed, options.entries, options.seconds, options.per_second, options.keep_logs)
+            play_soak(
+                seed,
+                options.entries,
+                options.seconds,
+                options.per_second,
+                options.keep_logs,
+                kind,
+            )
         )
-        broken = broken_promises(figures)
+        broken = broken_promises(figures, kind)
         red += bool(broken)
         if broken:
             print("\n".join(played))
