--- a/tests/endpoint_notices_soak.py
+++ b/tests/endpoint_notices_soak.py
@@ -14,8 +14,9 @@
 from bench.leaving_judge import Arrival, LeavingJudge
 from bench.lost_judge import CallerRequest
 from bench.process import Process
+from bench.rest_judge import Rest, RestJudge
 from tests.entry_stops_soak import Connection, EntryStopsSoak, Series, main
-from tests.fake_platform import FakeEndpoint, ReceivedRequest, Reply
+from tests.fake_platform import FakeEndpoint, ReceivedRequest, Reply, response_head
 from wasabidrum.config.deployment import Bounds
 from wasabidrum.platform import names
 
@@ -25,14 +26,17 @@
 
 
 class EndpointNoticesSoak(EntryStopsSoak):
-    """Endpoints that announce in their answers that they leave, while the store comes and goes."""
+    """Endpoints that leave or want rest and say so in answers, while the store comes and goes."""
 
-    broken = ("late_arrivals", "false_answers")
+    broken = ("late_arrivals", "disturbed_rests", "false_answers")
 
     def __init__(self, seed: int, entries: int, per_second: float, folder: pathlib.Path) -> None:
         super().__init__(seed, entries, per_second, folder)
         self._leavings = LeavingJudge(Bounds().drain)
+        self._rests = RestJudge()
         self._arrivals: list[Arrival] = []
+        # The seconds of rest that each resting run asks for.
+        self._resting: dict[str, int] = {}
         self._leaving: set[str] = set()
         self._started = 0
         # The process that a request was sent to, and when.
@@ -44,7 +48,8 @@
 
     def _series(self) -> list[Series]:
         series = [self._play_stops, self._play_changes, self._play_reloads, self._play_outages]
-        return [*series, self._play_suspensions, self._play_leavings, self._play_leavings]
+        series += [self._play_suspensions, self._play_leavings, self._play_leavings]
+        return [*series, self._play_rests, self._play_rests]
 
     async def _ask(self, connection: Connection) -> bool:
         self._sent[f"r{self._asked + 1}"] = connection.process, asyncio.get_running_loop().time()
@@ -56,8 +61,18 @@
         name = request.headers[names.REQUEST_ID.lower()]
         process, sent_at = self._sent[name.partition("-")[0]]
         now = asyncio.get_running_loop().time()
-        self._arrivals.append(Arrival(name, key_of(process), run_of(endpoint), sent_at, now))
-        await super()._answer(endpoint, request, writer)
+        run = run_of(endpoint)
+        self._arrivals.append(Arrival(name, key_of(process), run, sent_at, now))
+        self._rests.record_arrival(key_of(process), run, now)
+        seconds = self._resting.get(run)
+        if seconds is None:
+            await super()._answer(endpoint, request, writer)
+            return
+        lines = [f"{LEAVING}: 1"] * (run in self._leaving)
+        lines += [f"{names.NOT_EXECUTED}: 1", f"{names.RETRY_AFTER}: {seconds}"]
+        lines.append("Content-Length: 0")
+        writer.write(response_head(request, endpoint, "503 Full", *lines))
+        self._rests.rests.append(Rest(key_of(process), run, now, float(seconds)))
 
     def _notices(self, endpoint: FakeEndpoint, name: str) -> list[str]:
         run = run_of(endpoint)
@@ -97,6 +112,20 @@
             self._started += 1
             await self._start_endpoint(endpoint.id if same else f"n{self._started}")
 
+    async def _play_rests(self, rng: random.Random) -> None:
+        """Lets endpoints turn all requests away for some time, and ask for rest."""
+        while not self._ends:
+            await asyncio.sleep(rng.uniform(0.2, 3.0))
+            endpoint = rng.choice(self._fleet.endpoints)
+            seconds = rng.choice((1, 3, 3, 5))
+            lasting = rng.uniform(0.1, 1.5)
+            if run_of(endpoint) in self._resting:
+                continue
+            self._resting[run_of(endpoint)] = seconds
+            self._record_played(f"{run_of(endpoint)} asks for {seconds} s of rest")
+            await asyncio.sleep(lasting)
+            del self._resting[run_of(endpoint)]
+
     async def _start_endpoint(self, endpoint_id: str) -> None:
         endpoint = FakeEndpoint(endpoint_id, self._fleet.endpoints[0].service)
         endpoint.handler = self._answer
@@ -150,13 +179,18 @@
             began = asyncio.get_running_loop().time()
             await entry.suspend(seconds)
             span = began, asyncio.get_running_loop().time()
-            self._leavings.suspended.setdefault(key_of(process), []).append(span)
+            for judge in (self._leavings, self._rests):
+                judge.suspended.setdefault(key_of(process), []).append(span)
 
     def _figures(self) -> dict[str, object]:
         late = self._leavings.late_arrivals(self._arrivals)
         return super()._figures() | {
             "leavings_passed_on": self._leavings.count,
             "late_arrivals": list(describe_late(late)),
+            "rests": len(self._rests.rests),
+            "disturbed_rests": [
+                f"{rest} {number}" for rest, number in self._rests.disturbed_rests()
+            ],
         }
 
 
--- a/tests/endpoint_notices_soak_test.py
+++ b/tests/endpoint_notices_soak_test.py
@@ -32,6 +32,11 @@
         self.assertGreater(self.figures["leavings_passed_on"], 0)
         self.assert_kept("late_arrivals")
 
+    def test_endpoints_that_want_rest(self) -> None:
+        """Guards against entries that go on sending to endpoints that have turned them away."""
+        self.assertGreater(self.figures["rests"], 0)
+        self.assert_kept("disturbed_rests")
+
     def test_callers_are_served(self) -> None:
         """Guards against entries that refuse all requests, or answer with what is not whole."""
         self.assert_kept("served", "false_answers")
