Take off only how late a caller sees the end of its connection

The soak subtracted every delay of its event loop since the request was sent: of 0.35 s it took off 0.115 s, as each tick of 10 ms comes a little late, so that the 0.2 s in which a close may cross a request became longer. Only the latest delay makes an end look later than it was.

--- a/bench/lost_judge.py
+++ b/bench/lost_judge.py
@@ -31,7 +31,7 @@
       began_at: When its first byte was sent.
       sent_at: When its last byte was sent.
       ended_at: When its answer was complete, or its connection had ended.
-      delayed: Seconds of these for which the caller itself could not run.
+      delayed: Seconds by which the caller itself may have seen that end late.
       answered: Whether it got a complete answer; a refusal is one.
       passed_on: Whether it reached an endpoint.
       at_work: Whether an endpoint was still at work on it when it ended.
--- a/tests/entry_stops_soak.py
+++ b/tests/entry_stops_soak.py
@@ -84,16 +84,21 @@
 
 
 class LoopDelay:
-    """For how long the event loop could not run."""
+    """How late the event loop was.
+
+    Attributes:
+      worst: The longest that it was late, in seconds.
+    """
 
     def __init__(self) -> None:
-        self._seconds = 0.0
+        self.worst = 0.0
+        self._latest = 0.0
         self._due_at = float("inf")
 
     @property
     def seconds(self) -> float:
-        """Seconds so far."""
-        return self._seconds + max(0.0, asyncio.get_running_loop().time() - self._due_at)
+        """By how many seconds it was late when it last ran other tasks, or is now."""
+        return max(self._latest, asyncio.get_running_loop().time() - self._due_at)
 
     async def run(self) -> None:
         """Measures until cancelled."""
@@ -101,7 +106,8 @@
         while True:
             self._due_at = loop.time() + TICK_SECONDS
             await asyncio.sleep(TICK_SECONDS)
-            self._seconds = self.seconds
+            self._latest = loop.time() - self._due_at
+            self.worst = max(self.worst, self._latest)
 
 
 class EntryStopsSoak:
@@ -296,7 +302,6 @@
             cut -= self._rng.randint(1, len(name))
         request = CallerRequest(name, not connection.used, loop.time())
         connection.used = True
-        delayed = self._delay.seconds
         reading = asyncio.ensure_future(read_reply(connection.reader))
         try:
             connection.writer.write(content[:cut])
@@ -317,7 +322,7 @@
             self.write_line("overdue", request=name, entry=connection.entry.name)
             return False
         request.ended_at = loop.time()
-        request.delayed = self._delay.seconds - delayed
+        request.delayed = self._delay.seconds
         reply = None if reading.exception() else reading.result()
         request.answered = reply is not None and reply.whole
         if ended_half and not request.answered:
@@ -447,7 +452,7 @@
             "requests": self._asked,
             "statuses": dict(self.statuses),
             "counts": dict(self.counts),
-            "late_loop": round(self._delay.seconds, 2),
+            "late_loop": round(self._delay.worst, 3),
             "lost": self.lost,
             "false_answers": self.false_answers,
         }
