--- a/tests/entry_soak.py
+++ b/tests/entry_soak.py
@@ -100,6 +100,7 @@
         folder: pathlib.Path,
         store_port: int,
         grace: float = GRACE_SECONDS,
+        root: pathlib.Path = ROOT,
     ) -> None:
         self.name = f"entry-{number}"
         self.host = f"127.0.1.{number + 1}"
@@ -112,6 +113,7 @@
         self._disturbed_until = float("-inf")
         self._store_port = store_port
         self._grace = grace
+        self._root = root
         self._first_port = first_port
         self._settings = folder / f"{self.name}.json"
         self._output = folder / f"{self.name}.log"
@@ -194,7 +196,7 @@
                 "-m",
                 "wasabidrum.scripts.daemon",
                 "--deployed",
-                cwd=ROOT,
+                cwd=self._root,
                 stdout=stream,
                 stderr=stream,
                 env=environment,
--- a/tests/entry_stops_soak.py
+++ b/tests/entry_stops_soak.py
@@ -23,7 +23,7 @@
 
 from bench.cluster import KEPT_FOLDER_VARIABLE
 from bench.lost_judge import CallerRequest, Ending, LostJudge
-from bench.process import Process
+from bench.process import ROOT, Process
 from standins.ports import free_ports
 from tests.entry_soak import (
     MEETING_SECONDS,
@@ -115,9 +115,11 @@
 
     Attributes:
       broken: The figures that violate a guarantee unless they are empty.
+      root: The checkout that entries run from.
     """
 
     broken = ("lost", "false_answers")
+    root = ROOT
 
     def __init__(self, seed: int, entries: int, per_second: float, folder: pathlib.Path) -> None:
         self._seed = seed
@@ -200,7 +202,7 @@
             endpoint.handler = self._answer
         first = free_ports(PORTS_OF_ONE)
         self._entries = [
-            Entry(number, first, self._folder, store.port, GRACE_SECONDS)
+            Entry(number, first, self._folder, store.port, GRACE_SECONDS, self.root)
             for number in range(self._count)
         ]
         await asyncio.gather(*(entry.start(True) for entry in self._entries))
@@ -488,11 +490,13 @@
     per_second: float,
     kept_folder: str = KEPT_FOLDER,
     kind: type[EntryStopsSoak] = EntryStopsSoak,
+    root: pathlib.Path = ROOT,
 ) -> tuple[dict[str, object], list[str]]:
     """Runs one schedule; returns its figures, and what was played.
 
     Args:
       kept_folder: Where the logs are kept, in a folder for each play; empty to keep none.
+      root: The checkout that entries run from.
     """
     with contextlib.ExitStack() as stack:
         if kept_folder:
@@ -501,6 +505,7 @@
         else:
             folder = stack.enter_context(tempfile.TemporaryDirectory())
         soak = kind(seed, entries, per_second, pathlib.Path(folder))
+        soak.root = root
         figures = await soak.play(seconds)
         soak.write_line("judged", figures=figures)
         return figures, soak.played
@@ -515,6 +520,7 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--per-second", type=float, default=60.0, help="requests of all callers")
     parser.add_argument("--keep-logs", metavar="DIR", default=KEPT_FOLDER, help="of all processes")
+    parser.add_argument("--root", type=pathlib.Path, default=ROOT, help="checkout of the entries")
     options = parser.parse_args()
     red = 0
     for seed in range(options.seed, options.seed + options.seeds):
@@ -526,6 +532,7 @@
                 options.per_second,
                 options.keep_logs,
                 kind,
+                options.root.resolve(),
             )
         )
         broken = broken_promises(figures, kind)
