Entries log, count and remember which endpoints say that they leave

No line of the entries' logs says that they were told, and no refusal says what it owes to endpoints that leave.

Cause: the header is read nowhere. It is decoded once, in platform/heads.py. An answer of another instance at the address (421) or to another request is not believed; one without a request id is, as a connection to an endpoint carries one request, and such an answer is passed on to the caller.

Placing does not change yet.

--- a/wasabidrum/core/request_head.py
+++ b/wasabidrum/core/request_head.py
@@ -49,6 +49,7 @@
       instance: The endpoint that answered in place of the expected one, or empty.
       states_limit: Whether the endpoint states how many requests a second it takes.
       stated_limit: That number, from all entries together; None if it cannot be read.
+      leaving: Whether the endpoint announces that it leaves.
       encoded: Whether it has a Content-Encoding, a sign that its body was changed in transit.
       headers: The headers that are passed to the caller.
     """
@@ -63,6 +64,7 @@
     headers: httputil.HTTPHeaders
     stated_limit: float | None = None
     states_limit: bool = False
+    leaving: bool = False
 
     @property
     def success(self) -> bool:
--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -12,6 +12,7 @@
 import collections.abc
 
 from ..core.listed_endpoint import ListedEndpoint
+from .announced_leaving import AnnouncedLeaving
 
 GRACE_SECONDS = 1.8
 STORE_FAILURE_SECONDS = 2.5
@@ -25,13 +26,14 @@
     """
 
     __slots__ = ("_endpoints", "_revisions", "_grace_ends_at", "_store_failed_at", "version")
-    __slots__ += ("_by_host", "_by_host_version")
+    __slots__ += ("_by_host", "_by_host_version", "_announced")
 
     def __init__(self) -> None:
         self._endpoints: dict[str, ListedEndpoint] = {}
         self._revisions: dict[str, int] = {}
         self._grace_ends_at: dict[str, float] = {}
         self._store_failed_at = float("-inf")
+        self._announced = AnnouncedLeaving()
         self.version = 0
         # The endpoints of each host, as of a version of this registry.
         self._by_host: dict[str, list[ListedEndpoint]] = {}
@@ -55,6 +57,31 @@
                 self._by_host.setdefault(endpoint.host, []).append(endpoint)
         return self._by_host.get(host, ())
 
+    def count_leaving(self, service: str = "") -> int:
+        """Returns how many endpoints leave.
+
+        Args:
+          service: Whose endpoints to count; empty for those of all services.
+        """
+        return sum(
+            1
+            for endpoint in self._endpoints.values()
+            if service in ("", endpoint.service)
+            and (endpoint.leaving or self._announced.includes(endpoint.id, endpoint.started_at))
+        )
+
+    def record_leaving(self, endpoint_id: str, started_at: int) -> bool:
+        """Records that a run of an endpoint has announced that it leaves.
+
+        Returns:
+          Whether this was not known of it before.
+        """
+        listed = self._endpoints.get(endpoint_id)
+        # The run has ended, or cannot be told from a later one.
+        if listed.started_at != started_at if listed is not None else not started_at:
+            return False
+        return self._announced.record(endpoint_id, started_at)
+
     def record_store_failure(self, now: float) -> None:
         """Records that the store could not be reached until a time."""
         self._store_failed_at = max(now, self._store_failed_at)
@@ -103,5 +130,6 @@
 
     def _remove(self, endpoint_id: str) -> None:
         self._grace_ends_at.pop(endpoint_id, None)
+        self._announced.record_unlisted(endpoint_id)
         if self._endpoints.pop(endpoint_id, None) is not None:
             self.version += 1
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -326,6 +326,7 @@
             raise AttemptError(AttemptEnd.LOST, "answer_lost")
         head = part.head
         self._head_at = asyncio.get_running_loop().time()
+        self._record_leaving(head)
         self._record_stated_limit(head)
         if head.not_executed and not head.success:
             raise AttemptError(AttemptEnd.REFUSED, f"refused_{head.status}")
@@ -334,6 +335,14 @@
             raise AttemptError(AttemptEnd.LOST, "answer_crossed" if mismatched else "answer_broken")
         return head
 
+    def _record_leaving(self, head: ReplyHead) -> None:
+        request_id = self._call.head.request_id
+        # Another endpoint at this address speaks of itself.
+        of_another = head.status == 421 and head.instance != self._placement.endpoint.id
+        crossed = head.request_id not in ("", request_id)
+        if head.leaving and not of_another and not crossed:
+            self._gateway.placer.record_leaving(self._placement, request_id, head.status)
+
     def _record_stated_limit(self, head: ReplyHead) -> None:
         # An answer to another request, or of another endpoint at this address, says nothing about
         # the one that the request was sent to.
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -244,6 +244,11 @@
             "Endpoints that take only so many requests a second, as they state.",
             lambda: self._limits.count,
         )
+        add(
+            "endpoints_leaving",
+            "Endpoints registered that leave, as they are listed or have said themselves.",
+            lambda: self.state.endpoints.count_leaving(),
+        )
         add(
             "parts_blocked",
             "Parts of prompts whose requests are refused because they crash endpoints.",
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -200,6 +200,7 @@
             endpoints_known=choice.known,
             endpoints_able=choice.available,
             endpoints_limited=choice.limited,
+            endpoints_leaving=self._gateway.state.endpoints.count_leaving(self._service),
             report_age=choice.report_age,
             returning=self._returning,
         )
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -277,6 +277,14 @@
         if self._limits.record(run, limit, boot_seconds()):
             self._log.write(Event.LIMIT_STATED, endpoint=endpoint.id, limit=limit, peer="")
 
+    def record_leaving(self, placement: Placement, request_id: str, status: int) -> None:
+        """Records that an endpoint has announced in an answer that it leaves."""
+        endpoint = placement.endpoint
+        if self._state.endpoints.record_leaving(endpoint.id, endpoint.started_at):
+            self._log.write(
+                Event.ENDPOINT_LEAVING, endpoint=endpoint.id, request=request_id, status=status
+            )
+
     def record_first_event(self, placement: Placement, prompt_tokens: int, seconds: float) -> None:
         """Records the first event of a request, and how long after the placement it arrived."""
         now = asyncio.get_running_loop().time()
--- a/wasabidrum/platform/heads.py
+++ b/wasabidrum/platform/heads.py
@@ -152,6 +152,7 @@
         headers=passed,
         states_limit=names.STATED_LIMIT in headers,
         stated_limit=read_rate(headers.get(names.STATED_LIMIT, "")),
+        leaving=headers.get(names.LEAVING, "").strip() == "1",
     )
 
 
--- a/wasabidrum/platform/heads_test.py
+++ b/wasabidrum/platform/heads_test.py
@@ -126,6 +126,13 @@
             self.assertEqual((head.states_limit, head.stated_limit), (True, None), text)
         self.assertFalse(self.read(200).states_limit)
 
+    def test_only_the_value_1_announces_leaving(self) -> None:
+        """Guards against an endpoint that loses all its requests for a header that denies it."""
+        self.assertTrue(self.read(200, **{names.LEAVING: "1"}).leaving)
+        for text in ("", "0", "no"):
+            self.assertFalse(self.read(503, **{names.LEAVING: text}).leaving)
+        self.assertFalse(self.read(200).leaving)
+
     def test_retry_after_has_fractions_of_a_second(self) -> None:
         self.assertEqual(write_refusal("r1", 0.25)[names.RETRY_AFTER], "0.250")
         self.assertNotIn(names.RETRY_AFTER, write_refusal("r1", None))
--- a/wasabidrum/platform/names.py
+++ b/wasabidrum/platform/names.py
@@ -13,6 +13,8 @@
 INSTANCE = "Wasabidrum-Instance-Id"
 # The requests a second that an endpoint in need takes from all instances together.
 STATED_LIMIT = "Server-Limit"
+# Set to "1" by an endpoint that leaves.
+LEAVING = "Server-Leaving"
 TENANT = "Wasabidrum-Tenant"
 PRIORITY = "Wasabidrum-Request-Priority"
 MODEL = "Wasabidrum-Model"
