Log and count the rests that endpoints ask for, before any change of placing

An endpoint that turns a request away with 503 may add Retry-After: it wants nothing more from that entry for so long.

Nothing is placed differently yet. Answers to another request, and those that name another endpoint as their sender, are not believed; what stands before an endpoint may leave the request's id out.

--- a/wasabidrum/core/request_head.py
+++ b/wasabidrum/core/request_head.py
@@ -50,6 +50,8 @@
       states_limit: Whether the endpoint states how many requests a second it takes.
       stated_limit: That number, from all entries together; None if it cannot be read.
       leaving: Whether the endpoint announces that it leaves.
+      rest_seconds: For how long the endpoint wants no more requests from this entry; zero where it
+        does not say so.
       encoded: Whether it has a Content-Encoding, a sign that its body was changed in transit.
       headers: The headers that are passed to the caller.
     """
@@ -65,6 +67,7 @@
     stated_limit: float | None = None
     states_limit: bool = False
     leaving: bool = False
+    rest_seconds: float = 0.0
 
     @property
     def success(self) -> bool:
--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -92,6 +92,7 @@
       report_age: Age in seconds of their oldest load report, set if the request is refused for
         overload; else zero.
       limited: Number of endpoints left out because of limits that they have stated.
+      resting: Number of endpoints that want no requests from this entry now.
       uncorrected_seconds: Forecast for the chosen endpoint from the published figures, before
         corrections.
     """
@@ -103,6 +104,7 @@
     available: int = 0
     report_age: float = 0.0
     limited: int = 0
+    resting: int = 0
     uncorrected_seconds: float = 0.0
 
 
--- /dev/null
+++ b/wasabidrum/decisions/endpoint_rests.py
@@ -0,0 +1,37 @@
+"""Leaves endpoints alone for as long as they have asked this entry to.
+
+Load pattern: an endpoint that is short of something turns requests away for some seconds, and says
+with each refusal for how long it wants no more. Every request that is sent there meanwhile is
+turned away as well, costs a retry and a connection, and keeps the endpoint from recovering.
+
+A rest holds for one run of an endpoint, and until it ends: answers that come meanwhile, the list of
+endpoints and this entry's own measurements say nothing about it. A later refusal may prolong it and
+never ends it sooner.
+"""
+
+from .stated_limits import EndpointRun
+
+
+class EndpointRests:
+    """The rests that endpoints have asked one entry for.
+
+    All times are of a clock that keeps counting while the instance is suspended.
+    """
+
+    __slots__ = ("_ends",)
+
+    def __init__(self) -> None:
+        self._ends: dict[EndpointRun, float] = {}
+
+    def record(self, run: EndpointRun, seconds: float, now: float) -> None:
+        """Records that an endpoint wants no more requests for some seconds."""
+        self._ends = {known: end for known, end in self._ends.items() if end > now}
+        self._ends[run] = max(self._ends.get(run, 0.0), now + seconds)
+
+    def seconds_left(self, run: EndpointRun, now: float) -> float:
+        """Returns for how long an endpoint still wants no requests; zero if it takes them."""
+        return max(0.0, self._ends.get(run, now) - now)
+
+    def count(self, now: float) -> int:
+        """Returns how many endpoints want no requests now."""
+        return sum(end > now for end in self._ends.values())
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -328,6 +328,7 @@
         self._head_at = asyncio.get_running_loop().time()
         self._record_leaving(head)
         self._record_stated_limit(head)
+        self._record_rest(head)
         if head.not_executed and not head.success:
             raise AttemptError(AttemptEnd.REFUSED, f"refused_{head.status}")
         mismatched = head.request_id and head.request_id != self._call.head.request_id
@@ -353,6 +354,13 @@
         if withdrawn or head.stated_limit is not None:
             self._gateway.placer.record_stated_limit(self._placement, head.stated_limit)
 
+    def _record_rest(self, head: ReplyHead) -> None:
+        # What stands before an endpoint may turn requests away without their id.
+        answers_this = head.request_id in ("", self._call.head.request_id)
+        own = head.instance in ("", self._placement.endpoint.id)
+        if head.rest_seconds > 0.0 and answers_this and own:
+            self._gateway.placer.record_rest(self._placement, head.rest_seconds)
+
     async def _read_complete_reply(
         self, connection: EndpointConnection, head: ReplyHead
     ) -> CompleteReply:
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -249,6 +249,11 @@
             "Endpoints registered that leave, as they are listed or have said themselves.",
             lambda: self.state.endpoints.count_leaving(),
         )
+        add(
+            "endpoints_resting",
+            "Endpoints that want no requests from this entry for now, as they state.",
+            lambda: self.placer.resting_count,
+        )
         add(
             "parts_blocked",
             "Parts of prompts whose requests are refused because they crash endpoints.",
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -201,6 +201,7 @@
             endpoints_able=choice.available,
             endpoints_limited=choice.limited,
             endpoints_leaving=self._gateway.state.endpoints.count_leaving(self._service),
+            endpoints_resting=choice.resting,
             report_age=choice.report_age,
             returning=self._returning,
         )
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -26,6 +26,7 @@
 )
 from ..decisions.endpoint_health import Health, is_silent
 from ..decisions.endpoint_load import EndpointLoad
+from ..decisions.endpoint_rests import EndpointRests
 from ..decisions.engine_forecast import (
     answer_seconds,
     extra_read_seconds,
@@ -92,7 +93,7 @@
 
     __slots__ = ("_state", "_log", "_data_centre", "_loads", "_rng", "_retry_budgets", "_bounds")
     __slots__ += ("_statuses", "_peer_entries", "_traffic", "_preferred", "_assigned_for")
-    __slots__ += ("_only_entry", "_limits")
+    __slots__ += ("_only_entry", "_limits", "_rests")
 
     def __init__(
         self,
@@ -117,6 +118,7 @@
         self._retry_budgets: dict[str, SharedRetryBudget] = {}
         self._only_entry = only_entry
         self._limits = limits
+        self._rests = EndpointRests()
         self._statuses = ReportedStatuses()
         self._rng = random.Random()
 
@@ -125,6 +127,11 @@
         """The entry's random number generator."""
         return self._rng
 
+    @property
+    def resting_count(self) -> int:
+        """The number of endpoints that want no requests from this entry now."""
+        return self._rests.count(boot_seconds())
+
     def load_of(self, endpoint: ListedEndpoint) -> EndpointLoad:
         """Returns the load of an endpoint since its last start."""
         key = (endpoint.id, endpoint.started_at)
@@ -182,6 +189,7 @@
         figures = self._state.engine_figures(service)
         self._assign_endpoints()
         candidates = self._candidates(service, figures, tried, weights, now)
+        resting = self._count_resting(candidates)
         full, seconds_until_room = self._leave_out_limited(candidates)
         traffic = self.traffic(service)
         refused_share = traffic.refused_share(now)
@@ -212,10 +220,13 @@
             caller_leaves_in=seconds_until_disconnect,
         )
         choice = choose(candidates, figures, demand, now, self._rng)
+        choice = dataclasses.replace(choice, resting=resting) if resting else choice
         if not full or choice.seconds < float("inf"):
             return dataclasses.replace(choice, limited=full) if full else choice
         retry_after = retry_after_overload(figures, seconds_until_room, refused_share)
-        return Choice(None, float("inf"), retry_after, choice.known + full, limited=full)
+        return Choice(
+            None, float("inf"), retry_after, choice.known + full, limited=full, resting=resting
+        )
 
     def placement_for(self, choice: Choice) -> Placement | None:
         """Returns the placement on the endpoint that was chosen; None for a refusal."""
@@ -285,6 +296,12 @@
                 Event.ENDPOINT_LEAVING, endpoint=endpoint.id, request=request_id, status=status
             )
 
+    def record_rest(self, placement: Placement, seconds: float) -> None:
+        """Records that an endpoint wants no more requests from this entry for some time."""
+        endpoint = placement.endpoint
+        self._rests.record((endpoint.id, endpoint.started_at), seconds, boot_seconds())
+        self._log.write(Event.REST_ASKED, endpoint=endpoint.id, seconds=seconds)
+
     def record_first_event(self, placement: Placement, prompt_tokens: int, seconds: float) -> None:
         """Records the first event of a request, and how long after the placement it arrived."""
         now = asyncio.get_running_loop().time()
@@ -371,6 +388,12 @@
             found.append(Candidate(endpoint, load, near, first, late))
         return found
 
+    def _count_resting(self, candidates: list[Candidate]) -> int:
+        """Returns how many endpoints want no requests from this entry now."""
+        now = boot_seconds()
+        runs = ((c.endpoint.id, c.endpoint.started_at) for c in candidates)
+        return sum(self._rests.seconds_left(run, now) > 0.0 for run in runs)
+
     def _leave_out_limited(self, candidates: list[Candidate]) -> tuple[int, float]:
         """Removes the endpoints whose stated limits leave no room for a request now.
 
--- a/wasabidrum/platform/heads.py
+++ b/wasabidrum/platform/heads.py
@@ -22,7 +22,7 @@
         "expect",
     )
 )
-RATE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 PROMPT_PART = re.compile(r"\s*([0-9a-fA-F]{1,64}):[0-9]{1,12}\s*")
 # Parts beyond these are not read, which bounds what a request can make an entry remember.
 MAX_SHARED_PARTS = 32
@@ -151,14 +151,24 @@
         encoded="Content-Encoding" in headers,
         headers=passed,
         states_limit=names.STATED_LIMIT in headers,
-        stated_limit=read_rate(headers.get(names.STATED_LIMIT, "")),
+        stated_limit=read_decimal(headers.get(names.STATED_LIMIT, "")),
+        rest_seconds=read_rest(start.code, headers.get(names.RETRY_AFTER, "")),
         leaving=headers.get(names.LEAVING, "").strip() == "1",
     )
 
 
-def read_rate(text: str) -> float | None:
-    """Converts a decimal number of requests a second; returns None if the text is none."""
-    return float(text) if RATE.fullmatch(text) else None
+def read_decimal(text: str) -> float | None:
+    """Converts a decimal number without a sign; returns None if the text is none."""
+    return float(text) if DECIMAL.fullmatch(text) else None
+
+
+def read_rest(status: int, retry_after: str) -> float:
+    """Returns for how many seconds an endpoint wants no more requests from this entry.
+
+    Args:
+      retry_after: Its Retry-After, which a platform's endpoint states in seconds, not as a date.
+    """
+    return (read_decimal(retry_after) or 0.0) if status == 503 else 0.0
 
 
 def write_refusal(request_id: str, retry_after: float | None) -> httputil.HTTPHeaders:
--- a/wasabidrum/platform/heads_test.py
+++ b/wasabidrum/platform/heads_test.py
@@ -133,6 +133,17 @@
             self.assertFalse(self.read(503, **{names.LEAVING: text}).leaving)
         self.assertFalse(self.read(200).leaving)
 
+    def test_rest_is_a_decimal_number_of_seconds_in_a_503(self) -> None:
+        """Guards against a number that float() takes and nobody means, and against a rest that is
+        read from an answer that turns nothing away."""
+        for text, seconds in (("3", 3.0), ("0.25", 0.25), ("0", 0.0), ("86400", 86400.0)):
+            self.assertEqual(self.read(503, Retry_After=text).rest_seconds, seconds)
+        date = "Fri, 04 Dec 2026 08:00:00 GMT"
+        for text in ("", "-3", "nan", "inf", "1e9", "9" * 400, "3, 3", ".5", "soon", date):
+            self.assertEqual(self.read(503, Retry_After=text).rest_seconds, 0.0, text)
+        self.assertEqual(self.read(200, Retry_After="3").rest_seconds, 0.0)
+        self.assertEqual(self.read(503).rest_seconds, 0.0)
+
     def test_retry_after_has_fractions_of_a_second(self) -> None:
         self.assertEqual(write_refusal("r1", 0.25)[names.RETRY_AFTER], "0.250")
         self.assertNotIn(names.RETRY_AFTER, write_refusal("r1", None))
