--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -244,8 +244,13 @@
             self._refuse()
 
     def _refuse(self) -> None:
+        rest_seconds = self.engine.options.rest_seconds
+        if rest_seconds > 0.0:
+            self.set_header(names.RETRY_AFTER, f"{rest_seconds:g}")
         self.set_header(names.NOT_EXECUTED, "1")
         self.set_status(503)
+        request = self.request.headers.get(names.REQUEST_ID, "")
+        write_line("turned_away", request=request, rest=rest_seconds)
 
 
 async def run(options: argparse.Namespace) -> None:
@@ -276,6 +281,9 @@
     parser.add_argument("--store", required=True, help="HOST:PORT")
     parser.add_argument("--figures", required=True, help="published figures, as JSON")
     parser.add_argument("--holds", type=int, default=0, help="version held at the start")
+    parser.add_argument(
+        "--rest-seconds", type=float, default=0.0, help="asked for with each refusal; 0 for none"
+    )
     parser.add_argument("--load-seconds", type=float, default=0.3, help="to load all layers")
     asyncio.run(run(parser.parse_args()))
 
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -142,6 +142,25 @@
     await writer.drain()
 
 
+def refuse_for(retry_after: str):
+    """Returns a handler that refuses requests as not run, and asks for some seconds of rest."""
+
+    async def handler(
+        endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        lines = (
+            "HTTP/1.1 503 Full",
+            f"{names.REQUEST_ID}: {request.headers.get(names.REQUEST_ID.lower(), '')}",
+            f"{names.NOT_EXECUTED}: 1",
+            f"{names.RETRY_AFTER}: {retry_after}",
+            "Content-Length: 0",
+        )
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        await writer.drain()
+
+    return handler
+
+
 async def run_and_reset(
     endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
