Entries that stop also answer at the ports for readiness, metrics, weights and other daemons

Cause: these ports were plain servers, whose connections nothing waited for.

Change: they are EndingServers and end like the callers' port, beside it, in a second at most, since some requests there wait for a chunk for half a minute. connections_ended has a line for each port.

--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import msgspec
-from tornado import httpserver, netutil, web
+from tornado import netutil, web
 
 from ..config.settings import Settings
 from ..core.background_tasks import BackgroundTasks
@@ -21,7 +21,7 @@
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
 from ..wire import http_client, tls
-from ..wire.ending_server import EndingServer
+from ..wire.ending_server import EndingServer, end_internal_connections
 from .caller_routes import make_caller_server
 from .endpoint_table import EndpointTable
 from .endpoint_watcher import EndpointWatcher
@@ -57,8 +57,7 @@
         self._sequence = 0
         self.requests = RequestsInProgress()
         self._http_port = 0
-        self._caller_port = 0
-        self._servers: list[httpserver.HTTPServer] = []
+        self._servers: list[EndingServer] = []
         self._caller_server: EndingServer | None = None
         self.log = log
         self.leaving = False
@@ -98,9 +97,10 @@
         )
         listen = self._settings.listen
         self._caller_server = make_caller_server(self)
-        self._caller_port = self._listen(self._caller_server, listen.caller_port)
-        server = httpserver.HTTPServer(internal, ssl_options=tls.server_context())
-        self._http_port = self._listen(server, listen.http_port)
+        self._listen(self._caller_server, listen.caller_port)
+        server = EndingServer(internal, ssl_options=tls.server_context())
+        self._listen(server, listen.http_port)
+        self._http_port = server.port
         if self._settings.control == "service":
             self.tasks.start("configuration", self.follower.run())
             self.tasks.start("endpoints", self.table.run())
@@ -113,7 +113,7 @@
         self.log.write(
             Event.DAEMON_STARTED,
             role="entry",
-            caller_port=self._caller_port,
+            caller_port=self._caller_server.port,
             port=self._http_port,
             peer_port=self.node.peer_port,
             incarnation=self._incarnation,
@@ -139,12 +139,16 @@
         self.node.wake_all()
         self.log.write(Event.DAEMON_LEAVING, in_progress=self.requests.count)
         await asyncio.sleep(LEAVING_NOTICE_SECONDS)
-        self._caller_server.stop_listening()
-        for server in self._servers:
-            server.stop()
         late = loop.time() - began - LEAVING_NOTICE_SECONDS
-        await self._caller_server.end_connections(self.requests, self._settings.drain_seconds)
-        self._caller_server.counts.write(self.log, self._caller_port, late)
+        for server in self._servers:
+            server.stop_listening()
+        internal = [server for server in self._servers if server is not self._caller_server]
+        await asyncio.gather(
+            self._caller_server.end_connections(self.requests, self._settings.drain_seconds),
+            end_internal_connections(internal),
+        )
+        for server in self._servers:
+            server.counts.write(self.log, server.port, late)
         await self.tasks.cancel_all()
         await self.node.stop()
         self.log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
@@ -172,11 +176,9 @@
             reads_service=self.node.reads_service,
         )
 
-    def _listen(self, server: httpserver.HTTPServer, port: int) -> int:
-        sockets = netutil.bind_sockets(port, self._settings.listen.host)
-        server.add_sockets(sockets)
+    def _listen(self, server: EndingServer, port: int) -> None:
+        server.add_sockets(netutil.bind_sockets(port, self._settings.listen.host))
         self._servers.append(server)
-        return sockets[0].getsockname()[1]
 
     def _report_failure(self, name: str, error: BaseException) -> None:
         self.log.write(Event.TASK_FAILED, task=name, reason=repr(error))
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from tornado import httpserver, httputil, netutil, web
+from tornado import httputil, netutil, web
 
 from ..config.deployment import Address, Deployment
 from ..core.background_tasks import BackgroundTasks
@@ -22,6 +22,7 @@
 from ..weights.chunk_member import CHUNK_PORT_OFFSET
 from ..weights.weights_relay import make_weights_relay
 from ..wire import http_client
+from ..wire.ending_server import INTERNAL_SECONDS, EndingServer, end_internal_connections
 from .attempts_in_progress import AttemptsInProgress
 from .entry_peers import EntryPeers
 from .exchange import CallerExchange
@@ -82,7 +83,7 @@
 
     def __init__(self, deployment: Deployment, log: EventLog) -> None:
         self._deployment = deployment
-        self._servers: list[httpserver.HTTPServer] = []
+        self._servers: list[EndingServer] = []
         self._caller_server: PacedServer | None = None
         self.log = log
         self.shutting_down = False
@@ -176,13 +177,13 @@
         ready = web.Application(
             [(names.READY_PATH, ReadyHandler, arguments)], log_function=lambda handler: None
         )
-        self._listen(httpserver.HTTPServer(ready), deployment.readiness)
+        self._listen(EndingServer(ready), deployment.readiness)
         metrics = web.Application(make_routes(self.log), log_function=lambda handler: None)
         metrics_port = deployment.first_port + METRICS_PORT_OFFSET
-        self._listen(httpserver.HTTPServer(metrics), Address(deployment.host, metrics_port))
+        self._listen(EndingServer(metrics), Address(deployment.host, metrics_port))
         relay = web.Application(self._relay.routes, log_function=lambda handler: None)
         relay_port = deployment.first_port + CHUNK_PORT_OFFSET
-        self._listen(httpserver.HTTPServer(relay), Address(deployment.host, relay_port))
+        self._listen(EndingServer(relay), Address(deployment.host, relay_port))
         await self.peers.start()
         self.tasks.start("store", self._follower.run())
         self.tasks.start("ticks", self._follower.run_ticks())
@@ -209,14 +210,18 @@
         # Requests that arrive from here on might not end before the process does. Refused at
         # once, their callers lose a moment rather than half an answer.
         self.accepts_requests = False
-        self._caller_server.stop_listening()
-        for server in self._servers:
-            server.stop()
         spent = loop.time() - began
+        for server in self._servers:
+            server.stop_listening()
         left = self._deployment.bounds.grace - SHUTDOWN_MARGIN_SECONDS - spent
-        await self._caller_server.end_connections(self.requests, left)
-        late = spent - LOAD_BALANCER_DELAY_SECONDS
-        self._caller_server.counts.write(self.log, self._deployment.callers.port, late)
+        internal = [server for server in self._servers if server is not self._caller_server]
+        await asyncio.gather(
+            self._caller_server.end_connections(self.requests, left),
+            end_internal_connections(internal, min(left, INTERNAL_SECONDS)),
+        )
+        for server in self._servers:
+            late = spent - LOAD_BALANCER_DELAY_SECONDS
+            server.counts.write(self.log, server.port, late)
         await self.tasks.cancel_all()
         await self.peers.stop()
         self.log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
@@ -267,7 +272,7 @@
         )
         add("leaving", "One while this daemon takes no new work.", lambda: self.shutting_down)
 
-    def _listen(self, server: httpserver.HTTPServer, address: Address) -> None:
+    def _listen(self, server: EndingServer, address: Address) -> None:
         server.add_sockets(netutil.bind_sockets(address.port, address.host))
         self._servers.append(server)
 
--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -1,6 +1,7 @@
 """An HTTP server that can end without leaving a request that it has accepted unanswered."""
 
 import asyncio
+import collections.abc
 import socket
 
 from tornado import httpserver, httputil, iostream
@@ -15,6 +16,9 @@
 
 # How soon connections that could not be closed are looked at again.
 CLOSE_INTERVAL_SECONDS = 0.01
+# How long daemons may wait for answers of another one that ends. Some of them wait for a chunk, or
+# for a reading, for longer; they ask elsewhere when the connection is closed.
+INTERNAL_SECONDS = 1.0
 LEAVING_RESPONSE = make_response(
     503, "Service Unavailable", httputil.HTTPHeaders({"Retry-After": "1"}), b""
 )
@@ -28,6 +32,7 @@
 
     Attributes:
       counts: How its connections have ended.
+      port: The port that it listens on; zero before it does.
       leaving_response: The answer to a request that was received in part when the server ends,
         unless the request's delegate words its own.
     """
@@ -37,6 +42,7 @@
         super().initialize(*args, **kwargs)
         self._served: dict[iostream.IOStream, ServedConnection] = {}
         self.counts = ConnectionCounts()
+        self.port = 0
         self.leaving_response = LEAVING_RESPONSE
 
     @property
@@ -49,6 +55,12 @@
         """The number of connections that were accepted and from which nothing was ever read."""
         return sum(connection.is_unread for connection in self._served.values())
 
+    def add_sockets(self, sockets: collections.abc.Iterable[socket.socket]) -> None:
+        """Starts to accept connections; see TCPServer."""
+        sockets = list(sockets)
+        self.port = sockets[0].getsockname()[1]
+        super().add_sockets(sockets)
+
     def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
         """Starts an accepted connection; see TCPServer."""
         self._served[stream] = ServedConnection(stream, asyncio.get_running_loop().time())
@@ -131,6 +143,18 @@
         return not self.has_unstarted and not any(c.is_open for c in self._served.values())
 
 
+async def end_internal_connections(
+    servers: collections.abc.Iterable[EndingServer], seconds: float = INTERNAL_SECONDS
+) -> None:
+    """Closes the connections of servers for other daemons, whose requests nothing else counts.
+
+    Args:
+      seconds: How long to wait at most.
+    """
+    uncounted = RequestsInProgress()
+    await asyncio.gather(*(server.end_connections(uncounted, seconds) for server in servers))
+
+
 def accept_all(sock: socket.socket) -> list[tuple[socket.socket, tuple]]:
     """Accepts the connections in the backlog of a socket that does not block."""
     accepted = []
