Handlers of events and metrics end their requests without an exception

What was seen: in the output of tests that ask the ports of a daemon, each GET of /metrics and /internal/events logs TypeError: 'EventLog' object is not callable. Scrapers got their answer, as it is sent before; the handler stayed unfinished, and one that is refused (405) logged three traces.

Cause: both handlers keep the daemon's log in an attribute that hides a method of Tornado's handlers, which is called at the end of each request.

Change: the attribute has another name.

--- a/wasabidrum/observe/events_handler.py
+++ b/wasabidrum/observe/events_handler.py
@@ -23,11 +23,11 @@
 
     def initialize(self, log: EventLog) -> None:
         """Stores the log passed by the route."""
-        self._log = log
+        self._event_log = log
 
     def get(self) -> None:
         """Responds with the events of a request and the time of the oldest event in memory."""
-        buffer = self._log.buffer
+        buffer = self._event_log.buffer
         found = buffer.find(self.get_query_argument("request"))
         self.set_header("Content-Type", "application/json")
-        self.write(msgspec.json.encode(FoundEvents(self._log.name, buffer.oldest(), found)))
+        self.write(msgspec.json.encode(FoundEvents(self._event_log.name, buffer.oldest(), found)))
--- a/wasabidrum/observe/metrics_handler.py
+++ b/wasabidrum/observe/metrics_handler.py
@@ -11,9 +11,9 @@
 
     def initialize(self, log: EventLog) -> None:
         """Stores the log passed by the route."""
-        self._log = log
+        self._event_log = log
 
     def get(self) -> None:
         """Responds with all metrics."""
         self.set_header("Content-Type", CONTENT_TYPE_LATEST)
-        self.write(self._log.metrics.expose())
+        self.write(self._event_log.metrics.expose())
