--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -39,6 +39,7 @@
       staged: The pieces in the staging area.
       orders: The orders that were accepted.
       refuses: Whether an order is in progress that lets it take nothing new.
+      leaving: Whether all answers, and its entry in the store, announce that it leaves.
     """
 
     def __init__(self, options: argparse.Namespace) -> None:
@@ -51,6 +52,7 @@
         self.staged: dict[int, bytes] = {}
         self.orders = 0
         self.refuses = False
+        self.leaving = False
         self._fence = 0
         self._loading: asyncio.Task | None = None
         self.passes = EnginePasses(self.figures, self._record_first_token)
@@ -123,6 +125,11 @@
         self.version, self.layers, self.refuses = version, layers, False
         write_line("loaded", version=version, layers=[layers.start, layers.stop])
 
+    def leave(self) -> None:
+        """Announces from now on that it leaves."""
+        self.leaving = True
+        write_line("leaving")
+
     def _record_first_token(self, generation: Generation) -> None:
         write_line(
             "began",
@@ -142,7 +149,7 @@
                 "zone": options.zone,
                 "version": "v1",
                 "slots": self.figures.slots,
-                "state": "ready",
+                "state": "draining" if self.leaving else "ready",
                 "coldRemainingMs": 0,
                 "born": self.born,
             }
@@ -161,7 +168,18 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
 
-class ControlHandler(web.RequestHandler):
+class EngineHandler(web.RequestHandler):
+    """Announces in every answer that its engine leaves, once it does."""
+
+    engine: PlatformEngine
+
+    def prepare(self) -> None:
+        """Sets the header; see RequestHandler."""
+        if self.engine.leaving:
+            self.set_header(names.LEAVING, "1")
+
+
+class ControlHandler(EngineHandler):
     """Serves reports, orders and the staging area."""
 
     def initialize(self, engine: PlatformEngine) -> None:
@@ -189,7 +207,7 @@
         self.set_status(self.engine.order(msgspec.json.decode(self.request.body)))
 
 
-class StreamHandler(web.RequestHandler):
+class StreamHandler(EngineHandler):
     """Serves a request for text as a stream of events."""
 
     def initialize(self, engine: PlatformEngine) -> None:
@@ -236,6 +254,7 @@
             if tokens <= self.engine.figures.stride:
                 self.set_header("Content-Type", "text/event-stream")
                 self.set_header(names.SIGNATURE, self.engine.options.id)
+                self.prepare()
             self.write(f"id: {tokens}\ndata: t{tokens}\n\n")
             await self.flush()
         if generation.end is not GenerationEnd.COMPLETE and generation.tokens:
@@ -244,6 +263,7 @@
             self._refuse()
 
     def _refuse(self) -> None:
+        self.prepare()
         rest_seconds = self.engine.options.rest_seconds
         if rest_seconds > 0.0:
             self.set_header(names.RETRY_AFTER, f"{rest_seconds:g}")
@@ -254,7 +274,7 @@
 
 
 async def run(options: argparse.Namespace) -> None:
-    """Serves until SIGTERM."""
+    """Serves until SIGTERM; from SIGUSR1 on the engine announces that it leaves."""
     engine = PlatformEngine(options)
     arguments = {"engine": engine}
     routes = [(r"/wasabidrum/.*", ControlHandler, arguments), (r"/.*", StreamHandler, arguments)]
@@ -263,7 +283,9 @@
     server.add_sockets(netutil.bind_sockets(options.port, options.host))
     write_line("started", id=options.id, version=engine.version)
     ended = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, ended.set)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, ended.set)
+    loop.add_signal_handler(signal.SIGUSR1, engine.leave)
     tasks = [asyncio.ensure_future(engine.passes.run()), asyncio.ensure_future(engine.register())]
     await ended.wait()
     for task in tasks:
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -56,6 +56,7 @@
       runs: How many times each request id started to run here.
       closed_early: How many requests were cancelled by their sender before the response ended.
       limit: The requests a second that its responses state as its limit; None for no statement.
+      leaving: Whether all its responses announce that it leaves.
     """
 
     def __init__(self, endpoint_id: str, service: str, zone: str = "rift-a") -> None:
@@ -68,6 +69,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.closed_early = 0
         self.limit: float | None = None
+        self.leaving = False
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -97,12 +99,12 @@
             request = await read_request(reader, writer)
             self.received.append(request)
             working = asyncio.ensure_future(self.handler(self, request, writer))
-            leaving = asyncio.ensure_future(reader.read(1))
-            await asyncio.wait((working, leaving), return_when=asyncio.FIRST_COMPLETED)
+            closing = asyncio.ensure_future(reader.read(1))
+            await asyncio.wait((working, closing), return_when=asyncio.FIRST_COMPLETED)
             if not working.done():
                 self.closed_early += 1
                 working.cancel()
-            leaving.cancel()
+            closing.cancel()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -118,6 +120,8 @@
     lines.append(f"{names.SIGNATURE}: {endpoint.id}")
     if endpoint.limit is not None:
         lines.append(f"{names.STATED_LIMIT}: {endpoint.limit}")
+    if endpoint.leaving:
+        lines.append(f"{names.LEAVING}: 1")
     return "\r\n".join([*lines, *more, "", ""]).encode()
 
 
@@ -136,8 +140,10 @@
     endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
     """Refuses the request as not run."""
+    leaving = f"{names.LEAVING}: 1\r\n" if endpoint.leaving else ""
     writer.write(
-        f"HTTP/1.1 503 Full\r\n{names.NOT_EXECUTED}: 1\r\nContent-Length: 0\r\n\r\n".encode()
+        f"HTTP/1.1 503 Full\r\n{names.NOT_EXECUTED}: 1\r\n{leaving}"
+        "Content-Length: 0\r\n\r\n".encode()
     )
     await writer.drain()
 
