--- a/tests/entry_stops_soak.py
+++ b/tests/entry_stops_soak.py
@@ -147,6 +147,7 @@
         # Entries that a series has taken, and since when those that stop do.
         self._taken: set[Entry] = set()
         self._stopping: dict[Entry, float] = {}
+        self._in_turns: set[Entry] = set()
         self._term_at: dict[Process, float] = {}
         self._killed: set[Process] = set()
         self._asking: set[asyncio.Task] = set()
@@ -421,12 +422,17 @@
             await asyncio.sleep(rng.uniform(0.1, 1.0))
             entry = rng.choice(list(self._stopping) or self._entries)
             process = entry.process
+            # Two at one entry would leave it hardly any time to run in.
+            if entry in self._in_turns:
+                continue
+            self._in_turns.add(entry)
             self._record_played(f"turns of {entry.name}")
             for _ in range(rng.randint(2, 12)):
                 if process is None or not process.alive or entry.process is not process:
                     break
                 await entry.suspend(rng.choice((0.02, 0.1, 0.3, 0.4)))
                 await asyncio.sleep(rng.uniform(0.005, 0.15))
+            self._in_turns.discard(entry)
 
     async def _play_changes(self, rng: random.Random) -> None:
         while not self._ends:
