Sidecars of the own dialect answer what was accepted and read before their process ends

Cause: a sidecar never stopped listening and waited for no connection; the end of its process closed all of them.

Change: it stops listening once no request is in progress, and ends as the entries' internal ports do.

--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tornado import httpserver, netutil, web
+from tornado import httputil, netutil, web
 
 from ..config.settings import Settings
 from ..core.background_tasks import BackgroundTasks
@@ -11,6 +11,7 @@
 from ..core.incarnation import make_incarnation
 from ..core.instance import InstanceRole
 from ..core.load import Load
+from ..core.outcome import Outcome
 from ..core.requests_in_progress import RequestsInProgress
 from ..core.status import Status
 from ..decisions.death_record import DeathRecord
@@ -31,7 +32,9 @@
 from ..platform.http_configuration_service import make_configuration_service
 from ..platform.http_instance_directory import make_instance_directory
 from ..weights.sidecar_weights import SidecarWeights, make_sidecar_weights
-from ..wire import http_client, tls
+from ..wire import headers, http_client, tls
+from ..wire.ending_server import EndingServer, end_internal_connections
+from ..wire.raw_response import make_response
 from . import call_handlers
 from .attempt_registry import AttemptRegistry
 from .idempotent_calls import IdempotentCalls
@@ -52,7 +55,7 @@
         self._incarnation = make_incarnation()
         self._sequence = 0
         self._load = Load()
-        self._port = 0
+        self._server: EndingServer | None = None
         self.leaving = False
         self.requests = RequestsInProgress()
         self.deaths = DeathRecord()
@@ -104,9 +107,9 @@
             routes += self.weights.routes()
         application = web.Application(routes, log_function=lambda handler: None)
         listen = self._settings.listen
-        sockets = netutil.bind_sockets(listen.http_port, listen.host)
-        self._port = sockets[0].getsockname()[1]
-        httpserver.HTTPServer(application, ssl_options=tls.server_context()).add_sockets(sockets)
+        self._server = EndingServer(application, ssl_options=tls.server_context())
+        self._server.leaving_response = make_leaving_response()
+        self._server.add_sockets(netutil.bind_sockets(listen.http_port, listen.host))
         if self._settings.control == "service":
             self.tasks.start("configuration", self.follower.run())
             self.tasks.start("membership", self._listed.run())
@@ -118,7 +121,7 @@
         self._log.write(
             Event.DAEMON_STARTED,
             role="sidecar",
-            port=self._port,
+            port=self._server.port,
             peer_port=self.node.peer_port,
             incarnation=self._incarnation,
         )
@@ -139,6 +142,8 @@
 
     async def stop(self) -> None:
         """Leaves gracefully: refuses new work, drains requests in progress, then stops."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         self.leaving = True
         self.node.wake_all()
         self._log.write(Event.DAEMON_LEAVING, in_progress=self.requests.count)
@@ -146,7 +151,13 @@
         await asyncio.sleep(NEW_KEYS_GRACE_SECONDS)
         self.idempotent_calls.refuse_new_calls()
         await asyncio.sleep(LEAVING_NOTICE_SECONDS - NEW_KEYS_GRACE_SECONDS)
+        late = loop.time() - began - LEAVING_NOTICE_SECONDS
+        # Entries cancel attempts on new connections, so that it listens until the last has ended.
         await self.requests.wait_until_idle(self._settings.drain_seconds)
+        self._server.stop_listening()
+        # Requests for chunks and metrics are not counted, and may wait for much longer.
+        await end_internal_connections([self._server])
+        self._server.counts.write(self._log, self._server.port, late)
         await self.tasks.cancel_all()
         await self.node.stop()
         self._log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
@@ -165,7 +176,7 @@
             region=self._settings.region,
             data_centre=self._settings.data_centre,
             host=self._settings.listen.host,
-            http_port=self._port,
+            http_port=self._server.port if self._server else 0,
             peer_port=self.node.peer_port,
             revision=self.follower.revision,
             config_digest=current.digest if current else "",
@@ -215,6 +226,16 @@
         self._log.write(Event.TASK_FAILED, task=name, reason=repr(error))
 
 
+def make_leaving_response() -> bytes:
+    """Returns the response to a request of which a sidecar that leaves has received a part."""
+    fields = {
+        headers.OUTCOME: Outcome.NOT_RUN.value,
+        headers.ERROR_CODE: "endpoint_leaving",
+        "Retry-After": "1",
+    }
+    return make_response(503, "Service Unavailable", httputil.HTTPHeaders(fields), b"")
+
+
 def wanted_version(fleet: Fleet | None, endpoint: EndpointSpec | None) -> str:
     """Returns the version that the configuration wants at an endpoint, or empty."""
     model = fleet.models.get(endpoint.model) if fleet and endpoint else None
