Send nothing to an endpoint that has asked for rest, on any path of placing

Two refusals in a row ejected the endpoint, and probes went there half a second later.

An endpoint that rests is now no candidate, neither for new requests and retries nor as a probe, for a recalled request or a resumed stream. A reserved place there is given up. Just before the head of a request is sent, and once more before a held body, the rest is asked again; what was not sent goes elsewhere without a retry. The rest belongs to one run of the endpoint (id and start), so that lists and successes in between do not end it.

A refusal that asks for a second of rest or more does not count as a failure: a failing endpoint gets one request at a time, and an engine takes seconds for each.

--- a/tests/endpoint_rest_test.py
+++ b/tests/endpoint_rest_test.py
@@ -270,6 +270,14 @@
                 await self.load(FAILED_SECONDS)
                 self.assertGreater(self.arrivals(0, 2.0), 0.25 * self.per_second * 2.0)
 
+    async def test_endpoint_that_asks_for_no_rest_to_speak_of_is_ejected(self) -> None:
+        """Guards against an endpoint that turns all away, and gets a request each time that its
+        rest of some milliseconds ends."""
+        self.retry_after["e0"] = "0.05"
+        replies = await self.load(10.0)
+        self.assertEqual({reply.status for _, reply in replies}, {200})
+        self.assertLess(self.arrivals(0, 8.0), 0.1 * self.per_second * 8.0)
+
     async def test_rest_of_a_day_is_kept(self) -> None:
         """Guards against a long rest that overflows or is cut short."""
         self.retry_after["e0"] = "86400"
--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -92,7 +92,8 @@
       report_age: Age in seconds of their oldest load report, set if the request is refused for
         overload; else zero.
       limited: Number of endpoints left out because of limits that they have stated.
-      resting: Number of endpoints that want no requests from this entry now.
+      resting: Number of endpoints left out because they want no requests from this entry now.
+      rest_ends: Whether retry_after is the end of a rest, before which no endpoint takes requests.
       uncorrected_seconds: Forecast for the chosen endpoint from the published figures, before
         corrections.
     """
@@ -105,6 +106,7 @@
     report_age: float = 0.0
     limited: int = 0
     resting: int = 0
+    rest_ends: bool = False
     uncorrected_seconds: float = 0.0
 
 
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -37,6 +37,9 @@
 # arrives this much later than the head was sent shows that it ran meanwhile.
 BODY_REQUEST_TIMEOUT_SECONDS = reported_statuses.REPORT_LAG_SECONDS
 
+# The error code of an attempt that was not sent because its endpoint wants no requests now.
+RESTING_CODE = "endpoint_resting"
+
 
 class AttemptError(Exception):
     """An attempt that ended without a reply for the caller.
@@ -131,6 +134,11 @@
         """Whether a part of the reply's body has arrived, even if it was not read yet."""
         return self._connection is not None and self._connection.body_started
 
+    @property
+    def sent(self) -> bool:
+        """Whether any byte of the request may have been sent."""
+        return self._connection is not None and self._connection.sent
+
     @property
     def recall_reason(self) -> RecallReason | None:
         """Why the attempt was recalled from its endpoint; None if it was not."""
@@ -233,7 +241,9 @@
         self._exchange.send_reply(reply, endpoint=placement.endpoint.id, attempts=self.number)
 
     def _check_may_send(self) -> None:
-        """Checks the API key, the weights and the prompt's parts just before something is sent.
+        """Checks just before something is sent whether it still may be.
+
+        That depends on the API key, the weights, the prompt's parts, and a rest of the endpoint.
 
         They were checked before the connection was opened. Opening it may have taken long, or the
         endpoint may have asked late for the body, or this process may have been suspended.
@@ -248,6 +258,8 @@
             self._recall_reason = RecallReason.WEIGHTS_OVERDUE
         if self._recall_reason is not None:
             raise AttemptError(AttemptEnd.NOT_SENT, self._recall_reason.value)
+        if gateway.placer.rest_seconds_left(self._placement.endpoint):
+            raise AttemptError(AttemptEnd.NOT_SENT, RESTING_CODE)
         if not self._may_send():
             raise AttemptError(AttemptEnd.NOT_SENT, BLOCKED_CODE)
 
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -12,7 +12,7 @@
 from ..decisions.endpoint_choice import Choice
 from ..decisions.request_recall import MIN_START_SECONDS, RecallReason
 from ..observe.event import Event
-from .attempt import Attempt, AttemptError
+from .attempt import RESTING_CODE, Attempt, AttemptError
 from .call import Call, StreamProgress
 from .part_guard import BLOCKED_CODE, BLOCKED_RETRY_SECONDS
 from .placement import Placement
@@ -32,6 +32,9 @@
 # A request that times out after this many times its forecast was lost rather than slow, and
 # counts as a failure of the endpoint.
 OVERDUE_FACTOR = 10.0
+# A refusal that asks for a shorter rest counts as a failure too. Otherwise an endpoint that turns
+# all requests away would cost a retry each time that such a rest ends.
+MIN_REST_SECONDS = 1.0
 # The error code of an engine that does not hold the requested version of the weights.
 MISSING_WEIGHTS_CODE = "refused_421"
 # Errors after which the endpoint may have crashed on the request.
@@ -134,7 +137,9 @@
                         await self._gateway.peers.flush_suspects()
                 self._tried_endpoints |= {placement.endpoint.id}
                 caller_leaving = attempt.recall_reason is RecallReason.CALLER_LEAVING
-                if caller_leaving or (self._reserved is None and not self._claim_retry(error)):
+                # What did not reach an endpoint is no retry.
+                unsent = error.code == RESTING_CODE and not attempt.sent
+                if caller_leaving or not (self._reserved or unsent or self._claim_retry(error)):
                     self._give_up(error)
                     return
 
@@ -171,12 +176,14 @@
         Raises:
           CodedError: No endpoint can take the request.
         """
+        left = self._call.seconds_left
+        placer = self._gateway.placer
+        if self._reserved is not None and placer.rest_seconds_left(self._reserved.endpoint):
+            self._release_reservation()
         if self._reserved is not None:
             placement, self._reserved = self._reserved, None
             self._log_placement(placement, failure)
             return placement
-        left = self._call.seconds_left
-        placer = self._gateway.placer
         choice = self._choose(self._tried_endpoints, moved=False)
         placement = placer.placement_for(choice)
         if placement is None:
@@ -211,6 +218,9 @@
         elif choice.limited:
             code = "overloaded"
             message = f"{choice.limited} of {choice.known} endpoints take no more, as they state"
+        elif choice.resting:
+            code = "overloaded"
+            message = f"{choice.resting} of {choice.known} endpoints want no requests for now"
         else:
             code = "no_endpoint"
             message = f"no endpoint can take it now; {choice.known} have what it needs"
@@ -370,7 +380,13 @@
     ) -> bool:
         # A recall, a block, or a timeout because the caller allowed little time, says nothing about
         # the endpoint.
-        if attempt.recall_reason is not None or error.code == BLOCKED_CODE:
+        if attempt.recall_reason is not None or error.code in (BLOCKED_CODE, RESTING_CODE):
+            return False
+        # An endpoint that rests gets nothing anyway. As a failing one it would then get one request
+        # at a time, and an engine takes seconds for each.
+        refused = error.end in (AttemptEnd.REFUSED, AttemptEnd.FAILED)
+        rest_left = self._gateway.placer.rest_seconds_left(placement.endpoint)
+        if refused and rest_left >= MIN_REST_SECONDS:
             return False
         waited = asyncio.get_running_loop().time() - attempt.started_at
         return error.code != "timeout" or waited > OVERDUE_FACTOR * placement.forecast_seconds
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -189,7 +189,7 @@
         figures = self._state.engine_figures(service)
         self._assign_endpoints()
         candidates = self._candidates(service, figures, tried, weights, now)
-        resting = self._count_resting(candidates)
+        resting, seconds_until_rested = self._leave_out_resting(candidates)
         full, seconds_until_room = self._leave_out_limited(candidates)
         traffic = self.traffic(service)
         refused_share = traffic.refused_share(now)
@@ -220,13 +220,19 @@
             caller_leaves_in=seconds_until_disconnect,
         )
         choice = choose(candidates, figures, demand, now, self._rng)
-        choice = dataclasses.replace(choice, resting=resting) if resting else choice
-        if not full or choice.seconds < float("inf"):
-            return dataclasses.replace(choice, limited=full) if full else choice
-        retry_after = retry_after_overload(figures, seconds_until_room, refused_share)
-        return Choice(
-            None, float("inf"), retry_after, choice.known + full, limited=full, resting=resting
+        if not full and not resting:
+            return choice
+        choice = dataclasses.replace(
+            choice, known=choice.known + full + resting, limited=full, resting=resting
         )
+        if choice.seconds < float("inf"):
+            return choice
+        retry_after = choice.retry_after if candidates else float("inf")
+        if full:
+            retry_after = retry_after_overload(figures, seconds_until_room, refused_share)
+        if resting and seconds_until_rested <= retry_after:
+            return dataclasses.replace(choice, retry_after=seconds_until_rested, rest_ends=True)
+        return dataclasses.replace(choice, retry_after=retry_after)
 
     def placement_for(self, choice: Choice) -> Placement | None:
         """Returns the placement on the endpoint that was chosen; None for a refusal."""
@@ -302,6 +308,10 @@
         self._rests.record((endpoint.id, endpoint.started_at), seconds, boot_seconds())
         self._log.write(Event.REST_ASKED, endpoint=endpoint.id, seconds=seconds)
 
+    def rest_seconds_left(self, endpoint: ListedEndpoint) -> float:
+        """Returns for how long an endpoint wants no requests from this entry; zero if it does."""
+        return self._rests.seconds_left((endpoint.id, endpoint.started_at), boot_seconds())
+
     def record_first_event(self, placement: Placement, prompt_tokens: int, seconds: float) -> None:
         """Records the first event of a request, and how long after the placement it arrived."""
         now = asyncio.get_running_loop().time()
@@ -388,11 +398,17 @@
             found.append(Candidate(endpoint, load, near, first, late))
         return found
 
-    def _count_resting(self, candidates: list[Candidate]) -> int:
-        """Returns how many endpoints want no requests from this entry now."""
-        now = boot_seconds()
-        runs = ((c.endpoint.id, c.endpoint.started_at) for c in candidates)
-        return sum(self._rests.seconds_left(run, now) > 0.0 for run in runs)
+    def _leave_out_resting(self, candidates: list[Candidate]) -> tuple[int, float]:
+        """Removes the endpoints that want no requests from this entry now.
+
+        Returns:
+          How many there are, and in how many seconds the first takes requests again.
+        """
+        waits = [self.rest_seconds_left(candidate.endpoint) for candidate in candidates]
+        pairs = zip(candidates, waits, strict=True)
+        candidates[:] = [candidate for candidate, wait in pairs if not wait]
+        resting = [wait for wait in waits if wait]
+        return len(resting), min(resting, default=0.0)
 
     def _leave_out_limited(self, candidates: list[Candidate]) -> tuple[int, float]:
         """Removes the endpoints whose stated limits leave no room for a request now.
