A peer that resets its connection in a TLS backlog does not end the stop

One peer that gave up while it waited to be accepted at an internal port ended the stop of an entry of the own dialect with an exception, and with it the process: all requests in progress ended without an answer.

Cause: since the stop accepts the backlog itself, what the wrapping of a reset connection in TLS raises is raised in the stop. Tornado's accept handler only logs it.

Change: such a connection is closed and logged, and the others go on.

--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -90,7 +90,12 @@
         self.stop()
         self.counts.backlog = len(accepted)
         for connection, address in accepted:
-            self._handle_connection(connection, address)
+            try:
+                self._handle_connection(connection, address)
+            except OSError as error:
+                # A peer that has reset its connection must not end the stop.
+                gen_log.warning("A connection of the backlog has ended: %s", error)
+                connection.close()
 
     async def end_connections(self, requests: RequestsInProgress, seconds: float) -> None:
         """Closes all connections, each after every request that was read is answered.
