Keep connections out of a backlog that is about to be closed

An entry that stops accepts until its backlog is empty, and closes the listening socket after that. Connections that come between these two steps were still reset, with their requests.

The kernel now drops handshakes that begin once a server stops listening, by a filter on the socket. What has begun to connect is accepted and answered, and whoever comes later is refused when it repeats its handshake, as without a listener.

--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -10,6 +10,7 @@
 from ..core.requests_in_progress import RequestsInProgress
 from ..decisions.connection_end import Step
 from .connection_counts import ConnectionCounts
+from .listening_socket import drop_handshakes
 from .raw_response import make_response
 from .served_connection import ServedConnection
 from .watched_request import WatchedRequest
@@ -84,8 +85,15 @@
 
         A listening socket that is closed resets the connections in its backlog, with the requests
         that they bring. After one slow iteration of the event loop that is all that came in it.
+        What comes between the last accept and the close, as this process may not run there for a
+        moment, is kept out of the backlog.
         """
         self.counts.unread = self.unread_count
+        for sock in self._sockets.values():
+            try:
+                drop_handshakes(sock)
+            except OSError as error:
+                gen_log.warning("Connections that come now may be lost: %s", error)
         accepted = [pair for sock in self._sockets.values() for pair in accept_all(sock)]
         self.stop()
         self.counts.backlog = len(accepted)
