Sidecars of the users' platform answer what was accepted and read before their process ends

Cause: its ports were plain servers, whose connections nothing waited for.

Change: they end as the entries' internal ports do, within a second, after the background tasks, so that nothing is ordered from an engine meanwhile.

--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tornado import httpserver, netutil, web
+from tornado import netutil, web
 
 from ..config.deployment import Address, Deployment
 from ..core.background_tasks import BackgroundTasks
@@ -30,6 +30,7 @@
 from ..weights.origin_fetcher import OriginFetcher
 from ..weights.shared_readings import SharedReadings
 from ..wire import http_client
+from ..wire.ending_server import EndingServer, end_internal_connections
 from .load_service import LoadService
 
 METRICS_PORT_OFFSET = 2
@@ -46,7 +47,7 @@
     def __init__(self, deployment: Deployment, log: EventLog) -> None:
         self._deployment = deployment
         self._log = log
-        self._servers: list[httpserver.HTTPServer] = []
+        self._servers: list[EndingServer] = []
         self._tasks = BackgroundTasks(self._report_failure)
         client = http_client.make_client()
         store = make_store_client(client, deployment.store)
@@ -111,8 +112,11 @@
         """Stops the servers and tasks; the engine keeps running with the weights that it has."""
         self._log.write(Event.DAEMON_LEAVING)
         for server in self._servers:
-            server.stop()
+            server.stop_listening()
         await self._tasks.cancel_all()
+        await end_internal_connections(self._servers)
+        for server in self._servers:
+            server.counts.write(self._log, server.port, 0.0)
         await self._load_service.stop()
         self._log.write(Event.DAEMON_STOPPED)
 
@@ -181,7 +185,7 @@
 
     def _listen(self, routes: list[tuple], offset: int) -> None:
         application = web.Application(routes, log_function=lambda handler: None)
-        server = httpserver.HTTPServer(application)
+        server = EndingServer(application)
         address = Address(self._deployment.host, self._deployment.first_port + offset)
         server.add_sockets(netutil.bind_sockets(address.port, address.host))
         self._servers.append(server)
