An entry answers the requests that it gives up at the end of its grace period

What callers saw: the connection of a request that was still in progress when the grace period ended was closed without a word, and the request had no last line in the log.

Cause: the stop cancels its task, and nothing answered a cancelled one.

Evidence: the new test of tests.stop_between_requests_test, whose endpoint never answers: no answer before, a whole 504 since. An outcome beyond the grace period is unknown, which 504 says; a stream that was begun is cut, with a line that says so.

Why it works: only the disconnect of a caller and the end of the entry cancel a request, and the first is known by its closed connection.

--- a/tests/stop_between_requests_test.py
+++ b/tests/stop_between_requests_test.py
@@ -153,6 +153,28 @@
         self.check()
         self.assertEqual(self.answered["last"].status, 200)
 
+    async def test_request_that_outlasts_the_grace_period(self) -> None:
+        """Guards against a request in progress whose task is cancelled at the end of the stop, and
+        whose caller is told nothing."""
+
+        async def never_answer(endpoint, request, writer) -> None:
+            await asyncio.sleep(60.0)
+
+        configuration = make_configuration(8, SERVICE)
+        for route in configuration["routes"]:
+            route["timeoutMs"] = 30_000
+        await self.fleet.store.put(names.CONFIGURATION_KEY, configuration)
+        await self.fleet.wait_until(lambda: self.daemon.state.version == 8)
+        self.endpoint.handler = never_answer
+        asking = asyncio.ensure_future(self.ask(*await self.connect(), "last"))
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.endpoint.received), 1)
+        await self.daemon.stop()
+        self.end_process()
+        await asking
+        self.assertEqual(self.answered["last"].status, 504)
+        self.assertTrue(self.answered["last"].whole)
+
     async def test_half_a_request_does_not_hold_up_the_stop(self) -> None:
         """Guards against an entry that waits for callers who never send the rest of a request."""
         for sent in (b"POST /safe/a HT", b"POST /safe/a HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"):
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -113,6 +113,19 @@
                 await self._serve(self._head)
             except CodedError as error:
                 self._send_error(error)
+            except asyncio.CancelledError:
+                self._end_cancelled()
+                raise
+
+    def _end_cancelled(self) -> None:
+        """Answers a request that is given up because the grace period of this entry ends."""
+        if self._completed or self._connection.stream.closed():
+            return
+        if self._streaming:
+            self.abort_stream("entry_leaving")
+            return
+        message = "this entry shut down before the answer came"
+        self._send_error(CodedError("entry_leaving", message, 504, Outcome.UNKNOWN))
 
     async def _serve(self, head: RequestHead) -> None:
         if self._body_size > self._gateway.body_limit:
