An endpoint that has said that it leaves gets nothing new from that entry

What callers saw: requests were sent to an endpoint 7.1 and 10.5 s after the entry had passed on an answer of it with Server-Leaving; half of those that came there meanwhile were silent until their time was up.

Cause: whether an endpoint leaves was a field of its registration, read from the store alone. The store was down, so what the endpoint said of itself had no place to be kept, and every source of placing went by the list.

The registry now keeps what each run has announced (decisions/announced_leaving.py) and marks its endpoint as leaving, whatever registration is read then or later, until another run is listed. All that asks for endpoints goes by the registry: first sends, retries, probes, moves of stalled requests, the assignment of engines to entries, recalls. Two ways past it are closed: what was placed before the announcement and not sent yet (a connection that opens late, a body that is held back) is not sent any more and goes to another endpoint, and a place that was reserved before it is released. Requests that were sent go on. Without another endpoint callers are refused at once.

A run is told by its id and start. A registration that names no start takes nothing back; a run without a known start ends when it is not listed any more. A request that is not sent for this reason counts as a retry where it is placed again, as it did with every other reason not to send.

--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -7,10 +7,14 @@
 disappears around an outage therefore stays in routing for that grace period, and is removed
 afterwards unless it has registered again. One that disappears while the store works is removed
 at once; otherwise it would get requests after it has left.
+
+What an endpoint has announced itself overrides its registration; see announced_leaving.py.
 """
 
 import collections.abc
 
+import msgspec
+
 from ..core.listed_endpoint import ListedEndpoint
 from .announced_leaving import AnnouncedLeaving
 
@@ -66,8 +70,7 @@
         return sum(
             1
             for endpoint in self._endpoints.values()
-            if service in ("", endpoint.service)
-            and (endpoint.leaving or self._announced.includes(endpoint.id, endpoint.started_at))
+            if endpoint.leaving and service in ("", endpoint.service)
         )
 
     def record_leaving(self, endpoint_id: str, started_at: int) -> bool:
@@ -80,7 +83,23 @@
         # The run has ended, or cannot be told from a later one.
         if listed.started_at != started_at if listed is not None else not started_at:
             return False
-        return self._announced.record(endpoint_id, started_at)
+        if not self._announced.record(endpoint_id, started_at):
+            return False
+        if listed is not None and not listed.leaving:
+            self._endpoints[endpoint_id] = msgspec.structs.replace(listed, leaving=True)
+            self.version += 1
+        return True
+
+    def is_leaving(self, endpoint: ListedEndpoint) -> bool:
+        """Returns whether a run of an endpoint leaves, by all that is known now.
+
+        Args:
+          endpoint: The run, as it was listed at some time.
+        """
+        listed = self._endpoints.get(endpoint.id)
+        if listed is not None and listed.started_at == endpoint.started_at:
+            return listed.leaving
+        return self._announced.includes(endpoint.id, endpoint.started_at)
 
     def record_store_failure(self, now: float) -> None:
         """Records that the store could not be reached until a time."""
@@ -93,6 +112,8 @@
             return False
         self._revisions[endpoint.id] = revision
         self._grace_ends_at.pop(endpoint.id, None)
+        if self._announced.includes(endpoint.id, endpoint.started_at):
+            endpoint = msgspec.structs.replace(endpoint, leaving=True)
         if self._endpoints.get(endpoint.id) == endpoint:
             return False
         self._endpoints[endpoint.id] = endpoint
--- a/wasabidrum/decisions/endpoint_registry_test.py
+++ b/wasabidrum/decisions/endpoint_registry_test.py
@@ -54,6 +54,33 @@
         self.registry.record_store_failure(50.0)
         self.assertTrue(self.registry.apply_removal("a", 13, now=50.1))
 
+    def test_announcement_overrides_newer_registrations(self) -> None:
+        """Guards against a registration, older than the announcement or not, that gives requests to
+        an endpoint that leaves."""
+        self.assertTrue(self.registry.record_leaving("a", 0))
+        self.registry.apply(make_endpoint("a", slots=9), 12)
+        self.assertEqual(
+            (self.registry.get("a").leaving, self.registry.get("b").leaving), (True, False)
+        )
+        self.assertEqual((self.registry.count_leaving(), self.registry.version), (1, 4))
+
+    def test_announcement_of_an_earlier_run_changes_nothing(self) -> None:
+        """Guards against a late answer of a run that has ended, which takes out the one after it
+        or makes what that one has announced forgotten."""
+        self.registry.apply(make_endpoint("a", started_at=2000), 12)
+        self.assertFalse(self.registry.record_leaving("a", 1000))
+        self.assertFalse(self.registry.get("a").leaving)
+        self.registry.record_leaving("a", 2000)
+        self.registry.record_leaving("a", 1000)
+        self.registry.apply(make_endpoint("a", started_at=2000, slots=9), 13)
+        self.assertTrue(self.registry.get("a").leaving)
+
+    def test_endpoint_that_has_announced_it_gets_no_grace_period(self) -> None:
+        """Guards against an endpoint that is kept for a registration that will not come."""
+        self.registry.record_leaving("a", 0)
+        self.registry.record_store_failure(50.0)
+        self.assertTrue(self.registry.apply_removal("a", 13, now=50.1))
+
     def test_a_removal_long_after_an_outage_is_applied_at_once(self) -> None:
         self.registry.record_store_failure(50.0)
         self.assertTrue(self.registry.apply_removal("a", 13, now=50.1 + STORE_FAILURE_SECONDS))
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -36,7 +36,8 @@
 # An endpoint that runs asks for the body within milliseconds if it ever does so. A report that
 # arrives this much later than the head was sent shows that it ran meanwhile.
 BODY_REQUEST_TIMEOUT_SECONDS = reported_statuses.REPORT_LAG_SECONDS
-
+# The error code of a request whose endpoint leaves, by what is known just before it is sent.
+LEAVING_CODE = "endpoint_leaving"
 # The error code of an attempt that was not sent because its endpoint wants no requests now.
 RESTING_CODE = "endpoint_resting"
 
@@ -243,7 +244,8 @@
     def _check_may_send(self) -> None:
         """Checks just before something is sent whether it still may be.
 
-        That depends on the API key, the weights, the prompt's parts, and a rest of the endpoint.
+        That depends on the API key, the weights, the prompt's parts, and on what the endpoint has
+        said of itself: that it leaves, or wants rest.
 
         They were checked before the connection was opened. Opening it may have taken long, or the
         endpoint may have asked late for the body, or this process may have been suspended.
@@ -258,6 +260,8 @@
             self._recall_reason = RecallReason.WEIGHTS_OVERDUE
         if self._recall_reason is not None:
             raise AttemptError(AttemptEnd.NOT_SENT, self._recall_reason.value)
+        if gateway.state.endpoints.is_leaving(self._placement.endpoint):
+            raise AttemptError(AttemptEnd.NOT_SENT, LEAVING_CODE)
         if gateway.placer.rest_seconds_left(self._placement.endpoint):
             raise AttemptError(AttemptEnd.NOT_SENT, RESTING_CODE)
         if not self._may_send():
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -12,7 +12,7 @@
 from ..decisions.endpoint_choice import Choice
 from ..decisions.request_recall import MIN_START_SECONDS, RecallReason
 from ..observe.event import Event
-from .attempt import RESTING_CODE, Attempt, AttemptError
+from .attempt import LEAVING_CODE, RESTING_CODE, Attempt, AttemptError
 from .call import Call, StreamProgress
 from .part_guard import BLOCKED_CODE, BLOCKED_RETRY_SECONDS
 from .placement import Placement
@@ -178,7 +178,10 @@
         """
         left = self._call.seconds_left
         placer = self._gateway.placer
-        if self._reserved is not None and placer.rest_seconds_left(self._reserved.endpoint):
+        reserved = self._reserved.endpoint if self._reserved is not None else None
+        if reserved is not None and (
+            self._gateway.state.endpoints.is_leaving(reserved) or placer.rest_seconds_left(reserved)
+        ):
             self._release_reservation()
         if self._reserved is not None:
             placement, self._reserved = self._reserved, None
@@ -378,9 +381,10 @@
     def _is_endpoint_fault(
         self, placement: Placement, attempt: Attempt, error: AttemptError
     ) -> bool:
-        # A recall, a block, or a timeout because the caller allowed little time, says nothing about
-        # the endpoint.
-        if attempt.recall_reason is not None or error.code in (BLOCKED_CODE, RESTING_CODE):
+        # A recall, a block, what the endpoint has said of itself, or a timeout because the caller
+        # allowed little time, is no fault of the endpoint.
+        no_faults = (BLOCKED_CODE, LEAVING_CODE, RESTING_CODE)
+        if attempt.recall_reason is not None or error.code in no_faults:
             return False
         # An endpoint that rests gets nothing anyway. As a failing one it would then get one request
         # at a time, and an engine takes seconds for each.
