Tell callers when the first rest ends, each a turn of its own

Where all endpoints of a service rest, callers were refused with a Retry-After of at most 3 s and 0.45 to 0.59 of the time left until the route's timeout: 0.73 to 0.83 s where the first rest had 6 s to go. They came back in vain, and after a last request that could not be placed again 0.3 s later.

They are still refused at once, and now told the end of the first rest, counted from what the caller has left and not the route's timeout. Each gets a turn: the first at that end, the next ones at the pace at which the endpoints whose rests end then serve, divided by the entries. A caller for whom its turn is too late goes first. One whose third of the time left is shorter than the rest comes back earlier whatever it is told, and takes no turn. An endpoint that was only full may serve sooner than the rest of another one ends, and then nobody waits for that.

--- a/wasabidrum/gateway/call.py
+++ b/wasabidrum/gateway/call.py
@@ -6,6 +6,9 @@
 from ..core.request_head import RequestHead
 from ..core.route import Route
 
+# Applies to requests that state no deadline.
+DEFAULT_DEADLINE_SECONDS = 30.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -24,6 +27,12 @@
     arrived_at: float
     deadline: float
 
+    @property
+    def caller_seconds_left(self) -> float:
+        """Seconds until the caller gives up, which may be later than the route's timeout."""
+        waited = asyncio.get_running_loop().time() - self.arrived_at
+        return (self.head.deadline or DEFAULT_DEADLINE_SECONDS) - waited
+
     @property
     def seconds_left(self) -> float:
         """Seconds until the deadline."""
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -13,7 +13,7 @@
 from ..decisions.request_recall import MIN_START_SECONDS, RecallReason
 from ..observe.event import Event
 from .attempt import LEAVING_CODE, RESTING_CODE, Attempt, AttemptError
-from .call import Call, StreamProgress
+from .call import DEFAULT_DEADLINE_SECONDS, Call, StreamProgress
 from .part_guard import BLOCKED_CODE, BLOCKED_RETRY_SECONDS
 from .placement import Placement
 
@@ -21,8 +21,6 @@
     from .daemon import Gateway
     from .exchange import CallerExchange
 
-# Applies to requests that state no deadline.
-DEFAULT_DEADLINE_SECONDS = 30.0
 # With less time left, even a refusal would reach the caller too late, so nothing is sent.
 MIN_USEFUL_SECONDS = 0.02
 # Within this time several slots become free at some endpoint.
@@ -227,9 +225,12 @@
         else:
             code = "no_endpoint"
             message = f"no endpoint can take it now; {choice.known} have what it needs"
-        retry = min(choice.retry_after, MAX_RETRY_AFTER_FRACTION * left) * (
-            1.0 + 0.3 * placer.rng.random()
-        )
+        if choice.rest_ends:
+            retry = placer.retry_after_rest(self._service, choice.retry_after, self._call)
+        else:
+            retry = min(choice.retry_after, MAX_RETRY_AFTER_FRACTION * left) * (
+                1.0 + 0.3 * placer.rng.random()
+            )
         raise CodedError(code, message, 503, retry_after=retry)
 
     def _choose(self, tried_endpoints: frozenset[str], moved: bool) -> Choice:
@@ -344,9 +345,16 @@
         late = self._call.seconds_left <= MIN_USEFUL_SECONDS
         status = self._history.final_status(late)
         outcome = Outcome.UNKNOWN if self._history.may_have_run else Outcome.NOT_RUN
-        retry = NOT_RUN_RETRY_SECONDS if outcome is Outcome.NOT_RUN else None
+        retry = self._retry_after_not_run() if outcome is Outcome.NOT_RUN else None
         raise CodedError(error.code, "no endpoint answered", status, outcome, retry_after=retry)
 
+    def _retry_after_not_run(self) -> float:
+        placer = self._gateway.placer
+        seconds = placer.seconds_until_rest_ends(self._service)
+        if not seconds:
+            return NOT_RUN_RETRY_SECONDS
+        return placer.retry_after_rest(self._service, seconds, self._call)
+
     def _record_failed_attempt(
         self, placement: Placement, attempt: Attempt, error: AttemptError
     ) -> None:
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -32,6 +32,7 @@
     extra_read_seconds,
     free_slot_seconds,
     pass_seconds,
+    run_seconds,
 )
 from ..decisions.entry_roster import HostPort
 from ..decisions.first_event_limit import Caller, first_event_limit
@@ -40,6 +41,7 @@
 from ..decisions.stated_limits import Entries, StatedLimits
 from ..observe.event import Event
 from ..observe.event_log import EventLog
+from .call import Call
 from .published_state import PublishedState
 from .reported_statuses import ReportedStatuses
 from .service_traffic import ServiceTraffic
@@ -47,6 +49,10 @@
 # A call of a plain service is short. It is refused if its forecast exceeds this fraction of the
 # time that its caller has left, because it could then not be expected to end in time.
 PLAIN_LATEST_FRACTION = 0.5
+# Endpoints whose rests end within this time serve the callers that come back after the first rest.
+RETURN_SECONDS = 1.0
+MIN_SERVED_PER_SECOND = 0.1
+MIN_RUN_SECONDS = 0.001
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -230,6 +236,9 @@
         retry_after = choice.retry_after if candidates else float("inf")
         if full:
             retry_after = retry_after_overload(figures, seconds_until_room, refused_share)
+        if any(not self.rest_seconds_left(e) for e in self._listed(service) if e.id in tried):
+            # One that has turned this request away, and does not rest, may take the next one.
+            retry_after = min(retry_after, retry_after_overload(figures, 0.0, refused_share))
         if resting and seconds_until_rested <= retry_after:
             return dataclasses.replace(choice, retry_after=seconds_until_rested, rest_ends=True)
         return dataclasses.replace(choice, retry_after=retry_after)
@@ -312,6 +321,30 @@
         """Returns for how long an endpoint wants no requests from this entry; zero if it does."""
         return self._rests.seconds_left((endpoint.id, endpoint.started_at), boot_seconds())
 
+    def seconds_until_rest_ends(self, service: str) -> float:
+        """Returns in how many seconds the first endpoint takes requests; zero if one does now."""
+        return min(map(self.rest_seconds_left, self._listed(service)), default=0.0)
+
+    def retry_after_rest(self, service: str, seconds: float, call: Call) -> float:
+        """Returns after how many seconds the caller of a request should come back.
+
+        Args:
+          seconds: Until the first endpoint takes requests again.
+        """
+        now, figures = boot_seconds(), self._state.engine_figures(service)
+        served_per_second = 0.0
+        for endpoint in self._listed(service):
+            if self.rest_seconds_left(endpoint) <= seconds + RETURN_SECONDS:
+                slots = max(1, endpoint.slots if figures is None else figures.slots)
+                run = self.load_of(endpoint).run_seconds
+                run = run_seconds(figures, slots) if figures is not None else run
+                served_per_second += slots / max(run, MIN_RUN_SECONDS)
+        interval = self._peer_entries.count / max(served_per_second, MIN_SERVED_PER_SECOND)
+        left = call.caller_seconds_left
+        latest = left - call.route.target_latency
+        turns = self.traffic(service).return_turns
+        return turns.assign(now + seconds, interval, now, left, latest)
+
     def record_first_event(self, placement: Placement, prompt_tokens: int, seconds: float) -> None:
         """Records the first event of a request, and how long after the placement it arrived."""
         now = asyncio.get_running_loop().time()
@@ -372,6 +405,11 @@
                 status.model, int(status.wanted_version), status.wanted_seconds
             )
 
+    def _listed(self, service: str) -> list[ListedEndpoint]:
+        """Returns the endpoints of a service that are not leaving."""
+        listed = self._state.endpoints.endpoints
+        return [e for e in listed if e.service == service and not e.leaving]
+
     def _candidates(
         self,
         service: str,
--- a/wasabidrum/gateway/service_traffic.py
+++ b/wasabidrum/gateway/service_traffic.py
@@ -2,6 +2,7 @@
 
 from ..decisions.forecast_bias import ForecastBias
 from ..decisions.request_rate import RequestRate
+from ..decisions.return_turns import ReturnTurns
 from ..decisions.stated_waits import StatedWaits
 
 
@@ -11,15 +12,17 @@
     Attributes:
       rate: Requests sent to the service's endpoints.
       refusals: Requests that were refused because all endpoints have too much work.
+      return_turns: When callers come back whom nobody can serve until a rest of endpoints ends.
       bias: By how much the time to the first event differs from its forecast.
     """
 
-    __slots__ = ("rate", "refusals", "bias", "_waits")
+    __slots__ = ("rate", "refusals", "bias", "return_turns", "_waits")
 
     def __init__(self) -> None:
         self.rate = RequestRate()
         self.refusals = RequestRate()
         self.bias = ForecastBias()
+        self.return_turns = ReturnTurns()
         self._waits: dict[str, StatedWaits] = {}
 
     def refused_share(self, now: float) -> float:
