--- a/tests/ending_ports_test.py
+++ b/tests/ending_ports_test.py
@@ -22,6 +22,7 @@
 from wasabidrum.sidecar import daemon as own_sidecar
 from wasabidrum.sidecar.deployed import make_deployed_sidecar
 from wasabidrum.weights.chunk_member import CHUNK_PORT_OFFSET
+from wasabidrum.wire import ending_server
 
 NOWHERE = "http://127.0.0.1:9"
 BODY = b'{"prompt": "x"}'
@@ -337,6 +338,15 @@
     def find_targets(self) -> dict[int, str]:
         return {self.deployment.callers.port: "/safe/a"}
 
+    async def test_system_that_refuses_filters(self) -> None:
+        """Guards against a stop that fails, or loses the backlog, where the system lets no filter
+        be attached to a listening socket."""
+        refusing = unittest.mock.patch.object(
+            ending_server, "drop_handshakes", side_effect=PermissionError
+        )
+        with refusing, self.assertLogs("tornado.general", "WARNING"):
+            await self.test_connections_in_the_backlog()
+
 
 class GatewayInternalPortsTest(GatewayCase, EndingPortsTests):
     """The ports for readiness, metrics and weights."""
