A request whose task fails with an unexpected error is answered

What callers saw: a request whose task at an entry ended with an error that is no CodedError got neither an answer nor a close. Its caller waited until its own time-out (no answer in 60 s), and a stop ran to the end of the grace period (7.3 s) and closed the connection unanswered. A stream that had begun was never ended.

Cause: CallerExchange._run caught CodedError only. The failed task was logged, and nothing else looked at its connection.

Mend: the error is logged as a handler's, and the caller gets 503 "not run" if the request was not passed on to forwarding, and otherwise 502 with the outcome unknown. A response that has begun is cut, a whole one is left. An error because the caller's own connection is closed is logged as its disconnect. CancelledError is no Exception and goes its way as before.

The own dialect answers such requests with 500 and the outcome unknown before the head is sent (CallerHandler.write_error). After it, tornado ends the chunked body; the end marker of the stream is missing. That is left as it is.

--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -4,7 +4,7 @@
 import typing
 
 import msgspec
-from tornado import httputil
+from tornado import httputil, iostream
 
 from ..core.boot_clock import boot_seconds
 from ..core.errors import CodedError
@@ -45,6 +45,11 @@
         # Whether the final outcome is decided; a disconnect no longer counts as a cancellation.
         self._completed = False
         self._streaming = False
+        # Whether an endpoint may have received the request.
+        self._forwarded = False
+        # Whether a response was passed on to the connection, and whether all of it was.
+        self._response_begun = False
+        self._response_ended = False
         self._started_at = 0.0
         self._arrived_at: float | None = None
         self._log_facts: dict[str, object] = {}
@@ -93,12 +98,7 @@
     def on_disconnect(self) -> None:
         """Cancels the request of a caller that has disconnected."""
         if self._task is not None and not self._task.done() and not self._completed:
-            self._log(
-                Event.REQUEST_CANCELLED,
-                code="cancelled",
-                outcome=Outcome.UNKNOWN.value,
-                streaming=self.streaming,
-            )
+            self._log_disconnect()
             self._task.cancel()
 
     async def _run(self) -> None:
@@ -113,6 +113,8 @@
                 await self._serve(self._head)
             except CodedError as error:
                 self._send_error(error)
+            except Exception as error:
+                self._on_failure(error)
             except asyncio.CancelledError:
                 self._end_cancelled()
                 raise
@@ -156,6 +158,7 @@
                 raise CodedError("key_unknown", "the API key is not valid", 401)
             workspace = holder.name
             self.add_log_facts(workspace=workspace)
+        self._forwarded = True
         await Forwarding(
             self, self._gateway, head, route, workspace, b"".join(self._body_chunks)
         ).run()
@@ -184,7 +187,9 @@
         self._streaming = True
         self._set_connection_header(head.headers)
         start = httputil.ResponseStartLine("", head.status, head.reason)
-        await self._connection.write_headers(start, head.headers)
+        writing = self._connection.write_headers(start, head.headers)
+        self._response_begun = True
+        await writing
 
     async def write_events(self, content: bytes) -> None:
         """Sends complete events to the caller, waiting if it reads slowly."""
@@ -194,6 +199,7 @@
         """Ends a complete stream."""
         self._completed = True
         self._connection.finish()
+        self._response_ended = True
         self._log(Event.REQUEST_DONE, outcome=Outcome.DONE.value, **facts)
 
     def abort_stream(self, code: str, **facts: object) -> None:
@@ -207,6 +213,23 @@
         """Whether the head of a stream was sent to the caller."""
         return self._streaming
 
+    def _on_failure(self, error: Exception) -> None:
+        """Ends a request that an unexpected error has interrupted; its caller would wait on."""
+        if isinstance(error, iostream.StreamClosedError) and self._connection.stream.closed():
+            self._log_disconnect()
+            return
+        self._gateway.log.write(
+            Event.HANDLER_FAILED,
+            request=self._head.request_id if self._head else "",
+            reason=repr(error)[:500],
+        )
+        if self._response_ended:
+            return
+        if self._response_begun:
+            self.abort_stream("internal_error")
+        else:
+            self._send_error(internal_error(self._forwarded))
+
     def _send_error(self, error: CodedError) -> None:
         self._completed = True
         headers, body = self._error_response(error)
@@ -240,12 +263,22 @@
     ) -> None:
         self._set_connection_header(headers)
         self._connection.write_headers(start, headers, body)
+        self._response_begun = True
         self._connection.finish()
+        self._response_ended = True
 
     def _set_connection_header(self, headers: httputil.HTTPHeaders) -> None:
         if self._gateway.shutting_down:
             headers["Connection"] = "close"
 
+    def _log_disconnect(self) -> None:
+        self._log(
+            Event.REQUEST_CANCELLED,
+            code="cancelled",
+            outcome=Outcome.UNKNOWN.value,
+            streaming=self.streaming,
+        )
+
     def _log(self, event: Event, **facts: object) -> None:
         state = self._gateway.state
         self._gateway.log.write(
@@ -263,6 +296,18 @@
     return CodedError("entry_leaving", message, 503, retry_after=SHUTDOWN_RETRY_SECONDS)
 
 
+def internal_error(forwarded: bool) -> CodedError:
+    """Returns the error for a request that an unexpected error has interrupted.
+
+    Args:
+      forwarded: Whether an endpoint may have received the request.
+    """
+    message = "an internal error has ended the request"
+    if forwarded:
+        return CodedError("internal_error", message, 502, Outcome.UNKNOWN)
+    return CodedError("internal_error", message, 503, retry_after=NOT_READY_RETRY_SECONDS)
+
+
 def not_ready_error(message: str) -> CodedError:
     """Returns the error for a request that this entry cannot judge yet."""
     return CodedError("not_ready", message, 503, retry_after=NOT_READY_RETRY_SECONDS)
