A time-out never closes a connection whose request has been read

What callers saw: a request that was sent at four fifths of the idle time-out, or a body whose rest was, got its connection closed without an answer, 0.28 s after its last byte, when the event loop's iteration was late. No stop was involved.

Cause: Tornado's timers for a head and a body win over the read of the same iteration. The bytes were read, but the task that waits for them runs one iteration later, and by then its time-out is set.

Mend: EndingServer keeps both timers itself (wire/read_timer.py) and hands none to Tornado. A connection that is due is closed only while its stream still waits and the kernel has nothing for it; otherwise it is looked at again 10 ms later.

--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import math
 import socket
 
 from tornado import httpserver, httputil, iostream
@@ -12,9 +13,12 @@
 from .connection_counts import ConnectionCounts
 from .listening_socket import drop_handshakes
 from .raw_response import make_response
+from .read_timer import ReadTimeouts, ReadTimer
 from .served_connection import ServedConnection
 from .watched_request import WatchedRequest
 
+# Shorter than Tornado's own time-out, which is left at its default of an hour.
+MAX_IDLE_SECONDS = 3_000.0
 # How soon connections that could not be closed are looked at again.
 CLOSE_INTERVAL_SECONDS = 0.01
 # How long daemons may wait for answers of another one that ends. Some of them wait for a chunk, or
@@ -33,14 +37,23 @@
 
     Attributes:
       counts: How its connections have ended.
+      timeouts: For how long it waits for requests; longer ones hold at once.
       port: The port that it listens on; zero before it does.
       leaving_response: The answer to a request that was received in part when the server ends,
         unless the request's delegate words its own.
     """
 
-    def initialize(self, *args: object, **kwargs: object) -> None:
+    def initialize(
+        self,
+        *args: object,
+        idle_connection_timeout: float = MAX_IDLE_SECONDS,
+        body_timeout: float = math.inf,
+        **kwargs: object,
+    ) -> None:
         """Initializes the server with the arguments of Tornado's HTTPServer."""
         super().initialize(*args, **kwargs)
+        self.timeouts = ReadTimeouts(idle_connection_timeout, body_timeout)
+        self._timers: dict[iostream.IOStream, ReadTimer] = {}
         self._served: dict[iostream.IOStream, ServedConnection] = {}
         self.counts = ConnectionCounts()
         self.port = 0
@@ -72,12 +85,18 @@
     ) -> WatchedRequest:
         """See HTTPServerConnectionDelegate."""
         request = WatchedRequest(super().start_request(server_conn, request_conn), request_conn)
-        self._served[server_conn.stream].add_request(request)
+        stream = server_conn.stream
+        self._served[stream].add_request(request)
+        if stream in self._timers:
+            self._timers[stream].cancel()
+        self._timers[stream] = ReadTimer(stream, request, self.timeouts)
         return request
 
     def on_close(self, server_conn: object) -> None:
         """Forgets a connection that has ended; see HTTPServerConnectionDelegate."""
         self._served.pop(server_conn.stream, None)
+        if timer := self._timers.pop(server_conn.stream, None):
+            timer.cancel()
         super().on_close(server_conn)
 
     def stop_listening(self) -> None:
--- /dev/null
+++ b/wasabidrum/wire/read_timer.py
@@ -0,0 +1,71 @@
+"""Closes a connection whose request does not come in time, but never one whose request has come."""
+
+import asyncio
+import dataclasses
+
+from tornado import iostream
+
+from .served_connection import has_input
+from .watched_request import WatchedRequest
+
+# How soon a connection is looked at again from which something is being read when it is due.
+LOOK_AGAIN_SECONDS = 0.01
+
+
+@dataclasses.dataclass(slots=True)
+class ReadTimeouts:
+    """For how long a server waits for its callers, in seconds.
+
+    Attributes:
+      head: From the end of the last request to the end of the next one's head.
+      body: From the end of a request's head to the end of its body.
+    """
+
+    head: float
+    body: float
+
+
+class ReadTimer:
+    """Closes a connection that is due only if nothing has come that was not read yet.
+
+    Tornado's own timers close a connection in the iteration of the event loop that has read the
+    rest of its request, if that iteration is late.
+    """
+
+    __slots__ = ("_stream", "_request", "_timeouts", "_began", "_handle")
+
+    def __init__(
+        self, stream: iostream.IOStream, request: WatchedRequest, timeouts: ReadTimeouts
+    ) -> None:
+        """Starts to wait for a request."""
+        self._stream = stream
+        self._request = request
+        self._timeouts = timeouts
+        loop = asyncio.get_running_loop()
+        self._began = loop.time()
+        self._handle = loop.call_at(self._due, self._look)
+
+    @property
+    def _due(self) -> float:
+        begun_at = self._request.begun_at
+        if begun_at is None:
+            return self._began + self._timeouts.head
+        return begun_at + self._timeouts.body
+
+    def cancel(self) -> None:
+        """Ends the waiting."""
+        self._handle.cancel()
+
+    def _look(self) -> None:
+        if self._request.received or self._stream.closed():
+            return
+        loop = asyncio.get_running_loop()
+        due = self._due
+        if due == float("inf"):
+            return
+        if loop.time() < due:
+            self._handle = loop.call_at(due, self._look)
+        elif self._stream.reading() and not has_input(self._stream.socket):
+            self._stream.close()
+        else:
+            self._handle = loop.call_later(LOOK_AGAIN_SECONDS, self._look)
--- a/wasabidrum/wire/watched_request.py
+++ b/wasabidrum/wire/watched_request.py
@@ -19,7 +19,7 @@
 
     Attributes:
       delegate: Receives the request.
-      begun: Whether its head was received.
+      begun_at: When its head was received, by the event loop's clock; None before.
       received: Whether it was received completely.
       input_at: When a part of its body was last received after it was refused, by the event
         loop's clock.
@@ -29,13 +29,18 @@
         self, delegate: httputil.HTTPMessageDelegate, connection: http1connection.HTTP1Connection
     ) -> None:
         self.delegate = delegate
-        self.begun = False
+        self.begun_at: float | None = None
         self.received = False
         self.input_at = 0.0
         self._connection = connection
         self._passed_on = False
         self._refused = False
 
+    @property
+    def begun(self) -> bool:
+        """Whether its head was received."""
+        return self.begun_at is not None
+
     @property
     def answered(self) -> bool:
         """Whether a response was begun."""
@@ -51,7 +56,7 @@
         headers: httputil.HTTPHeaders,
     ) -> object:
         """See HTTPMessageDelegate."""
-        self.begun = True
+        self.begun_at = asyncio.get_running_loop().time()
         if self._refused:
             return None
         self._passed_on = True
