An entry keeps idle connections as long as it is published

What callers saw: with a published idle limit of 60 s, a request after 48 s on a kept connection, which is within the four fifths that callers keep to, found the connection closed.

Cause: CallerLimits.idle_timeout was read from the configuration and used nowhere; the server closed idle connections after its own 30 s.

Mend: the server's read timer asks for the published limit when it is due, and the longer of both holds, also for connections that were idle before the limit was published.

--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -42,7 +42,8 @@
 # before the platform kills the process.
 SHUTDOWN_MARGIN_SECONDS = 0.7
 # Callers stop reusing a connection some time before the idle limit that the operator publishes,
-# because a connection closed exactly at the limit could cross with a new request.
+# because a connection closed exactly at the limit could cross with a new request. A longer limit
+# that is published is kept.
 IDLE_TIMEOUT_SECONDS = 30.0
 METRICS_PORT_OFFSET = 2
 
@@ -138,9 +139,7 @@
     @property
     def body_limit(self) -> int:
         """The largest request body accepted, in bytes."""
-        routes = self.state.routes
-        limits = routes.configuration.limits if routes else CallerLimits()
-        return limits.body_bytes
+        return self._caller_limits.body_bytes
 
     @property
     def ready(self) -> bool:
@@ -161,6 +160,11 @@
             )
         return ready
 
+    @property
+    def _caller_limits(self) -> CallerLimits:
+        routes = self.state.routes
+        return routes.configuration.limits if routes else CallerLimits()
+
     async def start(self) -> None:
         """Opens the listening ports and starts the background tasks."""
         deployment = self._deployment
@@ -172,6 +176,7 @@
             idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
             body_timeout=IDLE_TIMEOUT_SECONDS,
         )
+        server.timeouts.find_published = lambda: self._caller_limits.idle_timeout
         self._listen(server, deployment.callers)
         arguments = {"gateway": self}
         ready = web.Application(
--- a/wasabidrum/wire/read_timer.py
+++ b/wasabidrum/wire/read_timer.py
@@ -1,6 +1,7 @@
 """Closes a connection whose request does not come in time, but never one whose request has come."""
 
 import asyncio
+import collections.abc
 import dataclasses
 
 from tornado import iostream
@@ -19,10 +20,13 @@
     Attributes:
       head: From the end of the last request to the end of the next one's head.
       body: From the end of a request's head to the end of its body.
+      find_published: Returns for how long callers are told that idle connections stay open, which
+        is kept if it is longer than the server's own time.
     """
 
     head: float
     body: float
+    find_published: collections.abc.Callable[[], float] = float
 
 
 class ReadTimer:
@@ -49,7 +53,7 @@
     def _due(self) -> float:
         begun_at = self._request.begun_at
         if begun_at is None:
-            return self._began + self._timeouts.head
+            return self._began + max(self._timeouts.head, self._timeouts.find_published())
         return begun_at + self._timeouts.body
 
     def cancel(self) -> None:
