An entry answers HEAD without a body

What callers saw: a HEAD request that the entry answers itself, such as one of an unknown route, got its connection closed without an answer.

Cause: CallerExchange._write passed the body on; Tornado expects none in an answer to HEAD, closes the connection and raises HTTPOutputError.

Evidence: tests/kept_connection_test.py, test_head_request, red before (IncompleteReadError), green with it; the next answer on the same connection is read whole. HEAD requests that were forwarded got their answer before as well; test_head_request_that_is_forwarded keeps that.

--- a/tests/kept_connection_test.py
+++ b/tests/kept_connection_test.py
@@ -42,3 +42,22 @@
         self.assertEqual((await self.ask()).status, 200)
         await asyncio.sleep(0.8 * PUBLISHED_IDLE_SECONDS)
         self.assertEqual((await self.ask()).status, 200)
+
+    async def test_head_request(self) -> None:
+        """Guards against an entry that closes the connection on a request whose answer may have no
+        body, or sends a body that the caller takes for the next answer."""
+        self.send("HEAD", "/nothing")
+        async with asyncio.timeout(10.0):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 404 "), head)
+        self.assertEqual((await self.ask()).status, 200)
+
+    async def test_head_request_that_is_forwarded(self) -> None:
+        """Guards against the same for the answer of an endpoint."""
+        for path in ("/safe/a", "/streaming/a"):
+            with self.subTest(path=path):
+                self.send("HEAD", path)
+                async with asyncio.timeout(10.0):
+                    head = await self.reader.readuntil(b"\r\n\r\n")
+                self.assertTrue(head.startswith(b"HTTP/1.1 200 "), head)
+                self.assertEqual((await self.ask()).status, 200)
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -262,7 +262,9 @@
         self, start: httputil.ResponseStartLine, headers: httputil.HTTPHeaders, body: bytes
     ) -> None:
         self._set_connection_header(headers)
-        self._connection.write_headers(start, headers, body)
+        # Tornado closes the connection if an answer to HEAD has a body.
+        chunk = b"" if self._head.method == "HEAD" else body
+        self._connection.write_headers(start, headers, chunk)
         self._response_begun = True
         self._connection.finish()
         self._response_ended = True
