Say what a half-closed connection means to the paced server

A caller that sends a whole request and closes its sending side is answered if its connection is started at once, and reset if it waits: of ten such callers at once, four got their answer. One that has given up with close() shows the same (POLLRDHUP with unread data) until something is sent to it, so the two can't be told apart, and reading the requests of those that have gone would delay the others. No change of behaviour.

--- a/wasabidrum/gateway/paced_server.py
+++ b/wasabidrum/gateway/paced_server.py
@@ -49,6 +49,9 @@
     a stream is passed on and no disconnect is noticed: engines work for callers that are gone,
     and the log lines of cancelled requests are late by as much. This server accepts the other
     connections but lets them wait, so that it knows how long their requests waited unread.
+
+    A caller that closes its sending side after its request is answered if its connection is started
+    at once; if it has to wait, it is taken for one that has given up.
     """
 
     def initialize(self, *args: object, **kwargs: object) -> None:
@@ -108,5 +111,9 @@
 
 
 def is_closed_by_peer(sock: socket.socket) -> bool:
-    """Returns whether the peer has closed or reset the connection, even if data is unread."""
+    """Returns whether the peer has closed or reset the connection, even if data is unread.
+
+    A peer that closed only its sending side counts as gone: until something is sent to it, it looks
+    the same as one that has given up, whose request would delay those behind it.
+    """
     return has_event(sock, select.POLLRDHUP)
