A server that ends refuses halves of requests at once, also while others are in progress

Cause: the server looked for such requests when it stopped listening, and again only when no request was in progress or its time was over.

Change: it looks every 50 ms. Idle connections stay open meanwhile, as before.

--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -21,6 +21,8 @@
 MAX_IDLE_SECONDS = 3_000.0
 # How soon connections that could not be closed are looked at again.
 CLOSE_INTERVAL_SECONDS = 0.01
+# How soon requests that have come in part are refused while others are in progress.
+REFUSE_INTERVAL_SECONDS = 0.05
 # How long daemons may wait for answers of another one that ends. Some of them wait for a chunk, or
 # for a reading, for longer; they ask elsewhere when the connection is closed.
 INTERNAL_SECONDS = 1.0
@@ -133,12 +135,14 @@
         """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + seconds
-        self._refuse_parts()
         while True:
-            await requests.wait_until_idle(max(0.0, ends_at - loop.time()))
-            if self._close_idle_connections():
+            self._refuse_parts()
+            left = max(0.0, ends_at - loop.time())
+            idle = await requests.wait_until_idle(min(left, REFUSE_INTERVAL_SECONDS))
+            is_over = loop.time() >= ends_at
+            if (idle or is_over) and self._close_idle_connections():
                 return
-            if loop.time() >= ends_at:
+            if is_over:
                 self.counts.unanswered = sum(c.is_unanswered for c in self._served.values())
                 return
             await asyncio.sleep(CLOSE_INTERVAL_SECONDS)
--- a/wasabidrum/wire/ending_server_test.py
+++ b/wasabidrum/wire/ending_server_test.py
@@ -45,6 +45,30 @@
         return sock
 
 
+class BusyServerTest(EndingServerCase):
+    """A server that ends while a request is in progress."""
+
+    async def test_half_a_request_is_refused_at_once(self) -> None:
+        """Guards against a caller with half a request who is told that it is refused only when the
+        requests of others have ended."""
+        self.start()
+        caller = self.connect()
+        caller.sendall(REQUEST)
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        self.assertIn(b"200 OK", await loop.sock_recv(caller, 999))
+        self.server.stop_listening()
+        requests = RequestsInProgress()
+        with requests.track():
+            ending = asyncio.ensure_future(self.server.end_connections(requests, END_SECONDS))
+            await asyncio.sleep(0.1)
+            caller.send(REQUEST[:9])
+            async with asyncio.timeout(END_SECONDS / 2):
+                self.assertIn(b" 503 ", await loop.sock_recv(caller, 999))
+        caller.close()
+        await ending
+
+
 class TlsBacklogTest(EndingServerCase):
     """Connections that come while the server stops listening, with TLS."""
 
