A request that was not sent because its endpoint leaves spends no retry

A request whose connection opened after the endpoint had said that it leaves was refused where no retry was left, though it was sent nowhere and another endpoint could take it.

Cause: only a rest that was heard meanwhile was taken for what it is, a request that is placed for the first time.

Evidence: the new test gets 503 endpoint_leaving before, and the other endpoint's answer since.

--- a/tests/leaving_endpoints_test.py
+++ b/tests/leaving_endpoints_test.py
@@ -23,6 +23,7 @@
 from tests.version_bound_test import MODEL, make_engines_configuration
 from wasabidrum.gateway import endpoint_connection
 from wasabidrum.gateway.forwarding import Forwarding
+from wasabidrum.gateway.placement import Placer
 from wasabidrum.platform import names
 
 SERVICE = "text"
@@ -356,9 +357,8 @@
             await asyncio.sleep(ASK_SECONDS)
         self.assertEqual(len(self.leaver.received), before + 1)
 
-    async def test_announced_while_a_connection_opens(self) -> None:
-        """Guards against a request that is sent after the announcement, as its connection took
-        long to open."""
+    async def announce_while_a_connection_opens(self) -> Reply:
+        """Returns the reply to a request whose connection to the endpoint opens late."""
         connect = endpoint_connection.connect
 
         async def connect_late(*arguments):
@@ -371,9 +371,21 @@
             await asyncio.sleep(ASK_SECONDS)
         await self.announce()
         await self.list(self.other)
-        reply = await late
+        return await late
+
+    async def test_announced_while_a_connection_opens(self) -> None:
+        """Guards against a request that is sent after the announcement, as its connection took
+        long to open."""
+        reply = await self.announce_while_a_connection_opens()
         self.assertEqual((reply.body, len(self.leaver.received)), (b"other", 1))
 
+    async def test_request_that_was_not_sent_spends_no_retry(self) -> None:
+        """Guards against a caller that gets no answer because no retry is left, though its request
+        was sent nowhere yet."""
+        with mock.patch.object(Placer, "spend_retry", return_value=False):
+            reply = await self.announce_while_a_connection_opens()
+        self.assertEqual((reply.status, reply.body), (200, b"other"))
+
     async def test_announced_after_a_place_is_reserved(self) -> None:
         """Guards against a request that is recalled from a silent endpoint, and sent to a place
         that was reserved for it before the announcement."""
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -36,10 +36,10 @@
 # An endpoint that runs asks for the body within milliseconds if it ever does so. A report that
 # arrives this much later than the head was sent shows that it ran meanwhile.
 BODY_REQUEST_TIMEOUT_SECONDS = reported_statuses.REPORT_LAG_SECONDS
-# The error code of a request whose endpoint leaves, by what is known just before it is sent.
-LEAVING_CODE = "endpoint_leaving"
-# The error code of an attempt that was not sent because its endpoint wants no requests now.
+# The error codes of attempts that were not sent because their endpoint wants no requests now.
 RESTING_CODE = "endpoint_resting"
+LEAVING_CODE = "endpoint_leaving"
+UNWANTED_CODES = frozenset((RESTING_CODE, LEAVING_CODE))
 
 
 class AttemptError(Exception):
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -12,7 +12,7 @@
 from ..decisions.endpoint_choice import Choice
 from ..decisions.request_recall import MIN_START_SECONDS, RecallReason
 from ..observe.event import Event
-from .attempt import LEAVING_CODE, RESTING_CODE, Attempt, AttemptError
+from .attempt import UNWANTED_CODES, Attempt, AttemptError
 from .call import DEFAULT_DEADLINE_SECONDS, Call, StreamProgress
 from .part_guard import BLOCKED_CODE, BLOCKED_RETRY_SECONDS
 from .placement import Placement
@@ -136,7 +136,7 @@
                 self._tried_endpoints |= {placement.endpoint.id}
                 caller_leaving = attempt.recall_reason is RecallReason.CALLER_LEAVING
                 # What did not reach an endpoint is no retry.
-                unsent = error.code == RESTING_CODE and not attempt.sent
+                unsent = error.code in UNWANTED_CODES and not attempt.sent
                 if caller_leaving or not (self._reserved or unsent or self._claim_retry(error)):
                     self._give_up(error)
                     return
@@ -391,8 +391,7 @@
     ) -> bool:
         # A recall, a block, what the endpoint has said of itself, or a timeout because the caller
         # allowed little time, is no fault of the endpoint.
-        no_faults = (BLOCKED_CODE, LEAVING_CODE, RESTING_CODE)
-        if attempt.recall_reason is not None or error.code in no_faults:
+        if attempt.recall_reason is not None or error.code in (BLOCKED_CODE, *UNWANTED_CODES):
             return False
         # An endpoint that rests gets nothing anyway. As a failing one it would then get one request
         # at a time, and an engine takes seconds for each.
