Fake instances' engines answer again

Cause: response_head asks its endpoint whether it leaves, and ServingEngine has no such attribute, so that its handler failed and each connection was closed without an answer. The product is not concerned.

Evidence: this test, suspended_engines_test and version_narrow_links_test, which use these engines, are green in one run each with it.

--- a/tests/fake_instances.py
+++ b/tests/fake_instances.py
@@ -40,6 +40,7 @@
       waiting: The ids of requests that were read and have not begun.
       arrivals: When each request was read, by its id.
       limit: The requests a second that its responses state as its limit; None for no statement.
+      leaving: Whether all its responses announce that it leaves.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         self.id = engine_id
         self.port = 0
         self.limit: float | None = None
+        self.leaving = False
         self.runs: list[EngineRun] = []
         self.waiting: set[str] = set()
         self.arrivals: dict[str, float] = {}
