Placing rules: one interface that every way of placing a request asks

Rules that forbid endpoints (evacuated data centres, cold endpoints, home regions) had no common place: each would have been checked where its author remembered to. Placer.choose now leaves out what a rule forbids, and an attempt and a reserved place ask again just before sending, with the route and workspace of the configuration in force. No rule is installed yet, so that nothing changes.

The new fields of the store's records and of the settings are decoded in platform/.

--- a/wasabidrum/config/deployment.py
+++ b/wasabidrum/config/deployment.py
@@ -17,6 +17,9 @@
       retry_fraction: The number of retries allowed per request of a service, a ratio.
       retry_extra: The number of additional retries in each window, for all entries together.
       retry_window: The length of that window in seconds.
+      cold_factor: The factor by which a cold endpoint may get more requests than it tolerates.
+      cold_extra: The number of requests that it may get in a second beyond that.
+      evacuation: From the acknowledgement of an evacuation until nothing more is sent there.
     """
 
     configuration: float = 2.0
@@ -28,6 +31,9 @@
     retry_fraction: float = 0.2
     retry_extra: float = 100.0
     retry_window: float = 10.0
+    cold_factor: float = 1.0
+    cold_extra: float = 0.0
+    evacuation: float = 5.0
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -58,6 +64,7 @@
       service: The service of that endpoint.
       first_start: Whether the whole system starts for the first time, so that no other process has
         served before this one and those that start with it.
+      shares_room: Whether workspaces share what is too little for all of them.
     """
 
     name: str
@@ -79,3 +86,4 @@
     endpoint: Address | None = None
     service: str = ""
     first_start: bool = False
+    shares_room: bool = False
--- a/wasabidrum/core/listed_endpoint.py
+++ b/wasabidrum/core/listed_endpoint.py
@@ -14,6 +14,7 @@
       model: The model that it holds, or empty.
       weights: The version of the weights that it holds, or zero.
       whole: Whether it holds every layer of that version.
+      cold_seconds: For how much longer it was cold when it registered; None if it does not say.
     """
 
     id: str
@@ -27,3 +28,4 @@
     model: str = ""
     weights: int = 0
     whole: bool = False
+    cold_seconds: float | None = None
--- a/wasabidrum/core/published.py
+++ b/wasabidrum/core/published.py
@@ -52,6 +52,9 @@
       most_connections: The maximum number of connections to one endpoint, all callers included.
       data_centre: The data centre of the origin; empty for other services.
       origin: Host and port where this service is the origin of weights, else None.
+      cold_seconds: For how long an endpoint is cold after it has started.
+      cold_rate: Requests a second that a cold endpoint tolerates from all callers together; zero
+        if its endpoints have no such limit.
     """
 
     name: str
@@ -60,6 +63,8 @@
     engine: EngineFigures | None = None
     models: tuple[str, ...] = ()
     origin: tuple[str, int] | None = None
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
     data_centre: str = ""
 
 
@@ -76,12 +81,14 @@
     """A workspace: its callers' keys and its priority.
 
     Attributes:
-      priority: Overrides the priority of the route; None keeps that of the route.
+      priority: Ranks before the priority of the route; None if the workspace has none.
+      allowed_regions: Where its requests may be served; anywhere if empty.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    allowed_regions: tuple[str, ...] = ()
 
 
 class PublishedConfiguration(msgspec.Struct, frozen=True):
--- a/wasabidrum/core/route.py
+++ b/wasabidrum/core/route.py
@@ -34,6 +34,7 @@
       largest_gap: The longest pause between events, in seconds, with which a stream is on time.
       patience: The seconds without an event after which callers leave a stream, also before its
         first event; infinite where only the deadline limits their wait.
+      allowed_regions: Where its requests may be served; anywhere if empty.
     """
 
     name: str
@@ -49,6 +50,7 @@
     resumable: bool = False
     largest_gap: float = 0.0
     patience: float = float("inf")
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def idempotent(self) -> bool:
--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -93,6 +93,8 @@
         overload; else zero.
       limited: Number of endpoints left out because of limits that they have stated.
       resting: Number of endpoints left out because they want no requests from this entry now.
+      ruled_out: Number of endpoints left out because of placing rules.
+      rule: The code of the rule that leaves out the endpoint with the shortest wait.
       rest_ends: Whether retry_after is the end of a rest, before which no endpoint takes requests.
       uncorrected_seconds: Forecast for the chosen endpoint from the published figures, before
         corrections.
@@ -106,6 +108,8 @@
     report_age: float = 0.0
     limited: int = 0
     resting: int = 0
+    ruled_out: int = 0
+    rule: str = ""
     rest_ends: bool = False
     uncorrected_seconds: float = 0.0
 
--- a/wasabidrum/decisions/route_table.py
+++ b/wasabidrum/decisions/route_table.py
@@ -14,6 +14,7 @@
     """Indexes of one configuration."""
 
     __slots__ = ("configuration", "_by_host", "_workspaces", "_services")
+    __slots__ += ("_routes_by_name", "_workspaces_by_name")
 
     def __init__(self, configuration: PublishedConfiguration) -> None:
         self.configuration = configuration
@@ -28,6 +29,8 @@
             for workspace in configuration.workspaces
             for key in workspace.keys
         }
+        self._routes_by_name = {route.name: route for route in configuration.routes}
+        self._workspaces_by_name = {known.name: known for known in configuration.workspaces}
         self._services = {service.name: service for service in configuration.services}
 
     @property
@@ -46,6 +49,14 @@
         """Returns the workspace that a key belongs to, or None."""
         return self._workspaces.get(digest_key(key))
 
+    def route(self, name: str) -> Route | None:
+        """Returns a route, or None if it is not published."""
+        return self._routes_by_name.get(name)
+
+    def workspace(self, name: str) -> WorkspaceKeys | None:
+        """Returns a workspace, or None if it is not published."""
+        return self._workspaces_by_name.get(name)
+
     def service(self, name: str) -> PublishedService | None:
         """Returns a service, or None if it is not published."""
         return self._services.get(name)
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -36,10 +36,12 @@
 # An endpoint that runs asks for the body within milliseconds if it ever does so. A report that
 # arrives this much later than the head was sent shows that it ran meanwhile.
 BODY_REQUEST_TIMEOUT_SECONDS = reported_statuses.REPORT_LAG_SECONDS
-# The error codes of attempts that were not sent because their endpoint wants no requests now.
+# The error codes of attempts that were not sent because their endpoint may get no requests now.
 RESTING_CODE = "endpoint_resting"
 LEAVING_CODE = "endpoint_leaving"
-UNWANTED_CODES = frozenset((RESTING_CODE, LEAVING_CODE))
+# A rule has forbidden to send there since the endpoint was chosen.
+RULED_OUT_CODE = "endpoint_ruled_out"
+UNWANTED_CODES = frozenset((RESTING_CODE, LEAVING_CODE, RULED_OUT_CODE))
 
 
 class AttemptError(Exception):
@@ -264,6 +266,8 @@
             raise AttemptError(AttemptEnd.NOT_SENT, LEAVING_CODE)
         if gateway.placer.rest_seconds_left(self._placement.endpoint):
             raise AttemptError(AttemptEnd.NOT_SENT, RESTING_CODE)
+        if gateway.placer.refusing_rule(self._placement.endpoint, self._call.scope):
+            raise AttemptError(AttemptEnd.NOT_SENT, RULED_OUT_CODE)
         if not self._may_send():
             raise AttemptError(AttemptEnd.NOT_SENT, BLOCKED_CODE)
 
--- a/wasabidrum/gateway/call.py
+++ b/wasabidrum/gateway/call.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from ..core.request_head import RequestHead
+from ..core.request_scope import RequestScope
 from ..core.route import Route
 
 # Applies to requests that state no deadline.
@@ -15,18 +16,27 @@
     """An accepted request.
 
     Attributes:
-      workspace: The workspace that the API key belongs to; empty if the route needs no key.
+      scope: Its route and workspace as of when it was accepted.
       arrived_at: When the request arrived, by the event loop's clock.
       deadline: When the caller's deadline or the route's timeout ends, by the same clock.
     """
 
     head: RequestHead
-    route: Route
-    workspace: str
+    scope: RequestScope
     body: bytes
     arrived_at: float
     deadline: float
 
+    @property
+    def route(self) -> Route:
+        """The route as of when the request was accepted."""
+        return self.scope.route
+
+    @property
+    def workspace(self) -> str:
+        """The workspace that the API key belongs to; empty if the route needs no key."""
+        return self.scope.workspace.name if self.scope.workspace else ""
+
     @property
     def caller_seconds_left(self) -> float:
         """Seconds until the caller gives up, which may be later than the route's timeout."""
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -10,6 +10,7 @@
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
 from ..core.request_head import ReplyHead, RequestHead
+from ..core.request_scope import RequestScope
 from ..observe.event import Event
 from ..platform import heads
 from ..wire.raw_response import make_response
@@ -149,18 +150,17 @@
                 raise not_ready_error("the configuration may be out of date")
             raise CodedError("route_unknown", "no such route", 404)
         self.add_log_facts(route=route.name)
-        workspace = ""
+        workspace = None
         if routes.has_workspaces and not route.public:
             if not fresh:
                 raise not_ready_error("the configuration may be too old to verify API keys")
-            holder = routes.workspace_of(head.key)
-            if holder is None:
+            workspace = routes.workspace_of(head.key)
+            if workspace is None:
                 raise CodedError("key_unknown", "the API key is not valid", 401)
-            workspace = holder.name
-            self.add_log_facts(workspace=workspace)
+            self.add_log_facts(workspace=workspace.name)
         self._forwarded = True
         await Forwarding(
-            self, self._gateway, head, route, workspace, b"".join(self._body_chunks)
+            self, self._gateway, head, RequestScope(route, workspace), b"".join(self._body_chunks)
         ).run()
 
     @property
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -6,7 +6,8 @@
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
 from ..core.request_head import RequestHead
-from ..core.route import Route, RouteKind
+from ..core.request_scope import RequestScope
+from ..core.route import RouteKind
 from ..decisions import poison
 from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
 from ..decisions.endpoint_choice import Choice
@@ -47,15 +48,15 @@
         exchange: "CallerExchange",
         gateway: "Gateway",
         head: RequestHead,
-        route: Route,
-        workspace: str,
+        scope: RequestScope,
         body: bytes,
     ) -> None:
         self._exchange = exchange
         self._gateway = gateway
+        route = scope.route
         seconds = min(head.deadline or DEFAULT_DEADLINE_SECONDS, route.timeout)
         arrived_at = exchange.started_at
-        self._call = Call(head, route, workspace, body, arrived_at, arrived_at + seconds)
+        self._call = Call(head, scope, body, arrived_at, arrived_at + seconds)
         self._progress = StreamProgress(head.last_event)
         self._history = AttemptHistory(route.idempotent, max(1, route.max_attempts))
         self._service = gateway.placer.pick_service(route)
@@ -70,7 +71,7 @@
         self._test_open = False
         # Where the next attempt goes, reserved when the last one was recalled from its endpoint.
         self._reserved: Placement | None = None
-        caller = workspace or head.key
+        caller = self._call.workspace or head.key
         self._fingerprint = poison.fingerprint_of_parts(
             head.method, head.host, head.target, caller, body
         )
@@ -178,7 +179,9 @@
         placer = self._gateway.placer
         reserved = self._reserved.endpoint if self._reserved is not None else None
         if reserved is not None and (
-            self._gateway.state.endpoints.is_leaving(reserved) or placer.rest_seconds_left(reserved)
+            self._gateway.state.endpoints.is_leaving(reserved)
+            or placer.rest_seconds_left(reserved)
+            or placer.refusing_rule(reserved, self._call.scope)
         ):
             self._release_reservation()
         if self._reserved is not None:
@@ -210,6 +213,7 @@
             endpoints_limited=choice.limited,
             endpoints_leaving=self._gateway.state.endpoints.count_leaving(self._service),
             endpoints_resting=choice.resting,
+            endpoints_ruled_out=choice.ruled_out,
             report_age=choice.report_age,
             returning=self._returning,
         )
@@ -222,6 +226,9 @@
         elif choice.resting:
             code = "overloaded"
             message = f"{choice.resting} of {choice.known} endpoints want no requests for now"
+        elif choice.ruled_out:
+            code = choice.rule
+            message = f"{choice.ruled_out} of {choice.known} endpoints may not take it now"
         else:
             code = "no_endpoint"
             message = f"no endpoint can take it now; {choice.known} have what it needs"
@@ -239,7 +246,7 @@
         if call.route.kind is RouteKind.STREAM:
             seconds_until_disconnect -= MIN_START_SECONDS
         return self._gateway.placer.choose(
-            call.route,
+            call.scope,
             self._service,
             call.head,
             tried_endpoints,
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -14,6 +14,7 @@
 from ..core.listed_endpoint import ListedEndpoint
 from ..core.published import EngineFigures
 from ..core.request_head import RequestHead
+from ..core.request_scope import RequestScope
 from ..core.route import Route, RouteKind
 from ..core.status import Status
 from ..decisions.endpoint_assignment import assign_endpoints
@@ -42,6 +43,7 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .call import Call
+from .placing_rules import MAX_RULED_OUT_RETRY_SECONDS, PlacingRules
 from .published_state import PublishedState
 from .reported_statuses import ReportedStatuses
 from .service_traffic import ServiceTraffic
@@ -99,7 +101,7 @@
 
     __slots__ = ("_state", "_log", "_data_centre", "_loads", "_rng", "_retry_budgets", "_bounds")
     __slots__ += ("_statuses", "_peer_entries", "_traffic", "_preferred", "_assigned_for")
-    __slots__ += ("_only_entry", "_limits", "_rests")
+    __slots__ += ("_only_entry", "_limits", "_rests", "_rules")
 
     def __init__(
         self,
@@ -110,6 +112,7 @@
         peer_entries: PeerEntries,
         limits: StatedLimits,
         only_entry: bool = False,
+        rules: PlacingRules | None = None,
     ) -> None:
         self._state = state
         self._log = log
@@ -125,6 +128,7 @@
         self._only_entry = only_entry
         self._limits = limits
         self._rests = EndpointRests()
+        self._rules = rules or PlacingRules()
         self._statuses = ReportedStatuses()
         self._rng = random.Random()
 
@@ -173,7 +177,7 @@
 
     def choose(
         self,
-        route: Route,
+        scope: RequestScope,
         service: str,
         head: RequestHead,
         tried: frozenset[str],
@@ -185,6 +189,7 @@
         """Chooses an endpoint for a request without recording it.
 
         Args:
+          scope: The request's route and workspace as of when it was accepted.
           tried: The endpoints that the request was already sent to, which are left out.
           weights: The version that must answer, when a stream is resumed; zero for any.
           seconds_until_disconnect: Seconds until the caller will disconnect.
@@ -192,9 +197,11 @@
           returning: Its caller has waited before; see record_caller.
         """
         now = asyncio.get_running_loop().time()
+        route = scope.route
         figures = self._state.engine_figures(service)
         self._assign_endpoints()
         candidates = self._candidates(service, figures, tried, weights, now)
+        ruled_out, rule, seconds_until_allowed = self._leave_out_ruled_out(candidates, scope)
         resting, seconds_until_rested = self._leave_out_resting(candidates)
         full, seconds_until_room = self._leave_out_limited(candidates)
         traffic = self.traffic(service)
@@ -226,14 +233,21 @@
             caller_leaves_in=seconds_until_disconnect,
         )
         choice = choose(candidates, figures, demand, now, self._rng)
-        if not full and not resting:
+        if not full and not resting and not ruled_out:
             return choice
         choice = dataclasses.replace(
-            choice, known=choice.known + full + resting, limited=full, resting=resting
+            choice,
+            known=choice.known + full + resting + ruled_out,
+            limited=full,
+            resting=resting,
+            ruled_out=ruled_out,
+            rule=rule,
         )
         if choice.seconds < float("inf"):
             return choice
         retry_after = choice.retry_after if candidates else float("inf")
+        if ruled_out:
+            retry_after = min(retry_after, seconds_until_allowed, MAX_RULED_OUT_RETRY_SECONDS)
         if full:
             retry_after = retry_after_overload(figures, seconds_until_room, refused_share)
         if any(not self.rest_seconds_left(e) for e in self._listed(service) if e.id in tried):
@@ -295,6 +309,7 @@
         self.traffic(placement.endpoint.service).rate.record(now)
         endpoint = placement.endpoint
         self._limits.record_sent((endpoint.id, endpoint.started_at), boot_seconds())
+        self._rules.record_sent(endpoint, boot_seconds())
 
     def record_stated_limit(self, placement: Placement, limit: float | None) -> None:
         """Records the limit that an endpoint has stated in an answer; None if it stated none."""
@@ -436,6 +451,34 @@
             found.append(Candidate(endpoint, load, near, first, late))
         return found
 
+    def refusing_rule(self, endpoint: ListedEndpoint, accepted: RequestScope) -> str:
+        """Returns the code of a rule that forbids to send a request; empty if none does.
+
+        Args:
+          accepted: The request's route and workspace as of when it was accepted.
+        """
+        if not self._rules.active:
+            return ""
+        scope = self._state.current_scope(accepted)
+        return self._rules.refusing_code(endpoint, scope, boot_seconds())
+
+    def _leave_out_ruled_out(
+        self, candidates: list[Candidate], accepted: RequestScope
+    ) -> tuple[int, str, float]:
+        """Removes the endpoints that the rules forbid for a request.
+
+        Returns:
+          How many there are, and the code and the seconds of the shortest wait.
+        """
+        if not self._rules.active:
+            return 0, "", 0.0
+        now, scope = boot_seconds(), self._state.current_scope(accepted)
+        waits = [(c, *self._rules.first_wait(c.endpoint, scope, now)) for c in candidates]
+        candidates[:] = [candidate for candidate, code, _ in waits if not code]
+        forbidden = [(seconds, code) for _, code, seconds in waits if code]
+        seconds, code = min(forbidden, default=(0.0, ""))
+        return len(forbidden), code, seconds
+
     def _leave_out_resting(self, candidates: list[Candidate]) -> tuple[int, float]:
         """Removes the endpoints that want no requests from this entry now.
 
--- /dev/null
+++ b/wasabidrum/gateway/placing_rules.py
@@ -0,0 +1,86 @@
+"""The rules that say to which endpoints requests may be sent.
+
+Every way of placing a request asks all rules: Placer.choose leaves out the endpoints for which one
+returns a wait, and an attempt asks again just before it sends anything, because the endpoint was
+chosen some time before. Only Placer.choose returns placements, and only attempts send them, so that
+a new way of placing cannot bypass a rule.
+"""
+
+import collections.abc
+import typing
+
+from ..core.listed_endpoint import ListedEndpoint
+from ..core.request_scope import RequestScope
+
+# The longest Retry-After of a request for which rules leave no endpoint.
+MAX_RULED_OUT_RETRY_SECONDS = 2.5
+
+
+class PlacingRule(typing.Protocol):
+    """A rule that may forbid to send requests to an endpoint."""
+
+    @property
+    def code(self) -> str:
+        """The error code of a request that this rule has refused."""
+
+    @property
+    def active(self) -> bool:
+        """Whether the configuration or the store give it anything to forbid now."""
+
+    def seconds_until_allowed(
+        self, endpoint: ListedEndpoint, scope: RequestScope, now: float
+    ) -> float:
+        """Returns in how many seconds a request may be placed on an endpoint.
+
+        Args:
+          now: The time by the boot clock.
+
+        Returns:
+          Zero if it may be placed now; infinite if it is not known when.
+        """
+
+    def still_allows(self, endpoint: ListedEndpoint, scope: RequestScope, now: float) -> bool:
+        """Returns whether a request that was placed on an endpoint may still be sent there."""
+
+    def record_sent(self, endpoint: ListedEndpoint, now: float) -> None:
+        """Records that a request is sent, or has a place reserved, at an endpoint."""
+
+
+class PlacingRules:
+    """All rules of an entry, in the order in which they are asked."""
+
+    __slots__ = ("_rules",)
+
+    def __init__(self, rules: collections.abc.Sequence[PlacingRule] = ()) -> None:
+        self._rules = tuple(rules)
+
+    @property
+    def active(self) -> bool:
+        """Whether any rule has anything to forbid now."""
+        return any(rule.active for rule in self._rules)
+
+    def first_wait(
+        self, endpoint: ListedEndpoint, scope: RequestScope, now: float
+    ) -> tuple[str, float]:
+        """Returns the code of the first rule that forbids an endpoint, and for how many seconds.
+
+        Returns:
+          An empty code and zero if none does.
+        """
+        for rule in self._rules:
+            seconds = rule.seconds_until_allowed(endpoint, scope, now)
+            if seconds > 0.0:
+                return rule.code, seconds
+        return "", 0.0
+
+    def refusing_code(self, endpoint: ListedEndpoint, scope: RequestScope, now: float) -> str:
+        """Returns the code of the first rule that no longer allows to send; empty if all do."""
+        for rule in self._rules:
+            if not rule.still_allows(endpoint, scope, now):
+                return rule.code
+        return ""
+
+    def record_sent(self, endpoint: ListedEndpoint, now: float) -> None:
+        """Records that a request is sent, or has a place reserved, at an endpoint."""
+        for rule in self._rules:
+            rule.record_sent(endpoint, now)
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -8,6 +8,7 @@
 from ..core.errors import CodedError
 from ..core.placing_limit import PlacingLimit
 from ..core.published import EngineFigures, PublishedConfiguration
+from ..core.request_scope import RequestScope
 from ..core.store_change import StoreChange, StoreReading
 from ..decisions.configuration_lease import ConfigurationLease
 from ..decisions.endpoint_registry import EndpointRegistry
@@ -268,6 +269,21 @@
         known = self.routes.service(service) if self.routes else None
         return known.engine if known else None
 
+    def current_scope(self, accepted: RequestScope) -> RequestScope:
+        """Returns what the configuration in force says about a request.
+
+        Args:
+          accepted: What it said when the request was accepted, which still holds for a route or a
+            workspace that is gone.
+        """
+        routes = self.routes
+        if routes is None:
+            return accepted
+        workspace = accepted.workspace
+        if workspace is not None:
+            workspace = routes.workspace(workspace.name) or workspace
+        return RequestScope(routes.route(accepted.route.name) or accepted.route, workspace)
+
     def _store_item(self, change: StoreChange) -> None:
         known = self._items.get(change.key)
         if known is not None and known.revision >= change.revision:
--- a/wasabidrum/platform/boot_settings.py
+++ b/wasabidrum/platform/boot_settings.py
@@ -9,6 +9,9 @@
 from ..core.errors import CodedError
 from . import names
 
+# The contract under which workspaces share what is too little for all of them.
+SHARED_ROOM_CONTRACT = "pressure"
+
 
 class WireBounds(msgspec.Struct, frozen=True):
     """The bounds as the platform writes them; most names end in their unit."""
@@ -22,6 +25,9 @@
     retryBudgetRatio: float = 0.2  # noqa: N815
     budgetSlack: float = 100.0  # noqa: N815
     budgetWindowS: float = 10.0  # noqa: N815
+    coldOverage: float = 1.0  # noqa: N815
+    coldSlack: float = 0.0  # noqa: N815
+    evacuateMs: float = 5000.0  # noqa: N815
 
 
 class WireLimits(msgspec.Struct, frozen=True):
@@ -56,6 +62,7 @@
     app: str = ""
     service: str = ""
     bootstrap: bool = False
+    contracts: tuple[str, ...] = ()
 
 
 def read_deployment() -> Deployment:
@@ -111,6 +118,9 @@
             retry_fraction=bounds.retryBudgetRatio,
             retry_extra=bounds.budgetSlack,
             retry_window=bounds.budgetWindowS,
+            cold_factor=bounds.coldOverage,
+            cold_extra=bounds.coldSlack,
+            evacuation=bounds.evacuateMs / 1000.0,
         ),
         first_port=wire.internalPorts[0],
         last_port=wire.internalPorts[1],
@@ -123,6 +133,7 @@
         endpoint=parse_address(wire.app) if wire.app else None,
         service=wire.service,
         first_start=wire.bootstrap,
+        shares_room=SHARED_ROOM_CONTRACT in wire.contracts,
     )
 
 
--- a/wasabidrum/platform/names.py
+++ b/wasabidrum/platform/names.py
@@ -39,5 +39,7 @@
 CONFIGURATION_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
 ENDPOINT_PREFIX = "servers/"
+# Followed by the data centre that is to be evacuated.
+EVACUATION_PREFIX = "op/evacuate/"
 
 SETTINGS_VARIABLE = "WASABIDRUM_CONFIG"
--- a/wasabidrum/platform/published_records.py
+++ b/wasabidrum/platform/published_records.py
@@ -45,6 +45,7 @@
     CONFIGURATION = "configuration"
     VERSION = "version"
     ENDPOINT = "endpoint"
+    EVACUATION = "evacuation"
     OTHER = "other"
 
 
@@ -54,6 +55,8 @@
         return ItemKind.ENDPOINT
     if key.startswith(names.VERSION_PREFIX):
         return ItemKind.VERSION
+    if key.startswith(names.EVACUATION_PREFIX):
+        return ItemKind.EVACUATION
     return ItemKind.CONFIGURATION if key == names.CONFIGURATION_KEY else ItemKind.OTHER
 
 
@@ -62,6 +65,11 @@
     return key.removeprefix(names.ENDPOINT_PREFIX)
 
 
+def evacuated_data_centre_of(key: str) -> str:
+    """Returns the data centre that an evacuation item with a key names."""
+    return key.removeprefix(names.EVACUATION_PREFIX)
+
+
 def decode_configuration(content: bytes) -> PublishedConfiguration:
     """Decodes the operator's configuration.
 
@@ -75,7 +83,9 @@
             routes=tuple(to_route(route) for route in wire.routes),
             services=tuple(to_service(service) for service in wire.services),
             limits=to_limits(wire.limits),
-            workspaces=tuple(WorkspaceKeys(t.name, t.apiKeys, t.priority) for t in wire.tenants),
+            workspaces=tuple(
+                WorkspaceKeys(t.name, t.apiKeys, t.priority, t.allowedRegions) for t in wire.tenants
+            ),
         )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         raise CodedError("configuration_invalid", repr(error)) from error
@@ -128,6 +138,7 @@
         weights=held.version if held else 0,
         whole=held is not None
         and holds_all_layers(wire.layers, held.version, layers_of(wire.service)),
+        cold_seconds=None if wire.coldRemainingMs is None else wire.coldRemainingMs / 1000.0,
     )
 
 
@@ -161,6 +172,7 @@
         resumable=wire.resumable,
         largest_gap=wire.gapTargetMs / 1000.0,
         patience=stream_idle_timeout(wire),
+        allowed_regions=wire.allowedRegions,
     )
 
 
@@ -189,6 +201,8 @@
         models=tuple(model.name for model in wire.engine.models) if wire.engine else (),
         origin=(origin.host, origin.port) if origin else None,
         data_centre=wire.zone,
+        cold_seconds=wire.coldStartS,
+        cold_rate=wire.coldPerS,
     )
 
 
--- a/wasabidrum/platform/wire_records.py
+++ b/wasabidrum/platform/wire_records.py
@@ -26,6 +26,7 @@
     public: bool = False
     resumable: bool = False
     gapTargetMs: float = 0.0  # noqa: N815
+    allowedRegions: tuple[str, ...] = ()  # noqa: N815
 
 
 class WireModel(msgspec.Struct, frozen=True):
@@ -71,6 +72,8 @@
     origin: str = ""
     zone: str = ""
     linkMbps: float = 0.0  # noqa: N815
+    coldStartS: float = 0.0  # noqa: N815
+    coldPerS: float = 0.0  # noqa: N815
 
 
 class WireTenant(msgspec.Struct, frozen=True):
@@ -79,6 +82,7 @@
     name: str
     apiKeys: tuple[str, ...] = ()  # noqa: N815
     priority: int | None = None
+    allowedRegions: tuple[str, ...] = ()  # noqa: N815
 
 
 class WireCallerLimits(msgspec.Struct, frozen=True):
@@ -131,5 +135,6 @@
     state: str
     slots: int = 1
     born: int = 0
+    coldRemainingMs: float | None = None  # noqa: N815
     models: tuple[WireHeldModel, ...] = ()
     layers: tuple[WireLayers, ...] | WireLayers | None = None
