Serve more urgent requests first under overload

Cause: a route's and a workspace's priority were decoded and never read. All kinds were refused by one limit, so that under overload the kind with the longest objective was placed where an urgent one was refused, and engines' queues were in order of arrival.

Change: requests of a service with engines whose configuration holds different priorities have a rank (workspace's priority before route's). Engines get it as the priority of their queues, forecasts leave out waiting requests that are overtaken, limits follow from refusals of the same and of more urgent ranks, less urgent requests find a free slot or are refused while more urgent ones are refused, and no rank falls far below the share of all requests that is served.

--- a/tests/choice_replay.py
+++ b/tests/choice_replay.py
@@ -6,6 +6,7 @@
 
 from wasabidrum.core.listed_endpoint import ListedEndpoint
 from wasabidrum.core.published import EngineFigures
+from wasabidrum.decisions.admission_order import AdmissionOrder, yielding_limit
 from wasabidrum.decisions.endpoint_assignment import assign_endpoints
 from wasabidrum.decisions.endpoint_choice import (
     Candidate,
@@ -55,12 +56,19 @@
       prompt: Mean and standard deviation of the logarithm of a prompt's tokens.
       answer: The same of an answer's tokens.
       worth: What an answer in time is worth.
+      rank: Its urgency, zero for the most urgent.
+      target: Seconds to the first event within which an answer has its full worth; None for that
+        of the deployment.
+      late_worth: The share of its worth that a later answer has; None for that of the deployment.
     """
 
     share: float
     prompt: tuple[float, float]
     answer: tuple[float, float]
     worth: float = 1.0
+    rank: int = 0
+    target: float | None = None
+    late_worth: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +81,7 @@
       comes_back: Whether a refused caller comes back once.
       patience: Seconds without an event after which a caller leaves.
       time_limit: Seconds after its first attempt at which a caller leaves.
+      ordered: Whether requests are placed, and wait at engines, in the order of their ranks.
     """
 
     figures: EngineFigures
@@ -82,6 +91,15 @@
     comes_back: bool = False
     patience: float = float("inf")
     time_limit: float = float("inf")
+    ordered: bool = False
+
+    def target_of(self, kind: Kind) -> float:
+        """Returns the seconds within which a kind's first event is on time."""
+        return self.target if kind.target is None else kind.target
+
+    def late_worth_of(self, kind: Kind) -> float:
+        """Returns the share of its worth that a late answer of a kind has."""
+        return self.late_worth if kind.late_worth is None else kind.late_worth
 
 
 USUAL_WORK = Work(FIGURES, (Kind(1.0, (6.6, 0.7), (4.2, 0.7)),))
@@ -110,6 +128,30 @@
     patience=3.2,
     time_limit=6.0,
 )
+# Three kinds of different urgency; the least urgent one has the longest objective.
+RANKED_WORK = Work(
+    EngineFigures(
+        slots=12,
+        step=0.00673,
+        step_per_request=0.0000219,
+        step_per_thousand_context=0.0000068,
+        read_rate=30_600.0,
+        read_per_million_pairs=0.000647,
+        read_chunk=2048,
+        stride=7,
+        usual_prompt=942.0,
+        usual_answer=125.0,
+        report_lag=0.2,
+    ),
+    (
+        Kind(0.328, (6.85, 0.75), (4.7, 0.7), 3.7, 0, 0.4, 0.1),
+        Kind(0.393, (6.35, 0.75), (4.75, 0.6), 1.7, 1, 0.4, 0.25),
+        Kind(0.278, (6.1, 0.75), (4.0, 0.7), 0.51, 2, 0.8, 0.37),
+    ),
+    comes_back=True,
+    patience=2.0,
+    time_limit=6.0,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,6 +162,7 @@
       arrived: When its caller sent it last.
       began: When its caller sent it first.
       attempt: How often its caller has come back.
+      kind: Its kind.
     """
 
     arrived: float
@@ -132,13 +175,14 @@
     began: float = 0.0
     worth: float = 1.0
     attempt: int = 0
+    kind: Kind | None = None
 
     def earned(self, work: Work) -> float:
         """Returns what its answer is worth to its caller."""
         if self.first_event is None:
             return 0.0
-        in_time = self.first_event - self.began <= work.target
-        return self.worth * (1.0 if in_time else work.late_worth)
+        in_time = self.first_event - self.began <= work.target_of(self.kind)
+        return self.worth * (1.0 if in_time else work.late_worth_of(self.kind))
 
 
 class FakeEngine:
@@ -199,7 +243,8 @@
         self.loads = {endpoint.id: EndpointLoad(rng) for endpoint in endpoints}
         self.rate = RequestRate()
         self.refusals = RequestRate()
-        self.bias = ForecastBias()
+        self.order = AdmissionOrder()
+        self._biases: dict[int, ForecastBias] = {}
         self._endpoints = endpoints
         self._others = entries - 1
         peer_entries = [("entry", n) for n in range(number % data_centres, entries, data_centres)]
@@ -217,16 +262,21 @@
             for e in self._endpoints
         ]
 
+    def bias(self, rank: int) -> ForecastBias:
+        """Returns the forecast errors of a rank."""
+        return self._biases.setdefault(rank, ForecastBias())
+
     def refused_share(self, now: float) -> float:
         """Returns the fraction of recent requests that this entry refused."""
         refused = self.refusals.per_second(now)
         return refused / max(1.0, refused + self.rate.per_second(now))
 
-    def demand(self, prompt: int, latest: float, now: float) -> Demand:
+    def demand(self, prompt: int, latest: float, now: float, rank: int | None = None) -> Demand:
         """Returns the demand of a request at this entry."""
         rate = self.rate.per_second(now) * self._others / len(self._endpoints)
-        corrections = self.bias.corrections(now)
-        return Demand(prompt, latest, False, rate, corrections, self.refused_share(now))
+        corrections = self.bias(rank or 0).corrections(now)
+        share = self.refused_share(now)
+        return Demand(prompt, latest, False, rate, corrections, share, rank=rank)
 
 
 class Replay:
@@ -263,6 +313,7 @@
         self._events: list[tuple[float, int, str, int]] = []
         self._order = iter(range(10**9))
         self._placements: dict[int, int] = {}
+        self._ranks: dict[int, int] = {}
         self._first_event_recorded: set[int] = set()
         # Refused callers that come back, by the number in their event.
         self._returning: list[Job] = []
@@ -318,7 +369,7 @@
         weights = [entry.weight for entry in self.entries]
         number = rng.choices(range(len(self.entries)), weights)[0]
         answer = max(5, int(rng.lognormvariate(*kind.answer)))
-        job = Job(now, prompt, answer, number, began=now, worth=kind.worth)
+        job = Job(now, prompt, answer, number, began=now, worth=kind.worth, kind=kind)
         self.jobs.append(job)
         self._place(job, now)
 
@@ -332,18 +383,24 @@
     def _place(self, job: Job, now: float) -> None:
         entry = self.entries[job.entry]
         demand = self._demand(job, now)
+        rank = demand.rank or 0
         choice = choose(entry.candidates(), self._work.figures, demand, now, self._rng)
+        if self._work.ordered:
+            admitted = choice.candidate is not None
+            entry.order.record(job.kind.rank, admitted, now, job.attempt > 0)
         if choice.candidate is None:
             self._refuse(job, choice, now)
             return
         job.refused = False
         job.forecast = choice.uncorrected_seconds
-        choice.candidate.load.record_placed(job.prompt, now)
+        choice.candidate.load.record_placed(job.prompt, now, rank=rank)
+        self._ranks[id(job)] = rank
         entry.rate.record(now)
         place = self._endpoints.index(choice.candidate.endpoint)
         self._placements[id(job)] = place
         engine = self._engines[place]
         engine.waiting.append(job)
+        engine.waiting.sort(key=lambda waiting: self._ranks[id(waiting)])
         if engine.free_at <= now:
             engine.free_at = now + 1e-9
             self._at(engine.free_at, "pass", place)
@@ -354,9 +411,16 @@
             return entry.demand(job.prompt, self._latest, now)
         extra = extra_read_seconds(self._work.figures, job.prompt)
         room = free_slot_seconds(self._work.figures, job.prompt)
-        caller = Caller(self._work.target, extra, job.attempt > 0, room)
-        limit = first_event_limit(caller, entry.refused_share(now))
-        return entry.demand(job.prompt, limit, now)
+        target = self._work.target_of(job.kind)
+        caller = Caller(target, extra, job.attempt > 0, room)
+        if not self._work.ordered:
+            limit = first_event_limit(caller, entry.refused_share(now))
+            return entry.demand(job.prompt, limit, now)
+        rank = entry.order.admission_rank(job.kind.rank, now)
+        limit = first_event_limit(caller, entry.order.refused_share(rank, now))
+        urgent = entry.order.urgent_refused_share(rank, now)
+        limit = yielding_limit(limit, target, room, urgent)
+        return entry.demand(job.prompt, limit, now, rank)
 
     def _refuse(self, job: Job, choice: Choice, now: float) -> None:
         job.refused = True
@@ -377,7 +441,7 @@
         engine.ended = []
         for job in [job for job in engine.waiting if self._has_left(job, now)]:
             engine.waiting.remove(job)
-            self._load(job, number).record_ended(job.prompt, False)
+            self._load(job, number).record_ended(job.prompt, False, self._ranks[id(job)])
         if engine.requests:
             engine.free_at = engine.run_pass(now)
             self._at(engine.free_at, "pass", number)
@@ -389,8 +453,9 @@
         if id(job) in self._first_event_recorded:
             return
         self._first_event_recorded.add(id(job))
-        self._load(job, number).record_first_event(job.prompt, now)
-        self.entries[job.entry].bias.record(job.forecast, now - job.arrived, now)
+        rank = self._ranks[id(job)]
+        self._load(job, number).record_first_event(job.prompt, now, rank)
+        self.entries[job.entry].bias(rank).record(job.forecast, now - job.arrived, now)
 
     def _load(self, job: Job, number: int) -> EndpointLoad:
         return self.entries[job.entry].loads[self._endpoints[number].id]
--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -67,6 +67,7 @@
       refused_share: Fraction of recent requests that were refused.
       moved: Whether the request was recalled from another endpoint.
       caller_leaves_in: Seconds until the caller gives up.
+      rank: The request's place in engines' queues; None where these have no order.
     """
 
     prompt_tokens: int
@@ -77,6 +78,7 @@
     refused_share: float = 0.0
     moved: bool = False
     caller_leaves_in: float = float("inf")
+    rank: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,6 +97,7 @@
       resting: Number of endpoints left out because they want no requests from this entry now.
       ruled_out: Number of endpoints left out because of placing rules.
       rule: The code of the rule that leaves out the endpoint with the shortest wait.
+      rank: The request's place in the engine's queue; None where this has no order.
       rest_ends: Whether retry_after is the end of a rest, before which no endpoint takes requests.
       uncorrected_seconds: Forecast for the chosen endpoint from the published figures, before
         corrections.
@@ -112,6 +115,7 @@
     rule: str = ""
     rest_ends: bool = False
     uncorrected_seconds: float = 0.0
+    rank: int | None = None
 
 
 def forecast(
@@ -124,7 +128,7 @@
     load = candidate.load
     if figures is not None:
         others_rate = 0.0 if candidate.assigned else demand.others_rate
-        work = load.work(now, figures.usual_prompt, others_rate)
+        work = load.work(now, figures.usual_prompt, others_rate, demand.rank)
         return first_event_seconds(figures, work, demand.prompt_tokens)
     work = load.work(now)
     waiting = max(0.0, work.requests + 1.0 - candidate.endpoint.slots)
@@ -179,6 +183,7 @@
         known,
         len(pool),
         uncorrected_seconds=best.uncorrected_seconds,
+        rank=demand.rank,
     )
 
 
--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -53,7 +53,7 @@
         "_queued",
         "_unreported_sends",
     )
-    __slots__ += ("_silent_since", "asks_for_body", "reported_at")
+    __slots__ += ("_silent_since", "asks_for_body", "reported_at", "_unbegun")
 
     def __init__(self, rng: random.Random) -> None:
         self.health = EndpointHealth(rng)
@@ -68,29 +68,36 @@
         self.reported_at = float("-inf")
         self._other_requests = 0.0
         self._queued = 0
+        # Requests of this entry that have had no event yet, and their prompt tokens, by rank.
+        self._unbegun: dict[int, tuple[int, int]] = {}
         self._pace = 1.0
         self._report_received_at = float("-inf")
         self._report_made_at = float("-inf")
         # Send times of the requests that the last report does not include yet.
         self._unreported_sends: collections.deque[float] = collections.deque(maxlen=MAX_UNREPORTED)
 
-    def record_placed(self, prompt_tokens: int, now: float, forecast: float = 0.0) -> None:
+    def record_placed(
+        self, prompt_tokens: int, now: float, forecast: float = 0.0, rank: int = 0
+    ) -> None:
         """Records that a request was sent there.
 
         Args:
           forecast: Expected seconds until its first event. If this entry has no other requests
             there, silence counts only after that time; reading a long prompt takes a second.
+          rank: Its place in the engine's queue, zero for the most urgent.
         """
         if not self.own_requests:
             self._silent_since = now + forecast
         self.own_requests += 1
         self.unread_tokens += prompt_tokens
         self._unreported_sends.append(now)
+        self._add_unbegun(rank, 1, prompt_tokens)
         self.health.record_placed()
 
-    def record_first_event(self, prompt_tokens: int, now: float) -> None:
+    def record_first_event(self, prompt_tokens: int, now: float, rank: int = 0) -> None:
         """Records the first event of a request."""
         self.unread_tokens -= prompt_tokens
+        self._add_unbegun(rank, -1, -prompt_tokens)
         self.record_progress(now)
 
     def record_progress(self, now: float) -> None:
@@ -111,7 +118,7 @@
         if not failed:
             self.record_progress(now)
 
-    def record_ended(self, prompt_tokens: int, answered: bool) -> None:
+    def record_ended(self, prompt_tokens: int, answered: bool, rank: int = 0) -> None:
         """Removes a request from the load, whatever its outcome.
 
         Args:
@@ -120,6 +127,7 @@
         self.own_requests -= 1
         if not answered:
             self.unread_tokens -= prompt_tokens
+            self._add_unbegun(rank, -1, -prompt_tokens)
 
     def record_run(self, seconds: float) -> None:
         """Records how long a complete answer of a plain service took."""
@@ -146,16 +154,31 @@
         """Returns the seconds since the last load report; infinite if there was none."""
         return now - self._report_received_at
 
-    def work(self, now: float, usual_prompt: float = 0.0, others_rate: float = 0.0) -> EngineWork:
+    def work(
+        self,
+        now: float,
+        usual_prompt: float = 0.0,
+        others_rate: float = 0.0,
+        rank: int | None = None,
+    ) -> EngineWork:
         """Returns the estimated work ahead of and alongside a new request.
 
         Args:
           usual_prompt: Tokens of a usual prompt, assumed for waiting requests of other entries.
           others_rate: Requests per second that other entries send there.
+          rank: The place of the new request in the engine's queue; None without an order.
         """
         weight = max(0.0, 1.0 - (now - self._report_received_at) / REPORT_LIFETIME_SECONDS)
         unreported = others_rate * (now - self._report_made_at) if weight else 0.0
         unread = self.unread_tokens + usual_prompt * (weight * self._queued + unreported)
-        return EngineWork(
-            self.own_requests + weight * self._other_requests + unreported, unread, self._pace
-        )
+        requests = self.own_requests + weight * self._other_requests + unreported
+        if rank is None:
+            return EngineWork(requests, unread, self._pace)
+        less_urgent = [known for place, known in self._unbegun.items() if place > rank]
+        overtaken = sum(count for count, _ in less_urgent)
+        tokens = sum(tokens for _, tokens in less_urgent)
+        return EngineWork(requests, unread, self._pace, overtaken, tokens)
+
+    def _add_unbegun(self, rank: int, requests: int, tokens: int) -> None:
+        known = self._unbegun.get(rank, (0, 0))
+        self._unbegun[rank] = (known[0] + requests, known[1] + tokens)
--- a/wasabidrum/decisions/engine_forecast.py
+++ b/wasabidrum/decisions/engine_forecast.py
@@ -25,11 +25,16 @@
       requests: Requests that run or wait there.
       unread_tokens: Prompt tokens of the requests that have had no event yet.
       slowdown: How many times slower than published the engine works.
+      overtaken: Requests among them that have had no event yet and are less urgent than the new
+        one, which overtakes those that still wait.
+      overtaken_tokens: Their prompt tokens.
     """
 
     requests: float
     unread_tokens: float
     slowdown: float = 1.0
+    overtaken: int = 0
+    overtaken_tokens: int = 0
 
 
 def pass_seconds(figures: EngineFigures, running: float) -> float:
@@ -90,8 +95,14 @@
     own = prompt_tokens or figures.usual_prompt
     one_pass = pass_seconds(figures, running + 1.0)
     seconds = MEAN_PASS_FRACTION_LEFT * one_pass + one_pass + read_seconds(figures, own)
-    seconds += work.unread_tokens / figures.read_rate
     beyond = work.requests + 1.0 - figures.slots
+    unread_tokens = work.unread_tokens
+    if work.overtaken and beyond > 1.0:
+        # Those that wait for a slot are overtaken. The new request still waits for the next slot.
+        waiting = min(beyond - 1.0, float(work.overtaken))
+        unread_tokens -= work.overtaken_tokens * waiting / work.overtaken
+        beyond -= waiting
+    seconds += unread_tokens / figures.read_rate
     if beyond > 0.0:
         seconds += beyond * run_seconds(figures, running) / figures.slots
     return seconds * work.slowdown
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -204,7 +204,8 @@
             if not self._first_event_received:
                 self._log_limit("ended")
             self._gateway.attempts.discard(self)
-            placement.load.record_ended(prompt, self._first_event_received)
+            rank = placement.rank or 0
+            placement.load.record_ended(prompt, self._first_event_received, rank)
             if self._connection is not None:
                 self._connection.close()
 
@@ -222,7 +223,7 @@
             len(call.body),
             self._progress.last_event_id,
             placement.weights,
-            None,
+            placement.queue_priority,
             held,
         )
         connection.send(call.head.method, call.head.target, headers, call.body, held)
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -190,6 +190,9 @@
             return placement
         choice = self._choose(self._tried_endpoints, moved=False)
         placement = placer.placement_for(choice)
+        if not failure:
+            admitted = placement is not None
+            placer.record_decision(self._service, self._call.scope, admitted, self._returning)
         if placement is None:
             # That no endpoint has what it needs says nothing about their load. When some have it
             # again, they have room.
@@ -280,7 +283,8 @@
     def _release_reservation(self) -> None:
         """Releases a reserved place that was not used, as when the caller disconnected."""
         if self._reserved is not None:
-            self._reserved.load.record_ended(self._call.head.prompt_tokens, False)
+            rank = self._reserved.rank or 0
+            self._reserved.load.record_ended(self._call.head.prompt_tokens, False, rank)
             self._gateway.placer.record_inconclusive_end(self._reserved)
             self._reserved = None
 
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -17,6 +17,8 @@
 from ..core.request_scope import RequestScope
 from ..core.route import Route, RouteKind
 from ..core.status import Status
+from ..decisions import request_rank
+from ..decisions.admission_order import yielding_limit
 from ..decisions.endpoint_assignment import assign_endpoints
 from ..decisions.endpoint_choice import (
     Candidate,
@@ -37,6 +39,7 @@
 )
 from ..decisions.entry_roster import HostPort
 from ..decisions.first_event_limit import Caller, first_event_limit
+from ..decisions.request_rank import ServiceRanks
 from ..decisions.request_recall import is_stalled
 from ..decisions.shared_retry_budget import RetryAllowance, SharedRetryBudget
 from ..decisions.stated_limits import Entries, StatedLimits
@@ -65,6 +68,7 @@
       weights: The version of the weights that must answer; zero for a plain service.
       forecast_seconds: The forecast time to the first event.
       raw_forecast_seconds: The same from the engine's figures alone, before any correction.
+      rank: The place in the engine's queue; None where requests have no order.
     """
 
     endpoint: ListedEndpoint
@@ -72,6 +76,12 @@
     weights: int
     forecast_seconds: float
     raw_forecast_seconds: float = 0.0
+    rank: int | None = None
+
+    @property
+    def queue_priority(self) -> int | None:
+        """The priority in the endpoint's queue; None where requests have no order."""
+        return None if self.rank is None else request_rank.queue_priority(self.rank)
 
 
 class PeerEntries(typing.Protocol):
@@ -101,7 +111,7 @@
 
     __slots__ = ("_state", "_log", "_data_centre", "_loads", "_rng", "_retry_budgets", "_bounds")
     __slots__ += ("_statuses", "_peer_entries", "_traffic", "_preferred", "_assigned_for")
-    __slots__ += ("_only_entry", "_limits", "_rests", "_rules")
+    __slots__ += ("_only_entry", "_limits", "_rests", "_rules", "_ranks", "_ranks_version")
 
     def __init__(
         self,
@@ -129,6 +139,9 @@
         self._limits = limits
         self._rests = EndpointRests()
         self._rules = rules or PlacingRules()
+        # The ranks of services whose requests differ in urgency, by a configuration's version.
+        self._ranks: dict[str, ServiceRanks] = {}
+        self._ranks_version = 0
         self._statuses = ReportedStatuses()
         self._rng = random.Random()
 
@@ -206,6 +219,7 @@
         full, seconds_until_room = self._leave_out_limited(candidates)
         traffic = self.traffic(service)
         refused_share = traffic.refused_share(now)
+        rank = self._rank(scope, service)
         if figures is None:
             latest = seconds_until_disconnect * PLAIN_LATEST_FRACTION
         elif tried or moved or weights:
@@ -218,7 +232,14 @@
                 returning,
                 free_slot_seconds(figures, head.prompt_tokens),
             )
+            if rank is not None:
+                rank = traffic.order.admission_rank(rank, now)
+                refused_share = traffic.order.refused_share(rank, now)
             latest = first_event_limit(caller, refused_share)
+            if rank is not None:
+                urgent = traffic.order.urgent_refused_share(rank, now)
+                free = caller.free_slot_seconds
+                latest = yielding_limit(latest, route.target_latency, free, urgent)
         if figures is not None:
             latest = min(latest, seconds_until_disconnect)
         risky = route.kind is RouteKind.UNSAFE or not route.idempotent
@@ -227,10 +248,11 @@
             latest,
             risky,
             others_rate=self._others_rate(traffic, len(candidates), now),
-            corrections=traffic.bias.corrections(now),
+            corrections=traffic.bias(rank).corrections(now),
             refused_share=refused_share,
             moved=moved,
             caller_leaves_in=seconds_until_disconnect,
+            rank=rank,
         )
         choice = choose(candidates, figures, demand, now, self._rng)
         if not full and not resting and not ruled_out:
@@ -264,7 +286,9 @@
         endpoint, load = choice.candidate.endpoint, choice.candidate.load
         is_engine = self._state.engine_figures(endpoint.service) is not None
         version = endpoint.weights if is_engine else 0
-        return Placement(endpoint, load, version, choice.seconds, choice.uncorrected_seconds)
+        return Placement(
+            endpoint, load, version, choice.seconds, choice.uncorrected_seconds, choice.rank
+        )
 
     def needed_seconds(self, placement: Placement, head: RequestHead, longest: bool) -> float:
         """Returns the forecast seconds until the answer of an engine is complete.
@@ -291,6 +315,32 @@
             return False
         return self.traffic(service).record_wait(route.name, head.deadline)
 
+    def record_decision(
+        self, service: str, scope: RequestScope, admitted: bool, returning: bool
+    ) -> None:
+        """Records whether a request was placed when it arrived.
+
+        Args:
+          returning: Whether its caller has waited before.
+        """
+        rank = self._rank(scope, service)
+        if rank is not None:
+            now = asyncio.get_running_loop().time()
+            self.traffic(service).order.record(rank, admitted, now, returning)
+
+    def _rank(self, scope: RequestScope, service: str) -> int | None:
+        """Returns the rank of a request; None if those of its service have no order.
+
+        Only the queues of engines have one.
+        """
+        if self._state.engine_figures(service) is None:
+            return None
+        if self._ranks_version != self._state.version:
+            self._ranks_version = self._state.version
+            self._ranks = request_rank.service_ranks(self._state.configuration)
+        ranks = self._ranks.get(service)
+        return ranks.rank_of(scope) if ranks is not None else None
+
     def record_refusal(self, service: str) -> None:
         """Records a request that was refused because all endpoints have too much work."""
         self.traffic(service).refusals.record(asyncio.get_running_loop().time())
@@ -305,7 +355,9 @@
     def record_sent(self, placement: Placement, prompt_tokens: int) -> None:
         """Records a request that is sent, or has a place reserved, at an endpoint."""
         now = asyncio.get_running_loop().time()
-        placement.load.record_placed(prompt_tokens, now, placement.forecast_seconds)
+        placement.load.record_placed(
+            prompt_tokens, now, placement.forecast_seconds, placement.rank or 0
+        )
         self.traffic(placement.endpoint.service).rate.record(now)
         endpoint = placement.endpoint
         self._limits.record_sent((endpoint.id, endpoint.started_at), boot_seconds())
@@ -363,9 +415,9 @@
     def record_first_event(self, placement: Placement, prompt_tokens: int, seconds: float) -> None:
         """Records the first event of a request, and how long after the placement it arrived."""
         now = asyncio.get_running_loop().time()
-        placement.load.record_first_event(prompt_tokens, now)
+        placement.load.record_first_event(prompt_tokens, now, placement.rank or 0)
         placement.load.lateness.record(seconds - placement.forecast_seconds, now)
-        self.traffic(placement.endpoint.service).bias.record(
+        self.traffic(placement.endpoint.service).bias(placement.rank).record(
             placement.raw_forecast_seconds, seconds, now
         )
 
--- a/wasabidrum/gateway/service_traffic.py
+++ b/wasabidrum/gateway/service_traffic.py
@@ -1,5 +1,6 @@
 """This entry's traffic to one service, and how accurate its forecasts are."""
 
+from ..decisions.admission_order import AdmissionOrder
 from ..decisions.forecast_bias import ForecastBias
 from ..decisions.request_rate import RequestRate
 from ..decisions.return_turns import ReturnTurns
@@ -13,18 +14,26 @@
       rate: Requests sent to the service's endpoints.
       refusals: Requests that were refused because all endpoints have too much work.
       return_turns: When callers come back whom nobody can serve until a rest of endpoints ends.
-      bias: By how much the time to the first event differs from its forecast.
+      order: How often the requests of each rank were admitted lately.
     """
 
-    __slots__ = ("rate", "refusals", "bias", "return_turns", "_waits")
+    __slots__ = ("rate", "refusals", "order", "return_turns", "_biases", "_waits")
 
     def __init__(self) -> None:
         self.rate = RequestRate()
         self.refusals = RequestRate()
-        self.bias = ForecastBias()
+        self.order = AdmissionOrder()
+        self._biases: dict[int | None, ForecastBias] = {}
         self.return_turns = ReturnTurns()
         self._waits: dict[str, StatedWaits] = {}
 
+    def bias(self, rank: int | None) -> ForecastBias:
+        """Returns by how much times to the first event differ from their forecasts for a rank."""
+        bias = self._biases.get(rank)
+        if bias is None:
+            bias = self._biases[rank] = ForecastBias()
+        return bias
+
     def refused_share(self, now: float) -> float:
         """Returns the fraction of recent requests that were refused for too much work."""
         refused = self.refusals.per_second(now)
