--- a/wasabidrum/decisions/admission_order.py
+++ b/wasabidrum/decisions/admission_order.py
@@ -29,6 +29,10 @@
 LEAST_SHARE = 0.3
 # A less urgent request has to find a free slot if one in twenty of the more urgent ones is refused.
 YIELD_SLOPE = 20.0
+# From this share of refused urgent requests on the others are said to yield, and below the second
+# one no more.
+YIELD_BEGINS_SHARE = 0.05
+YIELD_ENDS_SHARE = 0.01
 # Fewer requests than this tell nothing about how often a rank is served.
 MIN_OFFERED = 2.0
 
@@ -63,9 +67,10 @@
 class AdmissionOrder:
     """How often one entry has admitted the requests of each rank of a service lately."""
 
-    __slots__ = ("_recent", "_long")
+    __slots__ = ("_recent", "_long", "_yielding")
 
     def __init__(self) -> None:
+        self._yielding = False
         self._recent: dict[int, RankCount] = {}
         self._long: dict[int, RankCount] = {}
 
@@ -82,6 +87,19 @@
             recent = self._recent.setdefault(rank, RankCount(REFUSAL_DECAY_SECONDS))
             recent.record(admitted, now)
 
+    @property
+    def yielding(self) -> bool:
+        """Whether less urgent requests yield, as of the last update."""
+        return self._yielding
+
+    def update_yielding(self, now: float) -> bool:
+        """Updates whether less urgent requests yield; returns whether that has changed."""
+        last = max(self._recent, default=0)
+        share = self.urgent_refused_share(last, now)
+        before = self._yielding
+        self._yielding = share > (YIELD_ENDS_SHARE if before else YIELD_BEGINS_SHARE)
+        return self._yielding is not before
+
     def refused_share(self, rank: int, now: float) -> float:
         """Returns the share of requests of a rank, and of more urgent ones, that were refused."""
         return refused_share([c for r, c in self._recent.items() if r <= rank], now)
@@ -91,6 +109,10 @@
         shares = (refused_share([c], now) for r, c in self._recent.items() if r < rank)
         return max(shares, default=0.0)
 
+    def refused_shares(self, now: float) -> dict[int, float]:
+        """Returns the share of the requests of each rank that was refused lately."""
+        return {r: round(refused_share([c], now), 3) for r, c in sorted(self._recent.items())}
+
     def admission_rank(self, rank: int, now: float) -> int:
         """Returns the rank as which a request is placed: the first if its own gets too little."""
         known = self._long.get(rank)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -264,6 +264,11 @@
             "Endpoints that want no requests from this entry for now, as they state.",
             lambda: self.placer.resting_count,
         )
+        add(
+            "urgent_requests_refused_share",
+            "The largest share of the most urgent requests of a service that was refused lately.",
+            self.placer.urgent_refused_share,
+        )
         add(
             "parts_blocked",
             "Parts of prompts whose requests are refused because they crash endpoints.",
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -219,6 +219,7 @@
             endpoints_ruled_out=choice.ruled_out,
             report_age=choice.report_age,
             returning=self._returning,
+            **placer.order_facts(self._service, self._call.scope),
         )
         if choice.seconds < float("inf"):
             code = "overloaded"
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -324,9 +324,34 @@
           returning: Whether its caller has waited before.
         """
         rank = self._rank(scope, service)
-        if rank is not None:
-            now = asyncio.get_running_loop().time()
-            self.traffic(service).order.record(rank, admitted, now, returning)
+        if rank is None:
+            return
+        now, order = asyncio.get_running_loop().time(), self.traffic(service).order
+        order.record(rank, admitted, now, returning)
+        if order.update_yielding(now):
+            self._log.write(
+                Event.LESS_URGENT_YIELD,
+                service=service,
+                yielding=order.yielding,
+                refused_shares=order.refused_shares(now),
+            )
+
+    def order_facts(self, service: str, scope: RequestScope) -> dict[str, object]:
+        """Returns what the order of its service says about a request, for its log line."""
+        rank = self._rank(scope, service)
+        if rank is None:
+            return {}
+        now, order = asyncio.get_running_loop().time(), self.traffic(service).order
+        return {
+            "rank": rank,
+            "placed_as_rank": order.admission_rank(rank, now),
+            "refused_shares": order.refused_shares(now),
+        }
+
+    def urgent_refused_share(self) -> float:
+        """Returns the largest share of the most urgent requests of a service that is refused."""
+        now = asyncio.get_running_loop().time()
+        return max((t.order.refused_share(0, now) for t in self._traffic.values()), default=0.0)
 
     def _rank(self, scope: RequestScope, service: str) -> int | None:
         """Returns the rank of a request; None if those of its service have no order.
