--- a/wasabidrum/decisions/engine_forecast.py
+++ b/wasabidrum/decisions/engine_forecast.py
@@ -95,3 +95,13 @@
     if beyond > 0.0:
         seconds += beyond * run_seconds(figures, running) / figures.slots
     return seconds * work.slowdown
+
+
+def engine_seconds(figures: EngineFigures, prompt_tokens: float, answer_tokens: float) -> float:
+    """Returns how much of a full engine's time a request takes.
+
+    The engine reads one prompt at a time, and its passes are shared by all of its slots.
+    """
+    tokens_per_pass = figures.stride * max(1, figures.slots)
+    writing = answer_tokens * pass_seconds(figures, figures.slots) / tokens_per_pass
+    return read_seconds(figures, prompt_tokens) + writing
