Shares of workspaces: counting by requests, and reports between entries

Entries see a twelfth of the traffic each. Requests to engines count the engine seconds that they are expected to take, corrected when they end; entries report their counts by datagrams to the others in turn, within 4 KB a second. Refused requests log the position of their workspace; nothing is refused by it yet. Only where the settings share room and two workspaces are published.

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -298,6 +298,7 @@
         store_port: int | None = None,
         bounds: Bounds | None = None,
         data_centre: str = "rift-a",
+        shares_room: bool = False,
     ) -> Gateway:
         """Starts an entry, which may use another store port than the fleet's."""
         first = free_ports(PORTS_OF_ONE)
@@ -318,6 +319,7 @@
             peers_listen=Address(HOST, first + 5),
             seeds=seeds,
             first_start=True,
+            shares_room=shares_room,
         )
         gateway = make_gateway(deployment, quiet_log(name))
         await gateway.start()
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -14,6 +14,7 @@
 from ..decisions.crashing_parts import CrashingParts
 from ..decisions.poison import PoisonGuard
 from ..decisions.stated_limits import StatedLimits
+from ..decisions.workspace_shares import WorkspaceShares
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..observe.routes import make_routes
@@ -33,6 +34,8 @@
 from .published_state import MAX_REPORTED_SECONDS, PublishedState
 from .reader_following import ReaderFollower
 from .store_follower import StoreFollower
+from .usage_exchange import UsageExchange
+from .workspace_usage import WorkspaceUsage
 
 # The load balancer polls readiness once a second and removes an entry after two failed polls.
 # Until then it still sends new callers, and they are served. Afterwards requests arrive only on
@@ -112,6 +115,11 @@
             limits,
             deployment.first_start and not self.peers.has_seeds,
         )
+        shares = WorkspaceShares(deployment.host, random.getrandbits(32))
+        self.usage = WorkspaceUsage(deployment, self.state, shares, log)
+        self._usage_exchange = UsageExchange(
+            deployment, shares, self.peers.data_centres, lambda: self.usage.is_active, log
+        )
         self.attempts = AttemptsInProgress(self.state, self.placer, deployment.bounds.drain, log)
         self._load_watcher = LoadWatcher(
             deployment,
@@ -194,6 +202,8 @@
         self.tasks.start("ticks", self._follower.run_ticks())
         self.tasks.start("loads", self._load_watcher.run())
         self.tasks.start("weights", self._relay.run())
+        if deployment.shares_room:
+            self.tasks.start("usage", self._usage_exchange.run())
         self.tasks.start("attempts", self.attempts.run())
         self.log.write(Event.DAEMON_STARTED, role="entry", caller_port=deployment.callers.port)
 
@@ -269,6 +279,16 @@
             "Parts of prompts whose requests are refused because they crash endpoints.",
             lambda: self.part_guard.blocked_count,
         )
+        add(
+            "workspaces_over_share",
+            "Workspaces that use more than their share of the engines by half.",
+            lambda: self.usage.over_count,
+        )
+        add(
+            "entries_reporting_use",
+            "Other entries whose reports of the use by workspaces count.",
+            lambda: self.usage.heard_count,
+        )
         add("entries_known", "Entries, this one included.", lambda: self.peers.count)
         add(
             "weights_held",
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -17,6 +17,7 @@
 from .call import DEFAULT_DEADLINE_SECONDS, Call, StreamProgress
 from .part_guard import BLOCKED_CODE, BLOCKED_RETRY_SECONDS
 from .placement import Placement
+from .workspace_usage import RequestUse
 
 if typing.TYPE_CHECKING:
     from .daemon import Gateway
@@ -64,6 +65,8 @@
         self._retry_count = 0
         # Whether the caller has waited before, so that its answer can only be late.
         self._returning = False
+        # Counts what it takes of its workspace's share; None if that is not counted.
+        self._use: RequestUse | None = None
         # Whether it is sent as the test of a prompt part that is suspected.
         self._testing = False
         self._test_begun = False
@@ -89,13 +92,27 @@
         placer = self._gateway.placer
         self._returning = placer.record_caller(self._service, self._call.route, self._call.head)
         placer.record_request(self._service)
+        self._use = self._gateway.usage.open(
+            self._call, self._service, self._fingerprint, self._returning
+        )
         try:
             await self._try_endpoints()
+        except CodedError as error:
+            self._record_refused(error)
+            raise
         finally:
             self._release_reservation()
+            if self._use is not None:
+                self._use.record_end(self._progress.event_count)
             if self._test_open:
                 guard.record_inconclusive_test(parts, self._call.head.request_id)
 
+    def _record_refused(self, error: CodedError) -> None:
+        told = error.outcome is Outcome.NOT_RUN and error.retry_after is not None
+        if self._use is not None and told:
+            position = self._use.record_refused(error.retry_after)
+            self._exchange.add_log_facts(share_position=round(position, 3))
+
     async def _try_endpoints(self) -> None:
         failure = ""
         head, guard = self._call.head, self._gateway.part_guard
@@ -198,6 +215,8 @@
         elif left > MIN_USEFUL_SECONDS:
             self._log_placement(placement, failure)
             placer.record_sent(placement, self._call.head.prompt_tokens)
+            if self._use is not None:
+                self._use.record_placed()
             return placement
         if self._exchange.streaming:
             return None
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -37,6 +37,7 @@
     REPLACED_WEIGHTS_ASKED = 2017
     ENDPOINT_LEAVING = 2018
     REST_ASKED = 2019
+    WORKSPACE_OVER_SHARE = 2030
 
     # 3000: weights.
     VERSION_WANTED = 3001
@@ -97,6 +98,7 @@
     LOAD_REPORT_REFUSED = 4030
     READER_CHANGED = 4031
     STORE_OUTAGE_RECORDED = 4032
+    USE_REPORT_FAILED = 4040
 
     # 5000: calls with idempotency keys, and streams that are resumed on another endpoint.
     CALL_STARTED = 5001
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -10,6 +10,7 @@
 
 from ..core.errors import CodedError
 from ..core.part_report import PartReport
+from ..core.workspace_use import UseReport
 
 MEET_PATH = "/wasabidrum.Entry/Meet"
 CHANGES_PATH = "/wasabidrum.Entry/Changes"
@@ -194,3 +195,17 @@
     """
 
     parts: tuple[PartReport, ...] = ()
+
+
+def write_use_report(report: UseReport) -> bytes:
+    """Returns the datagram that holds a report of use."""
+    return msgspec.msgpack.encode(report)
+
+
+def read_use_report(content: bytes) -> UseReport:
+    """Returns the report of use in a datagram.
+
+    Raises:
+      msgspec.MsgspecError: The bytes are not valid.
+    """
+    return msgspec.msgpack.decode(content, type=UseReport)
