--- a/tests/workspace_usage_test.py
+++ b/tests/workspace_usage_test.py
@@ -13,6 +13,7 @@
 from wasabidrum.core.workspace_use import RATE_UNIT, UseReport, WorkspaceUse
 from wasabidrum.gateway import usage_exchange
 from wasabidrum.observe.event import Event
+from wasabidrum.observe.event_log import EventLog
 from wasabidrum.platform import names
 
 MODEL = "m1"
@@ -185,3 +186,18 @@
         await asyncio.sleep(0.1)
         self.assertEqual(first.usage.shares.position("desk", boot_seconds()), 0.0)
         self.assertEqual(first.usage.heard_count, 1)
+
+    async def test_an_entry_whose_port_is_taken_goes_on_alone(self) -> None:
+        """Guards against an entry that does not start, or fails without a trace, when another
+        process has the port for reports."""
+        port = self.fleet.first_port + usage_exchange.PORT_OFFSET
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+            other.bind(("127.0.0.100", port))
+            with mock.patch.object(EventLog, "write") as write:
+                entry = await self.fleet.add_entry(shares_room=True)
+                await asyncio.sleep(MEETING_SECONDS)
+        events = [call.args[0] for call in write.call_args_list]
+        self.assertEqual(events.count(Event.USE_REPORT_FAILED), 1)
+        self.assertNotIn(Event.TASK_FAILED, events)
+        entry.usage.shares.record_use("till", 1.0, boot_seconds())
+        self.assertEqual(entry.usage.shares.position("till", boot_seconds()), 0.5)
