--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -37,7 +37,8 @@
     REPLACED_WEIGHTS_ASKED = 2017
     ENDPOINT_LEAVING = 2018
     REST_ASKED = 2019
-    LESS_URGENT_YIELD = 2030
+    WORKSPACE_OVER_SHARE = 2030
+    LESS_URGENT_YIELD = 2031
 
     # 3000: weights.
     VERSION_WANTED = 3001
@@ -98,6 +99,7 @@
     LOAD_REPORT_REFUSED = 4030
     READER_CHANGED = 4031
     STORE_OUTAGE_RECORDED = 4032
+    USE_REPORT_FAILED = 4040
 
     # 5000: calls with idempotency keys, and streams that are resumed on another endpoint.
     CALL_STARTED = 5001
