--- a/wasabidrum/decisions/admission_order.py
+++ b/wasabidrum/decisions/admission_order.py
@@ -33,6 +33,8 @@
 # one no more.
 YIELD_BEGINS_SHARE = 0.05
 YIELD_ENDS_SHARE = 0.01
+# The position of a workspace that uses just its share.
+AT_SHARE_POSITION = 0.5
 # Fewer requests than this tell nothing about how often a rank is served.
 MIN_OFFERED = 2.0
 
@@ -136,6 +138,24 @@
     return (offered - admitted) / max(1.0, offered)
 
 
+def share_limit(
+    limit: float, target: float, free_slot_seconds: float, position: float, refused_share: float
+) -> float:
+    """Returns the latest forecast with which a request of a workspace is placed.
+
+    Under overload, a workspace that uses more than its share gets only free slots.
+
+    Args:
+      limit: The same for a workspace that uses its share, in seconds.
+      target: Seconds within which its first event is on time.
+      free_slot_seconds: The forecast at an engine that has room for it.
+      position: How far the workspace is over its share; see WorkspaceShares.position.
+      refused_share: The share of requests of its rank, and of more urgent ones, that is refused.
+    """
+    over = max(0.0, position - AT_SHARE_POSITION)
+    return yielding_limit(limit, target, free_slot_seconds, over * refused_share)
+
+
 def yielding_limit(
     limit: float, target: float, free_slot_seconds: float, urgent_refused_share: float
 ) -> float:
--- a/wasabidrum/decisions/admission_order_test.py
+++ b/wasabidrum/decisions/admission_order_test.py
@@ -6,7 +6,7 @@
 
 from tests.choice_replay import RANKED_WORK, FakeEngine, Job, Replay, earned_share
 
-from .admission_order import AdmissionOrder, yielding_limit
+from .admission_order import AT_SHARE_POSITION, AdmissionOrder, share_limit, yielding_limit
 
 ENTRIES = 12
 # Requests per second of the three kinds that the engines of the replays process, per engine.
@@ -113,6 +113,14 @@
         self.record(2, True, 20, 1.1)
         self.assertEqual(self.order.admission_rank(2, 1.1), 2)
 
+    def test_workspace_over_its_share_gets_free_slots_only_under_overload(self) -> None:
+        """Guards against a large workspace that is served before small ones."""
+        limits = [
+            share_limit(0.35, 0.4, 0.14, position, refused_share)
+            for position, refused_share in ((AT_SHARE_POSITION, 0.5), (0.7, 0.0), (0.7, 0.5))
+        ]
+        self.assertEqual(limits, [0.35, 0.35, 0.14])
+
     def test_caller_who_comes_back_counts_as_offered_once(self) -> None:
         """Guards against returns that make a rank look worse served than it is."""
         self.record(0, True, 10, 1.0)
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -277,6 +277,7 @@
             seconds_until_disconnect,
             moved,
             self._returning,
+            self._gateway.usage.position_of(call.workspace),
         )
 
     def _reserve_elsewhere(self, placement: Placement) -> bool:
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -18,7 +18,7 @@
 from ..core.route import Route, RouteKind
 from ..core.status import Status
 from ..decisions import request_rank
-from ..decisions.admission_order import yielding_limit
+from ..decisions.admission_order import AT_SHARE_POSITION, share_limit, yielding_limit
 from ..decisions.endpoint_assignment import assign_endpoints
 from ..decisions.endpoint_choice import (
     Candidate,
@@ -198,6 +198,7 @@
         seconds_until_disconnect: float,
         moved: bool = False,
         returning: bool = False,
+        share_position: float = AT_SHARE_POSITION,
     ) -> Choice:
         """Chooses an endpoint for a request without recording it.
 
@@ -208,6 +209,7 @@
           seconds_until_disconnect: Seconds until the caller will disconnect.
           moved: The request is being recalled from another endpoint.
           returning: Its caller has waited before; see record_caller.
+          share_position: How far its workspace is over its share; see WorkspaceShares.position.
         """
         now = asyncio.get_running_loop().time()
         route = scope.route
@@ -236,6 +238,11 @@
                 rank = traffic.order.admission_rank(rank, now)
                 refused_share = traffic.order.refused_share(rank, now)
             latest = first_event_limit(caller, refused_share)
+            if share_position > AT_SHARE_POSITION:
+                free = caller.free_slot_seconds
+                latest = share_limit(
+                    latest, route.target_latency, free, share_position, refused_share
+                )
             if rank is not None:
                 urgent = traffic.order.urgent_refused_share(rank, now)
                 free = caller.free_slot_seconds
--- a/wasabidrum/gateway/workspace_usage.py
+++ b/wasabidrum/gateway/workspace_usage.py
@@ -131,6 +131,12 @@
         """The number of other entries whose reports of use count."""
         return self.shares.heard_count(boot_seconds())
 
+    def position_of(self, workspace: str) -> float:
+        """Returns how far a workspace is over its share; at its share if none has one."""
+        if not workspace or not self.is_active:
+            return AT_SHARE_POSITION
+        return self.shares.position(workspace, boot_seconds())
+
     def open(
         self, call: Call, service: str, fingerprint: str, returning: bool
     ) -> RequestUse | None:
