Evacuation of data centres, and home regions

Operators need to take a data centre out of use, and some workspaces and routes may be served in some regions only. Neither was acted on.

Two placing rules, asked by every way of placing and again before anything is sent. Evacuations are kept in the published state and follow the store's revisions; streams that wait unbegun at an evacuated endpoint move where another has a slot. Reports of crashing requests carry the regions to which they may go, and every sender filters by the region of the receiver.

--- a/wasabidrum/core/part_report.py
+++ b/wasabidrum/core/part_report.py
@@ -15,6 +15,7 @@
       inconclusive: The tests since that showed nothing.
       endpoints: Some endpoints that died since with a request with the part in progress.
       counted_ago: Seconds since the last crash was counted, or the last inconclusive test.
+      regions: The only regions to whose instances the report may be sent; None for all.
     """
 
     part: str
@@ -24,6 +25,11 @@
     inconclusive: int = 0
     endpoints: tuple[str, ...] = ()
     counted_ago: float = 0.0
+    regions: tuple[str, ...] | None = None
+
+    def may_go_to(self, region: str) -> bool:
+        """Returns whether the report may be sent to an instance in a region; empty if unknown."""
+        return self.regions is None or region in self.regions
 
     def covers(self, other: "PartReport") -> bool:
         """Returns whether another state of the part says nothing that this one does not."""
--- a/wasabidrum/decisions/crashing_parts.py
+++ b/wasabidrum/decisions/crashing_parts.py
@@ -26,6 +26,9 @@
 inconclusive tests since, and the endpoints that died. The larger epoch wins, then the larger
 counts, so that all entries arrive at the same state in whatever order reports reach them. Sidecars
 remember the states of tested parts, and pass them on between entries that cannot reach each other.
+
+A part of a request with home regions is known only to instances there: its state names the regions
+that all such requests with the part have in common.
 """
 
 import collections
@@ -33,6 +36,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from ..core.part_report import PartReport
+from .home_regions import Regions, intersect
 
 CRASHES_TO_SUSPECT = 2
 # From which on sidecars remember a part: a test has failed, or there was a third round.
@@ -87,10 +91,12 @@
       touched_at: The last crash, or the last request while it is suspected.
       asked_at: The last request since the last crash.
       turns_began_at: The first of these requests.
+      regions: To which regions its state may be sent.
     """
 
     __slots__ = ("epoch", "crashes", "inconclusive", "endpoints", "died_at")
     __slots__ += ("counted_in", "counted_at", "touched_at", "asked_at", "turns_began_at")
+    __slots__ += ("regions",)
 
     def __init__(self) -> None:
         self.epoch = 0
@@ -103,6 +109,7 @@
         self.touched_at = 0.0
         self.asked_at = float("-inf")
         self.turns_began_at = 0.0
+        self.regions: Regions = None
 
     @property
     def suspected(self) -> bool:
@@ -150,6 +157,13 @@
         found = (self._find(part, now) for part in parts)
         return max((state.crashes for state in found if state is not None), default=0)
 
+    def restrict(self, parts: Iterable[str], regions: Regions) -> None:
+        """Records that some parts belong to a request with home regions."""
+        known = (self._states.get(part) for part in parts) if regions is not None else ()
+        for state in known:
+            if state is not None:
+                state.regions = intersect(state.regions, regions)
+
     def check(self, parts: Iterable[str], now: float, rank_of: Callable[[str], int]) -> Verdict:
         """Returns what may be done with a request with some parts.
 
@@ -256,6 +270,8 @@
                 return False
             state = self._add(report.part)
         state.touched_at = max(state.touched_at, now - report.age)
+        if report.regions is not None:
+            state.regions = intersect(state.regions, frozenset(report.regions))
         if report.epoch < state.epoch:
             return False
         changed = report.epoch > state.epoch
@@ -398,6 +414,7 @@
     age = max(0.0, now - state.touched_at)
     endpoints = tuple(sorted(state.endpoints))
     counted_ago = max(0.0, now - state.counted_at)
+    regions = None if state.regions is None else tuple(sorted(state.regions))
     return PartReport(
-        part, state.epoch, state.crashes, age, state.inconclusive, endpoints, counted_ago
+        part, state.epoch, state.crashes, age, state.inconclusive, endpoints, counted_ago, regions
     )
--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -142,6 +142,10 @@
         self._queued = queued
         self._pace = max(1.0, pace)
 
+    def reports_waiting(self, now: float) -> bool:
+        """Returns whether the endpoint has lately reported requests that it has not begun."""
+        return self._queued > 0 and self.report_age(now) < REPORT_LIFETIME_SECONDS
+
     def report_age(self, now: float) -> float:
         """Returns the seconds since the last load report; infinite if there was none."""
         return now - self._report_received_at
--- a/wasabidrum/decisions/poison.py
+++ b/wasabidrum/decisions/poison.py
@@ -20,6 +20,8 @@
 import collections
 import hashlib
 
+from .home_regions import Regions, intersect
+
 DEATHS_TO_BLOCK = 2
 BLOCK_SECONDS = 300.0
 SUSPECT_LIFETIME_SECONDS = 3600.0
@@ -97,13 +99,15 @@
       deaths: The last ones; those that the request was cleared of are kept, because they may still
         be reported.
       last_death_at: When the last death was recorded.
+      regions: To which regions the fingerprint may be sent.
     """
 
-    __slots__ = ("deaths", "last_death_at")
+    __slots__ = ("deaths", "last_death_at", "regions")
 
     def __init__(self, now: float) -> None:
         self.deaths: list[Death] = []
         self.last_death_at = now
+        self.regions: Regions = None
 
     @property
     def counted(self) -> list[Death]:
@@ -187,14 +191,21 @@
         """
         self._add(fingerprint, endpoint, run, "", at, seen=False)
 
-    def recent_deaths(self, now: float) -> list[tuple[str, str, float, str]]:
+    def restrict(self, fingerprint: str, regions: Regions) -> None:
+        """Records that a fingerprint is that of a request with home regions."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.regions = intersect(suspect.regions, regions)
+
+    def recent_deaths(self, now: float) -> list[tuple[str, str, float, str, Regions]]:
         """Returns what an entry that has just started should know, the latest deaths last.
 
         Returns:
-          The fingerprint, the endpoint, the seconds since the death and the run of each.
+          The fingerprint, the endpoint, the seconds since the death and the run of each, and the
+          regions to which it may be sent.
         """
         deaths = [
-            (fingerprint, death.endpoint, now - death.at, death.run)
+            (fingerprint, death.endpoint, now - death.at, death.run, suspect.regions)
             for fingerprint, suspect in self._suspects.items()
             for death in suspect.counted[-DEATHS_TO_BLOCK:]
             if now - death.at < BLOCK_SECONDS
--- a/wasabidrum/decisions/request_recall.py
+++ b/wasabidrum/decisions/request_recall.py
@@ -16,6 +16,10 @@
   another endpoint and a retry can be reserved for it. If it were recalled with nowhere to go, its
   caller would lose an answer that may arrive a moment later. Without a reservation, each of many
   requests that are recalled at the same time would count on the same slot.
+- A request that waits at an endpoint in an evacuated data centre moves to another one, if that has
+  a slot for it and a retry can be reserved. Only streams can be seen not to have started, and only
+  while the endpoint reports waiting requests: otherwise it is about to send the first event, and
+  the work would be done twice. Where no other endpoint has a slot, it stays and is served there.
 - A request that has not started at a stalled endpoint, which has been leaving or gone for as long
   as the bound allows, is recalled if it may run again. A request that may run only once stays,
   because its answer may be on the way; its route's timeout ends it.
@@ -44,6 +48,7 @@
     ENDPOINT_SILENT = "endpoint_silent"
     ENDPOINT_RETIRED = "endpoint_retired"
     CALLER_LEAVING = "caller_leaving"
+    ENDPOINT_EVACUATED = "endpoint_evacuated"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +66,8 @@
         forwarded.
       reserve: Reserves a slot at another endpoint and a retry; returns whether both were
         available. Called only if all other conditions for a move are met.
+      waits_evacuated: Whether its endpoint may get no more requests because its data centre is
+        evacuated, and has requests that wait.
     """
 
     begun: bool
@@ -71,6 +78,7 @@
     retired_seconds: float
     caller_leaves_in: float
     reserve: collections.abc.Callable[[], bool]
+    waits_evacuated: bool = False
 
 
 def recall_reason(request: PlacedRequest, drain: float) -> RecallReason | None:
@@ -86,6 +94,9 @@
     if too_late_to_start and not request.begun:
         return RecallReason.CALLER_LEAVING
     if not request.silent:
+        moves = request.waits_evacuated and not request.begun and request.start_is_visible
+        if moves and request.repeatable and request.reserve():
+            return RecallReason.ENDPOINT_EVACUATED
         return None
     if request.repeatable and request.reserve():
         return RecallReason.ENDPOINT_SILENT
--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -99,6 +99,14 @@
             placement.endpoint.model, placement.weights
         )
 
+    def count_evacuated(self) -> int:
+        """Returns how many attempts are in progress in evacuated data centres."""
+        evacuations = self._state.evacuations
+        if not evacuations.count:
+            return 0
+        endpoints = (attempt.placement.endpoint for attempt in self._attempts)
+        return sum(evacuations.is_evacuated(endpoint.data_centre) for endpoint in endpoints)
+
     async def run(self) -> None:
         """Checks the attempts periodically until cancelled."""
         while True:
@@ -114,6 +122,7 @@
             self._log.write(Event.PROCESS_WOKE_LATE, seconds=round(delay, 3))
         self._checked_at = now
         self._update_retired(now)
+        loop_now = asyncio.get_running_loop().time()
         for attempt in list(self._attempts):
             placement = attempt.placement
             if not attempt.response_started:
@@ -130,6 +139,8 @@
                 retired_seconds=now - self._retired_at.get(placement.endpoint.id, now),
                 caller_leaves_in=attempt.seconds_until_disconnect,
                 reserve=attempt.reserve_elsewhere,
+                waits_evacuated=self._state.evacuations.is_evacuated(placement.endpoint.data_centre)
+                and placement.load.reports_waiting(loop_now),
             )
             reason = recall_reason(waiting, self._drain_seconds)
             if reason is not None:
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -25,11 +25,14 @@
 from ..wire.ending_server import INTERNAL_SECONDS, EndingServer, end_internal_connections
 from .attempts_in_progress import AttemptsInProgress
 from .entry_peers import EntryPeers
+from .evacuation_rule import EvacuationRule
 from .exchange import CallerExchange
+from .home_region_rule import HomeRegionRule
 from .load_watcher import LoadWatcher
 from .paced_server import PacedServer
 from .part_guard import PartGuard
 from .placement import Placer
+from .placing_rules import PlacingRules
 from .published_state import MAX_REPORTED_SECONDS, PublishedState
 from .reader_following import ReaderFollower
 from .store_follower import StoreFollower
@@ -92,7 +95,13 @@
         self.requests = RequestsInProgress()
         self.tasks = BackgroundTasks(self._log_task_failure)
         client = http_client.make_client()
-        self.state = PublishedState(deployment.bounds, log)
+        self.state = PublishedState(deployment.bounds, log, deployment.region_of)
+        rules = PlacingRules(
+            (
+                HomeRegionRule(self.state, deployment.region_of),
+                EvacuationRule(self.state.evacuations),
+            )
+        )
         store = make_store_client(client, deployment.store)
         self.poison_guard = PoisonGuard()
         self._limits = limits = StatedLimits(random.Random())
@@ -111,6 +120,7 @@
             self.peers,
             limits,
             deployment.first_start and not self.peers.has_seeds,
+            rules,
         )
         self.attempts = AttemptsInProgress(self.state, self.placer, deployment.bounds.drain, log)
         self._load_watcher = LoadWatcher(
@@ -264,6 +274,16 @@
             "Endpoints that want no requests from this entry for now, as they state.",
             lambda: self.placer.resting_count,
         )
+        add(
+            "data_centres_evacuated",
+            "Data centres to whose endpoints nothing is sent, at the operator's request.",
+            lambda: self.state.evacuations.count,
+        )
+        add(
+            "requests_at_evacuated",
+            "Requests of this entry in progress at endpoints in evacuated data centres.",
+            self.attempts.count_evacuated,
+        )
         add(
             "parts_blocked",
             "Parts of prompts whose requests are refused because they crash endpoints.",
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -30,6 +30,7 @@
     EntryRoster,
     HostPort,
 )
+from ..decisions.home_regions import Regions, may_be_in
 from ..decisions.poison import PoisonGuard
 from ..decisions.stated_limits import Entries, StatedLimits
 from ..decisions.store_readers import seconds_until_late
@@ -96,6 +97,7 @@
         listen = deployment.peers_listen
         self._own_address: HostPort = (listen.host, listen.port)
         self._data_centre = deployment.data_centre
+        self._region_of = deployment.region_of
         self._link_mbit = deployment.link_mbit
         self._first_start = deployment.first_start
         self._bound = deployment.bounds.version
@@ -118,8 +120,9 @@
         self._server: server.Server | None = None
         # Set, and replaced by another, at each answer of the store.
         self._evidence = asyncio.Event()
-        # Fingerprints of requests that are to be reported as suspects, by endpoint and its run.
-        self._pending_suspects: dict[tuple[str, str], list[str]] = {}
+        # Fingerprints of requests that are to be reported as suspects, by endpoint, its run and the
+        # regions to which they may be sent.
+        self._pending_suspects: dict[tuple[str, str, Regions], list[str]] = {}
         # Prompt parts whose new state is to be reported.
         self._pending_parts: set[str] = set()
         # Whether another entry has told of the endpoints that died before this process started.
@@ -208,12 +211,18 @@
         self._record_known(message)
         reply = self._make_meet()
         now = asyncio.get_running_loop().time()
+        region = self._region_of.get(message.own.data_centre, "")
         newer = self._parts.newer_than(message.parts, now)
+        parts = self._parts.reports(now, at_least=1) if message.wants_deaths else reply.parts
+        reply = msgspec.structs.replace(reply, parts=reports_for(region, parts + newer))
         if not message.wants_deaths:
-            return msgspec.structs.replace(reply, parts=reply.parts + newer)
-        deaths = tuple(SuspectDeath(*death) for death in self._guard.recent_deaths(now))
-        parts = self._parts.reports(now, at_least=1) + newer
-        return msgspec.structs.replace(reply, deaths=deaths, parts=parts)
+            return reply
+        deaths = tuple(
+            SuspectDeath(*death, regions=names_of(regions))
+            for *death, regions in self._guard.recent_deaths(now)
+            if may_be_in(regions, region)
+        )
+        return msgspec.structs.replace(reply, deaths=deaths)
 
     async def handle_fetch_changes(self, message: FetchChanges) -> ChangesReply:
         """See EntryServiceOwner."""
@@ -265,19 +274,25 @@
         now = asyncio.get_running_loop().time()
         for fingerprint in message.fingerprints:
             self._guard.record_told_death(fingerprint, message.endpoint, message.run, now)
+            self._guard.restrict(fingerprint, regions_of(message.regions))
         self.merge_parts(message.parts)
-        return Acknowledgement(self._parts.newer_than(message.parts, now))
+        newer = self._parts.newer_than(message.parts, now)
+        return Acknowledgement(reports_for(self._region_of.get(message.data_centre, ""), newer))
 
-    def report_suspect(self, endpoint: str, fingerprint: str, run: str) -> None:
+    def report_suspect(
+        self, endpoint: str, fingerprint: str, run: str, regions: Regions = None
+    ) -> None:
         """Reports to all other entries a request that was in progress when an endpoint died.
 
         Reports that follow within SUSPECT_BATCH_SECONDS are sent together.
 
         Args:
           run: The run of the endpoint that ended; empty if it is not known.
+          regions: The home regions of the request; the report goes only to entries there.
         """
         self._schedule_report()
-        self._pending_suspects.setdefault((endpoint, run), []).append(fingerprint)
+        self._guard.restrict(fingerprint, regions)
+        self._pending_suspects.setdefault((endpoint, run, regions), []).append(fingerprint)
 
     def report_parts(self, parts: collections.abc.Iterable[str]) -> None:
         """Reports to all other entries the new states of prompt parts, with the next suspects."""
@@ -323,21 +338,42 @@
         changed, self._pending_parts = self._pending_parts, set()
         parts = self._parts.reports_of(sorted(changed), asyncio.get_running_loop().time())
         messages = [
-            SuspectsReport(endpoint, tuple(names), run=run)
-            for (endpoint, run), names in pending.items()
+            SuspectsReport(
+                endpoint,
+                tuple(names),
+                run=run,
+                regions=names_of(regions),
+                data_centre=self._data_centre,
+            )
+            for (endpoint, run, regions), names in pending.items()
         ]
         if parts:
-            first = messages[0] if messages else SuspectsReport("", ())
-            messages[:1] = [msgspec.structs.replace(first, parts=parts)]
+            # Beside fingerprints that go to fewer entries, parts would not reach all of theirs.
+            if not messages or messages[0].regions is not None:
+                messages.insert(0, SuspectsReport("", (), data_centre=self._data_centre))
+            messages[0] = msgspec.structs.replace(messages[0], parts=parts)
         addresses = self._roster.all_addresses(boot_seconds())
         for message in messages:
             await asyncio.gather(*(self._send_suspects_to(a, message) for a in addresses))
 
     async def _send_suspects_to(self, address: HostPort, message: SuspectsReport) -> None:
+        """Sends another entry what it may know of a report; nothing if that is nothing."""
+        region = self._region_at(address)
+        if not may_be_in(regions_of(message.regions), region):
+            return
+        parts = reports_for(region, message.parts)
+        if not parts and not message.fingerprints:
+            return
+        message = msgspec.structs.replace(message, parts=parts)
         reply = await self._call(address, entry_messages.SUSPECTS_PATH, message, Acknowledgement)
         if reply is not None:
             self.merge_parts(reply.parts)
 
+    def _region_at(self, address: HostPort) -> str:
+        """Returns the region of another entry; empty while it is not known."""
+        known = self._roster.known(boot_seconds()).get(address)
+        return self._region_of.get(known.data_centre, "") if known is not None else ""
+
     async def _run_gossip(self) -> None:
         pause = FIRST_EXCHANGE_PAUSE_SECONDS
         while not self._is_caught_up and pause < EXCHANGE_INTERVAL_SECONDS:
@@ -355,7 +391,10 @@
             await asyncio.sleep(EXCHANGE_INTERVAL_SECONDS * self._rng.uniform(0.7, 1.0))
 
     async def _exchange(self, address: HostPort) -> None:
-        reply = await self._call(address, entry_messages.MEET_PATH, self._make_meet(), Meet)
+        message = self._make_meet()
+        parts = reports_for(self._region_at(address), message.parts)
+        message = msgspec.structs.replace(message, parts=parts)
+        reply = await self._call(address, entry_messages.MEET_PATH, message, Meet)
         if reply is not None:
             self._record_known(reply)
             self._record_deaths(reply)
@@ -370,6 +409,7 @@
             self._guard.record_told_death(
                 death.fingerprint, death.endpoint, death.run, now - death.age
             )
+            self._guard.restrict(death.fingerprint, regions_of(death.regions))
 
     def _make_meet(self) -> Meet:
         now = boot_seconds()
@@ -561,3 +601,18 @@
             return None
         self._roster.record_seen(address, boot_seconds())
         return reply
+
+
+def reports_for(region: str, reports: tuple[PartReport, ...]) -> tuple[PartReport, ...]:
+    """Returns the reports that may be sent to an entry in a region; empty if it is not known."""
+    return tuple(report for report in reports if report.may_go_to(region))
+
+
+def names_of(regions: Regions) -> tuple[str, ...] | None:
+    """Returns regions as they are sent."""
+    return None if regions is None else tuple(sorted(regions))
+
+
+def regions_of(names: tuple[str, ...] | None) -> Regions:
+    """Returns regions that were received."""
+    return None if names is None else frozenset(names)
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -11,12 +11,14 @@
 from ..decisions import poison
 from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
 from ..decisions.endpoint_choice import Choice
+from ..decisions.home_regions import Regions, home_regions
 from ..decisions.request_recall import MIN_START_SECONDS, RecallReason
 from ..observe.event import Event
 from .attempt import UNWANTED_CODES, Attempt, AttemptError
 from .call import DEFAULT_DEADLINE_SECONDS, Call, StreamProgress
 from .part_guard import BLOCKED_CODE, BLOCKED_RETRY_SECONDS
 from .placement import Placement
+from .placing_rules import MAX_RULED_OUT_RETRY_SECONDS, MESSAGES
 
 if typing.TYPE_CHECKING:
     from .daemon import Gateway
@@ -76,6 +78,11 @@
             head.method, head.host, head.target, caller, body
         )
 
+    @property
+    def _home_regions(self) -> Regions:
+        """The regions in which the request may be served, by the configuration in force."""
+        return home_regions(self._gateway.state.current_scope(self._call.scope))
+
     async def run(self) -> None:
         """Serves the request.
 
@@ -84,7 +91,7 @@
         """
         self._check_poison()
         parts, guard = self._call.head.shared_parts, self._gateway.part_guard
-        self._testing = guard.admit(parts)
+        self._testing = guard.admit(parts, self._home_regions)
         self._check_deadline()
         placer = self._gateway.placer
         self._returning = placer.record_caller(self._service, self._call.route, self._call.head)
@@ -130,7 +137,13 @@
                     self._test_open = False
                 if error.code in CONNECTION_LOSS_CODES:
                     endpoint = placement.endpoint.id
-                    guard.record_crash(head.shared_parts, placed_in, endpoint, head.request_id)
+                    guard.record_crash(
+                        head.shared_parts,
+                        placed_in,
+                        endpoint,
+                        head.request_id,
+                        self._home_regions,
+                    )
                     # The caller may come back to any entry within milliseconds.
                     if self._is_blocked() or not guard.allows(head.shared_parts):
                         await self._gateway.peers.flush_suspects()
@@ -214,6 +227,7 @@
             endpoints_leaving=self._gateway.state.endpoints.count_leaving(self._service),
             endpoints_resting=choice.resting,
             endpoints_ruled_out=choice.ruled_out,
+            endpoints_evacuated=self._gateway.state.count_evacuated(self._service),
             report_age=choice.report_age,
             returning=self._returning,
         )
@@ -228,12 +242,19 @@
             message = f"{choice.resting} of {choice.known} endpoints want no requests for now"
         elif choice.ruled_out:
             code = choice.rule
-            message = f"{choice.ruled_out} of {choice.known} endpoints may not take it now"
+            message = MESSAGES.get(
+                code, f"{choice.ruled_out} of {choice.known} endpoints may not take it now"
+            )
         else:
             code = "no_endpoint"
             message = f"no endpoint can take it now; {choice.known} have what it needs"
         if choice.rest_ends:
             retry = placer.retry_after_rest(self._service, choice.retry_after, self._call)
+        elif code == choice.rule:
+            retry = min(
+                choice.retry_after * (1.0 + 0.3 * placer.rng.random()),
+                MAX_RULED_OUT_RETRY_SECONDS,
+            )
         else:
             retry = min(choice.retry_after, MAX_RETRY_AFTER_FRACTION * left) * (
                 1.0 + 0.3 * placer.rng.random()
@@ -384,7 +405,8 @@
             # The run that the request was placed on; another one may be listed by now.
             endpoint, run = placement.endpoint.id, str(placement.endpoint.started_at or "")
             self._gateway.poison_guard.record_death(self._fingerprint, endpoint, now, run)
-            self._gateway.peers.report_suspect(endpoint, self._fingerprint, run)
+            regions = self._home_regions
+            self._gateway.peers.report_suspect(endpoint, self._fingerprint, run, regions)
             self._gateway.log.write(
                 Event.REQUEST_SUSPECTED,
                 request=self._call.head.request_id,
--- a/wasabidrum/gateway/load_watcher.py
+++ b/wasabidrum/gateway/load_watcher.py
@@ -133,7 +133,7 @@
                     seconds=round(limit.seconds, 3),
                     put_off=limit.put_off,
                 )
-        parts = [(p.part, p.epoch, p.crashes, p.inconclusive) for p in self.find_parts()]
+        parts = [(p.part, p.epoch, p.crashes, p.inconclusive, p.regions) for p in self.find_parts()]
         current = (limits, self.find_held_version(), parts)
         if current != self._sent:
             self._sent = current
--- a/wasabidrum/gateway/part_guard.py
+++ b/wasabidrum/gateway/part_guard.py
@@ -11,6 +11,7 @@
 from ..core.part_report import PartReport
 from ..decisions import crashing_parts
 from ..decisions.crashing_parts import CrashingParts, Verdict
+from ..decisions.home_regions import Regions
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .entry_peers import EntryPeers
@@ -47,13 +48,17 @@
         """How many parts are blocked, except for tests."""
         return self._parts.count_suspected(asyncio.get_running_loop().time())
 
-    def admit(self, parts: collections.abc.Sequence[str]) -> bool:
+    def admit(self, parts: collections.abc.Sequence[str], regions: Regions = None) -> bool:
         """Returns whether a request with some parts is the test of a suspected one.
 
+        Args:
+          regions: The home regions of the request; the parts' states go only to instances there.
+
         Raises:
           CodedError: It may not be placed; it was not run.
         """
         now = asyncio.get_running_loop().time()
+        self._parts.restrict(parts, regions)
         verdict = self._parts.check(parts, now, self._peers.test_rank)
         if verdict is Verdict.BLOCKED:
             message = "a part of this prompt was in progress during several endpoint failures"
@@ -125,14 +130,17 @@
         placed_in: int,
         endpoint: str,
         request: str,
+        regions: Regions = None,
     ) -> None:
         """Records that a request was in progress at an endpoint that died.
 
         Args:
           placed_in: The revision at the time when it was placed there.
+          regions: As in admit.
         """
         now = asyncio.get_running_loop().time()
         changed = self._parts.record_crash(parts, placed_in, endpoint, now)
+        self._parts.restrict(parts, regions)
         for report in self._reports_of(changed):
             self._log.write(
                 Event.PART_SUSPECTED,
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -201,7 +201,8 @@
         figures = self._state.engine_figures(service)
         self._assign_endpoints()
         candidates = self._candidates(service, figures, tried, weights, now)
-        ruled_out, rule, seconds_until_allowed = self._leave_out_ruled_out(candidates, scope)
+        again = [e for e in self._listed(service) if e.id in tried] if tried else []
+        ruled_out, rule, seconds_until_allowed = self._leave_out_ruled_out(candidates, again, scope)
         resting, seconds_until_rested = self._leave_out_resting(candidates)
         full, seconds_until_room = self._leave_out_limited(candidates)
         traffic = self.traffic(service)
@@ -250,7 +251,7 @@
             retry_after = min(retry_after, seconds_until_allowed, MAX_RULED_OUT_RETRY_SECONDS)
         if full:
             retry_after = retry_after_overload(figures, seconds_until_room, refused_share)
-        if any(not self.rest_seconds_left(e) for e in self._listed(service) if e.id in tried):
+        if any(not self.rest_seconds_left(endpoint) for endpoint in again):
             # One that has turned this request away, and does not rest, may take the next one.
             retry_after = min(retry_after, retry_after_overload(figures, 0.0, refused_share))
         if resting and seconds_until_rested <= retry_after:
@@ -463,12 +464,18 @@
         return self._rules.refusing_code(endpoint, scope, boot_seconds())
 
     def _leave_out_ruled_out(
-        self, candidates: list[Candidate], accepted: RequestScope
+        self,
+        candidates: list[Candidate],
+        tried: list[ListedEndpoint],
+        accepted: RequestScope,
     ) -> tuple[int, str, float]:
         """Removes the endpoints that the rules forbid for a request.
 
+        Args:
+          tried: The endpoints that the request was already sent to, which are no candidates.
+
         Returns:
-          How many there are, and the code and the seconds of the shortest wait.
+          How many are forbidden, and the code and the seconds of the shortest wait.
         """
         if not self._rules.active:
             return 0, "", 0.0
@@ -476,6 +483,11 @@
         waits = [(c, *self._rules.first_wait(c.endpoint, scope, now)) for c in candidates]
         candidates[:] = [candidate for candidate, code, _ in waits if not code]
         forbidden = [(seconds, code) for _, code, seconds in waits if code]
+        for endpoint in list(tried):
+            code, seconds = self._rules.first_wait(endpoint, scope, now)
+            if code:
+                tried.remove(endpoint)
+                forbidden.append((seconds, code))
         seconds, code = min(forbidden, default=(0.0, ""))
         return len(forbidden), code, seconds
 
--- a/wasabidrum/gateway/placing_rules.py
+++ b/wasabidrum/gateway/placing_rules.py
@@ -14,6 +14,13 @@
 
 # The longest Retry-After of a request for which rules leave no endpoint.
 MAX_RULED_OUT_RETRY_SECONDS = 2.5
+# The error codes of requests that the rules refuse, and what their callers are told.
+EVACUATED_CODE = "data_centre_evacuated"
+NO_HOME_CODE = "no_home_endpoint"
+MESSAGES = {
+    EVACUATED_CODE: "the endpoints that could take it are in evacuated data centres",
+    NO_HOME_CODE: "no endpoint in the home regions of its route and workspace can take it now",
+}
 
 
 class PlacingRule(typing.Protocol):
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -3,6 +3,8 @@
 Each part is replaced in one step, so that readers never see a mixture of old and new.
 """
 
+import collections.abc
+
 from ..config.deployment import Bounds
 from ..core.boot_clock import boot_seconds
 from ..core.errors import CodedError
@@ -12,6 +14,8 @@
 from ..core.store_change import StoreChange, StoreReading
 from ..decisions.configuration_lease import ConfigurationLease
 from ..decisions.endpoint_registry import EndpointRegistry
+from ..decisions.evacuations import EvacuationChange, Evacuations
+from ..decisions.home_regions import find_faults
 from ..decisions.route_table import RouteTable
 from ..decisions.store_outage import StoreOutages
 from ..decisions.version_floor import BeginLimit, VersionFloor
@@ -25,6 +29,8 @@
 MAX_ITEMS = 4096
 # Reported in place of an infinite age, where a finite number is required.
 MAX_REPORTED_SECONDS = 1e6
+# The workspaces that one line names.
+MAX_LOGGED_WORKSPACES = 16
 
 
 class PublishedState:
@@ -33,6 +39,7 @@
     Attributes:
       routes: The routes of the configuration in force; None before the first configuration.
       endpoints: The registered endpoints.
+      evacuations: The data centres to whose endpoints nothing may be sent.
       lease: How recent this state is known to be.
       outages: The times at which the store did not answer.
       revision: The store revision up to which all changes were applied; zero before the first.
@@ -49,8 +56,22 @@
     )
     __slots__ += ("routes", "endpoints", "lease", "outages", "revision")
     __slots__ += ("store_failed_at", "_store_asked", "_store_owes_since")
+    __slots__ += ("evacuations", "_regions")
+
+    def __init__(
+        self,
+        bounds: Bounds,
+        log: EventLog,
+        region_of: collections.abc.Mapping[str, str] | None = None,
+    ) -> None:
+        """Initializes the state, without configuration and endpoints.
 
-    def __init__(self, bounds: Bounds, log: EventLog) -> None:
+        Args:
+          region_of: The region of each data centre of the settings.
+        """
+        region_of = region_of or {}
+        self.evacuations = Evacuations(region_of)
+        self._regions = frozenset(region_of.values())
         self._log = log
         self._bounds = bounds
         self._version_floors: dict[str, VersionFloor] = {}
@@ -237,6 +258,7 @@
         }
         for endpoint_id in self.endpoints.apply_listing(listed, now):
             self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="not listed")
+        self._apply_evacuation_listing(reading)
         kept = {change.key for change in reading.changes}
         self._items = {key: item for key, item in self._items.items() if key in kept}
         self._history_start = reading.revision
@@ -254,6 +276,8 @@
             self._apply_configuration(change)
         elif kind is ItemKind.VERSION and change.value is not None:
             self._apply_version(change, max(not_before, self.lease.confirmed_at))
+        elif kind is ItemKind.EVACUATION:
+            self._apply_evacuation(change, max(not_before, self.lease.confirmed_at))
 
     def expire_endpoints(self, now: float) -> None:
         """Removes endpoints that were kept over a store outage and have not registered again."""
@@ -269,6 +293,15 @@
         known = self.routes.service(service) if self.routes else None
         return known.engine if known else None
 
+    def count_evacuated(self, service: str) -> int:
+        """Returns how many endpoints of a service are in evacuated data centres."""
+        if not self.evacuations.count:
+            return 0
+        return sum(
+            endpoint.service == service and self.evacuations.is_evacuated(endpoint.data_centre)
+            for endpoint in self.endpoints.endpoints
+        )
+
     def current_scope(self, accepted: RequestScope) -> RequestScope:
         """Returns what the configuration in force says about a request.
 
@@ -316,6 +349,55 @@
             routes=len(configuration.routes),
             workspaces=len(configuration.workspaces),
         )
+        for finding in find_faults(configuration, self._regions):
+            self._log.write(
+                Event.HOME_REGIONS_UNSERVED,
+                revision=configuration.version,
+                route=finding.route,
+                workspace=finding.workspace,
+                unknown=finding.unknown,
+                disjoint=finding.disjoint[:MAX_LOGGED_WORKSPACES],
+                disjoint_count=len(finding.disjoint),
+            )
+
+    def _apply_evacuation(self, change: StoreChange, not_before: float) -> None:
+        name = published_records.evacuated_data_centre_of(change.key)
+        now = boot_seconds()
+        done = self.evacuations.apply(name, change.value, change.revision, now)
+        if done is EvacuationChange.BEGAN:
+            self._log_evacuation(Event.EVACUATION_BEGAN, name, not_before)
+        elif done is EvacuationChange.ENDED:
+            self._log_evacuation(Event.EVACUATION_ENDED, name, not_before)
+        elif done is not EvacuationChange.NOTHING:
+            self._log.write(
+                Event.EVACUATION_REFUSED,
+                data_centre=name[:100],
+                revision=change.revision,
+                reason=done.value,
+            )
+
+    def _apply_evacuation_listing(self, reading: StoreReading) -> None:
+        listed = {
+            published_records.evacuated_data_centre_of(change.key)
+            for change in reading.changes
+            if kind_of(change.key) is ItemKind.EVACUATION
+        }
+        ended = self.evacuations.apply_listing(listed, reading.revision, boot_seconds())
+        for name in ended:
+            self._log_evacuation(Event.EVACUATION_ENDED, name, self.lease.confirmed_at)
+
+    def _log_evacuation(self, event: Event, data_centre: str, not_before: float) -> None:
+        """Logs that an evacuation began or ended.
+
+        Args:
+          not_before: A time by the boot clock before which that was not the case.
+        """
+        known = not_before > float("-inf")
+        self._log.write(
+            event,
+            data_centre=data_centre,
+            evidence_age=round(boot_seconds() - not_before, 3) if known else None,
+        )
 
     def _apply_version(self, change: StoreChange, not_before: float) -> None:
         try:
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -97,6 +97,10 @@
     LOAD_REPORT_REFUSED = 4030
     READER_CHANGED = 4031
     STORE_OUTAGE_RECORDED = 4032
+    EVACUATION_BEGAN = 4033
+    EVACUATION_ENDED = 4034
+    EVACUATION_REFUSED = 4035
+    HOME_REGIONS_UNSERVED = 4036
 
     # 5000: calls with idempotency keys, and streams that are resumed on another endpoint.
     CALL_STARTED = 5001
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -52,12 +52,14 @@
 
     Attributes:
       run: Identifies the run of the endpoint that ended; empty if the sender does not know it.
+      regions: The only regions to whose entries it may be passed on; None for all.
     """
 
     fingerprint: str
     endpoint: str
     age: float
     run: str = ""
+    regions: tuple[str, ...] | None = None
 
 
 class Meet(msgspec.Struct, frozen=True, array_like=True):
@@ -178,12 +180,16 @@
       endpoint: Empty if only parts are reported.
       parts: The new states of prompt parts.
       run: Identifies the run of the endpoint that ended; empty if the sender does not know it.
+      regions: The only regions to whose entries the fingerprints may be passed on; None for all.
+      data_centre: That of the sender.
     """
 
     endpoint: str
     fingerprints: tuple[str, ...]
     parts: tuple[PartReport, ...] = ()
     run: str = ""
+    regions: tuple[str, ...] | None = None
+    data_centre: str = ""
 
 
 class Acknowledgement(msgspec.Struct, frozen=True, array_like=True):
--- a/wasabidrum/peers/peer_link.py
+++ b/wasabidrum/peers/peer_link.py
@@ -69,6 +69,7 @@
         "_sent_revision",
         "_cursor",
         "_receiving",
+        "_withheld",
     )
 
     def __init__(self, name: str, gossip: bool, owner: LinkOwner) -> None:
@@ -90,6 +91,8 @@
         self._sent_revision = 0
         self._cursor = 0
         self._receiving: asyncio.Task[None] | None = None
+        # Whether the last status was sent without some of its parts.
+        self._withheld = False
 
     def wake(self) -> None:
         """Makes the next push go out immediately."""
@@ -99,7 +102,7 @@
 
     def next_push(self) -> Push:
         """Returns a message with the fields that changed since the previous push."""
-        status = self._owner.status()
+        status = self._without_other_regions(self._owner.status())
         stable = without_volatile_fields(status)
         status_to_send = None if stable == self._sent_status else status
         self._sent_status = stable
@@ -137,6 +140,8 @@
           The other end's complete status, or None if it has not sent a full status yet.
         """
         if push.status is not None:
+            if self._withheld and self.status is None:
+                self.wake()
             self.status = push.status
         elif self.status is not None:
             held = self.status
@@ -151,6 +156,13 @@
             )
         return self.status
 
+    def _without_other_regions(self, status: Status) -> Status:
+        """Returns a status without the parts that the other end's region must not know."""
+        region = self.status.region if self.status is not None else ""
+        parts = tuple(part for part in status.parts if part.may_go_to(region))
+        self._withheld = len(parts) < len(status.parts)
+        return msgspec.structs.replace(status, parts=parts) if self._withheld else status
+
     async def push_periodically(self, stream: MessageStream) -> None:
         """Sends a push at a fixed interval, and immediately when woken."""
         interval = GOSSIP_HEARTBEAT_SECONDS if self.gossip else STATUS_HEARTBEAT_SECONDS
