--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -284,9 +284,11 @@
             await endpoint.stop()
         self.store.stop()
 
-    async def add_endpoint(self, endpoint_id: str, service: str) -> FakeEndpoint:
+    async def add_endpoint(
+        self, endpoint_id: str, service: str, zone: str = "rift-a"
+    ) -> FakeEndpoint:
         """Starts and registers an endpoint."""
-        endpoint = FakeEndpoint(endpoint_id, service)
+        endpoint = FakeEndpoint(endpoint_id, service, zone)
         await endpoint.start()
         self.endpoints.append(endpoint)
         await self.store.put(names.ENDPOINT_PREFIX + endpoint_id, endpoint.entry())
