--- a/wasabidrum/decisions/request_recall_test.py
+++ b/wasabidrum/decisions/request_recall_test.py
@@ -138,5 +138,21 @@
         self.assertFalse(is_stalled(waited=0.1, forecast=0.01, usual=0.01))
 
 
+class EvacuationTest(unittest.TestCase):
+    """A request at an endpoint in an evacuated data centre, which reports waiting requests."""
+
+    def test_only_streams_that_have_not_begun_move(self) -> None:
+        """Guards against work that is cut or done twice, and callers that lose their place."""
+        for facts, expected in (
+            ({}, RecallReason.ENDPOINT_EVACUATED),
+            ({"begun": True}, None),
+            ({"start_is_visible": False}, None),
+            ({"repeatable": False}, None),
+            ({"reserve": lambda: False}, None),
+        ):
+            request = dataclasses.replace(REQUEST, waits_evacuated=True, **facts)
+            self.assertIs(recall_reason(request, DRAIN_SECONDS), expected)
+
+
 if __name__ == "__main__":
     unittest.main()
