Rate shares: one module divides what endpoints tolerate among entries

Cold endpoints need the same division and the same bucket as stated limits, which held both. They move to decisions/rate_shares.py without a change of what stated limits do.

Tested: stated_limits_test (13 passed), tests.stated_limits_engines_test (1 passed), endpoint_rests_test (4 passed), all unchanged.

--- a/wasabidrum/decisions/endpoint_rests.py
+++ b/wasabidrum/decisions/endpoint_rests.py
@@ -9,7 +9,7 @@
 never ends it sooner.
 """
 
-from .stated_limits import EndpointRun
+from .rate_shares import EndpointRun
 
 
 class EndpointRests:
--- a/wasabidrum/decisions/stated_limits.py
+++ b/wasabidrum/decisions/stated_limits.py
@@ -4,12 +4,8 @@
 entries together. Every entry goes on sending, because none knows what the others send; or each
 sends one request only, which together are still too many for a limit of one a second.
 
-No entry counts for the others. Each limit is divided among a few entries, the senders of the
-endpoint, which all entries work out in the same way from the entries that they know; the others
-send there nothing. A sender spends a bucket that fills at its part of the rate, and starts empty.
-The senders are few enough that their buckets together hold no more than the platform leaves above
-the rate. Entries that cannot be reached may still be sending: their part of the limit is left to
-them, and entries that reach so few others that their part is less than a request send none of it.
+Each limit is divided among a few entries, the senders of the endpoint (rate_shares.py). The senders
+are few enough that their buckets together hold no more than the platform leaves above the rate.
 
 The last statement holds, whoever heard it. Entries exchange statements with their age, so that
 those that send nothing also learn of a change. Where nobody has heard anything for a while, an
@@ -18,12 +14,10 @@
 would become due in a quiet time, and be sent together when callers come back.
 """
 
-import collections.abc
 import dataclasses
 import random
-import zlib
 
-from .entry_roster import HostPort
+from .rate_shares import NO_SHARE, EndpointRun, Entries, Share, ShareBucket, divide
 
 # What the platform leaves above four seconds of the limit, less a reserve for entries that have
 # not heard of a limit or of a new entry yet.
@@ -38,9 +32,6 @@
 FORGET_LIMIT_SECONDS = 3600.0
 MAX_EXCHANGED_STATEMENTS = 64
 
-# The id of an endpoint, and when this run of it started.
-EndpointRun = tuple[str, int]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Statement:
@@ -55,37 +46,6 @@
     heard_at: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Entries:
-    """The entries that share a limit, as one of them knows them.
-
-    Attributes:
-      own: The address of this entry.
-      reachable: The entries heard from lately and their data centres, including this one.
-      count: The number of all entries, including those out of reach; None if it is not known.
-    """
-
-    own: HostPort
-    reachable: collections.abc.Mapping[HostPort, str]
-    count: int | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Share:
-    """One entry's part of a limit.
-
-    Attributes:
-      rate: Requests a second; zero for an entry that is no sender.
-      burst: Requests that may be sent at once.
-    """
-
-    rate: float
-    burst: float
-
-
-NO_SHARE = Share(0.0, 0.0)
-
-
 def share_of(limit: float, endpoint_id: str, data_centre: str, entries: Entries) -> Share:
     """Returns this entry's part of an endpoint's limit.
 
@@ -93,27 +53,16 @@
       limit: Requests a second.
       data_centre: That of the endpoint; entries there are its senders first.
     """
-    if entries.count is None or limit <= 0.0:
-        return NO_SHARE
-    within_reach = len(entries.reachable) / max(entries.count, len(entries.reachable))
-    burst = (BURST_SECONDS * limit + BURST_REQUESTS) * within_reach
-    if burst < 1.0:
-        return NO_SHARE
-    number = min(len(entries.reachable), int(burst))
-
-    def order(address: HostPort) -> tuple[bool, int, HostPort]:
-        digest = zlib.crc32(f"{endpoint_id} {address[0]}:{address[1]}".encode())
-        return entries.reachable[address] != data_centre, digest, address
-
-    if entries.own not in sorted(entries.reachable, key=order)[:number]:
+    if limit <= 0.0:
         return NO_SHARE
-    return Share(limit * within_reach / number, burst / number)
+    burst = BURST_SECONDS * limit + BURST_REQUESTS
+    return divide(limit, burst, endpoint_id, data_centre, entries)
 
 
 class StatedLimit:
     """The last statement of one run of an endpoint, and what this entry may send there."""
 
-    __slots__ = ("statement", "_share", "_share_until", "_balance", "_updated_at", "_probed_at")
+    __slots__ = ("statement", "_bucket", "_share_until", "_probed_at")
     __slots__ += ("_jitter", "_shared_among", "_blocked_since", "_blocked_at")
 
     def __init__(self, statement: Statement, jitter: float) -> None:
@@ -123,13 +72,10 @@
           jitter: A random number from zero to one, which spreads the probes of the entries.
         """
         self.statement = statement
-        self._share = NO_SHARE
+        self._bucket = ShareBucket()
         # The limit and the entries that the share was worked out from.
         self._shared_among: tuple[float, Entries] | None = None
         self._share_until = float("-inf")
-        self._balance = 0.0
-        # None until this entry has first wanted to send: it earns nothing for the time before.
-        self._updated_at: float | None = None
         self._probed_at = float("-inf")
         # Since when, and when last, requests have found no room here.
         self._blocked_since = float("-inf")
@@ -144,8 +90,7 @@
     def replace(self, statement: Statement) -> None:
         """Replaces the statement by a later one."""
         if self.statement.limit is None:
-            self._balance = 0.0
-            self._updated_at = None
+            self._bucket.empty()
         if statement.limit != self.statement.limit:
             self._share_until = float("-inf")
         self.statement = statement
@@ -161,15 +106,10 @@
             self._share_until = now + SHARE_UPDATE_SECONDS
             if self._shared_among != (limit, entries):
                 self._shared_among = (limit, entries)
-                self._share = share_of(limit, endpoint_id, data_centre, entries)
-        share = self._share
-        since = now if self._updated_at is None else self._updated_at
-        earned = share.rate * max(0.0, now - since)
-        self._balance = min(share.burst, self._balance + earned)
-        self._updated_at = now
-        if self._balance >= 1.0:
+                self._bucket.share = share_of(limit, endpoint_id, data_centre, entries)
+        missing = self._bucket.seconds_until_room(now)
+        if not missing:
             return 0.0
-        missing = (1.0 - self._balance) / share.rate if share.rate else float("inf")
         number = entries.count or len(entries.reachable)
         return min(missing, self._seconds_until_probe(number, now))
 
@@ -179,9 +119,7 @@
         Args:
           jitter: As at the creation, for the next probe.
         """
-        if self._balance >= 1.0:
-            self._balance -= 1.0
-        else:
+        if not self._bucket.spend():
             self._probed_at = now
             self._jitter = jitter
 
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -31,7 +31,8 @@
     HostPort,
 )
 from ..decisions.poison import PoisonGuard
-from ..decisions.stated_limits import Entries, StatedLimits
+from ..decisions.rate_shares import Entries
+from ..decisions.stated_limits import StatedLimits
 from ..decisions.store_readers import seconds_until_late
 from ..observe.event import Event
 from ..observe.event_log import EventLog
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -37,9 +37,10 @@
 )
 from ..decisions.entry_roster import HostPort
 from ..decisions.first_event_limit import Caller, first_event_limit
+from ..decisions.rate_shares import Entries
 from ..decisions.request_recall import is_stalled
 from ..decisions.shared_retry_budget import RetryAllowance, SharedRetryBudget
-from ..decisions.stated_limits import Entries, StatedLimits
+from ..decisions.stated_limits import StatedLimits
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .call import Call
