Cold endpoints: a rule that divides what they tolerate among the entries

A rule may now also limit how long after its placement a request is sent (DelayRule), because a suspended entry sends on waking what it had placed before.

--- a/wasabidrum/core/request_head.py
+++ b/wasabidrum/core/request_head.py
@@ -52,6 +52,7 @@
       leaving: Whether the endpoint announces that it leaves.
       rest_seconds: For how long the endpoint wants no more requests from this entry; zero where it
         does not say so.
+      cold_seconds: For how long the endpoint is cold; None where it does not say so.
       encoded: Whether it has a Content-Encoding, a sign that its body was changed in transit.
       headers: The headers that are passed to the caller.
     """
@@ -68,6 +69,7 @@
     states_limit: bool = False
     leaving: bool = False
     rest_seconds: float = 0.0
+    cold_seconds: float | None = None
 
     @property
     def success(self) -> bool:
--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -43,6 +43,7 @@
       near: Whether it is in the region of the entry.
       assigned: Whether this entry is the one that sends to it first.
       lateness: How many seconds later than forecast requests have recently started there.
+      cold: Whether it is cold, and as slow as its own answers show.
     """
 
     endpoint: ListedEndpoint
@@ -50,6 +51,7 @@
     near: bool
     assigned: bool = True
     lateness: float = 0.0
+    cold: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,6 +160,8 @@
         seconds = uncorrected_seconds + (
             demand.corrections[length_class(uncorrected_seconds)] if demand.corrections else 0.0
         )
+        if candidate.cold:
+            seconds += candidate.lateness
         # Endpoints assigned to other entries are filled by those entries. This entry uses them
         # only if its own endpoints would take noticeably longer.
         penalized_seconds = seconds if candidate.assigned else seconds + UNASSIGNED_PENALTY_SECONDS
--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -101,6 +101,10 @@
             return listed.leaving
         return self._announced.includes(endpoint.id, endpoint.started_at)
 
+    def revision_of(self, endpoint_id: str) -> int:
+        """Returns the revision of the last registration or removal of an endpoint, or zero."""
+        return self._revisions.get(endpoint_id, 0)
+
     def record_store_failure(self, now: float) -> None:
         """Records that the store could not be reached until a time."""
         self._store_failed_at = max(now, self._store_failed_at)
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -266,7 +266,8 @@
             raise AttemptError(AttemptEnd.NOT_SENT, LEAVING_CODE)
         if gateway.placer.rest_seconds_left(self._placement.endpoint):
             raise AttemptError(AttemptEnd.NOT_SENT, RESTING_CODE)
-        if gateway.placer.refusing_rule(self._placement.endpoint, self._call.scope):
+        placement = self._placement
+        if gateway.placer.refusing_rule(placement.endpoint, self._call.scope, placement.placed_at):
             raise AttemptError(AttemptEnd.NOT_SENT, RULED_OUT_CODE)
         if not self._may_send():
             raise AttemptError(AttemptEnd.NOT_SENT, BLOCKED_CODE)
@@ -349,6 +350,7 @@
         self._record_leaving(head)
         self._record_stated_limit(head)
         self._record_rest(head)
+        self._record_cold(head)
         if head.not_executed and not head.success:
             raise AttemptError(AttemptEnd.REFUSED, f"refused_{head.status}")
         mismatched = head.request_id and head.request_id != self._call.head.request_id
@@ -381,6 +383,16 @@
         if head.rest_seconds > 0.0 and answers_this and own:
             self._gateway.placer.record_rest(self._placement, head.rest_seconds)
 
+    def _record_cold(self, head: ReplyHead) -> None:
+        placement = self._placement
+        if head.cold_seconds is None or head.status == 421:
+            return
+        own = head.instance in ("", placement.endpoint.id)
+        if own and head.request_id == self._call.head.request_id:
+            self._gateway.cold.record_answer(
+                placement.endpoint, head.cold_seconds, placement.placed_at
+            )
+
     async def _read_complete_reply(
         self, connection: EndpointConnection, head: ReplyHead
     ) -> CompleteReply:
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -24,12 +24,14 @@
 from ..wire import http_client
 from ..wire.ending_server import INTERNAL_SECONDS, EndingServer, end_internal_connections
 from .attempts_in_progress import AttemptsInProgress
+from .cold_endpoint_rule import ColdEndpointRule
 from .entry_peers import EntryPeers
 from .exchange import CallerExchange
 from .load_watcher import LoadWatcher
 from .paced_server import PacedServer
 from .part_guard import PartGuard
 from .placement import Placer
+from .placing_rules import PlacingRules
 from .published_state import MAX_REPORTED_SECONDS, PublishedState
 from .reader_following import ReaderFollower
 from .store_follower import StoreFollower
@@ -103,6 +105,10 @@
         self.part_guard = PartGuard(parts, self.peers, log)
         readers = ReaderFollower(self.peers, self.state, deployment.bounds, log)
         self._follower = StoreFollower(store, self.state, readers, self.peers.answer_followers, log)
+        self.cold = ColdEndpointRule(
+            self.state, self.peers.entries, deployment.bounds, log, deployment.region_of
+        )
+        self.state.on_endpoint = self.cold.record_listing
         self.placer = Placer(
             self.state,
             log,
@@ -111,6 +117,8 @@
             self.peers,
             limits,
             deployment.first_start and not self.peers.has_seeds,
+            PlacingRules((self.cold,)),
+            self.cold,
         )
         self.attempts = AttemptsInProgress(self.state, self.placer, deployment.bounds.drain, log)
         self._load_watcher = LoadWatcher(
@@ -264,6 +272,11 @@
             "Endpoints that want no requests from this entry for now, as they state.",
             lambda: self.placer.resting_count,
         )
+        add(
+            "endpoints_cold",
+            "Endpoints that get only a limited rate of requests, as they have just started.",
+            lambda: self.cold.count,
+        )
         add(
             "parts_blocked",
             "Parts of prompts whose requests are refused because they crash endpoints.",
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -44,6 +44,7 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .call import Call
+from .cold_endpoint_rule import ColdEndpointRule
 from .placing_rules import MAX_RULED_OUT_RETRY_SECONDS, PlacingRules
 from .published_state import PublishedState
 from .reported_statuses import ReportedStatuses
@@ -66,6 +67,7 @@
       weights: The version of the weights that must answer; zero for a plain service.
       forecast_seconds: The forecast time to the first event.
       raw_forecast_seconds: The same from the engine's figures alone, before any correction.
+      placed_at: When the endpoint was chosen, by the boot clock.
     """
 
     endpoint: ListedEndpoint
@@ -73,6 +75,7 @@
     weights: int
     forecast_seconds: float
     raw_forecast_seconds: float = 0.0
+    placed_at: float = dataclasses.field(default_factory=boot_seconds)
 
 
 class PeerEntries(typing.Protocol):
@@ -102,7 +105,7 @@
 
     __slots__ = ("_state", "_log", "_data_centre", "_loads", "_rng", "_retry_budgets", "_bounds")
     __slots__ += ("_statuses", "_peer_entries", "_traffic", "_preferred", "_assigned_for")
-    __slots__ += ("_only_entry", "_limits", "_rests", "_rules")
+    __slots__ += ("_only_entry", "_limits", "_rests", "_rules", "_cold")
 
     def __init__(
         self,
@@ -114,6 +117,7 @@
         limits: StatedLimits,
         only_entry: bool = False,
         rules: PlacingRules | None = None,
+        cold: ColdEndpointRule | None = None,
     ) -> None:
         self._state = state
         self._log = log
@@ -130,6 +134,7 @@
         self._limits = limits
         self._rests = EndpointRests()
         self._rules = rules or PlacingRules()
+        self._cold = cold
         self._statuses = ReportedStatuses()
         self._rng = random.Random()
 
@@ -393,6 +398,8 @@
         placement.load.record_outcome(False, asyncio.get_running_loop().time())
         if placement.load.health.record_success(0.0):
             self._log.write(Event.ENDPOINT_RETURNED, endpoint=placement.endpoint.id)
+            if self._cold is not None:
+                self._cold.record_returned(placement.endpoint)
 
     def record_inconclusive_end(self, placement: Placement) -> None:
         """Records the end of a request that says nothing about the endpoint's health."""
@@ -449,19 +456,23 @@
             near = endpoint.data_centre == self._data_centre
             first = figures is None or endpoint.id in self._preferred
             self._check_silence(endpoint, load, one_pass or load.run_seconds, now)
-            found.append(Candidate(endpoint, load, near, first, late))
+            cold = self._cold is not None and self._cold.is_cold(endpoint)
+            found.append(Candidate(endpoint, load, near, first, late, cold))
         return found
 
-    def refusing_rule(self, endpoint: ListedEndpoint, accepted: RequestScope) -> str:
+    def refusing_rule(
+        self, endpoint: ListedEndpoint, accepted: RequestScope, placed_at: float | None = None
+    ) -> str:
         """Returns the code of a rule that forbids to send a request; empty if none does.
 
         Args:
           accepted: The request's route and workspace as of when it was accepted.
+          placed_at: When it was placed, by the boot clock; None if nothing is sent yet.
         """
         if not self._rules.active:
             return ""
         scope = self._state.current_scope(accepted)
-        return self._rules.refusing_code(endpoint, scope, boot_seconds())
+        return self._rules.refusing_code(endpoint, scope, boot_seconds(), placed_at)
 
     def _leave_out_ruled_out(
         self, candidates: list[Candidate], accepted: RequestScope
--- a/wasabidrum/gateway/placing_rules.py
+++ b/wasabidrum/gateway/placing_rules.py
@@ -46,13 +46,26 @@
         """Records that a request is sent, or has a place reserved, at an endpoint."""
 
 
+@typing.runtime_checkable
+class DelayRule(typing.Protocol):
+    """A placing rule that also limits how long after its placement a request may be sent."""
+
+    def allows_placed_at(self, endpoint: ListedEndpoint, placed_at: float, now: float) -> bool:
+        """Returns whether a request that was placed on an endpoint at a time may still be sent.
+
+        Args:
+          placed_at: By the boot clock.
+        """
+
+
 class PlacingRules:
     """All rules of an entry, in the order in which they are asked."""
 
-    __slots__ = ("_rules",)
+    __slots__ = ("_rules", "_delay_rules")
 
     def __init__(self, rules: collections.abc.Sequence[PlacingRule] = ()) -> None:
         self._rules = tuple(rules)
+        self._delay_rules = tuple(rule for rule in rules if isinstance(rule, DelayRule))
 
     @property
     def active(self) -> bool:
@@ -73,11 +86,25 @@
                 return rule.code, seconds
         return "", 0.0
 
-    def refusing_code(self, endpoint: ListedEndpoint, scope: RequestScope, now: float) -> str:
-        """Returns the code of the first rule that no longer allows to send; empty if all do."""
+    def refusing_code(
+        self,
+        endpoint: ListedEndpoint,
+        scope: RequestScope,
+        now: float,
+        placed_at: float | None = None,
+    ) -> str:
+        """Returns the code of the first rule that no longer allows to send; empty if all do.
+
+        Args:
+          placed_at: When the request was placed, by the boot clock; None if nothing is sent yet.
+        """
         for rule in self._rules:
             if not rule.still_allows(endpoint, scope, now):
                 return rule.code
+        if placed_at is not None:
+            for rule in self._delay_rules:
+                if not rule.allows_placed_at(endpoint, placed_at, now):
+                    return rule.code
         return ""
 
     def record_sent(self, endpoint: ListedEndpoint, now: float) -> None:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -3,9 +3,12 @@
 Each part is replaced in one step, so that readers never see a mixture of old and new.
 """
 
+import collections.abc
+
 from ..config.deployment import Bounds
 from ..core.boot_clock import boot_seconds
 from ..core.errors import CodedError
+from ..core.listed_endpoint import ListedEndpoint
 from ..core.placing_limit import PlacingLimit
 from ..core.published import EngineFigures, PublishedConfiguration
 from ..core.request_scope import RequestScope
@@ -26,6 +29,8 @@
 # Reported in place of an infinite age, where a finite number is required.
 MAX_REPORTED_SECONDS = 1e6
 
+EndpointListener = collections.abc.Callable[[ListedEndpoint, ListedEndpoint | None], None]
+
 
 class PublishedState:
     """Configuration, endpoints and wanted versions.
@@ -37,6 +42,8 @@
       outages: The times at which the store did not answer.
       revision: The store revision up to which all changes were applied; zero before the first.
       store_failed_at: Until when calls of this process to the store failed, by the boot clock.
+      on_endpoint: Called with each new registration of an endpoint, and what was registered before;
+        None if the endpoint was not listed.
     """
 
     __slots__ = (
@@ -48,7 +55,7 @@
         "_reported_versions",
     )
     __slots__ += ("routes", "endpoints", "lease", "outages", "revision")
-    __slots__ += ("store_failed_at", "_store_asked", "_store_owes_since")
+    __slots__ += ("store_failed_at", "_store_asked", "_store_owes_since", "on_endpoint")
 
     def __init__(self, bounds: Bounds, log: EventLog) -> None:
         self._log = log
@@ -71,6 +78,7 @@
         self.endpoints = EndpointRegistry()
         self.lease = ConfigurationLease(bounds.revocation)
         self.outages = StoreOutages(bounds.settling)
+        self.on_endpoint: EndpointListener = ignore_endpoint
 
     @property
     def version(self) -> int:
@@ -352,6 +360,9 @@
                 Event.ENDPOINT_UNREADABLE, endpoint=endpoint_id, reason=str(error)[:300]
             )
             return
+        before = self.endpoints.get(endpoint_id)
+        if change.revision > self.endpoints.revision_of(endpoint_id):
+            self.on_endpoint(endpoint, before)
         if self.endpoints.apply(endpoint, change.revision):
             self._log.write(
                 Event.ENDPOINT_LISTED,
@@ -366,3 +377,7 @@
     def _layer_count(self, service: str) -> int:
         figures = self.engine_figures(service)
         return figures.layers if figures else 0
+
+
+def ignore_endpoint(endpoint: ListedEndpoint, before: ListedEndpoint | None) -> None:
+    """The default on_endpoint callback; does nothing."""
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -97,6 +97,8 @@
     LOAD_REPORT_REFUSED = 4030
     READER_CHANGED = 4031
     STORE_OUTAGE_RECORDED = 4032
+    ENDPOINT_COLD = 4035
+    ENDPOINT_WARM = 4036
 
     # 5000: calls with idempotency keys, and streams that are resumed on another endpoint.
     CALL_STARTED = 5001
--- a/wasabidrum/platform/heads.py
+++ b/wasabidrum/platform/heads.py
@@ -154,6 +154,7 @@
         stated_limit=read_decimal(headers.get(names.STATED_LIMIT, "")),
         rest_seconds=read_rest(start.code, headers.get(names.RETRY_AFTER, "")),
         leaving=headers.get(names.LEAVING, "").strip() == "1",
+        cold_seconds=read_cold_time(headers.get(names.COLD_TIME, "")),
     )
 
 
@@ -171,6 +172,12 @@
     return (read_decimal(retry_after) or 0.0) if status == 503 else 0.0
 
 
+def read_cold_time(text: str) -> float | None:
+    """Converts milliseconds, which may have decimals, to seconds; None if the text is no number."""
+    milliseconds = read_decimal(text.strip())
+    return None if milliseconds is None else milliseconds / 1000.0
+
+
 def write_refusal(request_id: str, retry_after: float | None) -> httputil.HTTPHeaders:
     """Returns the headers of an error that this system answers itself."""
     headers = httputil.HTTPHeaders({"Content-Type": "application/json"})
--- a/wasabidrum/platform/names.py
+++ b/wasabidrum/platform/names.py
@@ -13,6 +13,8 @@
 INSTANCE = "Wasabidrum-Instance-Id"
 # The requests a second that an endpoint in need takes from all instances together.
 STATED_LIMIT = "Server-Limit"
+# For how many milliseconds an endpoint is cold.
+COLD_TIME = "Wasabidrum-Cold-Ms"
 # Set to "1" by an endpoint that leaves.
 LEAVING = "Server-Leaving"
 TENANT = "Wasabidrum-Tenant"
