--- a/wasabidrum/decisions/cold_endpoints.py
+++ b/wasabidrum/decisions/cold_endpoints.py
@@ -31,7 +31,7 @@
 MAX_SEND_SECONDS = 0.5
 SHARE_UPDATE_SECONDS = 0.2
 # A registration that arrives within this time from an event may have been written before it:
-# endpoints' registrations reach entries up to a second after they are written.
+# registrations reach entries up to a second after endpoints write them.
 RECORD_LAG_SECONDS = 1.2
 # After the cold time the rate grows for this part of it, by this factor in all.
 GROWING_PART = 1.0 / 3.0
@@ -59,12 +59,13 @@
       since: When this entry learned that it is cold.
       until: When it is warm.
       reason: Why it counts as cold.
-      trusted_from: From when registrations that arrive were written after it became cold.
+      unregistered_at: When this entry learned last that it is cold by other means than its
+        registration.
       stated_warm: Whether it has stated that it is warm.
       announced_warm: Whether the end of the cold time was returned by expire.
     """
 
-    __slots__ = ("limit", "since", "until", "reason", "trusted_from")
+    __slots__ = ("limit", "since", "until", "reason", "unregistered_at")
     __slots__ += ("stated_warm", "announced_warm", "_bucket", "_share_until")
 
     def __init__(self, limit: ColdLimit, since: float, until: float, reason: str) -> None:
@@ -72,7 +73,7 @@
         self.since = since
         self.until = until
         self.reason = reason
-        self.trusted_from = since
+        self.unregistered_at = float("-inf")
         self.stated_warm = False
         self.announced_warm = False
         self._bucket = ShareBucket()
@@ -185,11 +186,18 @@
         return self._record_unregistered(run, limit, until, reason, now)
 
     def record_listing(
-        self, run: EndpointRun, limit: ColdLimit, stated: float | None, started: bool, now: float
+        self,
+        run: EndpointRun,
+        limit: ColdLimit,
+        stated: float | None,
+        started: bool,
+        written_after: float,
+        now: float,
     ) -> bool:
         """Records a new registration of an endpoint.
 
         Args:
+          written_after: A time before which the store had certainly not got it.
           stated: For how many seconds it was cold when it registered; None if it does not say.
           started: Whether this is the first registration of a run that may have just started.
 
@@ -199,11 +207,13 @@
         if started:
             seconds = max(limit.seconds, stated or 0.0)
             return self.record_cold(run, limit, now + seconds, "started", now)
-        if stated:
+        if stated is not None and stated > 0.0:
             return self.record_cold(run, limit, now + stated, "registered", now)
         known = self._runs.get(run)
-        if stated is not None and known is not None and known.trusted_from <= now < known.until:
-            self._end(known, now)
+        if stated is not None and known is not None and now < known.until:
+            learned_at = known.unregistered_at
+            if written_after >= learned_at and now >= learned_at + RECORD_LAG_SECONDS:
+                self._end(known, now)
         return False
 
     def record_answer(
@@ -280,7 +290,7 @@
         new = self.record_cold(run, limit, until, reason, now)
         known = self._runs.get(run)
         if known is not None and now < known.until:
-            known.trusted_from = now + RECORD_LAG_SECONDS
+            known.unregistered_at = now
         return new
 
     def _end(self, known: ColdRun, now: float) -> None:
--- a/wasabidrum/decisions/cold_endpoints_test.py
+++ b/wasabidrum/decisions/cold_endpoints_test.py
@@ -42,9 +42,9 @@
 
     def test_new_run_is_cold_until_a_later_registration_says_otherwise(self) -> None:
         """Guards against an endpoint that takes part at once because it registers as warm."""
-        self.assertTrue(self.cold.record_listing(RUN, LIMIT, 0.0, True, 0.0))
+        self.assertTrue(self.cold.record_listing(RUN, LIMIT, 0.0, True, 0.0, 0.0))
         self.assertTrue(self.cold.is_cold(RUN, 0.1))
-        self.cold.record_listing(RUN, LIMIT, 0.0, False, 1.2)
+        self.cold.record_listing(RUN, LIMIT, 0.0, False, 1.2, 1.2)
         self.assertFalse(self.cold.is_cold(RUN, 1.2))
         [(run, known)] = self.cold.expire(1.2)
         self.assertEqual((run, known.stated_warm), (RUN, True))
@@ -54,23 +54,26 @@
 
     def test_run_in_the_first_snapshot_is_what_it_states(self) -> None:
         """Guards against an entry that starts and treats the whole fleet as cold."""
-        self.assertFalse(self.cold.record_listing(RUN, LIMIT, 0.0, False, 0.0))
+        self.assertFalse(self.cold.record_listing(RUN, LIMIT, 0.0, False, 0.0, 0.0))
         self.assertFalse(self.cold)
-        self.assertTrue(self.cold.record_listing(RUN, LIMIT, 2.0, False, 0.0))
+        self.assertTrue(self.cold.record_listing(RUN, LIMIT, 2.0, False, 0.0, 0.0))
         self.assertTrue(self.cold.is_cold(RUN, 1.9))
         self.assertFalse(self.cold.is_cold(RUN, 2.0))
 
     def test_registration_from_before_the_return_proves_nothing(self) -> None:
         """Guards against an endpoint that has restarted, and whose last registration says warm."""
         self.cold.record_restart(RUN, LIMIT, "returned", 10.0)
-        self.cold.record_listing(RUN, LIMIT, 0.0, False, 10.0 + RECORD_LAG_SECONDS / 2.0)
-        self.assertTrue(self.cold.is_cold(RUN, 11.0))
-        self.cold.record_listing(RUN, LIMIT, 0.0, False, 10.0 + RECORD_LAG_SECONDS)
+        late = 10.0 + RECORD_LAG_SECONDS
+        # Its way to the store took long, or its way from there, or neither is known.
+        for written_after, now in ((10.1, late - 0.1), (9.9, late), (float("-inf"), late)):
+            self.cold.record_listing(RUN, LIMIT, 0.0, False, written_after, now)
+            self.assertTrue(self.cold.is_cold(RUN, now))
+        self.cold.record_listing(RUN, LIMIT, 0.0, False, 10.1, late)
         self.assertFalse(self.cold.is_cold(RUN, 11.3))
 
     def test_answer_to_an_earlier_request_proves_nothing(self) -> None:
         """Guards against an entry that wakes and reads answers from before the endpoint's start."""
-        self.cold.record_listing(RUN, LIMIT, 3.0, False, 10.0)
+        self.cold.record_listing(RUN, LIMIT, 3.0, False, 10.0, 10.0)
         self.cold.record_answer(RUN, LIMIT, 0.0, 9.9, 10.2)
         self.assertTrue(self.cold.is_cold(RUN, 10.2))
         self.cold.record_answer(RUN, LIMIT, 0.0, 10.1, 10.2)
@@ -79,7 +82,7 @@
 
     def test_first_request_waits_and_the_rate_then_grows(self) -> None:
         """Guards against a rate that jumps from nothing to everything."""
-        self.cold.record_listing(RUN, LIMIT, None, True, 0.0)
+        self.cold.record_listing(RUN, LIMIT, None, True, 0.0, 0.0)
         sent = [0] * 50
         for step in range(500):
             while self.wait(step / 100.0) == 0.0 and sent[step // 10] < 1000:
@@ -95,7 +98,7 @@
 
     def test_no_request_without_a_number_of_entries(self) -> None:
         """Guards against an entry that starts, knows no other, and sends what all may."""
-        self.cold.record_listing(RUN, LIMIT, None, True, 0.0)
+        self.cold.record_listing(RUN, LIMIT, None, True, 0.0, 0.0)
         for step in range(30):
             self.assertGreater(self.wait(step / 10.0, None), 0.0)
         self.assertLess(self.wait(2.9, None), float("inf"))
@@ -198,7 +201,7 @@
                     continue
                 if now >= entry.known_from:
                     # Its registration is written again every 1.2 s.
-                    entry.cold.record_listing(RUN, LIMIT, max(0.0, 8.0 - now), False, now)
+                    entry.cold.record_listing(RUN, LIMIT, max(0.0, 8.0 - now), False, now, now)
                     entry.known_from += 1.2
                 arrived += entry.step(now)
         return sorted(at for at in arrived if 5.0 <= at < 8.0)
--- a/wasabidrum/decisions/endpoint_choice_test.py
+++ b/wasabidrum/decisions/endpoint_choice_test.py
@@ -146,6 +146,19 @@
             self.assertEqual(choice.candidate.endpoint.id, "prompt")
         self.assertIsNone(choose([late], FIGURES, demand, 0.0, self.rng).candidate)
 
+    def test_a_cold_endpoint_is_as_slow_as_its_answers_show(self) -> None:
+        """Guards against requests that queue at a cold endpoint that looks idle, and against a
+        cold endpoint that is left out although its answers are in time."""
+        cold = dataclasses.replace(self.make("cold"), cold=True, lateness=0.5)
+        other = self.make("other", near=False)
+        other.load.record_report(3, 0, 1.0, 0.0)
+        demand = Demand(900, 1.0)
+        choice = choose([cold, other], FIGURES, demand, 0.0, self.rng)
+        self.assertEqual(choice.candidate.endpoint.id, "other")
+        in_time = dataclasses.replace(cold, lateness=0.0)
+        choice = choose([in_time, other], FIGURES, demand, 0.0, self.rng)
+        self.assertEqual(choice.candidate.endpoint.id, "cold")
+
     def test_without_endpoints_a_retry_time_is_returned(self) -> None:
         self.assertIsNone(choose([], FIGURES, Demand(0, 1.0), 0.0, self.rng).candidate)
         choice = choose([], FIGURES, Demand(0, 1.0), 0.0, self.rng)
--- a/wasabidrum/gateway/cold_endpoint_rule.py
+++ b/wasabidrum/gateway/cold_endpoint_rule.py
@@ -110,11 +110,14 @@
         if self._cold:
             self._cold.record_sent(run_of(endpoint))
 
-    def record_listing(self, endpoint: ListedEndpoint, before: ListedEndpoint | None) -> None:
+    def record_listing(
+        self, endpoint: ListedEndpoint, before: ListedEndpoint | None, not_before: float
+    ) -> None:
         """Records a new registration of an endpoint.
 
         Args:
           before: What was registered before; None if the endpoint was not listed.
+          not_before: A time by the boot clock before which the store had certainly not got it.
         """
         limit = self._limits_in_force().get(endpoint.service)
         if limit is None:
@@ -123,7 +126,8 @@
         # What the first snapshot lists may have run for long.
         started = new_run and (bool(self._state.revision) or endpoint.cold_seconds is None)
         stated, now = endpoint.cold_seconds, boot_seconds()
-        if self._cold.record_listing(run_of(endpoint), limit, stated, started, now):
+        run = run_of(endpoint)
+        if self._cold.record_listing(run, limit, stated, started, not_before, now):
             self._log_cold(endpoint, "started" if started else "registered", now)
 
     def record_answer(self, endpoint: ListedEndpoint, stated: float, placed_at: float) -> None:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -29,7 +29,7 @@
 # Reported in place of an infinite age, where a finite number is required.
 MAX_REPORTED_SECONDS = 1e6
 
-EndpointListener = collections.abc.Callable[[ListedEndpoint, ListedEndpoint | None], None]
+EndpointListener = collections.abc.Callable[[ListedEndpoint, ListedEndpoint | None, float], None]
 
 
 class PublishedState:
@@ -42,8 +42,9 @@
       outages: The times at which the store did not answer.
       revision: The store revision up to which all changes were applied; zero before the first.
       store_failed_at: Until when calls of this process to the store failed, by the boot clock.
-      on_endpoint: Called with each new registration of an endpoint, and what was registered before;
-        None if the endpoint was not listed.
+      on_endpoint: Called with each new registration of an endpoint, what was registered before, or
+        None if the endpoint was not listed, and a time by the boot clock before which the store had
+        certainly not got it.
     """
 
     __slots__ = (
@@ -257,7 +258,8 @@
         self._store_item(change)
         kind = kind_of(change.key)
         if kind is ItemKind.ENDPOINT:
-            self._apply_endpoint(published_records.endpoint_id_of(change.key), change, now)
+            endpoint_id = published_records.endpoint_id_of(change.key)
+            self._apply_endpoint(endpoint_id, change, now, max(not_before, self.lease.confirmed_at))
         elif kind is ItemKind.CONFIGURATION and change.value is not None:
             self._apply_configuration(change)
         elif kind is ItemKind.VERSION and change.value is not None:
@@ -344,7 +346,9 @@
                 evidence_age=round(now - not_before, 3) if known else None,
             )
 
-    def _apply_endpoint(self, endpoint_id: str, change: StoreChange, now: float) -> None:
+    def _apply_endpoint(
+        self, endpoint_id: str, change: StoreChange, now: float, not_before: float
+    ) -> None:
         if change.value is None:
             if self.endpoints.apply_removal(endpoint_id, change.revision, now):
                 self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="removed")
@@ -362,7 +366,7 @@
             return
         before = self.endpoints.get(endpoint_id)
         if change.revision > self.endpoints.revision_of(endpoint_id):
-            self.on_endpoint(endpoint, before)
+            self.on_endpoint(endpoint, before, not_before)
         if self.endpoints.apply(endpoint, change.revision):
             self._log.write(
                 Event.ENDPOINT_LISTED,
@@ -379,5 +383,7 @@
         return figures.layers if figures else 0
 
 
-def ignore_endpoint(endpoint: ListedEndpoint, before: ListedEndpoint | None) -> None:
+def ignore_endpoint(
+    endpoint: ListedEndpoint, before: ListedEndpoint | None, not_before: float
+) -> None:
     """The default on_endpoint callback; does nothing."""
--- a/wasabidrum/platform/heads_test.py
+++ b/wasabidrum/platform/heads_test.py
@@ -126,6 +126,14 @@
             self.assertEqual((head.states_limit, head.stated_limit), (True, None), text)
         self.assertFalse(self.read(200).states_limit)
 
+    def test_cold_time_is_a_decimal_number_of_milliseconds(self) -> None:
+        """Guards against an unreadable time that is taken for a warm endpoint."""
+        for text, seconds in (("0", 0.0), ("2500", 2.5), ("12.5", 0.0125)):
+            self.assertEqual(self.read(200, **{names.COLD_TIME: text}).cold_seconds, seconds)
+        for text in ("", "-1", "nan", "soon", "1, 2"):
+            self.assertIsNone(self.read(200, **{names.COLD_TIME: text}).cold_seconds, text)
+        self.assertIsNone(self.read(200).cold_seconds)
+
     def test_only_the_value_1_announces_leaving(self) -> None:
         """Guards against an endpoint that loses all its requests for a header that denies it."""
         self.assertTrue(self.read(200, **{names.LEAVING: "1"}).leaving)
