--- a/tests/cold_endpoints_test.py
+++ b/tests/cold_endpoints_test.py
@@ -124,7 +124,7 @@
         self.assertGreater(len(early.times), 10)
         self.assertLessEqual(early.worst_second(), LIMIT)
         self.assertGreater(len(arrivals.times) - len(early.times), 2 * len(early.times))
-        self.assertFalse(self.fleet.gateways[0].cold.count)
+        self.assertFalse(self.fleet.gateways[0].cold_rule.count)
         [cold] = self.events(Event.ENDPOINT_COLD)
         [warm] = self.events(Event.ENDPOINT_WARM)
         self.assertEqual((cold["reason"], warm["reason"]), ("started", "time"))
@@ -134,15 +134,15 @@
         await self.start_entries(1, cold_rate=0.0)
         await self.add_new_endpoint()
         await asyncio.sleep(1.0)
-        self.assertFalse(self.fleet.gateways[0].cold.active)
+        self.assertFalse(self.fleet.gateways[0].cold_rule.active)
 
     async def test_endpoint_that_says_so_in_an_answer_is_cold(self) -> None:
         """Guards against a registration that comes too late."""
         await self.start_entries(1)
-        self.assertFalse(self.fleet.gateways[0].cold.active)
+        self.assertFalse(self.fleet.gateways[0].cold_rule.active)
         self.warm.handler = Arrivals(COLD_HEADER)
         self.assertEqual(await self.ask(), 200)
-        self.assertEqual(self.fleet.gateways[0].cold.count, 1)
+        self.assertEqual(self.fleet.gateways[0].cold_rule.count, 1)
         self.assertEqual(await self.ask(), 503)
         self.warm.handler = Arrivals()
         await asyncio.sleep(4.0)
@@ -162,19 +162,19 @@
             async with asyncio.timeout(10.0):
                 while await self.ask() != 200:
                     await asyncio.sleep(0.1)
-        self.assertEqual(gateway.cold.count, 1)
+        self.assertEqual(gateway.cold_rule.count, 1)
         await self.fleet.store.put(names.ENDPOINT_PREFIX + "warm", self.warm.entry(sequence=2))
         await asyncio.sleep(0.7)
-        self.assertEqual(gateway.cold.count, 1)
+        self.assertEqual(gateway.cold_rule.count, 1)
         await asyncio.sleep(0.7)
         await self.fleet.store.put(names.ENDPOINT_PREFIX + "warm", self.warm.entry(sequence=3))
         await asyncio.sleep(0.7)
-        self.assertEqual(gateway.cold.count, 0)
+        self.assertEqual(gateway.cold_rule.count, 0)
 
     async def test_endpoints_of_a_data_centre_that_comes_back_are_cold(self) -> None:
         """Guards against a data centre that gets all its load at once after an evacuation."""
         await self.start_entries(1)
-        rule, back_at = self.fleet.gateways[0].cold, {}
+        rule, back_at = self.fleet.gateways[0].cold_rule, {}
         rule._find_back_at = back_at.get
         self.assertFalse(rule.active)
         back_at["rift-a"] = self.loop.time()
@@ -191,5 +191,7 @@
         listed = gateway.state.endpoints.get("warm")
         await self.fleet.store.put(names.ENDPOINT_PREFIX + "warm", self.warm.entry(born=9))
         await asyncio.sleep(1.0)
-        self.assertTrue(gateway.cold.active)
-        self.assertFalse(gateway.cold.allows_placed_at(listed, self.loop.time(), self.loop.time()))
+        self.assertTrue(gateway.cold_rule.active)
+        self.assertFalse(
+            gateway.cold_rule.allows_placed_at(listed, self.loop.time(), self.loop.time())
+        )
--- a/wasabidrum/decisions/cold_endpoints_test.py
+++ b/wasabidrum/decisions/cold_endpoints_test.py
@@ -12,7 +12,7 @@
     ColdEndpoints,
     ColdLimit,
 )
-from .rate_shares import Entries
+from .rate_shares import Entries, divide
 
 RUN = ("e1", 5)
 # 32 requests a second, half as many more, and five.
@@ -125,6 +125,8 @@
         self.cold = ColdEndpoints()
         self.known_from = 0.0
         self.frozen_until = 0.0
+        # Until then it looks for room and places nothing, so that all save up.
+        self.saves_until = 0.0
         self.count: int | None = 1
         self.reachable = {own}
         # When each request that has not been sent yet was placed, and when it would be sent.
@@ -156,7 +158,8 @@
             self._warm_at += 1.0 / self._rate
             return True
         self._warm_at = max(self._warm_at, now)
-        return self.cold.seconds_until_room(RUN, "a", find_entries, now) == 0.0
+        wait = self.cold.seconds_until_room(RUN, "a", find_entries, now)
+        return wait == 0.0 and now >= self.saves_until
 
 
 class AllEntriesTest(unittest.TestCase):
@@ -175,7 +178,12 @@
         numbers = set(range(count))
         side = set(rng.sample(sorted(numbers), count // 2)) if seed % 3 == 0 else numbers
         for entry in entries:
-            entry.known_from = 5.0 + (rng.random() + rng.choice((0.0, 1.2)) if faults else 0.1)
+            late = rng.choice((0.0, 1.2))
+            if seed % 2:
+                # Those learn last that may send nothing afterwards.
+                knows = make_entries(entry.own, count, numbers)
+                late = 0.0 if divide(1.0, 7.9, RUN[0], "a", knows).rate else 1.2
+            entry.known_from = 5.0 + (rng.random() + late if faults else 0.1)
             entry.count = count
             entry.reachable = set(numbers)
             if faults:
@@ -189,6 +197,9 @@
             entries[-1].reachable = numbers | {count}
             entries[-1].known_from = 5.0
             entries[-1].count = count + 1
+        saves_until = rng.choice((0.0, 6.3, 7.0)) if faults else 0.0
+        for entry in entries:
+            entry.saves_until = saves_until
         arrived: list[float] = []
         for tick in range(300, 800):
             now = tick / 100.0
@@ -208,7 +219,7 @@
 
     def test_no_second_exceeds_the_limit(self) -> None:
         """Guards against shares, what is sent unknowing and late arrivals adding up to more."""
-        for seed in range(150):
+        for seed in range(200):
             arrived = self.replay(seed)
             worst = max(
                 bisect.bisect_left(arrived, at + 1.0) - place for place, at in enumerate(arrived)
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -389,7 +389,7 @@
             return
         own = head.instance in ("", placement.endpoint.id)
         if own and head.request_id == self._call.head.request_id:
-            self._gateway.cold.record_answer(
+            self._gateway.cold_rule.record_answer(
                 placement.endpoint, head.cold_seconds, placement.placed_at
             )
 
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -105,10 +105,10 @@
         self.part_guard = PartGuard(parts, self.peers, log)
         readers = ReaderFollower(self.peers, self.state, deployment.bounds, log)
         self._follower = StoreFollower(store, self.state, readers, self.peers.answer_followers, log)
-        self.cold = ColdEndpointRule(
+        self.cold_rule = ColdEndpointRule(
             self.state, self.peers.entries, deployment.bounds, log, deployment.region_of
         )
-        self.state.on_endpoint = self.cold.record_listing
+        self.state.on_endpoint = self.cold_rule.record_listing
         self.placer = Placer(
             self.state,
             log,
@@ -117,8 +117,8 @@
             self.peers,
             limits,
             deployment.first_start and not self.peers.has_seeds,
-            PlacingRules((self.cold,)),
-            self.cold,
+            PlacingRules((self.cold_rule,)),
+            self.cold_rule,
         )
         self.attempts = AttemptsInProgress(self.state, self.placer, deployment.bounds.drain, log)
         self._load_watcher = LoadWatcher(
@@ -275,7 +275,7 @@
         add(
             "endpoints_cold",
             "Endpoints that get only a limited rate of requests, as they have just started.",
-            lambda: self.cold.count,
+            lambda: self.cold_rule.count,
         )
         add(
             "parts_blocked",
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -105,7 +105,7 @@
 
     __slots__ = ("_state", "_log", "_data_centre", "_loads", "_rng", "_retry_budgets", "_bounds")
     __slots__ += ("_statuses", "_peer_entries", "_traffic", "_preferred", "_assigned_for")
-    __slots__ += ("_only_entry", "_limits", "_rests", "_rules", "_cold")
+    __slots__ += ("_only_entry", "_limits", "_rests", "_rules", "_cold_rule")
 
     def __init__(
         self,
@@ -117,7 +117,7 @@
         limits: StatedLimits,
         only_entry: bool = False,
         rules: PlacingRules | None = None,
-        cold: ColdEndpointRule | None = None,
+        cold_rule: ColdEndpointRule | None = None,
     ) -> None:
         self._state = state
         self._log = log
@@ -134,7 +134,7 @@
         self._limits = limits
         self._rests = EndpointRests()
         self._rules = rules or PlacingRules()
-        self._cold = cold
+        self._cold_rule = cold_rule
         self._statuses = ReportedStatuses()
         self._rng = random.Random()
 
@@ -398,8 +398,8 @@
         placement.load.record_outcome(False, asyncio.get_running_loop().time())
         if placement.load.health.record_success(0.0):
             self._log.write(Event.ENDPOINT_RETURNED, endpoint=placement.endpoint.id)
-            if self._cold is not None:
-                self._cold.record_returned(placement.endpoint)
+            if self._cold_rule is not None:
+                self._cold_rule.record_returned(placement.endpoint)
 
     def record_inconclusive_end(self, placement: Placement) -> None:
         """Records the end of a request that says nothing about the endpoint's health."""
@@ -456,7 +456,7 @@
             near = endpoint.data_centre == self._data_centre
             first = figures is None or endpoint.id in self._preferred
             self._check_silence(endpoint, load, one_pass or load.run_seconds, now)
-            cold = self._cold is not None and self._cold.is_cold(endpoint)
+            cold = self._cold_rule is not None and self._cold_rule.is_cold(endpoint)
             found.append(Candidate(endpoint, load, near, first, late, cold))
         return found
 
