--- a/tests/cold_endpoints_test.py
+++ b/tests/cold_endpoints_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import bisect
 import contextlib
+from unittest import mock
 
 import msgspec
 
@@ -15,6 +16,8 @@
 )
 from tests.paused_clock import PausedClockCase
 from wasabidrum.config.deployment import Bounds
+from wasabidrum.gateway import endpoint_connection
+from wasabidrum.gateway.endpoint_connection import EndpointConnection
 from wasabidrum.observe.event import Event
 from wasabidrum.platform import names
 
@@ -187,11 +190,14 @@
     async def test_requests_do_not_reach_a_later_run(self) -> None:
         """Guards against requests that were placed before an endpoint started again."""
         await self.start_entries(1)
-        gateway = self.fleet.gateways[0]
-        listed = gateway.state.endpoints.get("warm")
-        await self.fleet.store.put(names.ENDPOINT_PREFIX + "warm", self.warm.entry(born=9))
-        await asyncio.sleep(1.0)
-        self.assertTrue(gateway.cold_rule.active)
-        self.assertFalse(
-            gateway.cold_rule.allows_placed_at(listed, self.loop.time(), self.loop.time())
-        )
+        connect = endpoint_connection.connect
+
+        async def connect_late(host: str, port: int, timeout: float) -> EndpointConnection:
+            registration = self.warm.entry(born=9)
+            await self.fleet.store.put(names.ENDPOINT_PREFIX + "warm", registration)
+            await asyncio.sleep(1.0)
+            return await connect(host, port, timeout)
+
+        with mock.patch.object(endpoint_connection, "connect", connect_late):
+            self.assertEqual(await self.ask(), 503)
+        self.assertEqual(self.warm.received, [])
