--- a/wasabidrum/decisions/evacuations.py
+++ b/wasabidrum/decisions/evacuations.py
@@ -35,12 +35,12 @@
     Attributes:
       revision: The store's revision of the last item that was applied.
       since: Since when it is evacuated; None if it is not.
-      ended_at: When its last evacuation ended.
+      ended_at: When its last evacuation ended; None without one.
     """
 
     revision: int = 0
     since: float | None = None
-    ended_at: float = float("-inf")
+    ended_at: float | None = None
 
 
 class Evacuations:
@@ -72,10 +72,10 @@
         known = self._known.get(data_centre)
         return known.since if known is not None else None
 
-    def ended_at(self, data_centre: str) -> float:
-        """Returns when the last evacuation of a data centre ended; minus infinity without one."""
+    def ended_at(self, data_centre: str) -> float | None:
+        """Returns when the last evacuation of a data centre ended; None without one."""
         known = self._known.get(data_centre)
-        return known.ended_at if known is not None else float("-inf")
+        return known.ended_at if known is not None else None
 
     def apply(
         self, data_centre: str, value: bytes | None, revision: int, now: float
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -25,6 +25,7 @@
 from ..wire import http_client
 from ..wire.ending_server import INTERNAL_SECONDS, EndingServer, end_internal_connections
 from .attempts_in_progress import AttemptsInProgress
+from .cold_endpoint_rule import ColdEndpointRule
 from .entry_peers import EntryPeers
 from .evacuation_rule import EvacuationRule
 from .exchange import CallerExchange
@@ -99,12 +100,6 @@
         self.tasks = BackgroundTasks(self._log_task_failure)
         client = http_client.make_client()
         self.state = PublishedState(deployment.bounds, log, deployment.region_of)
-        rules = PlacingRules(
-            (
-                HomeRegionRule(self.state, deployment.region_of),
-                EvacuationRule(self.state.evacuations),
-            )
-        )
         store = make_store_client(client, deployment.store)
         self.poison_guard = PoisonGuard()
         self._limits = limits = StatedLimits(random.Random())
@@ -115,6 +110,22 @@
         self.part_guard = PartGuard(parts, self.peers, log)
         readers = ReaderFollower(self.peers, self.state, deployment.bounds, log)
         self._follower = StoreFollower(store, self.state, readers, self.peers.answer_followers, log)
+        self.cold_rule = ColdEndpointRule(
+            self.state,
+            self.peers.entries,
+            deployment.bounds,
+            log,
+            deployment.region_of,
+            self.state.evacuations.ended_at,
+        )
+        rules = PlacingRules(
+            (
+                HomeRegionRule(self.state, deployment.region_of),
+                EvacuationRule(self.state.evacuations),
+                self.cold_rule,
+            )
+        )
+        self.state.on_endpoint = self.cold_rule.record_listing
         self.placer = Placer(
             self.state,
             log,
@@ -124,6 +135,7 @@
             limits,
             deployment.first_start and not self.peers.has_seeds,
             rules,
+            self.cold_rule,
         )
         shares = WorkspaceShares(deployment.host, random.getrandbits(32))
         self.usage = WorkspaceUsage(deployment, self.state, shares, log)
@@ -299,6 +311,11 @@
             "Requests of this entry in progress at endpoints in evacuated data centres.",
             self.attempts.count_evacuated,
         )
+        add(
+            "endpoints_cold",
+            "Endpoints that get only a limited rate of requests, as they have just started.",
+            lambda: self.cold_rule.count,
+        )
         add(
             "parts_blocked",
             "Parts of prompts whose requests are refused because they crash endpoints.",
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -32,7 +32,8 @@
 )
 from ..decisions.home_regions import Regions, may_be_in
 from ..decisions.poison import PoisonGuard
-from ..decisions.stated_limits import Entries, StatedLimits
+from ..decisions.rate_shares import Entries
+from ..decisions.stated_limits import StatedLimits
 from ..decisions.store_readers import seconds_until_late
 from ..observe.event import Event
 from ..observe.event_log import EventLog
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -8,6 +8,7 @@
 from ..config.deployment import Bounds
 from ..core.boot_clock import boot_seconds
 from ..core.errors import CodedError
+from ..core.listed_endpoint import ListedEndpoint
 from ..core.placing_limit import PlacingLimit
 from ..core.published import EngineFigures, PublishedConfiguration
 from ..core.request_scope import RequestScope
@@ -32,6 +33,8 @@
 # The workspaces that one line names.
 MAX_LOGGED_WORKSPACES = 16
 
+EndpointListener = collections.abc.Callable[[ListedEndpoint, ListedEndpoint | None, float], None]
+
 
 class PublishedState:
     """Configuration, endpoints and wanted versions.
@@ -44,6 +47,9 @@
       outages: The times at which the store did not answer.
       revision: The store revision up to which all changes were applied; zero before the first.
       store_failed_at: Until when calls of this process to the store failed, by the boot clock.
+      on_endpoint: Called with each new registration of an endpoint, what was registered before, or
+        None if the endpoint was not listed, and a time by the boot clock before which the store had
+        certainly not got it.
     """
 
     __slots__ = (
@@ -55,8 +61,8 @@
         "_reported_versions",
     )
     __slots__ += ("routes", "endpoints", "lease", "outages", "revision")
-    __slots__ += ("store_failed_at", "_store_asked", "_store_owes_since")
     __slots__ += ("evacuations", "_regions")
+    __slots__ += ("store_failed_at", "_store_asked", "_store_owes_since", "on_endpoint")
 
     def __init__(
         self,
@@ -92,6 +98,7 @@
         self.endpoints = EndpointRegistry()
         self.lease = ConfigurationLease(bounds.revocation)
         self.outages = StoreOutages(bounds.settling)
+        self.on_endpoint: EndpointListener = ignore_endpoint
 
     @property
     def version(self) -> int:
@@ -271,7 +278,8 @@
         self._store_item(change)
         kind = kind_of(change.key)
         if kind is ItemKind.ENDPOINT:
-            self._apply_endpoint(published_records.endpoint_id_of(change.key), change, now)
+            endpoint_id = published_records.endpoint_id_of(change.key)
+            self._apply_endpoint(endpoint_id, change, now, max(not_before, self.lease.confirmed_at))
         elif kind is ItemKind.CONFIGURATION and change.value is not None:
             self._apply_configuration(change)
         elif kind is ItemKind.VERSION and change.value is not None:
@@ -418,7 +426,9 @@
                 evidence_age=round(now - not_before, 3) if known else None,
             )
 
-    def _apply_endpoint(self, endpoint_id: str, change: StoreChange, now: float) -> None:
+    def _apply_endpoint(
+        self, endpoint_id: str, change: StoreChange, now: float, not_before: float
+    ) -> None:
         if change.value is None:
             if self.endpoints.apply_removal(endpoint_id, change.revision, now):
                 self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="removed")
@@ -434,6 +444,9 @@
                 Event.ENDPOINT_UNREADABLE, endpoint=endpoint_id, reason=str(error)[:300]
             )
             return
+        before = self.endpoints.get(endpoint_id)
+        if change.revision > self.endpoints.revision_of(endpoint_id):
+            self.on_endpoint(endpoint, before, not_before)
         if self.endpoints.apply(endpoint, change.revision):
             self._log.write(
                 Event.ENDPOINT_LISTED,
@@ -448,3 +461,9 @@
     def _layer_count(self, service: str) -> int:
         figures = self.engine_figures(service)
         return figures.layers if figures else 0
+
+
+def ignore_endpoint(
+    endpoint: ListedEndpoint, before: ListedEndpoint | None, not_before: float
+) -> None:
+    """The default on_endpoint callback; does nothing."""
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -103,6 +103,8 @@
     EVACUATION_ENDED = 4034
     EVACUATION_REFUSED = 4035
     HOME_REGIONS_UNSERVED = 4036
+    ENDPOINT_COLD = 4037
+    ENDPOINT_WARM = 4038
     USE_REPORT_FAILED = 4040
 
     # 5000: calls with idempotency keys, and streams that are resumed on another endpoint.
