Finish an older version first while the newer one can still follow in time

Cause: two versions named two seconds apart, the origin away half a second after the second. Others finished the older version after requests could no longer be placed on it, and the newer one waited behind it. Nobody was served from 28 to 33 s.

Change: a version of which a tenth has arrived is finished first if the newer one can still follow before it is replaced in turn, by the width of the link (sidecars) or by the progress so far (relays). A version that requests may no longer be placed on makes way at once.

--- a/tests/weights_retirement_test.py
+++ b/tests/weights_retirement_test.py
@@ -10,6 +10,7 @@
 from tests.paused_clock import PausedClockCase
 from wasabidrum.config.deployment import Bounds
 from wasabidrum.core.request_head import RequestHead
+from wasabidrum.core.request_scope import RequestScope
 from wasabidrum.core.route import Route, RouteKind, RouteTarget
 
 BOUND_SECONDS = 3.0
@@ -44,7 +45,7 @@
         target = RouteTarget(SERVICE, 1.0)
         route = Route("r", "h", "/", RouteKind.STREAM, 10.0, 0.5, 0, (target,))
         placer = self.fleet.entries[0].placer
-        return placer.choose(route, SERVICE, head, frozenset(), 0, 10.0).known
+        return placer.choose(RequestScope(route), SERVICE, head, frozenset(), 0, 10.0).known
 
     async def test_engine_serves_nothing_on_old_weights_after_bound(self) -> None:
         """Guards against requests that reach an engine after the bound and start on old weights."""
--- a/wasabidrum/decisions/version_choice.py
+++ b/wasabidrum/decisions/version_choice.py
@@ -9,11 +9,21 @@
 has arrived is set aside, as long as the shares that were set aside since the last complete version
 add up to less than half of one. A download that stalls, for instance because the origin is gone,
 makes way for the other version.
+
+A version of which some has arrived is also finished first if the newer one can still follow in
+time, before it is replaced in turn. Its pieces are nearby already, whereas those of the newer one
+have to come from the origin, which may fail at any moment: processes that had all set the older
+version aside would then hold neither when the bound of the one in use passes.
 """
 
 # The share of a version from which on its download is finished first: beyond it, starting over
 # loses more than the newer version gains.
 FINISH_FIRST_SHARE = 0.5
+# With less than this of a version it is as well to begin with the newer one.
+MIN_FINISH_SHARE = 0.1
+# From when a version has arrived until an engine answers with it: its last requests end, and it
+# loads the weights.
+SWITCH_SECONDS = 1.0
 # Longer than a chunk takes behind several others on a narrow link.
 STALL_TIMEOUT_SECONDS = 1.5
 
@@ -40,7 +50,15 @@
         self._set_aside: int | None = None
         self._abandoned_share = 0.0
 
-    def choose(self, newest: int, share: float, idle: float, complete: bool) -> int:
+    def choose(
+        self,
+        newest: int,
+        share: float,
+        idle: float,
+        complete: bool,
+        finish_first: bool = False,
+        expired: bool = False,
+    ) -> int:
         """Returns the version to download now.
 
         Args:
@@ -48,6 +66,9 @@
           share: The share of the current version that has arrived.
           idle: The seconds since some of it arrived, or since its download began.
           complete: All of it has arrived and is in use.
+          finish_first: Whether the newer version can follow in time; see can_follow.
+          expired: Whether requests may no longer be placed on the current version, so that it is
+            of no use any more.
         """
         stalled = idle > STALL_TIMEOUT_SECONDS
         if self.version is None or complete:
@@ -56,7 +77,9 @@
             can_resume = self._may_resume and self._set_aside is not None
             if stalled and share < 1.0 and can_resume:
                 self.version, self._set_aside = self._set_aside, newest
-        elif stalled or self._abandoned_share + share < FINISH_FIRST_SHARE:
+        elif expired:
+            self.version, self._set_aside = newest, None
+        elif stalled or (not finish_first and self._abandoned_share + share < FINISH_FIRST_SHARE):
             self._abandoned_share += share
             # Nothing is lost of a version of which nothing has arrived. Zero stands for whatever
             # version peers know as the newest, so it cannot be resumed.
@@ -64,3 +87,16 @@
                 self._set_aside = self.version
             self.version = newest
         return self.version
+
+
+def can_follow(share: float, copy_seconds: float, seconds_left: float) -> bool:
+    """Returns whether a newer version can be in use in time if the current one is finished first.
+
+    Args:
+      share: The share of the current version that has arrived.
+      copy_seconds: For how long a whole version takes.
+      seconds_left: Until requests may no longer be placed on the current version.
+    """
+    if share < MIN_FINISH_SHARE:
+        return False
+    return (1.0 - share) * copy_seconds + copy_seconds + SWITCH_SECONDS <= seconds_left
--- a/wasabidrum/decisions/version_choice_test.py
+++ b/wasabidrum/decisions/version_choice_test.py
@@ -5,7 +5,12 @@
 import hypothesis
 from hypothesis import strategies
 
-from .version_choice import FINISH_FIRST_SHARE, STALL_TIMEOUT_SECONDS, VersionChoice
+from .version_choice import (
+    FINISH_FIRST_SHARE,
+    STALL_TIMEOUT_SECONDS,
+    VersionChoice,
+    can_follow,
+)
 
 TRANSFER_SECONDS = 5.0
 STEP_SECONDS = 0.25
@@ -124,3 +129,41 @@
         choice = VersionChoice()
         choice.choose(2, 0.0, 0.0, False)
         self.assertEqual(choice.choose(3, 0.9, STALL_TIMEOUT_SECONDS + 0.1, False), 3)
+
+
+class FinishFirstTest(unittest.TestCase):
+    """The origin may fail right after a second version is named."""
+
+    def test_older_version_is_finished_while_both_fit(self) -> None:
+        """Guards against processes that set aside a version of which a third is here, and then
+        hold neither because the origin fails."""
+        choice = VersionChoice()
+        choice.choose(2, 0.0, 0.0, False)
+        fits = can_follow(0.3, 4.0, 8.4)
+        self.assertEqual(choice.choose(3, 0.3, 0.1, False, fits), 2)
+        self.assertEqual(choice.choose(3, 1.0, 0.1, True, False), 3)
+
+    def test_newer_version_is_first_if_both_do_not_fit(self) -> None:
+        """Guards against a newer version that comes after the older one may no longer answer."""
+        choice = VersionChoice()
+        choice.choose(2, 0.0, 0.0, False)
+        self.assertEqual(choice.choose(3, 0.3, 0.1, False, can_follow(0.3, 4.0, 6.0)), 3)
+
+    def test_stalled_version_makes_way_although_both_would_fit(self) -> None:
+        """Guards against waiting for an older version that nobody can send."""
+        choice = VersionChoice()
+        choice.choose(2, 0.0, 0.0, False)
+        idle = STALL_TIMEOUT_SECONDS + 0.1
+        self.assertEqual(choice.choose(3, 0.3, idle, False, can_follow(0.3, 4.0, 60.0)), 3)
+
+    def test_version_that_was_hardly_begun_is_not_finished(self) -> None:
+        """Guards against a wrong version that is corrected at once and would be loaded first."""
+        self.assertFalse(can_follow(0.05, 4.0, 60.0))
+
+    def test_version_that_may_no_longer_answer_is_not_finished(self) -> None:
+        """Guards against a download that holds up the newer version and is of no use."""
+        choice = VersionChoice()
+        choice.choose(2, 0.0, 0.0, False)
+        self.assertEqual(choice.choose(3, 0.9, 0.1, False, expired=False), 2)
+        self.assertEqual(choice.choose(3, 0.9, 0.1, False, expired=True), 3)
+        self.assertEqual(choice.choose(3, 0.0, 10.0, False), 3)
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -12,7 +12,8 @@
     should_drain_early,
     turn_of,
 )
-from ..decisions.version_choice import VersionChoice
+from ..decisions.version_choice import VersionChoice, can_follow
+from ..decisions.version_floor import PLACE_MARGIN_SECONDS
 from ..decisions.weights_retirement import WeightsRetirement
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -185,7 +186,12 @@
             idle = asyncio.get_running_loop().time() - max(
                 staged.progressed_at, self._progressed_at
             )
-        return choice.choose(self._listed.wanted, staged.share, idle, complete)
+        copy_seconds = staged.byte_count * 8 / (self._distributor.link_mbit * 1e6)
+        left = self._bound - PLACE_MARGIN_SECONDS - self._listed.replaced_for(staged.version)
+        finish_first = can_follow(staged.share, copy_seconds, left)
+        return choice.choose(
+            self._listed.wanted, staged.share, idle, complete, finish_first, left <= 0.0
+        )
 
     async def _retry_forever(self, wanted: int) -> None:
         while True:
--- a/wasabidrum/weights/engine_controller_test.py
+++ b/wasabidrum/weights/engine_controller_test.py
@@ -126,12 +126,14 @@
             own_name="b",
             answering={"a": "r", "b": "r"},
             named_for=lambda version: 0.0,
+            replaced_for=lambda version: 0.0,
         )
-        controller = EngineController(FakeEngine(), None, None, listed, None, 8.0, log)
+        distributor = types.SimpleNamespace(link_mbit=10.0)
+        controller = EngineController(FakeEngine(), None, distributor, listed, None, 8.0, log)
         controller.report = EngineReport(weights=1)
         choice = VersionChoice()
         choice.choose(2, 0.0, 0.0, False)
-        staged = types.SimpleNamespace(version=2, share=1.0, progressed_at=0.0)
+        staged = types.SimpleNamespace(version=2, share=1.0, progressed_at=0.0, byte_count=1)
         controller._staged[2] = staged
         with unittest.mock.patch.object(engine_controller, "seconds_until_turn", return_value=0.01):
             await controller._wait_for_turn(2)
--- a/wasabidrum/weights/staged_version.py
+++ b/wasabidrum/weights/staged_version.py
@@ -49,6 +49,11 @@
         """The version number."""
         return self._pieces.version
 
+    @property
+    def byte_count(self) -> int:
+        """The size of all pieces in bytes."""
+        return self._pieces.piece_bytes * len(self._pieces.digests)
+
     @property
     def share(self) -> float:
         """The fraction of the pieces that are staged."""
--- a/wasabidrum/weights/weights_relay.py
+++ b/wasabidrum/weights/weights_relay.py
@@ -23,7 +23,8 @@
 from ..core.published import PublishedConfiguration
 from ..decisions.chunk_plan import ChunkPlan
 from ..decisions.endpoint_registry import EndpointRegistry
-from ..decisions.version_choice import VersionChoice
+from ..decisions.version_choice import VersionChoice, can_follow
+from ..decisions.version_floor import PLACE_MARGIN_SECONDS
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.member_view import MemberView
@@ -92,12 +93,14 @@
 
     Attributes:
       progressed_at: When the last chunk arrived, or the work began, by the event loop's clock.
+      begun_at: When the work began.
       digests: The chunks that this relay is to hold; empty before they are known.
       held: The number of them that are in the store.
       complete: Whether all of them have been in the store.
     """
 
     progressed_at: float
+    begun_at: float = 0.0
     digests: tuple[str, ...] = ()
     held: int = 0
     complete: bool = False
@@ -147,6 +150,8 @@
         self._next_pieces: PieceList | None = None
         self._next_reading: asyncio.Task[None] | None = None
         self._progress = RelayProgress(0.0)
+        # When a version newer than the current one was named; None if none was.
+        self._replaced_at: float | None = None
         # The inputs from which the members were last computed.
         self._members_inputs: tuple[object, ...] = ()
 
@@ -174,7 +179,8 @@
                 if current != target or (work is not None and work.done()):
                     target = current
                     await self._cancel_work(work)
-                    self._progress = RelayProgress(asyncio.get_running_loop().time())
+                    now = asyncio.get_running_loop().time()
+                    self._progress = RelayProgress(now, now)
                     work = asyncio.ensure_future(self._retry_forever(current)) if current else None
                 await asyncio.sleep(POLL_SECONDS)
         finally:
@@ -223,14 +229,15 @@
             setting = find_setting(configuration, service.name)
             if setting is not None:
                 newest = self._state.newest_version(setting.model)
-                version = self._choose(choice, newest)
+                named_for = self._state.newest_seconds(setting.model)
+                version = self._choose(choice, newest, named_for)
                 # Sidecars may request pieces of the newer version, whose list is not known yet.
                 if version != newest:
                     self._distributor.store.chunks_unknown = True
                 return RelayTarget(service.name, setting, version)
         return None
 
-    def _choose(self, choice: VersionChoice, newest: int) -> int:
+    def _choose(self, choice: VersionChoice, newest: int, named_for: float) -> int:
         progress, store = self._progress, self._distributor.store
         now = asyncio.get_running_loop().time()
         held = sum(store.get(digest) is not None for digest in progress.digests)
@@ -239,7 +246,18 @@
             progress.progressed_at = now
         complete = progress.complete or (bool(progress.digests) and held == len(progress.digests))
         share = held / max(1, len(progress.digests))
-        return choice.choose(newest, share, now - progress.progressed_at, complete)
+        # Requests may be placed on the current version until the first newer one binds.
+        replaced = bool(choice.version) and newest > choice.version
+        if not replaced:
+            self._replaced_at = None
+        elif self._replaced_at is None:
+            self._replaced_at = now - named_for
+        finish_first = False
+        if self._replaced_at is not None and share:
+            bound = self._deployment.bounds.version - PLACE_MARGIN_SECONDS
+            copy_seconds = (now - progress.begun_at) / share
+            finish_first = can_follow(share, copy_seconds, bound - (now - self._replaced_at))
+        return choice.choose(newest, share, now - progress.progressed_at, complete, finish_first)
 
     def _update_members(self, service: str) -> None:
         """Updates members and relays if they have changed since the last call."""
