Bytes that are no answer end at a bound, by size and by time

Cause: an answer of an endpoint was read up to 64 MB, and one of chunks of a byte, or a head that comes byte by byte, until its caller's deadline; the address counted as crashed by the request, which was then blocked. A head that is too long raised an error that no user of the HTTP client expects. gRPC messages and packed changes had no bound.

Change: an answer is bounded by size (16 MB, less where memory is small), its head by 64 KB and 0.6 s from its first byte, its frames by its body. What exceeds this, or cannot be read, is answer_invalid: the connection is reset, the endpoint counts as failing, the request is retried if it may be, and nothing is suspected of having crashed the endpoint. Store, engine, origin, readings, statuses and gRPC messages have bounds of their own.

--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -14,6 +14,7 @@
 from ..core.route import RouteKind
 from ..decisions import begin_deadline
 from ..decisions.attempt_rule import AttemptEnd
+from ..decisions.buffer_budget import BufferAccount
 from ..decisions.request_recall import RecallReason
 from ..decisions.version_floor import BeginLimit
 from ..observe.event import Event
@@ -42,6 +43,13 @@
 # A rule has forbidden to send there since the endpoint was chosen.
 RULED_OUT_CODE = "endpoint_ruled_out"
 UNWANTED_CODES = frozenset((RESTING_CODE, LEAVING_CODE, RULED_OUT_CODE))
+# What the endpoint sent is no reply, or exceeds the bounds of one; it may come without end.
+INVALID_CODE = "answer_invalid"
+# The memory for buffers does not hold the rest of the reply.
+MEMORY_CODE = "memory_short"
+# How long after the caller's deadline parts of a reply are still passed on that arrive without a
+# pause. Without a limit, a reply that has no end would never time out.
+LATE_SECONDS = 0.5
 
 
 class AttemptError(Exception):
@@ -189,7 +197,7 @@
             timeout = min(CONNECT_TIMEOUT_SECONDS, self._call.seconds_left)
             try:
                 self._connection = await endpoint_connection.connect(
-                    endpoint.host, endpoint.port, timeout
+                    endpoint.host, endpoint.port, timeout, self._gateway.buffers
                 )
             except CodedError as error:
                 raise AttemptError(AttemptEnd.NOT_SENT, error.code) from error
@@ -319,15 +327,29 @@
         if part.kind is PartKind.BROKEN:
             reason = self._recall_reason
             code = "endpoint_unreachable" if reason is None else reason.value
+            if connection.invalid and reason is None:
+                code = self._record_invalid()
             raise AttemptError(AttemptEnd.NOT_SENT, code)
         return part
 
+    def _record_invalid(self) -> str:
+        """Logs that what arrived is no reply; returns the error code."""
+        self._gateway.log.write(
+            Event.ANSWER_INVALID,
+            request=self._call.head.request_id,
+            endpoint=self._placement.endpoint.id,
+            head=self._head_at is not None,
+        )
+        return INVALID_CODE
+
     def _record_sent(self) -> None:
         """Records that the endpoint has, or is about to have, all that it needs to begin."""
         self._sent_at = asyncio.get_running_loop().time()
         self._limit_at_sending = self._begin_limit()
 
     async def _next_part(self, connection: EndpointConnection) -> Part:
+        if self._call.seconds_left < -LATE_SECONDS and not connection.ended:
+            raise AttemptError(AttemptEnd.LOST, "timeout")
         try:
             part = await waiting.wait_for(
                 connection.next_part(), max(0.001, self._call.seconds_left)
@@ -339,6 +361,8 @@
                 self._recall_reason = RecallReason.WEIGHTS_OVERDUE
             if self._recall_reason is not None:
                 raise AttemptError(AttemptEnd.LOST, self._recall_reason.value)
+            if connection.invalid:
+                raise AttemptError(AttemptEnd.LOST, self._record_invalid())
         return part
 
     def _read_reply_head(self, part: Part) -> ReplyHead:
@@ -384,14 +408,20 @@
     async def _read_complete_reply(
         self, connection: EndpointConnection, head: ReplyHead
     ) -> CompleteReply:
-        chunks = []
-        while True:
-            part = await self._next_part(connection)
-            if part.kind is PartKind.END:
-                return CompleteReply(head, b"".join(chunks))
-            if part.kind is PartKind.BROKEN:
-                raise AttemptError(AttemptEnd.LOST, "answer_cut")
-            chunks.append(part.content)
+        body, account = bytearray(), BufferAccount(self._gateway.buffers)
+        try:
+            while True:
+                part = await self._next_part(connection)
+                if part.kind is PartKind.END:
+                    return CompleteReply(head, bytes(body))
+                if part.kind is PartKind.BROKEN:
+                    raise AttemptError(AttemptEnd.LOST, "answer_cut")
+                body += part.content
+                account.add(len(part.content))
+                if self._gateway.buffers.exceeded:
+                    raise AttemptError(AttemptEnd.LOST, MEMORY_CODE)
+        finally:
+            account.close()
 
     async def _relay_stream(self, connection: EndpointConnection, head: ReplyHead) -> None:
         buffer = EventStreamBuffer()
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -11,6 +11,7 @@
 from ..core.incarnation import make_incarnation
 from ..core.published import CallerLimits
 from ..core.requests_in_progress import RequestsInProgress
+from ..decisions.buffer_budget import make_buffer_budget
 from ..decisions.crashing_parts import CrashingParts
 from ..decisions.poison import PoisonGuard
 from ..decisions.stated_limits import StatedLimits
@@ -91,6 +92,7 @@
         self.accepts_requests = True
         self.requests = RequestsInProgress()
         self.tasks = BackgroundTasks(self._log_task_failure)
+        self.buffers = make_buffer_budget(deployment.memory_mb)
         client = http_client.make_client()
         self.state = PublishedState(deployment.bounds, log)
         store = make_store_client(client, deployment.store)
--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -15,12 +15,22 @@
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
 from ..core.request_head import ReplyHead
+from ..decisions.buffer_budget import MAX_ANSWER_BYTES, BufferAccount, BufferBudget
 from ..platform import heads
 
-# The most of a reply that is buffered ahead of a slow caller; above it, reading is paused.
-READ_AHEAD_BYTES = 262_144
-MAX_BODY_BYTES = 64 * 1_048_576
 MAX_HEAD_BYTES = 65_536
+# A head arrives in one segment or a few. Bytes that have not become a head this long after the
+# first of them are none. Over a link that loses packets, a segment is late by several hundred
+# milliseconds.
+HEAD_TIMEOUT_SECONDS = 0.6
+# A reply takes up to twice the length of its body, and this much more. The frame of a chunk takes
+# six bytes, and each chunk as much processor time as a kilobyte: a reply of chunks of one byte
+# would keep the process busy for minutes before its body is too large.
+FRAME_FACTOR = 2
+MAX_FRAME_BYTES = 524_288
+# What a part of a reply takes beside its content. Content that arrives byte by byte takes far more
+# memory than its length.
+PART_BYTES = 256
 # How long sent data may stay unacknowledged. An endpoint that has become unreachable closes
 # nothing, and without this limit its connection would hang until the request's deadline.
 TCP_USER_TIMEOUT_MS = 2000
@@ -49,6 +59,32 @@
     content: bytes = b""
 
 
+class ReplyStream(iostream.IOStream):
+    """A connection that reports the first byte of a reply, of which no reader gets to know.
+
+    Attributes:
+      on_first_byte: Called once something has arrived, and then replaced by None.
+      ended_by_peer: Whether the other end has closed it in order.
+      received: The bytes that have arrived, with heads and the frames of chunks.
+    """
+
+    on_first_byte: collections.abc.Callable[[], None] | None = None
+    ended_by_peer = False
+    received = 0
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Reads what has arrived; see BaseIOStream."""
+        count = super().read_from_fd(buf)
+        if count == 0:
+            self.ended_by_peer = True
+        elif count:
+            self.received += count
+        if count and self.on_first_byte is not None:
+            report, self.on_first_byte = self.on_first_byte, None
+            report()
+        return count
+
+
 class EndpointConnection(httputil.HTTPMessageDelegate):
     """Sends one request and returns its reply in parts.
 
@@ -58,16 +94,22 @@
     Attributes:
       sent: Whether any byte of the request may have been sent.
       body_started: Whether any byte of the reply's body has arrived.
+      invalid: Whether it was closed because what arrived is no reply, or exceeds its bounds.
     """
 
-    def __init__(self, stream: iostream.IOStream) -> None:
+    def __init__(self, stream: ReplyStream, budget: BufferBudget) -> None:
         self._stream = stream
+        self._budget = budget
+        self._account = BufferAccount(budget)
+        # The size of the part that next_part returned last, which is in use until the next call.
+        self._size_in_use = 0
+        self._body_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
         self._parts: collections.deque[Part] = collections.deque()
         # Resolved when a part arrives that next_part waits for.
         self._part_waiter: asyncio.Future[None] | None = None
         # Resolved when the buffer has room again; reading is paused until then.
         self._room_waiter: asyncio.Future[None] | None = None
-        self._buffered_bytes = 0
         self._read_task: asyncio.Future | None = None
         self._request: http1connection.HTTP1Connection | None = None
         self._held_body = b""
@@ -76,6 +118,7 @@
         self._ended = False
         self.sent = False
         self.body_started = False
+        self.invalid = False
 
     def send(
         self,
@@ -93,8 +136,10 @@
         params = http1connection.HTTP1ConnectionParameters(
             no_keep_alive=True,
             max_header_size=MAX_HEAD_BYTES,
-            max_body_size=MAX_BODY_BYTES,
+            # The size of the body is checked here, and this limit never reached.
+            max_body_size=2 * MAX_ANSWER_BYTES,
         )
+        self._stream.on_first_byte = self._start_head_timer
         connection = http1connection.HTTP1Connection(self._stream, True, params)
         self.sent = True
         start = httputil.RequestStartLine(method, target, "")
@@ -115,17 +160,27 @@
 
     async def next_part(self) -> Part:
         """Returns the next part of the reply; must not be called after END or BROKEN."""
+        self._account.remove(self._size_in_use)
+        self._size_in_use = 0
+        self._resume_reading()
         while not self._parts:
             self._part_waiter = asyncio.get_running_loop().create_future()
             await self._part_waiter
         part = self._parts.popleft()
-        self._buffered_bytes -= len(part.content)
-        if self._room_waiter is not None and self._buffered_bytes < READ_AHEAD_BYTES:
-            if not self._room_waiter.done():
-                self._room_waiter.set_result(None)
-            self._room_waiter = None
+        if part.kind is PartKind.BODY:
+            self._size_in_use = PART_BYTES + len(part.content)
         return part
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether more of the reply has arrived than its reader has taken."""
+        return bool(self._parts)
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more is read, because the reply is complete or broken."""
+        return self._ended
+
     @property
     def unacknowledged_bytes(self) -> int | None:
         """Sent bytes that the endpoint's instance has not confirmed; None where unknown.
@@ -156,9 +211,45 @@
         if self.sent and not self._ended and not self._stream.closed():
             self._discard_unsent()
         self._ended = True
+        self._stop_head_timer()
         self._stream.close()
         if self._room_waiter is not None and not self._room_waiter.done():
             self._room_waiter.set_result(None)
+        self._parts.clear()
+        self._size_in_use = 0
+        self._account.close()
+
+    @property
+    def _is_invalid(self) -> bool:
+        """Whether the connection was closed on account of what has arrived."""
+        stream = self._stream
+        # The stream's own bounds are those of a head and of the frame of a chunk.
+        if isinstance(stream.error, iostream.UnsatisfiableReadError):
+            return True
+        # Neither end has closed it otherwise: what arrived could not be read as a reply.
+        return stream.closed() and stream.error is None and not stream.ended_by_peer
+
+    def _resume_reading(self) -> None:
+        if self._room_waiter is None or self._account.held >= self._budget.read_ahead:
+            return
+        if not self._room_waiter.done():
+            self._room_waiter.set_result(None)
+        self._room_waiter = None
+
+    def _start_head_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._head_timer = loop.call_later(HEAD_TIMEOUT_SECONDS, self._end_invalid)
+
+    def _stop_head_timer(self) -> None:
+        self._stream.on_first_byte = None
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _end_invalid(self) -> None:
+        """Resets the connection because what arrives exceeds the bounds of a reply."""
+        self.invalid = self.invalid or not self._ended
+        self.abort()
 
     def _discard_unsent(self) -> None:
         # After an ordinary close, the kernel goes on sending unacknowledged data. Over a
@@ -178,10 +269,16 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         """Handles the reply's head; see HTTPMessageDelegate."""
+        self._stop_head_timer()
         if start_line.code < 200:
+            # The head of the final answer has its time from its own first byte on.
+            self._stream.on_first_byte = self._start_head_timer
             if start_line.code == 100:
                 self._append(Part(PartKind.CONTINUE))
             return
+        if heads.body_length(headers) > self._budget.largest_answer:
+            self._end_invalid()
+            return
         self._ends_with_connection = (
             "Content-Length" not in headers and "Transfer-Encoding" not in headers
         )
@@ -189,10 +286,17 @@
 
     def data_received(self, chunk: bytes) -> asyncio.Future | None:
         """Handles a part of the body; returns a future to wait for if the buffer is full."""
+        if self._ended:
+            return None
         self.body_started = True
+        self._body_bytes += len(chunk)
+        frames = self._stream.received - FRAME_FACTOR * self._body_bytes
+        if self._body_bytes > self._budget.largest_answer or frames > MAX_FRAME_BYTES:
+            self._end_invalid()
+            return None
         self._append(Part(PartKind.BODY, content=chunk))
-        self._buffered_bytes += len(chunk)
-        if self._buffered_bytes < READ_AHEAD_BYTES or self._ended:
+        self._account.add(PART_BYTES + len(chunk))
+        if self._account.held < self._budget.read_ahead:
             return None
         if self._room_waiter is None:
             self._room_waiter = asyncio.get_running_loop().create_future()
@@ -219,21 +323,27 @@
             return
         if part.kind in (PartKind.END, PartKind.BROKEN):
             self._ended = True
+            self._stop_head_timer()
+            self.invalid = self.invalid or (part.kind is PartKind.BROKEN and self._is_invalid)
         self._parts.append(part)
         if self._part_waiter is not None and not self._part_waiter.done():
             self._part_waiter.set_result(None)
 
 
-async def connect(host: str, port: int, timeout: float) -> EndpointConnection:
+async def connect(host: str, port: int, timeout: float, budget: BufferBudget) -> EndpointConnection:
     """Opens a connection.
 
+    Args:
+      budget: What the connection's buffers count against.
+
     Raises:
       CodedError: It could not be opened in time; nothing was sent.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-    stream = iostream.IOStream(sock, max_buffer_size=MAX_BODY_BYTES)
+    # The stream reads no more ahead than the head or the segment that is asked for.
+    stream = ReplyStream(sock, max_buffer_size=budget.largest_answer)
     try:
         await waiting.wait_for(stream.connect((host, port)), timeout)
     except (OSError, TimeoutError, iostream.StreamClosedError) as error:
@@ -244,4 +354,4 @@
     except asyncio.CancelledError:
         stream.close()
         raise
-    return EndpointConnection(stream)
+    return EndpointConnection(stream, budget)
--- a/wasabidrum/gateway/event_stream.py
+++ b/wasabidrum/gateway/event_stream.py
@@ -5,7 +5,7 @@
 EVENT_TERMINATOR = b"\n\n"
 ID_FIELD = b"id:"
 # An event is a few hundred bytes. The limit keeps one that never ends from exhausting memory.
-MAX_EVENT_BYTES = 1_048_576
+MAX_EVENT_BYTES = 262_144
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,7 +34,7 @@
     __slots__ = ("_partial",)
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
 
     @property
     def incomplete(self) -> bool:
@@ -47,15 +47,18 @@
         Raises:
           ValueError: An event is larger than MAX_EVENT_BYTES.
         """
-        held = self._partial + content
-        end = held.rfind(EVENT_TERMINATOR)
+        held = self._partial
+        # What was searched before is not searched again: an event may arrive byte by byte.
+        searched = max(0, len(held) - len(EVENT_TERMINATOR) + 1)
+        held += content
+        end = held.rfind(EVENT_TERMINATOR, searched)
         if end < 0:
-            self._partial = held
             if len(held) > MAX_EVENT_BYTES:
                 raise ValueError("an event exceeds the size limit")
             return CompleteEvents(b"", "", 0)
         end += len(EVENT_TERMINATOR)
-        complete, self._partial = held[:end], held[end:]
+        complete = bytes(held[:end])
+        del held[:end]
         return CompleteEvents(complete, find_last_id(complete), complete.count(EVENT_TERMINATOR))
 
 
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -14,6 +14,8 @@
 MEET_PATH = "/wasabidrum.Entry/Meet"
 CHANGES_PATH = "/wasabidrum.Entry/Changes"
 SUSPECTS_PATH = "/wasabidrum.Entry/Suspects"
+# What packed changes may become: a copy of the whole store.
+MAX_UNPACKED_BYTES = 64 * 1_048_576
 
 
 class EntryAddress(msgspec.Struct, frozen=True, array_like=True):
@@ -165,8 +167,12 @@
     Raises:
       CodedError: The bytes are not valid.
     """
+    inflating = zlib.decompressobj()
     try:
-        return msgspec.msgpack.decode(zlib.decompress(packed), type=tuple[PeerChange, ...])
+        content = inflating.decompress(packed, MAX_UNPACKED_BYTES)
+        if not inflating.eof:
+            raise CodedError("peer_unreadable", "packed changes are cut or too large", 502)
+        return msgspec.msgpack.decode(content, type=tuple[PeerChange, ...])
     except (zlib.error, msgspec.MsgspecError) as error:
         raise CodedError("peer_unreadable", f"packed changes: {error}", 502) from error
 
--- a/wasabidrum/peers/peer_client.py
+++ b/wasabidrum/peers/peer_client.py
@@ -10,7 +10,7 @@
 
 from ..core.errors import CodedError
 from ..wire import tls
-from . import peer_messages
+from . import message_bound, peer_messages
 from .message_codec import MessageCodec
 from .peer_link import PeerLink
 from .peer_messages import (
@@ -24,6 +24,7 @@
 QUERY_TIMEOUT_SECONDS = 1.0
 FETCH_TIMEOUT_SECONDS = 5.0
 CODEC = MessageCodec()
+message_bound.install()
 STREAM_ERRORS = (
     OSError,
     TimeoutError,
--- a/wasabidrum/platform/engine_client.py
+++ b/wasabidrum/platform/engine_client.py
@@ -15,6 +15,8 @@
 
 # An engine on the same instance answers within a millisecond unless it is down.
 REQUEST_TIMEOUT_SECONDS = 1.0
+# Answers other than pieces have some kilobytes.
+MAX_ANSWER_BYTES = 1_048_576
 # The strategy by which the engine first finishes its running requests, accepting no new ones, and
 # then loads.
 AFTER_RUNNING = "wait"
@@ -94,13 +96,13 @@
     async def read_piece(self, model: str, number: int) -> bytes | None:
         """Returns a piece from the staging area, or None where the engine does not give it."""
         path = f"{names.STAGE_GET_PATH}{model}?num={number}"
-        response = await self._fetch(path)
+        response = await self._fetch(path, http_client.MAX_BODY_BYTES)
         return response.body if response.code == 200 else None
 
     async def put_piece(self, model: str, number: int, content: bytes) -> None:
         """Writes a piece to the staging area, replacing any previous content."""
         path = f"{names.STAGE_PUT_PATH}{model}?num={number}"
-        response = await self._fetch(path, method="PUT", body=content)
+        response = await self._fetch(path, MAX_ANSWER_BYTES, method="PUT", body=content)
         if response.code not in (200, 201, 202, 204):
             raise CodedError(
                 "stage_refused", f"the engine answered status {response.code}", 502, Outcome.FAILED
@@ -136,23 +138,27 @@
         if orders is not None:
             order["precondition"] = orders
         response = await http_client.post_json(
-            self._client, self._url + names.ORDER_PATH, order, REQUEST_TIMEOUT_SECONDS
+            self._client,
+            self._url + names.ORDER_PATH,
+            order,
+            REQUEST_TIMEOUT_SECONDS,
+            MAX_ANSWER_BYTES,
         )
         return response.code in ACCEPTED
 
     async def _get(self, path: str) -> bytes:
-        response = await self._fetch(path)
+        response = await self._fetch(path, MAX_ANSWER_BYTES)
         if response.code != 200:
             raise CodedError("engine_error", f"{path}: status {response.code}", 502)
         return response.body
 
     async def _fetch(
-        self, path: str, method: str = "GET", body: bytes | None = None
+        self, path: str, max_bytes: int, method: str = "GET", body: bytes | None = None
     ) -> httpclient.HTTPResponse:
         request = httpclient.HTTPRequest(
             self._url + path, method=method, body=body, request_timeout=REQUEST_TIMEOUT_SECONDS
         )
-        return await http_client.fetch(self._client, request, "engine")
+        return await http_client.fetch(self._client, request, "engine", max_bytes)
 
 
 def make_engine_client(client: httpclient.AsyncHTTPClient, address: Address) -> EngineClient:
--- a/wasabidrum/platform/heads.py
+++ b/wasabidrum/platform/heads.py
@@ -157,6 +157,12 @@
     )
 
 
+def body_length(headers: httputil.HTTPHeaders) -> int:
+    """Returns the length in bytes that a head states for its body; zero where it states none."""
+    text = headers.get("Content-Length", "").partition(",")[0]
+    return int(text) if text.isascii() and text.isdecimal() else 0
+
+
 def read_decimal(text: str) -> float | None:
     """Converts a decimal number without a sign; returns None if the text is none."""
     return float(text) if DECIMAL.fullmatch(text) else None
--- a/wasabidrum/platform/origin_client.py
+++ b/wasabidrum/platform/origin_client.py
@@ -10,6 +10,7 @@
 
 # A list has a few kilobytes; most of the time-out is for a link that is busy with weights.
 LIST_TIMEOUT_SECONDS = 2.0
+MAX_LIST_BYTES = 4 * 1_048_576
 # A piece takes about 30 ms over the origin's link, and one or two seconds while many instances
 # download at once.
 PIECE_TIMEOUT_SECONDS = 4.0
@@ -32,7 +33,7 @@
     def __init__(self, client: httpclient.AsyncHTTPClient) -> None:
         self._client = client
         self._url = ""
-        self._pieces: dict[str, tuple[str, int, int]] = {}
+        self._pieces: dict[str, tuple[str, int, int, int]] = {}
 
     def set_address(self, host: str, port: int) -> None:
         """Sets the address of the origin."""
@@ -45,7 +46,9 @@
           CodedError: The origin did not answer with a list.
         """
         query = f"?version={version}" if version else ""
-        body = await self._get(f"{names.MANIFEST_PATH}{model}{query}", LIST_TIMEOUT_SECONDS)
+        body = await self._get(
+            f"{names.MANIFEST_PATH}{model}{query}", LIST_TIMEOUT_SECONDS, MAX_LIST_BYTES
+        )
         try:
             wire = msgspec.json.decode(body, type=WireManifest)
         except msgspec.MsgspecError as error:
@@ -57,23 +60,24 @@
     def add_list(self, pieces: PieceList) -> None:
         """Registers the pieces of a list, so that fetch finds them by their digests."""
         for number, digest in enumerate(pieces.digests):
-            self._pieces[digest] = (pieces.model, pieces.version, number)
+            self._pieces[digest] = (pieces.model, pieces.version, number, pieces.piece_bytes)
 
     async def fetch(self, digest: str) -> bytes:
         """See BlobSource."""
         piece = self._pieces.get(digest)
         if piece is None:
             raise CodedError("source_missing", f"no known list contains {digest}", 503)
-        model, version, number = piece
+        model, version, number, size = piece
         path = f"{names.PIECE_PATH}{model}?num={number}&version={version}"
-        return await self._get(path, PIECE_TIMEOUT_SECONDS)
+        max_bytes = min(size, http_client.MAX_BODY_BYTES) if size > 0 else None
+        return await self._get(path, PIECE_TIMEOUT_SECONDS, max_bytes)
 
-    async def _get(self, path: str, seconds: float) -> bytes:
+    async def _get(self, path: str, seconds: float, max_bytes: int | None) -> bytes:
         if not self._url:
             raise CodedError("source_missing", "no address of an origin is known yet", 503)
         request = httpclient.HTTPRequest(self._url + path, request_timeout=seconds)
         try:
-            response = await http_client.fetch(self._client, request, "origin")
+            response = await http_client.fetch(self._client, request, "origin", max_bytes)
         except CodedError as error:
             raise CodedError("source_unreachable", str(error), 503) from error
         if response.code == 410:
--- a/wasabidrum/platform/store_client.py
+++ b/wasabidrum/platform/store_client.py
@@ -21,6 +21,10 @@
 READ_TIMEOUT_SECONDS = 4.0
 # How much longer a watch may take than the wait that it asks for.
 WATCH_EXTRA_SECONDS = 1.0
+# A configuration of a thousand routes has 400 kilobytes.
+MAX_ANSWER_BYTES = 16 * 1_048_576
+# What all pages of a range may bring.
+MAX_RANGE_BYTES = 4 * MAX_ANSWER_BYTES
 # The store splits a large answer into pages; no range has more pages than this.
 MAX_PAGES = 100
 
@@ -82,10 +86,13 @@
         """
         changes: list[StoreChange] = []
         first: int | None = None
-        after = ""
+        after, size = "", 0
         for _ in range(MAX_PAGES):
             query = {"prefix": prefix.value} | ({"after": after} if after else {})
             body = await self._get(names.STORE_RANGE_PATH, query, READ_TIMEOUT_SECONDS)
+            size += len(body)
+            if size > MAX_RANGE_BYTES:
+                raise CodedError("store_unreadable", "the range is too large", 503)
             page = decode(body, WireRange)
             # The pages are not a snapshot. A watch from the first page's revision also returns
             # the changes made while the other pages were read.
@@ -118,7 +125,7 @@
         request = httpclient.HTTPRequest(
             url, request_timeout=timeout, connect_timeout=min(timeout, 1.0)
         )
-        response = await http_client.fetch(self._client, request, "store")
+        response = await http_client.fetch(self._client, request, "store", MAX_ANSWER_BYTES)
         if response.code == 410:
             raise CodedError(
                 "history_lost", "the store has dropped the changes after this revision", 503
--- a/wasabidrum/weights/peer_chunk_client.py
+++ b/wasabidrum/weights/peer_chunk_client.py
@@ -87,13 +87,13 @@
         elif line.strip():
             self._head.parse_line(line)
         else:
-            starts_in = float(self._head.get(headers.CHUNK_STARTS_IN, "0"))
-            seconds = float(self._head.get(headers.CHUNK_SECONDS, "0"))
+            starts_in = read_seconds(self._head.get(headers.CHUNK_STARTS_IN, "0"))
+            seconds = read_seconds(self._head.get(headers.CHUNK_SECONDS, "0"))
             now = self._loop.time()
-            self._due_at = now + max(0.0, starts_in) + seconds
+            self._due_at = now + starts_in + seconds
             self.sending_seconds = seconds
             self._idle_from = now
-            self._stalls_at = now + max(0.0, starts_in) + STALL_SECONDS
+            self._stalls_at = now + starts_in + STALL_SECONDS
             self._ends_at = self._stalls_at + SLOWEST_FACTOR * seconds + STALL_SECONDS
 
     def extend_due_time(self, seconds: float) -> None:
@@ -111,6 +111,15 @@
         self._stalls_at = max(self._stalls_at, self._loop.time() + STALL_SECONDS)
 
 
+def read_seconds(text: str) -> float:
+    """Converts seconds that a peer announces; zero for what is no time, or too long for one."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    return seconds if 0.0 <= seconds <= MAX_REQUEST_SECONDS else 0.0
+
+
 class PeerChunkClient:
     """Requests chunks from peers over HTTP."""
 
--- a/wasabidrum/weights/shared_readings.py
+++ b/wasabidrum/weights/shared_readings.py
@@ -37,6 +37,8 @@
 # the members may have changed.
 MEMBERS_VALID_SECONDS = 2.0
 STATUS_MISSING = 404
+# A list of a version's pieces has some kilobytes, and so have a thousand members.
+MAX_READING_BYTES = 8 * 1_048_576
 # The path name of the latest version that a peer knows.
 LATEST = "0"
 MEMBERS = "members"
@@ -178,7 +180,9 @@
                 request_timeout=seconds,
             )
             try:
-                response = await http_client.fetch(self._client, request, "reading")
+                response = await http_client.fetch(
+                    self._client, request, "reading", MAX_READING_BYTES
+                )
                 if response.code == STATUS_MISSING:
                     continue
                 return msgspec.json.decode(response.body, type=kind)
--- a/wasabidrum/weights/status_client.py
+++ b/wasabidrum/weights/status_client.py
@@ -14,6 +14,7 @@
 TIMEOUT_SECONDS = 1.5
 MIN_PAUSE_SECONDS = 3.0
 MAX_PAUSE_SECONDS = 24.0
+MAX_STATUS_BYTES = 1_048_576
 
 
 class StatusClient:
@@ -58,7 +59,7 @@
         self.asked += 1
         request = httpclient.HTTPRequest(url + "/internal/status", request_timeout=TIMEOUT_SECONDS)
         try:
-            response = await http_client.fetch(self._client, request, url)
+            response = await http_client.fetch(self._client, request, url, MAX_STATUS_BYTES)
             status = msgspec.json.decode(response.body, type=Status)
         except (CodedError, msgspec.MsgspecError):
             pause = min(MAX_PAUSE_SECONDS, 2 * pause)
--- a/wasabidrum/wire/http_client.py
+++ b/wasabidrum/wire/http_client.py
@@ -6,10 +6,11 @@
 
 import asyncio
 import collections.abc
+import io
 import ssl
 
 import msgspec
-from tornado import httpclient, httputil
+from tornado import httpclient, httputil, iostream
 
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
@@ -18,8 +19,18 @@
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 MAX_CLIENTS = 10_000
+# The largest body that is read where the caller of this client states no smaller bound.
 MAX_BODY_BYTES = 64 * 1_048_576
 END_OF_STREAM = object()
+# What the client raises for a connection that fails, and for bytes that are no response or exceed
+# its bounds.
+FETCH_ERRORS = (
+    OSError,
+    httpclient.HTTPError,
+    httputil.HTTPInputError,
+    iostream.UnsatisfiableReadError,
+    iostream.StreamBufferFullError,
+)
 
 
 def make_client() -> httpclient.AsyncHTTPClient:
@@ -160,23 +171,66 @@
     return response
 
 
+class BoundedBody:
+    """A response body that is given up once it exceeds a number of bytes."""
+
+    __slots__ = ("_content", "_max_bytes")
+
+    def __init__(self, max_bytes: int) -> None:
+        self._content = bytearray()
+        self._max_bytes = max_bytes
+
+    @property
+    def content(self) -> bytes:
+        """What has arrived."""
+        return bytes(self._content)
+
+    def add(self, part: bytes) -> None:
+        """Adds some bytes.
+
+        Raises:
+          HTTPInputError: There are too many; Tornado then closes the connection.
+        """
+        if len(self._content) + len(part) > self._max_bytes:
+            self._content.clear()
+            raise httputil.HTTPInputError("the body is too long")
+        self._content += part
+
+
 async def fetch(
-    client: httpclient.AsyncHTTPClient, request: httpclient.HTTPRequest, what: str
+    client: httpclient.AsyncHTTPClient,
+    request: httpclient.HTTPRequest,
+    what: str,
+    max_bytes: int | None = None,
 ) -> httpclient.HTTPResponse:
     """Sends a request and returns its complete response, whatever its status.
 
+    Args:
+      max_bytes: The largest body that is read; None for the client's own bound.
+
     Raises:
       CodedError: No complete response arrived; the outcome tells whether the request may have been
         sent.
     """
+    body = None
+    if max_bytes is not None:
+        body = BoundedBody(max_bytes)
+        request.streaming_callback = body.add
     try:
-        return await raise_on_599(client.fetch(request, raise_error=False))
-    except (OSError, httpclient.HTTPError) as error:
+        response = await raise_on_599(client.fetch(request, raise_error=False))
+    except FETCH_ERRORS as error:
         raise classify_failure(error, what) from error
+    if body is not None:
+        response.buffer = io.BytesIO(body.content)
+    return response
 
 
 async def post_json(
-    client: httpclient.AsyncHTTPClient, url: str, body: object, timeout: float
+    client: httpclient.AsyncHTTPClient,
+    url: str,
+    body: object,
+    timeout: float,
+    max_bytes: int | None = None,
 ) -> httpclient.HTTPResponse:
     """Posts an object as JSON."""
     request = httpclient.HTTPRequest(
@@ -186,4 +240,4 @@
         headers={"Content-Type": "application/json"},
         request_timeout=timeout,
     )
-    return await fetch(client, request, url)
+    return await fetch(client, request, url, max_bytes)
