Buffers of an entry are bounded in all, and engines' memory counts

Cause: what an entry buffered for slow callers was bounded for each answer (256 KB), not in all, and whole answers not at all; an endpoint whose answer waited for its caller counted as silent. A request larger than an engine's memory waited there in vain, and long prompts were sent to engines whose memory others had taken.

Change: decisions/buffer_budget.py counts bodies, answers and an allowance for each request against a quarter of memory_mb; read-ahead follows from what is free; new requests get 503 memory_short beyond three quarters. Callers that read nothing for 30 s lose their connection. decisions/engine_memory.py refuses what never fits (exceeds_engine_memory) and leaves out engines with free slots and no memory.

--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -36,6 +36,7 @@
     Attributes:
       own_requests: Number of this entry's requests in progress there.
       unread_tokens: Prompt tokens of those that have had no event yet.
+      held_tokens: Prompt tokens of all of this entry's requests in progress there.
       failures: Recent failure rate there.
       lateness: How much later than forecast requests have recently started there.
       run_seconds: Average time for a request of a plain service.
@@ -53,12 +54,13 @@
         "_queued",
         "_unreported_sends",
     )
-    __slots__ += ("_silent_since", "asks_for_body", "reported_at")
+    __slots__ += ("_silent_since", "asks_for_body", "reported_at", "held_tokens")
 
     def __init__(self, rng: random.Random) -> None:
         self.health = EndpointHealth(rng)
         self.own_requests = 0
         self.unread_tokens = 0
+        self.held_tokens = 0
         self.failures = FailureRate()
         self.lateness = RecentLateness()
         # Time from which silence counts while this entry has requests there.
@@ -85,6 +87,7 @@
             self._silent_since = now + forecast
         self.own_requests += 1
         self.unread_tokens += prompt_tokens
+        self.held_tokens += prompt_tokens
         self._unreported_sends.append(now)
         self.health.record_placed()
 
@@ -118,6 +121,7 @@
           answered: Whether it had its first event.
         """
         self.own_requests -= 1
+        self.held_tokens -= prompt_tokens
         if not answered:
             self.unread_tokens -= prompt_tokens
 
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -160,9 +160,16 @@
         """Whether the reply starts as soon as the endpoint starts to work on the request."""
         return self._call.route.kind is RouteKind.STREAM
 
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether parts of the reply have arrived that its caller has not read yet."""
+        return self._connection is not None and self._connection.has_unread
+
     @property
     def last_activity_at(self) -> float:
         """When the last event arrived, or else the request was placed, by the loop's clock."""
+        if self.waits_for_caller:
+            return asyncio.get_running_loop().time()
         return self._last_activity_at
 
     @property
--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -39,6 +39,10 @@
     def streams_response(self) -> bool:
         """Whether the reply starts as soon as the endpoint starts to work on the request."""
 
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether parts of the reply have arrived that its caller has not read yet."""
+
     @property
     def last_activity_at(self) -> float:
         """When the last event arrived, or else the request was placed, by the loop's clock."""
@@ -116,6 +120,9 @@
         self._update_retired(now)
         for attempt in list(self._attempts):
             placement = attempt.placement
+            if attempt.waits_for_caller:
+                # The endpoint has sent more than the caller has read, and is not silent.
+                placement.load.record_progress(attempt.last_activity_at)
             if not attempt.response_started:
                 self._placer.record_waiting(placement, attempt.last_activity_at)
             waiting = PlacedRequest(
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -136,6 +136,7 @@
         self._load_watcher.find_parts = self.part_guard.parts_to_remember
         self._load_watcher.on_parts = self.part_guard.learn
         self._was_ready = False
+        self._lacked_memory = False
         self._add_gauges()
 
     @property
@@ -162,6 +163,16 @@
             )
         return ready
 
+    @property
+    def lacks_memory(self) -> bool:
+        """Whether new requests are refused for lack of memory; logs each change."""
+        lacks = self.buffers.refusing
+        if lacks != self._lacked_memory:
+            self._lacked_memory = lacks
+            used, limit = self.buffers.used, self.buffers.limit
+            self.log.write(Event.MEMORY_SHORT, refusing=lacks, used=used, limit=limit)
+        return lacks
+
     @property
     def _caller_limits(self) -> CallerLimits:
         routes = self.state.routes
@@ -246,6 +257,16 @@
             "Requests of callers begun and not ended.",
             lambda: self.requests.count,
         )
+        add(
+            "buffered_bytes",
+            "Buffered for callers and from endpoints, with an allowance for each request.",
+            lambda: self.buffers.used,
+        )
+        add(
+            "buffered_bytes_limit",
+            "The most that may be buffered.",
+            lambda: self.buffers.limit,
+        )
         add(
             "endpoints_known",
             "Endpoints registered, those leaving included.",
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -11,6 +11,7 @@
 from ..core.outcome import Outcome
 from ..core.request_head import ReplyHead, RequestHead
 from ..core.request_scope import RequestScope
+from ..decisions.buffer_budget import REQUEST_BYTES, BufferAccount
 from ..observe.event import Event
 from ..platform import heads
 from ..wire.raw_response import make_response
@@ -23,6 +24,14 @@
 # Short, because another entry serves the caller when it retries.
 SHUTDOWN_RETRY_SECONDS = 0.05
 NOT_READY_RETRY_SECONDS = 1.0
+# Most of what is buffered belongs to requests that end within a second.
+MEMORY_RETRY_SECONDS = 1.0
+# How long a caller may leave what it was sent unread, and the least rate at which it must read an
+# answer that was sent at once. One that has stopped reading would hold memory for ever.
+CALLER_STALL_SECONDS = 30.0
+MIN_CALLER_BYTES_PER_SECOND = 131_072
+# How often it is checked whether a caller has read an answer.
+UNREAD_CHECK_SECONDS = 0.1
 STATUS_REASONS = {
     401: "Unauthorized",
     404: "Not Found",
@@ -41,6 +50,9 @@
         self._connection = connection
         self._body_chunks: list[bytes] = []
         self._body_size = 0
+        self._buffers = BufferAccount(gateway.buffers)
+        # Whether the request came while there was no memory for it; its body is not kept.
+        self._lacks_memory = False
         self._head: RequestHead | None = None
         self._task: asyncio.Task | None = None
         # Whether the final outcome is decided; a disconnect no longer counts as a cancellation.
@@ -71,17 +83,25 @@
         now = asyncio.get_running_loop().time()
         self._started_at = now if self._arrived_at is None else self._arrived_at
         self._head = heads.read_request(start_line, headers)
+        self._lacks_memory = self._gateway.lacks_memory
+        self._buffers.add(REQUEST_BYTES)
 
     def data_received(self, chunk: bytes) -> None:
         """Buffers a part of the body, up to the body limit."""
         self._body_size += len(chunk)
-        if self._body_size <= self._gateway.body_limit:
+        self._lacks_memory = self._lacks_memory or self._gateway.buffers.exceeded
+        if self._lacks_memory:
+            self._body_chunks.clear()
+        elif self._body_size <= self._gateway.body_limit:
             self._body_chunks.append(chunk)
+            self._buffers.add(len(chunk))
 
     def finish(self) -> None:
         """Starts to serve the request, which has now been received completely."""
         self._connection.set_close_callback(self.on_disconnect)
         self._task = self._gateway.tasks.start("request", self._run())
+        # Also if it is cancelled before it has begun to run.
+        self._task.add_done_callback(lambda task: self._buffers.close())
 
     def refuse_part(self) -> bytes:
         """See RefusesPart."""
@@ -94,6 +114,7 @@
 
     def on_connection_close(self) -> None:
         """Handles a disconnect before the request was received completely."""
+        self._buffers.close()
         self.on_disconnect()
 
     def on_disconnect(self) -> None:
@@ -135,6 +156,9 @@
             raise CodedError("body_too_large", "the request body is too large", 413)
         if not self._gateway.accepts_requests:
             raise leaving_error()
+        if self._lacks_memory:
+            message = "this entry has no memory left for more requests"
+            raise CodedError("memory_short", message, 503, retry_after=MEMORY_RETRY_SECONDS)
         state = self._gateway.state
         routes = state.routes
         if routes is None:
@@ -189,11 +213,45 @@
         start = httputil.ResponseStartLine("", head.status, head.reason)
         writing = self._connection.write_headers(start, head.headers)
         self._response_begun = True
-        await writing
+        await self._wait_until_sent(writing)
 
     async def write_events(self, content: bytes) -> None:
         """Sends complete events to the caller, waiting if it reads slowly."""
-        await self._connection.write(content)
+        await self._wait_until_sent(self._connection.write(content))
+
+    async def _wait_until_sent(self, writing: asyncio.Future[None]) -> None:
+        if writing.done():
+            await writing
+            return
+        timer = asyncio.get_running_loop().call_later(CALLER_STALL_SECONDS, self._end_stalled)
+        try:
+            await writing
+        finally:
+            timer.cancel()
+
+    def _end_stalled(self) -> None:
+        """Closes the connection of a caller that has stopped reading."""
+        self._log(Event.CALLER_STALLED, streaming=self._streaming)
+        self._connection.stream.close()
+
+    def _hold_until_read(self, size: int) -> None:
+        """Counts an answer as buffered until its caller has read it."""
+        loop, stream = asyncio.get_running_loop(), self._connection.stream
+        account = BufferAccount(self._gateway.buffers)
+        account.add(size)
+        ends_at = loop.time() + CALLER_STALL_SECONDS + size / MIN_CALLER_BYTES_PER_SECOND
+
+        # The connection forgets the future of a write whose caller disconnects, so that it cannot
+        # be waited for.
+        def check() -> None:
+            if not stream.closed() and stream.writing() and loop.time() >= ends_at:
+                self._end_stalled()
+            if stream.closed() or not stream.writing():
+                account.close()
+                return
+            loop.call_later(UNREAD_CHECK_SECONDS, check)
+
+        check()
 
     def finish_stream(self, **facts: object) -> None:
         """Ends a complete stream."""
@@ -266,8 +324,11 @@
         chunk = b"" if self._head.method == "HEAD" else body
         self._connection.write_headers(start, headers, chunk)
         self._response_begun = True
+        stream = self._connection.stream
         self._connection.finish()
         self._response_ended = True
+        if chunk and not stream.closed() and stream.writing():
+            self._hold_until_read(len(chunk))
 
     def _set_connection_header(self, headers: httputil.HTTPHeaders) -> None:
         if self._gateway.shutting_down:
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -8,15 +8,16 @@
 from ..core.request_head import RequestHead
 from ..core.request_scope import RequestScope
 from ..core.route import RouteKind
-from ..decisions import poison
+from ..decisions import engine_memory, poison
 from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
 from ..decisions.endpoint_choice import Choice
 from ..decisions.request_recall import MIN_START_SECONDS, RecallReason
 from ..observe.event import Event
-from .attempt import UNWANTED_CODES, Attempt, AttemptError
+from .attempt import MEMORY_CODE, UNWANTED_CODES, Attempt, AttemptError
 from .call import DEFAULT_DEADLINE_SECONDS, Call, StreamProgress
 from .part_guard import BLOCKED_CODE, BLOCKED_RETRY_SECONDS
 from .placement import Placement
+from .placing_rules import MAX_RULED_OUT_RETRY_SECONDS
 
 if typing.TYPE_CHECKING:
     from .daemon import Gateway
@@ -59,7 +60,7 @@
         self._call = Call(head, scope, body, arrived_at, arrived_at + seconds)
         self._progress = StreamProgress(head.last_event)
         self._history = AttemptHistory(route.idempotent, max(1, route.max_attempts))
-        self._service = gateway.placer.pick_service(route)
+        self._service = gateway.placer.pick_service(route, head)
         self._tried_endpoints: frozenset[str] = frozenset()
         self._retry_count = 0
         # Whether the caller has waited before, so that its answer can only be late.
@@ -86,6 +87,7 @@
         parts, guard = self._call.head.shared_parts, self._gateway.part_guard
         self._testing = guard.admit(parts)
         self._check_deadline()
+        self._check_memory()
         placer = self._gateway.placer
         self._returning = placer.record_caller(self._service, self._call.route, self._call.head)
         placer.record_request(self._service)
@@ -166,6 +168,22 @@
             message = "no time was left to forward the request before its deadline"
             raise CodedError("deadline_passed", message, 503)
 
+    def _check_memory(self) -> None:
+        """Refuses a request that fits no engine's memory, however long it waits.
+
+        Raises:
+          CodedError: It is too large; it was not run.
+        """
+        head, figures = self._call.head, self._gateway.state.engine_figures(self._service)
+        if figures is not None and not engine_memory.fits(figures, head):
+            message = (
+                f"{head.prompt_tokens} tokens of prompt and {head.max_tokens} of answer exceed the"
+                f" {figures.memory_tokens} that fit in an engine's memory"
+            )
+            raise CodedError(
+                "exceeds_engine_memory", message, 503, retry_after=MAX_RULED_OUT_RETRY_SECONDS
+            )
+
     def _place(self, failure: str) -> Placement | None:
         """Returns where the next attempt goes, or None for a stream that cannot continue.
 
@@ -222,7 +240,7 @@
             message = f"the forecast time to the first response is {choice.seconds:.2f} s"
         elif choice.limited:
             code = "overloaded"
-            message = f"{choice.limited} of {choice.known} endpoints take no more, as they state"
+            message = f"{choice.limited} of {choice.known} endpoints take no more now"
         elif choice.resting:
             code = "overloaded"
             message = f"{choice.resting} of {choice.known} endpoints want no requests for now"
@@ -396,9 +414,10 @@
     def _is_endpoint_fault(
         self, placement: Placement, attempt: Attempt, error: AttemptError
     ) -> bool:
-        # A recall, a block, what the endpoint has said of itself, or a timeout because the caller
-        # allowed little time, is no fault of the endpoint.
-        if attempt.recall_reason is not None or error.code in (BLOCKED_CODE, *UNWANTED_CODES):
+        # A recall, a block, a lack of memory here, what the endpoint has said of itself, or a
+        # timeout because the caller allowed little time, is no fault of the endpoint.
+        own = (BLOCKED_CODE, MEMORY_CODE, *UNWANTED_CODES)
+        if attempt.recall_reason is not None or error.code in own:
             return False
         # An endpoint that rests gets nothing anyway. As a failing one it would then get one request
         # at a time, and an engine takes seconds for each.
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -17,6 +17,7 @@
 from ..core.request_scope import RequestScope
 from ..core.route import Route, RouteKind
 from ..core.status import Status
+from ..decisions import engine_memory
 from ..decisions.endpoint_assignment import assign_endpoints
 from ..decisions.endpoint_choice import (
     Candidate,
@@ -166,14 +167,18 @@
         """Returns how many retries to a service this entry may spend now."""
         return self._retry_budget(service).balance
 
-    def pick_service(self, route: Route) -> str:
-        """Returns one of a route's target services, chosen at random by their weights."""
+    def pick_service(self, route: Route, head: RequestHead) -> str:
+        """Returns one of a route's target services, chosen at random by their weights.
+
+        Services whose engines have too little memory for the request are left out, unless all have.
+        """
         if len(route.targets) == 1:
             return route.targets[0].service
-        weights = [max(0.0, target.weight) for target in route.targets]
+        targets = [t for t in route.targets if self._fits(t.service, head)] or route.targets
+        weights = [max(0.0, target.weight) for target in targets]
         if not any(weights):
-            return route.targets[0].service
-        return self._rng.choices(route.targets, weights)[0].service
+            return targets[0].service
+        return self._rng.choices(targets, weights)[0].service
 
     def choose(
         self,
@@ -204,6 +209,12 @@
         ruled_out, rule, seconds_until_allowed = self._leave_out_ruled_out(candidates, scope)
         resting, seconds_until_rested = self._leave_out_resting(candidates)
         full, seconds_until_room = self._leave_out_limited(candidates)
+        filled = self._leave_out_filled(candidates, figures, head, now)
+        if filled:
+            # About as long until a request there ends as a slot takes to become free.
+            seconds = run_seconds(figures, figures.slots) / figures.slots
+            seconds_until_room = min(seconds_until_room, seconds) if full else seconds
+            full += filled
         traffic = self.traffic(service)
         refused_share = traffic.refused_share(now)
         if figures is None:
@@ -511,6 +522,26 @@
         candidates[:] = [c for c in candidates if c.endpoint.id not in waits]
         return len(waits), min(waits.values(), default=0.0)
 
+    def _fits(self, service: str, head: RequestHead) -> bool:
+        figures = self._state.engine_figures(service)
+        return figures is None or engine_memory.fits(figures, head)
+
+    def _leave_out_filled(
+        self,
+        candidates: list[Candidate],
+        figures: EngineFigures | None,
+        head: RequestHead,
+        now: float,
+    ) -> int:
+        """Removes the engines whose memory has no room for a request now; returns how many."""
+        if figures is None or not figures.memory_tokens:
+            return 0
+        count = len(candidates)
+        candidates[:] = [
+            c for c in candidates if engine_memory.has_room(figures, c.load, head, now)
+        ]
+        return count - len(candidates)
+
     def is_stalled(
         self, placement: Placement, last_activity_at: float, response_started: bool
     ) -> bool:
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -38,6 +38,8 @@
     ENDPOINT_LEAVING = 2018
     REST_ASKED = 2019
     ANSWER_INVALID = 2040
+    MEMORY_SHORT = 2041
+    CALLER_STALLED = 2042
 
     # 3000: weights.
     VERSION_WANTED = 3001
