Sidecars keep one connection to their engine's staging area

Cause: each piece of a version was written and read back on a new connection, 2 P + 2 for a version of P pieces, beside the connections of requests.

Change: KeptConnection sends any repeatable request, with a body, one at a time, and may close when idle. The staging area's requests use one, opened again on any error, closed a second after the last piece, and given up once an answer states no length. Orders stay on new connections.

--- a/wasabidrum/platform/engine_client.py
+++ b/wasabidrum/platform/engine_client.py
@@ -17,6 +17,10 @@
 REQUEST_TIMEOUT_SECONDS = 1.0
 # Answers other than pieces have some kilobytes.
 MAX_ANSWER_BYTES = 1_048_576
+# An engine takes some milliseconds to write a piece, and longer while it loads weights.
+STAGING_REUSED_SECONDS = 0.5
+# The pieces of a version follow each other within this time.
+STAGING_IDLE_SECONDS = 1.0
 # The strategy by which the engine first finishes its running requests, accepting no new ones, and
 # then loads.
 AFTER_RUNNING = "wait"
@@ -50,7 +54,7 @@
 class EngineClient:
     """Client of one engine. Every method raises CodedError where the engine does not answer."""
 
-    __slots__ = ("_client", "_url", "_reports")
+    __slots__ = ("_client", "_url", "_reports", "_staging", "_keeps_staging")
 
     def __init__(self, client: httpclient.AsyncHTTPClient, address: Address) -> None:
         self._client = client
@@ -58,6 +62,17 @@
         # Reports are asked for several times a second. Each new connection takes a handshake and a
         # place among those that the engine accepts from all its callers.
         self._reports = KeptConnection(address.host, address.port)
+        # The same for pieces, of which a version has hundreds. Each is written, and read back. All
+        # requests of the staging area may be repeated.
+        self._staging = KeptConnection(
+            address.host,
+            address.port,
+            http_client.MAX_BODY_BYTES,
+            STAGING_REUSED_SECONDS,
+            STAGING_IDLE_SECONDS,
+        )
+        # False once an answer came that has no length, which only a new connection can end.
+        self._keeps_staging = True
 
     async def report(self, layers: int) -> EngineReport:
         """Returns the engine's report of its own state.
@@ -96,16 +111,16 @@
     async def read_piece(self, model: str, number: int) -> bytes | None:
         """Returns a piece from the staging area, or None where the engine does not give it."""
         path = f"{names.STAGE_GET_PATH}{model}?num={number}"
-        response = await self._fetch(path, http_client.MAX_BODY_BYTES)
-        return response.body if response.code == 200 else None
+        status, body = await self._ask_staging(path, http_client.MAX_BODY_BYTES)
+        return body if status == 200 else None
 
     async def put_piece(self, model: str, number: int, content: bytes) -> None:
         """Writes a piece to the staging area, replacing any previous content."""
         path = f"{names.STAGE_PUT_PATH}{model}?num={number}"
-        response = await self._fetch(path, MAX_ANSWER_BYTES, method="PUT", body=content)
-        if response.code not in (200, 201, 202, 204):
+        status, _ = await self._ask_staging(path, MAX_ANSWER_BYTES, "PUT", content)
+        if status not in (200, 201, 202, 204):
             raise CodedError(
-                "stage_refused", f"the engine answered status {response.code}", 502, Outcome.FAILED
+                "stage_refused", f"the engine answered status {status}", 502, Outcome.FAILED
             )
 
     async def start(
@@ -147,10 +162,24 @@
         return response.code in ACCEPTED
 
     async def _get(self, path: str) -> bytes:
-        response = await self._fetch(path, MAX_ANSWER_BYTES)
-        if response.code != 200:
-            raise CodedError("engine_error", f"{path}: status {response.code}", 502)
-        return response.body
+        status, body = await self._ask_staging(path, MAX_ANSWER_BYTES)
+        if status != 200:
+            raise CodedError("engine_error", f"{path}: status {status}", 502)
+        return body
+
+    async def _ask_staging(
+        self, path: str, max_bytes: int, method: str = "GET", body: bytes | None = None
+    ) -> tuple[int, bytes]:
+        """Returns the status and the body of an answer of the staging area."""
+        if self._keeps_staging:
+            try:
+                return await self._staging.request(method, path, body, REQUEST_TIMEOUT_SECONDS)
+            except CodedError as error:
+                if error.code != "peer_unreadable":
+                    raise
+                self._keeps_staging = False
+        response = await self._fetch(path, max_bytes, method, body)
+        return response.code, response.body
 
     async def _fetch(
         self, path: str, max_bytes: int, method: str = "GET", body: bytes | None = None
--- a/wasabidrum/wire/kept_connection.py
+++ b/wasabidrum/wire/kept_connection.py
@@ -1,8 +1,8 @@
 """A connection that is kept open for one request after the other to the same server.
 
-Only for requests of which any answer of that server will do, such as the state that it reports. A
-late or repeated answer cannot be told from the expected one; bytes that arrive while no answer is
-expected close the connection.
+Only for requests that may be repeated, and of which any answer of that server will do, such as the
+state that it reports. A late or repeated answer cannot be told from the expected one; bytes that
+arrive while no answer is expected close the connection.
 """
 
 import asyncio
@@ -18,28 +18,84 @@
 MAX_HEAD_BYTES = 65_536
 MAX_BODY_BYTES = 1_048_576
 HEAD_END = b"\r\n\r\n"
+# Statuses whose answers have no body, and need not state a length.
+EMPTY_STATUSES = (204, 304)
 
 
 class KeptConnection(asyncio.Protocol):
-    """Sends GET requests to one server, and opens the connection anew where it was closed."""
-
-    def __init__(self, host: str, port: int) -> None:
+    """Sends requests to one server, and opens the connection anew where it was closed."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        reused_timeout: float = REUSED_TIMEOUT_SECONDS,
+        idle_seconds: float | None = None,
+    ) -> None:
+        """Creates a connection that is not open yet.
+
+        Args:
+          max_body_bytes: The largest body of an answer.
+          reused_timeout: Seconds that an answer may take on a connection that was used before.
+          idle_seconds: Seconds after the last answer until it is closed; None to keep it. An open
+            connection takes one of the places that the server has.
+        """
         self._host = host
         self._port = port
+        self._max_body_bytes = max_body_bytes
+        self._reused_timeout = reused_timeout
+        self._idle_seconds = idle_seconds
+        self._idle_timer: asyncio.TimerHandle | None = None
+        # One request at a time.
+        self._turn = asyncio.Lock()
         self._transport: asyncio.Transport | None = None
         self._received = bytearray()
         self._answer: asyncio.Future[tuple[int, bytes]] | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether there is an open connection."""
+        return self._transport is not None and not self._transport.is_closing()
+
     async def get(self, path: str, timeout: float) -> tuple[int, bytes]:
+        """Returns the status and the body of the answer to a GET request; see request."""
+        return await self.request("GET", path, None, timeout)
+
+    async def request(
+        self, method: str, path: str, body: bytes | None, timeout: float
+    ) -> tuple[int, bytes]:
         """Returns the status and the body of an answer.
 
+        Args:
+          timeout: Seconds from when it is this request's turn.
+
         Raises:
-          CodedError: There was no complete answer in time.
+          CodedError: There was no complete answer in time. The code is "peer_unreadable" if what
+            came cannot be read as an answer, otherwise "peer_unreachable".
         """
+        async with self._turn:
+            if self._idle_timer is not None:
+                self._idle_timer.cancel()
+            try:
+                return await self._request_in_turn(method, path, body, timeout)
+            finally:
+                if self._idle_seconds is not None:
+                    loop = asyncio.get_running_loop()
+                    self._idle_timer = loop.call_later(self._idle_seconds, self.close)
+
+    async def _request_in_turn(
+        self, method: str, path: str, body: bytes | None, timeout: float
+    ) -> tuple[int, bytes]:
+        content = b"" if body is None else body
+        length = "" if body is None else f"Content-Length: {len(body)}\r\n"
+        head = f"{method} {path} HTTP/1.1\r\nHost: {self._host}:{self._port}\r\n{length}\r\n"
         try:
             async with asyncio.timeout(timeout):
-                return await self._get(path)
-        except (OSError, TimeoutError, ValueError, httputil.HTTPInputError) as error:
+                return await self._send_or_reopen(head.encode() + content)
+        except (ValueError, httputil.HTTPInputError) as error:
+            raise CodedError("peer_unreadable", repr(error), 502, Outcome.UNKNOWN) from error
+        except (OSError, TimeoutError) as error:
             raise CodedError("peer_unreachable", repr(error), 502, Outcome.UNKNOWN) from error
         finally:
             if self._answer is not None:
@@ -52,16 +108,16 @@
             self._transport.abort()
             self._transport = None
 
-    async def _get(self, path: str) -> tuple[int, bytes]:
-        if self._transport is not None and not self._transport.is_closing():
+    async def _send_or_reopen(self, request: bytes) -> tuple[int, bytes]:
+        if self.is_open:
             try:
-                async with asyncio.timeout(REUSED_TIMEOUT_SECONDS):
-                    return await self._send(path)
+                async with asyncio.timeout(self._reused_timeout):
+                    return await self._send(request)
             except (ConnectionError, TimeoutError):
                 # The server may have closed the connection at the moment of the request.
                 pass
         await self._open()
-        return await self._send(path)
+        return await self._send(request)
 
     async def _open(self) -> None:
         self.close()
@@ -69,10 +125,9 @@
         loop = asyncio.get_running_loop()
         await loop.create_connection(lambda: self, self._host, self._port)
 
-    async def _send(self, path: str) -> tuple[int, bytes]:
+    async def _send(self, request: bytes) -> tuple[int, bytes]:
         self._answer = asyncio.get_running_loop().create_future()
-        head = f"GET {path} HTTP/1.1\r\nHost: {self._host}:{self._port}\r\n\r\n"
-        self._transport.write(head.encode())
+        self._transport.write(request)
         answer = await self._answer
         self._answer = None
         return answer
@@ -111,8 +166,11 @@
             return
         start, _, lines = self._received[:end].decode("latin-1").partition("\r\n")
         headers = httputil.HTTPHeaders.parse(lines)
+        status = httputil.parse_response_start_line(start).code
         length = int(headers["Content-Length"]) if "Content-Length" in headers else -1
-        if not 0 <= length <= MAX_BODY_BYTES:
+        if status in EMPTY_STATUSES:
+            length = 0
+        if not 0 <= length <= self._max_body_bytes:
             raise ValueError("the answer states no length, or too much")
         body_start = end + len(HEAD_END)
         if len(self._received) < body_start + length:
@@ -123,4 +181,4 @@
             self._transport.abort()
         body = bytes(self._received[body_start : body_start + length])
         self._received.clear()
-        self._answer.set_result((httputil.parse_response_start_line(start).code, body))
+        self._answer.set_result((status, body))
--- a/wasabidrum/wire/kept_connection_test.py
+++ b/wasabidrum/wire/kept_connection_test.py
@@ -17,6 +17,7 @@
     async def asyncSetUp(self) -> None:
         self.connections = 0
         self.requests = 0
+        self.bodies: list[bytes] = []
         self.answer: collections.abc.Callable[[int], bytes] = lambda number: OK + b"a%d" % number
         self.close_after = 0
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -33,7 +34,9 @@
         served = 0
         try:
             while True:
-                await reader.readuntil(b"\r\n\r\n")
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+                lengths = [int(line[16:]) for line in head if line.startswith("Content-Length: ")]
+                self.bodies.append(await reader.readexactly(sum(lengths)))
                 self.requests += 1
                 writer.write(self.answer(self.requests))
                 served += 1
@@ -101,6 +104,32 @@
         self.answer = lambda number: OK + b"ab"
         self.assertEqual(await self.get(), b"ab")
 
+    async def test_bodies_that_are_sent(self) -> None:
+        """Guards against a piece that is cut or lost on a connection that was closed meanwhile, and
+        against an answer without a body that counts as bad."""
+        self.answer = lambda number: b"HTTP/1.1 204 No Content\r\n\r\n"
+        self.close_after = 2
+        for size in (0, 10, 1_000_000):
+            answer = await self.connection.request("PUT", "/piece", bytes(size), 5.0)
+            self.assertEqual(answer, (204, b""))
+        self.assertEqual([len(body) for body in self.bodies], [0, 10, 1_000_000])
+        self.assertEqual(self.connections, 2)
+
+    async def test_requests_at_the_same_time_take_turns(self) -> None:
+        """Guards against answers that are taken for those to other requests."""
+        answers = await asyncio.gather(*(self.get() for _ in range(5)))
+        self.assertEqual(answers, [b"a1", b"a2", b"a3", b"a4", b"a5"])
+
+    async def test_idle_connection_is_closed(self) -> None:
+        """Guards against a place at the engine that is taken by nobody."""
+        _, port = self.server.sockets[0].getsockname()
+        self.connection = KeptConnection("127.0.0.1", port, idle_seconds=0.05)
+        await self.get()
+        self.assertTrue(self.connection.is_open)
+        await asyncio.sleep(0.15)
+        self.assertFalse(self.connection.is_open)
+        self.assertEqual(await self.get(), b"a2")
+
     async def test_server_is_gone(self) -> None:
         await self.get()
         self.server.close()
