Ports that take no bodies read 64 KB of one at most

Cause: readiness, metrics and chunk ports of entries and sidecars read bodies of up to 100 MB.

Change: they close beyond 64 KB.

--- a/tests/endless_answers_test.py
+++ b/tests/endless_answers_test.py
@@ -1,11 +1,13 @@
 """Endpoints, or something at their addresses, that send bytes without end until cut off."""
 
 import asyncio
+import contextlib
 import unittest
 
 from tests.fake_platform import answer_ok, response_head
 from tests.gateway_test import GatewayCase
 from wasabidrum.platform import names
+from wasabidrum.weights.chunk_member import CHUNK_PORT_OFFSET
 
 BLOCK = b"x" * 65_536
 STATUS = b"HTTP/1.1 200 OK\r\n"
@@ -134,6 +136,23 @@
         self.assertFalse(reply.whole)
         self.assertLess(asyncio.get_running_loop().time() - began, 2.5)
 
+    async def test_bodies_of_requests_to_other_ports(self) -> None:
+        """Guards against a caller of a port that takes no bodies, who fills the memory with one."""
+        deployment = self.fleet.deployments[0]
+        first = deployment.first_port
+        for port in (deployment.readiness.port, first + 2, first + CHUNK_PORT_OFFSET):
+            with self.subTest(port=port - first):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+                sent = 0
+                with contextlib.suppress(ConnectionError):
+                    while sent < MOST_BYTES:
+                        writer.write(b"10000\r\n" + BLOCK + b"\r\n")
+                        await writer.drain()
+                        sent += len(BLOCK)
+                writer.close()
+                self.assertLess(sent, MOST_BYTES)
+
     async def assert_failure_counted(self, name: str) -> None:
         """Asserts that the flooding endpoint counts as failing, and makes it sound again."""
         loop = asyncio.get_running_loop()
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -23,7 +23,12 @@
 from ..weights.chunk_member import CHUNK_PORT_OFFSET
 from ..weights.weights_relay import make_weights_relay
 from ..wire import http_client
-from ..wire.ending_server import INTERNAL_SECONDS, EndingServer, end_internal_connections
+from ..wire.ending_server import (
+    INTERNAL_SECONDS,
+    MAX_UNUSED_BODY_BYTES,
+    EndingServer,
+    end_internal_connections,
+)
 from .attempts_in_progress import AttemptsInProgress
 from .entry_peers import EntryPeers
 from .exchange import CallerExchange
@@ -195,13 +200,19 @@
         ready = web.Application(
             [(names.READY_PATH, ReadyHandler, arguments)], log_function=lambda handler: None
         )
-        self._listen(EndingServer(ready), deployment.readiness)
+        self._listen(EndingServer(ready, max_body_size=MAX_UNUSED_BODY_BYTES), deployment.readiness)
         metrics = web.Application(make_routes(self.log), log_function=lambda handler: None)
         metrics_port = deployment.first_port + METRICS_PORT_OFFSET
-        self._listen(EndingServer(metrics), Address(deployment.host, metrics_port))
+        self._listen(
+            EndingServer(metrics, max_body_size=MAX_UNUSED_BODY_BYTES),
+            Address(deployment.host, metrics_port),
+        )
         relay = web.Application(self._relay.routes, log_function=lambda handler: None)
         relay_port = deployment.first_port + CHUNK_PORT_OFFSET
-        self._listen(EndingServer(relay), Address(deployment.host, relay_port))
+        self._listen(
+            EndingServer(relay, max_body_size=MAX_UNUSED_BODY_BYTES),
+            Address(deployment.host, relay_port),
+        )
         await self.peers.start()
         self.tasks.start("store", self._follower.run())
         self.tasks.start("ticks", self._follower.run_ticks())
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -30,7 +30,7 @@
 from ..weights.origin_fetcher import OriginFetcher
 from ..weights.shared_readings import SharedReadings
 from ..wire import http_client
-from ..wire.ending_server import EndingServer, end_internal_connections
+from ..wire.ending_server import MAX_UNUSED_BODY_BYTES, EndingServer, end_internal_connections
 from .load_service import LoadService
 
 METRICS_PORT_OFFSET = 2
@@ -185,7 +185,7 @@
 
     def _listen(self, routes: list[tuple], offset: int) -> None:
         application = web.Application(routes, log_function=lambda handler: None)
-        server = EndingServer(application)
+        server = EndingServer(application, max_body_size=MAX_UNUSED_BODY_BYTES)
         address = Address(self._deployment.host, self._deployment.first_port + offset)
         server.add_sockets(netutil.bind_sockets(address.port, address.host))
         self._servers.append(server)
--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -26,6 +26,8 @@
 # How long daemons may wait for answers of another one that ends. Some of them wait for a chunk, or
 # for a reading, for longer; they ask elsewhere when the connection is closed.
 INTERNAL_SECONDS = 1.0
+# The largest body of a request to a server that takes none, which has to be read all the same.
+MAX_UNUSED_BODY_BYTES = 65_536
 LEAVING_RESPONSE = make_response(
     503, "Service Unavailable", httputil.HTTPHeaders({"Retry-After": "1"}), b""
 )
