--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -11,6 +11,7 @@
 from ..core.incarnation import make_incarnation
 from ..core.published import CallerLimits
 from ..core.requests_in_progress import RequestsInProgress
+from ..decisions.buffer_budget import make_buffer_budget
 from ..decisions.crashing_parts import CrashingParts
 from ..decisions.poison import PoisonGuard
 from ..decisions.stated_limits import StatedLimits
@@ -23,7 +24,12 @@
 from ..weights.chunk_member import CHUNK_PORT_OFFSET
 from ..weights.weights_relay import make_weights_relay
 from ..wire import http_client
-from ..wire.ending_server import INTERNAL_SECONDS, EndingServer, end_internal_connections
+from ..wire.ending_server import (
+    INTERNAL_SECONDS,
+    MAX_UNUSED_BODY_BYTES,
+    EndingServer,
+    end_internal_connections,
+)
 from .attempts_in_progress import AttemptsInProgress
 from .cold_endpoint_rule import ColdEndpointRule
 from .entry_peers import EntryPeers
@@ -98,6 +104,7 @@
         self.accepts_requests = True
         self.requests = RequestsInProgress()
         self.tasks = BackgroundTasks(self._log_task_failure)
+        self.buffers = make_buffer_budget(deployment.memory_mb)
         client = http_client.make_client()
         self.state = PublishedState(deployment.bounds, log, deployment.region_of)
         store = make_store_client(client, deployment.store)
@@ -164,6 +171,7 @@
         self._load_watcher.find_parts = self.part_guard.parts_to_remember
         self._load_watcher.on_parts = self.part_guard.learn
         self._was_ready = False
+        self._lacked_memory = False
         self._add_gauges()
 
     @property
@@ -190,6 +198,16 @@
             )
         return ready
 
+    @property
+    def lacks_memory(self) -> bool:
+        """Whether new requests are refused for lack of memory; logs each change."""
+        lacks = self.buffers.refusing
+        if lacks != self._lacked_memory:
+            self._lacked_memory = lacks
+            used, limit = self.buffers.used, self.buffers.limit
+            self.log.write(Event.MEMORY_SHORT, refusing=lacks, used=used, limit=limit)
+        return lacks
+
     @property
     def _caller_limits(self) -> CallerLimits:
         routes = self.state.routes
@@ -212,13 +230,19 @@
         ready = web.Application(
             [(names.READY_PATH, ReadyHandler, arguments)], log_function=lambda handler: None
         )
-        self._listen(EndingServer(ready), deployment.readiness)
+        self._listen(EndingServer(ready, max_body_size=MAX_UNUSED_BODY_BYTES), deployment.readiness)
         metrics = web.Application(make_routes(self.log), log_function=lambda handler: None)
         metrics_port = deployment.first_port + METRICS_PORT_OFFSET
-        self._listen(EndingServer(metrics), Address(deployment.host, metrics_port))
+        self._listen(
+            EndingServer(metrics, max_body_size=MAX_UNUSED_BODY_BYTES),
+            Address(deployment.host, metrics_port),
+        )
         relay = web.Application(self._relay.routes, log_function=lambda handler: None)
         relay_port = deployment.first_port + CHUNK_PORT_OFFSET
-        self._listen(EndingServer(relay), Address(deployment.host, relay_port))
+        self._listen(
+            EndingServer(relay, max_body_size=MAX_UNUSED_BODY_BYTES),
+            Address(deployment.host, relay_port),
+        )
         await self.peers.start()
         self.tasks.start("store", self._follower.run())
         self.tasks.start("ticks", self._follower.run_ticks())
@@ -276,6 +300,16 @@
             "Requests of callers begun and not ended.",
             lambda: self.requests.count,
         )
+        add(
+            "buffered_bytes",
+            "Buffered for callers and from endpoints, with an allowance for each request.",
+            lambda: self.buffers.used,
+        )
+        add(
+            "buffered_bytes_limit",
+            "The most that may be buffered.",
+            lambda: self.buffers.limit,
+        )
         add(
             "endpoints_known",
             "Endpoints registered, those leaving included.",
