Engines are assigned to entries by the demand that they tell each other

Cause: engines were assigned to the entries of a data centre in equal numbers, while entries of one size carry three times the load of others. Change: entries tell their requests per second for services with engines in EntryAddress, at once within the data centre where it changes, and compute the same assignment by largest remainder; demand that differs by no more than noise leaves the equal assignment.

--- a/tests/choice_replay.py
+++ b/tests/choice_replay.py
@@ -1,11 +1,16 @@
 """A simulation of callers, entries and engines that evaluates placement without a network."""
 
+import collections.abc
 import dataclasses
 import heapq
 import random
 
 from wasabidrum.core.listed_endpoint import ListedEndpoint
 from wasabidrum.core.published import EngineFigures
+from wasabidrum.decisions.demand_assignment import (
+    OwnDemand,
+    assign_by_demand,
+)
 from wasabidrum.decisions.endpoint_assignment import assign_endpoints
 from wasabidrum.decisions.endpoint_choice import (
     Candidate,
@@ -38,6 +43,8 @@
 )
 FIRST_EVENT_TARGET_SECONDS = 0.45
 REPORT_SECONDS = 0.15
+# How often entries tell their demand, and for how long it is under way.
+TELL_SECONDS = 0.5
 LAG_SECONDS = 0.2
 DATA_CENTRES = 3
 # Relative traffic by data centre: callers are not spread evenly.
@@ -200,10 +207,13 @@
         self.rate = RequestRate()
         self.refusals = RequestRate()
         self.bias = ForecastBias()
+        self.own_demand = OwnDemand()
+        self.address = ("entry", number)
         self._endpoints = endpoints
         self._others = entries - 1
         peer_entries = [("entry", n) for n in range(number % data_centres, entries, data_centres)]
-        near = [e.id for e in endpoints if e.data_centre == self.data_centre]
+        self._peer_entries = peer_entries
+        near = self._near = [e.id for e in endpoints if e.data_centre == self.data_centre]
         self._first = (
             assign_endpoints(near, peer_entries, ("entry", number))
             if share
@@ -217,6 +227,11 @@
             for e in self._endpoints
         ]
 
+    def assign(self, told: dict[str, dict[tuple[str, int], float]]) -> None:
+        """Assigns engines by the demands that the entries of each data centre have told."""
+        assigned = assign_by_demand(self._near, self._peer_entries, told[self.data_centre])
+        self._first = assigned[self.address]
+
     def refused_share(self, now: float) -> float:
         """Returns the fraction of recent requests that this entry refused."""
         refused = self.refusals.per_second(now)
@@ -240,10 +255,15 @@
         share: bool = True,
         work: Work = USUAL_WORK,
         seed: int = 5,
+        weight_at: collections.abc.Callable[[int, float], float] | None = None,
+        by_demand: bool = False,
     ) -> None:
         """Creates a simulation.
 
         Args:
+          weight_at: Relative traffic of an entry by its number and the time; None for that of its
+            data centre.
+          by_demand: Whether engines are assigned by the demands that entries tell.
           latest: The latest forecast with which a request is placed; None to decide it by
             first_event_limit.
         """
@@ -251,6 +271,8 @@
         self._engines = engines
         self._latest = latest
         self._work = work
+        self._weight_at = weight_at
+        self._by_demand = by_demand
         self._endpoints = [
             ListedEndpoint(
                 f"e{n:02}", "s", "10.0.0.1", n, str(n % DATA_CENTRES), whole=True, weights=1
@@ -266,6 +288,8 @@
         self._first_event_recorded: set[int] = set()
         # Refused callers that come back, by the number in their event.
         self._returning: list[Job] = []
+        self._told: dict[str, dict[tuple[str, int], float]] = {}
+        self._heard: dict[str, dict[tuple[str, int], float]] = {}
         self.jobs: list[Job] = []
 
     def play(self, rate: float, seconds: float = 20.0) -> list[Job]:
@@ -287,10 +311,15 @@
         for tick in range(int(steps[-1][0] / REPORT_SECONDS)):
             for number in range(count):
                 self._at((tick + number / count) * REPORT_SECONDS, "report", number)
+        if self._by_demand:
+            for tick in range(int(steps[-1][0] / TELL_SECONDS)):
+                self._at(tick * TELL_SECONDS, "tell", 0)
         handlers = {
             "arrive": self._arrive,
             "return": self._return,
             "report": self._report,
+            "tell": self._tell,
+            "hear": self._hear,
             "pass": self._run_pass,
         }
         while self._events:
@@ -308,6 +337,26 @@
             load = entry.loads[self._endpoints[number].id]
             load.record_report(running, waiting, engine.pace, now, LAG_SECONDS)
 
+    def _tell(self, now: float, _: int) -> None:
+        """Entries tell their demands, which all others know after TELL_SECONDS."""
+        total = sum(sum(demands.values()) for demands in self._told.values())
+        for entry in self.entries:
+            told = entry.own_demand.told(total / len(self._engines), now)
+            demands = self._told.setdefault(entry.data_centre, {})
+            if told is not None:
+                demands[entry.address] = told
+        self._heard = {centre: dict(demands) for centre, demands in self._told.items()}
+        self._at(now + TELL_SECONDS, "hear", 0)
+
+    def _hear(self, now: float, _: int) -> None:
+        for entry in self.entries:
+            entry.assign(self._heard)
+
+    def _weights(self, entries: list[int], now: float) -> list[float]:
+        if self._weight_at is None:
+            return [self.entries[number].weight for number in entries]
+        return [self._weight_at(number, now) for number in entries]
+
     def _arrive(self, now: float, _: int) -> None:
         rng = self._rng
         kinds = self._work.kinds
@@ -315,7 +364,7 @@
         if len(kinds) > 1:
             kind = rng.choices(kinds, [kind.share for kind in kinds])[0]
         prompt = min(3880, max(60, int(rng.lognormvariate(*kind.prompt))))
-        weights = [entry.weight for entry in self.entries]
+        weights = self._weights(list(range(len(self.entries))), now)
         number = rng.choices(range(len(self.entries)), weights)[0]
         answer = max(5, int(rng.lognormvariate(*kind.answer)))
         job = Job(now, prompt, answer, number, began=now, worth=kind.worth)
@@ -326,11 +375,15 @@
         job = self._returning[number]
         centre = self.entries[job.entry].data_centre
         near = [n for n, entry in enumerate(self.entries) if entry.data_centre == centre]
-        job.entry, job.arrived, job.attempt = self._rng.choice(near), now, job.attempt + 1
+        number = self._rng.choice(near)
+        if self._weight_at is not None:
+            number = self._rng.choices(near, self._weights(near, now))[0]
+        job.entry, job.arrived, job.attempt = number, now, job.attempt + 1
         self._place(job, now)
 
     def _place(self, job: Job, now: float) -> None:
         entry = self.entries[job.entry]
+        entry.own_demand.record(now)
         demand = self._demand(job, now)
         choice = choose(entry.candidates(), self._work.figures, demand, now, self._rng)
         if choice.candidate is None:
--- a/wasabidrum/decisions/entry_roster.py
+++ b/wasabidrum/decisions/entry_roster.py
@@ -8,9 +8,12 @@
 may do together is still divided by it, because it may only be out of reach.
 """
 
+import collections.abc
 import dataclasses
 import random
 
+from .demand_assignment import DEMAND_LIFETIME_SECONDS
+
 EXCHANGE_INTERVAL_SECONDS = 2.0
 ENTRY_EXPIRES_SECONDS = 20.0
 # Regions may lose each other for an hour. An entry on the other side still uses its share of what
@@ -38,13 +41,21 @@
     link_mbit: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldDemands:
+    """The requests per second that callers bring to an entry, by service, and when it told them."""
+
+    told_at: float
+    per_second: dict[str, float]
+
+
 class EntryRoster:
     """The other entries by address, with the time each was last seen.
 
     All times are of a clock that keeps counting while the instance is suspended.
     """
 
-    __slots__ = ("_own", "_seeds", "_known", "_failed_at", "_forget_at")
+    __slots__ = ("_own", "_seeds", "_known", "_failed_at", "_forget_at", "_demands")
 
     def __init__(self, own: HostPort, seeds: tuple[HostPort, ...]) -> None:
         self._own = own
@@ -52,6 +63,7 @@
         self._known: dict[HostPort, KnownEntry] = {}
         self._failed_at: dict[HostPort, float] = {}
         self._forget_at = float("-inf")
+        self._demands: dict[HostPort, ToldDemands] = {}
 
     @property
     def has_seeds(self) -> bool:
@@ -74,6 +86,24 @@
             latest, data_centre or before.data_centre, link_mbit or before.link_mbit
         )
 
+    def record_demands(
+        self,
+        address: HostPort,
+        per_second: collections.abc.Mapping[str, float],
+        told_at: float,
+    ) -> None:
+        """Records the demands of an entry, of this one included, unless newer ones are known."""
+        before = self._demands.get(address)
+        if before is None or told_at > before.told_at:
+            self._demands[address] = ToldDemands(told_at, dict(per_second))
+
+    def told_demands(self, address: HostPort, now: float) -> ToldDemands | None:
+        """Returns the demands that an entry told; None if they are unknown or too old."""
+        told = self._demands.get(address)
+        if told is None or now - told.told_at > DEMAND_LIFETIME_SECONDS:
+            return None
+        return told
+
     def record_failure(self, address: HostPort, now: float) -> None:
         """Records that an entry did not respond to this process."""
         self._failed_at[address] = now
@@ -144,3 +174,6 @@
         self._known = {
             a: k for a, k in self._known.items() if now - k.seen_at <= SHARE_EXPIRES_SECONDS
         }
+        self._demands = {
+            a: t for a, t in self._demands.items() if now - t.told_at <= DEMAND_LIFETIME_SECONDS
+        }
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -133,6 +133,7 @@
         self._load_watcher.find_held_version = lambda: self._relay.held_version
         self._load_watcher.find_parts = self.part_guard.parts_to_remember
         self._load_watcher.on_parts = self.part_guard.learn
+        self.peers.find_demands = self.placer.tell_demands
         self._was_ready = False
         self._add_gauges()
 
@@ -264,6 +265,16 @@
             "Endpoints that want no requests from this entry for now, as they state.",
             lambda: self.placer.resting_count,
         )
+        add(
+            "engines_assigned",
+            "Endpoints of this data centre that this entry sends to before others do.",
+            lambda: self.placer.assigned_count,
+        )
+        add(
+            "demand_told",
+            "Requests per second for engines that this entry tells the others callers bring it.",
+            lambda: self.peers.own_demand,
+        )
         add(
             "parts_blocked",
             "Parts of prompts whose requests are refused because they crash endpoints.",
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -45,6 +45,7 @@
     Meet,
     NamedVersion,
     PeerChange,
+    ServiceDemand,
     SuspectDeath,
     SuspectsReport,
 )
@@ -78,6 +79,12 @@
 # How long a caller whose request has just been blocked waits for the other entries to learn of it.
 # It may come back to any of them within milliseconds.
 BLOCK_REPORT_SECONDS = 0.05
+# An entry whose demand has changed tells some entries of its data centre at once, because the
+# exchanges between random pairs take several seconds to reach all. With hundreds of entries the
+# number bounds what that costs, and the exchanges tell the rest.
+DEMAND_CHECK_SECONDS = 0.5
+DEMAND_TELL_SECONDS = 1.0
+MAX_TOLD_AT_ONCE = 8
 
 
 class EntryPeers:
@@ -126,6 +133,8 @@
         self._knows_deaths = False
         # Whether EVIDENCE_RELAYED was logged since the evidence was last fresh.
         self._relay_logged = False
+        # Returns the demands of this entry by service, set by its owner.
+        self.find_demands: collections.abc.Callable[[], dict[str, float]] = dict
 
     @property
     def _is_caught_up(self) -> bool:
@@ -163,6 +172,22 @@
         """Returns the entries of this data centre, itself included, in the same order at each."""
         return self._roster.in_data_centre(self._data_centre, boot_seconds())
 
+    @property
+    def own_demand(self) -> float:
+        """The requests per second that this entry tells, of all services with engines."""
+        told = self._roster.told_demands(self._own_address, boot_seconds())
+        return sum(told.per_second.values()) if told is not None else 0.0
+
+    def local_demands(self, service: str) -> dict[HostPort, float]:
+        """See PeerEntries."""
+        now = boot_seconds()
+        found = {}
+        for address in self._roster.in_data_centre(self._data_centre, now):
+            told = self._roster.told_demands(address, now)
+            if told is not None and service in told.per_second:
+                found[address] = told.per_second[service]
+        return found
+
     def data_centres(self) -> dict[str, str]:
         """Returns the data centre of each entry by its host, including this one."""
         known = self._roster.known(boot_seconds())
@@ -195,6 +220,7 @@
         self._server = server.Server([EntryService(self)], codec=CODEC)
         await self._server.start(sock=sockets[0])
         self._tasks.start("meet", self._run_gossip())
+        self._tasks.start("demand", self._run_demand())
         self._tasks.start("relay", self._run_store_relay())
 
     async def stop(self) -> None:
@@ -206,6 +232,8 @@
     def handle_meet(self, message: Meet) -> Meet:
         """See EntryServiceOwner."""
         self._record_known(message)
+        if message.brief:
+            return Meet(self._own_entry(boot_seconds()), brief=True)
         reply = self._make_meet()
         now = asyncio.get_running_loop().time()
         newer = self._parts.newer_than(message.parts, now)
@@ -360,6 +388,39 @@
             self._record_known(reply)
             self._record_deaths(reply)
 
+    async def _run_demand(self) -> None:
+        """Keeps this entry's demands, and tells its data centre at once when they change."""
+        told: dict[str, float] = {}
+        told_at = float("-inf")
+        while True:
+            await asyncio.sleep(DEMAND_CHECK_SECONDS)
+            now = boot_seconds()
+            demands = self.find_demands()
+            self._roster.record_demands(self._own_address, demands, now)
+            if demands == told or now - told_at < DEMAND_TELL_SECONDS:
+                continue
+            told, told_at = demands, now
+            others = [a for a in self.local_entries() if a != self._own_address]
+            chosen = self._rng.sample(others, min(MAX_TOLD_AT_ONCE, len(others)))
+            message = Meet(self._own_entry(now), brief=True)
+            await asyncio.gather(*(self._tell_demand(address, message) for address in chosen))
+
+    async def _tell_demand(self, address: HostPort, message: Meet) -> None:
+        reply = await self._call(address, entry_messages.MEET_PATH, message, Meet)
+        if reply is not None:
+            self._record_known(reply)
+
+    def _own_entry(self, now: float) -> EntryAddress:
+        own = EntryAddress(*self._own_address, 0.0, self._data_centre, self._link_mbit)
+        return self._with_demands(own, now)
+
+    def _with_demands(self, entry: EntryAddress, now: float) -> EntryAddress:
+        told = self._roster.told_demands((entry.host, entry.port), now)
+        if told is None or not told.per_second:
+            return entry
+        demands = tuple(ServiceDemand(service, rate) for service, rate in told.per_second.items())
+        return msgspec.structs.replace(entry, demands=demands, demands_age=now - told.told_at)
+
     def _record_deaths(self, reply: Meet) -> None:
         # Only once: what this entry has cleared since must not come back from the others.
         if self._knows_deaths:
@@ -374,10 +435,13 @@
     def _make_meet(self) -> Meet:
         now = boot_seconds()
         addresses = tuple(
-            EntryAddress(host, port, now - known.seen_at, known.data_centre, known.link_mbit)
+            self._with_demands(
+                EntryAddress(host, port, now - known.seen_at, known.data_centre, known.link_mbit),
+                now,
+            )
             for (host, port), known in self._roster.most_recent(now)
         )
-        own = EntryAddress(*self._own_address, 0.0, self._data_centre, self._link_mbit)
+        own = self._own_entry(now)
         limits = tuple(
             LimitStatement(*run, statement.limit, now - statement.heard_at)
             for run, statement in self._limits.statements(now)
@@ -399,6 +463,9 @@
         for known in (message.own, *message.known):
             address = (known.host, known.port)
             self._roster.record_seen(address, now - known.age, known.data_centre, known.link_mbit)
+            if known.demands and address != self._own_address:
+                demands = {demand.service: demand.per_second for demand in known.demands}
+                self._roster.record_demands(address, demands, now - known.demands_age)
         for stated in message.limits:
             run = (stated.endpoint, stated.started_at)
             if self._limits.record(run, stated.limit, now - stated.age):
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -17,7 +17,7 @@
 from ..core.request_scope import RequestScope
 from ..core.route import Route, RouteKind
 from ..core.status import Status
-from ..decisions.endpoint_assignment import assign_endpoints
+from ..decisions.demand_assignment import assign_by_demand
 from ..decisions.endpoint_choice import (
     Candidate,
     Choice,
@@ -55,6 +55,8 @@
 RETURN_SECONDS = 1.0
 MIN_SERVED_PER_SECOND = 0.1
 MIN_RUN_SECONDS = 0.001
+# How often engines are assigned again, by what entries have told of their demand meanwhile.
+ASSIGNMENT_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,6 +97,13 @@
     def local_entries(self) -> list[HostPort]:
         """Returns the entries of this data centre, in the same order at each of them."""
 
+    def local_demands(self, service: str) -> dict[HostPort, float]:
+        """Returns the requests per second that callers bring to entries of this data centre.
+
+        This entry is included, with what it has told the others. Demands that are unknown or too
+        old are left out.
+        """
+
 
 class Placer:
     """Places the requests of one entry, and keeps what it knows of each endpoint."""
@@ -142,6 +151,11 @@
         """The number of endpoints that want no requests from this entry now."""
         return self._rests.count(boot_seconds())
 
+    @property
+    def assigned_count(self) -> int:
+        """The number of endpoints that this entry sends to first."""
+        return len(self._preferred)
+
     def load_of(self, endpoint: ListedEndpoint) -> EndpointLoad:
         """Returns the load of an endpoint since its last start."""
         key = (endpoint.id, endpoint.started_at)
@@ -155,6 +169,20 @@
         """Records a new request, which earns a part of a retry."""
         now = boot_seconds()
         self._retry_budget(service).earn(now, self._peer_entries.count_to_share)
+        self.traffic(service).demand.record(asyncio.get_running_loop().time())
+
+    def tell_demands(self) -> dict[str, float]:
+        """Returns the demand of each service with engines here, as the other entries are told."""
+        now = asyncio.get_running_loop().time()
+        told = {}
+        for service, engines in self._local_endpoints().items():
+            if self._state.engine_figures(service) is not None:
+                demands = self._peer_entries.local_demands(service)
+                engine_demand = sum(demands.values()) / len(engines)
+                rate = self.traffic(service).demand.told(engine_demand, now)
+                if rate is not None:
+                    told[service] = rate
+        return told
 
     def spend_retry(self, service: str, retries_so_far: int) -> bool:
         """Spends one retry to a service; returns whether this entry had one left."""
@@ -568,21 +596,31 @@
         return traffic.rate.per_second(now) * (self._peer_entries.count - 1) / max(1, endpoints)
 
     def _assign_endpoints(self) -> None:
-        """Updates which engines this entry sends to first, if endpoints or entries changed."""
-        entries = self._peer_entries.local_entries()
-        inputs = (self._state.endpoints.version, tuple(entries))
+        """Updates which engines this entry sends to first, if what they follow from has changed."""
+        peers = self._peer_entries
+        entries = peers.local_entries()
+        # Demands arrive one by one, and become too old without any message.
+        period = int(boot_seconds() / ASSIGNMENT_SECONDS)
+        inputs = (self._state.endpoints.version, tuple(entries), period)
         if inputs == self._assigned_for:
             return
         self._assigned_for = inputs
+        preferred: set[str] = set()
+        for service, ids in self._local_endpoints().items():
+            is_engine = self._state.engine_figures(service) is not None
+            demands = peers.local_demands(service) if is_engine else {}
+            preferred |= assign_by_demand(ids, entries, demands)[peers.own_address]
+        if len(preferred) != len(self._preferred):
+            self._log.write(Event.ENGINES_ASSIGNED, engines=len(preferred))
+        self._preferred = frozenset(preferred)
+
+    def _local_endpoints(self) -> dict[str, list[str]]:
+        """Returns the ids of the endpoints here that are not leaving, by service."""
         by_service: dict[str, list[str]] = {}
         for endpoint in self._state.endpoints.endpoints:
             if endpoint.data_centre == self._data_centre and not endpoint.leaving:
                 by_service.setdefault(endpoint.service, []).append(endpoint.id)
-        shares = (
-            assign_endpoints(ids, entries, self._peer_entries.own_address)
-            for ids in by_service.values()
-        )
-        self._preferred = frozenset().union(*shares)
+        return by_service
 
     def _can_serve(self, endpoint: ListedEndpoint, weights: int, late: float) -> bool:
         """Returns whether a request may be placed on the weights that an engine holds.
--- a/wasabidrum/gateway/service_traffic.py
+++ b/wasabidrum/gateway/service_traffic.py
@@ -1,5 +1,6 @@
 """This entry's traffic to one service, and how accurate its forecasts are."""
 
+from ..decisions.demand_assignment import OwnDemand
 from ..decisions.forecast_bias import ForecastBias
 from ..decisions.request_rate import RequestRate
 from ..decisions.return_turns import ReturnTurns
@@ -12,15 +13,17 @@
     Attributes:
       rate: Requests sent to the service's endpoints.
       refusals: Requests that were refused because all endpoints have too much work.
+      demand: Requests that callers bring, whether they are served or not.
       return_turns: When callers come back whom nobody can serve until a rest of endpoints ends.
       bias: By how much the time to the first event differs from its forecast.
     """
 
-    __slots__ = ("rate", "refusals", "bias", "return_turns", "_waits")
+    __slots__ = ("rate", "refusals", "demand", "bias", "return_turns", "_waits")
 
     def __init__(self) -> None:
         self.rate = RequestRate()
         self.refusals = RequestRate()
+        self.demand = OwnDemand()
         self.bias = ForecastBias()
         self.return_turns = ReturnTurns()
         self._waits: dict[str, StatedWaits] = {}
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -37,6 +37,7 @@
     REPLACED_WEIGHTS_ASKED = 2017
     ENDPOINT_LEAVING = 2018
     REST_ASKED = 2019
+    ENGINES_ASSIGNED = 2030
 
     # 3000: weights.
     VERSION_WANTED = 3001
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -16,6 +16,13 @@
 SUSPECTS_PATH = "/wasabidrum.Entry/Suspects"
 
 
+class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
+    """The requests per second that callers bring to an entry for a service with engines."""
+
+    service: str
+    per_second: float
+
+
 class EntryAddress(msgspec.Struct, frozen=True, array_like=True):
     """The address at which an entry accepts calls of other entries.
 
@@ -23,6 +30,8 @@
       age: Seconds since the entry was last heard from.
       data_centre: Its data centre; empty if the sender does not know it.
       link_mbit: The rate of its instance's link; zero if the sender does not know it.
+      demands: What callers bring to it; empty if the sender does not know it.
+      demands_age: Seconds since the entry told its demands.
     """
 
     host: str
@@ -30,6 +39,8 @@
     age: float = 0.0
     data_centre: str = ""
     link_mbit: float = 0.0
+    demands: tuple[ServiceDemand, ...] = ()
+    demands_age: float = 0.0
 
 
 class LimitStatement(msgspec.Struct, frozen=True, array_like=True):
@@ -73,6 +84,7 @@
       parts: The prompt parts that are held back or blocked; in a reply also those of which the
         sender's state is older, and to a sender that has just started all that had crashes.
       informed: Whether the sender knows what was counted for parts before it started.
+      brief: Whether the sender tells only of itself, and wants no more of the responder.
     """
 
     own: EntryAddress
@@ -82,6 +94,7 @@
     deaths: tuple[SuspectDeath, ...] = ()
     parts: tuple[PartReport, ...] = ()
     informed: bool = False
+    brief: bool = False
 
 
 class FetchChanges(msgspec.Struct, frozen=True, array_like=True):
