--- a/tests/choice_replay.py
+++ b/tests/choice_replay.py
@@ -7,10 +7,7 @@
 
 from wasabidrum.core.listed_endpoint import ListedEndpoint
 from wasabidrum.core.published import EngineFigures
-from wasabidrum.decisions.demand_assignment import (
-    OwnDemand,
-    assign_by_demand,
-)
+from wasabidrum.decisions.demand_assignment import OwnDemand, assign_by_demand
 from wasabidrum.decisions.endpoint_assignment import assign_endpoints
 from wasabidrum.decisions.endpoint_choice import (
     Candidate,
@@ -261,11 +258,11 @@
         """Creates a simulation.
 
         Args:
+          latest: The latest forecast with which a request is placed; None to decide it by
+            first_event_limit.
           weight_at: Relative traffic of an entry by its number and the time; None for that of its
             data centre.
           by_demand: Whether engines are assigned by the demands that entries tell.
-          latest: The latest forecast with which a request is placed; None to decide it by
-            first_event_limit.
         """
         self._rng = random.Random(seed)
         self._engines = engines
--- a/wasabidrum/decisions/demand_assignment.py
+++ b/wasabidrum/decisions/demand_assignment.py
@@ -37,6 +37,9 @@
 TOLD_CHANGE_ENGINES = 0.5
 MAX_SWING = 0.2
 NOISE_DEVIATIONS = 5.5
+# With fewer demands known, as among hundreds of entries, entries would know different ones and each
+# would compute an assignment of its own.
+MIN_KNOWN_SHARE = 0.75
 
 
 class OwnDemand:
@@ -119,7 +122,8 @@
     ordered = sorted(endpoint_ids)
     assigned = {entry: set(assign_endpoints(ordered, entries, entry)) for entry in entries}
     complete = complete_demands(entries, demands)
-    if not is_uneven(complete.values(), len(ordered)):
+    known = sum(entry in demands for entry in entries) >= MIN_KNOWN_SHARE * len(entries)
+    if not known or not is_uneven(complete.values(), len(ordered)):
         return {entry: frozenset(ids) for entry, ids in assigned.items()}
     counts = _engine_counts(entries, complete, len(ordered))
     free: set[str] = set()
--- a/wasabidrum/decisions/demand_assignment_test.py
+++ b/wasabidrum/decisions/demand_assignment_test.py
@@ -53,6 +53,12 @@
             assign_by_demand(ENGINES, ENTRIES, told), assign_by_demand(ENGINES, ENTRIES, complete)
         )
 
+    def test_where_few_demands_are_known_the_assignment_is_equal(self) -> None:
+        """Guards against entries that each know other demands, and all prefer the same engines."""
+        equal = {entry: assign_endpoints(ENGINES, ENTRIES, entry) for entry in ENTRIES}
+        told = {ENTRIES[0]: 90.0, ENTRIES[1]: 10.0}
+        self.assertEqual(assign_by_demand(ENGINES, ENTRIES, told), equal)
+
     def test_every_entry_keeps_an_engine(self) -> None:
         """Guards against an entry without engines that gets its callers back."""
         assigned = assign_by_demand(ENGINES, ENTRIES, demands(200, 0, 0, 0))
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -84,7 +84,7 @@
 # number bounds what that costs, and the exchanges tell the rest.
 DEMAND_CHECK_SECONDS = 0.5
 DEMAND_TELL_SECONDS = 1.0
-MAX_TOLD_AT_ONCE = 8
+MAX_TOLD_AT_ONCE = 4
 
 
 class EntryPeers:
