--- a/tests/demand_exchange_test.py
+++ b/tests/demand_exchange_test.py
@@ -4,9 +4,12 @@
 
 import msgspec
 
+from tests.fake_platform import PlatformFleet, make_configuration
+from tests.paused_clock import PausedClockCase
 from wasabidrum.decisions.demand_assignment import DEMAND_LIFETIME_SECONDS
 from wasabidrum.decisions.entry_roster import EntryRoster
 from wasabidrum.peers.entry_messages import EntryAddress, Meet, ServiceDemand
+from wasabidrum.platform import names
 
 OWN = ("10.0.0.1", 1)
 OTHER = ("10.0.0.2", 1)
@@ -45,3 +48,29 @@
         entry = EntryAddress(*OWN, demands=(ServiceDemand("s", 20.5),), demands_age=0.5)
         encoded = msgspec.msgpack.encode(Meet(entry, brief=True))
         self.assertEqual(msgspec.msgpack.decode(encoded, type=Meet).own, entry)
+
+
+class ExchangeTest(PausedClockCase):
+    """Three entries of one data centre."""
+
+    async def test_a_changed_demand_is_known_in_the_data_centre_within_two_seconds(self) -> None:
+        """Guards against an assignment that follows callers only after several exchanges between
+        random pairs."""
+        fleet = PlatformFleet()
+        await fleet.start()
+        self.addAsyncCleanup(fleet.stop)
+        await fleet.store.put(names.CONFIGURATION_KEY, make_configuration(7, "tally"))
+        for number in range(3):
+            await fleet.add_gateway(f"entry-{number}")
+        await fleet.wait_until(lambda: all(g.peers.count == 3 for g in fleet.gateways), 20.0)
+        peers = [gateway.peers for gateway in fleet.gateways]
+        own = peers[0].own_address
+        for rate in (20.0, 60.0, 30.0):
+            peers[0].find_demands = lambda rate=rate: {"s": rate}
+            await fleet.wait_until(
+                lambda rate=rate: all(p.local_demands("s").get(own) == rate for p in peers), 2.0
+            )
+
+
+if __name__ == "__main__":
+    unittest.main()
