--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -19,7 +19,7 @@
 from ..core.status import Status
 from ..decisions import engine_memory, request_rank
 from ..decisions.admission_order import AT_SHARE_POSITION, share_limit, yielding_limit
-from ..decisions.endpoint_assignment import assign_endpoints
+from ..decisions.demand_assignment import assign_by_demand
 from ..decisions.endpoint_choice import (
     Candidate,
     Choice,
@@ -30,6 +30,7 @@
 from ..decisions.endpoint_health import Health, is_silent
 from ..decisions.endpoint_load import EndpointLoad
 from ..decisions.endpoint_rests import EndpointRests
+from ..decisions.endpoint_speed import EndpointSpeed
 from ..decisions.engine_forecast import (
     answer_seconds,
     extra_read_seconds,
@@ -60,6 +61,8 @@
 RETURN_SECONDS = 1.0
 MIN_SERVED_PER_SECOND = 0.1
 MIN_RUN_SECONDS = 0.001
+# How often engines are assigned again, by what entries have told of their demand meanwhile.
+ASSIGNMENT_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,6 +112,13 @@
     def local_entries(self) -> list[HostPort]:
         """Returns the entries of this data centre, in the same order at each of them."""
 
+    def local_demands(self, service: str) -> dict[HostPort, float]:
+        """Returns the requests per second that callers bring to entries of this data centre.
+
+        This entry is included, with what it has told the others. Demands that are unknown or too
+        old are left out.
+        """
+
 
 class Placer:
     """Places the requests of one entry, and keeps what it knows of each endpoint."""
@@ -116,7 +126,7 @@
     __slots__ = ("_state", "_log", "_data_centre", "_loads", "_rng", "_retry_budgets", "_bounds")
     __slots__ += ("_statuses", "_peer_entries", "_traffic", "_preferred", "_assigned_for")
     __slots__ += ("_only_entry", "_limits", "_rests", "_rules", "_ranks", "_ranks_version")
-    __slots__ += ("_cold_rule",)
+    __slots__ += ("_cold_rule", "_learns_speed")
 
     def __init__(
         self,
@@ -129,6 +139,7 @@
         only_entry: bool = False,
         rules: PlacingRules | None = None,
         cold_rule: ColdEndpointRule | None = None,
+        learns_speed: bool = False,
     ) -> None:
         self._state = state
         self._log = log
@@ -149,6 +160,7 @@
         self._ranks: dict[str, ServiceRanks] = {}
         self._ranks_version = 0
         self._cold_rule = cold_rule
+        self._learns_speed = learns_speed
         self._statuses = ReportedStatuses()
         self._rng = random.Random()
 
@@ -162,19 +174,39 @@
         """The number of endpoints that want no requests from this entry now."""
         return self._rests.count(boot_seconds())
 
+    @property
+    def assigned_count(self) -> int:
+        """The number of endpoints that this entry sends to first."""
+        return len(self._preferred)
+
     def load_of(self, endpoint: ListedEndpoint) -> EndpointLoad:
         """Returns the load of an endpoint since its last start."""
         key = (endpoint.id, endpoint.started_at)
         load = self._loads.get(key)
         if load is None:
             self._drop_unlisted_loads()
-            load = self._loads[key] = EndpointLoad(self._rng)
+            speed = EndpointSpeed() if self._learns_speed else None
+            load = self._loads[key] = EndpointLoad(self._rng, speed)
         return load
 
     def record_request(self, service: str) -> None:
         """Records a new request, which earns a part of a retry."""
         now = boot_seconds()
         self._retry_budget(service).earn(now, self._peer_entries.count_to_share)
+        self.traffic(service).demand.record(asyncio.get_running_loop().time())
+
+    def tell_demands(self) -> dict[str, float]:
+        """Returns the demand of each service with engines here, as the other entries are told."""
+        now = asyncio.get_running_loop().time()
+        told = {}
+        for service, engines in self._local_endpoints().items():
+            if self._state.engine_figures(service) is not None:
+                demands = self._peer_entries.local_demands(service)
+                engine_demand = sum(demands.values()) / len(engines)
+                rate = self.traffic(service).demand.told(engine_demand, now)
+                if rate is not None:
+                    told[service] = rate
+        return told
 
     def spend_retry(self, service: str, retries_so_far: int) -> bool:
         """Spends one retry to a service; returns whether this entry had one left."""
@@ -471,6 +503,17 @@
             placement.raw_forecast_seconds, seconds, now
         )
 
+    def record_gap(self, placement: Placement, seconds: float) -> None:
+        """Records the time between two events of a stream, from which an engine's speed follows."""
+        load = placement.load
+        if load.speed is None:
+            return
+        figures = self._state.engine_figures(placement.endpoint.service)
+        if figures is not None:
+            now = asyncio.get_running_loop().time()
+            running = min(float(figures.slots), load.work(now).requests)
+            load.speed.record_gap(seconds, pass_seconds(figures, running), now)
+
     def record_waiting(self, placement: Placement, placed_at: float) -> None:
         """Records that a request has not begun yet, and by how much its forecast is exceeded."""
         now = asyncio.get_running_loop().time()
@@ -707,21 +750,31 @@
         return traffic.rate.per_second(now) * (self._peer_entries.count - 1) / max(1, endpoints)
 
     def _assign_endpoints(self) -> None:
-        """Updates which engines this entry sends to first, if endpoints or entries changed."""
-        entries = self._peer_entries.local_entries()
-        inputs = (self._state.endpoints.version, tuple(entries))
+        """Updates which engines this entry sends to first, if what they follow from has changed."""
+        peers = self._peer_entries
+        entries = peers.local_entries()
+        # Demands arrive one by one, and become too old without any message.
+        period = int(boot_seconds() / ASSIGNMENT_SECONDS)
+        inputs = (self._state.endpoints.version, tuple(entries), period)
         if inputs == self._assigned_for:
             return
         self._assigned_for = inputs
+        preferred: set[str] = set()
+        for service, ids in self._local_endpoints().items():
+            is_engine = self._state.engine_figures(service) is not None
+            demands = peers.local_demands(service) if is_engine else {}
+            preferred |= assign_by_demand(ids, entries, demands)[peers.own_address]
+        if len(preferred) != len(self._preferred):
+            self._log.write(Event.ENGINES_ASSIGNED, engines=len(preferred))
+        self._preferred = frozenset(preferred)
+
+    def _local_endpoints(self) -> dict[str, list[str]]:
+        """Returns the ids of the endpoints here that are not leaving, by service."""
         by_service: dict[str, list[str]] = {}
         for endpoint in self._state.endpoints.endpoints:
             if endpoint.data_centre == self._data_centre and not endpoint.leaving:
                 by_service.setdefault(endpoint.service, []).append(endpoint.id)
-        shares = (
-            assign_endpoints(ids, entries, self._peer_entries.own_address)
-            for ids in by_service.values()
-        )
-        self._preferred = frozenset().union(*shares)
+        return by_service
 
     def _can_serve(self, endpoint: ListedEndpoint, weights: int, late: float) -> bool:
         """Returns whether a request may be placed on the weights that an engine holds.
