--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -290,21 +290,27 @@
 
 
 # What entries tell each other under load, by hand from the design notes of the parts.
-EXCHANGES = """## What entries tell each other under load
-
-Counted from the encoded messages, not played at 400 entries (docs/design/workspace-shares.md, uneven-demand.md,
-admission-order.md).
-
-| what | switched on by | bytes sent by one entry in a second, 12 entries | 400 entries |
-|---|---|---|---|
-| meetings with demands, and changed demands told at once | always told; used where uneven | 2.8 KB at most | 5.0 KB at most |
-| use by workspace, 32 workspaces a report | the settings share room | 3.0 KB | 3.0 KB |
-| order of ranks, limits of cold endpoints, evacuations | configuration and store | none | none |
-
-Together 8.0 of the 8.2 KB that a daemon may send for control at 400 entries, which leaves no room for more. A report
-names 32 workspaces whatever their number: of 10,000, the others count at each entry by what it sees itself. At 400
-entries an entry hears about 12 of 399 within the time for which a report counts, and scales them.
-""".splitlines() + [""]
+EXCHANGES = [
+    "## What entries tell each other under load",
+    "",
+    "Counted from the encoded messages, not played at 400 entries "
+    "(docs/design/workspace-shares.md,",
+    "uneven-demand.md, admission-order.md).",
+    "",
+    "| what | switched on by | sent by one entry in a second, 12 entries | 400 entries |",
+    "|---|---|---|---|",
+    "| meetings with demands, and changed demands told at once "
+    "| always told; used where uneven | 2.8 KB at most | 5.0 KB at most |",
+    "| use by workspace, 32 workspaces a report | the settings share room | 3.0 KB | 3.0 KB |",
+    "| order of ranks, limits of cold endpoints, evacuations "
+    "| configuration and store | none | none |",
+    "",
+    "Together 8.0 of the 8.2 KB that a daemon may send for control at 400 entries, which leaves no",
+    "room for more. A report names 32 workspaces whatever their number: of 10,000, the others count",
+    "at each entry by what it sees itself. At 400 entries an entry hears about 12 of 399 within the",
+    "time for which a report counts, and scales them.",
+    "",
+]
 
 
 def render_page(reports: dict[str, dict], sweeps: list[sweep_slopes.Sweep]) -> str:
