--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -305,10 +305,10 @@
     "| order of ranks, limits of cold endpoints, evacuations "
     "| configuration and store | none | none |",
     "",
-    "Together 8.0 of the 8.2 KB that a daemon may send for control at 400 entries, which leaves no",
-    "room for more. A report names 32 workspaces whatever their number: of 10,000, the others count",
-    "at each entry by what it sees itself. At 400 entries an entry hears about 12 of 399 within the",
-    "time for which a report counts, and scales them.",
+    "Together 8.0 of the 8.2 KB that a daemon may send for control at 400 entries, which leaves",
+    "no room for more. A report names 32 workspaces whatever their number: of 10,000, the others",
+    "count at each entry by what it sees itself. At 400 entries an entry hears about 12 of 399",
+    "within the time for which a report counts, and scales them.",
     "",
 ]
 
