Order of admission in a module of its own; what no endpoint can serve is no refusal for load

The ranks, their counts and limits now stand in gateway/service_orders.py. A request that no endpoint has the weights for was counted as a refusal of its rank, so that less urgent requests yielded for seconds after the weights were back, although there was room; only refusals for load count now, as for the limit of all. gateway_test 39, admission_order_test 10, workspace_usage_test 8, evacuation_test 7 passed.

--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -335,7 +335,7 @@
         add(
             "urgent_requests_refused_share",
             "The largest share of the most urgent requests of a service that was refused lately.",
-            self.placer.urgent_refused_share,
+            lambda: self.placer.orders.urgent_refused_share,
         )
         add(
             "data_centres_evacuated",
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -237,13 +237,14 @@
             return placement
         choice = self._choose(self._tried_endpoints, moved=False)
         placement = placer.placement_for(choice)
-        if not failure:
-            admitted = placement is not None
-            placer.record_decision(self._service, self._call.scope, admitted, self._returning)
+        # That no endpoint has what it needs says nothing about their load. When some have it again,
+        # they have room.
+        overloaded = placement is None and (choice.seconds < float("inf") or choice.limited)
+        if not failure and (placement is not None or overloaded):
+            scope, admitted = self._call.scope, placement is not None
+            placer.orders.record(self._service, scope, admitted, self._returning)
         if placement is None:
-            # That no endpoint has what it needs says nothing about their load. When some have it
-            # again, they have room.
-            if choice.seconds < float("inf") or choice.limited:
+            if overloaded:
                 placer.record_refusal(self._service)
         elif left > MIN_USEFUL_SECONDS:
             self._log_placement(placement, failure)
@@ -269,7 +270,7 @@
             endpoints_evacuated=self._gateway.state.count_evacuated(self._service),
             report_age=choice.report_age,
             returning=self._returning,
-            **placer.order_facts(self._service, self._call.scope),
+            **placer.orders.facts(self._service, self._call.scope),
         )
         if choice.seconds < float("inf"):
             code = "overloaded"
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -18,7 +18,7 @@
 from ..core.route import Route, RouteKind
 from ..core.status import Status
 from ..decisions import engine_memory, request_rank
-from ..decisions.admission_order import AT_SHARE_POSITION, share_limit, yielding_limit
+from ..decisions.admission_order import AT_SHARE_POSITION
 from ..decisions.demand_assignment import assign_by_demand
 from ..decisions.endpoint_choice import (
     Candidate,
@@ -41,7 +41,6 @@
 from ..decisions.entry_roster import HostPort
 from ..decisions.first_event_limit import Caller, first_event_limit
 from ..decisions.rate_shares import Entries
-from ..decisions.request_rank import ServiceRanks
 from ..decisions.request_recall import is_stalled
 from ..decisions.shared_retry_budget import RetryAllowance, SharedRetryBudget
 from ..decisions.stated_limits import StatedLimits
@@ -52,6 +51,7 @@
 from .placing_rules import MAX_RULED_OUT_RETRY_SECONDS, PlacingRules
 from .published_state import PublishedState
 from .reported_statuses import ReportedStatuses
+from .service_orders import ServiceOrders
 from .service_traffic import ServiceTraffic
 
 # A call of a plain service is short. It is refused if its forecast exceeds this fraction of the
@@ -125,7 +125,7 @@
 
     __slots__ = ("_state", "_log", "_data_centre", "_loads", "_rng", "_retry_budgets", "_bounds")
     __slots__ += ("_statuses", "_peer_entries", "_traffic", "_preferred", "_assigned_for")
-    __slots__ += ("_only_entry", "_limits", "_rests", "_rules", "_ranks", "_ranks_version")
+    __slots__ += ("_only_entry", "_limits", "_rests", "_rules", "_orders")
     __slots__ += ("_cold_rule", "_learns_speed")
 
     def __init__(
@@ -156,9 +156,7 @@
         self._limits = limits
         self._rests = EndpointRests()
         self._rules = rules or PlacingRules()
-        # The ranks of services whose requests differ in urgency, by a configuration's version.
-        self._ranks: dict[str, ServiceRanks] = {}
-        self._ranks_version = 0
+        self._orders = ServiceOrders(state, log)
         self._cold_rule = cold_rule
         self._learns_speed = learns_speed
         self._statuses = ReportedStatuses()
@@ -169,6 +167,11 @@
         """The entry's random number generator."""
         return self._rng
 
+    @property
+    def orders(self) -> ServiceOrders:
+        """The order in which requests of each service are admitted."""
+        return self._orders
+
     @property
     def resting_count(self) -> int:
         """The number of endpoints that want no requests from this entry now."""
@@ -271,7 +274,7 @@
             full += filled
         traffic = self.traffic(service)
         refused_share = traffic.refused_share(now)
-        rank = self._rank(scope, service)
+        rank = self._orders.rank(scope, service)
         if figures is None:
             latest = seconds_until_disconnect * PLAIN_LATEST_FRACTION
         elif tried or moved or weights:
@@ -284,19 +287,9 @@
                 returning,
                 free_slot_seconds(figures, head.prompt_tokens),
             )
-            if rank is not None:
-                rank = traffic.order.admission_rank(rank, now)
-                refused_share = traffic.order.refused_share(rank, now)
-            latest = first_event_limit(caller, refused_share)
-            if share_position > AT_SHARE_POSITION:
-                free = caller.free_slot_seconds
-                latest = share_limit(
-                    latest, route.target_latency, free, share_position, refused_share
-                )
-            if rank is not None:
-                urgent = traffic.order.urgent_refused_share(rank, now)
-                free = caller.free_slot_seconds
-                latest = yielding_limit(latest, route.target_latency, free, urgent)
+            admission = self._orders.admission(service, rank, caller, refused_share, share_position)
+            rank, latest = admission.rank, admission.latest
+            refused_share = admission.refused_share
         if figures is not None:
             latest = min(latest, seconds_until_disconnect)
         risky = route.kind is RouteKind.UNSAFE or not route.idempotent
@@ -372,57 +365,6 @@
             return False
         return self.traffic(service).record_wait(route.name, head.deadline)
 
-    def record_decision(
-        self, service: str, scope: RequestScope, admitted: bool, returning: bool
-    ) -> None:
-        """Records whether a request was placed when it arrived.
-
-        Args:
-          returning: Whether its caller has waited before.
-        """
-        rank = self._rank(scope, service)
-        if rank is None:
-            return
-        now, order = asyncio.get_running_loop().time(), self.traffic(service).order
-        order.record(rank, admitted, now, returning)
-        if order.update_yielding(now):
-            self._log.write(
-                Event.LESS_URGENT_YIELD,
-                service=service,
-                yielding=order.yielding,
-                refused_shares=order.refused_shares(now),
-            )
-
-    def order_facts(self, service: str, scope: RequestScope) -> dict[str, object]:
-        """Returns what the order of its service says about a request, for its log line."""
-        rank = self._rank(scope, service)
-        if rank is None:
-            return {}
-        now, order = asyncio.get_running_loop().time(), self.traffic(service).order
-        return {
-            "rank": rank,
-            "placed_as_rank": order.admission_rank(rank, now),
-            "refused_shares": order.refused_shares(now),
-        }
-
-    def urgent_refused_share(self) -> float:
-        """Returns the largest share of the most urgent requests of a service that is refused."""
-        now = asyncio.get_running_loop().time()
-        return max((t.order.refused_share(0, now) for t in self._traffic.values()), default=0.0)
-
-    def _rank(self, scope: RequestScope, service: str) -> int | None:
-        """Returns the rank of a request; None if those of its service have no order.
-
-        Only the queues of engines have one.
-        """
-        if self._state.engine_figures(service) is None:
-            return None
-        if self._ranks_version != self._state.version:
-            self._ranks_version = self._state.version
-            self._ranks = request_rank.service_ranks(self._state.configuration)
-        ranks = self._ranks.get(service)
-        return ranks.rank_of(scope) if ranks is not None else None
-
     def record_refusal(self, service: str) -> None:
         """Records a request that was refused because all endpoints have too much work."""
         self.traffic(service).refusals.record(asyncio.get_running_loop().time())
--- a/wasabidrum/gateway/service_traffic.py
+++ b/wasabidrum/gateway/service_traffic.py
@@ -1,6 +1,5 @@
 """This entry's traffic to one service, and how accurate its forecasts are."""
 
-from ..decisions.admission_order import AdmissionOrder
 from ..decisions.demand_assignment import OwnDemand
 from ..decisions.forecast_bias import ForecastBias
 from ..decisions.request_rate import RequestRate
@@ -16,15 +15,13 @@
       refusals: Requests that were refused because all endpoints have too much work.
       demand: Requests that callers bring, whether they are served or not.
       return_turns: When callers come back whom nobody can serve until a rest of endpoints ends.
-      order: How often the requests of each rank were admitted lately.
     """
 
-    __slots__ = ("rate", "refusals", "demand", "order", "return_turns", "_biases", "_waits")
+    __slots__ = ("rate", "refusals", "demand", "return_turns", "_biases", "_waits")
 
     def __init__(self) -> None:
         self.rate = RequestRate()
         self.refusals = RequestRate()
-        self.order = AdmissionOrder()
         self._biases: dict[int | None, ForecastBias] = {}
         self.demand = OwnDemand()
         self.return_turns = ReturnTurns()
