Test of a later run passes on all arguments of a connection

Since connections count against a budget, connect takes a fourth argument; the test's own connect did not, so that the request ended as an internal error (502) before the check.

--- a/tests/cold_endpoints_test.py
+++ b/tests/cold_endpoints_test.py
@@ -192,11 +192,11 @@
         await self.start_entries(1)
         connect = endpoint_connection.connect
 
-        async def connect_late(host: str, port: int, timeout: float) -> EndpointConnection:
+        async def connect_late(*arguments: object) -> EndpointConnection:
             registration = self.warm.entry(born=9)
             await self.fleet.store.put(names.ENDPOINT_PREFIX + "warm", registration)
             await asyncio.sleep(1.0)
-            return await connect(host, port, timeout)
+            return await connect(*arguments)
 
         with mock.patch.object(endpoint_connection, "connect", connect_late):
             self.assertEqual(await self.ask(), 503)
