--- a/tests/entry_soak.py
+++ b/tests/entry_soak.py
@@ -1,5 +1,8 @@
 """Real entry processes under series of signals, restarts, crashes and limits of endpoints.
 
+Meanwhile data centres are evacuated, engines are cold after they start, and routes differ in
+priority.
+
 Callers keep their connections until the process behind them is gone. The schedule follows from the
 seed: `python -m tests.entry_soak --seed 7 --seeds 50 --entries 6 --seconds 20`. What processes do
 meanwhile is not replayed, so a fault may need several plays of its seed.
@@ -46,7 +49,19 @@
 SERVICE = "tally"
 ENDPOINTS = 4
 PORTS_OF_ONE = 6
-BOUNDS = Bounds(retry_fraction=0.2, retry_extra=24.0, retry_window=10.0)
+BOUNDS = Bounds(
+    retry_fraction=0.2, retry_extra=24.0, retry_window=10.0, cold_factor=1.5, cold_extra=5.0
+)
+DATA_CENTRES = ["rift-a", "rift-b"]
+COLD_SECONDS = 3.0
+# The limit that follows, 11, is below what a warm engine gets, so that it takes effect.
+COLD_PER_SECOND = 4.0
+COLD_LIMIT = COLD_PER_SECOND * BOUNDS.cold_factor + BOUNDS.cold_extra
+URGENT_KIND = "unsafe"
+# For how long evacuations are judged before they end.
+JUDGED_SECONDS = (2.0, 6.0)
+# Engines whose forecasts are short, so that they refuse nothing that a plain service would serve.
+ENGINE = {"slots": 6, "step_ms": 1.0, "read_per_s": 1_000_000.0, "models": [{"name": "m1"}]}
 RUN_SECONDS = 0.05
 # Entries that have started together know each other after this time.
 MEETING_SECONDS = 4.0
@@ -90,6 +105,25 @@
             self._arrived_at.append(asyncio.get_running_loop().time())
 
 
+class Evacuation:
+    """An evacuation of a data centre that has not ended.
+
+    Attributes:
+      due_at: From when on entries in touch send nothing there. They have had the store at hand for
+        the whole time that they may take.
+    """
+
+    def __init__(self, data_centre: str) -> None:
+        self.data_centre = data_centre
+        self.due_at = asyncio.get_running_loop().time() + BOUNDS.evacuation
+
+    def record_store(self, away: bool) -> None:
+        """Records that the store goes away or comes back."""
+        now = asyncio.get_running_loop().time()
+        if now < self.due_at:
+            self.due_at = float("inf") if away else now + BOUNDS.evacuation
+
+
 class Entry:
     """One entry process, and the settings that each start of it gets."""
 
@@ -171,7 +205,7 @@
             "ip": self.host,
             "zone": "rift-a",
             "region": "rift",
-            "zones": {"rift-a": "rift"},
+            "zones": dict.fromkeys(DATA_CENTRES, "rift"),
             "provider": {"address": f"127.0.0.1:{self._store_port}"},
             "listen": {
                 "front": f"{self.host}:{self.port}",
@@ -185,6 +219,9 @@
                 "budgetSlack": BOUNDS.retry_extra,
                 "budgetWindowS": BOUNDS.retry_window,
                 "graceS": self._grace,
+                "evacuateMs": BOUNDS.evacuation * 1000.0,
+                "coldOverage": BOUNDS.cold_factor,
+                "coldSlack": BOUNDS.cold_extra,
             },
             "bootstrap": bootstrap,
         }
@@ -222,6 +259,11 @@
         self._rng = random.Random(seed)
         # Answers draw from their own, so that they change nothing in the schedule of a seed.
         self._answers_rng = random.Random(f"answers {seed}")
+        # Evacuations and kinds of service draw from their own for the same reason.
+        self._operator_rng = random.Random(f"operator {seed}")
+        # Only services with engines have an order of priorities.
+        self._has_engines = self._operator_rng.random() < 0.5
+        self._evacuation: Evacuation | None = None
         self._per_second = per_second
         self._fleet = PlatformFleet()
         self._store = self._fleet.store
@@ -229,6 +271,10 @@
         self._crashes.on_request = self._answer
         self._crashes.handler = self._run
         self._crashes.culprits = []
+        self._crashes.zones = DATA_CENTRES
+        self._crashes.cold_seconds = COLD_SECONDS
+        if self._has_engines:
+            self._crashes.facts = {"models": [{"name": "m1", "version": 1}]}
         self._folder = folder
         self._count = entries
         self._entries: list[Entry] = []
@@ -247,6 +293,11 @@
         self.false_answers: list[str] = []
         self.lost_answers: list[str] = []
         self.forms: collections.Counter[str] = collections.Counter()
+        self.evacuated_arrivals: list[str] = []
+        self.wrong_priorities: list[str] = []
+        # Less urgent requests that were sent as the most urgent ones.
+        self.raised_priorities: list[str] = []
+        self.counts: collections.Counter[str] = collections.Counter()
         self.played: list[str] = []
 
     def write_line(self, event: str, **facts: object) -> None:
@@ -272,6 +323,7 @@
             await asyncio.sleep(MEETING_SECONDS)
             series = (self._play_signals, self._play_signals, self._play_limits)
             series += (self._play_faults, self._play_crashes, self._play_broken_answers)
+            series += (self._play_evacuations,)
             playing = [asyncio.ensure_future(play()) for play in series]
             await asyncio.sleep(seconds)
             self._ends = True
@@ -283,7 +335,7 @@
 
     async def _start(self) -> None:
         await self._store.start()
-        await self._store.put(names.CONFIGURATION_KEY, make_configuration(7, SERVICE))
+        await self._store.put(names.CONFIGURATION_KEY, self._configuration())
         await self._crashes.start(ENDPOINTS)
         first = free_ports(PORTS_OF_ONE)
         self._entries = [
@@ -292,6 +344,14 @@
         await asyncio.gather(*(entry.start(True) for entry in self._entries))
         await asyncio.gather(*(e.process.read_event("daemon_started") for e in self._entries))
 
+    def _configuration(self) -> dict:
+        configuration = make_configuration(7, SERVICE)
+        for route in configuration["routes"]:
+            route["priority"] = 2 if route["type"] == URGENT_KIND else 5
+        cold = {"coldStartS": COLD_SECONDS, "coldPerS": COLD_PER_SECOND}
+        configuration["services"][0] |= cold | ({"engine": ENGINE} if self._has_engines else {})
+        return configuration
+
     async def _stop(self) -> None:
         for entry in self._entries:
             if entry.process is not None:
@@ -310,6 +370,7 @@
         facts = {"endpoint": endpoint.id, "request": name, "part": part}
         in_touch = self._entry_of(name).in_touch
         self.write_line("arrived", refused=handler is not answer_ok, in_touch=in_touch, **facts)
+        self._check_arrival(endpoint, request, name, in_touch)
         if part:
             self.parts[part].record_arrival(in_touch)
         if handler is not answer_ok:
@@ -326,6 +387,24 @@
             self.parts[part].record_crash()
             self.write_line("crashed", **facts)
 
+    def _check_arrival(
+        self, endpoint: FakeEndpoint, request: ReceivedRequest, name: str, in_touch: bool
+    ) -> None:
+        """Checks the data centre and the priority of a request that has reached an endpoint."""
+        now = asyncio.get_running_loop().time()
+        evacuation = self._evacuation
+        if evacuation is not None and now > evacuation.due_at and in_touch:
+            self.counts["judged while evacuated"] += 1
+            if endpoint.zone == evacuation.data_centre:
+                late = now - evacuation.due_at
+                self.evacuated_arrivals.append(f"{name} {endpoint.id} {late:.2f} s")
+        rank = "0" if name.endswith(f"-{URGENT_KIND}") else "1"
+        stated = request.headers.get(names.PRIORITY.lower())
+        if stated != (rank if self._has_engines else None):
+            raised = self._has_engines and stated == "0"
+            (self.raised_priorities if raised else self.wrong_priorities).append(f"{name} {stated}")
+        self.counts["cold"] += now < self._crashes.warm_at.get(endpoint.id, now)
+
     async def _run(
         self, endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
@@ -497,12 +576,32 @@
             await asyncio.sleep(self._rng.uniform(1.0, 4.0))
             if self._rng.random() < 0.3:
                 self._store.fault = "" if self._store.fault else "busy"
+                if self._evacuation is not None:
+                    self._evacuation.record_store(bool(self._store.fault))
                 self._record_played(f"store {self._store.fault or 'back'}")
             else:
                 self.repeats.failing = not self.repeats.failing
                 self._record_played(f"endpoints refuse first sends: {self.repeats.failing}")
         self._store.fault = ""
 
+    async def _play_evacuations(self) -> None:
+        rng = self._operator_rng
+        while not self._ends:
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
+            data_centre, seconds = rng.choice(DATA_CENTRES), rng.uniform(*JUDGED_SECONDS)
+            while self._store.fault and not self._ends:
+                await asyncio.sleep(0.1)
+            key = names.EVACUATION_PREFIX + data_centre
+            await self._store.put(key, {})
+            evacuation = self._evacuation = Evacuation(data_centre)
+            self._record_played(f"{data_centre} is evacuated")
+            while asyncio.get_running_loop().time() < evacuation.due_at and not self._ends:
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(seconds)
+            self._evacuation = None
+            self._record_played(f"{data_centre} is back")
+            await self._store.delete(key)
+
     async def _play_broken_answers(self) -> None:
         while not self._ends:
             await asyncio.sleep(self._answers_rng.uniform(0.5, 3.0))
@@ -523,6 +622,7 @@
         until = asyncio.get_running_loop().time()
         excess = {name: log.worst_excess(until) for name, log in self.limits.items()}
         over_limits = {name: round(value, 1) for name, value in excess.items() if value > 0.0}
+        cold = {name: self._worst_cold_second(name) for name in self.limits}
         beyond, repeats, allowed = self.repeats.worst_window(BOUNDS)
         return {
             "requests": self._asked,
@@ -541,8 +641,21 @@
             "forms": dict(self.forms),
             "false_answers": self.false_answers,
             "lost_answers": self.lost_answers,
+            "engines": self._has_engines,
+            "counts": dict(self.counts),
+            "worst_cold": max(cold.values(), default=0),
+            "over_cold": {name: count for name, count in cold.items() if count > COLD_LIMIT},
+            "evacuated_arrivals": self.evacuated_arrivals,
+            "wrong_priorities": self.wrong_priorities,
+            "raised_priorities": self.raised_priorities,
         }
 
+    def _worst_cold_second(self, name: str) -> int:
+        """Returns the most requests that an endpoint got in any second while it was cold."""
+        log, warm_at = self.limits[name], self._crashes.warm_at.get(name, float("-inf"))
+        starts = [at for at in log.arrived_at if at < warm_at]
+        return max((log.arrivals(at, min(1.0, warm_at - at)) for at in starts), default=0)
+
 
 BROKEN = (
     "over_limits",
@@ -553,6 +666,10 @@
     "late_refusals",
     "false_answers",
     "lost_answers",
+    "over_cold",
+    "evacuated_arrivals",
+    "wrong_priorities",
+    "raised_priorities",
 )
 SMALLEST_LOAD_TO_JUDGE = 50
 
--- a/tests/fake_crashes.py
+++ b/tests/fake_crashes.py
@@ -63,6 +63,10 @@
       on_request: What an engine does with a request; serve, unless a test does more.
       crashed_at: When engines crashed, by the event loop's clock.
       arrived_at: When requests with a culprit part reached engines, by the same clock.
+      zones: The data centres of the engines, in turn.
+      facts: Further fields of their registrations.
+      cold_seconds: For how long engines are cold after they have started.
+      warm_at: Until when each engine is cold, by id and the same clock.
     """
 
     def __init__(self, fleet: PlatformFleet) -> None:
@@ -71,6 +75,10 @@
         self.on_request: Handler = self.serve
         self.crashed_at: list[float] = []
         self.arrived_at: list[float] = []
+        self.zones = ["rift-a"]
+        self.facts: dict[str, object] = {}
+        self.cold_seconds = 0.0
+        self.warm_at: dict[str, float] = {}
         self._fleet = fleet
         self._open: dict[FakeEndpoint, set[asyncio.StreamWriter]] = {}
         self._returning: set[asyncio.Task] = set()
@@ -96,9 +104,15 @@
         """Starts and registers engines."""
         for _ in range(count):
             self._started += 1
-            endpoint = await self._fleet.add_endpoint(f"e{self._started}", SERVICE)
+            name = f"e{self._started}"
+            zone = self.zones[self._started % len(self.zones)]
+            self.warm_at[name] = asyncio.get_running_loop().time() + self.cold_seconds
+            facts = self.facts | {"coldRemainingMs": int(self.cold_seconds * 1000.0)}
+            endpoint = await self._fleet.add_endpoint(name, SERVICE, zone, **facts)
             endpoint.handler = self.on_request
             self._open[endpoint] = set()
+            if self.cold_seconds:
+                self._begin(self._register_warm(endpoint))
 
     def stop(self) -> None:
         """Starts no engine any more."""
@@ -114,9 +128,7 @@
         for writer in writers:
             reset(writer)
         endpoint._server.close()
-        task = asyncio.ensure_future(self._replace(endpoint))
-        self._returning.add(task)
-        task.add_done_callback(self._returning.discard)
+        self._begin(self._replace(endpoint))
 
     async def serve(
         self, endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
@@ -138,6 +150,17 @@
         finally:
             self._open.get(endpoint, set()).discard(writer)
 
+    def _begin(self, work: collections.abc.Coroutine[object, object, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._returning.add(task)
+        task.add_done_callback(self._returning.discard)
+
+    async def _register_warm(self, endpoint: FakeEndpoint) -> None:
+        await asyncio.sleep(self.cold_seconds)
+        if endpoint in self._open:
+            entry = endpoint.entry(**self.facts)
+            await self._fleet.store.put(names.ENDPOINT_PREFIX + endpoint.id, entry)
+
     async def _replace(self, endpoint: FakeEndpoint) -> None:
         await asyncio.sleep(LEASE_SECONDS)
         await self._fleet.store.delete(names.ENDPOINT_PREFIX + endpoint.id)
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -285,13 +285,13 @@
         self.store.stop()
 
     async def add_endpoint(
-        self, endpoint_id: str, service: str, zone: str = "rift-a"
+        self, endpoint_id: str, service: str, zone: str = "rift-a", **facts: object
     ) -> FakeEndpoint:
-        """Starts and registers an endpoint."""
+        """Starts and registers an endpoint, with some fields of its registration replaced."""
         endpoint = FakeEndpoint(endpoint_id, service, zone)
         await endpoint.start()
         self.endpoints.append(endpoint)
-        await self.store.put(names.ENDPOINT_PREFIX + endpoint_id, endpoint.entry())
+        await self.store.put(names.ENDPOINT_PREFIX + endpoint_id, endpoint.entry(**facts))
         return endpoint
 
     async def add_gateway(
