--- a/tests/entry_soak_test.py
+++ b/tests/entry_soak_test.py
@@ -7,7 +7,16 @@
 import unittest
 from unittest import mock
 
-from tests.entry_soak import SERVICE, Entry, EntrySoak, broken_promises, play_soak
+from tests.entry_soak import (
+    BOUNDS,
+    COLD_LIMIT,
+    SERVICE,
+    Entry,
+    EntrySoak,
+    Evacuation,
+    broken_promises,
+    play_soak,
+)
 from tests.fake_platform import FakeEndpoint, ReceivedRequest
 from tests.paused_clock import PausedClockCase
 from tests.stated_limits_test import SETTLING_SECONDS, WINDOW_SECONDS
@@ -85,6 +94,32 @@
         await self.send(TOO_MANY, WINDOW_SECONDS / 2.0)
         self.assertEqual(list(await self.over_limits()), [self.endpoint.id])
 
+    async def test_request_in_an_evacuated_data_centre_counts_once_the_time_is_over(self) -> None:
+        """Guards against a check that passes over requests to evacuated data centres, or counts
+        those that are still allowed."""
+        evacuation = self.soak._evacuation = Evacuation(self.endpoint.zone)
+        await self.send(4, BOUNDS.evacuation + 0.1)
+        self.assertEqual(self.soak.evacuated_arrivals, [])
+        await self.send(1, 1.0)
+        self.assertEqual(len(self.soak.evacuated_arrivals), 1)
+        # An entry may need the store until the time is over, so that it counts anew.
+        evacuation = self.soak._evacuation = Evacuation(self.endpoint.zone)
+        evacuation.record_store(away=True)
+        await asyncio.sleep(BOUNDS.evacuation)
+        evacuation.record_store(away=False)
+        await self.send(4, BOUNDS.evacuation + 0.1)
+        self.assertEqual(len(self.soak.evacuated_arrivals), 1)
+
+    async def test_cold_endpoint_that_gets_one_request_too_many_is_found(self) -> None:
+        """Guards against a check that passes over a full second at a cold endpoint."""
+        self.soak._crashes.warm_at[self.endpoint.id] = self.loop.time() + 3.0
+        # Refusals take no time.
+        self.soak.repeats.failing = True
+        await self.send(int(COLD_LIMIT), 0.9)
+        self.assertEqual(self.soak._judge()["over_cold"], {})
+        await self.send(1, 0.1)
+        self.assertEqual(list(self.soak._judge()["over_cold"]), [self.endpoint.id])
+
 
 class SuspendedEntryTest(PausedClockCase):
     """An entry process that is replaced while it is suspended."""
