--- a/wasabidrum/decisions/rate_shares.py
+++ b/wasabidrum/decisions/rate_shares.py
@@ -97,7 +97,7 @@
         self._updated_at: float | None = None
 
     def empty(self) -> None:
-        """Takes back what was earned."""
+        """Resets what was earned."""
         self._balance = 0.0
         self._updated_at = None
 
@@ -113,7 +113,7 @@
         return (1.0 - self._balance) / share.rate if share.rate else float("inf")
 
     def spend(self) -> bool:
-        """Takes one request out; returns whether there was one."""
+        """Removes one request; returns whether there was one."""
         if self._balance < 1.0:
             return False
         self._balance -= 1.0
