Endpoints whose answers were late or lost are not cold; the slowdown by gaps is left out

Change: an endpoint that comes back is cold only if no connection could be opened to it meanwhile, as when it starts again.

--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -19,7 +19,6 @@
 import random
 
 from .endpoint_health import EndpointHealth
-from .endpoint_speed import EndpointSpeed
 from .engine_forecast import EngineWork
 from .failure_rate import FailureRate
 from .recent_lateness import RecentLateness
@@ -44,7 +43,7 @@
       asks_for_body: Whether it asks for the body of a request whose head announces one (100
         Continue); None while that is not known.
       reported_at: When a report arrived last that says that it answers.
-      speed: Its slowdown as its events show it; None if the reported pace counts alone.
+      unreachable: Whether no connection could be opened since it last answered a request.
     """
 
     __slots__ = ("health", "own_requests", "unread_tokens", "failures", "run_seconds", "lateness")
@@ -57,10 +56,9 @@
         "_unreported_sends",
     )
     __slots__ += ("_silent_since", "asks_for_body", "reported_at", "held_tokens", "_unbegun")
-    __slots__ += ("speed",)
+    __slots__ += ("unreachable",)
 
-    def __init__(self, rng: random.Random, speed: EndpointSpeed | None = None) -> None:
-        self.speed = speed
+    def __init__(self, rng: random.Random) -> None:
         self.health = EndpointHealth(rng)
         self.own_requests = 0
         self.unread_tokens = 0
@@ -71,6 +69,7 @@
         self._silent_since = 0.0
         self.run_seconds = INITIAL_RUN_SECONDS
         self.asks_for_body: bool | None = None
+        self.unreachable = False
         self.reported_at = float("-inf")
         self._other_requests = 0.0
         self._queued = 0
@@ -183,14 +182,13 @@
         weight = max(0.0, 1.0 - (now - self._report_received_at) / REPORT_LIFETIME_SECONDS)
         unreported = others_rate * (now - self._report_made_at) if weight else 0.0
         unread = self.unread_tokens + usual_prompt * (weight * self._queued + unreported)
-        slowdown = self._pace if self.speed is None else self.speed.slowdown(self._pace, now)
         requests = self.own_requests + weight * self._other_requests + unreported
         if rank is None:
-            return EngineWork(requests, unread, slowdown)
+            return EngineWork(requests, unread, self._pace)
         less_urgent = [known for place, known in self._unbegun.items() if place > rank]
         overtaken = sum(count for count, _ in less_urgent)
         tokens = sum(tokens for _, tokens in less_urgent)
-        return EngineWork(requests, unread, slowdown, overtaken, tokens)
+        return EngineWork(requests, unread, self._pace, overtaken, tokens)
 
     def _add_unbegun(self, rank: int, requests: int, tokens: int) -> None:
         known = self._unbegun.get(rank, (0, 0))
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -37,8 +37,6 @@
 # An endpoint that runs asks for the body within milliseconds if it ever does so. A report that
 # arrives this much later than the head was sent shows that it ran meanwhile.
 BODY_REQUEST_TIMEOUT_SECONDS = reported_statuses.REPORT_LAG_SECONDS
-# After a longer write, the time until the next events says nothing about the endpoint.
-MAX_WRITE_SECONDS = 0.01
 # The error codes of attempts that were not sent because their endpoint may get no requests now.
 RESTING_CODE = "endpoint_resting"
 LEAVING_CODE = "endpoint_leaving"
@@ -92,7 +90,6 @@
         "_recall_reason",
         "_reserve",
         "_last_activity_at",
-        "_read_from",
         "_sent_at",
         "_head_at",
         "_limit_at_sending",
@@ -132,8 +129,6 @@
         self._stopped_at = float("inf")
         self.number = number
         self.started_at = self._last_activity_at = asyncio.get_running_loop().time()
-        # When reading from the endpoint went on after the last events were written.
-        self._read_from = self.started_at
 
     @property
     def placement(self) -> Placement:
@@ -466,7 +461,6 @@
             self._progress.last_event_id = events.last_event_id or self._progress.last_event_id
             self._progress.event_count += events.count
             await self._exchange.write_events(events.content)
-            self._read_from = asyncio.get_running_loop().time()
         if buffer.incomplete:
             raise AttemptError(AttemptEnd.LOST, "stream_cut")
         if not self._exchange.streaming:
@@ -488,9 +482,6 @@
             prompt = self._call.head.prompt_tokens
             seconds = loop.time() - self.started_at
             self._gateway.placer.record_first_event(self._placement, prompt, seconds)
-        elif self._read_from - self._last_activity_at < MAX_WRITE_SECONDS:
-            # A caller that reads slowly holds up the reading, which is not the endpoint's doing.
-            self._gateway.placer.record_gap(self._placement, loop.time() - self._last_activity_at)
         if not self._exchange.streaming:
             self._progress.first_event_at = loop.time()
             self._progress.weights = self._placement.weights
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -143,7 +143,6 @@
             deployment.first_start and not self.peers.has_seeds,
             rules,
             self.cold_rule,
-            deployment.shares_room,
         )
         shares = WorkspaceShares(deployment.host, random.getrandbits(32))
         self.usage = WorkspaceUsage(deployment, self.state, shares, log)
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -30,7 +30,6 @@
 from ..decisions.endpoint_health import Health, is_silent
 from ..decisions.endpoint_load import EndpointLoad
 from ..decisions.endpoint_rests import EndpointRests
-from ..decisions.endpoint_speed import EndpointSpeed
 from ..decisions.engine_forecast import (
     answer_seconds,
     extra_read_seconds,
@@ -61,6 +60,8 @@
 RETURN_SECONDS = 1.0
 MIN_SERVED_PER_SECOND = 0.1
 MIN_RUN_SECONDS = 0.001
+# The codes of attempts whose connection could not be opened.
+UNREACHABLE_CODES = frozenset(("endpoint_down", "endpoint_unreachable"))
 # How often engines are assigned again, by what entries have told of their demand meanwhile.
 ASSIGNMENT_SECONDS = 0.5
 
@@ -126,7 +127,7 @@
     __slots__ = ("_state", "_log", "_data_centre", "_loads", "_rng", "_retry_budgets", "_bounds")
     __slots__ += ("_statuses", "_peer_entries", "_traffic", "_preferred", "_assigned_for")
     __slots__ += ("_only_entry", "_limits", "_rests", "_rules", "_orders")
-    __slots__ += ("_cold_rule", "_learns_speed")
+    __slots__ += ("_cold_rule",)
 
     def __init__(
         self,
@@ -139,7 +140,6 @@
         only_entry: bool = False,
         rules: PlacingRules | None = None,
         cold_rule: ColdEndpointRule | None = None,
-        learns_speed: bool = False,
     ) -> None:
         self._state = state
         self._log = log
@@ -158,7 +158,6 @@
         self._rules = rules or PlacingRules()
         self._orders = ServiceOrders(state, log)
         self._cold_rule = cold_rule
-        self._learns_speed = learns_speed
         self._statuses = ReportedStatuses()
         self._rng = random.Random()
 
@@ -188,8 +187,7 @@
         load = self._loads.get(key)
         if load is None:
             self._drop_unlisted_loads()
-            speed = EndpointSpeed() if self._learns_speed else None
-            load = self._loads[key] = EndpointLoad(self._rng, speed)
+            load = self._loads[key] = EndpointLoad(self._rng)
         return load
 
     def record_request(self, service: str) -> None:
@@ -445,17 +443,6 @@
             placement.raw_forecast_seconds, seconds, now
         )
 
-    def record_gap(self, placement: Placement, seconds: float) -> None:
-        """Records the time between two events of a stream, from which an engine's speed follows."""
-        load = placement.load
-        if load.speed is None:
-            return
-        figures = self._state.engine_figures(placement.endpoint.service)
-        if figures is not None:
-            now = asyncio.get_running_loop().time()
-            running = min(float(figures.slots), load.work(now).requests)
-            load.speed.record_gap(seconds, pass_seconds(figures, running), now)
-
     def record_waiting(self, placement: Placement, placed_at: float) -> None:
         """Records that a request has not begun yet, and by how much its forecast is exceeded."""
         now = asyncio.get_running_loop().time()
@@ -465,6 +452,8 @@
         """Records a failure that may be the endpoint's fault."""
         now = asyncio.get_running_loop().time()
         placement.load.record_outcome(True, now)
+        if reason in UNREACHABLE_CODES:
+            placement.load.unreachable = True
         if placement.load.health.record_failure(now):
             self._log_ejection(placement.endpoint, placement.load, reason)
 
@@ -479,8 +468,10 @@
         placement.load.record_outcome(False, asyncio.get_running_loop().time())
         if placement.load.health.record_success(0.0):
             self._log.write(Event.ENDPOINT_RETURNED, endpoint=placement.endpoint.id)
-            if self._cold_rule is not None:
+            # One whose answers were late or lost meanwhile has not started again.
+            if self._cold_rule is not None and placement.load.unreachable:
                 self._cold_rule.record_returned(placement.endpoint)
+        placement.load.unreachable = False
 
     def record_inconclusive_end(self, placement: Placement) -> None:
         """Records the end of a request that says nothing about the endpoint's health."""
