--- a/wasabidrum/decisions/switch_turns.py
+++ b/wasabidrum/decisions/switch_turns.py
@@ -11,48 +11,24 @@
 waits for the origin looks like one that is about to end, and the engine would stop for weights that
 may not come.
 
-Where the bound of the old weights leaves time, there are more turns with fewer engines each,
-because a busy service can spare a quarter of its engines sooner than half of them.
-
 Each engine computes the same turns from the list of engines; while lists differ, somewhat more or
-fewer than a turn's part go first.
+fewer than half go first.
 """
 
 import collections.abc
-import math
 
 from .chunk_plan import rank_names
 from .version_floor import PLACE_MARGIN_SECONDS
 
 # Counted from when the first turn's weights are complete: by then most of its engines are back.
 TURN_SECONDS = 1.6
-MIN_TURNS = 2
-MAX_TURNS = 4
-# From the naming until weights are complete, beside the time that a copy takes on an engine's link:
-# they are learned of, and the first copy has to leave the origin.
-PREPARATION_SECONDS = 1.2
+TURN_COUNT = 2
 # Most requests end within this time. An engine whose weights stall accepts requests again after
 # twice as long.
 EARLY_DRAIN_SECONDS = 1.2
 
 
-def turn_count(bound: float, copy_seconds: float) -> int:
-    """Returns in how many turns the engines of a service load a version.
-
-    Args:
-      bound: The seconds after the naming from which the old weights may not answer.
-      copy_seconds: For how long an engine's link carries a copy.
-    """
-    left = bound - PLACE_MARGIN_SECONDS - PREPARATION_SECONDS - copy_seconds
-    return max(MIN_TURNS, min(MAX_TURNS, 1 + math.floor(left / TURN_SECONDS)))
-
-
-def turn_of(
-    version: int,
-    own: str,
-    region_of: collections.abc.Mapping[str, str],
-    turns: int = MIN_TURNS,
-) -> int:
+def turn_of(version: int, own: str, region_of: collections.abc.Mapping[str, str]) -> int:
     """Returns the turn in which an engine loads a version, from zero.
 
     Neighbours in a region's order take different turns, so that no region is without engines.
@@ -60,11 +36,10 @@
     Args:
       region_of: The regions of all engines that answer now, by name. An engine that is not among
         them serves no callers, and goes first.
-      turns: See turn_count.
     """
     ranked = rank_names(str(version), region_of)
     by_region = sorted(ranked, key=lambda name: region_of[name])
-    return by_region.index(own) % turns if own in region_of else 0
+    return by_region.index(own) % TURN_COUNT if own in region_of else 0
 
 
 def seconds_until_turn(turn: int, named_for: float, bound: float) -> float:
@@ -96,6 +71,6 @@
       within_reach: Whether the rest is held where this engine gets its weights from.
     """
     arrived = share - share_before
-    if turn or answering < MIN_TURNS or arrived <= 0.0 or not within_reach:
+    if turn or answering < TURN_COUNT or arrived <= 0.0 or not within_reach:
         return False
     return elapsed * (1.0 - share) / arrived <= EARLY_DRAIN_SECONDS
--- a/wasabidrum/decisions/switch_turns_test.py
+++ b/wasabidrum/decisions/switch_turns_test.py
@@ -2,15 +2,7 @@
 
 import unittest
 
-from .switch_turns import (
-    EARLY_DRAIN_SECONDS,
-    MAX_TURNS,
-    MIN_TURNS,
-    seconds_until_turn,
-    should_drain_early,
-    turn_count,
-    turn_of,
-)
+from .switch_turns import EARLY_DRAIN_SECONDS, seconds_until_turn, should_drain_early, turn_of
 from .version_floor import PLACE_MARGIN_SECONDS
 
 REGIONS = ("north", "east", "south")
@@ -76,24 +68,3 @@
     def test_the_last_turn_begins_at_the_latest_when_old_weights_expire(self) -> None:
         named_for = BOUND - PLACE_MARGIN_SECONDS - 0.5
         self.assertAlmostEqual(seconds_until_turn(1, named_for, BOUND), 0.5)
-
-    def test_more_turns_where_the_bound_leaves_time(self) -> None:
-        """Guards against half of a busy service's engines that are away although there is time."""
-        self.assertEqual(turn_count(8.0, 5.0), MIN_TURNS)
-        self.assertEqual(turn_count(9.7, 4.0), 3)
-        self.assertEqual(turn_count(60.0, 4.0), MAX_TURNS)
-        bound, staged_at, away = 13.4, 6.7, AWAY_SECONDS
-        turns = turn_count(bound, staged_at - 1.5)
-        began = [
-            staged_at + seconds_until_turn(turn_of(2, name, ENGINES, turns), staged_at, bound)
-            for name in ENGINES
-        ]
-        for step in range(80):
-            at = staged_at + 0.1 * step + 0.01
-            missing = sum(start <= at < start + away for start in began)
-            self.assertLessEqual(missing, len(ENGINES) * 0.6)
-        self.assertLess(max(began), bound - PLACE_MARGIN_SECONDS)
-
-    def test_too_little_time_leaves_two_turns(self) -> None:
-        """Guards against turns that would begin after old weights expire."""
-        self.assertEqual(turn_count(5.0, 10.0), MIN_TURNS)
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -8,10 +8,8 @@
 from ..core.errors import CodedError
 from ..decisions.switch_turns import (
     EARLY_DRAIN_SECONDS,
-    MIN_TURNS,
     seconds_until_turn,
     should_drain_early,
-    turn_count,
     turn_of,
 )
 from ..decisions.version_choice import VersionChoice, can_follow
@@ -188,8 +186,9 @@
             idle = asyncio.get_running_loop().time() - max(
                 staged.progressed_at, self._progressed_at
             )
+        copy_seconds = staged.byte_count * 8 / (self._distributor.link_mbit * 1e6)
         left = self._bound - PLACE_MARGIN_SECONDS - self._listed.replaced_for(staged.version)
-        finish_first = can_follow(staged.share, self._copy_seconds(staged), left)
+        finish_first = can_follow(staged.share, copy_seconds, left)
         return choice.choose(
             self._listed.wanted, staged.share, idle, complete, finish_first, left <= 0.0
         )
@@ -290,9 +289,7 @@
     async def _drain_early(self, staged: StagedVersion) -> None:
         """Makes entries stop placing requests here shortly before a version is complete."""
         answering = self._listed.answering
-        turn = turn_of(
-            staged.version, self._listed.own_name, answering, self._turn_count(staged.version)
-        )
+        turn = turn_of(staged.version, self._listed.own_name, answering)
         if not self._listed.named_for(staged.version) or self._listed.own_name not in answering:
             return
         loop = asyncio.get_running_loop()
@@ -353,25 +350,11 @@
             self.switching = switching
             self.on_report()
 
-    def _turn_count(self, version: int) -> int:
-        """Returns in how many turns the engines load a version."""
-        staged = self._find_staged(version)
-        # A newer version is not downloaded before this one is in use.
-        if staged is None or self._listed.wanted > version:
-            return MIN_TURNS
-        return turn_count(self._bound, self._copy_seconds(staged))
-
-    def _copy_seconds(self, staged: StagedVersion) -> float:
-        """Returns for how long the link carries all pieces of a version."""
-        return staged.byte_count * 8 / (self._distributor.link_mbit * 1e6)
-
     async def _wait_for_turn(self, version: int) -> None:
         """Waits for this engine's turn to load, while it still serves and others load."""
         if self.report is None or not self.report.weights:
             return
-        turn = turn_of(
-            version, self._listed.own_name, self._listed.answering, self._turn_count(version)
-        )
+        turn = turn_of(version, self._listed.own_name, self._listed.answering)
         named_for = self._listed.named_for(version)
         seconds = seconds_until_turn(turn, named_for, self._bound)
         if seconds <= 0.0:
