--- a/standins/key_value_store.py
+++ b/standins/key_value_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections
+import dataclasses
 import json
 
 from tornado import httpserver, netutil, web
@@ -21,10 +22,19 @@
         """Receives the store from the route's arguments."""
         self.store = store
 
+    def set_default_headers(self) -> None:
+        """States the era in all answers."""
+        store = self.application.settings.get("store")
+        if store is not None and store.era:
+            self.set_header(names.STORE_ERA, str(store.era))
+
     async def get(self) -> None:
         """Serves one call, or injects the fault that the test set."""
         store = self.store
         store.calls += 1
+        if store.fault == "reset":
+            self._reset()
+            return
         if store.fault == "hang":
             await asyncio.sleep(3600)
         if store.fault:
@@ -36,13 +46,22 @@
             self.write(store.page(prefix, self.get_query_argument("after", "")))
             return
         after = int(self.get_query_argument("after"))
-        if after < store.history_from:
+        if not store.history_from <= after <= store.revision:
             self.set_status(410)
             return
         seconds = int(self.get_query_argument("waitMs")) / 1000.0
+        era = store.era
         events = await store.wait(prefix, after, seconds)
+        if store.era != era:
+            self._reset()
+            return
         self.write({"events": events, "asOf": store.revision})
 
+    def _reset(self) -> None:
+        """Ends the connection without an answer."""
+        self.request.connection.stream.close()
+        self._finished = True
+
     async def put(self) -> None:
         """Writes the entry of an endpoint, unless it is the same as before."""
         store = self.store
@@ -52,8 +71,23 @@
         await store.renew(self.get_query_argument("key"), self.request.body)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What a store held at some time."""
+
+    items: dict[str, dict]
+    log: list[dict]
+    revision: int
+
+
 class FakeStore:
-    """An in-memory store that tests write to."""
+    """An in-memory store that tests write to.
+
+    Attributes:
+      era: Rises by one each time that the store comes back from a copy; zero for a store that
+        states none.
+      fault: How all calls fail: "hang", "reset", or anything else for status 503.
+    """
 
     def __init__(self, page_size: int = 500) -> None:
         self.page_size = page_size
@@ -61,6 +95,7 @@
         self.log: list[dict] = []
         self.revision = 1
         self.history_from = 0
+        self.era = 1
         self.fault = ""
         self.calls = 0
         self.reads: collections.Counter[str] = collections.Counter()
@@ -72,7 +107,7 @@
 
     async def start(self) -> None:
         """Listens."""
-        application = web.Application([(r"/.*", StoreHandler, {"store": self})])
+        application = web.Application([(r"/.*", StoreHandler, {"store": self})], store=self)
         application.settings["log_function"] = lambda handler: None
         self._server = httpserver.HTTPServer(application)
         sockets = netutil.bind_sockets(0, HOST)
@@ -98,6 +133,18 @@
         self.items.pop(key, None)
         await self._tell({"key": key, "revision": self.revision, "deleted": True})
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy, from which the store can come back."""
+        return StoreCopy(dict(self.items), list(self.log), self.revision)
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Comes back from a copy: what was written since is gone, and waiting watches are cut."""
+        self.items, self.log, self.revision = dict(copy.items), list(copy.log), copy.revision
+        if self.era:
+            self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     async def renew(self, key: str, content: bytes) -> None:
         """Writes an item that expires; one that is the same as before is kept as it is."""
         self._renewed_at[key] = asyncio.get_running_loop().time()
@@ -125,12 +172,14 @@
     async def wait(self, prefix: str, after: int, seconds: float) -> list[dict]:
         """Returns the changes after a revision, or an empty list after a time-out."""
 
+        era = self.era
+
         def found() -> list[dict]:
             return [e for e in self.log if e["revision"] > after and e["key"].startswith(prefix)]
 
         try:
             async with asyncio.timeout(seconds), self._changed:
-                await self._changed.wait_for(found)
+                await self._changed.wait_for(lambda: found() or self.era != era)
         except TimeoutError:
             # A change may have been made in the moment of the time-out. The answer's revision
             # includes it, so that it would be lost if it were left out here.
@@ -179,7 +228,8 @@
     def __init__(self, store: FakeStore) -> None:
         self.fault = ""
         self.failing = asyncio.Event()
-        application = web.Application([(r"/.*", StoreViewHandler, {"store": store, "view": self})])
+        routes = [(r"/.*", StoreViewHandler, {"store": store, "view": self})]
+        application = web.Application(routes, store=store)
         application.settings["log_function"] = lambda handler: None
         self._server = httpserver.HTTPServer(application)
         sockets = netutil.bind_sockets(0, HOST)
--- a/wasabidrum/core/store_change.py
+++ b/wasabidrum/core/store_change.py
@@ -16,7 +16,13 @@
 
 
 class StoreReading(msgspec.Struct, frozen=True):
-    """Items or changes, and the revision after which to continue with a watch."""
+    """Items or changes, and the revision after which to continue with a watch.
+
+    Attributes:
+      epoch: Counts how often the store was restored from a copy, after which revisions are given
+        out again; zero where the store does not state it.
+    """
 
     changes: tuple[StoreChange, ...]
     revision: int
+    epoch: int = 0
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -237,6 +237,11 @@
             return True, [change for change in self._items.values() if change.value is not None]
         return False, [change for change in self._items.values() if change.revision > revision]
 
+    def count_superseded(self, reading: StoreReading) -> int:
+        """Returns how many items of a snapshot are known under a higher revision."""
+        known = ((self._items.get(change.key), change) for change in reading.changes)
+        return sum(item is not None and item.revision > change.revision for item, change in known)
+
     def apply_changes(
         self, reading: StoreReading, now: float, not_before: float = float("-inf")
     ) -> None:
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -5,6 +5,7 @@
 
 from ..core.boot_clock import boot_seconds
 from ..core.errors import CodedError
+from ..core.store_change import StoreReading
 from ..decisions.configuration_lease import (
     REPLY_TOLERANCE_SECONDS,
     earliest_change_at,
@@ -100,6 +101,7 @@
             self._unchanged_until = float("-inf")
             reading = await self._store.read(KeyPrefix.ALL)
             self._record_answer()
+            self._log_snapshot(reading)
             state.apply_snapshot(reading, asyncio.get_running_loop().time())
             self._history_lost = False
         else:
@@ -157,6 +159,17 @@
         self._state.endpoints.record_store_failure(asyncio.get_running_loop().time())
         await asyncio.sleep(min(MAX_RETRY_DELAY_SECONDS, RETRY_DELAY_SECONDS * self._failures))
 
+    def _log_snapshot(self, reading: StoreReading) -> None:
+        """Logs a snapshot before it is applied."""
+        self._log.write(
+            Event.STORE_SNAPSHOT_READ,
+            epoch=reading.epoch,
+            revision=reading.revision,
+            held_revision=self._state.revision,
+            items=len(reading.changes),
+            ignored=self._state.count_superseded(reading),
+        )
+
     def _log_outage(self) -> None:
         """Logs the outage that bounds of versions take into account, when it is a new one."""
         outage, logged = self._state.outages.latest, self._logged_outage
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -110,6 +110,7 @@
     ENDPOINT_COLD = 4037
     ENDPOINT_WARM = 4038
     USE_REPORT_FAILED = 4040
+    STORE_SNAPSHOT_READ = 4041
 
     # 5000: calls with idempotency keys, and streams that are resumed on another endpoint.
     CALL_STARTED = 5001
--- a/wasabidrum/platform/names.py
+++ b/wasabidrum/platform/names.py
@@ -27,6 +27,8 @@
 LAST_EVENT_ID = "Last-Event-Id"
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
+# In all answers of the store; rises by one when it comes back from a copy.
+STORE_ERA = "Store-Era"
 
 READY_PATH = "/wasabidrum/ready"
 REPORT_PATH = "/wasabidrum/report"
--- a/wasabidrum/platform/store_client.py
+++ b/wasabidrum/platform/store_client.py
@@ -89,7 +89,7 @@
         after, size = "", 0
         for _ in range(MAX_PAGES):
             query = {"prefix": prefix.value} | ({"after": after} if after else {})
-            body = await self._get(names.STORE_RANGE_PATH, query, READ_TIMEOUT_SECONDS)
+            body, epoch = await self._get(names.STORE_RANGE_PATH, query, READ_TIMEOUT_SECONDS)
             size += len(body)
             if size > MAX_RANGE_BYTES:
                 raise CodedError("store_unreadable", "the range is too large", 503)
@@ -101,7 +101,7 @@
             if not page.truncated or not page.items:
                 break
             after = page.items[-1].key
-        return StoreReading(tuple(changes), first or 0)
+        return StoreReading(tuple(changes), first or 0, epoch)
 
     async def watch(self, prefix: KeyPrefix, after: int, wait_seconds: float) -> StoreReading:
         """Waits for changes after a revision; returns none if the wait ends without any.
@@ -115,11 +115,12 @@
             "waitMs": str(int(wait_seconds * 1000)),
         }
         timeout = wait_seconds + WATCH_EXTRA_SECONDS
-        body = await self._get(names.STORE_WATCH_PATH, query, timeout)
+        body, epoch = await self._get(names.STORE_WATCH_PATH, query, timeout)
         page = decode(body, WireEvents)
-        return StoreReading(tuple(to_change(item) for item in page.events), page.asOf)
+        return StoreReading(tuple(to_change(item) for item in page.events), page.asOf, epoch)
 
-    async def _get(self, path: str, query: dict[str, str], timeout: float) -> bytes:
+    async def _get(self, path: str, query: dict[str, str], timeout: float) -> tuple[bytes, int]:
+        """Returns the body of an answer and the epoch that it states."""
         self.calls += 1
         url = f"{self._url}{path}?{urllib.parse.urlencode(query)}"
         request = httpclient.HTTPRequest(
@@ -134,7 +135,12 @@
             raise CodedError("store_throttled", "the store received more calls than it allows", 503)
         if response.code != 200:
             raise CodedError("store_refused", f"the store answered status {response.code}", 503)
-        return response.body
+        return response.body, read_epoch(response.headers.get(names.STORE_ERA, ""))
+
+
+def read_epoch(text: str) -> int:
+    """Returns the epoch that the store states; zero where it states none or no number."""
+    return int(text) if text.isascii() and text.isdecimal() else 0
 
 
 def decode(body: bytes, kind: type) -> typing.Any:
