Positions in the store's changes belong to an epoch

What callers saw: 404 and 401 for a route and a key that had been acknowledged more than two seconds before.

Cause: after the store came back from a copy, an entry kept the higher revision that it held. Its watches got 410 and it read everything again, several times a second, until the store had given that revision out again; the next watch then went on after it, and what was written since the last read was missed (version 41 at revision 25). What entries tell each other was judged the same way: a reader's lost past counted as newer.

Change: a position is an epoch and a revision, and the epoch goes first. Entries send their epoch with questions and replies.

--- a/wasabidrum/core/store_change.py
+++ b/wasabidrum/core/store_change.py
@@ -1,5 +1,7 @@
 """Items and changes read from the platform's store."""
 
+import typing
+
 import msgspec
 
 
@@ -15,14 +17,25 @@
     value: bytes | None
 
 
-class StoreReading(msgspec.Struct, frozen=True):
-    """Items or changes, and the revision after which to continue with a watch.
+class StorePosition(typing.NamedTuple):
+    """Up to where the store's changes are known; positions are ordered by epoch, then revision.
 
     Attributes:
       epoch: Counts how often the store was restored from a copy, after which revisions are given
         out again; zero where the store does not state it.
     """
 
+    epoch: int
+    revision: int
+
+
+class StoreReading(msgspec.Struct, frozen=True):
+    """Items or changes, and the revision after which to continue with a watch.
+
+    Attributes:
+      epoch: That of the revisions; see StorePosition.
+    """
+
     changes: tuple[StoreChange, ...]
     revision: int
     epoch: int = 0
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -18,7 +18,7 @@
 from ..core.boot_clock import boot_seconds
 from ..core.errors import CodedError
 from ..core.part_report import PartReport
-from ..core.store_change import StoreChange, StoreReading
+from ..core.store_change import StoreChange, StorePosition, StoreReading
 from ..decisions import crashing_parts
 from ..decisions.answer_gaps import Gap
 from ..decisions.chunk_plan import rank_names
@@ -256,9 +256,12 @@
     async def handle_fetch_changes(self, message: FetchChanges) -> ChangesReply:
         """See EntryServiceOwner."""
         arrived_at = boot_seconds()
-        if message.hold > 0.0 and self._state.revision <= message.after:
+        asked = StorePosition(message.epoch, message.after)
+        # An entry of a later epoch learns nothing here, and asks elsewhere.
+        follows = asked.epoch <= self._state.epoch
+        if message.hold > 0.0 and follows and self._state.position <= asked:
             await self._wait_for_evidence(message.hold)
-        snapshot, items = self._state.changes_after(message.after)
+        snapshot, items = self._state.changes_after(asked)
         changes = tuple(PeerChange(c.key, c.revision, c.value) for c in items)
         packed = b""
         size = sum(len(change.value or b"") for change in changes)
@@ -283,6 +286,7 @@
                 for gap in self._state.outages.answers.recent(now)
             ),
             failures=(now - failures.started_at, now - failures.ended_at) if failures else None,
+            epoch=self._state.epoch,
         )
 
     def answer_followers(self) -> None:
@@ -560,7 +564,7 @@
           hold: For how many seconds it may hold the question until it knows more.
         """
         asked_at = boot_seconds()
-        request = FetchChanges(self._state.revision, hold, True)
+        request = FetchChanges(self._state.revision, hold, True, self._state.epoch)
         timeout = PEER_TIMEOUT_SECONDS if request.after else SNAPSHOT_TIMEOUT_SECONDS
         reply = await self._call(
             address, entry_messages.CHANGES_PATH, request, ChangesReply, timeout + hold
@@ -572,7 +576,8 @@
         answered_at = asked_at + reply.held
         self._record_peer_calls(address, reply, answered_at)
         now = asyncio.get_running_loop().time()
-        up_to_date = reply.revision >= self._state.revision and reply.revision > 0
+        position = StorePosition(reply.epoch, reply.revision)
+        up_to_date = position >= self._state.position and reply.revision > 0
         if up_to_date:
             if reply.failed_ago < float("inf"):
                 self._state.endpoints.record_store_failure(now - reply.failed_ago)
@@ -645,7 +650,7 @@
     def _apply_changes(self, reply: ChangesReply, now: float) -> None:
         received = entry_messages.unpack_changes(reply.packed) if reply.packed else reply.changes
         changes = tuple(StoreChange(c.key, c.revision, c.value) for c in received)
-        reading = StoreReading(changes, reply.revision)
+        reading = StoreReading(changes, reply.revision, reply.epoch)
         if reply.whole:
             self._state.apply_snapshot(reading, now)
         else:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -1,6 +1,12 @@
 """What an entry knows from the platform's store: configuration, endpoints and versions.
 
 Each part is replaced in one step, so that readers never see a mixture of old and new.
+
+The store may be restored from a copy that is some seconds old. It then lacks what was written
+since, and gives out the same revisions again, so that revisions are compared within one epoch of
+the store only: a snapshot of a later epoch replaces what is known, whatever its revision. What must
+not be undone does not depend on revisions: configurations and weights are ordered by their own
+versions.
 """
 
 import collections.abc
@@ -12,7 +18,7 @@
 from ..core.placing_limit import PlacingLimit
 from ..core.published import EngineFigures, PublishedConfiguration
 from ..core.request_scope import RequestScope
-from ..core.store_change import StoreChange, StoreReading
+from ..core.store_change import StoreChange, StorePosition, StoreReading
 from ..decisions.configuration_lease import ConfigurationLease
 from ..decisions.endpoint_registry import EndpointRegistry
 from ..decisions.evacuations import EvacuationChange, Evacuations
@@ -45,6 +51,7 @@
       evacuations: The data centres to whose endpoints nothing may be sent.
       lease: How recent this state is known to be.
       outages: The times at which the store did not answer.
+      epoch: The store's epoch that the revision belongs to; zero where the store states none.
       revision: The store revision up to which all changes were applied; zero before the first.
       store_failed_at: Until when calls of this process to the store failed, by the boot clock.
       on_endpoint: Called with each new registration of an endpoint, what was registered before, or
@@ -60,7 +67,7 @@
         "_history_start",
         "_reported_versions",
     )
-    __slots__ += ("routes", "endpoints", "lease", "outages", "revision")
+    __slots__ += ("routes", "endpoints", "lease", "outages", "epoch", "revision")
     __slots__ += ("evacuations", "_regions")
     __slots__ += ("store_failed_at", "_store_asked", "_store_owes_since", "on_endpoint")
 
@@ -88,6 +95,7 @@
         self._items: dict[str, StoreChange] = {}
         # Changes up to this revision may be missing from the items.
         self._history_start = 0
+        self.epoch = 0
         self.revision = 0
         # Whether this process asks the store itself, and since when it waits for an answer; failed
         # calls do not end the wait.
@@ -100,6 +108,11 @@
         self.outages = StoreOutages(bounds.settling)
         self.on_endpoint: EndpointListener = ignore_endpoint
 
+    @property
+    def position(self) -> StorePosition:
+        """Up to where the store's changes were applied."""
+        return StorePosition(self.epoch, self.revision)
+
     @property
     def version(self) -> int:
         """The configuration version in force; zero before the first."""
@@ -230,12 +243,18 @@
             for known in floor.evidence(now)
         ]
 
-    def changes_after(self, revision: int) -> tuple[bool, list[StoreChange]]:
-        """Returns the changes after a revision, preceded by whether they are a full snapshot."""
-        snapshot = revision < self._history_start or not revision
-        if snapshot:
-            return True, [change for change in self._items.values() if change.value is not None]
-        return False, [change for change in self._items.values() if change.revision > revision]
+    def changes_after(self, position: StorePosition) -> tuple[bool, list[StoreChange]]:
+        """Returns the changes after a position, preceded by whether they are a full snapshot.
+
+        There are none after a position in a later epoch than that of this state.
+        """
+        if position.epoch > self.epoch:
+            return False, []
+        known = self._items.values()
+        begins_epoch = position.epoch < self.epoch
+        if begins_epoch or position.revision < self._history_start or not position.revision:
+            return True, [change for change in known if change.value is not None]
+        return False, [change for change in known if change.revision > position.revision]
 
     def count_superseded(self, reading: StoreReading) -> int:
         """Returns how many items of a snapshot are known under a higher revision."""
@@ -257,6 +276,16 @@
 
     def apply_snapshot(self, reading: StoreReading, now: float) -> None:
         """Applies a full snapshot of the store; items that are not in it are gone."""
+        begins_epoch = reading.epoch > self.epoch and self.revision > 0
+        if begins_epoch:
+            self._log.write(
+                Event.STORE_RESTORED,
+                epoch=reading.epoch,
+                revision=reading.revision,
+                held_epoch=self.epoch,
+                held_revision=self.revision,
+            )
+            self._items.clear()
         # The configuration comes first, because it says how many layers make an engine complete.
         ordered = sorted(
             reading.changes, key=lambda change: kind_of(change.key) is not ItemKind.CONFIGURATION
@@ -274,7 +303,8 @@
         kept = {change.key for change in reading.changes}
         self._items = {key: item for key, item in self._items.items() if key in kept}
         self._history_start = reading.revision
-        self.revision = max(self.revision, reading.revision)
+        self.revision = reading.revision if begins_epoch else max(self.revision, reading.revision)
+        self.epoch = max(self.epoch, reading.epoch)
 
     def apply_change(
         self, change: StoreChange, now: float, not_before: float = float("-inf")
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -5,7 +5,7 @@
 
 from ..core.boot_clock import boot_seconds
 from ..core.errors import CodedError
-from ..core.store_change import StoreReading
+from ..core.store_change import StorePosition, StoreReading
 from ..decisions.configuration_lease import (
     REPLY_TOLERANCE_SECONDS,
     earliest_change_at,
@@ -97,18 +97,25 @@
         self._stalled = False
         state = self._state
         state.record_store_asked(asked_at)
-        if not state.revision or self._history_lost:
+        position = state.position
+        if not position.revision or self._history_lost:
             self._unchanged_until = float("-inf")
             reading = await self._store.read(KeyPrefix.ALL)
             self._record_answer()
+            if 0 < reading.epoch < state.epoch:
+                await self._handle_outdated(reading)
+                return
             self._log_snapshot(reading)
             state.apply_snapshot(reading, asyncio.get_running_loop().time())
             self._history_lost = False
         else:
             # A single watch returns changes of configuration, versions and endpoints in order.
-            reading = await self._store.watch(KeyPrefix.ALL, state.revision, WATCH_SECONDS)
+            reading = await self._store.watch(KeyPrefix.ALL, position.revision, WATCH_SECONDS)
             self._record_answer()
             self._detect_stall()
+            if not self._continues(reading, position):
+                await self._handle_outdated(reading)
+                return
             answered_at = boot_seconds()
             not_before = earliest_change_at(asked_at, answered_at, WATCH_SECONDS, self._stalled)
             not_before = max(not_before, self._unchanged_until)
@@ -123,6 +130,23 @@
         if reading.changes:
             await asyncio.sleep(BATCH_DELAY_SECONDS)
 
+    def _continues(self, reading: StoreReading, asked: StorePosition) -> bool:
+        """Returns whether a watch from a position returned what follows on what is known now.
+
+        A restored store may have passed the revision that was asked for, and answers as if the
+        changes before it were known. Another entry may have told of the restoration meanwhile.
+        """
+        return reading.epoch in (0, asked.epoch) and self._state.epoch == asked.epoch
+
+    async def _handle_outdated(self, reading: StoreReading) -> None:
+        """Reads everything again if the answer is of a later epoch than what is known."""
+        held = self._state.epoch
+        self._log.write(Event.STORE_ANSWER_OUTDATED, epoch=reading.epoch, held_epoch=held)
+        if reading.epoch > held:
+            self._history_lost = True
+        else:
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+
     def _record_answer(self) -> None:
         self._state.outages.record_response()
         self._state.record_store_answered()
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -111,6 +111,8 @@
     ENDPOINT_WARM = 4038
     USE_REPORT_FAILED = 4040
     STORE_SNAPSHOT_READ = 4041
+    STORE_RESTORED = 4042
+    STORE_ANSWER_OUTDATED = 4043
 
     # 5000: calls with idempotency keys, and streams that are resumed on another endpoint.
     CALL_STARTED = 5001
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -108,11 +108,13 @@
     Attributes:
       hold: For how many seconds the responder may hold the request until it knows more.
       accepts_packed: Whether the reply may hold its changes packed.
+      epoch: The store's epoch that the revision belongs to.
     """
 
     after: int
     hold: float = 0.0
     accepts_packed: bool = False
+    epoch: int = 0
 
 
 class PeerChange(msgspec.Struct, frozen=True, array_like=True):
@@ -156,6 +158,8 @@
       answer_gaps: The spans in which no answered call to the store was sent, as far as the
         responder knows: the seconds since each started and ended.
       failures: The seconds since its last run of failed calls started and ended; None without one.
+      epoch: The store's epoch that the revision belongs to. One that is later than the question's
+        has all items; one that is earlier has no changes.
     """
 
     revision: int
@@ -170,6 +174,7 @@
     packed: bytes = b""
     answer_gaps: tuple[tuple[float, float], ...] = ((math.inf, -math.inf),)
     failures: tuple[float, float] | None = None
+    epoch: int = 0
 
 
 def pack_changes(changes: tuple[PeerChange, ...]) -> bytes:
--- a/wasabidrum/platform/store_client.py
+++ b/wasabidrum/platform/store_client.py
@@ -81,11 +81,12 @@
 
         Raises:
           CodedError: The store did not answer, or it refused: with code "store_throttled" where
-            it received too many calls, "history_lost" where it no longer has the changes,
-            "store_refused" for any other status.
+            it received too many calls, "history_lost" where it no longer has the changes or was
+            restored between two pages, "store_refused" for any other status.
         """
         changes: list[StoreChange] = []
         first: int | None = None
+        first_epoch = 0
         after, size = "", 0
         for _ in range(MAX_PAGES):
             query = {"prefix": prefix.value} | ({"after": after} if after else {})
@@ -96,7 +97,10 @@
             page = decode(body, WireRange)
             # The pages are not a snapshot. A watch from the first page's revision also returns
             # the changes made while the other pages were read.
+            if first is not None and epoch != first_epoch:
+                raise CodedError("history_lost", "the store was restored between two pages", 503)
             first = page.asOf if first is None else first
+            first_epoch = epoch
             changes += [to_change(item) for item in page.items]
             if not page.truncated or not page.items:
                 break
