Registrations of a restored store replace those of before

What callers saw: requests at an endpoint 2.3 s after the store had acknowledged that it leaves.

Cause: a registration with a lower revision than the last one of that endpoint was ignored. After a restoration revisions are given out again, and the leaving had one that the endpoint's registration had passed before.

Change: with a new epoch the registry forgets revisions. A run that leaves goes on leaving, also where the copy lists it as it was before; what the copy lacks keeps the grace period of an outage, as endpoints write it again.

--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -8,6 +8,10 @@
 afterwards unless it has registered again. One that disappears while the store works is removed
 at once; otherwise it would get requests after it has left.
 
+A store that is restored from a copy gives out its revisions again, so that a registration of the
+new epoch may have a lower one than what it follows. What the copy lacks counts as lapsed in an
+outage, because endpoints write it again. A run that leaves goes on leaving, whatever the copy says.
+
 What an endpoint has announced itself overrides its registration; see announced_leaving.py.
 """
 
@@ -109,6 +113,14 @@
         """Records that the store could not be reached until a time."""
         self._store_failed_at = max(now, self._store_failed_at)
 
+    def begin_epoch(self, now: float) -> None:
+        """Prepares for the first listing of a restored store, whose revisions start over."""
+        self._revisions.clear()
+        for endpoint in self._endpoints.values():
+            if endpoint.leaving:
+                self._announced.record(endpoint.id, endpoint.started_at)
+        self.record_store_failure(now)
+
     def apply(self, endpoint: ListedEndpoint, revision: int) -> bool:
         """Applies a registration; returns whether it changed the endpoint."""
         if revision <= self._revisions.get(endpoint.id, 0):
--- a/wasabidrum/decisions/endpoint_registry_test.py
+++ b/wasabidrum/decisions/endpoint_registry_test.py
@@ -36,6 +36,29 @@
         self.assertTrue(self.registry.apply_removal("a", 12, now=50.0))
         self.assertEqual(ids_of(self.registry), {"b"})
 
+    def test_registrations_of_a_restored_store_replace_those_with_higher_revisions(self) -> None:
+        """Guards against a leaving that is taken for old because its revision was given out
+        before."""
+        self.registry.begin_epoch(now=50.0)
+        self.assertTrue(self.registry.apply(make_endpoint("a", leaving=True), 3))
+        self.assertTrue(self.registry.get("a").leaving)
+
+    def test_run_that_leaves_does_not_return_with_a_restored_store(self) -> None:
+        """Guards against new requests at an endpoint whose leaving the copy lacks."""
+        self.registry.apply(make_endpoint("a", leaving=True, started_at=5), 12)
+        self.registry.begin_epoch(now=50.0)
+        self.registry.apply(make_endpoint("a", started_at=5), 3)
+        self.assertTrue(self.registry.get("a").leaving)
+        self.registry.apply(make_endpoint("a", started_at=6), 4)
+        self.assertFalse(self.registry.get("a").leaving)
+
+    def test_registrations_that_the_copy_lacks_get_a_grace_period(self) -> None:
+        """Guards against endpoints that get no requests until they have registered again."""
+        self.registry.begin_epoch(now=50.0)
+        self.assertEqual(self.registry.apply_listing({"a"}, now=50.0), [])
+        self.registry.expire(50.0 + GRACE_SECONDS)
+        self.assertEqual(ids_of(self.registry), {"a"})
+
     def test_registrations_that_lapse_in_an_outage_get_a_grace_period(self) -> None:
         """The store is down, and registrations lapse because they cannot be renewed. Applied at
         once, this would remove every endpoint and refuse every caller, until all endpoints have
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -278,14 +278,7 @@
         """Applies a full snapshot of the store; items that are not in it are gone."""
         begins_epoch = reading.epoch > self.epoch and self.revision > 0
         if begins_epoch:
-            self._log.write(
-                Event.STORE_RESTORED,
-                epoch=reading.epoch,
-                revision=reading.revision,
-                held_epoch=self.epoch,
-                held_revision=self.revision,
-            )
-            self._items.clear()
+            self._begin_epoch(reading, now)
         # The configuration comes first, because it says how many layers make an engine complete.
         ordered = sorted(
             reading.changes, key=lambda change: kind_of(change.key) is not ItemKind.CONFIGURATION
@@ -306,6 +299,18 @@
         self.revision = reading.revision if begins_epoch else max(self.revision, reading.revision)
         self.epoch = max(self.epoch, reading.epoch)
 
+    def _begin_epoch(self, reading: StoreReading, now: float) -> None:
+        """Prepares for the first snapshot of a later epoch, which is ordered after all before."""
+        self._log.write(
+            Event.STORE_RESTORED,
+            epoch=reading.epoch,
+            revision=reading.revision,
+            held_epoch=self.epoch,
+            held_revision=self.revision,
+        )
+        self._items.clear()
+        self.endpoints.begin_epoch(now)
+
     def apply_change(
         self, change: StoreChange, now: float, not_before: float = float("-inf")
     ) -> None:
