A restored store decides anew which data centres are evacuated

What operators would see: an evacuation that the copy lacks in force without end at all entries, and one that is written again in force at none.

Cause: items and listings with a lower revision than the last one of the data centre were ignored, as with registrations.

Change: with a new epoch revisions are forgotten. What the copy lacks goes on for 1.5 s, in which the operator may write it again, so that nothing is sent to a data centre that is about to be shut down; then it ends.

--- a/wasabidrum/decisions/evacuations.py
+++ b/wasabidrum/decisions/evacuations.py
@@ -5,7 +5,9 @@
 other, in any order: a read or an answer that was under way may be older than what is known already,
 and an item may arrive several times. If an old one were applied, a data centre would get requests
 again while it is being shut down, or would stay unused afterwards. Each item is therefore applied
-only if it is newer than the last one of its data centre, by the store's revisions.
+only if it is newer than the last one of its data centre, by the store's revisions. A store that is
+restored from a copy gives them out again, and then decides anew. An evacuation that the copy lacks
+goes on for a moment, in which the operator may write it again, and then ends.
 
 A key that names no data centre of the settings, or whose value is no JSON object, changes nothing:
 an evacuation that is in force continues until its key is removed.
@@ -17,6 +19,8 @@
 
 import msgspec
 
+RESTORED_GRACE_SECONDS = 1.5
+
 
 class EvacuationChange(enum.Enum):
     """What an item of the store has changed."""
@@ -36,11 +40,13 @@
       revision: The store's revision of the last item that was applied.
       since: Since when it is evacuated; None if it is not.
       ended_at: When its last evacuation ended; None without one.
+      lapses_at: When its evacuation ends because a restored store lacks it; None otherwise.
     """
 
     revision: int = 0
     since: float | None = None
     ended_at: float | None = None
+    lapses_at: float | None = None
 
 
 class Evacuations:
@@ -77,6 +83,26 @@
         known = self._known.get(data_centre)
         return known.ended_at if known is not None else None
 
+    def begin_epoch(self, now: float) -> None:
+        """Prepares for the first snapshot of a restored store, whose revisions start over."""
+        for known in self._known.values():
+            known.revision = 0
+            known.lapses_at = None if known.since is None else now + RESTORED_GRACE_SECONDS
+        self._refused.clear()
+
+    def expire(self, now: float) -> list[str]:
+        """Ends the evacuations that a restored store lacks and that were not written again.
+
+        Returns:
+          The data centres whose evacuations have ended.
+        """
+        ended = []
+        for name, known in self._known.items():
+            if known.lapses_at is not None and now >= known.lapses_at:
+                self._end(known, now)
+                ended.append(name)
+        return ended
+
     def apply(
         self, data_centre: str, value: bytes | None, revision: int, now: float
     ) -> EvacuationChange:
@@ -94,6 +120,7 @@
         known.revision = revision
         if value is None:
             return self._end(known, now)
+        known.lapses_at = None
         if not is_json_object(value):
             return EvacuationChange.NO_OBJECT
         if known.since is not None:
@@ -115,7 +142,7 @@
         self._refused = {name: kept for name, kept in self._refused.items() if name in listed}
         ended = []
         for name, known in self._known.items():
-            if name in listed or known.revision > revision:
+            if name in listed or known.revision > revision or known.lapses_at is not None:
                 continue
             known.revision = revision
             if self._end(known, now) is EvacuationChange.ENDED:
@@ -134,7 +161,7 @@
     def _end(self, known: _Known, now: float) -> EvacuationChange:
         if known.since is None:
             return EvacuationChange.NOTHING
-        known.since, known.ended_at = None, now
+        known.since, known.ended_at, known.lapses_at = None, now, None
         return EvacuationChange.ENDED
 
 
--- a/wasabidrum/decisions/evacuations_test.py
+++ b/wasabidrum/decisions/evacuations_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from .evacuations import EvacuationChange, Evacuations
+from .evacuations import RESTORED_GRACE_SECONDS, EvacuationChange, Evacuations
 
 
 class EvacuationsTest(unittest.TestCase):
@@ -29,6 +29,22 @@
         self.assertEqual(self.evacuations.apply_listing(("b",), 8, 5.0), ["a"])
         self.assertEqual(self.evacuations.ended_at("a"), 5.0)
 
+    def test_restored_store_decides_anew(self) -> None:
+        """Guards against evacuations that go on without end, or do not begin again, because their
+        revisions were given out before."""
+        self.evacuations.begin_epoch(10.0)
+        self.assertEqual(self.evacuations.apply_listing((), 3, 10.0), [])
+        self.assertEqual(self.evacuations.expire(10.0 + RESTORED_GRACE_SECONDS), ["a"])
+        self.assertIs(self.evacuations.apply("a", b"{}", 4, 12.0), EvacuationChange.BEGAN)
+
+    def test_evacuation_that_is_written_again_goes_on(self) -> None:
+        """Guards against requests to a data centre in the moment until its key is written again."""
+        self.evacuations.begin_epoch(10.0)
+        self.evacuations.apply_listing((), 3, 10.0)
+        self.assertIs(self.evacuations.apply("a", b"{}", 4, 11.0), EvacuationChange.NOTHING)
+        self.assertEqual(self.evacuations.expire(20.0), [])
+        self.assertEqual(self.evacuations.apply_listing((), 5, 21.0), ["a"])
+
     def test_invalid_values_and_names_are_reported_once(self) -> None:
         """Guards against a log line for each answer, and a typing error that ends an evacuation."""
         for name, value, expected in (
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -310,6 +310,7 @@
         )
         self._items.clear()
         self.endpoints.begin_epoch(now)
+        self.evacuations.begin_epoch(boot_seconds())
 
     def apply_change(
         self, change: StoreChange, now: float, not_before: float = float("-inf")
@@ -327,8 +328,10 @@
         elif kind is ItemKind.EVACUATION:
             self._apply_evacuation(change, max(not_before, self.lease.confirmed_at))
 
-    def expire_endpoints(self, now: float) -> None:
-        """Removes endpoints that were kept over a store outage and have not registered again."""
+    def expire_items(self, now: float) -> None:
+        """Removes what was kept over a store outage and has not been written again."""
+        for name in self.evacuations.expire(boot_seconds()):
+            self._log_evacuation(Event.EVACUATION_ENDED, name, self.lease.confirmed_at)
         for endpoint_id in self.endpoints.expire(now):
             self._log.write(
                 Event.ENDPOINT_UNLISTED,
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -78,12 +78,12 @@
                 await self._handle_failure(error)
 
     async def run_ticks(self) -> None:
-        """Expires endpoints and detects stalls of this process periodically, until cancelled."""
+        """Expires items and detects stalls of this process periodically, until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
             self._detect_stall()
             self._ticked_at = boot_seconds()
-            self._state.expire_endpoints(loop.time())
+            self._state.expire_items(loop.time())
             self._log_outage()
             await asyncio.sleep(TICK_SECONDS)
 
