A run whose removal a restored store lacks gets no requests

What callers would see: requests at an endpoint that had left without reporting it, listed again by the copy until its registration lapses.

Cause: with the revisions of a new epoch, the copy's registration of a run that was removed is applied like any other.

Change: the registry remembers for 30 s which runs were removed while the store worked. One that the new epoch lists first as it was is withheld until its registration changes, or for five seconds, after which the store has removed what nobody renews. endpoint_withheld (4044).

--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -11,11 +11,14 @@
 A store that is restored from a copy gives out its revisions again, so that a registration of the
 new epoch may have a lower one than what it follows. What the copy lacks counts as lapsed in an
 outage, because endpoints write it again. A run that leaves goes on leaving, whatever the copy says.
+A run whose removal the copy lacks is withheld until it says something new of itself, or until its
+registration would have lapsed if the run had ended.
 
 What an endpoint has announced itself overrides its registration; see announced_leaving.py.
 """
 
 import collections.abc
+import dataclasses
 
 import msgspec
 
@@ -24,6 +27,26 @@
 
 GRACE_SECONDS = 1.8
 STORE_FAILURE_SECONDS = 2.5
+# Within this time the store removes registrations that are not renewed.
+LAPSE_SECONDS = 5.0
+# A store comes back from a copy that is some seconds old.
+REMOVALS_KEPT_SECONDS = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Removal:
+    """A run whose registration was removed while the store worked."""
+
+    started_at: int
+    removed_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Withheld:
+    """A registration that may have come back only because its removal was lost."""
+
+    endpoint: ListedEndpoint
+    until: float
 
 
 class EndpointRegistry:
@@ -35,6 +58,7 @@
 
     __slots__ = ("_endpoints", "_revisions", "_grace_ends_at", "_store_failed_at", "version")
     __slots__ += ("_by_host", "_by_host_version", "_announced")
+    __slots__ += ("_removals", "_withheld", "_withheld_until")
 
     def __init__(self) -> None:
         self._endpoints: dict[str, ListedEndpoint] = {}
@@ -42,6 +66,10 @@
         self._grace_ends_at: dict[str, float] = {}
         self._store_failed_at = float("-inf")
         self._announced = AnnouncedLeaving()
+        self._removals: dict[str, _Removal] = {}
+        # The registrations that are withheld, and until when those of the present epoch are.
+        self._withheld: dict[str, _Withheld] = {}
+        self._withheld_until = float("-inf")
         self.version = 0
         # The endpoints of each host, as of a version of this registry.
         self._by_host: dict[str, list[ListedEndpoint]] = {}
@@ -119,6 +147,9 @@
         for endpoint in self._endpoints.values():
             if endpoint.leaving:
                 self._announced.record(endpoint.id, endpoint.started_at)
+        self._forget_removals(now)
+        self._withheld.clear()
+        self._withheld_until = now + LAPSE_SECONDS
         self.record_store_failure(now)
 
     def apply(self, endpoint: ListedEndpoint, revision: int) -> bool:
@@ -126,8 +157,17 @@
         if revision <= self._revisions.get(endpoint.id, 0):
             self._grace_ends_at.pop(endpoint.id, None)
             return False
+        is_first = endpoint.id not in self._revisions
         self._revisions[endpoint.id] = revision
         self._grace_ends_at.pop(endpoint.id, None)
+        removal = self._removals.pop(endpoint.id, None)
+        if is_first and removal is not None and removal.started_at == endpoint.started_at:
+            self._withheld[endpoint.id] = _Withheld(endpoint, self._withheld_until)
+            return False
+        return self._list(endpoint)
+
+    def _list(self, endpoint: ListedEndpoint) -> bool:
+        self._withheld.pop(endpoint.id, None)
         if self._announced.includes(endpoint.id, endpoint.started_at):
             endpoint = msgspec.structs.replace(endpoint, leaving=True)
         if self._endpoints.get(endpoint.id) == endpoint:
@@ -141,10 +181,12 @@
         if revision <= self._revisions.get(endpoint_id, 0):
             return False
         self._revisions[endpoint_id] = revision
+        self._withheld.pop(endpoint_id, None)
         return self._handle_missing(endpoint_id, now)
 
     def apply_listing(self, listed: collections.abc.Collection[str], now: float) -> list[str]:
         """Applies the store's complete list of ids; returns those that were removed at once."""
+        self._withheld = {key: each for key, each in self._withheld.items() if key in listed}
         missing = [endpoint_id for endpoint_id in self._endpoints if endpoint_id not in listed]
         return [endpoint_id for endpoint_id in missing if self._handle_missing(endpoint_id, now)]
 
@@ -155,6 +197,17 @@
             self._remove(endpoint_id)
         return expired
 
+    def is_withheld(self, endpoint_id: str) -> bool:
+        """Returns whether the registration of an endpoint is withheld."""
+        return endpoint_id in self._withheld
+
+    def list_withheld(self, now: float) -> list[ListedEndpoint]:
+        """Lists the endpoints that are withheld no longer; returns them."""
+        due = [each.endpoint for each in self._withheld.values() if now >= each.until]
+        for endpoint in due:
+            self._list(endpoint)
+        return due
+
     def _handle_missing(self, endpoint_id: str, now: float) -> bool:
         if endpoint_id not in self._endpoints:
             return False
@@ -162,9 +215,15 @@
         if now - self._store_failed_at <= STORE_FAILURE_SECONDS and not leaving:
             self._grace_ends_at.setdefault(endpoint_id, now + GRACE_SECONDS)
             return False
+        self._forget_removals(now)
+        self._removals[endpoint_id] = _Removal(self._endpoints[endpoint_id].started_at, now)
         self._remove(endpoint_id)
         return True
 
+    def _forget_removals(self, now: float) -> None:
+        recent = now - REMOVALS_KEPT_SECONDS
+        self._removals = {key: r for key, r in self._removals.items() if r.removed_at >= recent}
+
     def _remove(self, endpoint_id: str) -> None:
         self._grace_ends_at.pop(endpoint_id, None)
         self._announced.record_unlisted(endpoint_id)
--- a/wasabidrum/decisions/endpoint_registry_test.py
+++ b/wasabidrum/decisions/endpoint_registry_test.py
@@ -7,7 +7,12 @@
 from hypothesis import strategies
 
 from ..core.listed_endpoint import ListedEndpoint
-from .endpoint_registry import GRACE_SECONDS, STORE_FAILURE_SECONDS, EndpointRegistry
+from .endpoint_registry import (
+    GRACE_SECONDS,
+    LAPSE_SECONDS,
+    STORE_FAILURE_SECONDS,
+    EndpointRegistry,
+)
 
 SETTINGS = hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
 
@@ -52,6 +57,35 @@
         self.registry.apply(make_endpoint("a", started_at=6), 4)
         self.assertFalse(self.registry.get("a").leaving)
 
+    def test_run_whose_removal_the_copy_lacks_is_withheld(self) -> None:
+        """Guards against new requests at an endpoint that has left, and that only the copy
+        lists."""
+        self.registry.apply(make_endpoint("a", started_at=5), 12)
+        self.registry.apply_removal("a", 13, now=49.0)
+        self.registry.begin_epoch(now=50.0)
+        self.assertFalse(self.registry.apply(make_endpoint("a", started_at=5), 3))
+        self.assertTrue(self.registry.is_withheld("a"))
+        self.assertEqual(ids_of(self.registry), {"b"})
+        self.assertEqual(self.registry.list_withheld(50.0 + LAPSE_SECONDS - 0.1), [])
+        self.registry.list_withheld(50.0 + LAPSE_SECONDS)
+        self.assertEqual(ids_of(self.registry), {"a", "b"})
+
+    def test_withheld_run_that_says_something_new_is_listed(self) -> None:
+        """Guards against endpoints that get no requests although they are there."""
+        for removed, next_registration in (
+            (5, make_endpoint("a", started_at=5, slots=3)),
+            (6, None),
+        ):
+            with self.subTest(removed=removed):
+                self.setUp()
+                self.registry.apply(make_endpoint("a", started_at=removed), 12)
+                self.registry.apply_removal("a", 13, now=49.0)
+                self.registry.begin_epoch(now=50.0)
+                self.registry.apply(make_endpoint("a", started_at=5), 3)
+                if next_registration is not None:
+                    self.assertTrue(self.registry.apply(next_registration, 4))
+                self.assertEqual(ids_of(self.registry), {"a", "b"})
+
     def test_registrations_that_the_copy_lacks_get_a_grace_period(self) -> None:
         """Guards against endpoints that get no requests until they have registered again."""
         self.registry.begin_epoch(now=50.0)
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -329,7 +329,10 @@
             self._apply_evacuation(change, max(not_before, self.lease.confirmed_at))
 
     def expire_items(self, now: float) -> None:
-        """Removes what was kept over a store outage and has not been written again."""
+        """Removes what was kept over a store outage and was not written again, and lists endpoints
+        that need not be withheld any longer."""
+        for endpoint in self.endpoints.list_withheld(now):
+            self._log_listed(endpoint)
         for name in self.evacuations.expire(boot_seconds()):
             self._log_evacuation(Event.EVACUATION_ENDED, name, self.lease.confirmed_at)
         for endpoint_id in self.endpoints.expire(now):
@@ -490,16 +493,22 @@
         before = self.endpoints.get(endpoint_id)
         if change.revision > self.endpoints.revision_of(endpoint_id):
             self.on_endpoint(endpoint, before, not_before)
+        was_withheld = self.endpoints.is_withheld(endpoint_id)
         if self.endpoints.apply(endpoint, change.revision):
-            self._log.write(
-                Event.ENDPOINT_LISTED,
-                endpoint=endpoint_id,
-                service=endpoint.service,
-                address=f"{endpoint.host}:{endpoint.port}",
-                leaving=endpoint.leaving,
-                weights=endpoint.weights,
-                whole=endpoint.whole,
-            )
+            self._log_listed(endpoint)
+        elif self.endpoints.is_withheld(endpoint_id) and not was_withheld:
+            self._log.write(Event.ENDPOINT_WITHHELD, endpoint=endpoint_id)
+
+    def _log_listed(self, endpoint: ListedEndpoint) -> None:
+        self._log.write(
+            Event.ENDPOINT_LISTED,
+            endpoint=endpoint.id,
+            service=endpoint.service,
+            address=f"{endpoint.host}:{endpoint.port}",
+            leaving=endpoint.leaving,
+            weights=endpoint.weights,
+            whole=endpoint.whole,
+        )
 
     def _layer_count(self, service: str) -> int:
         figures = self.engine_figures(service)
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -113,6 +113,7 @@
     STORE_SNAPSHOT_READ = 4041
     STORE_RESTORED = 4042
     STORE_ANSWER_OUTDATED = 4043
+    ENDPOINT_WITHHELD = 4044
 
     # 5000: calls with idempotency keys, and streams that are resumed on another endpoint.
     CALL_STARTED = 5001
