Entries tell each other a configuration that a restored store lacks

What callers would see: an entry that starts after a restoration, or that had been cut off before it, goes by the copy's configuration, while the others have a newer one in force that was accepted; a revoked key is valid there.

Cause: entries tell each other the store's items by revision, and the copy's configuration is the one of the new epoch. Nothing told of the newer one that entries still have in force.

Change: a question to another entry states the version in force here, and a reply has the responder's configuration if that is newer and not among the changes.

Evidence: test_entry_that_starts_after_the_restoration red before and green now, and a new test of an entry that missed the configuration, red without the change. The first of them restarts an entry whose settings name others: the one that it restarted has no seeds, and can ask nobody until others have found it.

--- a/tests/store_restored_test.py
+++ b/tests/store_restored_test.py
@@ -98,6 +98,21 @@
             yield
         ended.set()
 
+    @contextlib.contextmanager
+    def cut_off(self, gateway: Gateway) -> Iterator[None]:
+        """Lets an entry and the others not reach each other within the context."""
+        cut = gateway.peers
+        reach = EntryPeers._call
+
+        async def call(peers: EntryPeers, address: tuple[str, int], *arguments: object) -> object:
+            if peers is cut or address == cut.own_address:
+                await asyncio.sleep(0.6)
+                return None
+            return await reach(peers, address, *arguments)
+
+        with mock.patch.object(EntryPeers, "_call", call):
+            yield
+
     def leaving_at(self, endpoint: FakeEndpoint) -> list[bool]:
         """Returns at each entry whether an endpoint gets no new requests."""
         listed = [gateway.state.endpoints.get(endpoint.id) for gateway in self.all]
@@ -297,12 +312,25 @@
         await asyncio.sleep(1.0)
         await self.restore(copy)
         await asyncio.sleep(0.5)
-        started = await self.fleet.restart_gateway(0)
+        started = await self.fleet.restart_gateway(self.entries - 1)
         for _ in range(500):
             self.assertIn(started.state.version, (0, 5))
             await asyncio.sleep(0.002)
         self.assertEqual(started.state.version, 5)
 
+    async def test_entry_that_missed_the_configuration(self) -> None:
+        """Guards against an entry that goes by the copy's configuration because it was cut off
+        while the newer one was accepted."""
+        copy = self.store.copy()
+        with self.cut_off(self.all[0]), self.no_answers(self.all[0]):
+            # The watch in progress is still answered.
+            await asyncio.sleep(1.5)
+            await self.publish(5)
+            await asyncio.sleep(1.0)
+            await self.restore(copy)
+        await asyncio.sleep(BOUNDS.configuration)
+        self.assertEqual(self.versions(), [5] * self.entries)
+
 
 class LateAnswersTest(StoreRestoredCase):
     """Answers of the time before that come after one of the time since."""
@@ -344,19 +372,10 @@
 
     async def test_entry_cut_off_during_the_restoration(self) -> None:
         """Guards against an entry that brings the lost past back to the others."""
-        cut = self.all[0].peers
-        reach = EntryPeers._call
-
-        async def call(peers: EntryPeers, address: tuple[str, int], *arguments: object) -> object:
-            if peers is cut or address == cut.own_address:
-                await asyncio.sleep(0.6)
-                return None
-            return await reach(peers, address, *arguments)
-
         copy = self.store.copy()
         await self.write_others(40)
         await asyncio.sleep(1.0)
-        with mock.patch.object(EntryPeers, "_call", call), self.no_answers(self.all[0]):
+        with self.cut_off(self.all[0]), self.no_answers(self.all[0]):
             await self.restore(copy)
             await self.register(self.first, state="draining")
             await asyncio.sleep(1.0)
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -62,6 +62,10 @@
 QUERY_INTERVAL_SECONDS = 0.35
 PEER_TIMEOUT_SECONDS = 0.6
 PEERS_PER_QUERY = 2
+# An entry that starts waits so long to hear of a newer configuration than the store's.
+FIRST_QUERY_SECONDS = 0.3
+# For how long other entries are asked after a restoration of the store.
+RESTORED_QUERY_SECONDS = 3.0
 PLACES_PER_QUERY = 3
 # How many entries an entry that has started asks at once, until one answers, and the first pause.
 FIRST_EXCHANGES = 3
@@ -267,6 +271,11 @@
         size = sum(len(change.value or b"") for change in changes)
         if message.accepts_packed and size > MAX_UNPACKED_BYTES:
             packed, changes = entry_messages.pack_changes(changes), ()
+        configuration = b""
+        if message.version >= 0:
+            configuration = self._state.newer_configuration(message.version)
+            if any(change.value == configuration for change in items):
+                configuration = b""
         now = boot_seconds()
         since = self._state.outages.failing_since
         failures = self._state.outages.last_failures
@@ -287,6 +296,7 @@
             ),
             failures=(now - failures.started_at, now - failures.ended_at) if failures else None,
             epoch=self._state.epoch,
+            configuration=entry_messages.pack_bytes(configuration) if configuration else b"",
         )
 
     def answer_followers(self) -> None:
@@ -536,6 +546,8 @@
             is_fresh = self._state.lease.age(now) <= MAX_EVIDENCE_AGE_SECONDS
             is_fresh = is_fresh and self._state.outages.failing_since is None
             # Others may have had answers while this entry had none.
+            # A restored store may lack a configuration that others have in force.
+            asks_until = max(asks_until, self._state.restored_at + RESTORED_QUERY_SECONDS)
             is_informed = has_answer and now > asks_until
             if is_fresh and is_informed and not self._state.may_extend_bounds(now):
                 self._relay_logged = False
@@ -564,7 +576,8 @@
           hold: For how many seconds it may hold the question until it knows more.
         """
         asked_at = boot_seconds()
-        request = FetchChanges(self._state.revision, hold, True, self._state.epoch)
+        state = self._state
+        request = FetchChanges(state.revision, hold, True, state.epoch, state.version)
         timeout = PEER_TIMEOUT_SECONDS if request.after else SNAPSHOT_TIMEOUT_SECONDS
         reply = await self._call(
             address, entry_messages.CHANGES_PATH, request, ChangesReply, timeout + hold
@@ -575,6 +588,8 @@
         # held that.
         answered_at = asked_at + reply.held
         self._record_peer_calls(address, reply, answered_at)
+        for content in self._unpack_configurations([reply]):
+            self._state.apply_configuration(content)
         now = asyncio.get_running_loop().time()
         position = StorePosition(reply.epoch, reply.revision)
         up_to_date = position >= self._state.position and reply.revision > 0
@@ -605,6 +620,32 @@
             )
         return reply
 
+    async def newer_configurations(self, position: StorePosition, version: int) -> list[bytes]:
+        """Returns configurations newer than a version that are in force at some other entries.
+
+        Args:
+          position: Up to where changes are known, so that none of those before is sent.
+        """
+        addresses = self._roster.choose(PEERS_PER_QUERY, boot_seconds(), self._rng)
+        request = FetchChanges(position.revision, 0.0, True, position.epoch, version)
+        path, seconds = entry_messages.CHANGES_PATH, FIRST_QUERY_SECONDS
+        calls = (self._call(a, path, request, ChangesReply, seconds) for a in addresses)
+        replies = await asyncio.gather(*calls)
+        return self._unpack_configurations(reply for reply in replies if reply is not None)
+
+    def _unpack_configurations(
+        self, replies: collections.abc.Iterable[ChangesReply]
+    ) -> list[bytes]:
+        """Returns the configurations that replies have beside their changes."""
+        found = []
+        for reply in replies:
+            try:
+                if reply.configuration:
+                    found.append(entry_messages.unpack_bytes(reply.configuration))
+            except CodedError as error:
+                self._log.write(Event.PEER_SILENT, peer="", reason=str(error)[:120])
+        return found
+
     def _update_places(self) -> None:
         """Updates from which data centres an outage of the store has to be confirmed."""
         known = self._roster.known(boot_seconds())
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -53,6 +53,8 @@
       outages: The times at which the store did not answer.
       epoch: The store's epoch that the revision belongs to; zero where the store states none.
       revision: The store revision up to which all changes were applied; zero before the first.
+      restored_at: When this process learned that the store was restored, by the boot clock; minus
+        infinity before.
       store_failed_at: Until when calls of this process to the store failed, by the boot clock.
       on_endpoint: Called with each new registration of an endpoint, what was registered before, or
         None if the endpoint was not listed, and a time by the boot clock before which the store had
@@ -66,9 +68,10 @@
         "_items",
         "_history_start",
         "_reported_versions",
+        "_configuration_content",
     )
     __slots__ += ("routes", "endpoints", "lease", "outages", "epoch", "revision")
-    __slots__ += ("evacuations", "_regions")
+    __slots__ += ("evacuations", "_regions", "restored_at")
     __slots__ += ("store_failed_at", "_store_asked", "_store_owes_since", "on_endpoint")
 
     def __init__(
@@ -102,6 +105,9 @@
         self._store_asked = False
         self._store_owes_since: float | None = None
         self.store_failed_at = float("-inf")
+        self.restored_at = float("-inf")
+        # As the operator wrote it, for other entries.
+        self._configuration_content = b""
         self.routes: RouteTable | None = None
         self.endpoints = EndpointRegistry()
         self.lease = ConfigurationLease(bounds.revocation)
@@ -308,6 +314,7 @@
             held_epoch=self.epoch,
             held_revision=self.revision,
         )
+        self.restored_at = boot_seconds()
         self._items.clear()
         self.endpoints.begin_epoch(now)
         self.evacuations.begin_epoch(boot_seconds())
@@ -322,7 +329,7 @@
             endpoint_id = published_records.endpoint_id_of(change.key)
             self._apply_endpoint(endpoint_id, change, now, max(not_before, self.lease.confirmed_at))
         elif kind is ItemKind.CONFIGURATION and change.value is not None:
-            self._apply_configuration(change)
+            self._apply_configuration(change.value, change.revision)
         elif kind is ItemKind.VERSION and change.value is not None:
             self._apply_version(change, max(not_before, self.lease.confirmed_at))
         elif kind is ItemKind.EVACUATION:
@@ -383,12 +390,29 @@
             if oldest is not None:
                 self._history_start = max(self._history_start, self._items.pop(oldest).revision)
 
-    def _apply_configuration(self, change: StoreChange) -> None:
+    def newer_configuration(self, version: int) -> bytes:
+        """Returns the configuration in force as the operator wrote it; empty if no newer one than
+        a version is in force."""
+        return self._configuration_content if self.version > version else b""
+
+    def apply_configuration(self, content: bytes) -> None:
+        """Applies a configuration that is in force at another entry, if it is newer.
+
+        An accepted configuration is never undone, also where a restored store has lost it.
+        """
+        self._apply_configuration(content, 0)
+
+    def _apply_configuration(self, content: bytes, store_revision: int) -> None:
+        """Puts a configuration in force if it is valid and newer.
+
+        Args:
+          store_revision: The store's revision of the item; zero if another entry told of it.
+        """
         try:
-            configuration = published_records.decode_configuration(change.value or b"")
+            configuration = published_records.decode_configuration(content)
         except CodedError as error:
             self._log.write(
-                Event.REVISION_REFUSED, revision=change.revision, reason=str(error)[:300]
+                Event.REVISION_REFUSED, revision=store_revision, reason=str(error)[:300]
             )
             return
         # A store that was restored from a backup, or a stale read, may return an old version. To
@@ -396,10 +420,11 @@
         if configuration.version <= self.version:
             return
         self.routes = RouteTable(configuration)
+        self._configuration_content = content
         self._log.write(
             Event.REVISION_IN_FORCE,
             revision=configuration.version,
-            store_revision=change.revision,
+            store_revision=store_revision,
             routes=len(configuration.routes),
             workspaces=len(configuration.workspaces),
         )
--- a/wasabidrum/gateway/reader_following.py
+++ b/wasabidrum/gateway/reader_following.py
@@ -4,11 +4,13 @@
 
 from ..config.deployment import Bounds
 from ..core.boot_clock import boot_seconds
+from ..core.store_change import StorePosition, StoreReading
 from ..decisions.entry_roster import HostPort
 from ..decisions.store_readers import StoreReaders, hold_seconds, is_late
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers.entry_messages import ChangesReply
+from ..platform import published_records
 from .published_state import PublishedState
 
 # The wait of a watch of the store. A watch that ends without changes renews the lease on the
@@ -30,6 +32,9 @@
     async def fetch_changes(self, address: HostPort, hold: float = 0.0) -> ChangesReply | None:
         """Applies what another entry knows of the store; returns its answer, or None."""
 
+    async def newer_configurations(self, position: StorePosition, version: int) -> list[bytes]:
+        """Returns configurations newer than a version that are in force at some other entries."""
+
 
 class ReaderFollower:
     """Keeps an entry's published state up to date from a reader, instead of the store."""
@@ -70,6 +75,16 @@
             self._set_followed(None, "no reader")
         return False
 
+    async def prepare_first_snapshot(self, reading: StoreReading) -> None:
+        """Applies a configuration that other entries have in force, if it is newer than one read.
+
+        A restored store may lack it, and a process that starts must not undo what the others do.
+        """
+        version = published_records.configuration_version(reading.changes)
+        position = StorePosition(reading.epoch, reading.revision)
+        for content in await self._peers.newer_configurations(position, version):
+            self._state.apply_configuration(content)
+
     def _set_followed(self, reader: HostPort | None, reason: str) -> None:
         if reader != self._followed:
             self._followed = reader
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -106,6 +106,8 @@
                 await self._handle_outdated(reading)
                 return
             self._log_snapshot(reading)
+            if not position.revision:
+                await self._readers.prepare_first_snapshot(reading)
             state.apply_snapshot(reading, asyncio.get_running_loop().time())
             self._history_lost = False
         else:
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -109,12 +109,15 @@
       hold: For how many seconds the responder may hold the request until it knows more.
       accepts_packed: Whether the reply may hold its changes packed.
       epoch: The store's epoch that the revision belongs to.
+      version: The version of the configuration in force at the sender, zero for none; negative if
+        it wants no other than that in the changes.
     """
 
     after: int
     hold: float = 0.0
     accepts_packed: bool = False
     epoch: int = 0
+    version: int = -1
 
 
 class PeerChange(msgspec.Struct, frozen=True, array_like=True):
@@ -160,6 +163,8 @@
       failures: The seconds since its last run of failed calls started and ended; None without one.
       epoch: The store's epoch that the revision belongs to. One that is later than the question's
         has all items; one that is earlier has no changes.
+      configuration: The responder's configuration, compressed, if it is newer than the sender's and
+        not among the changes; empty otherwise.
     """
 
     revision: int
@@ -175,11 +180,12 @@
     answer_gaps: tuple[tuple[float, float], ...] = ((math.inf, -math.inf),)
     failures: tuple[float, float] | None = None
     epoch: int = 0
+    configuration: bytes = b""
 
 
 def pack_changes(changes: tuple[PeerChange, ...]) -> bytes:
     """Returns changes in compressed form."""
-    return zlib.compress(msgspec.msgpack.encode(changes), level=1)
+    return pack_bytes(msgspec.msgpack.encode(changes))
 
 
 def unpack_changes(packed: bytes) -> tuple[PeerChange, ...]:
@@ -188,14 +194,31 @@
     Raises:
       CodedError: The bytes are not valid.
     """
+    try:
+        return msgspec.msgpack.decode(unpack_bytes(packed), type=tuple[PeerChange, ...])
+    except msgspec.MsgspecError as error:
+        raise CodedError("peer_unreadable", f"packed changes: {error}", 502) from error
+
+
+def pack_bytes(content: bytes) -> bytes:
+    """Returns bytes in compressed form."""
+    return zlib.compress(content, level=1)
+
+
+def unpack_bytes(packed: bytes) -> bytes:
+    """Returns bytes from their compressed form.
+
+    Raises:
+      CodedError: The compressed form is not valid, or they are too many.
+    """
     inflating = zlib.decompressobj()
     try:
         content = inflating.decompress(packed, MAX_UNPACKED_BYTES)
-        if not inflating.eof:
-            raise CodedError("peer_unreadable", "packed changes are cut or too large", 502)
-        return msgspec.msgpack.decode(content, type=tuple[PeerChange, ...])
-    except (zlib.error, msgspec.MsgspecError) as error:
-        raise CodedError("peer_unreadable", f"packed changes: {error}", 502) from error
+    except zlib.error as error:
+        raise CodedError("peer_unreadable", f"packed bytes: {error}", 502) from error
+    if not inflating.eof:
+        raise CodedError("peer_unreadable", "packed bytes are cut or too large", 502)
+    return content
 
 
 class SuspectsReport(msgspec.Struct, frozen=True, array_like=True):
--- a/wasabidrum/platform/published_records.py
+++ b/wasabidrum/platform/published_records.py
@@ -15,6 +15,7 @@
     WorkspaceKeys,
 )
 from ..core.route import Route, RouteKind, RouteTarget
+from ..core.store_change import StoreChange
 from . import names
 from .boot_settings import parse_address
 from .wire_records import (
@@ -91,6 +92,18 @@
         raise CodedError("configuration_invalid", repr(error)) from error
 
 
+def configuration_version(changes: collections.abc.Iterable[StoreChange]) -> int:
+    """Returns the version of the configuration among items; zero without a valid one."""
+    for change in changes:
+        if kind_of(change.key) is ItemKind.CONFIGURATION:
+            try:
+                return decode_configuration(change.value or b"").version
+            except CodedError:
+                # Whoever applies the items reports it.
+                return 0
+    return 0
+
+
 def decode_version(content: bytes) -> tuple[str, int]:
     """Decodes which version of its weights a model is to have.
 
