Sidecars read everything again once the store was restored

What operators would see: a version of weights that a sidecar never learns of.

Cause: a sidecar watches on from the revision of its last answer. A store that was restored between two of its calls, and has passed that revision again, answers as if what came before were known.

Change: an answer of another epoch than the last one is not applied, and all versions are read again. A watch that is neither cut nor refused tells of it only when its wait of 20 s has ended.

--- a/tests/store_restored_test.py
+++ b/tests/store_restored_test.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from standins.key_value_store import StoreCopy
+from tests.fake_engines import EngineFleet
 from tests.fake_platform import FakeEndpoint, PlatformFleet, make_configuration
 from tests.paused_clock import PausedClockCase
 from wasabidrum.config.deployment import Bounds
@@ -13,7 +14,7 @@
 from wasabidrum.gateway.daemon import Gateway
 from wasabidrum.gateway.entry_peers import EntryPeers
 from wasabidrum.platform import names
-from wasabidrum.platform.store_client import KeyPrefix
+from wasabidrum.platform.store_client import KeyPrefix, StoreClient
 
 SERVICE = "tally"
 ENTRIES = 3
@@ -383,6 +384,44 @@
         self.assertEqual(self.leaving_at(self.first), [True] * self.entries)
 
 
+class SidecarsTest(PausedClockCase):
+    """Sidecars that wait until a version of weights is named."""
+
+    async def test_version_named_among_revisions_given_out_again(self) -> None:
+        """Guards against sidecars that go on after a revision which the store has passed again,
+        and never learn of the version that was named before it."""
+        fleet = EngineFleet()
+        await fleet.start()
+        try:
+            engine = await fleet.add_engine(1)
+            store = fleet.store
+            await asyncio.sleep(1.0)
+            copy = store.copy()
+            resumed = asyncio.Event()
+            watch = StoreClient.watch
+
+            async def watch_later(*args: object) -> object:
+                await resumed.wait()
+                return await watch(*args)
+
+            with mock.patch.object(StoreClient, "watch", watch_later):
+                await store.put("other/key", {})
+                await fleet.name_version(1)
+                await asyncio.sleep(0.5)
+                await store.restore(copy)
+                await fleet.name_version(2)
+                for number in range(3):
+                    await store.put("other/key", {"number": number})
+                resumed.set()
+                await asyncio.sleep(0.5)
+            # Such a watch tells of the restoration when its wait of 20 s has ended.
+            async with asyncio.timeout(30.0):
+                while engine.version != 2:
+                    await asyncio.sleep(0.05)
+        finally:
+            await fleet.stop()
+
+
 class StoreWithoutEraTest(StoreRestoredCase):
     """A store that does not state its era."""
 
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -11,7 +11,7 @@
 from ..core.listed_endpoint import ListedEndpoint
 from ..core.published import PublishedConfiguration
 from ..core.status import Status
-from ..core.store_change import StoreChange
+from ..core.store_change import StoreChange, StoreReading
 from ..decisions.chunk_plan import rank_names
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -231,21 +231,30 @@
         failures = 0
         while True:
             try:
-                revision = await self._read_all()
+                reading = await self._read_all()
                 if failures:
                     self._log.write(Event.STORE_BACK, failures=failures)
                     failures = 0
-                while True:
-                    reading = await self._store.watch(KeyPrefix.VERSIONS, revision, WATCH_SECONDS)
-                    revision = reading.revision
-                    for change in reading.changes:
-                        await self._record_version(change)
+                await self._follow(reading)
             except CodedError as error:
                 if not failures:
                     self._log.write(Event.STORE_LOST, reason=str(error)[:200], evidence_age=0.0)
                 failures += 1
                 await asyncio.sleep(min(MAX_PAUSE_SECONDS, PAUSE_SECONDS * failures))
 
+    async def _follow(self, reading: StoreReading) -> None:
+        """Watches named versions from a reading on, until the store was restored since."""
+        epoch, revision = reading.epoch, reading.revision
+        while True:
+            reading = await self._store.watch(KeyPrefix.VERSIONS, revision, WATCH_SECONDS)
+            if reading.epoch != epoch:
+                # The revision may have been given out again, and what came before it is missing.
+                self._log.write(Event.STORE_ANSWER_OUTDATED, epoch=reading.epoch, held_epoch=epoch)
+                return
+            revision = reading.revision
+            for change in reading.changes:
+                await self._record_version(change)
+
     async def refresh_members(self, lacking: collections.abc.Callable[[], bool]) -> None:
         """Reads the members periodically, forever, while this engine lacks its weights."""
         while True:
@@ -291,7 +300,7 @@
         own = self._deployment
         return readers_before(subject, own.host, own.region, self.members, self._relays)
 
-    async def _read_all(self) -> int:
+    async def _read_all(self) -> StoreReading:
         await self._read_members()
         setting = self._readings.setting
         if setting is None:
@@ -306,7 +315,7 @@
         for change in reading.changes:
             await self._record_version(change)
         self._known = True
-        return reading.revision
+        return reading
 
     async def _read_setting(self) -> EngineSetting:
         reading = await self._store.read(KeyPrefix.CONFIGURATION)
