A version of weights that other entries enforce holds at one that starts after a restoration

What callers would see: text from weights that all other entries have given up.

Cause: an entry takes which versions are named from the store; what others tell only dates them, or adds older ones. A restored store may lack the newest, until the operator writes it again.

Change: a newer version that another entry has from the store counts too. Without a restoration it always comes with the store's item, which goes first.

--- a/tests/store_restored_test.py
+++ b/tests/store_restored_test.py
@@ -17,6 +17,7 @@
 from wasabidrum.platform.store_client import KeyPrefix, StoreClient
 
 SERVICE = "tally"
+MODEL = "m1"
 ENTRIES = 3
 READERS = 2
 BOUNDS = Bounds(configuration=2.0, drain=2.0)
@@ -73,6 +74,11 @@
         self.version = version
         await self.store.put(names.CONFIGURATION_KEY, make_configuration(version, SERVICE))
 
+    async def name_version(self, version: int) -> None:
+        """Names a version of weights."""
+        value = {"model": MODEL, "version": version}
+        await self.store.put(names.VERSION_PREFIX + MODEL, value)
+
     async def write_others(self, count: int) -> None:
         """Writes items that concern nobody, which only raises the store's revision."""
         for number in range(count):
@@ -319,6 +325,23 @@
             await asyncio.sleep(0.002)
         self.assertEqual(started.state.version, 5)
 
+    async def test_version_of_weights_at_an_entry_that_starts(self) -> None:
+        """Guards against an entry that places requests on weights which the others have given up,
+        because the copy lacks the version that replaced them."""
+        await self.name_version(2)
+        await asyncio.sleep(1.0)
+        copy = self.store.copy()
+        await self.name_version(3)
+        await asyncio.sleep(BOUNDS.version + 1.0)
+        oldest = [gateway.state.oldest_to_place(MODEL, 0.0) for gateway in self.all]
+        self.assertEqual(oldest, [3] * self.entries)
+        await self.restore(copy)
+        await asyncio.sleep(0.5)
+        started = await self.fleet.restart_gateway(self.entries - 1)
+        await self.fleet.wait_until(lambda: started.ready)
+        await asyncio.sleep(1.0)
+        self.assertEqual(started.state.oldest_to_place(MODEL, 0.0), 3)
+
     async def test_entry_that_missed_the_configuration(self) -> None:
         """Guards against an entry that goes by the copy's configuration because it was cut off
         while the newer one was accepted."""
--- a/wasabidrum/decisions/version_floor.py
+++ b/wasabidrum/decisions/version_floor.py
@@ -160,7 +160,7 @@
         """Records what another process reported of a version.
 
         The store tells only the newest version to a process that reads it late. The ones before it
-        have bounds of their own, which end sooner.
+        have bounds of their own, which end sooner. A restored store may lack the newest ones.
 
         Args:
           seconds: How many seconds ago it learned of the version.
@@ -168,7 +168,7 @@
         """
         before = now - seconds
         known = any(named.version == version for named in self._named)
-        if not known and version < self.newest:
+        if not known:
             self._named.append(NamedVersion(version, min(unnamed_at, before), before, now))
         self._named = [
             named.with_report(before, unnamed_at) if named.version == version else named
