--- a/standins/key_value_store.py
+++ b/standins/key_value_store.py
@@ -152,6 +152,11 @@
         if known is None or known["value"] != base64.b64encode(content).decode():
             await self.put(key, content)
 
+    def holds(self, key: str, value: object) -> bool:
+        """Returns whether an item has a value, which is written as JSON."""
+        content = base64.b64encode(json.dumps(value).encode()).decode()
+        return key in self.items and self.items[key]["value"] == content
+
     async def expire(self, seconds: float) -> None:
         """Removes the items that were not renewed for some time."""
         oldest = asyncio.get_running_loop().time() - seconds
--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -35,7 +35,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Removal:
-    """A run whose registration was removed while the store worked."""
+    """A run that was removed, and when."""
 
     started_at: int
     removed_at: float
@@ -194,7 +194,7 @@
         """Removes the endpoints whose grace period has ended; returns their ids."""
         expired = [name for name, end in self._grace_ends_at.items() if now >= end]
         for endpoint_id in expired:
-            self._remove(endpoint_id)
+            self._remove(endpoint_id, now)
         return expired
 
     def is_withheld(self, endpoint_id: str) -> bool:
@@ -215,17 +215,18 @@
         if now - self._store_failed_at <= STORE_FAILURE_SECONDS and not leaving:
             self._grace_ends_at.setdefault(endpoint_id, now + GRACE_SECONDS)
             return False
-        self._forget_removals(now)
-        self._removals[endpoint_id] = _Removal(self._endpoints[endpoint_id].started_at, now)
-        self._remove(endpoint_id)
+        self._remove(endpoint_id, now)
         return True
 
     def _forget_removals(self, now: float) -> None:
         recent = now - REMOVALS_KEPT_SECONDS
         self._removals = {key: r for key, r in self._removals.items() if r.removed_at >= recent}
 
-    def _remove(self, endpoint_id: str) -> None:
+    def _remove(self, endpoint_id: str, now: float) -> None:
         self._grace_ends_at.pop(endpoint_id, None)
         self._announced.record_unlisted(endpoint_id)
-        if self._endpoints.pop(endpoint_id, None) is not None:
+        endpoint = self._endpoints.pop(endpoint_id, None)
+        if endpoint is not None:
+            self._forget_removals(now)
+            self._removals[endpoint_id] = _Removal(endpoint.started_at, now)
             self.version += 1
--- a/wasabidrum/decisions/endpoint_registry_test.py
+++ b/wasabidrum/decisions/endpoint_registry_test.py
@@ -70,6 +70,18 @@
         self.registry.list_withheld(50.0 + LAPSE_SECONDS)
         self.assertEqual(ids_of(self.registry), {"a", "b"})
 
+    def test_run_removed_after_its_grace_period_is_withheld(self) -> None:
+        """Guards against new requests at an endpoint that left soon after a restoration, once
+        another restoration lists it again."""
+        self.registry.apply(make_endpoint("a", started_at=5), 12)
+        self.registry.begin_epoch(now=50.0)
+        self.registry.apply(make_endpoint("a", started_at=5), 3)
+        self.registry.apply_removal("a", 4, now=51.0)
+        self.registry.expire(51.0 + GRACE_SECONDS)
+        self.registry.begin_epoch(now=55.0)
+        self.assertFalse(self.registry.apply(make_endpoint("a", started_at=5), 3))
+        self.assertNotIn("a", ids_of(self.registry))
+
     def test_withheld_run_that_says_something_new_is_listed(self) -> None:
         """Guards against endpoints that get no requests although they are there."""
         for removed, next_registration in (
