The grace period after an outage ends with the time in which endpoints register again

Cause: the grace period of 1.8 s counted from the removal, with a quarter second to learn of it and a tick of 0.1 s on top. Its reason, that endpoints are back within two seconds of the store's return, ends sooner.

Change: it ends two seconds after the store's return at the latest. What lapsed in the outage itself keeps 1.8 s.

--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -26,6 +26,8 @@
 from .announced_leaving import AnnouncedLeaving
 
 GRACE_SECONDS = 1.8
+# Endpoints register again within this time after the store's return.
+RETURN_SECONDS = 2.0
 STORE_FAILURE_SECONDS = 2.5
 # Within this time the store removes registrations that are not renewed.
 LAPSE_SECONDS = 5.0
@@ -213,7 +215,8 @@
             return False
         leaving = self._endpoints[endpoint_id].leaving
         if now - self._store_failed_at <= STORE_FAILURE_SECONDS and not leaving:
-            self._grace_ends_at.setdefault(endpoint_id, now + GRACE_SECONDS)
+            ends_at = min(now + GRACE_SECONDS, self._store_failed_at + RETURN_SECONDS)
+            self._grace_ends_at.setdefault(endpoint_id, ends_at)
             return False
         self._remove(endpoint_id, now)
         return True
--- a/wasabidrum/decisions/endpoint_registry_test.py
+++ b/wasabidrum/decisions/endpoint_registry_test.py
@@ -10,6 +10,7 @@
 from .endpoint_registry import (
     GRACE_SECONDS,
     LAPSE_SECONDS,
+    RETURN_SECONDS,
     STORE_FAILURE_SECONDS,
     EndpointRegistry,
 )
@@ -57,6 +58,14 @@
         self.registry.apply(make_endpoint("a", started_at=6), 4)
         self.assertFalse(self.registry.get("a").leaving)
 
+    def test_grace_period_ends_with_the_time_to_register_again(self) -> None:
+        """Guards against new requests, for longer than the bound allows, at an endpoint that is
+        removed a moment after an outage."""
+        self.registry.record_store_failure(now=50.0)
+        self.assertFalse(self.registry.apply_removal("a", 12, now=51.0))
+        self.registry.expire(50.0 + RETURN_SECONDS)
+        self.assertEqual(ids_of(self.registry), {"b"})
+
     def test_run_whose_removal_the_copy_lacks_is_withheld(self) -> None:
         """Guards against new requests at an endpoint that has left, and that only the copy
         lists."""
