A registration that a restored store lists as before is not new

What callers would see: endpoints that get a cold endpoint's part only, after each restoration.

Cause: with the revisions of a new epoch every registration counted as newly written after the last evidence. One with a cold time in it started that time again.

--- a/tests/store_restored_soak.py
+++ b/tests/store_restored_soak.py
@@ -226,7 +226,7 @@
                 )
         return super()._figures() | {
             "restorations": len(self._away),
-            "leavings": len(self._left_at.keys() | self._removed_at.keys()),
+            "leavings": sum(map(bool, (*self._left_at.values(), *self._removed_at.values()))),
             "probes": self._probes,
             "late_arrivals": late,
             "older_answers": self.older_answers,
--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -154,6 +154,11 @@
         self._withheld_until = now + LAPSE_SECONDS
         self.record_store_failure(now)
 
+    def confirm(self, endpoint_id: str, revision: int) -> None:
+        """Records that an endpoint is registered as it is listed."""
+        self._revisions[endpoint_id] = max(revision, self._revisions.get(endpoint_id, 0))
+        self._grace_ends_at.pop(endpoint_id, None)
+
     def apply(self, endpoint: ListedEndpoint, revision: int) -> bool:
         """Applies a registration; returns whether it changed the endpoint."""
         if revision <= self._revisions.get(endpoint.id, 0):
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -290,7 +290,8 @@
             reading.changes, key=lambda change: kind_of(change.key) is not ItemKind.CONFIGURATION
         )
         for change in ordered:
-            self.apply_change(change, now)
+            if not begins_epoch or not self._confirm(change):
+                self.apply_change(change, now)
         listed = {
             published_records.endpoint_id_of(change.key)
             for change in reading.changes
@@ -305,6 +306,28 @@
         self.revision = reading.revision if begins_epoch else max(self.revision, reading.revision)
         self.epoch = max(self.epoch, reading.epoch)
 
+    def _confirm(self, change: StoreChange) -> bool:
+        """Records that a restored store has an endpoint's registration as it is listed here.
+
+        Returns:
+          Whether that is so. It then says nothing new, and when it was written is not known.
+        """
+        if kind_of(change.key) is not ItemKind.ENDPOINT:
+            return False
+        endpoint_id = published_records.endpoint_id_of(change.key)
+        try:
+            read = published_records.decode_endpoint(
+                endpoint_id, change.value or b"", self._layer_count
+            )
+        except CodedError:
+            # It is reported where it is applied.
+            return False
+        if read != self.endpoints.get(endpoint_id):
+            return False
+        self._store_item(change)
+        self.endpoints.confirm(endpoint_id, change.revision)
+        return True
+
     def _begin_epoch(self, reading: StoreReading, now: float) -> None:
         """Prepares for the first snapshot of a later epoch, which is ordered after all before."""
         self._log.write(
