--- a/bench/real_processes.py
+++ b/bench/real_processes.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import json
@@ -20,7 +21,7 @@
 
 from tornado import httpserver, netutil, web
 
-from standins.key_value_store import HOST, FakeStore
+from standins.key_value_store import HOST, FakeStore, StoreCopy
 from standins.ports import free_ports
 from standins.rate_limiter import make_limiter_mbit
 from standins.weights_origin import OriginHandler, WeightsOrigin
@@ -38,6 +39,8 @@
 ORIGIN_MBIT = 15.0
 ENTRY_EXPIRES_SECONDS = 3.6
 MEETING_SECONDS = 5.0
+COPY_SECONDS = 0.5
+COPIES = 10
 FIGURES = {
     "slots": 16,
     "stride": 5,
@@ -128,6 +131,7 @@
         """Returns the series of a whole run."""
         series = [self._play_namings, self._play_entries, self._play_entries]
         series += [self._play_instances, self._play_instances, self._play_cuts, self._play_load]
+        series += [self._play_restorations]
         return [
             lambda play=play, number=number: play(self._rng_of(f"{play.__name__} {number}"))
             for number, play in enumerate(series)
@@ -221,8 +225,8 @@
                 for daemon in daemons:
                     daemon.view.recover()
 
-    async def fail_store(self, fault: str, seconds: float) -> None:
-        """Makes the store fail for everybody."""
+    async def fail_store(self, fault: str, seconds: float, copy: StoreCopy | None = None) -> None:
+        """Makes the store fail for everybody, and come back from a copy if one is given."""
         self.record(f"store {fault} for {seconds:.2f}")
         faults = self._judge.store_faults
         faults.append((time.time(), float("inf")))
@@ -232,12 +236,38 @@
             view.fail(fault)
         try:
             await asyncio.sleep(seconds)
+            if copy is not None:
+                await self._store.restore(copy)
         finally:
             self._store.fault = ""
             for view in views:
                 view.recover()
             faults[-1] = (faults[-1][0], time.time())
 
+    async def restore(self, copy: StoreCopy, seconds: float) -> None:
+        """Lets the store go away, and come back from a copy; the operator then writes again."""
+        await self.fail_store("busy", seconds, copy)
+        self.record(f"store restored at revision {copy.revision}")
+        value = {"model": MODEL, "version": self._version}
+        if not self._store.holds(names.VERSION_PREFIX + MODEL, value):
+            await self._store.put(names.VERSION_PREFIX + MODEL, value)
+            # A version that was in force before stays so.
+            if self._judge.due_at(self._version) > time.time():
+                self._judge.acknowledged[self._version] = time.time()
+            self.record(f"version {self._version} again")
+
+    async def _play_restorations(self, rng: random.Random) -> None:
+        copies: collections.deque[StoreCopy] = collections.deque(maxlen=COPIES)
+        while True:
+            for _ in range(rng.randint(4, 16)):
+                await asyncio.sleep(COPY_SECONDS)
+                if not self._store.fault:
+                    copies.append(self._store.copy())
+            for _ in range(rng.choice((1, 1, 2))):
+                copy, seconds = rng.choice(copies), rng.choice((0.1, 0.5, 2.0))
+                if not self._store.fault:
+                    await self.restore(copy, seconds)
+
     async def _play_namings(self, rng: random.Random) -> None:
         while True:
             await asyncio.sleep(rng.uniform(5.0, 15.0))
--- a/tests/store_restored_test.py
+++ b/tests/store_restored_test.py
@@ -13,6 +13,7 @@
 from wasabidrum.core.errors import CodedError
 from wasabidrum.gateway.daemon import Gateway
 from wasabidrum.gateway.entry_peers import EntryPeers
+from wasabidrum.peers.entry_messages import FetchChanges
 from wasabidrum.platform import names
 from wasabidrum.platform.store_client import KeyPrefix, StoreClient
 
@@ -407,6 +408,19 @@
         self.assertEqual(self.leaving_at(self.first), [True] * self.entries)
 
 
+class EarlierReleaseTest(StoreRestoredCase):
+    """An entry that does not state an epoch, as before there were any."""
+
+    async def test_question_without_an_epoch_is_held(self) -> None:
+        """Guards against followers of an earlier release that get all items again and again."""
+        reader = self.all[0]
+        question = FetchChanges(reader.state.revision, 0.5, True)
+        began = self.loop.time()
+        reply = await reader.peers.handle_fetch_changes(question)
+        self.assertFalse(reply.whole)
+        self.assertGreater(self.loop.time() - began, 0.2)
+
+
 class SidecarsTest(PausedClockCase):
     """Sidecars that wait until a version of weights is named."""
 
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -291,6 +291,11 @@
     def _add_gauges(self) -> None:
         add = self.log.metrics.add_gauge
         add("revision", "The configuration version in force here.", lambda: self.state.version)
+        add(
+            "store_epoch",
+            "How often the store was restored, as it states; higher is later.",
+            lambda: self.state.epoch,
+        )
         add(
             "evidence_age_seconds",
             "Since the configuration was last known to be the newest.",
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -260,7 +260,8 @@
     async def handle_fetch_changes(self, message: FetchChanges) -> ChangesReply:
         """See EntryServiceOwner."""
         arrived_at = boot_seconds()
-        asked = StorePosition(message.epoch, message.after)
+        # An earlier release states no epoch, and would get all items each time.
+        asked = StorePosition(message.epoch or self._state.epoch, message.after)
         # An entry of a later epoch learns nothing here, and asks elsewhere.
         follows = asked.epoch <= self._state.epoch
         if message.hold > 0.0 and follows and self._state.position <= asked:
@@ -593,6 +594,8 @@
         now = asyncio.get_running_loop().time()
         position = StorePosition(reply.epoch, reply.revision)
         up_to_date = position >= self._state.position and reply.revision > 0
+        # Changes of a later epoch follow on nothing that is known here.
+        up_to_date = up_to_date and (reply.whole or reply.epoch == self._state.epoch)
         if up_to_date:
             if reply.failed_ago < float("inf"):
                 self._state.endpoints.record_store_failure(now - reply.failed_ago)
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -108,7 +108,7 @@
     Attributes:
       hold: For how many seconds the responder may hold the request until it knows more.
       accepts_packed: Whether the reply may hold its changes packed.
-      epoch: The store's epoch that the revision belongs to.
+      epoch: The store's epoch that the revision belongs to; zero if the sender does not know it.
       version: The version of the configuration in force at the sender, zero for none; negative if
         it wants no other than that in the changes.
     """
