An era of zero is an epoch, and no era is none

Cause: an answer without an era and one of the era zero were the same, so that a late answer of a store whose first era is zero would have been applied after a restoration. Found by reading the mends.

Change: an answer without the header has the epoch -1.

--- a/wasabidrum/core/store_change.py
+++ b/wasabidrum/core/store_change.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+# The epoch of an answer that states none.
+NO_EPOCH = -1
+
 
 class StoreChange(msgspec.Struct, frozen=True):
     """An item, or its removal, and the revision of that change.
@@ -22,7 +25,7 @@
 
     Attributes:
       epoch: Counts how often the store was restored from a copy, after which revisions are given
-        out again; zero where the store does not state it.
+        out again; zero before the first that the store states.
     """
 
     epoch: int
@@ -33,9 +36,9 @@
     """Items or changes, and the revision after which to continue with a watch.
 
     Attributes:
-      epoch: That of the revisions; see StorePosition.
+      epoch: That of the revisions, see StorePosition; NO_EPOCH where the store states none.
     """
 
     changes: tuple[StoreChange, ...]
     revision: int
-    epoch: int = 0
+    epoch: int = NO_EPOCH
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -275,7 +275,7 @@
         configuration = b""
         if message.version >= 0:
             configuration = self._state.newer_configuration(message.version)
-            if any(change.value == configuration for change in items):
+            if configuration and any(change.value == configuration for change in items):
                 configuration = b""
         now = boot_seconds()
         since = self._state.outages.failing_since
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -51,7 +51,7 @@
       evacuations: The data centres to whose endpoints nothing may be sent.
       lease: How recent this state is known to be.
       outages: The times at which the store did not answer.
-      epoch: The store's epoch that the revision belongs to; zero where the store states none.
+      epoch: The store's epoch that the revision belongs to; zero before the first that it states.
       revision: The store revision up to which all changes were applied; zero before the first.
       restored_at: When this process learned that the store was restored, by the boot clock; minus
         infinity before.
--- a/wasabidrum/gateway/reader_following.py
+++ b/wasabidrum/gateway/reader_following.py
@@ -81,7 +81,7 @@
         A restored store may lack it, and a process that starts must not undo what the others do.
         """
         version = published_records.configuration_version(reading.changes)
-        position = StorePosition(reading.epoch, reading.revision)
+        position = StorePosition(max(0, reading.epoch), reading.revision)
         for content in await self._peers.newer_configurations(position, version):
             self._state.apply_configuration(content)
 
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -5,7 +5,7 @@
 
 from ..core.boot_clock import boot_seconds
 from ..core.errors import CodedError
-from ..core.store_change import StorePosition, StoreReading
+from ..core.store_change import NO_EPOCH, StorePosition, StoreReading
 from ..decisions.configuration_lease import (
     REPLY_TOLERANCE_SECONDS,
     earliest_change_at,
@@ -102,7 +102,7 @@
             self._unchanged_until = float("-inf")
             reading = await self._store.read(KeyPrefix.ALL)
             self._record_answer()
-            if 0 < reading.epoch < state.epoch:
+            if NO_EPOCH < reading.epoch < state.epoch:
                 await self._handle_outdated(reading)
                 return
             self._log_snapshot(reading)
@@ -138,7 +138,7 @@
         A restored store may have passed the revision that was asked for, and answers as if the
         changes before it were known. Another entry may have told of the restoration meanwhile.
         """
-        return reading.epoch in (0, asked.epoch) and self._state.epoch == asked.epoch
+        return reading.epoch in (NO_EPOCH, asked.epoch) and self._state.epoch == asked.epoch
 
     async def _handle_outdated(self, reading: StoreReading) -> None:
         """Reads everything again if the answer is of a later epoch than what is known."""
--- a/wasabidrum/platform/store_client.py
+++ b/wasabidrum/platform/store_client.py
@@ -11,7 +11,7 @@
 
 from ..config.deployment import Address
 from ..core.errors import CodedError
-from ..core.store_change import StoreChange, StoreReading
+from ..core.store_change import NO_EPOCH, StoreChange, StoreReading
 from ..wire import http_client
 from . import names
 
@@ -86,7 +86,7 @@
         """
         changes: list[StoreChange] = []
         first: int | None = None
-        first_epoch = 0
+        first_epoch = NO_EPOCH
         after, size = "", 0
         for _ in range(MAX_PAGES):
             query = {"prefix": prefix.value} | ({"after": after} if after else {})
@@ -143,8 +143,8 @@
 
 
 def read_epoch(text: str) -> int:
-    """Returns the epoch that the store states; zero where it states none or no number."""
-    return int(text) if text.isascii() and text.isdecimal() else 0
+    """Returns the epoch that the store states; NO_EPOCH where it states none or no number."""
+    return int(text) if text.isascii() and text.isdecimal() else NO_EPOCH
 
 
 def decode(body: bytes, kind: type) -> typing.Any:
--- a/wasabidrum/platform/store_client_test.py
+++ b/wasabidrum/platform/store_client_test.py
@@ -2,13 +2,15 @@
 
 import time
 import unittest
+from unittest import mock
 
 from standins.key_value_store import FakeStore
 
 from ..config.deployment import Address
 from ..core.errors import CodedError
+from ..core.store_change import NO_EPOCH
 from ..wire import http_client
-from .store_client import KeyPrefix, make_store_client
+from .store_client import KeyPrefix, make_store_client, read_epoch
 
 
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
@@ -48,6 +50,32 @@
             await self.client.watch(KeyPrefix.ENDPOINTS, 5, 0.1)
         self.assertEqual(caught.exception.code, "history_lost")
 
+    async def test_epoch_of_each_answer(self) -> None:
+        """Guards against answers of a restored store that pass for those of before, also where the
+        first era is zero."""
+        self.assertEqual((await self.client.read(KeyPrefix.ALL)).epoch, 1)
+        await self.store.restore(self.store.copy())
+        reading = await self.client.watch(KeyPrefix.ALL, self.store.revision, 0.1)
+        self.assertEqual(reading.epoch, 2)
+        read = [read_epoch(text) for text in ("0", "7", "", "-1", "x")]
+        self.assertEqual(read, [0, 7, NO_EPOCH, NO_EPOCH, NO_EPOCH])
+
+    async def test_read_across_a_restoration(self) -> None:
+        """Guards against a listing of pages from before and after a restoration."""
+        for number in range(8):
+            await self.store.put(f"servers/{number}", {"n": number})
+        page = self.store.page
+
+        def restore_after(prefix: str, after: str) -> dict:
+            if after:
+                self.store.era = 2
+            return page(prefix, after)
+
+        with mock.patch.object(self.store, "page", restore_after):
+            with self.assertRaises(CodedError) as caught:
+                await self.client.read(KeyPrefix.ENDPOINTS)
+        self.assertEqual(caught.exception.code, "history_lost")
+
     async def test_a_watch_of_a_hanging_store_times_out(self) -> None:
         """The store accepts the connection and never answers. A watch without a timeout would keep
         an entry without updates for as long as the connection stays open."""
