Tests of soaks share a case; tests of a restored store say what is lost

Cause: the two tests that judge one play of a soak several times had the same 20 lines, and eleven tests of a restored store the same four.

--- a/tests/endpoint_notices_soak_test.py
+++ b/tests/endpoint_notices_soak_test.py
@@ -1,31 +1,15 @@
 """A short soak of what endpoints say; `python -m tests.endpoint_notices_soak` runs longer ones."""
 
-import asyncio
 import unittest
 
 from tests.endpoint_notices_soak import EndpointNoticesSoak
-from tests.entry_stops_soak import broken_promises, play_soak
+from tests.soak_case import SoakCase
 
-SEED = 1
-ENTRIES = 4
-SECONDS = 12.0
-PER_SECOND = 60.0
 
-
-class EndpointNoticesSoakTest(unittest.TestCase):
+class EndpointNoticesSoakTest(SoakCase):
     """One play, with endpoints that say what they want, while the store comes and goes."""
 
-    @classmethod
-    def setUpClass(cls) -> None:
-        kind = EndpointNoticesSoak
-        played = asyncio.run(play_soak(SEED, ENTRIES, SECONDS, PER_SECOND, kind=kind))
-        cls.figures, cls.played = played
-        cls.broken = broken_promises(cls.figures, kind)
-
-    def assert_kept(self, *promises: str) -> None:
-        """Asserts that none of some guarantees was violated."""
-        found = {name: self.figures.get(name) for name in promises if name in self.broken}
-        self.assertEqual(found, {}, self.played)
+    kind = EndpointNoticesSoak
 
     def test_endpoints_that_leave(self) -> None:
         """Guards against entries that hear only from the store that an endpoint leaves."""
--- a/tests/store_restored_soak_test.py
+++ b/tests/store_restored_soak_test.py
@@ -1,31 +1,16 @@
 """A short soak of a restored store; `python -m tests.store_restored_soak` runs longer ones."""
 
-import asyncio
 import unittest
 
-from tests.entry_stops_soak import broken_promises, play_soak
+from tests.soak_case import SoakCase
 from tests.store_restored_soak import StoreRestoredSoak
 
-SEED = 1
-ENTRIES = 4
-SECONDS = 20.0
-PER_SECOND = 60.0
 
-
-class StoreRestoredSoakTest(unittest.TestCase):
+class StoreRestoredSoakTest(SoakCase):
     """One play, with a store that comes back from copies."""
 
-    @classmethod
-    def setUpClass(cls) -> None:
-        kind = StoreRestoredSoak
-        played = asyncio.run(play_soak(SEED, ENTRIES, SECONDS, PER_SECOND, kind=kind))
-        cls.figures, cls.played = played
-        cls.broken = broken_promises(cls.figures, kind)
-
-    def assert_kept(self, *promises: str) -> None:
-        """Asserts that none of some guarantees was violated."""
-        found = {name: self.figures.get(name) for name in promises if name in self.broken}
-        self.assertEqual(found, {}, self.played)
+    kind = StoreRestoredSoak
+    seconds = 20.0
 
     def test_endpoints_that_leave(self) -> None:
         """Guards against entries that go on sending to endpoints whose leaving was lost, or has a
--- a/tests/store_restored_test.py
+++ b/tests/store_restored_test.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 from unittest import mock
 
 from standins.key_value_store import StoreCopy
@@ -92,6 +92,14 @@
         await self.store.restore(copy)
         self.store.fault = ""
 
+    @contextlib.asynccontextmanager
+    async def lost(self) -> AsyncIterator[None]:
+        """Lets the store come back from a copy that lacks what is written within the context."""
+        copy = self.store.copy()
+        yield
+        await asyncio.sleep(1.0)
+        await self.restore(copy)
+
     @contextlib.contextmanager
     def no_answers(self, gateway: Gateway) -> Iterator[None]:
         """Lets an entry get no answer of the store within the context."""
@@ -140,11 +148,9 @@
 
     async def test_leaving_under_a_lower_revision_than_the_registration(self) -> None:
         """Guards against entries that take a leaving for old, and go on sending."""
-        copy = self.store.copy()
-        await self.write_others(5)
-        await self.register(self.first, slots=7)
-        await asyncio.sleep(1.0)
-        await self.restore(copy)
+        async with self.lost():
+            await self.write_others(5)
+            await self.register(self.first, slots=7)
         await asyncio.sleep(1.0)
         await self.register(self.first, state="draining")
         await asyncio.sleep(BOUNDS.drain - APPLY_SECONDS)
@@ -153,10 +159,8 @@
     async def test_configuration_at_the_revision_held(self) -> None:
         """Guards against a watch that goes on after a revision which is given out again, and so
         misses all that was written up to it."""
-        copy = self.store.copy()
-        await self.write_others(3)
-        await asyncio.sleep(1.0)
-        await self.restore(copy)
+        async with self.lost():
+            await self.write_others(3)
         await self.write_others(2)
         await asyncio.sleep(1.0)
         await self.publish(7)
@@ -165,10 +169,8 @@
 
     async def test_configuration_below_the_revision_held(self) -> None:
         """Guards against followers that learn of changes above their own revision only."""
-        copy = self.store.copy()
-        await self.write_others(40)
-        await asyncio.sleep(1.0)
-        await self.restore(copy)
+        async with self.lost():
+            await self.write_others(40)
         await asyncio.sleep(0.5)
         await self.publish(7)
         await asyncio.sleep(BOUNDS.configuration - APPLY_SECONDS)
@@ -193,10 +195,8 @@
     async def test_calls_while_the_counter_is_behind(self) -> None:
         """Guards against entries that read everything again and again until the store's counter
         has passed the revision that they hold."""
-        copy = self.store.copy()
-        await self.write_others(40)
-        await asyncio.sleep(1.0)
-        await self.restore(copy)
+        async with self.lost():
+            await self.write_others(40)
         await asyncio.sleep(1.5)
         before = self.store.reads[""]
         await asyncio.sleep(3.0)
@@ -234,13 +234,11 @@
 
     async def test_evacuation_that_is_written_again(self) -> None:
         """Guards against entries that take the key for old, and go on sending there."""
-        copy = self.store.copy()
-        await self.write_others(5)
-        await self.store.put(names.EVACUATION_PREFIX + CENTRE, {})
-        await asyncio.sleep(0.5)
-        await self.store.delete(names.EVACUATION_PREFIX + CENTRE)
-        await asyncio.sleep(1.0)
-        await self.restore(copy)
+        async with self.lost():
+            await self.write_others(5)
+            await self.store.put(names.EVACUATION_PREFIX + CENTRE, {})
+            await asyncio.sleep(0.5)
+            await self.store.delete(names.EVACUATION_PREFIX + CENTRE)
         await asyncio.sleep(0.5)
         await self.store.put(names.EVACUATION_PREFIX + CENTRE, {})
         await asyncio.sleep(BOUNDS.drain - APPLY_SECONDS)
@@ -248,22 +246,18 @@
 
     async def test_registration_that_the_copy_lacks(self) -> None:
         """Guards against endpoints that stay listed though the store lists them no more."""
-        copy = self.store.copy()
-        await self.write_others(5)
-        third = await self.add("c")
-        await asyncio.sleep(1.0)
-        await self.restore(copy)
+        async with self.lost():
+            await self.write_others(5)
+            third = await self.add("c")
         await asyncio.sleep(4.0)
         listed = [gateway.state.endpoints.get(third.id) for gateway in self.all]
         self.assertEqual(listed, [None] * self.entries)
 
     async def test_registration_that_is_written_again_in_time(self) -> None:
         """Guards against endpoints that get no requests until they have registered again."""
-        copy = self.store.copy()
-        await self.write_others(5)
-        third = await self.add("c")
-        await asyncio.sleep(1.0)
-        await self.restore(copy)
+        async with self.lost():
+            await self.write_others(5)
+            third = await self.add("c")
         for _ in range(15):
             await asyncio.sleep(0.1)
             listed = [gateway.state.endpoints.get(third.id) for gateway in self.all]
@@ -275,10 +269,8 @@
 
     async def test_leaving_that_the_copy_lacks(self) -> None:
         """Guards against new requests at an endpoint whose leaving the store has lost."""
-        copy = self.store.copy()
-        await self.register(self.first, state="draining")
-        await asyncio.sleep(1.0)
-        await self.restore(copy)
+        async with self.lost():
+            await self.register(self.first, state="draining")
         for _ in range(20):
             await asyncio.sleep(0.2)
             self.assertEqual(self.leaving_at(self.first), [True] * self.entries)
@@ -288,10 +280,8 @@
 
     async def test_removal_that_the_copy_lacks(self) -> None:
         """Guards against new requests at an endpoint that has left and is in the copy."""
-        copy = self.store.copy()
-        await self.store.delete(names.ENDPOINT_PREFIX + self.first.id)
-        await asyncio.sleep(1.0)
-        await self.restore(copy)
+        async with self.lost():
+            await self.store.delete(names.ENDPOINT_PREFIX + self.first.id)
         for _ in range(10):
             await asyncio.sleep(0.2)
             self.assertEqual(self.leaving_at(self.first), [True] * self.entries)
@@ -301,10 +291,8 @@
 
     async def test_configuration_that_the_copy_lacks(self) -> None:
         """Guards against an accepted configuration, and a revoked key with it, that comes back."""
-        copy = self.store.copy()
-        await self.publish(5)
-        await asyncio.sleep(1.0)
-        await self.restore(copy)
+        async with self.lost():
+            await self.publish(5)
         for _ in range(10):
             await asyncio.sleep(0.2)
             self.assertEqual(self.versions(), [5] * self.entries)
@@ -315,10 +303,8 @@
     async def test_entry_that_starts_after_the_restoration(self) -> None:
         """Guards against an entry that puts the copy's configuration in force while the others
         have a newer one that was accepted."""
-        copy = self.store.copy()
-        await self.publish(5)
-        await asyncio.sleep(1.0)
-        await self.restore(copy)
+        async with self.lost():
+            await self.publish(5)
         await asyncio.sleep(0.5)
         started = await self.fleet.restart_gateway(self.entries - 1)
         for _ in range(500):
