--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -30,10 +30,8 @@
 from ..observe.event_log import EventLog
 from ..platform import published_records
 from ..platform.published_records import ItemKind, kind_of
+from .kept_items import KeptItems
 
-# Room for the endpoints of a fleet of the size planned for two years ahead, and as many removals.
-# Above it, the oldest removals are forgotten.
-MAX_ITEMS = 4096
 # Reported in place of an infinite age, where a finite number is required.
 MAX_REPORTED_SECONDS = 1e6
 # The workspaces that one line names.
@@ -66,7 +64,6 @@
         "_bounds",
         "_version_floors",
         "_items",
-        "_history_start",
         "_reported_versions",
         "_configuration_content",
     )
@@ -93,11 +90,7 @@
         self._version_floors: dict[str, VersionFloor] = {}
         # The newest version of each model that other processes have reported.
         self._reported_versions: dict[str, int] = {}
-        # The latest state of every item of the store, including removed ones, for entries that
-        # cannot read the store themselves.
-        self._items: dict[str, StoreChange] = {}
-        # Changes up to this revision may be missing from the items.
-        self._history_start = 0
+        self._items = KeptItems()
         self.epoch = 0
         self.revision = 0
         # Whether this process asks the store itself, and since when it waits for an answer; failed
@@ -256,16 +249,14 @@
         """
         if position.epoch > self.epoch:
             return False, []
-        known = self._items.values()
-        begins_epoch = position.epoch < self.epoch
-        if begins_epoch or position.revision < self._history_start or not position.revision:
-            return True, [change for change in known if change.value is not None]
-        return False, [change for change in known if change.revision > position.revision]
+        changes = None
+        if position.epoch == self.epoch:
+            changes = self._items.changes_after(position.revision)
+        return (True, self._items.all()) if changes is None else (False, changes)
 
     def count_superseded(self, reading: StoreReading) -> int:
         """Returns how many items of a snapshot are known under a higher revision."""
-        known = ((self._items.get(change.key), change) for change in reading.changes)
-        return sum(item is not None and item.revision > change.revision for item, change in known)
+        return self._items.count_newer(reading.changes)
 
     def apply_changes(
         self, reading: StoreReading, now: float, not_before: float = float("-inf")
@@ -300,9 +291,7 @@
         for endpoint_id in self.endpoints.apply_listing(listed, now):
             self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="not listed")
         self._apply_evacuation_listing(reading)
-        kept = {change.key for change in reading.changes}
-        self._items = {key: item for key, item in self._items.items() if key in kept}
-        self._history_start = reading.revision
+        self._items.apply_listing({change.key for change in reading.changes}, reading.revision)
         self.revision = reading.revision if begins_epoch else max(self.revision, reading.revision)
         self.epoch = max(self.epoch, reading.epoch)
 
@@ -324,7 +313,7 @@
             return False
         if read != self.endpoints.get(endpoint_id):
             return False
-        self._store_item(change)
+        self._items.add(change)
         self.endpoints.confirm(endpoint_id, change.revision)
         return True
 
@@ -346,7 +335,7 @@
         self, change: StoreChange, now: float, not_before: float = float("-inf")
     ) -> None:
         """Applies one changed or removed item; see apply_changes."""
-        self._store_item(change)
+        self._items.add(change)
         kind = kind_of(change.key)
         if kind is ItemKind.ENDPOINT:
             endpoint_id = published_records.endpoint_id_of(change.key)
@@ -401,18 +390,6 @@
             workspace = routes.workspace(workspace.name) or workspace
         return RequestScope(routes.route(accepted.route.name) or accepted.route, workspace)
 
-    def _store_item(self, change: StoreChange) -> None:
-        known = self._items.get(change.key)
-        if known is not None and known.revision >= change.revision:
-            return
-        # Reinserted at the end, so that the oldest removals come first and can be forgotten.
-        self._items.pop(change.key, None)
-        self._items[change.key] = change
-        if len(self._items) > MAX_ITEMS:
-            oldest = next((key for key, item in self._items.items() if item.value is None), None)
-            if oldest is not None:
-                self._history_start = max(self._history_start, self._items.pop(oldest).revision)
-
     def newer_configuration(self, version: int) -> bytes:
         """Returns the configuration in force as the operator wrote it; empty if no newer one than
         a version is in force."""
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -99,39 +99,53 @@
         state.record_store_asked(asked_at)
         position = state.position
         if not position.revision or self._history_lost:
-            self._unchanged_until = float("-inf")
-            reading = await self._store.read(KeyPrefix.ALL)
-            self._record_answer()
-            if NO_EPOCH < reading.epoch < state.epoch:
-                await self._handle_outdated(reading)
-                return
-            self._log_snapshot(reading)
-            if not position.revision:
-                await self._readers.prepare_first_snapshot(reading)
-            state.apply_snapshot(reading, asyncio.get_running_loop().time())
-            self._history_lost = False
+            reading = await self._read_snapshot(position)
         else:
-            # A single watch returns changes of configuration, versions and endpoints in order.
-            reading = await self._store.watch(KeyPrefix.ALL, position.revision, WATCH_SECONDS)
-            self._record_answer()
-            self._detect_stall()
-            if not self._continues(reading, position):
-                await self._handle_outdated(reading)
-                return
-            answered_at = boot_seconds()
-            not_before = earliest_change_at(asked_at, answered_at, WATCH_SECONDS, self._stalled)
-            not_before = max(not_before, self._unchanged_until)
-            state.apply_changes(reading, asyncio.get_running_loop().time(), not_before)
-            self._unchanged_until = asked_at
-            if not reading.changes:
-                self._unchanged_until = unchanged_until(
-                    asked_at, answered_at, WATCH_SECONDS, self._stalled
-                )
+            reading = await self._watch_changes(position, asked_at)
+        if reading is None:
+            return
         state.record_evidence(asked_at)
         self.on_evidence()
         if reading.changes:
             await asyncio.sleep(BATCH_DELAY_SECONDS)
 
+    async def _read_snapshot(self, position: StorePosition) -> StoreReading | None:
+        """Reads everything and applies it; returns None if it is older than what is known."""
+        self._unchanged_until = float("-inf")
+        reading = await self._store.read(KeyPrefix.ALL)
+        self._record_answer()
+        if not position.revision:
+            await self._readers.prepare_first_snapshot(reading)
+        if NO_EPOCH < reading.epoch < self._state.epoch:
+            await self._handle_outdated(reading)
+            return None
+        self._log_snapshot(reading)
+        self._state.apply_snapshot(reading, asyncio.get_running_loop().time())
+        self._history_lost = False
+        return reading
+
+    async def _watch_changes(self, position: StorePosition, asked_at: float) -> StoreReading | None:
+        """Waits for changes after a position and applies them; returns None if they do not follow.
+
+        A single watch returns changes of configuration, versions and endpoints in order.
+        """
+        reading = await self._store.watch(KeyPrefix.ALL, position.revision, WATCH_SECONDS)
+        self._record_answer()
+        self._detect_stall()
+        if not self._continues(reading, position):
+            await self._handle_outdated(reading)
+            return None
+        answered_at = boot_seconds()
+        not_before = earliest_change_at(asked_at, answered_at, WATCH_SECONDS, self._stalled)
+        not_before = max(not_before, self._unchanged_until)
+        self._state.apply_changes(reading, asyncio.get_running_loop().time(), not_before)
+        self._unchanged_until = asked_at
+        if not reading.changes:
+            self._unchanged_until = unchanged_until(
+                asked_at, answered_at, WATCH_SECONDS, self._stalled
+            )
+        return reading
+
     def _continues(self, reading: StoreReading, asked: StorePosition) -> bool:
         """Returns whether a watch from a position returned what follows on what is known now.
 
