A run whose removal was lost is withheld after each restoration

What callers would see: requests at an endpoint that has left, until its registration lapses, after the second of two restorations.

Cause: the removal was forgotten once the run was withheld, and with the next epoch nothing was.

Change: a removal is remembered until its run is listed.

--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -167,7 +167,7 @@
         is_first = endpoint.id not in self._revisions
         self._revisions[endpoint.id] = revision
         self._grace_ends_at.pop(endpoint.id, None)
-        removal = self._removals.pop(endpoint.id, None)
+        removal = self._removals.get(endpoint.id)
         if is_first and removal is not None and removal.started_at == endpoint.started_at:
             self._withheld[endpoint.id] = _Withheld(endpoint, self._withheld_until)
             return False
@@ -175,6 +175,7 @@
 
     def _list(self, endpoint: ListedEndpoint) -> bool:
         self._withheld.pop(endpoint.id, None)
+        self._removals.pop(endpoint.id, None)
         if self._announced.includes(endpoint.id, endpoint.started_at):
             endpoint = msgspec.structs.replace(endpoint, leaving=True)
         if self._endpoints.get(endpoint.id) == endpoint:
--- a/wasabidrum/decisions/endpoint_registry_test.py
+++ b/wasabidrum/decisions/endpoint_registry_test.py
@@ -79,6 +79,16 @@
         self.registry.list_withheld(50.0 + LAPSE_SECONDS)
         self.assertEqual(ids_of(self.registry), {"a", "b"})
 
+    def test_run_is_withheld_after_each_of_two_restorations(self) -> None:
+        """Guards against new requests at an endpoint that has left, once the second of two
+        restorations lists it."""
+        self.registry.apply(make_endpoint("a", started_at=5), 12)
+        self.registry.apply_removal("a", 13, now=49.0)
+        for now in (50.0, 51.0):
+            self.registry.begin_epoch(now)
+            self.assertFalse(self.registry.apply(make_endpoint("a", started_at=5), 3))
+        self.assertEqual(ids_of(self.registry), {"b"})
+
     def test_run_removed_after_its_grace_period_is_withheld(self) -> None:
         """Guards against new requests at an endpoint that left soon after a restoration, once
         another restoration lists it again."""
