--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -263,8 +263,8 @@
         # An earlier release states no epoch, and would get all items each time.
         asked = StorePosition(message.epoch or self._state.epoch, message.after)
         # An entry of a later epoch learns nothing here, and asks elsewhere.
-        follows = asked.epoch <= self._state.epoch
-        if message.hold > 0.0 and follows and self._state.position <= asked:
+        may_learn = asked.epoch <= self._state.epoch
+        if message.hold > 0.0 and may_learn and self._state.position <= asked:
             await self._wait_for_evidence(message.hold)
         snapshot, items = self._state.changes_after(asked)
         changes = tuple(PeerChange(c.key, c.revision, c.value) for c in items)
@@ -546,9 +546,9 @@
             self._update_places()
             is_fresh = self._state.lease.age(now) <= MAX_EVIDENCE_AGE_SECONDS
             is_fresh = is_fresh and self._state.outages.failing_since is None
-            # Others may have had answers while this entry had none.
             # A restored store may lack a configuration that others have in force.
             asks_until = max(asks_until, self._state.restored_at + RESTORED_QUERY_SECONDS)
+            # Others may have had answers while this entry had none.
             is_informed = has_answer and now > asks_until
             if is_fresh and is_informed and not self._state.may_extend_bounds(now):
                 self._relay_logged = False
