--- a/wasabidrum/gateway/published_state_test.py
+++ b/wasabidrum/gateway/published_state_test.py
@@ -41,7 +41,7 @@
     def read(self, epoch: int, revision: int, **facts: object) -> StoreReading:
         """Returns a snapshot with the endpoint's registration."""
         entry = {"service": "tally", "address": "10.0.0.1:80", "zone": "rift-a", "version": "v1"}
-        entry |= {"state": "ready", "coldRemainingMs": 3000, "sequence": 1, "born": 5}
+        entry |= {"state": "ready", "sequence": 1, "born": 5}
         content = json.dumps(entry | facts).encode()
         change = StoreChange(names.ENDPOINT_PREFIX + "a", revision, content)
         return StoreReading((change,), revision, epoch)
