Connections that are closed without an answer are logged and counted by cause

What operators saw: nothing.

Change: EndingServer records for each close why it was made and how far the latest request had come. connection_cut (1010) tells of its own closes with a request that has no whole answer, stop_failed (1011) of a stop that ends in an error; wasabidrum_connections_closed counts all closes of the callers' port.

--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -177,6 +177,7 @@
         )
 
     def _listen(self, server: EndingServer, port: int) -> None:
+        server.log = self.log
         server.add_sockets(netutil.bind_sockets(port, self._settings.listen.host))
         self._servers.append(server)
 
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -225,6 +225,12 @@
             idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
             body_timeout=IDLE_TIMEOUT_SECONDS,
         )
+        self.log.metrics.add_counter(
+            "connections_closed",
+            "Connections of callers that were closed, by why and by what became of their request.",
+            "end",
+            server.count_closes,
+        )
         server.timeouts.find_published = lambda: self._caller_limits.idle_timeout
         self._listen(server, deployment.callers)
         arguments = {"gateway": self}
@@ -390,6 +396,7 @@
         add("leaving", "One while this daemon takes no new work.", lambda: self.shutting_down)
 
     def _listen(self, server: EndingServer, address: Address) -> None:
+        server.log = self.log
         server.add_sockets(netutil.bind_sockets(address.port, address.host))
         self._servers.append(server)
 
--- a/wasabidrum/gateway/paced_server.py
+++ b/wasabidrum/gateway/paced_server.py
@@ -9,6 +9,7 @@
 
 from tornado import httputil, iostream
 
+from ..decisions.connection_close import CloseCause, CloseStage
 from ..wire.ending_server import EndingServer
 from ..wire.served_connection import has_event, has_input
 from ..wire.watched_request import WatchedRequest
@@ -103,6 +104,7 @@
             # The caller has given up before its request was read. Reading it anyway would delay
             # those behind it as much as any other request, until their callers give up as well.
             if is_closed_by_peer(connection.stream.socket):
+                self.closes[CloseCause.CALLER_GONE, CloseStage.UNREAD] += 1
                 connection.stream.close()
                 continue
             if connection.arrived_at is not None:
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -16,6 +16,8 @@
     LINES_LEFT_OUT = 1007
     SETTINGS_REFUSED = 1008
     CONNECTIONS_ENDED = 1009
+    CONNECTION_CUT = 1010
+    STOP_FAILED = 1011
 
     # 2000: requests.
     REQUEST_PLACED = 2001
--- a/wasabidrum/scripts/daemon.py
+++ b/wasabidrum/scripts/daemon.py
@@ -37,7 +37,11 @@
         )
     await daemon.start()
     await ended.wait()
-    await daemon.stop()
+    try:
+        await daemon.stop()
+    except Exception as error:
+        log.write(Event.STOP_FAILED, reason=repr(error)[:300])
+        raise
     if identity is not None:
         watching.cancel()
 
@@ -79,7 +83,11 @@
     loop.add_signal_handler(signal.SIGHUP, reload_deployment, daemon, log)
     await daemon.start()
     await ended.wait()
-    await daemon.stop()
+    try:
+        await daemon.stop()
+    except Exception as error:
+        log.write(Event.STOP_FAILED, reason=repr(error)[:300])
+        raise
 
 
 def reload_deployment(daemon: DeployedDaemon, log: EventLog) -> None:
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -108,6 +108,7 @@
         application = web.Application(routes, log_function=lambda handler: None)
         listen = self._settings.listen
         self._server = EndingServer(application, ssl_options=tls.server_context())
+        self._server.log = self._log
         self._server.leaving_response = make_leaving_response()
         self._server.add_sockets(netutil.bind_sockets(listen.http_port, listen.host))
         if self._settings.control == "service":
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -186,6 +186,7 @@
     def _listen(self, routes: list[tuple], offset: int) -> None:
         application = web.Application(routes, log_function=lambda handler: None)
         server = EndingServer(application, max_body_size=MAX_UNUSED_BODY_BYTES)
+        server.log = self._log
         address = Address(self._deployment.host, self._deployment.first_port + offset)
         server.add_sockets(netutil.bind_sockets(address.port, address.host))
         self._servers.append(server)
--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -1,6 +1,7 @@
 """An HTTP server that can end without leaving a request that it has accepted unanswered."""
 
 import asyncio
+import collections
 import collections.abc
 import math
 import socket
@@ -9,7 +10,11 @@
 from tornado.log import gen_log
 
 from ..core.requests_in_progress import RequestsInProgress
+from ..decisions import connection_close
+from ..decisions.connection_close import CloseCause, CloseStage
 from ..decisions.connection_end import Step
+from ..observe.event import Event
+from ..observe.event_log import EventLog
 from .connection_counts import ConnectionCounts
 from .listening_socket import drop_handshakes
 from .raw_response import make_response
@@ -41,6 +46,8 @@
 
     Attributes:
       counts: How its connections have ended.
+      closes: How many connections were closed, by cause and by what became of the last request.
+      log: Told of connections that this server closes without a whole answer to the last request.
       timeouts: For how long it waits for requests; longer ones hold at once.
       port: The port that it listens on; zero before it does.
       leaving_response: The answer to a request that was received in part when the server ends,
@@ -60,6 +67,8 @@
         self._timers: dict[iostream.IOStream, ReadTimer] = {}
         self._served: dict[iostream.IOStream, ServedConnection] = {}
         self.counts = ConnectionCounts()
+        self.closes: collections.Counter[tuple[CloseCause, CloseStage]] = collections.Counter()
+        self.log: EventLog | None = None
         self.port = 0
         self.leaving_response = LEAVING_RESPONSE
 
@@ -73,6 +82,10 @@
         """The number of connections that were accepted and from which nothing was ever read."""
         return sum(connection.is_unread for connection in self._served.values())
 
+    def count_closes(self) -> dict[str, int]:
+        """Returns how many connections were closed, by the names of cause and stage."""
+        return {f"{cause.value}/{stage.value}": n for (cause, stage), n in self.closes.items()}
+
     def add_sockets(self, sockets: collections.abc.Iterable[socket.socket]) -> None:
         """Starts to accept connections; see TCPServer."""
         sockets = list(sockets)
@@ -93,16 +106,25 @@
         self._served[stream].add_request(request)
         if stream in self._timers:
             self._timers[stream].cancel()
-        self._timers[stream] = ReadTimer(stream, request, self.timeouts)
+        self._timers[stream] = ReadTimer(self._served[stream], stream, request, self.timeouts)
         return request
 
     def on_close(self, server_conn: object) -> None:
         """Forgets a connection that has ended; see HTTPServerConnectionDelegate."""
-        self._served.pop(server_conn.stream, None)
+        if connection := self._served.pop(server_conn.stream, None):
+            self._record_close(connection)
         if timer := self._timers.pop(server_conn.stream, None):
             timer.cancel()
         super().on_close(server_conn)
 
+    def _record_close(self, connection: ServedConnection) -> None:
+        cause, stage = connection.close_cause, connection.close_stage
+        self.closes[cause, stage] += 1
+        if self.log and connection_close.leaves_caller_without_answer(cause, stage):
+            self.log.write(
+                Event.CONNECTION_CUT, port=self.port, cause=cause.value, request=stage.value
+            )
+
     def stop_listening(self) -> None:
         """Accepts what the kernel has accepted, and closes the listening sockets.
 
@@ -173,7 +195,7 @@
             step = connection.next_step(now)
             if step is Step.CLOSE:
                 self.counts.idle += 1
-                connection.close()
+                connection.close(CloseCause.SERVER_ENDS)
             elif step is Step.LINGER:
                 connection.linger(now)
             else:
--- a/wasabidrum/wire/ending_server_test.py
+++ b/wasabidrum/wire/ending_server_test.py
@@ -7,6 +7,7 @@
 import struct
 import tempfile
 import unittest
+import unittest.mock
 
 from tornado import netutil, web
 
@@ -17,6 +18,7 @@
 
 HOST = "127.0.0.1"
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+PART_OF_BODY = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx"
 END_SECONDS = 3.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -69,6 +71,32 @@
         await ending
 
 
+class CountedClosesTest(EndingServerCase):
+    """What a server counts and logs of the connections that it closes."""
+
+    async def test_closes_that_leave_a_caller_without_an_answer(self) -> None:
+        """Guards against a connection that is closed with a part of a request, and no line tells
+        of it."""
+        application = web.Application([(r"/", AnswerHandler)], log_function=lambda handler: None)
+        self.server = EndingServer(application, idle_connection_timeout=0.1, body_timeout=0.1)
+        self.server.log = unittest.mock.Mock()
+        self.server.add_sockets(netutil.bind_sockets(0, HOST))
+        self.addCleanup(self.server.stop)
+        loop = asyncio.get_running_loop()
+        for sent in (b"", REQUEST[:9], PART_OF_BODY):
+            caller = self.connect()
+            caller.sendall(sent)
+            caller.setblocking(False)
+            async with asyncio.timeout(END_SECONDS):
+                self.assertEqual(await loop.sock_recv(caller, 999), b"")
+        self.assertEqual(
+            self.server.count_closes(),
+            {"idle_limit/unread": 1, "idle_limit/part": 1, "body_limit/part": 1},
+        )
+        causes = [call.kwargs["cause"] for call in self.server.log.write.call_args_list]
+        self.assertEqual(causes, ["idle_limit", "body_limit"])
+
+
 class TlsBacklogTest(EndingServerCase):
     """Connections that come while the server stops listening, with TLS."""
 
--- a/wasabidrum/wire/read_timer.py
+++ b/wasabidrum/wire/read_timer.py
@@ -6,7 +6,8 @@
 
 from tornado import iostream
 
-from .served_connection import has_input
+from ..decisions.connection_close import CloseCause
+from .served_connection import ServedConnection, has_input
 from .watched_request import WatchedRequest
 
 # How soon a connection is looked at again from which something is being read when it is due.
@@ -36,12 +37,17 @@
     rest of its request, if that iteration is late.
     """
 
-    __slots__ = ("_stream", "_request", "_timeouts", "_began", "_handle")
+    __slots__ = ("_connection", "_stream", "_request", "_timeouts", "_began", "_handle")
 
     def __init__(
-        self, stream: iostream.IOStream, request: WatchedRequest, timeouts: ReadTimeouts
+        self,
+        connection: ServedConnection,
+        stream: iostream.IOStream,
+        request: WatchedRequest,
+        timeouts: ReadTimeouts,
     ) -> None:
         """Starts to wait for a request."""
+        self._connection = connection
         self._stream = stream
         self._request = request
         self._timeouts = timeouts
@@ -70,6 +76,7 @@
         if loop.time() < due:
             self._handle = loop.call_at(due, self._look)
         elif self._stream.reading() and not has_input(self._stream.socket):
-            self._stream.close()
+            begun = self._request.begun
+            self._connection.close(CloseCause.BODY_LIMIT if begun else CloseCause.IDLE_LIMIT)
         else:
             self._handle = loop.call_later(LOOK_AGAIN_SECONDS, self._look)
--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -5,7 +5,8 @@
 
 from tornado import iostream
 
-from ..decisions import connection_end
+from ..decisions import connection_close, connection_end
+from ..decisions.connection_close import CloseCause, CloseStage, LatestRequest
 from ..decisions.connection_end import ConnectionState, Step
 from .watched_request import RefusesPart, WatchedRequest
 
@@ -15,9 +16,10 @@
 
     Attributes:
       latest: The request that is being read or answered; None until the first is waited for.
+      close_cause: Why it is closed, as far as the server closes it.
     """
 
-    __slots__ = ("latest", "_stream", "_accepted_at", "_requests", "_lingers_since")
+    __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
 
     def __init__(self, stream: iostream.IOStream, accepted_at: float) -> None:
         """Creates a connection.
@@ -26,6 +28,7 @@
           accepted_at: When it was accepted, by the event loop's clock.
         """
         self.latest: WatchedRequest | None = None
+        self.close_cause = CloseCause.OTHER
         self._stream = stream
         self._accepted_at = accepted_at
         self._requests = 0
@@ -46,6 +49,15 @@
         """Whether a part of a request was read, or all of it."""
         return self.latest is not None and (self.latest.begun or self._stream._read_buffer_size > 0)
 
+    @property
+    def close_stage(self) -> CloseStage:
+        """What has become of its latest request."""
+        request = self.latest
+        if request is None:
+            return CloseStage.UNREAD
+        state = LatestRequest(self.has_part, request.received, request.answered, request.finished)
+        return connection_close.close_stage(state)
+
     @property
     def is_unanswered(self) -> bool:
         """Whether it is open for an answer."""
@@ -96,17 +108,18 @@
         if self._lingers_since is None or not self.is_open or self._stream.writing():
             return
         if connection_end.has_lingered(self._lingers_since, self.latest.input_at, now):
-            self.close()
+            self.close(CloseCause.SERVER_ENDS)
             return
         try:
             # Of the socket itself: a TLS socket would give up its session, and with it the reading.
             socket.socket.shutdown(self._stream.socket, socket.SHUT_WR)
         except OSError:
             # The caller has reset the connection, or the system knows no half-closed ones.
-            self.close()
+            self.close(CloseCause.SERVER_ENDS)
 
-    def close(self) -> None:
+    def close(self, cause: CloseCause) -> None:
         """Closes the connection."""
+        self.close_cause = cause
         self._stream.close()
 
 
--- a/wasabidrum/wire/watched_request.py
+++ b/wasabidrum/wire/watched_request.py
@@ -46,6 +46,11 @@
         """Whether a response was begun."""
         return self._refused or self._connection._response_start_line is not None
 
+    @property
+    def finished(self) -> bool:
+        """Whether its response was passed on completely, or it was refused."""
+        return self._refused or self._connection._write_finished
+
     def refuse(self) -> None:
         """Discards what is received from now on, so that the delegate never sees the rest."""
         self._refused = True
