connections_ended tells how all connections of a server were closed

Change: the line of each port at the end of a stop counts all closes by cause and by what had become of the latest request.

--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -148,7 +148,7 @@
             end_internal_connections(internal),
         )
         for server in self._servers:
-            server.counts.write(self.log, server.port, late)
+            server.counts.write(self.log, server.port, late, server.count_closes())
         await self.tasks.cancel_all()
         await self.node.stop()
         self.log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -289,7 +289,7 @@
         )
         for server in self._servers:
             late = spent - LOAD_BALANCER_DELAY_SECONDS
-            server.counts.write(self.log, server.port, late)
+            server.counts.write(self.log, server.port, late, server.count_closes())
         await self.tasks.cancel_all()
         await self.peers.stop()
         self.log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -158,7 +158,8 @@
         self._server.stop_listening()
         # Requests for chunks and metrics are not counted, and may wait for much longer.
         await end_internal_connections([self._server])
-        self._server.counts.write(self._log, self._server.port, late)
+        counts, closes = self._server.counts, self._server.count_closes()
+        counts.write(self._log, self._server.port, late, closes)
         await self.tasks.cancel_all()
         await self.node.stop()
         self._log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -116,7 +116,7 @@
         await self._tasks.cancel_all()
         await end_internal_connections(self._servers)
         for server in self._servers:
-            server.counts.write(self._log, server.port, 0.0)
+            server.counts.write(self._log, server.port, 0.0, server.count_closes())
         await self._load_service.stop()
         self._log.write(Event.DAEMON_STOPPED)
 
--- a/wasabidrum/wire/connection_counts.py
+++ b/wasabidrum/wire/connection_counts.py
@@ -25,12 +25,14 @@
     idle: int = 0
     unanswered: int = 0
 
-    def write(self, log: EventLog, port: int, late_seconds: float) -> None:
+    def write(self, log: EventLog, port: int, late_seconds: float, closes: dict[str, int]) -> None:
         """Logs the counts.
 
         Args:
           port: The port of the server.
           late_seconds: How late the event loop was when the server stopped listening.
+          closes: How many connections the server has closed since it started, by cause and by what
+            became of their latest request.
         """
         log.write(
             Event.CONNECTIONS_ENDED,
@@ -41,4 +43,5 @@
             idle=self.idle,
             unanswered=self.unanswered,
             late=round(late_seconds, 4),
+            closes=closes,
         )
