--- a/tests/ending_ports_test.py
+++ b/tests/ending_ports_test.py
@@ -84,6 +84,17 @@
         if not self.is_closed_by_peer:
             self.send(content)
 
+    def send_crossing(self, content: bytes) -> None:
+        """Sends a request as a caller does that has not seen yet that its connection is closed."""
+        self._sock.sendall(content)
+
+    async def read_first_answer(self) -> None:
+        """Waits for an answer, and keeps the connection."""
+        reader, writer = await asyncio.open_connection(sock=self._sock.dup())
+        await read_reply(reader)
+        writer.transport.pause_reading()
+        writer.transport.abort()
+
     async def read(self) -> None:
         """Waits for the answer, and closes the connection."""
         if self.seen:
@@ -313,6 +324,27 @@
         self.check()
 
 
+class CrossingTests:
+    """A failure of ports for callers, who keep their connections."""
+
+    async def test_request_that_crosses_the_close_of_its_connection(self) -> None:
+        """Guards against a caller whose request is on its way when its kept connection is closed,
+        and who gets no word of whether it has run."""
+        made = self.connect()
+        for port, caller in made:
+            caller.send(self.request(port) + BODY)
+            await caller.read_first_answer()
+        stopping = self.begin_stop()
+        await asyncio.sleep(self.stops_listening_after)
+        for port, caller in made:
+            while not caller.is_closed_by_peer:
+                await asyncio.sleep(0)
+            caller.send_crossing(self.request(port) + BODY)
+        await asyncio.gather(stopping, self.read_answers())
+        self.check()
+        self.assertEqual([caller.seen for caller in self.callers], [408] * len(made))
+
+
 class GatewayCase(EndingPorts):
     """An entry of a platform that publishes routes, without a configuration."""
 
@@ -332,7 +364,7 @@
         raise NotImplementedError
 
 
-class GatewayCallersTest(GatewayCase, EndingPortsTests, SlowBodyTests):
+class GatewayCallersTest(GatewayCase, EndingPortsTests, SlowBodyTests, CrossingTests):
     """The port for callers."""
 
     def find_targets(self) -> dict[int, str]:
@@ -391,7 +423,7 @@
         raise NotImplementedError
 
 
-class OwnEntryCallersTest(OwnEntryCase, EndingPortsTests, SlowBodyTests):
+class OwnEntryCallersTest(OwnEntryCase, EndingPortsTests, SlowBodyTests, CrossingTests):
     """The port for callers."""
 
     def find_targets(self, callers: int, internal: int) -> dict[int, str]:
