A request that crosses the close of its connection is answered

Cause: an entry closes the connections that wait for a request 2.5 s after SIGTERM or later. Those on which nothing was answered since SIGTERM belong to callers who were told nothing, and what they send until they see the close is discarded. A close can't be made so that no request crosses it.

Change: on such connections the entry sends 408 with Connection: close, closes them for writing only, and reads on until the caller closes, or sends nothing for 0.2 s. A request that crosses reads it as its answer: not run, repeat it elsewhere (RFC 9110, 15.5.9). Both dialects. connections_ended counts these requests.

Weighed: waiting for the next request on each connection, until the end of the grace period.

--- a/tests/ending_ports_test.py
+++ b/tests/ending_ports_test.py
@@ -343,6 +343,8 @@
         await asyncio.gather(stopping, self.read_answers())
         self.check()
         self.assertEqual([caller.seen for caller in self.callers], [408] * len(made))
+        crossed = [self.servers[port].counts.crossed for port in self.targets]
+        self.assertEqual(crossed, [1] * len(made))
 
 
 class GatewayCase(EndingPorts):
--- a/wasabidrum/entry/caller_routes.py
+++ b/wasabidrum/entry/caller_routes.py
@@ -43,12 +43,13 @@
         body_timeout=BODY_TIMEOUT_SECONDS + LINGER_SECONDS,
         idle_connection_timeout=IDLE_CONNECTION_SECONDS,
     )
-    server.leaving_response = make_leaving_response()
+    server.leaving_response = make_leaving_response(503, "Service Unavailable")
+    server.idle_response = make_leaving_response(408, "Request Timeout")
     return server
 
 
-def make_leaving_response() -> bytes:
-    """Returns the response to a request of which an entry that shuts down has received a part."""
+def make_leaving_response(status: int, reason: str) -> bytes:
+    """Returns the response to a request that an entry that shuts down has not received whole."""
     outcome = Outcome.NOT_RUN.value
     error = {
         "code": "entry_leaving",
@@ -58,4 +59,4 @@
     }
     fields = {"Content-Type": "application/json", headers.OUTCOME: outcome, "Retry-After": "1"}
     body = msgspec.json.encode({"error": error})
-    return make_response(503, "Service Unavailable", httputil.HTTPHeaders(fields), body)
+    return make_response(status, reason, httputil.HTTPHeaders(fields), body)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -25,6 +25,7 @@
 from ..weights.weights_relay import make_weights_relay
 from ..wire import http_client
 from ..wire.ending_server import (
+    IDLE_RESPONSE,
     INTERNAL_SECONDS,
     MAX_UNUSED_BODY_BYTES,
     EndingServer,
@@ -231,6 +232,7 @@
             "end",
             server.count_closes,
         )
+        server.idle_response = IDLE_RESPONSE
         server.timeouts.find_published = lambda: self._caller_limits.idle_timeout
         self._listen(server, deployment.callers)
         arguments = {"gateway": self}
--- a/wasabidrum/wire/connection_counts.py
+++ b/wasabidrum/wire/connection_counts.py
@@ -16,6 +16,7 @@
       unread: Connections that it had accepted by then, and from which it had read nothing.
       partial: Connections on which a part of a request was refused.
       idle: Connections that were ended without any part of a request.
+      crossed: Requests that crossed the end of such a connection.
       unanswered: Connections that were not ended when the server gave up waiting for them.
     """
 
@@ -23,6 +24,7 @@
     unread: int = 0
     partial: int = 0
     idle: int = 0
+    crossed: int = 0
     unanswered: int = 0
 
     def write(self, log: EventLog, port: int, late_seconds: float, closes: dict[str, int]) -> None:
@@ -41,6 +43,7 @@
             unread=self.unread,
             partial=self.partial,
             idle=self.idle,
+            crossed=self.crossed,
             unanswered=self.unanswered,
             late=round(late_seconds, 4),
             closes=closes,
--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -31,6 +31,9 @@
 # How long daemons may wait for answers of another one that ends. Some of them wait for a chunk, or
 # for a reading, for longer; they ask elsewhere when the connection is closed.
 INTERNAL_SECONDS = 1.0
+# The answer to a request that crosses the close of its connection (RFC 9110, 15.5.9): it was not
+# received in time, and may be repeated on another connection.
+IDLE_RESPONSE = make_response(408, "Request Timeout", httputil.HTTPHeaders(), b"")
 # The largest body of a request to a server that takes none, which has to be read all the same.
 MAX_UNUSED_BODY_BYTES = 65_536
 LEAVING_RESPONSE = make_response(
@@ -52,6 +55,8 @@
       port: The port that it listens on; zero before it does.
       leaving_response: The answer to a request that was received in part when the server ends,
         unless the request's delegate words its own.
+      idle_response: What is sent on a connection that waits for a request when the server ends, so
+        that a request that crosses the close is answered; empty to send nothing.
     """
 
     def initialize(
@@ -71,6 +76,7 @@
         self.log: EventLog | None = None
         self.port = 0
         self.leaving_response = LEAVING_RESPONSE
+        self.idle_response = b""
 
     @property
     def has_unstarted(self) -> bool:
@@ -118,6 +124,7 @@
         super().on_close(server_conn)
 
     def _record_close(self, connection: ServedConnection) -> None:
+        self.counts.crossed += connection.has_crossed
         cause, stage = connection.close_cause, connection.close_stage
         self.closes[cause, stage] += 1
         if self.log and connection_close.leaves_caller_without_answer(cause, stage):
@@ -165,6 +172,8 @@
             idle = await requests.wait_until_idle(min(left, REFUSE_INTERVAL_SECONDS))
             is_over = loop.time() >= ends_at
             if (idle or is_over) and self._close_idle_connections():
+                # How a connection ended is recorded when its task has seen it.
+                await asyncio.sleep(CLOSE_INTERVAL_SECONDS)
                 return
             if is_over:
                 self.counts.unanswered = sum(c.is_unanswered for c in self._served.values())
@@ -195,7 +204,10 @@
             step = connection.next_step(now)
             if step is Step.CLOSE:
                 self.counts.idle += 1
-                connection.close(CloseCause.SERVER_ENDS)
+                if self.idle_response:
+                    connection.end_idle(self.idle_response, now)
+                else:
+                    connection.close(CloseCause.SERVER_ENDS)
             elif step is Step.LINGER:
                 connection.linger(now)
             else:
--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -20,6 +20,7 @@
     """
 
     __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
+    __slots__ += ("_crossed",)
 
     def __init__(self, stream: iostream.IOStream, accepted_at: float) -> None:
         """Creates a connection.
@@ -33,6 +34,7 @@
         self._accepted_at = accepted_at
         self._requests = 0
         self._lingers_since: float | None = None
+        self._crossed = False
 
     @property
     def is_open(self) -> bool:
@@ -58,6 +60,11 @@
         state = LatestRequest(self.has_part, request.received, request.answered, request.finished)
         return connection_close.close_stage(state)
 
+    @property
+    def has_crossed(self) -> bool:
+        """Whether a request was received after the connection was closed for writing."""
+        return self._crossed or (self.latest is not None and self.latest.begun_after_refusal)
+
     @property
     def is_unanswered(self) -> bool:
         """Whether it is open for an answer."""
@@ -65,6 +72,7 @@
 
     def add_request(self, request: WatchedRequest) -> None:
         """Records that another request is waited for."""
+        self._crossed = self.has_crossed
         self.latest = request
         self._requests += 1
 
@@ -97,6 +105,16 @@
         self._stream.write(response)
         self.linger(now)
 
+    def end_idle(self, response: bytes, now: float) -> None:
+        """Closes a connection that waits for a request, and answers one that crosses the close.
+
+        Args:
+          response: What its caller reads as the answer to such a request, and otherwise as the
+            reason of the close.
+        """
+        self._stream.write(response)
+        self.linger(now)
+
     def linger(self, now: float) -> None:
         """Closes the connection for writing once its answer is sent; reads on, and discards."""
         self.latest.refuse()
--- a/wasabidrum/wire/watched_request.py
+++ b/wasabidrum/wire/watched_request.py
@@ -21,6 +21,7 @@
       delegate: Receives the request.
       begun_at: When its head was received, by the event loop's clock; None before.
       received: Whether it was received completely.
+      begun_after_refusal: Whether its head was received after it was refused.
       input_at: When a part of its body was last received after it was refused, by the event
         loop's clock.
     """
@@ -33,6 +34,7 @@
         self.received = False
         self.input_at = 0.0
         self._connection = connection
+        self.begun_after_refusal = False
         self._passed_on = False
         self._refused = False
 
@@ -63,6 +65,7 @@
         """See HTTPMessageDelegate."""
         self.begun_at = asyncio.get_running_loop().time()
         if self._refused:
+            self.begun_after_refusal = True
             return None
         self._passed_on = True
         return self.delegate.headers_received(start_line, headers)
