Callers whose time to send is up get word of it

What callers saw: half a request, or a body that came too slowly, was closed without a word after 30 s (60 s for a head in the own dialect), and so was a request that crossed the close of an idle connection.

The timers of connections close them as the end of the entry did.

Change: they send 408 with Connection: close and read on for a moment, as the end of the entry does. The response of the own dialect has a code of its own, request_late.

--- a/wasabidrum/entry/caller_routes.py
+++ b/wasabidrum/entry/caller_routes.py
@@ -43,20 +43,17 @@
         body_timeout=BODY_TIMEOUT_SECONDS + LINGER_SECONDS,
         idle_connection_timeout=IDLE_CONNECTION_SECONDS,
     )
-    server.leaving_response = make_leaving_response(503, "Service Unavailable")
-    server.idle_response = make_leaving_response(408, "Request Timeout")
+    leaving = "this entry is shutting down"
+    late = "the connection was closed before the request came whole"
+    server.leaving_response = make_refusal(503, "Service Unavailable", "entry_leaving", leaving)
+    server.idle_response = make_refusal(408, "Request Timeout", "request_late", late)
     return server
 
 
-def make_leaving_response(status: int, reason: str) -> bytes:
-    """Returns the response to a request that an entry that shuts down has not received whole."""
+def make_refusal(status: int, reason: str, code: str, message: str) -> bytes:
+    """Returns the response to a request that was not received whole."""
     outcome = Outcome.NOT_RUN.value
-    error = {
-        "code": "entry_leaving",
-        "message": "this entry is shutting down",
-        "outcome": outcome,
-        "retry_after": 1.0,
-    }
+    error = {"code": code, "message": message, "outcome": outcome, "retry_after": 1.0}
     fields = {"Content-Type": "application/json", headers.OUTCOME: outcome, "Retry-After": "1"}
     body = msgspec.json.encode({"error": error})
     return make_response(status, reason, httputil.HTTPHeaders(fields), body)
--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -55,8 +55,9 @@
       port: The port that it listens on; zero before it does.
       leaving_response: The answer to a request that was received in part when the server ends,
         unless the request's delegate words its own.
-      idle_response: What is sent on a connection that waits for a request when the server ends, so
-        that a request that crosses the close is answered; empty to send nothing.
+      idle_response: What is sent on a connection that is closed while it waits for a request, or
+        for the rest of one whose time is up, so that a request that crosses the close is answered;
+        empty to send nothing.
     """
 
     def initialize(
@@ -112,7 +113,10 @@
         self._served[stream].add_request(request)
         if stream in self._timers:
             self._timers[stream].cancel()
-        self._timers[stream] = ReadTimer(self._served[stream], stream, request, self.timeouts)
+        connection = self._served[stream]
+        self._timers[stream] = ReadTimer(
+            stream, request, self.timeouts, lambda cause: self._end_waiting(connection, cause)
+        )
         return request
 
     def on_close(self, server_conn: object) -> None:
@@ -123,6 +127,18 @@
             timer.cancel()
         super().on_close(server_conn)
 
+    def _end_waiting(self, connection: ServedConnection, cause: CloseCause) -> None:
+        loop = asyncio.get_running_loop()
+        connection.end_waiting(self.idle_response, cause, loop.time())
+
+        def update() -> None:
+            connection.update(loop.time())
+            if connection.is_open:
+                loop.call_later(CLOSE_INTERVAL_SECONDS, update)
+
+        if connection.is_open:
+            loop.call_later(CLOSE_INTERVAL_SECONDS, update)
+
     def _record_close(self, connection: ServedConnection) -> None:
         self.counts.crossed += connection.has_crossed
         cause, stage = connection.close_cause, connection.close_stage
@@ -204,12 +220,9 @@
             step = connection.next_step(now)
             if step is Step.CLOSE:
                 self.counts.idle += 1
-                if self.idle_response:
-                    connection.end_idle(self.idle_response, now)
-                else:
-                    connection.close(CloseCause.SERVER_ENDS)
+                connection.end_waiting(self.idle_response, CloseCause.SERVER_ENDS, now)
             elif step is Step.LINGER:
-                connection.linger(now)
+                connection.linger(CloseCause.SERVER_ENDS, now)
             else:
                 connection.update(now)
         return not self.has_unstarted and not any(c.is_open for c in self._served.values())
--- a/wasabidrum/wire/read_timer.py
+++ b/wasabidrum/wire/read_timer.py
@@ -7,7 +7,7 @@
 from tornado import iostream
 
 from ..decisions.connection_close import CloseCause
-from .served_connection import ServedConnection, has_input
+from .served_connection import has_input
 from .watched_request import WatchedRequest
 
 # How soon a connection is looked at again from which something is being read when it is due.
@@ -37,17 +37,21 @@
     rest of its request, if that iteration is late.
     """
 
-    __slots__ = ("_connection", "_stream", "_request", "_timeouts", "_began", "_handle")
+    __slots__ = ("_stream", "_request", "_timeouts", "_end", "_began", "_handle")
 
     def __init__(
         self,
-        connection: ServedConnection,
         stream: iostream.IOStream,
         request: WatchedRequest,
         timeouts: ReadTimeouts,
+        end: collections.abc.Callable[[CloseCause], None],
     ) -> None:
-        """Starts to wait for a request."""
-        self._connection = connection
+        """Starts to wait for a request.
+
+        Args:
+          end: Closes the connection.
+        """
+        self._end = end
         self._stream = stream
         self._request = request
         self._timeouts = timeouts
@@ -67,7 +71,7 @@
         self._handle.cancel()
 
     def _look(self) -> None:
-        if self._request.received or self._stream.closed():
+        if self._request.refused or self._request.received or self._stream.closed():
             return
         loop = asyncio.get_running_loop()
         due = self._due
@@ -77,6 +81,6 @@
             self._handle = loop.call_at(due, self._look)
         elif self._stream.reading() and not has_input(self._stream.socket):
             begun = self._request.begun
-            self._connection.close(CloseCause.BODY_LIMIT if begun else CloseCause.IDLE_LIMIT)
+            self._end(CloseCause.BODY_LIMIT if begun else CloseCause.IDLE_LIMIT)
         else:
             self._handle = loop.call_later(LOOK_AGAIN_SECONDS, self._look)
--- a/wasabidrum/wire/read_timer_test.py
+++ b/wasabidrum/wire/read_timer_test.py
@@ -7,7 +7,9 @@
 
 from tests.paused_clock import PausedClockCase
 
-from .ending_server import EndingServer
+from ..decisions.connection_end import LINGER_SECONDS
+from .ending_server import IDLE_RESPONSE, EndingServer
+from .served_connection import has_input
 
 TIMEOUT_SECONDS = 1.0
 # Callers may send until four fifths of the time have passed.
@@ -33,7 +35,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         application = web.Application([("/", Handler)], log_function=lambda handler: None)
-        server = EndingServer(
+        server = self.server = EndingServer(
             application,
             idle_connection_timeout=TIMEOUT_SECONDS,
             body_timeout=TIMEOUT_SECONDS,
@@ -69,6 +71,25 @@
         self.loop.hold_up(LATE_SECONDS)
         self.assertIn(b"200 OK", await self.receive())
 
+    async def test_callers_that_are_late_get_word(self) -> None:
+        """Guards against a caller with a part of a request, or whose request crosses the close of
+        an idle connection, who gets no word when its time is up."""
+        self.server.idle_response = IDLE_RESPONSE
+        for sent, crossing in ((GET[:9], b""), (POST_BUT_LAST_BYTE, b"y"), (b"", GET)):
+            with self.subTest(sent=sent):
+                sock = socket.create_connection(self.sock.getpeername())
+                self.addCleanup(sock.close)
+                sock.setblocking(False)
+                sock.send(sent)
+                await asyncio.sleep(TIMEOUT_SECONDS)
+                while not has_input(sock):
+                    await asyncio.sleep(0)
+                sock.send(crossing)
+                await asyncio.sleep(LINGER_SECONDS * 1.5)
+                async with asyncio.timeout(10.0):
+                    self.assertIn(b" 408 ", await self.loop.sock_recv(sock, 9999))
+                    self.assertEqual(await self.loop.sock_recv(sock, 9999), b"")
+
     async def test_callers_that_send_no_more(self) -> None:
         """Guards against connections that stay open for callers that are silent."""
         for sent in (b"", GET[:9], POST_BUT_LAST_BYTE):
--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -20,7 +20,7 @@
     """
 
     __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
-    __slots__ += ("_crossed",)
+    __slots__ += ("_crossed", "_ended_idle")
 
     def __init__(self, stream: iostream.IOStream, accepted_at: float) -> None:
         """Creates a connection.
@@ -35,6 +35,7 @@
         self._requests = 0
         self._lingers_since: float | None = None
         self._crossed = False
+        self._ended_idle = False
 
     @property
     def is_open(self) -> bool:
@@ -55,7 +56,7 @@
     def close_stage(self) -> CloseStage:
         """What has become of its latest request."""
         request = self.latest
-        if request is None:
+        if request is None or (self._ended_idle and not self.has_crossed):
             return CloseStage.UNREAD
         state = LatestRequest(self.has_part, request.received, request.answered, request.finished)
         return connection_close.close_stage(state)
@@ -103,20 +104,25 @@
         if isinstance(request.delegate, RefusesPart):
             response = request.delegate.refuse_part()
         self._stream.write(response)
-        self.linger(now)
+        self.linger(CloseCause.SERVER_ENDS, now)
 
-    def end_idle(self, response: bytes, now: float) -> None:
+    def end_waiting(self, response: bytes, cause: CloseCause, now: float) -> None:
         """Closes a connection that waits for a request, and answers one that crosses the close.
 
         Args:
-          response: What its caller reads as the answer to such a request, and otherwise as the
-            reason of the close.
+          response: What its caller reads as the answer to such a request, or to the part that it
+            has sent, and otherwise as the reason of the close; empty to close it at once.
         """
+        if not response:
+            self.close(cause)
+            return
+        self._ended_idle = not self.has_part
         self._stream.write(response)
-        self.linger(now)
+        self.linger(cause, now)
 
-    def linger(self, now: float) -> None:
+    def linger(self, cause: CloseCause, now: float) -> None:
         """Closes the connection for writing once its answer is sent; reads on, and discards."""
+        self.close_cause = cause
         self.latest.refuse()
         self._lingers_since = now
         self.update(now)
@@ -126,14 +132,14 @@
         if self._lingers_since is None or not self.is_open or self._stream.writing():
             return
         if connection_end.has_lingered(self._lingers_since, self.latest.input_at, now):
-            self.close(CloseCause.SERVER_ENDS)
+            self._stream.close()
             return
         try:
             # Of the socket itself: a TLS socket would give up its session, and with it the reading.
             socket.socket.shutdown(self._stream.socket, socket.SHUT_WR)
         except OSError:
             # The caller has reset the connection, or the system knows no half-closed ones.
-            self.close(CloseCause.SERVER_ENDS)
+            self._stream.close()
 
     def close(self, cause: CloseCause) -> None:
         """Closes the connection."""
--- a/wasabidrum/wire/watched_request.py
+++ b/wasabidrum/wire/watched_request.py
@@ -48,6 +48,11 @@
         """Whether a response was begun."""
         return self._refused or self._connection._response_start_line is not None
 
+    @property
+    def refused(self) -> bool:
+        """Whether what is received of it from now on is discarded."""
+        return self._refused
+
     @property
     def finished(self) -> bool:
         """Whether its response was passed on completely, or it was refused."""
