--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -93,6 +93,21 @@
         self.assertEqual(reply.status, 413)
         self.assertEqual(self.runs("r1"), 0)
 
+    async def test_request_within_the_published_limits(self) -> None:
+        """Guards against a request that the published limits allow and that is refused, or gets no
+        answer, as it exceeds the default ones by far."""
+        configuration = make_configuration(8, "tally")
+        configuration["limits"] = {"maxHeaderBytes": 65_536, "maxBodyBytes": 33_554_432}
+        await self.fleet.store.put(names.CONFIGURATION_KEY, configuration)
+        await self.fleet.wait_until(lambda: self.gateway.state.version == 8)
+        for request_id, lines, body in (
+            ("r1", ["X-Own: " + "x" * 40_000], b"x"),
+            ("r2", [], b"x" * 17_000_000),
+        ):
+            with self.subTest(request_id):
+                reply = await self.fleet.ask(0, "tally", "safe", request_id, *lines, body=body)
+                self.assertEqual(reply.status, 200)
+
 
 class OutcomeTest(GatewayCase):
     """A request that is not idempotent runs at most once, and its caller is told the true
