No 408 follows an answer that ends with its connection

What callers saw: a caller of HTTP/1.0 that keeps its connection read the 408 of a stop as the end of a streamed answer, which has no length there.

Change: a connection whose last request was of HTTP/1.0 is closed without a word, as before.

--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -20,7 +20,7 @@
     """
 
     __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
-    __slots__ += ("_crossed", "_ended_idle")
+    __slots__ += ("_crossed", "_ended_idle", "_may_end_answer")
 
     def __init__(self, stream: iostream.IOStream, accepted_at: float) -> None:
         """Creates a connection.
@@ -36,6 +36,8 @@
         self._lingers_since: float | None = None
         self._crossed = False
         self._ended_idle = False
+        # Whether the close may be the end of the last answer.
+        self._may_end_answer = False
 
     @property
     def is_open(self) -> bool:
@@ -74,6 +76,7 @@
     def add_request(self, request: WatchedRequest) -> None:
         """Records that another request is waited for."""
         self._crossed = self.has_crossed
+        self._may_end_answer = self.latest is not None and self.latest.ends_with_connection
         self.latest = request
         self._requests += 1
 
@@ -113,7 +116,7 @@
           response: What its caller reads as the answer to such a request, or to the part that it
             has sent, and otherwise as the reason of the close; empty to close it at once.
         """
-        if not response:
+        if not response or self._may_end_answer:
             self.close(cause)
             return
         self._ended_idle = not self.has_part
--- a/wasabidrum/wire/watched_request.py
+++ b/wasabidrum/wire/watched_request.py
@@ -22,6 +22,8 @@
       begun_at: When its head was received, by the event loop's clock; None before.
       received: Whether it was received completely.
       begun_after_refusal: Whether its head was received after it was refused.
+      ends_with_connection: Whether its answer may end only with the connection, as one without a
+        length does in HTTP/1.0.
       input_at: When a part of its body was last received after it was refused, by the event
         loop's clock.
     """
@@ -32,6 +34,7 @@
         self.delegate = delegate
         self.begun_at: float | None = None
         self.received = False
+        self.ends_with_connection = False
         self.input_at = 0.0
         self._connection = connection
         self.begun_after_refusal = False
@@ -69,6 +72,7 @@
     ) -> object:
         """See HTTPMessageDelegate."""
         self.begun_at = asyncio.get_running_loop().time()
+        self.ends_with_connection = start_line.version == "HTTP/1.0"
         if self._refused:
             self.begun_after_refusal = True
             return None
