A caller that takes no word of the end does not hold up the end

What callers saw: a stop waited for its whole time for one caller who read nothing of an earlier answer, or began no TLS handshake, since the 408 could not be written.

--- a/wasabidrum/decisions/connection_end.py
+++ b/wasabidrum/decisions/connection_end.py
@@ -63,4 +63,9 @@
       input_at: When its caller last sent something.
     """
     quiet_since = max(answered_at, input_at)
-    return now - quiet_since >= LINGER_SECONDS or now - answered_at >= MAX_LINGER_SECONDS
+    return now - quiet_since >= LINGER_SECONDS or has_lingered_long(answered_at, now)
+
+
+def has_lingered_long(answered_at: float, now: float) -> bool:
+    """Returns whether a connection that lingers is closed whatever its caller does."""
+    return now - answered_at >= MAX_LINGER_SECONDS
--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -121,6 +121,10 @@
             return
         self._ended_idle = not self.has_part
         self._stream.write(response)
+        if self._stream.writing():
+            # Its caller reads nothing, or its TLS handshake is not complete.
+            self.close(cause)
+            return
         self.linger(cause, now)
 
     def linger(self, cause: CloseCause, now: float) -> None:
@@ -132,7 +136,11 @@
 
     def update(self, now: float) -> None:
         """Closes the connection if it has lingered long enough."""
-        if self._lingers_since is None or not self.is_open or self._stream.writing():
+        if self._lingers_since is None or not self.is_open:
+            return
+        if self._stream.writing():
+            if connection_end.has_lingered_long(self._lingers_since, now):
+                self._stream.close()
             return
         if connection_end.has_lingered(self._lingers_since, self.latest.input_at, now):
             self._stream.close()
