A crossing request's head counts as input

What callers saw: a caller whose request crosses the close was reset while it still sent the body, if that came more than 0.2 s after the close.

Change: a head that is discarded keeps the connection open for as long as a part of a body does.

Result: IdleConnectionsTest.test_body_that_follows_a_late_head, red before, is green and off the list.

--- a/wasabidrum/wire/watched_request.py
+++ b/wasabidrum/wire/watched_request.py
@@ -24,8 +24,8 @@
       begun_after_refusal: Whether its head was received after it was refused.
       ends_with_connection: Whether its answer may end only with the connection, as one without a
         length does in HTTP/1.0.
-      input_at: When a part of its body was last received after it was refused, by the event
-        loop's clock.
+      input_at: When its head or a part of its body was last received after it was refused, by the
+        event loop's clock.
     """
 
     def __init__(
@@ -75,6 +75,7 @@
         self.ends_with_connection = start_line.version == "HTTP/1.0"
         if self._refused:
             self.begun_after_refusal = True
+            self.input_at = self.begun_at
             return None
         self._passed_on = True
         return self.delegate.headers_received(start_line, headers)
