Closes are counted by what the request was at the close

Operators saw: a close under an answer, or under a whole request, counted as one between two requests, as Tornado's loop goes on to the next request before the close is noticed; a part that was refused counted as a request that crossed. The counts could not confirm or refute that a request was cut.

Change: the stage is taken when the stream is closed; only what comes after the word of the end has crossed.

--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -20,7 +20,7 @@
     """
 
     __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
-    __slots__ += ("_crossed", "_ended_idle", "_may_end_answer")
+    __slots__ += ("_crossed", "_ended_idle", "_may_end_answer", "_stage", "_close_fd")
 
     def __init__(self, stream: iostream.IOStream, accepted_at: float) -> None:
         """Creates a connection.
@@ -38,6 +38,10 @@
         self._ended_idle = False
         # Whether the close may be the end of the last answer.
         self._may_end_answer = False
+        self._stage = CloseStage.UNREAD
+        self._close_fd = stream.close_fd
+        # A handler may go on to answer after the close, and seem to have answered before it.
+        stream.close_fd = self._record_close
 
     @property
     def is_open(self) -> bool:
@@ -56,17 +60,17 @@
 
     @property
     def close_stage(self) -> CloseStage:
-        """What has become of its latest request."""
-        request = self.latest
-        if request is None or (self._ended_idle and not self.has_crossed):
-            return CloseStage.UNREAD
-        state = LatestRequest(self.has_part, request.received, request.answered, request.finished)
-        return connection_close.close_stage(state)
+        """What had become of its latest request when it was closed."""
+        if self._ended_idle:
+            return CloseStage.ANSWERED if self.has_crossed else CloseStage.UNREAD
+        return self._stage
 
     @property
     def has_crossed(self) -> bool:
-        """Whether a request was received after the connection was closed for writing."""
-        return self._crossed or (self.latest is not None and self.latest.begun_after_refusal)
+        """Whether a request came after the connection was closed as one that waits for it."""
+        if not self._ended_idle:
+            return False
+        return self._crossed or self.latest.begun_after_refusal or self.has_part
 
     @property
     def is_unanswered(self) -> bool:
@@ -75,6 +79,9 @@
 
     def add_request(self, request: WatchedRequest) -> None:
         """Records that another request is waited for."""
+        if self.latest is not None and self._stream.closed():
+            # The loop of a connection that was closed under an answer goes on to the next request.
+            return
         self._crossed = self.has_crossed
         self._may_end_answer = self.latest is not None and self.latest.ends_with_connection
         self.latest = request
@@ -152,6 +159,13 @@
             # The caller has reset the connection, or the system knows no half-closed ones.
             self._stream.close()
 
+    def _record_close(self) -> None:
+        if (request := self.latest) is not None:
+            self._stage = connection_close.close_stage(
+                LatestRequest(self.has_part, request.received, request.answered, request.finished)
+            )
+        self._close_fd()
+
     def close(self, cause: CloseCause) -> None:
         """Closes the connection."""
         self.close_cause = cause
