A number of thousands of digits in a head is no number

What callers saw: a request with such a deadline or count of tokens was closed without a word.

Cause: int() refuses such a text with an error, and Tornado closes a connection after any error in reading a head.

Change: a text of more than 15 digits counts as no number, as other texts do.

Result: ForwardingTest.test_deadline_that_is_no_sensible_number, red before (connection closed), is green.

--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -108,6 +108,11 @@
                 reply = await self.fleet.ask(0, "tally", "safe", request_id, *lines, body=body)
                 self.assertEqual(reply.status, 200)
 
+    async def test_deadline_that_is_no_sensible_number(self) -> None:
+        """Guards against a head that cannot be read and whose connection is closed unanswered."""
+        reply = await self.fleet.ask(0, "tally", "safe", "r1", deadline_ms="9" * 5_000)
+        self.assertTrue(reply.whole)
+
 
 class OutcomeTest(GatewayCase):
     """A request that is not idempotent runs at most once, and its caller is told the true
--- a/wasabidrum/platform/heads.py
+++ b/wasabidrum/platform/heads.py
@@ -25,6 +25,7 @@
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 PROMPT_PART = re.compile(r"\s*([0-9a-fA-F]{1,64}):[0-9]{1,12}\s*")
 # Parts beyond these are not read, which bounds what a request can make an entry remember.
+MAX_DIGITS = 15
 MAX_SHARED_PARTS = 32
 # Headers that are not copied from the caller. write_forwarded sets them where they apply, except
 # Authorization: it holds the caller's key, which endpoints must not see.
@@ -63,17 +64,22 @@
 
 def read_milliseconds(text: str) -> float | None:
     """Converts milliseconds to seconds; returns None where the text is not a number."""
-    return int(text) / 1000.0 if text.isascii() and text.isdecimal() else None
+    return int(text) / 1000.0 if is_number(text) else None
 
 
 def read_usage(text: str) -> tuple[int, int]:
     """Returns the prompt's tokens and the maximum of the answer's; zeros where not stated."""
     prompt, _, maximum = text.partition(",")
-    if not (prompt.isascii() and prompt.isdecimal() and maximum.isascii() and maximum.isdecimal()):
+    if not (is_number(prompt) and is_number(maximum)):
         return 0, 0
     return int(prompt), int(maximum)
 
 
+def is_number(text: str) -> bool:
+    """Returns whether a text is a whole number of a length that int() reads."""
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
+
+
 def read_shared_parts(text: str) -> tuple[str, ...]:
     """Returns the ids of a prompt's parts that other requests may share, in their order.
 
