A request's limit on its body is the largest since its head was read

Callers saw, under a configuration that changes maxBodyBytes while a body is being read: with a raised limit, success for a request of which the endpoint had got only a part (what came while the limit was exceeded was left out, and the rest passed on as the whole body); with a lowered one, 413 for a body that was allowed when its head was sent. The cause is that each part of the body, and the end of the request, was compared with the limit of the configuration in force at that moment.

The exchange now keeps the largest limit since the head was read, and remembers that a body has exceeded it, so that such a request is always refused.

tests.configuration_under_requests_test changes routes, keys, time-outs, limits, services and endpoints, beside a reload, under requests of each kind in seven states, one at a time and as a storm that holds up the event loop, and judges by the callers' sockets.

--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -50,6 +50,11 @@
         self._connection = connection
         self._body_chunks: list[bytes] = []
         self._body_size = 0
+        # The largest that a configuration has allowed since the head was read. One that comes
+        # meanwhile must not take away what the caller was promised, nor parts of the body.
+        self._body_limit = 0
+        # Whether the body has exceeded that; it is not kept.
+        self._too_large = False
         self._buffers = BufferAccount(gateway.buffers)
         # Whether the request came while there was no memory for it; its body is not kept.
         self._lacks_memory = False
@@ -83,18 +88,21 @@
         now = asyncio.get_running_loop().time()
         self._started_at = now if self._arrived_at is None else self._arrived_at
         self._head = heads.read_request(start_line, headers)
+        self._body_limit = self._gateway.body_limit
         self._lacks_memory = self._gateway.lacks_memory
         self._buffers.add(REQUEST_BYTES)
 
     def data_received(self, chunk: bytes) -> None:
         """Buffers a part of the body, up to the body limit."""
         self._body_size += len(chunk)
+        self._body_limit = max(self._body_limit, self._gateway.body_limit)
+        self._too_large = self._too_large or self._body_size > self._body_limit
         self._lacks_memory = self._lacks_memory or self._gateway.buffers.exceeded
-        if self._lacks_memory:
+        if self._lacks_memory or self._too_large:
             self._body_chunks.clear()
-        elif self._body_size <= self._gateway.body_limit:
-            self._body_chunks.append(chunk)
-            self._buffers.add(len(chunk))
+            return
+        self._body_chunks.append(chunk)
+        self._buffers.add(len(chunk))
 
     def finish(self) -> None:
         """Starts to serve the request, which has now been received completely."""
@@ -152,7 +160,7 @@
         self._send_error(CodedError("entry_leaving", message, 504, Outcome.UNKNOWN))
 
     async def _serve(self, head: RequestHead) -> None:
-        if self._body_size > self._gateway.body_limit:
+        if self._too_large:
             raise CodedError("body_too_large", "the request body is too large", 413)
         if not self._gateway.accepts_requests:
             raise leaving_error()
