Engines of a service that a configuration drops stay engines for their requests

Callers whose stream was in progress when a configuration dropped its service saw it continued on another engine after a pause of half a second, though theirs was sound and reading a long prompt; where the stream broke, it was continued on other weights than it had begun on, as one answer.

The cause is that a service that is not published counted as one of plain endpoints: the time that an engine takes for a pass, from which its silence is judged, and the check of its weights come from the published figures.

The routes in force now remember the last figures of the services that were dropped, 256 at most. Red before: both tests of DroppedEnginesTest, the test of the route table is new.

--- a/tests/configuration_under_requests_test.py
+++ b/tests/configuration_under_requests_test.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import functools
+import typing
 import unittest
 from unittest import mock
 
@@ -17,9 +18,12 @@
     Reply,
     make_configuration,
     read_reply,
+    reset,
     response_head,
 )
 from tests.paused_clock import PausedClockCase
+from tests.version_bound_test import VersionBoundCase, make_engines_configuration
+from wasabidrum.config.deployment import Bounds
 from wasabidrum.platform import names, published_records
 
 SERVICE = "tally"
@@ -33,6 +37,8 @@
 PLACED_STATES = ("placed", "begun", "unread_answer")
 # How long a large configuration keeps the event loop from running.
 HOLD_UP_SECONDS = 0.3
+# Longer than an endpoint of a plain service may send nothing.
+PAUSE_SECONDS = 1.0
 STORM_SECONDS = 3.0
 STORM_INTERVAL_SECONDS = 0.05
 
@@ -281,5 +287,56 @@
                 await asyncio.sleep(STORM_INTERVAL_SECONDS)
 
 
+class DroppedEnginesTest(VersionBoundCase):
+    """A stream of an engine whose service a configuration drops while it pauses."""
+
+    bounds = Bounds()
+    # An engine that reads a long prompt sends nothing for longer than this without being silent.
+    figures: typing.ClassVar[dict[str, object]] = {"step_ms": 50, "stride": 4}
+
+    async def drop_service_under_stream(self, other_weights: int, breaks: bool) -> Reply:
+        """Returns the caller's answer.
+
+        Args:
+          other_weights: The version of the weights that another engine holds.
+          breaks: Whether the engine resets the stream after the pause, or else ends it.
+        """
+
+        async def pause(
+            endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            events = [b"id: %d\ndata: x\n\n" % number for number in range(4)]
+            lines = ("Content-Type: text/event-stream", f"Content-Length: {len(b''.join(events))}")
+            writer.write(response_head(request, endpoint, "200 OK", *lines) + b"".join(events[:2]))
+            await asyncio.sleep(PAUSE_SECONDS)
+            if breaks:
+                reset(writer)
+            writer.write(b"".join(events[2:]))
+
+        self.old.handler = pause
+        asking = self.ask("r1")
+        await self.fleet.wait_until(lambda: bool(self.old.received))
+        await self.register(self.new, other_weights)
+        configuration = make_engines_configuration() | {"version": 8, "routes": [], "services": []}
+        await self.fleet.store.put(names.CONFIGURATION_KEY, configuration)
+        reply = await asking
+        self.assertEqual(self.gateway.state.version, 8)
+        return reply
+
+    async def test_pause_in_a_stream(self) -> None:
+        """Guards against a sound engine that counts as silent, and whose requests are recalled,
+        because how long its passes take is not published any more."""
+        reply = await self.drop_service_under_stream(1, breaks=False)
+        self.assertEqual((reply.status, reply.whole), (200, True))
+        self.assertEqual(self.new.received, [])
+
+    async def test_stream_that_breaks(self) -> None:
+        """Guards against a stream that is continued on other weights than it began on, because its
+        service does not count as one of engines any more."""
+        reply = await self.drop_service_under_stream(2, breaks=True)
+        self.assertFalse(reply.whole)
+        self.assertEqual(self.new.received, [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wasabidrum/decisions/route_table.py
+++ b/wasabidrum/decisions/route_table.py
@@ -6,17 +6,27 @@
 
 import hashlib
 
-from ..core.published import PublishedConfiguration, PublishedService, WorkspaceKeys
+from ..core.published import EngineFigures, PublishedConfiguration, WorkspaceKeys
 from ..core.route import Route
 
+# The services that are remembered after they were dropped; the latest ones.
+MAX_DROPPED_SERVICES = 256
+
 
 class RouteTable:
     """Indexes of one configuration."""
 
-    __slots__ = ("configuration", "_by_host", "_workspaces", "_services")
+    __slots__ = ("configuration", "_by_host", "_workspaces", "_engines")
     __slots__ += ("_routes_by_name", "_workspaces_by_name")
 
-    def __init__(self, configuration: PublishedConfiguration) -> None:
+    def __init__(
+        self, configuration: PublishedConfiguration, former: "RouteTable | None" = None
+    ) -> None:
+        """Indexes a configuration.
+
+        Args:
+          former: The indexes of the one that it replaces.
+        """
         self.configuration = configuration
         self._by_host: dict[str, list[Route]] = {}
         for route in configuration.routes:
@@ -31,7 +41,12 @@
         }
         self._routes_by_name = {route.name: route for route in configuration.routes}
         self._workspaces_by_name = {known.name: known for known in configuration.workspaces}
-        self._services = {service.name: service for service in configuration.services}
+        dropped = dict(former._engines) if former is not None else {}
+        for service in configuration.services:
+            dropped.pop(service.name, None)
+        # Requests may still be in progress at engines of a service that was dropped.
+        self._engines = dict(list(dropped.items())[-MAX_DROPPED_SERVICES:])
+        self._engines |= {s.name: s.engine for s in configuration.services if s.engine}
 
     @property
     def has_workspaces(self) -> bool:
@@ -57,9 +72,12 @@
         """Returns a workspace, or None if it is not published."""
         return self._workspaces_by_name.get(name)
 
-    def service(self, name: str) -> PublishedService | None:
-        """Returns a service, or None if it is not published."""
-        return self._services.get(name)
+    def engine_figures(self, service: str) -> EngineFigures | None:
+        """Returns the figures of a service's engines; None for a plain service.
+
+        Those of a service that was dropped are the last that were published.
+        """
+        return self._engines.get(service)
 
 
 def digest_key(key: str) -> bytes:
--- a/wasabidrum/decisions/route_table_test.py
+++ b/wasabidrum/decisions/route_table_test.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from ..core.published import PublishedConfiguration, WorkspaceKeys
+from ..core.published import (
+    EngineFigures,
+    PublishedConfiguration,
+    PublishedService,
+    WorkspaceKeys,
+)
 from ..core.route import Route, RouteKind, RouteTarget
 from .route_table import RouteTable
 
@@ -43,3 +48,13 @@
         self.assertEqual(self.table.workspace_of("k3").name, "shop")
         self.assertIsNone(self.table.workspace_of(""))
         self.assertIsNone(self.table.workspace_of("k"))
+
+    def test_engines_of_a_dropped_service(self) -> None:
+        """Guards against engines with requests in progress that pass for plain endpoints."""
+        engines = PublishedConfiguration(
+            1, services=(PublishedService("a", engine=EngineFigures()),)
+        )
+        dropped = RouteTable(PublishedConfiguration(2), RouteTable(engines))
+        self.assertEqual(dropped.engine_figures("a"), EngineFigures())
+        plain = PublishedConfiguration(3, services=(PublishedService("a"),))
+        self.assertIsNone(RouteTable(plain, dropped).engine_figures("a"))
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -363,8 +363,7 @@
 
     def engine_figures(self, service: str) -> EngineFigures | None:
         """Returns the performance figures of a service's engines; None for a plain service."""
-        known = self.routes.service(service) if self.routes else None
-        return known.engine if known else None
+        return self.routes.engine_figures(service) if self.routes else None
 
     def count_evacuated(self, service: str) -> int:
         """Returns how many endpoints of a service are in evacuated data centres."""
@@ -419,7 +418,7 @@
         # apply it would undo an operator's change, and callers would get old routes.
         if configuration.version <= self.version:
             return
-        self.routes = RouteTable(configuration)
+        self.routes = RouteTable(configuration, self.routes)
         self._configuration_content = content
         self._log.write(
             Event.REVISION_IN_FORCE,
