An entry reads heads and bodies as large as the configuration allows

Callers saw, after a configuration had raised the limits: a closed connection with no answer to a head of 60 KB (maxHeaderBytes 65,536), and 400 to a body of 20 MB (maxBodyBytes 20,000,000). The server's own bounds were fixed at its start, at two and four times the usual limits.

They follow the configuration now, and are never below what they were. A kept connection that waits for a request when the configuration comes reads its next head under the former bound.

Red before: test_raised_limits_beyond_the_usual, with the body (400) and, by itself, with the head (no answer). Green after: this, and the tests of bad requests (4), gateway (39), slow callers (5), endless peers (7), ending ports (34), stops between requests (5) and busy entries (7).

--- a/tests/configuration_under_requests_test.py
+++ b/tests/configuration_under_requests_test.py
@@ -31,6 +31,7 @@
 KEY = "Authorization: Bearer key-1"
 BODY = b"0123456789" * 6000
 LARGE_ANSWER_EVENTS = 1000
+LARGE_BODY_BYTES = 20_000_000
 KINDS = ("safe", "unsafe", "streaming")
 # In the first states the request is not whole when the configuration changes.
 UNREAD_STATES = ("accepted", "kept", "head", "half")
@@ -247,6 +248,19 @@
                 await asyncio.sleep(0.1)
         await self.check(callers, dict.fromkeys(("head", "half"), {200, 413}))
 
+    async def test_raised_limits_beyond_the_usual(self) -> None:
+        """Guards against a head or a body that a configuration allows, and whose connection is
+        closed, or which is refused as malformed."""
+
+        def raise_limits(configuration: dict) -> None:
+            configuration["limits"] |= {"maxBodyBytes": LARGE_BODY_BYTES, "maxHeaderBytes": 65_536}
+
+        await self.change(raise_limits)
+        await self.wait_for_version()
+        for line, body in (("Large: x", bytes(LARGE_BODY_BYTES)), (f"Large: {'x' * 60_000}", b"x")):
+            reply = await self.fleet.ask(0, SERVICE, "safe", "large", KEY, line, body=body)
+            self.assertEqual(reply.status, 200)
+
     async def wait_for_version(self) -> None:
         """Waits until the newest configuration is in force."""
         await self.fleet.wait_until(lambda: self.gateway.state.version == self.version)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -59,6 +59,10 @@
 # that is published is kept.
 IDLE_TIMEOUT_SECONDS = 30.0
 METRICS_PORT_OFFSET = 2
+# What is read of a head or a body, as a multiple of its limit, before its connection is closed
+# instead of the request being refused.
+READ_HEAD_FACTOR = 2
+READ_BODY_FACTOR = 4
 
 
 class CallerServerDelegate(httputil.HTTPServerConnectionDelegate):
@@ -71,6 +75,7 @@
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """See HTTPServerConnectionDelegate."""
+        request_conn.params.max_header_size = self._gateway.read_head_bytes
         return CallerExchange(self._gateway, request_conn)
 
 
@@ -180,6 +185,18 @@
         """The largest request body accepted, in bytes."""
         return self._caller_limits.body_bytes
 
+    @property
+    def read_head_bytes(self) -> int:
+        """How much is read of a request's head at most."""
+        usual = CallerLimits().header_bytes
+        return READ_HEAD_FACTOR * max(usual, self._caller_limits.header_bytes)
+
+    @property
+    def read_body_bytes(self) -> int:
+        """How much is read of a request's body at most."""
+        usual = CallerLimits().body_bytes
+        return READ_BODY_FACTOR * max(usual, self._caller_limits.body_bytes)
+
     @property
     def ready(self) -> bool:
         """Whether new callers may be sent here; logs each change."""
@@ -217,11 +234,10 @@
     async def start(self) -> None:
         """Opens the listening ports and starts the background tasks."""
         deployment = self._deployment
-        limits = CallerLimits()
         server = self._caller_server = PacedServer(
             CallerServerDelegate(self),
-            max_header_size=limits.header_bytes * 2,
-            max_body_size=limits.body_bytes * 4,
+            max_header_size=self.read_head_bytes,
+            max_body_size=self.read_body_bytes,
             idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
             body_timeout=IDLE_TIMEOUT_SECONDS,
         )
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -89,6 +89,7 @@
         self._started_at = now if self._arrived_at is None else self._arrived_at
         self._head = heads.read_request(start_line, headers)
         self._body_limit = self._gateway.body_limit
+        self._connection.set_max_body_size(self._gateway.read_body_bytes)
         self._lacks_memory = self._gateway.lacks_memory
         self._buffers.add(REQUEST_BYTES)
 
