Soak of configurations under load, of which no entry stops

Series of configurations change routes, keys, time-outs, limits and services, some in storms each 50 ms and some with hundreds of services more, beside reloads and processes that stand still for 0.1 to 0.4 s. Every whole request must get an answer, none may be lost, crossed or left without one for 8 s; endpoints must get whole bodies, unsafe requests run once at most and not at all when refused, and 401 or 404 comes only to callers whose key or route a configuration may have taken away.

The test of configurations under requests also has callers who wait until they are asked for their body.

--- a/tests/configuration_under_requests_test.py
+++ b/tests/configuration_under_requests_test.py
@@ -34,7 +34,7 @@
 LARGE_BODY_BYTES = 20_000_000
 KINDS = ("safe", "unsafe", "streaming")
 # In the first states the request is not whole when the configuration changes.
-UNREAD_STATES = ("accepted", "kept", "head", "half")
+UNREAD_STATES = ("accepted", "kept", "head", "asked", "half")
 PLACED_STATES = ("placed", "begun", "unread_answer")
 # How long a large configuration keeps the event loop from running.
 HOLD_UP_SECONDS = 0.3
@@ -123,10 +123,13 @@
             await read_reply(self._reader)
         request = self._request(self._id)
         head_size = len(request) - len(BODY)
-        sent = {"accepted": 0, "kept": 0, "head": head_size, "half": len(request) // 2}
+        sent = dict.fromkeys(("head", "asked"), head_size)
+        sent |= {"accepted": 0, "kept": 0, "half": len(request) // 2}
         size = sent.get(self.state, len(request))
         self._rest = request[size:]
         self._writer.write(request[:size])
+        if self.state == "asked":
+            await self._reader.readuntil(b"\r\n\r\n")
 
     async def end(self) -> Reply | None:
         """Sends the rest of the request; returns the answer, None if there is none."""
@@ -148,6 +151,8 @@
             KEY,
             f"Content-Length: {len(BODY)}",
         )
+        if self.state == "asked":
+            lines += ("Expect: 100-continue",)
         return "\r\n".join([*lines, "", ""]).encode() + BODY
 
 
