--- a/tests/configuration_under_requests_test.py
+++ b/tests/configuration_under_requests_test.py
@@ -270,6 +270,17 @@
         """Waits until the newest configuration is in force."""
         await self.fleet.wait_until(lambda: self.gateway.state.version == self.version)
 
+    async def test_log_of_a_request(self) -> None:
+        """Guards against a log that does not tell that a configuration came under a request."""
+        callers = await self.begin(("half",))
+        await asyncio.sleep(0.1)
+        await self.change()
+        await self.wait_for_version()
+        await self.check(callers, {})
+        lines = self.gateway.log.buffer.find("half-safe-0")
+        (end,) = (line for line in lines if line["event"] == "request_done")
+        self.assertEqual((end["head_revision"], end["revision"]), (1, 2))
+
     async def test_storm_that_holds_up_the_event_loop(self) -> None:
         """The same under a configuration each 50 ms, each of which holds up the event loop."""
         decode = published_records.decode_configuration
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -68,6 +68,8 @@
         # Whether a response was passed on to the connection, and whether all of it was.
         self._response_begun = False
         self._response_ended = False
+        # The configuration in force when its head was read.
+        self._head_revision = 0
         self._started_at = 0.0
         self._arrived_at: float | None = None
         self._log_facts: dict[str, object] = {}
@@ -88,6 +90,7 @@
         now = asyncio.get_running_loop().time()
         self._started_at = now if self._arrived_at is None else self._arrived_at
         self._head = heads.read_request(start_line, headers)
+        self._head_revision = self._gateway.state.version
         self._body_limit = self._gateway.body_limit
         self._connection.set_max_body_size(self._gateway.read_body_bytes)
         self._lacks_memory = self._gateway.lacks_memory
@@ -352,12 +355,14 @@
         )
 
     def _log(self, event: Event, **facts: object) -> None:
-        state = self._gateway.state
+        revision = self._gateway.state.version
+        if self._head is not None and revision != self._head_revision:
+            facts["head_revision"] = self._head_revision
         self._gateway.log.write(
             event,
             request=self._head.request_id if self._head else "",
             seconds=round(asyncio.get_running_loop().time() - self._started_at, 4),
-            revision=state.version,
+            revision=revision,
             **(self._log_facts | facts),
         )
 
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -407,6 +407,7 @@
         Args:
           store_revision: The store's revision of the item; zero if another entry told of it.
         """
+        began = boot_seconds()
         try:
             configuration = published_records.decode_configuration(content)
         except CodedError as error:
@@ -426,6 +427,7 @@
             store_revision=store_revision,
             routes=len(configuration.routes),
             workspaces=len(configuration.workspaces),
+            seconds=round(boot_seconds() - began, 4),
         )
         for finding in find_faults(configuration, self._regions):
             self._log.write(
