--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -363,8 +363,7 @@
 
     def engine_figures(self, service: str) -> EngineFigures | None:
         """Returns the performance figures of a service's engines; None for a plain service."""
-        known = self.routes.service(service) if self.routes else None
-        return known.engine if known else None
+        return self.routes.engine_figures(service) if self.routes else None
 
     def count_evacuated(self, service: str) -> int:
         """Returns how many endpoints of a service are in evacuated data centres."""
@@ -408,6 +407,7 @@
         Args:
           store_revision: The store's revision of the item; zero if another entry told of it.
         """
+        began = boot_seconds()
         try:
             configuration = published_records.decode_configuration(content)
         except CodedError as error:
@@ -419,7 +419,7 @@
         # apply it would undo an operator's change, and callers would get old routes.
         if configuration.version <= self.version:
             return
-        self.routes = RouteTable(configuration)
+        self.routes = RouteTable(configuration, self.routes)
         self._configuration_content = content
         self._log.write(
             Event.REVISION_IN_FORCE,
@@ -427,6 +427,7 @@
             store_revision=store_revision,
             routes=len(configuration.routes),
             workspaces=len(configuration.workspaces),
+            seconds=round(boot_seconds() - began, 4),
         )
         for finding in find_faults(configuration, self._regions):
             self._log.write(
