--- a/wasabidrum/platform/heads.py
+++ b/wasabidrum/platform/heads.py
@@ -167,7 +167,7 @@
 def body_length(headers: httputil.HTTPHeaders) -> int:
     """Returns the length in bytes that a head states for its body; zero where it states none."""
     text = headers.get("Content-Length", "").partition(",")[0]
-    return int(text) if text.isascii() and text.isdecimal() else 0
+    return int(text) if is_number(text) else 0
 
 
 def read_decimal(text: str) -> float | None:
