replaced_weights_asked tells the forecast and the deadline that was sent; logs of real processes are kept

What operators saw: nothing that tells why an engine that woke after the bound had begun a request. The listed test of real processes (SuspendedInstanceTest) was red with requests that had 3.0 to 3.4 s left when they were sent, and neither the forecast of the answer nor the deadline that the engine got stood in a line.

Change: replaced_weights_asked has needed and deadline; WASABIDRUM_KEEP_LOGS keeps the logs of the processes of tests/real_processes_test.py too.

--- a/tests/process_log.py
+++ b/tests/process_log.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import shutil
 import time
 import unittest
 
@@ -36,6 +37,12 @@
         log.write(json.dumps(line) + "\n")
 
 
+def keep_folder(folder: pathlib.Path) -> None:
+    """Copies the logs of the processes of a play to where logs are kept, if they are."""
+    if kept := os.environ.get(KEPT_FOLDER_VARIABLE):
+        shutil.copytree(folder, pathlib.Path(kept) / folder.name)
+
+
 class LoopWatch:
     """Writes a line whenever an event loop runs its timers late."""
 
--- a/tests/real_processes_test.py
+++ b/tests/real_processes_test.py
@@ -8,6 +8,7 @@
 from bench.deployed_callers import KINDS
 from bench.real_processes import RealProcesses
 from standins.rate_limiter import make_limiter_mbit
+from tests import process_log
 
 SEED = 1
 PER_SECOND = 45.0
@@ -32,6 +33,7 @@
         """
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        self.addCleanup(process_log.keep_folder, pathlib.Path(folder.name))
         run = RealProcesses(SEED, 2, 4, PER_SECOND, pathlib.Path(folder.name))
         run.origin.link = make_limiter_mbit(TOO_SLOW_MBIT)
         run.callers.kinds = kinds
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -95,6 +95,8 @@
         "_limit_at_sending",
         "_limit_logged",
         "_stopped_at",
+        "_needed_seconds",
+        "_deadline_seconds",
         "number",
         "started_at",
     )
@@ -127,6 +129,9 @@
         self._limit_logged = False
         # When the endpoint stops work on the request before its caller's deadline.
         self._stopped_at = float("inf")
+        # What the answer was forecast to take, and the deadline sent along; None before.
+        self._needed_seconds: float | None = None
+        self._deadline_seconds: float | None = None
         self.number = number
         self.started_at = self._last_activity_at = asyncio.get_running_loop().time()
 
@@ -500,6 +505,7 @@
         seconds = begin_deadline.limit_seconds(left, bound, needed)
         if seconds < left:
             self._stopped_at = asyncio.get_running_loop().time() + seconds
+        self._needed_seconds, self._deadline_seconds = needed, seconds
         return seconds
 
     def _begin_limit(self) -> BeginLimit | None:
@@ -533,5 +539,7 @@
             left_at_sending=None if sent is None else round(sent.seconds, 3),
             known_for=round(limit.known_for, 3),
             put_off=round(limit.put_off, 3),
+            needed=None if self._needed_seconds is None else round(self._needed_seconds, 3),
+            deadline=None if self._deadline_seconds is None else round(self._deadline_seconds, 3),
             unacknowledged=self._connection.unacknowledged_bytes,
         )
