A fetch that is cancelled as content arrives ends

What operators saw (the listed test of a target that changes twice): a sidecar that took up no version any more after the configuration had named another one during a fetch.

Cause: asyncio.wait_for drops, before Python 3.12, a cancellation that arrives in the iteration of the event loop in which its awaitable completes. HttpBlobSource read with it, so that a fetch went on for a version that is not wanted. core/waiting.py mends that, but seven modules did not use it.

Measured: HttpBlobSourceTest.test_cancellation_as_content_arrives is red without the change.

--- a/wasabidrum/core/requests_in_progress.py
+++ b/wasabidrum/core/requests_in_progress.py
@@ -4,6 +4,8 @@
 import collections.abc
 import contextlib
 
+from . import waiting
+
 
 class RequestsInProgress:
     """The number of requests that a daemon has started and not finished."""
@@ -35,7 +37,7 @@
     async def wait_until_idle(self, seconds: float) -> bool:
         """Waits until no request is in progress; returns whether that was within the time."""
         try:
-            await asyncio.wait_for(self._idle.wait(), seconds)
+            await waiting.wait_for(self._idle.wait(), seconds)
         except TimeoutError:
             return False
         return True
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -14,6 +14,7 @@
 from tornado import netutil
 
 from ..config.deployment import Address, Deployment
+from ..core import waiting
 from ..core.background_tasks import BackgroundTasks
 from ..core.boot_clock import boot_seconds
 from ..core.errors import CodedError
@@ -311,7 +312,7 @@
         seconds = min(hold, seconds_until_late(waiting_for, WATCH_SECONDS))
         if seconds > 0.0:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._evidence.wait(), seconds)
+                await waiting.wait_for(self._evidence.wait(), seconds)
 
     def handle_suspects(self, message: SuspectsReport) -> Acknowledgement:
         """See EntryServiceOwner."""
--- a/wasabidrum/platform/http_blob_source.py
+++ b/wasabidrum/platform/http_blob_source.py
@@ -1,9 +1,8 @@
 """HTTP client of the weight store and the origin, which serve content by digest."""
 
-import asyncio
-
 from tornado import httpclient
 
+from ..core import waiting
 from ..core.errors import CodedError
 from ..wire import http_client
 
@@ -51,12 +50,12 @@
 
     async def _read(self, request: httpclient.HTTPRequest) -> tuple[int, float, bytes]:
         opening = http_client.open_stream(self._client, request, self._url)
-        stream = await asyncio.wait_for(opening, self._stall_seconds)
+        stream = await waiting.wait_for(opening, self._stall_seconds)
         parts: list[bytes] = []
         chunks = stream.chunks()
         while True:
             try:
-                parts.append(await asyncio.wait_for(anext(chunks), self._stall_seconds))
+                parts.append(await waiting.wait_for(anext(chunks), self._stall_seconds))
             except StopAsyncIteration:
                 break
         return stream.status, read_retry_after(stream.headers.get("Retry-After")), b"".join(parts)
--- a/wasabidrum/platform/http_blob_source_test.py
+++ b/wasabidrum/platform/http_blob_source_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from ..core.errors import CodedError
 from ..wire import http_client
@@ -53,6 +54,26 @@
         half = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"
         await self.expect(half, closes=True, code="source_unreachable")
 
+    async def test_cancellation_as_content_arrives(self) -> None:
+        """Guards against a download that goes on, for a version that is no longer wanted, because
+        its cancellation was dropped as content arrived."""
+        for iterations in range(4):
+            stream = http_client.ResponseStream()
+            stream.status = 200
+            opened = mock.AsyncMock(return_value=stream)
+            source = http_blob_source.make_blob_source(mock.Mock(), "", STALL_SECONDS)
+            with mock.patch.object(http_client, "open_stream", opened):
+                fetching = asyncio.ensure_future(source.fetch("0" * 64))
+                await asyncio.sleep(0.01)
+                stream.on_body_part(b"whole")
+                stream.finish(None)
+                for _ in range(iterations):
+                    await asyncio.sleep(0)
+                if not fetching.cancel():
+                    break
+                with self.assertRaises(asyncio.CancelledError, msg=iterations):
+                    await fetching
+
     async def test_a_busy_store_with_a_date_in_retry_after(self) -> None:
         """The store refuses by its rate limit and gives Retry-After as a date, as HTTP allows.
         Parsed as a number, it would end the download task, and the rollout with it."""
--- a/wasabidrum/weights/chunk_handler.py
+++ b/wasabidrum/weights/chunk_handler.py
@@ -5,6 +5,7 @@
 
 from tornado import iostream, web
 
+from ..core import waiting
 from ..core.errors import CodedError
 from ..wire import headers
 from .chunk_state import ChunkState
@@ -70,7 +71,7 @@
         self.set_header("Content-Length", str(len(content)))
         self.set_header("Content-Type", "application/octet-stream")
         try:
-            await asyncio.wait_for(self.flush(), SLICE_TIMEOUT_SECONDS)
+            await waiting.wait_for(self.flush(), SLICE_TIMEOUT_SECONDS)
             view = memoryview(content)
             count = max(
                 1, round(reserved.seconds / SLICE_SECONDS), -(-len(view) // MAX_SLICE_BYTES)
@@ -84,7 +85,7 @@
                 self.write(bytes(view[start : start + size]))
                 # Without a timeout, a receiver that stops reading would keep this task and its
                 # chunk in memory forever.
-                await asyncio.wait_for(self.flush(), SLICE_TIMEOUT_SECONDS)
+                await waiting.wait_for(self.flush(), SLICE_TIMEOUT_SECONDS)
         except (iostream.StreamClosedError, TimeoutError):
             self.request.connection.close()
             return
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -7,6 +7,7 @@
 from tornado import httpclient
 
 from ..config.settings import Settings
+from ..core import waiting
 from ..core.errors import CodedError
 from ..decisions import chunk_source_choice
 from ..decisions.chunk_order import request_order
@@ -448,7 +449,7 @@
         grace_seconds = self._begun_at + ASSUMED_KNOWN_SECONDS - self._now()
         if not alone and not self._requested.is_set() and grace_seconds > 0:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._requested.wait(), grace_seconds)
+                await waiting.wait_for(self._requested.wait(), grace_seconds)
         if rounds > 0 or alone:
             return
         if self._requested.is_set():
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+from ..core import waiting
 from ..core.boot_clock import boot_seconds
 from ..core.engine_report import EngineReport, PieceList
 from ..core.errors import CodedError
@@ -130,7 +131,7 @@
                     # Peers may request pieces of a newer version, whose list is not known yet.
                     store.chunks_unknown = store.chunks_unknown or version != self._listed.wanted
                     with contextlib.suppress(TimeoutError):
-                        await asyncio.wait_for(
+                        await waiting.wait_for(
                             self._listed.wait_for_change(self._listed.wanted), CHOICE_SECONDS
                         )
                     # One choice decides what ends and what begins. Another one would judge the
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -5,6 +5,7 @@
 import contextlib
 
 from ..config.deployment import Deployment
+from ..core import waiting
 from ..core.boot_clock import boot_seconds
 from ..core.errors import CodedError
 from ..core.instance import Instance, InstanceRole
@@ -136,7 +137,7 @@
         left = self._started_at + RELAYS_SECONDS - boot_seconds()
         if left > 0.0:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.relays_known.wait(), left)
+                await waiting.wait_for(self.relays_known.wait(), left)
 
     @property
     def wanted_seconds(self) -> float:
