A download that is cancelled ends as cancelled, whatever its fetches raise

What operators saw: an engine without the version that the configuration names, until its sidecar starts again. Its sidecar staged the version once a second and never put it in force.

Cause: a task group raises the errors of its tasks in place of its own cancellation. VersionManager survives all errors of a download and tries again, and waits for the end of the one that it has cancelled.

Change: VersionDownload.run raises its cancellation whatever its fetches have raised; that covers the retries of WeightsRelay and EngineController too.

CancelledDownloadTest is red without this change.

--- a/wasabidrum/weights/version_download.py
+++ b/wasabidrum/weights/version_download.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 
+from ..core import waiting
 from ..core.manifest import Manifest, decode_manifest
 from ..decisions.chunk_plan import ChunkPlan
 from ..decisions.inbound_rate_limit import ON_TIME_SECONDS
@@ -97,6 +98,16 @@
                 from_origin.append(digest)
             else:
                 from_regions.append(digest)
+        try:
+            await self._fetch_all(from_origin, from_regions, from_peers)
+        finally:
+            # A task group raises the errors of its tasks in place of its own cancellation. A caller
+            # that survives errors would then try again, and nobody would cancel it once more.
+            waiting.raise_if_cancelled()
+
+    async def _fetch_all(
+        self, from_origin: list[str], from_regions: list[str], from_peers: list[str]
+    ) -> None:
         # Three separate queues: in a single one, chunks that peers wait for would queue behind
         # chunks that this sidecar waits for, and the delay would spread through the fleet.
         async with asyncio.TaskGroup() as group:
--- a/wasabidrum/weights/version_download_test.py
+++ b/wasabidrum/weights/version_download_test.py
@@ -3,11 +3,13 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
 
 from ..core.digest import digest_of
+from ..core.errors import CodedError
 from ..core.manifest import Manifest, build_manifest
 from ..decisions.chunk_plan import ChunkPlan
 from .chunk_store import ChunkStore
@@ -112,6 +114,35 @@
         self.assertEqual(activated[-1], len(turns) % 3)
 
 
+class FailingDistributor(SlowDistributor):
+    """Never returns a chunk; a fetch fails at the moment at which it is cancelled."""
+
+    async def fetch(self, plan: ChunkPlan, digest: str) -> bytes:
+        """Raises CodedError once cancelled."""
+        try:
+            await asyncio.sleep(3600.0)
+        except asyncio.CancelledError:
+            raise CodedError("peer_unreachable", "the connection has failed", 502) from None
+
+
+class CancelledDownloadTest(unittest.IsolatedAsyncioTestCase):
+    """A download whose version is no longer wanted."""
+
+    async def test_error_of_a_fetch_does_not_replace_the_cancellation(self) -> None:
+        """Guards against an engine that gets no version any more: its sidecar waits for a download
+        that it has cancelled, and that is tried again for ever."""
+        contents = {digest_of(bytes([n])): bytes([n]) for n in range(9)}
+        manifest = Manifest(1, 9, tuple(contents))
+        plan = ChunkPlan("root", manifest.chunks, {"w": "rift-a"})
+        distributor = FailingDistributor(contents, random.Random(1))
+        download = VersionDownload(distributor, plan, manifest, list(range(9)), mock.AsyncMock())
+        running = asyncio.ensure_future(download.run())
+        await asyncio.sleep(0.01)
+        running.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await running
+
+
 class RecordingDistributor(SlowDistributor):
     """Records which fetches were started; origin fetches block until the origin answers."""
 
