Own dialect: an endpoint that asks for rest gets nothing until then, and callers hear of it

What endpoints saw: an engine that turned an entry away with 503 and Retry-After: 3 got three more requests from it in the next two seconds, and a plain service ten of twenty. What callers saw: while all engines rested, 1.0 s.

Cause: nobody read the header. HttpModelEngine and HttpPlainService dropped it, the sidecar's refusals had none, and the entry told 1.0 s.

Change: sidecars pass on for how long their endpoint wants nothing (X-Wd-Rest). An entry keeps that for one run of the sidecar, by decisions/endpoint_rests.py: a resting endpoint is no candidate and adds nothing to the queue's limit, and a rest of a second or more is no failure. Refused callers are told when the first endpoint takes requests. A plain service's Retry-After reaches the caller.

--- a/wasabidrum/decisions/endpoint_rests.py
+++ b/wasabidrum/decisions/endpoint_rests.py
@@ -9,11 +9,16 @@
 never ends it sooner.
 """
 
-from .rate_shares import EndpointRun
+# The name of an endpoint, and what identifies this run of it.
+EndpointRun = tuple[str, int | str]
+
+# A refusal that asks for a shorter rest counts as a failure too. Otherwise an endpoint that turns
+# all requests away would cost a retry each time that such a rest ends.
+MIN_REST_SECONDS = 1.0
 
 
 class EndpointRests:
-    """The rests that endpoints have asked one entry for.
+    """The rests that endpoints have asked one entry for, each in one run of it.
 
     All times are of a clock that keeps counting while the instance is suspended.
     """
--- a/wasabidrum/endpoints/http_model_engine.py
+++ b/wasabidrum/endpoints/http_model_engine.py
@@ -9,7 +9,8 @@
 from ..core.load import Load
 from ..core.manifest import Manifest
 from ..core.outcome import Outcome
-from ..wire import http_client
+from ..wire import headers, http_client
+from ..wire.retry_after import read_rest
 from .generate_request import GenerateRequest
 
 ORDER_TIMEOUT_SECONDS = 30.0
@@ -89,7 +90,11 @@
         stream = await http_client.open_stream(self._client, outgoing, "engine")
         if stream.status != 200:
             body = b"".join([chunk async for chunk in stream.chunks()])
-            raise CodedError("engine_refused", body.decode(errors="replace"), 503, Outcome.NOT_RUN)
+            rest = read_rest(stream.status, stream.headers.get(headers.RETRY_AFTER, ""))
+            message = body.decode(errors="replace")
+            raise CodedError(
+                "engine_refused", message, 503, Outcome.NOT_RUN, retry_after=rest or None
+            )
         async for chunk in stream.chunks():
             yield chunk
 
--- a/wasabidrum/endpoints/http_plain_service.py
+++ b/wasabidrum/endpoints/http_plain_service.py
@@ -4,7 +4,9 @@
 
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
+from ..wire import headers as names
 from ..wire import http_client
+from ..wire.retry_after import passed_on
 from .service_reply import ServiceReply
 
 
@@ -36,7 +38,8 @@
             code = "service_down" if error.outcome is Outcome.NOT_RUN else "service_lost"
             raise CodedError(code, str(error), 502, error.outcome) from error
         content_type = response.headers.get("Content-Type", "application/octet-stream")
-        return ServiceReply(response.code, content_type, response.body)
+        retry_after = passed_on(response.headers.get(names.RETRY_AFTER, ""))
+        return ServiceReply(response.code, content_type, response.body, retry_after=retry_after)
 
 
 def make_plain_service(client: httpclient.AsyncHTTPClient, url: str) -> HttpPlainService:
--- a/wasabidrum/endpoints/model_engine.py
+++ b/wasabidrum/endpoints/model_engine.py
@@ -44,7 +44,12 @@
         """Sets the engine's role: "mixed", "prefill" or "decode"."""
 
     def generate(self, request: GenerateRequest) -> collections.abc.AsyncIterator[bytes]:
-        """Yields newline-delimited JSON events until the answer is complete."""
+        """Yields newline-delimited JSON events until the answer is complete.
+
+        Raises:
+          CodedError: There is no complete answer. With "engine_refused", its retry_after tells for
+            how long the engine wants no more requests, where it says so.
+        """
 
     async def cancel(self, request_id: str) -> None:
         """Cancels a request that its caller abandoned, which frees its slot."""
--- a/wasabidrum/entry/attempt_observer.py
+++ b/wasabidrum/entry/attempt_observer.py
@@ -1,5 +1,6 @@
 """Updates endpoint health, limits and poison suspicion from the course of attempts."""
 
+from ..decisions.endpoint_rests import MIN_REST_SECONDS
 from ..decisions.endpoint_state import EndpointState
 from ..decisions.poison import PoisonGuard
 from ..observe.event import Event
@@ -65,7 +66,12 @@
             self._guard.record_ended(state.name)
         if not code:
             self._record_success(placement, pool, now)
-        elif code in NEUTRAL_CODES or now >= item.deadline - DEADLINE_TOLERANCE_SECONDS:
+        elif (
+            code in NEUTRAL_CODES
+            # An endpoint that rests gets nothing anyway.
+            or placement.rest_seconds >= MIN_REST_SECONDS
+            or now >= item.deadline - DEADLINE_TOLERANCE_SECONDS
+        ):
             # A short deadline chosen by the caller says nothing about the endpoint. Counted as
             # failures, a few such callers could have every endpoint taken out of service.
             state.health.end_probe(now)
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -128,6 +128,7 @@
             lambda: self.requests.count,
         )
         add("requests_waiting", "Requests that wait for their turn.", lambda: scheduler.waiting)
+        add("endpoints_resting", "Endpoints that want no requests.", lambda: scheduler.resting)
         add("endpoints_known", "Endpoints in this entry's table.", lambda: len(self.table.views))
         add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
 
--- a/wasabidrum/entry/model_call.py
+++ b/wasabidrum/entry/model_call.py
@@ -20,6 +20,8 @@
 # Most streams finish by themselves within this time. A longer one is moved to another endpoint,
 # so that the instance can stop long before its drain time is over.
 HANDOVER_DELAY_SECONDS = 3.0
+# The engine has turned the request away, and may have asked for rest.
+REFUSED_CODE = "engine_refused"
 NON_RETRYABLE_CODES = frozenset(("attempt_invalid", "request_blocked"))
 
 
@@ -186,7 +188,7 @@
             None if error.code in NON_RETRYABLE_CODES else self._retries.delay_before_retry(error)
         )
         if pause is None or asyncio.get_running_loop().time() + pause >= self._item.deadline:
-            raise error
+            raise self._with_return(error)
         await asyncio.sleep(pause)
         self._tried |= {name}
         self._handover_at = None
@@ -194,7 +196,7 @@
             await self._restart()
         except CodedError as failure:
             if self._attempt is None:
-                raise error from failure
+                raise self._with_return(error) from failure
             await self._recover(failure)
             return
         self._log.write(
@@ -205,6 +207,12 @@
             token=self._next_token,
         )
 
+    def _with_return(self, error: CodedError) -> CodedError:
+        """Returns an error that tells its caller when an engine takes requests again."""
+        if error.code == REFUSED_CODE:
+            error.retry_after = self._scheduler.seconds_until_return(self._item)
+        return error
+
     async def _hand_over_if_leaving(self) -> None:
         """Moves a long stream away from a leaving endpoint if another endpoint can resume it."""
         if not self._attempt.leaving:
--- a/wasabidrum/entry/placement.py
+++ b/wasabidrum/entry/placement.py
@@ -9,6 +9,7 @@
 from ..core.status import Status
 from ..decisions.endpoint_state import EndpointState
 from ..wire import headers
+from ..wire.retry_after import read_decimal
 from .endpoint_table import EndpointView
 from .work_item import WorkItem
 
@@ -19,6 +20,9 @@
     def record_status(self, status: Status) -> None:
         """Records a status that a response carried."""
 
+    def record_rest(self, placement: "Placement", seconds: float) -> None:
+        """Records that an endpoint wants no more requests from this entry for some time."""
+
     def record_progress(self, placement: "Placement", tokens: int, now: float) -> None:
         """Records that tokens of an attempt arrived."""
 
@@ -27,10 +31,14 @@
 
 
 class Placement:
-    """Reports the events of one attempt to its owner; end must be called, and counts once."""
+    """Reports the events of one attempt to its owner; end must be called, and counts once.
+
+    Attributes:
+      rest_seconds: For how long the endpoint wants no more requests, by its response; else zero.
+    """
 
     __slots__ = ("item", "view", "state", "started_at", "head_at", "progress_at", "tokens")
-    __slots__ += ("suspect", "_owner", "_ended")
+    __slots__ += ("suspect", "rest_seconds", "_owner", "_ended")
 
     def __init__(
         self,
@@ -48,6 +56,7 @@
         self.head_at: float | None = None
         self.progress_at: float | None = None
         self.tokens = 0
+        self.rest_seconds = 0.0
         self._owner = owner
         self._ended = False
         view.in_progress += 1
@@ -62,9 +71,15 @@
         if encoded_status is None:
             return
         try:
-            self._owner.record_status(msgspec.json.decode(encoded_status, type=Status))
+            status = msgspec.json.decode(encoded_status, type=Status)
         except msgspec.MsgspecError:
             return
+        self._owner.record_status(status)
+        rest = read_decimal(head.get(headers.ENDPOINT_REST, ""))
+        # A response of another endpoint says nothing about this one.
+        if rest and status.name == self.view.instance.name:
+            self.rest_seconds = rest
+            self._owner.record_rest(self, rest)
 
     def record_tokens(self, tokens: int) -> None:
         """Records that tokens have just arrived."""
--- a/wasabidrum/entry/request_scheduler.py
+++ b/wasabidrum/entry/request_scheduler.py
@@ -64,6 +64,11 @@
         """The number of requests waiting for admission."""
         return sum(pool.queue.waiting for pool in self._pools.values())
 
+    @property
+    def resting(self) -> int:
+        """The number of endpoints that want no requests from this entry now."""
+        return sum(pool.resting_count() for pool in self._pools.values())
+
     async def admit(self, item: WorkItem) -> Permit:
         """Waits until the request is admitted.
 
@@ -191,6 +196,17 @@
         if pool is not None and status.name in pool.states:
             pool.record_report(status.name, pool.views[status.name], now)
 
+    def record_rest(self, placement: Placement, seconds: float) -> None:
+        """Records that an endpoint wants no more requests from this entry for some time."""
+        self._log.write(Event.REST_ASKED, endpoint=placement.state.name, seconds=seconds)
+        self._pool(placement.item).record_rest(placement.state.name, seconds)
+
+    def seconds_until_return(self, item: WorkItem) -> float:
+        """Returns after how many seconds the caller of a refused request should come back."""
+        now = asyncio.get_running_loop().time()
+        seconds = max(1.0, self._pool(item).seconds_until_usable(now))
+        return backoff.add_jitter(seconds, self._rng)
+
     def record_pause(self) -> None:
         """Records that this process was paused until now."""
         self._observer.record_pause(asyncio.get_running_loop().time())
@@ -310,14 +326,14 @@
         Args:
           alone: Whether an endpoint is available except for the suspects running there.
         """
-        retry = backoff.add_jitter(max(1.0, pool.probe_seconds(now)), self._rng)
+        retry = backoff.add_jitter(max(1.0, pool.seconds_until_usable(now)), self._rng)
         kind = NoExclusiveEndpointError if alone else CodedError
         return kind("no_endpoint", "no endpoint can take the request now", 503, retry_after=retry)
 
     def _make_refusal(self, refusal: Refusal, pool: TargetPool, now: float) -> CodedError:
         seconds = refusal.retry_after
         if refusal.code == "no_endpoint":
-            seconds = max(seconds, pool.probe_seconds(now))
+            seconds = max(seconds, pool.seconds_until_usable(now))
         # Callers refused at the same moment should not all retry at the same moment.
         return refusal_error(
             Refusal(refusal.code, refusal.reason, backoff.add_jitter(seconds, self._rng))
--- a/wasabidrum/entry/service_exchange.py
+++ b/wasabidrum/entry/service_exchange.py
@@ -11,6 +11,7 @@
 from ..endpoints.service_reply import ServiceReply
 from ..outcomes.call_digest import digest_answer, digest_call
 from ..wire import headers, http_client
+from ..wire.retry_after import passed_on
 from .endpoint_table import EndpointView
 from .placement import Placement
 from .service_request import ServiceRequest
@@ -119,4 +120,5 @@
             message = body.decode(errors="replace")
             raise CodedError(code, message, response.code, Outcome(outcome), retry_after=1.0)
         replayed = headers.IDEMPOTENT_REPLAYED in head
-        return ServiceReply(response.code, content_type, body, replayed)
+        retry_after = passed_on(head.get(headers.RETRY_AFTER, ""))
+        return ServiceReply(response.code, content_type, body, replayed, retry_after)
--- a/wasabidrum/entry/service_handler.py
+++ b/wasabidrum/entry/service_handler.py
@@ -75,5 +75,7 @@
         self.set_header(headers.OUTCOME, Outcome.DONE.value)
         if reply.replayed:
             self.set_header(headers.IDEMPOTENT_REPLAYED, "true")
+        if reply.retry_after:
+            self.set_header(headers.RETRY_AFTER, reply.retry_after)
         self.write(reply.body)
         self.log_completion(service=service)
--- a/wasabidrum/entry/target_pool.py
+++ b/wasabidrum/entry/target_pool.py
@@ -4,9 +4,11 @@
 import random
 import statistics
 
+from ..core.boot_clock import boot_seconds
 from ..core.instance import InstanceState
 from ..decisions.admission_queue import RESERVED_FRACTION, AdmissionQueue
 from ..decisions.endpoint_health import Health
+from ..decisions.endpoint_rests import EndpointRests, EndpointRun
 from ..decisions.endpoint_state import EndpointState
 from ..decisions.prefix_affinity import PrefixRing
 from ..decisions.routing import EndpointPool
@@ -44,6 +46,7 @@
         self._refreshed_at = float("-inf")
         self._addresses: dict[str, tuple[str, int]] = {}
         self._reported_at: dict[str, float] = {}
+        self._rests = EndpointRests()
 
     def refresh(self, table: EndpointTable, now: float) -> bool:
         """Reads the table unless it was read recently; returns whether it did."""
@@ -106,17 +109,39 @@
         status = view.status
         return (
             status is not None
+            and not self.rest_seconds(name)
             and not status.leaving
             and not view.lost
             and status.load.slots > 0
             and view.instance.state is InstanceState.LIVE
         )
 
-    def probe_seconds(self, now: float) -> float:
-        """Returns the seconds until the earliest probe is due; zero if any endpoint is healthy."""
-        waits = [state.health.probe_at - now for state in self.states.values()]
+    def record_rest(self, name: str, seconds: float) -> None:
+        """Records that an endpoint wants no more requests from this entry for some time."""
+        if name in self.views:
+            self._rests.record(self._run_of(name), seconds, boot_seconds())
+            self.invalidate()
+
+    def rest_seconds(self, name: str) -> float:
+        """Returns for how long an endpoint still wants no requests; zero if it takes them."""
+        return self._rests.seconds_left(self._run_of(name), boot_seconds())
+
+    def resting_count(self) -> int:
+        """Returns how many endpoints want no requests now."""
+        return self._rests.count(boot_seconds())
+
+    def seconds_until_usable(self, now: float) -> float:
+        """Returns the seconds until an endpoint takes a request or a probe; zero if one does."""
+        waits = [
+            max(state.health.probe_at - now, self.rest_seconds(state.name))
+            for state in self.states.values()
+        ]
         return max(0.0, min(waits)) if waits else 0.0
 
+    def _run_of(self, name: str) -> EndpointRun:
+        status = self.views[name].status
+        return name, "" if status is None else status.incarnation
+
     def _update_views(self, views: dict[str, EndpointView]) -> None:
         addresses = {
             name: (view.instance.host, view.instance.http_port) for name, view in views.items()
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -11,6 +11,7 @@
 from ..decisions import engine_memory, poison
 from ..decisions.attempt_rule import AttemptEnd, AttemptHistory
 from ..decisions.endpoint_choice import Choice
+from ..decisions.endpoint_rests import MIN_REST_SECONDS
 from ..decisions.home_regions import Regions, home_regions
 from ..decisions.request_recall import MIN_START_SECONDS, RecallReason
 from ..observe.event import Event
@@ -34,9 +35,6 @@
 # A request that times out after this many times its forecast was lost rather than slow, and
 # counts as a failure of the endpoint.
 OVERDUE_FACTOR = 10.0
-# A refusal that asks for a shorter rest counts as a failure too. Otherwise an endpoint that turns
-# all requests away would cost a retry each time that such a rest ends.
-MIN_REST_SECONDS = 1.0
 # The error code of an engine that does not hold the requested version of the weights.
 MISSING_WEIGHTS_CODE = "refused_421"
 # Errors after which the endpoint may have crashed on the request.
--- a/wasabidrum/platform/heads.py
+++ b/wasabidrum/platform/heads.py
@@ -6,6 +6,7 @@
 
 from ..core.listed_endpoint import ListedEndpoint
 from ..core.request_head import ReplyHead, RequestHead
+from ..wire.retry_after import read_decimal, read_rest
 from . import names
 
 # Headers that apply to one connection only (hop-by-hop) or that frame the body on it.
@@ -22,7 +23,6 @@
         "expect",
     )
 )
-DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 PROMPT_PART = re.compile(r"\s*([0-9a-fA-F]{1,64}):[0-9]{1,12}\s*")
 # Parts beyond these are not read, which bounds what a request can make an entry remember.
 MAX_SHARED_PARTS = 32
@@ -164,20 +164,6 @@
     return int(text) if text.isascii() and text.isdecimal() else 0
 
 
-def read_decimal(text: str) -> float | None:
-    """Converts a decimal number without a sign; returns None if the text is none."""
-    return float(text) if DECIMAL.fullmatch(text) else None
-
-
-def read_rest(status: int, retry_after: str) -> float:
-    """Returns for how many seconds an endpoint wants no more requests from this entry.
-
-    Args:
-      retry_after: Its Retry-After, which a platform's endpoint states in seconds, not as a date.
-    """
-    return (read_decimal(retry_after) or 0.0) if status == 503 else 0.0
-
-
 def read_cold_time(text: str) -> float | None:
     """Converts milliseconds, which may have decimals, to seconds; None if the text is no number."""
     milliseconds = read_decimal(text.strip())
--- a/wasabidrum/sidecar/call_handlers.py
+++ b/wasabidrum/sidecar/call_handlers.py
@@ -15,6 +15,7 @@
 from ..endpoints.service_reply import ServiceReply
 from ..outcomes.call_digest import digest_answer
 from ..wire import headers
+from ..wire.retry_after import read_rest
 from .call_handler_owner import CallHandlerOwner
 from .service_attempt import ServiceAttempt, parse_attempt
 
@@ -35,9 +36,15 @@
         self.set_status(error.http_status)
         self.set_header(headers.OUTCOME, error.outcome.value)
         self.set_header(headers.ERROR_CODE, error.code)
+        self.attach_rest(error.retry_after)
         self.attach_status()
         self.write({"message": str(error)})
 
+    def attach_rest(self, seconds: float | None) -> None:
+        """Adds for how long the endpoint wants no more requests, if it has said so."""
+        if seconds:
+            self.set_header(headers.ENDPOINT_REST, f"{seconds:.3f}")
+
     def attach_status(self) -> None:
         """Adds this daemon's status to the response, so that each answer also reports the load."""
         status = msgspec.json.encode(self.sidecar.status()).decode()
@@ -181,6 +188,9 @@
         self.set_header(headers.OUTCOME, Outcome.DONE.value)
         if reply.replayed:
             self.set_header(headers.IDEMPOTENT_REPLAYED, "true")
+        if reply.retry_after:
+            self.set_header(headers.RETRY_AFTER, reply.retry_after)
+            self.attach_rest(read_rest(reply.status, reply.retry_after))
         self.attach_status()
         self.write_with_digest(
             attempt_id, reply.status, reply.content_type, Outcome.DONE, "", reply.body
--- a/wasabidrum/wire/headers.py
+++ b/wasabidrum/wire/headers.py
@@ -7,6 +7,7 @@
 IDEMPOTENT_REPLAYED = "Idempotent-Replayed"
 MODEL_VERSION = "X-Model-Version"
 OUTCOME = "X-Outcome"
+RETRY_AFTER = "Retry-After"
 
 # Headers between the fleet's processes.
 ATTEMPT_ID = "X-Wd-Attempt"
@@ -18,6 +19,8 @@
 REVISION = "X-Wd-Revision"
 STATUS_ON_ANSWER = "X-Wd-Status"
 ERROR_CODE = "X-Wd-Error-Code"
+# For how many seconds the endpoint that a response is about wants no more requests.
+ENDPOINT_REST = "X-Wd-Rest"
 SERVICE = "X-Wd-Service"
 START_BEFORE = "X-Wd-Start-Before"
 CALL_DIGEST = "X-Wd-Call-Digest"
