Stand-ins of endpoints and engines fall silent for a moment

A sound server may fall silent for a second or so and go on. No stand-in could do so in the middle of what it does: the soak's endpoints only waited before an answer.

FakeEndpoint.fall_silent lets everything that an endpoint does stand still where it is, reading, running and sending, for some seconds. An engine that is a process of its own does so on SIGUSR2, for a time that is drawn from its id and the number of the signal; its event loop is held up, so that it reads, sends and registers nothing. Without either nothing changes.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import json
+import random
 import signal
 import time
 import urllib.parse
@@ -55,6 +56,7 @@
         self.leaving = False
         self._fence = 0
         self._loading: asyncio.Task | None = None
+        self._rng = random.Random(options.id)
         self.passes = EnginePasses(self.figures, self._record_first_token)
         if self.version:
             self.staged = {n: self.correct_piece(self.version, n) for n in self.pieces}
@@ -130,6 +132,13 @@
         self.leaving = True
         write_line("leaving")
 
+    def fall_silent(self) -> None:
+        """Reads, sends and registers nothing for some time, and then goes on."""
+        seconds = self._rng.uniform(*self.options.silent_seconds)
+        write_line("silent", seconds=round(seconds, 3))
+        # Holds up the event loop, and with it everything that the engine does.
+        time.sleep(seconds)
+
     def _record_first_token(self, generation: Generation) -> None:
         write_line(
             "began",
@@ -274,7 +283,10 @@
 
 
 async def run(options: argparse.Namespace) -> None:
-    """Serves until SIGTERM; from SIGUSR1 on the engine announces that it leaves."""
+    """Serves until SIGTERM; from SIGUSR1 on the engine announces that it leaves.
+
+    With each SIGUSR2 it falls silent for a moment.
+    """
     engine = PlatformEngine(options)
     arguments = {"engine": engine}
     routes = [(r"/wasabidrum/.*", ControlHandler, arguments), (r"/.*", StreamHandler, arguments)]
@@ -286,6 +298,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, ended.set)
     loop.add_signal_handler(signal.SIGUSR1, engine.leave)
+    loop.add_signal_handler(signal.SIGUSR2, engine.fall_silent)
     tasks = [asyncio.ensure_future(engine.passes.run()), asyncio.ensure_future(engine.register())]
     await ended.wait()
     for task in tasks:
@@ -306,6 +319,14 @@
     parser.add_argument(
         "--rest-seconds", type=float, default=0.0, help="asked for with each refusal; 0 for none"
     )
+    parser.add_argument(
+        "--silent-seconds",
+        type=float,
+        nargs=2,
+        default=(0.5, 1.5),
+        metavar=("LEAST", "MOST"),
+        help="how long a SIGUSR2 silences it, drawn from its id and the number of the signal",
+    )
     parser.add_argument("--load-seconds", type=float, default=0.3, help="to load all layers")
     asyncio.run(run(parser.parse_args()))
 
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -5,8 +5,10 @@
 
 import asyncio
 import collections
+import collections.abc
 import dataclasses
 import socket
+import types
 
 import msgspec
 
@@ -71,6 +73,12 @@
         self.limit: float | None = None
         self.leaving = False
         self._server: asyncio.Server | None = None
+        self._silent_until = float("-inf")
+
+    @property
+    def silent(self) -> bool:
+        """Whether it is silent for a moment."""
+        return self._silent_until > asyncio.get_running_loop().time()
 
     async def start(self) -> None:
         """Listens."""
@@ -94,11 +102,48 @@
             "sequence": 1,
         } | facts
 
+    def fall_silent(self, seconds: float) -> None:
+        """Reads, runs and sends nothing for some time, and goes on then; silences may overlap."""
+        until = asyncio.get_running_loop().time() + seconds
+        self._silent_until = max(self._silent_until, until)
+
+    @types.coroutine
+    def _run_unless_silent(
+        self, work: collections.abc.Coroutine[object, object, None]
+    ) -> collections.abc.Generator[object, None, None]:
+        """Runs a coroutine that stands still wherever it is while the endpoint is silent."""
+        loop = asyncio.get_running_loop()
+        step = work.send
+        argument: object = None
+        while True:
+            while (silent_seconds := self._silent_until - loop.time()) > 0.0:
+                try:
+                    yield from asyncio.sleep(silent_seconds).__await__()
+                except asyncio.CancelledError as error:
+                    step, argument = work.throw, error
+                    break
+            try:
+                awaited = step(argument)
+            except StopIteration:
+                return
+            step, argument = work.send, None
+            try:
+                yield awaited
+            except BaseException as error:
+                step, argument = work.throw, error
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await self._run_unless_silent(self._serve_request(reader, writer))
+
+    async def _serve_request(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         try:
             request = await read_request(reader, writer)
             self.received.append(request)
-            working = asyncio.ensure_future(self.handler(self, request, writer))
+            working = asyncio.ensure_future(
+                self._run_unless_silent(self.handler(self, request, writer))
+            )
             closing = asyncio.ensure_future(reader.read(1))
             await asyncio.wait((working, closing), return_when=asyncio.FIRST_COMPLETED)
             if not working.done():
