Rig of real processes: engines fall silent for half a second to one and a half

One, several or all engines, at times three times in a row. A suspension is recorded as a disturbance; a silence is not, as it excuses nothing.

--- a/bench/real_processes.py
+++ b/bench/real_processes.py
@@ -41,6 +41,8 @@
 MEETING_SECONDS = 5.0
 COPY_SECONDS = 0.5
 COPIES = 10
+# As engines have it; see their --silent-seconds.
+MAX_SILENT_SECONDS = 1.5
 FIGURES = {
     "slots": 16,
     "stride": 5,
@@ -131,7 +133,7 @@
         """Returns the series of a whole run."""
         series = [self._play_namings, self._play_entries, self._play_entries]
         series += [self._play_instances, self._play_instances, self._play_cuts, self._play_load]
-        series += [self._play_restorations]
+        series += [self._play_restorations, self._play_silences]
         return [
             lambda play=play, number=number: play(self._rng_of(f"{play.__name__} {number}"))
             for number, play in enumerate(series)
@@ -320,6 +322,25 @@
                 await daemon.start()
                 await asyncio.sleep(0.5)
 
+    async def _play_silences(self, rng: random.Random) -> None:
+        """Lets engines fall silent for a moment: one, several or all, at times again and again.
+
+        This excuses nothing, so it is not recorded as a disturbance.
+        """
+        while True:
+            await asyncio.sleep(rng.uniform(0.5, 4.0))
+            engines = [instance.engine for instance in self.fleet.instances]
+            count = rng.choice((1, 1, 2, 3, len(engines)))
+            chosen = rng.sample(engines, min(count, len(engines)))
+            for _ in range(rng.choice((1, 1, 1, 3))):
+                # One that is about to start would be ended by the signal.
+                silent = [each for each in chosen if each not in self._taken]
+                self.record(f"silence of {' '.join(each.name for each in silent)}")
+                for engine in silent:
+                    engine.send(signal.SIGUSR2)
+                # Two silences without anything between them would be a longer one.
+                await asyncio.sleep(rng.uniform(MAX_SILENT_SECONDS + 0.1, 2.5))
+
     async def _play_cuts(self, rng: random.Random) -> None:
         while True:
             await asyncio.sleep(rng.uniform(4.0, 16.0))
