Soak of stops: longer silences anywhere, callers that leave, and repeats are judged

Silences were of one endpoint at a time, for a second, and only before an answer began. Now one, several or all are silent for 0.5 to 1.5 s at any point: before they read a request, before and in an answer. Routes and callers allow 3 s instead of 1.5 s, so that no silence runs into a time limit that excuses an end; streams take 0.4 s, so that silences begin inside them.

One caller in ten leaves early. Beside lost requests the soak judges what runs twice though it may run once, repeats beyond the shared budget in sliding windows, and requests that begin more than half a second after their caller has left, except where the entry stood still meanwhile.

--- a/tests/entry_stops_soak.py
+++ b/tests/entry_stops_soak.py
@@ -24,8 +24,10 @@
 from bench.cluster import KEPT_FOLDER_VARIABLE
 from bench.lost_judge import CallerRequest, Ending, LostJudge
 from bench.process import ROOT, Process
+from bench.repeat_judge import RepeatJudge
 from standins.ports import free_ports
 from tests.entry_soak import (
+    BOUNDS,
     MEETING_SECONDS,
     PIECES,
     PORTS_OF_ONE,
@@ -46,11 +48,20 @@
 
 ENDPOINTS = 6
 GRACE_SECONDS = 8.0
-# As the routes of the configuration have it.
-TIMEOUT_SECONDS = 1.5
+# Of the routes, and of callers. An answer that is held up by a silence is in time all the same.
+TIMEOUT_SECONDS = 3.0
 RUN_SECONDS = 0.03
-SILENT_SECONDS = 1.0
+# Streams write for longer, so that silences begin in the middle of them.
+STREAM_SECONDS = 0.4
+# A sound endpoint may fall silent for so long, and goes on. This excuses nothing.
+SILENT_SECONDS = (0.5, 1.5)
 CALLER_SECONDS = 8.0
+# Of all requests: those whose callers leave before they have their answer.
+LEAVING_FRACTION = 0.1
+LEAVES_SECONDS = (0.05, 1.5)
+# After a caller has left, nothing begins for it at an endpoint.
+GONE_SECONDS = 0.5
+MAX_GONE = 3
 KEPT_CALLERS = 3
 # Many processes that start together would keep each other, and the callers, from running.
 STARTS_AT_ONCE = 6
@@ -126,7 +137,7 @@
       root: The checkout that entries run from.
     """
 
-    broken = ("lost", "false_answers")
+    broken = ("lost", "false_answers", "repeated_runs", "over_budget", "begun_for_nobody")
     root = ROOT
 
     def __init__(self, seed: int, entries: int, per_second: float, folder: pathlib.Path) -> None:
@@ -143,7 +154,11 @@
         self._ends = False
         self._asked = 0
         self._version = 1
-        self._silent_until: dict[str, float] = {}
+        self._repeats = RepeatJudge(BOUNDS.retry_fraction, BOUNDS.retry_extra, BOUNDS.retry_window)
+        # When callers left, by the names of their requests, and by which process.
+        self._left_at: dict[str, tuple[float, Process]] = {}
+        self._suspended: dict[Process, list[tuple[float, float]]] = collections.defaultdict(list)
+        self._begun_for_nobody: list[str] = []
         self._arrived: set[str] = set()
         self._finished: set[str] = set()
         # Entries that a series has taken, and since when those that stop do.
@@ -232,8 +247,9 @@
     ) -> None:
         name = request.headers[names.REQUEST_ID.lower()]
         self._arrived.add(name)
-        silent = self._silent_until.get(endpoint.id, 0.0) - asyncio.get_running_loop().time()
-        await asyncio.sleep(max(RUN_SECONDS, silent))
+        self._repeats.record_arrival(name, asyncio.get_running_loop().time())
+        self._check_wanted(endpoint, name)
+        await asyncio.sleep(RUN_SECONDS)
         pieces = answer_pieces(name)
         lines = [f"Content-Length: {sum(map(len, pieces))}"]
         if streams := name.endswith("-streaming"):
@@ -245,13 +261,26 @@
             for piece in pieces:
                 writer.write(b"%x\r\n%s\r\n" % (len(piece), piece) if streams else piece)
                 await writer.drain()
-                await asyncio.sleep(RUN_SECONDS / PIECES)
+                await asyncio.sleep((STREAM_SECONDS if streams else RUN_SECONDS) / PIECES)
             writer.write(b"0\r\n\r\n" * streams)
         except ConnectionError:
             # Its entry is gone.
             return
         self._finished.add(name)
 
+    def _check_wanted(self, endpoint: FakeEndpoint, name: str) -> None:
+        """Records a request that begins long after its caller has left."""
+        left_at, process = self._left_at.get(name, (float("inf"), None))
+        now = asyncio.get_running_loop().time()
+        late = now - left_at - self._delay.seconds
+        if late <= GONE_SECONDS or process in self._killed:
+            return
+        if any(start < now and end > left_at for start, end in self._suspended[process]):
+            return
+        facts = {"request": name, "endpoint": endpoint.id, "late": round(late, 3)}
+        self.write_line("begun_for_nobody", **facts)
+        self._begun_for_nobody.append(f"{name} at {endpoint.id} {late:.3f}")
+
     def _notices(self, endpoint: FakeEndpoint, name: str) -> list[str]:
         """Returns what an endpoint says of itself in its answer to a request."""
         return []
@@ -328,9 +357,17 @@
             else:
                 ended_half = False
             request.sent_at = loop.time()
-            await asyncio.wait((reading,), timeout=CALLER_SECONDS)
+            self._repeats.record_request(request.sent_at)
+            leaves = self._rng.random() < LEAVING_FRACTION
+            waits = self._rng.uniform(*LEAVES_SECONDS) if leaves else CALLER_SECONDS
+            await asyncio.wait((reading,), timeout=waits)
         finally:
             reading.cancel()
+        if leaves and not reading.done():
+            self._left_at[name] = loop.time(), connection.process
+            self.counts["left"] += 1
+            connection.writer.transport.abort()
+            return False
         if not reading.done() or reading.cancelled():
             self.counts["overdue"] += 1
             self.write_line("overdue", request=name, entry=connection.entry.name)
@@ -438,7 +475,11 @@
                 self._stood_still[process] += pause
                 if self._stood_still[process] > GRACE_SECONDS * MAX_STILL_FRACTION:
                     break
+                loop = asyncio.get_running_loop()
+                spans = self._suspended[process]
+                spans.append((loop.time(), float("inf")))
                 await entry.suspend(pause)
+                spans[-1] = spans[-1][0], loop.time()
                 await asyncio.sleep(rng.uniform(0.005, 0.15))
             self._in_turns.discard(entry)
 
@@ -454,6 +495,8 @@
         self._version += 1
         others = (f"other{number}" for number in range(services))
         value = make_configuration(self._version, SERVICE, *others)
+        for route in value["routes"]:
+            route["timeoutMs"] = int(TIMEOUT_SECONDS * 1000.0)
         await self._fleet.store.put(names.CONFIGURATION_KEY, value)
         self._record_played(f"configuration {self._version} with {services} more services")
 
@@ -465,11 +508,17 @@
                     entry.process.send(signal.SIGHUP)
 
     async def _play_silence(self, rng: random.Random) -> None:
+        """Lets endpoints fall silent for a moment: one, several or all of them."""
         while not self._ends:
             await asyncio.sleep(rng.uniform(0.2, 2.0))
-            endpoint = rng.choice(self._fleet.endpoints)
-            until = asyncio.get_running_loop().time() + SILENT_SECONDS
-            self._silent_until[endpoint.id] = until
+            count = rng.choice((1, 1, 2, 3, ENDPOINTS))
+            seconds = [rng.uniform(*SILENT_SECONDS) for _ in range(count)]
+            endpoints = rng.sample(self._fleet.endpoints, count)
+            for endpoint, silent_seconds in zip(endpoints, seconds, strict=True):
+                # Two silences without anything between them would be a longer one.
+                if not endpoint.silent:
+                    endpoint.fall_silent(silent_seconds)
+                    self._record_played(f"silence of {endpoint.id} for {silent_seconds:.2f}")
 
     def _figures(self) -> dict[str, object]:
         return {
@@ -479,6 +528,11 @@
             "late_loop": round(self._delay.worst, 3),
             "lost": self.lost,
             "false_answers": self.false_answers,
+            "repeated_runs": self._repeats.repeated(lambda name: name.endswith("-unsafe")),
+            "repeats": self._repeats.repeats,
+            "over_budget": self._repeats.over_budget(),
+            "begun_for_nobody": self._begun_for_nobody[MAX_GONE:],
+            "gone": len(self._begun_for_nobody),
         }
 
 
@@ -488,7 +542,7 @@
         f"POST /{kind}/a HTTP/1.1",
         f"Host: {SERVICE}.example",
         f"{names.REQUEST_ID}: {name}",
-        f"{names.DEADLINE}: 3000",
+        f"{names.DEADLINE}: {int(TIMEOUT_SECONDS * 1000.0)}",
         f"Content-Length: {len(name)}",
     )
     return ("\r\n".join(lines) + f"\r\n\r\n{name}").encode()
