A head whose endpoint falls silent in the middle of it is waited for

Callers of charges got 502, outcome unknown, 0.6 s after the first bytes of an answer's head where the endpoint fell silent before the last: the answer was taken for bytes that are none. The charge had run, and its answer came a second later to a connection that was closed. A request that may be repeated spent a retry and ran twice.

What begins like a head now has 1.5 s more, the time for which a sound endpoint may be silent. Bytes that can't begin one are cut off after 0.6 s as before, and the bounds of size stay.

tests/silent_moments_test.py sends requests of all kinds before, in and after a silence of 1.5 s; its endpoints send heads in two parts.

--- /dev/null
+++ b/tests/silent_moments_test.py
@@ -0,0 +1,258 @@
+"""Sound endpoints that fall silent for up to one and a half seconds, and then go on.
+
+Requests of all kinds are sent before, in and after the silence, so that it meets each of their
+phases: unread, read, begun, in the middle of an answer, and complete.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import unittest
+
+from tests.fake_platform import (
+    FakeEndpoint,
+    PlatformFleet,
+    ReceivedRequest,
+    Reply,
+    make_configuration,
+    response_head,
+)
+from tests.paused_clock import PausedClockCase
+from wasabidrum.config.deployment import Bounds
+from wasabidrum.platform import names
+
+MODEL = "m1"
+ENGINES = "text"
+PLAIN = "tally"
+ENDPOINTS = 3
+SILENT_SECONDS = 1.5
+EVENTS = 8
+EVENT_SECONDS = 0.1
+PLAIN_SECONDS = 0.12
+# Routes and callers allow so much.
+TIMEOUT_SECONDS = 6.0
+# Callers leave a stream after such a pause.
+PAUSE_LIMIT_SECONDS = 3.2
+# The silence begins in the middle of the requests.
+SILENT_AT_SECONDS = 1.0
+LAST_SENT_SECONDS = 3.0
+BETWEEN_SECONDS = 0.07
+BOUNDS = Bounds(version=2.0, retry_fraction=0.2, retry_extra=10.0)
+# The prefix of streams that can't be resumed.
+ONCE = "once"
+KINDS = (
+    (ENGINES, "streaming"),
+    (ENGINES, ONCE),
+    (PLAIN, "safe"),
+    (PLAIN, "unsafe"),
+    (PLAIN, "streaming"),
+    (PLAIN, ONCE),
+)
+
+
+def make_routes(version: int) -> dict:
+    """Returns a configuration with all kinds of requests to engines and to a plain service."""
+    configuration = make_configuration(version, ENGINES, PLAIN)
+    routes = configuration["routes"]
+    for route in [each for each in routes if each["type"] == "streaming"]:
+        name = f"{route['service']}-{ONCE}"
+        routes.append(route | {"name": name, "prefix": f"/{ONCE}/", "resumable": False})
+    for route in routes:
+        route.update(timeoutMs=int(TIMEOUT_SECONDS * 1000.0), targetLatencyMs=800)
+    figures = {"slots": 16, "models": [{"name": MODEL}], "step_ms": 1.0}
+    configuration["services"] = [{"name": ENGINES, "engine": figures}, {"name": PLAIN}]
+    return configuration
+
+
+def events(first: int, last: int) -> bytes:
+    """Returns some events of the one stream that all engines send."""
+    return b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+async def work(
+    endpoint: FakeEndpoint, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Answers a request as its kind is answered, in several parts and with pauses."""
+    name = request.headers[names.REQUEST_ID.lower()]
+    endpoint.runs[name] += 1
+    if request.target.startswith(("/safe/", "/unsafe/")):
+        await asyncio.sleep(PLAIN_SECONDS)
+        head = response_head(request, endpoint, "200 OK", f"Content-Length: {2 * len(name)}")
+        for part in (head[:20], head[20:], name.encode(), name.encode()):
+            writer.write(part)
+            await asyncio.sleep(PLAIN_SECONDS)
+        return
+    await asyncio.sleep(EVENT_SECONDS)
+    more = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+    writer.write(response_head(request, endpoint, "200 OK", *more))
+    after = int(request.headers.get(names.LAST_EVENT_ID.lower(), "0"))
+    for number in range(after + 1, EVENTS + 1):
+        event = events(number, number)
+        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await asyncio.sleep(EVENT_SECONDS)
+    writer.write(b"0\r\n\r\n")
+
+
+@dataclasses.dataclass(slots=True)
+class Asked:
+    """A request of a caller, and what came of it."""
+
+    name: str
+    kind: str
+    sent_at: float
+    reply: Reply | None = None
+    seconds: float = 0.0
+
+    @property
+    def expected(self) -> bytes:
+        """The body of its answer."""
+        if self.kind in ("safe", "unsafe"):
+            return 2 * self.name.encode()
+        return events(1, EVENTS)
+
+
+class SilentMomentsTest(PausedClockCase):
+    """Two entries before three engines and three endpoints of a plain service."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.fleet = PlatformFleet()
+        await self.fleet.start()
+        self.version = 1
+        await self.change()
+        self.weights = 1
+        for service in (ENGINES, PLAIN):
+            for number in range(ENDPOINTS):
+                endpoint = await self.fleet.add_endpoint(f"{service}-{number}", service, slots=16)
+                endpoint.handler = work
+        await self.hold_weights(1)
+        await self.name_weights(1)
+        self.gateway = await self.fleet.add_gateway("entry-1", bounds=BOUNDS)
+        await self.fleet.wait_until(lambda: self.gateway.ready)
+        listed = self.gateway.state.endpoints
+        await self.fleet.wait_until(lambda: len(listed.endpoints) == 2 * ENDPOINTS)
+        self.asked: list[Asked] = []
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.stop()
+
+    async def change(self) -> None:
+        """Writes the next configuration, which differs from the last one in its version alone."""
+        self.version += 1
+        await self.fleet.store.put(names.CONFIGURATION_KEY, make_routes(self.version))
+
+    async def hold_weights(self, version: int) -> None:
+        """Registers all engines with a version of the weights."""
+        models = [{"name": MODEL, "version": version}]
+        for engine in self.fleet.endpoints[:ENDPOINTS]:
+            entry = engine.entry(slots=16, models=models)
+            await self.fleet.store.put(names.ENDPOINT_PREFIX + engine.id, entry)
+
+    async def name_weights(self, version: int) -> None:
+        """Names a version of the weights."""
+        value = {"model": MODEL, "version": version}
+        await self.fleet.store.put(names.VERSION_PREFIX + MODEL, value)
+
+    async def ask(self, service: str, kind: str) -> None:
+        """Sends a request, and records what comes of it."""
+        name = f"r{len(self.asked)}-{kind}"
+        asked = Asked(name, kind, self.loop.time())
+        self.asked.append(asked)
+        milliseconds = int(TIMEOUT_SECONDS * 1000.0)
+        asked.reply = await self.fleet.ask(
+            0, service, kind, name, seconds=TIMEOUT_SECONDS + 2.0, deadline_ms=milliseconds
+        )
+        asked.seconds = self.loop.time() - asked.sent_at
+
+    async def ask_all(self, last: float = LAST_SENT_SECONDS) -> None:
+        """Sends requests of all kinds from now on."""
+        until = self.loop.time() + last
+        asking = []
+        while self.loop.time() < until:
+            asking += [asyncio.ensure_future(self.ask(*each)) for each in KINDS]
+            await asyncio.sleep(BETWEEN_SECONDS)
+        await asyncio.gather(*asking)
+
+    async def play(
+        self,
+        endpoints: collections.abc.Iterable[FakeEndpoint],
+        beside: collections.abc.Callable[[], collections.abc.Awaitable[None]] | None = None,
+        last: float = LAST_SENT_SECONDS,
+    ) -> None:
+        """Sends requests, lets endpoints fall silent, and does something in the silence."""
+
+        async def fall_silent() -> None:
+            await asyncio.sleep(SILENT_AT_SECONDS)
+            for endpoint in endpoints:
+                endpoint.fall_silent(SILENT_SECONDS)
+            if beside is not None:
+                await beside()
+
+        await asyncio.gather(self.ask_all(last), fall_silent())
+
+    def runs(self, name: str) -> int:
+        """Returns how often a request was run."""
+        return sum(endpoint.runs[name] for endpoint in self.fleet.endpoints)
+
+    def check(self, refused: bool = False) -> None:
+        """Checks that each answer is whole and its own, and what was repeated.
+
+        Args:
+          refused: Whether requests may be refused, as an entry that stops does.
+        """
+        wrong = []
+        for asked in self.asked:
+            reply = asked.reply
+            right = reply.whole and (reply.status, reply.body) == (200, asked.expected)
+            told = refused and reply.whole and reply.status == 503 and not self.runs(asked.name)
+            if not right and not told:
+                wrong.append(f"{asked.name} {asked.seconds:.2f} {reply.status} {reply.whole}")
+        self.assertEqual(wrong, [])
+        once = [each.name for each in self.asked if each.kind in ("unsafe", ONCE)]
+        self.assertEqual([name for name in once if self.runs(name) > 1], [])
+        received = sum(len(endpoint.received) for endpoint in self.fleet.endpoints)
+        allowed = BOUNDS.retry_fraction * len(self.asked) + 2 * BOUNDS.retry_extra
+        self.assertLessEqual(received - len(self.asked), allowed)
+
+    async def test_one_of_three(self) -> None:
+        """Guards against answers that end early because their endpoint is silent."""
+        await self.play(self.fleet.endpoints[::ENDPOINTS])
+        self.check()
+
+    async def test_one_beside_an_entry_that_stops(self) -> None:
+        """Guards against answers that an entry gives up on because it stops, and their endpoint is
+        silent."""
+        await self.play(self.fleet.endpoints[::ENDPOINTS], self.gateway.stop)
+        self.check(refused=True)
+
+    async def test_all_beside_an_entry_that_stops(self) -> None:
+        """Guards against the same where nobody else can answer."""
+        await self.play(self.fleet.endpoints, self.gateway.stop, SILENT_AT_SECONDS)
+        self.check(refused=True)
+
+    async def storm(self) -> None:
+        """Writes a configuration every tenth of a second."""
+        for _ in range(20):
+            await self.change()
+            await asyncio.sleep(0.1)
+
+    async def test_one_beside_a_storm_of_configurations(self) -> None:
+        """Guards against answers that end early with a configuration."""
+        await self.play(self.fleet.endpoints[::ENDPOINTS], self.storm)
+        self.check()
+
+    async def leave(self) -> None:
+        """Lets an endpoint of each service, which may be silent, announce that it leaves."""
+        for endpoint in self.fleet.endpoints[::ENDPOINTS]:
+            models = [{"name": MODEL, "version": 1}]
+            entry = endpoint.entry(slots=16, models=models, state="draining")
+            await self.fleet.store.put(names.ENDPOINT_PREFIX + endpoint.id, entry)
+
+    async def test_one_that_leaves(self) -> None:
+        """Guards against answers that end early because their silent endpoint leaves."""
+        await self.play(self.fleet.endpoints[::ENDPOINTS], self.leave)
+        self.check()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -23,6 +23,10 @@
 # first of them are none. Over a link that loses packets, a segment is late by several hundred
 # milliseconds.
 HEAD_TIMEOUT_SECONDS = 0.6
+# What begins like a head may be one whose endpoint has fallen silent in the middle of it. A sound
+# one does so for a second or so, and a request that may run only once has no other answer.
+HEAD_START = b"HTTP/1."
+SILENT_HEAD_TIMEOUT_SECONDS = HEAD_TIMEOUT_SECONDS + 1.5
 # A reply takes up to twice the length of its body, and this much more. The frame of a chunk takes
 # six bytes, and each chunk as much processor time as a kilobyte: a reply of chunks of one byte
 # would keep the process busy for minutes before its body is too large.
@@ -63,12 +67,12 @@
     """A connection that reports the first byte of a reply, of which no reader gets to know.
 
     Attributes:
-      on_first_byte: Called once something has arrived, and then replaced by None.
+      on_first_byte: Called with the beginning of what has arrived, and then replaced by None.
       ended_by_peer: Whether the other end has closed it in order.
       received: The bytes that have arrived, with heads and the frames of chunks.
     """
 
-    on_first_byte: collections.abc.Callable[[], None] | None = None
+    on_first_byte: collections.abc.Callable[[bytes], None] | None = None
     ended_by_peer = False
     received = 0
 
@@ -81,7 +85,7 @@
             self.received += count
         if count and self.on_first_byte is not None:
             report, self.on_first_byte = self.on_first_byte, None
-            report()
+            report(bytes(buf[: min(count, len(HEAD_START))]))
         return count
 
 
@@ -236,9 +240,10 @@
             self._room_waiter.set_result(None)
         self._room_waiter = None
 
-    def _start_head_timer(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._head_timer = loop.call_later(HEAD_TIMEOUT_SECONDS, self._end_invalid)
+    def _start_head_timer(self, beginning: bytes) -> None:
+        like_head = HEAD_START.startswith(beginning)
+        timeout = SILENT_HEAD_TIMEOUT_SECONDS if like_head else HEAD_TIMEOUT_SECONDS
+        self._head_timer = asyncio.get_running_loop().call_later(timeout, self._end_invalid)
 
     def _stop_head_timer(self) -> None:
         self._stream.on_first_byte = None
