Requests wait at endpoints that are silent for a moment, where nobody else can answer

Callers were refused with "no endpoint can take it now" while all endpoints of a service were silent for 1.5 s: these were ejected after half a second, and got one probe at a time.

An endpoint that was ejected for a silence of less than 1.8 s, the longest of a sound one and the time until it is heard, may take requests where no healthy one and no probe can. What is moved away from a silent endpoint goes to healthy ones only, as before, and longer silences refuse at once.

silent_moments_test.test_all and test_all_beside_a_storm_of_configurations were red before: 23 requests each, refused with 503.

--- a/tests/silent_moments_test.py
+++ b/tests/silent_moments_test.py
@@ -219,6 +219,11 @@
         await self.play(self.fleet.endpoints[::ENDPOINTS])
         self.check()
 
+    async def test_all(self) -> None:
+        """Guards against the same, and against refusals, where nobody else can answer."""
+        await self.play(self.fleet.endpoints)
+        self.check()
+
     async def test_one_beside_an_entry_that_stops(self) -> None:
         """Guards against answers that an entry gives up on because it stops, and their endpoint is
         silent."""
@@ -241,6 +246,11 @@
         await self.play(self.fleet.endpoints[::ENDPOINTS], self.storm)
         self.check()
 
+    async def test_all_beside_a_storm_of_configurations(self) -> None:
+        """Guards against the same where nobody else can answer."""
+        await self.play(self.fleet.endpoints, self.storm)
+        self.check()
+
     async def leave(self) -> None:
         """Lets an endpoint of each service, which may be silent, announce that it leaves."""
         for endpoint in self.fleet.endpoints[::ENDPOINTS]:
--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -8,9 +8,10 @@
 The time to the first event is forecast for each endpoint from its current work. The request
 goes to the endpoint with the earliest forecast, after penalties: for endpoints that are
 assigned to another entry (endpoint_assignment.py), and a small one for endpoints in other
-regions, whose answers cross thin links. If even the earliest forecast is too late, the request
-is rejected on arrival with a Retry-After at which room is expected; waiting would only delay
-it further.
+regions, whose answers cross thin links. If all endpoints are unhealthy and some of them have
+only been silent for a moment, the request waits at one of these. If even the earliest forecast
+is too late, the request is rejected on arrival with a Retry-After at which room is expected;
+waiting would only delay it further.
 """
 
 import collections.abc
@@ -155,6 +156,8 @@
     # repeated while a healthy endpoint is available, and never one that was moved: it has
     # already waited at a stalled endpoint.
     pool = healthy if demand.moved or (demand.non_repeatable and healthy) else available
+    if not pool and not demand.moved:
+        pool = [c for c in candidates if c.load.health.is_briefly_silent(now)]
     known = len(candidates)
     if not pool:
         return Choice(None, float("inf"), retry_after_next_probe(candidates, now), known)
--- a/wasabidrum/decisions/endpoint_health.py
+++ b/wasabidrum/decisions/endpoint_health.py
@@ -9,6 +9,9 @@
 its peers, and an answer that stalls partway counts against it. A slow or failing endpoint is
 ejected at once and receives one probe request at a time, at growing intervals with jitter.
 Successful probes return it to service.
+
+A sound endpoint may also be silent for a moment. What is sent to it then is answered a little
+later, which serves callers better than a refusal if nobody else can answer.
 """
 
 import enum
@@ -22,6 +25,8 @@
 SILENT_RATIO = 20.0
 MIN_SILENCE_SECONDS = 0.5
 SILENCE_CONFIRMATION_SECONDS = 0.1
+# A sound endpoint falls silent for up to one and a half seconds, and is heard again a little later.
+MOMENTARY_SILENCE_SECONDS = 1.8
 FAILURES_TO_EJECT = 2
 FIRST_PROBE_SECONDS = 0.5
 SAMPLE_WEIGHT = 0.3
@@ -40,10 +45,12 @@
 
     __slots__ = ("_health", "_token_seconds", "_samples", "_failures", "_probe_attempts")
     __slots__ += ("_probe_at", "_probing", "_silence_detected_at", "_slow_since", "_last_slow_at")
-    __slots__ += ("_rng",)
+    __slots__ += ("_rng", "_silent_since")
 
     def __init__(self, rng: random.Random) -> None:
         self._health = Health.HEALTHY
+        # When the silence began because of which it was ejected; None if that was not the reason.
+        self._silent_since: float | None = None
         self._token_seconds = 0.0
         self._samples = 0
         self._failures = 0
@@ -76,6 +83,11 @@
             return True
         return not self._probing and now >= self._probe_at
 
+    def is_briefly_silent(self, now: float) -> bool:
+        """Returns whether it was ejected for a silence that a sound endpoint may keep as well."""
+        since = self._silent_since
+        return since is not None and now - since < MOMENTARY_SILENCE_SECONDS
+
     def record_placed(self) -> None:
         """Records that a request was sent there."""
         if self._health is not Health.HEALTHY:
@@ -133,6 +145,7 @@
         if now - self._silence_detected_at < SILENCE_CONFIRMATION_SECONDS:
             return False
         self._eject(Health.SLOW, now)
+        self._silent_since = now - seconds
         return True
 
     def record_success(self, median: float) -> bool:
@@ -144,6 +157,7 @@
         if self._health is Health.SLOW and self.token_seconds > HEALTHY_RATIO * median > 0.0:
             return False
         self._health = Health.HEALTHY
+        self._silent_since = None
         self._probe_attempts = 0
         return True
 
@@ -171,6 +185,7 @@
 
     def _eject(self, new_health: Health, now: float) -> None:
         self._health = new_health
+        self._silent_since = None
         self._slow_since = None
         self._probing = False
         self._schedule_probe(now)
