What was sent to an endpoint just before it left is not given up in a moment's silence

Callers got 502 where their endpoint announced that it leaves and was silent for 1.5 s: 1.3 s after the notice, 0.7 s before the bound, what had not begun there was recalled, and no retry was left. The endpoint answered 0.01 s later.

A request that has waited for less than 1.8 s, the longest silence of a sound endpoint and the time until its answer arrives, is now recalled 0.4 s before the bound, the margin that the bound of weights has. Others keep the 0.7 s, and what may have reached the endpoint late is no more than what was sent in the last half second before the notice.

silent_moments_test has a third service, whose answers take so little time that a silence of half a second ejects its endpoints, and more requests around the beginning of the silence.

--- a/tests/silent_moments_test.py
+++ b/tests/silent_moments_test.py
@@ -24,11 +24,16 @@
 MODEL = "m1"
 ENGINES = "text"
 PLAIN = "tally"
+# Its answers take so little time that a moment's silence is told from them.
+QUICK = "lookup"
+SERVICES = (ENGINES, PLAIN, QUICK)
+SLOTS = 64
 ENDPOINTS = 3
 SILENT_SECONDS = 1.5
 EVENTS = 8
 EVENT_SECONDS = 0.1
-PLAIN_SECONDS = 0.12
+# Between two parts of an answer that isn't streamed.
+PART_SECONDS = {PLAIN: 0.12, QUICK: 0.01}
 # Routes and callers allow so much.
 TIMEOUT_SECONDS = 6.0
 # Callers leave a stream after such a pause.
@@ -37,7 +42,10 @@
 SILENT_AT_SECONDS = 1.0
 LAST_SENT_SECONDS = 3.0
 BETWEEN_SECONDS = 0.07
-BOUNDS = Bounds(version=2.0, retry_fraction=0.2, retry_extra=10.0)
+# Of each kind, that reach endpoints just before the silence, and again just after its beginning.
+MANY = 4
+MOMENT_SECONDS = 0.005
+BOUNDS = Bounds(version=4.0, retry_fraction=0.2, retry_extra=10.0)
 # The prefix of streams that can't be resumed.
 ONCE = "once"
 KINDS = (
@@ -47,20 +55,26 @@
     (PLAIN, "unsafe"),
     (PLAIN, "streaming"),
     (PLAIN, ONCE),
+    (QUICK, "safe"),
+    (QUICK, "unsafe"),
 )
 
 
 def make_routes(version: int) -> dict:
     """Returns a configuration with all kinds of requests to engines and to a plain service."""
-    configuration = make_configuration(version, ENGINES, PLAIN)
+    configuration = make_configuration(version, *SERVICES)
     routes = configuration["routes"]
     for route in [each for each in routes if each["type"] == "streaming"]:
         name = f"{route['service']}-{ONCE}"
         routes.append(route | {"name": name, "prefix": f"/{ONCE}/", "resumable": False})
     for route in routes:
         route.update(timeoutMs=int(TIMEOUT_SECONDS * 1000.0), targetLatencyMs=800)
-    figures = {"slots": 16, "models": [{"name": MODEL}], "step_ms": 1.0}
-    configuration["services"] = [{"name": ENGINES, "engine": figures}, {"name": PLAIN}]
+    figures = {"slots": SLOTS, "models": [{"name": MODEL}], "step_ms": 1.0}
+    configuration["services"] = [
+        {"name": ENGINES, "engine": figures},
+        {"name": PLAIN},
+        {"name": QUICK},
+    ]
     return configuration
 
 
@@ -76,11 +90,12 @@
     name = request.headers[names.REQUEST_ID.lower()]
     endpoint.runs[name] += 1
     if request.target.startswith(("/safe/", "/unsafe/")):
-        await asyncio.sleep(PLAIN_SECONDS)
+        pause = PART_SECONDS[endpoint.service]
+        await asyncio.sleep(pause)
         head = response_head(request, endpoint, "200 OK", f"Content-Length: {2 * len(name)}")
         for part in (head[:20], head[20:], name.encode(), name.encode()):
             writer.write(part)
-            await asyncio.sleep(PLAIN_SECONDS)
+            await asyncio.sleep(pause)
         return
     await asyncio.sleep(EVENT_SECONDS)
     more = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
@@ -112,7 +127,7 @@
 
 
 class SilentMomentsTest(PausedClockCase):
-    """Two entries before three engines and three endpoints of a plain service."""
+    """An entry before three engines and three endpoints of each of two plain services."""
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -121,16 +136,18 @@
         self.version = 1
         await self.change()
         self.weights = 1
-        for service in (ENGINES, PLAIN):
+        for service in SERVICES:
             for number in range(ENDPOINTS):
-                endpoint = await self.fleet.add_endpoint(f"{service}-{number}", service, slots=16)
+                endpoint = await self.fleet.add_endpoint(
+                    f"{service}-{number}", service, slots=SLOTS
+                )
                 endpoint.handler = work
         await self.hold_weights(1)
         await self.name_weights(1)
         self.gateway = await self.fleet.add_gateway("entry-1", bounds=BOUNDS)
         await self.fleet.wait_until(lambda: self.gateway.ready)
         listed = self.gateway.state.endpoints
-        await self.fleet.wait_until(lambda: len(listed.endpoints) == 2 * ENDPOINTS)
+        await self.fleet.wait_until(lambda: len(listed.endpoints) == len(SERVICES) * ENDPOINTS)
         self.asked: list[Asked] = []
 
     async def asyncTearDown(self) -> None:
@@ -145,7 +162,7 @@
         """Registers all engines with a version of the weights."""
         models = [{"name": MODEL, "version": version}]
         for engine in self.fleet.endpoints[:ENDPOINTS]:
-            entry = engine.entry(slots=16, models=models)
+            entry = engine.entry(slots=SLOTS, models=models)
             await self.fleet.store.put(names.ENDPOINT_PREFIX + engine.id, entry)
 
     async def name_weights(self, version: int) -> None:
@@ -181,6 +198,9 @@
     ) -> None:
         """Sends requests, lets endpoints fall silent, and does something in the silence."""
 
+        async def ask_many() -> None:
+            await asyncio.gather(*(self.ask(*each) for each in KINDS * MANY))
+
         async def fall_silent() -> None:
             await asyncio.sleep(SILENT_AT_SECONDS)
             for endpoint in endpoints:
@@ -188,7 +208,13 @@
             if beside is not None:
                 await beside()
 
-        await asyncio.gather(self.ask_all(last), fall_silent())
+        async def ask_around() -> None:
+            await asyncio.sleep(SILENT_AT_SECONDS - MOMENT_SECONDS)
+            before = asyncio.ensure_future(ask_many())
+            await asyncio.sleep(2.0 * MOMENT_SECONDS)
+            await asyncio.gather(before, ask_many())
+
+        await asyncio.gather(self.ask_all(last), fall_silent(), ask_around())
 
     def runs(self, name: str) -> int:
         """Returns how often a request was run."""
@@ -211,7 +237,7 @@
         once = [each.name for each in self.asked if each.kind in ("unsafe", ONCE)]
         self.assertEqual([name for name in once if self.runs(name) > 1], [])
         received = sum(len(endpoint.received) for endpoint in self.fleet.endpoints)
-        allowed = BOUNDS.retry_fraction * len(self.asked) + 2 * BOUNDS.retry_extra
+        allowed = BOUNDS.retry_fraction * len(self.asked) + len(SERVICES) * BOUNDS.retry_extra
         self.assertLessEqual(received - len(self.asked), allowed)
 
     async def test_one_of_three(self) -> None:
@@ -255,7 +281,7 @@
         """Lets an endpoint of each service, which may be silent, announce that it leaves."""
         for endpoint in self.fleet.endpoints[::ENDPOINTS]:
             models = [{"name": MODEL, "version": 1}]
-            entry = endpoint.entry(slots=16, models=models, state="draining")
+            entry = endpoint.entry(slots=SLOTS, models=models, state="draining")
             await self.fleet.store.put(names.ENDPOINT_PREFIX + endpoint.id, entry)
 
     async def test_one_that_leaves(self) -> None:
--- a/wasabidrum/decisions/endpoint_health.py
+++ b/wasabidrum/decisions/endpoint_health.py
@@ -25,8 +25,9 @@
 SILENT_RATIO = 20.0
 MIN_SILENCE_SECONDS = 0.5
 SILENCE_CONFIRMATION_SECONDS = 0.1
-# A sound endpoint falls silent for up to one and a half seconds, and is heard again a little later.
-MOMENTARY_SILENCE_SECONDS = 1.8
+# A sound endpoint falls silent for up to one and a half seconds. This includes the time in which
+# its next event or answer arrives.
+MAX_SOUND_SILENCE_SECONDS = 1.8
 FAILURES_TO_EJECT = 2
 FIRST_PROBE_SECONDS = 0.5
 SAMPLE_WEIGHT = 0.3
@@ -86,7 +87,7 @@
     def is_briefly_silent(self, now: float) -> bool:
         """Returns whether it was ejected for a silence that a sound endpoint may keep as well."""
         since = self._silent_since
-        return since is not None and now - since < MOMENTARY_SILENCE_SECONDS
+        return since is not None and now - since < MAX_SOUND_SILENCE_SECONDS
 
     def record_placed(self) -> None:
         """Records that a request was sent there."""
--- a/wasabidrum/decisions/request_recall.py
+++ b/wasabidrum/decisions/request_recall.py
@@ -22,7 +22,9 @@
   the work would be done twice. Where no other endpoint has a slot, it stays and is served there.
 - A request that has not started at a stalled endpoint, which has been leaving or gone for as long
   as the bound allows, is recalled if it may run again. A request that may run only once stays,
-  because its answer may be on the way; its route's timeout ends it.
+  because its answer may be on the way; its route's timeout ends it. A sound endpoint may be silent
+  for a second or so when it leaves, so what was sent just before has that time first, as far as the
+  bound allows.
 - A stream that has not started is answered shortly before its caller gives up. A suspended engine
   that wakes up starts the requests that it has read before it looks at its connections; if the
   caller has left by then, nothing can recall the request.
@@ -32,7 +34,7 @@
 import dataclasses
 import enum
 
-from .endpoint_health import is_silent
+from .endpoint_health import MAX_SOUND_SILENCE_SECONDS, is_silent
 
 BOUND_MARGIN_SECONDS = 0.4
 RETIRED_MARGIN_SECONDS = 0.7
@@ -66,6 +68,7 @@
         forwarded.
       reserve: Reserves a slot at another endpoint and a retry; returns whether both were
         available. Called only if all other conditions for a move are met.
+      waited: Seconds since it was sent, or since its last event.
       waits_evacuated: Whether its endpoint may get no more requests because its data centre is
         evacuated, and has requests that wait.
     """
@@ -78,6 +81,7 @@
     retired_seconds: float
     caller_leaves_in: float
     reserve: collections.abc.Callable[[], bool]
+    waited: float = float("inf")
     waits_evacuated: bool = False
 
 
@@ -101,6 +105,8 @@
     if request.repeatable and request.reserve():
         return RecallReason.ENDPOINT_SILENT
     retired = request.retired_seconds >= drain - RETIRED_MARGIN_SECONDS
+    if request.waited < MAX_SOUND_SILENCE_SECONDS:
+        retired = request.retired_seconds >= drain - BOUND_MARGIN_SECONDS
     if retired and request.repeatable and not request.begun:
         return RecallReason.ENDPOINT_RETIRED
     return None
--- a/wasabidrum/decisions/request_recall_test.py
+++ b/wasabidrum/decisions/request_recall_test.py
@@ -83,6 +83,15 @@
         self.assertEqual(reason, RecallReason.ENDPOINT_RETIRED)
         self.assertAlmostEqual(at, 2.0 + DRAIN_SECONDS - RETIRED_MARGIN_SECONDS, delta=0.11)
 
+    def test_a_request_sent_just_before_its_engine_leaves_waits_for_longer(self) -> None:
+        """Guards against a request that is given up at a sound engine that leaves and is silent for
+        a second and a half, and against one that is kept there until the bound."""
+        waiting = dataclasses.replace(REQUEST, silent=True, reserve=refuse, waited=1.5)
+        stays = dataclasses.replace(waiting, retired_seconds=1.5)
+        self.assertIsNone(recall_reason(stays, DRAIN_SECONDS))
+        overdue = dataclasses.replace(waiting, retired_seconds=1.6)
+        self.assertEqual(recall_reason(overdue, DRAIN_SECONDS), RecallReason.ENDPOINT_RETIRED)
+
     def test_a_request_that_may_run_once_is_recalled_only_for_its_weights(self) -> None:
         """If a charge were moved, it could run twice. A request that would start on replaced
         weights is recalled nevertheless, and its caller gets the outcome "unknown"."""
--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -145,6 +145,7 @@
                 ),
                 retired_seconds=now - self._retired_at.get(placement.endpoint.id, now),
                 caller_leaves_in=attempt.seconds_until_disconnect,
+                waited=loop_now - attempt.last_activity_at,
                 reserve=attempt.reserve_elsewhere,
                 waits_evacuated=self._state.evacuations.is_evacuated(placement.endpoint.data_centre)
                 and placement.load.reports_waiting(loop_now),
