An endpoint that was only silent is back in use with the first sign of it

Engines that had been silent for a moment got single probes until one of their streams had ended, 0.8 s and more after they went on. Meanwhile requests were refused as overloaded or without an endpoint, as nobody else could take them.

An endpoint that was ejected for its silence is healthy again once an event of any stream arrives. One that was ejected for failures still has to answer in full.

--- a/tests/silent_moments_test.py
+++ b/tests/silent_moments_test.py
@@ -19,6 +19,7 @@
 )
 from tests.paused_clock import PausedClockCase
 from wasabidrum.config.deployment import Bounds
+from wasabidrum.decisions.endpoint_health import Health
 from wasabidrum.platform import names
 
 MODEL = "m1"
@@ -250,6 +251,21 @@
         await self.play(self.fleet.endpoints)
         self.check()
 
+    async def test_engines_are_back_in_use_with_their_first_event(self) -> None:
+        """Guards against endpoints that take no requests until one of their streams has ended."""
+        playing = asyncio.ensure_future(self.play(self.fleet.endpoints, last=0.0))
+        await asyncio.sleep(SILENT_AT_SECONDS + SILENT_SECONDS - EVENT_SECONDS)
+        self.assertEqual(self.ejected_engines(), ENDPOINTS)
+        await asyncio.sleep(3.0 * EVENT_SECONDS)
+        self.assertEqual(self.ejected_engines(), 0)
+        await playing
+
+    def ejected_engines(self) -> int:
+        """Returns how many engines are not healthy for the entry."""
+        placer, listed = self.gateway.placer, self.gateway.state.endpoints
+        loads = (placer.load_of(listed.get(each.id)) for each in self.fleet.endpoints[:ENDPOINTS])
+        return sum(load.health.health is not Health.HEALTHY for load in loads)
+
     async def test_one_beside_an_entry_that_stops(self) -> None:
         """Guards against answers that an entry gives up on because it stops, and their endpoint is
         silent."""
@@ -289,6 +305,11 @@
         await self.play(self.fleet.endpoints[::ENDPOINTS], self.leave)
         self.check()
 
+    async def test_all_while_one_leaves(self) -> None:
+        """Guards against the same where nobody else can answer."""
+        await self.play(self.fleet.endpoints, self.leave)
+        self.check()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wasabidrum/decisions/endpoint_health.py
+++ b/wasabidrum/decisions/endpoint_health.py
@@ -149,6 +149,17 @@
         self._silent_since = now - seconds
         return True
 
+    def record_heard(self) -> bool:
+        """Records that something of an answer arrived; returns whether the health changed.
+
+        An endpoint that was only silent is sound again with the first sign of it. A whole answer
+        may take seconds more, in which the others would have to take its requests.
+        """
+        if self._silent_since is None:
+            return False
+        self._return()
+        return True
+
     def record_success(self, median: float) -> bool:
         """Records a complete answer; returns whether the health changed."""
         self._failures = 0
@@ -157,9 +168,7 @@
             return False
         if self._health is Health.SLOW and self.token_seconds > HEALTHY_RATIO * median > 0.0:
             return False
-        self._health = Health.HEALTHY
-        self._silent_since = None
-        self._probe_attempts = 0
+        self._return()
         return True
 
     def record_failure(self, now: float) -> bool:
@@ -184,6 +193,12 @@
             self._probing = False
             self._schedule_probe(now)
 
+    def _return(self) -> None:
+        self._health = Health.HEALTHY
+        self._silent_since = None
+        self._probing = False
+        self._probe_attempts = 0
+
     def _eject(self, new_health: Health, now: float) -> None:
         self._health = new_health
         self._silent_since = None
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -487,7 +487,7 @@
             self._progress.weights = self._placement.weights
             await self._exchange.start_stream(head)
         self._last_activity_at = self._progress.last_event_at = loop.time()
-        self._placement.load.record_progress(self._last_activity_at)
+        self._gateway.placer.record_progress(self._placement, self._last_activity_at)
 
     def _limit_deadline(self) -> float:
         """Returns the seconds that the endpoint gets, and records if it is to stop early."""
--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -131,7 +131,7 @@
             placement = attempt.placement
             if attempt.waits_for_caller:
                 # The endpoint has sent more than the caller has read, and is not silent.
-                placement.load.record_progress(attempt.last_activity_at)
+                self._placer.record_progress(placement, attempt.last_activity_at)
             if not attempt.response_started:
                 self._placer.record_waiting(placement, attempt.last_activity_at)
             waiting = PlacedRequest(
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -443,6 +443,12 @@
             placement.raw_forecast_seconds, seconds, now
         )
 
+    def record_progress(self, placement: Placement, at: float) -> None:
+        """Records that something of an answer arrived, at a time by the event loop's clock."""
+        placement.load.record_progress(at)
+        if placement.load.health.record_heard():
+            self._record_returned(placement)
+
     def record_waiting(self, placement: Placement, placed_at: float) -> None:
         """Records that a request has not begun yet, and by how much its forecast is exceeded."""
         now = asyncio.get_running_loop().time()
@@ -467,12 +473,15 @@
         """Records a complete reply."""
         placement.load.record_outcome(False, asyncio.get_running_loop().time())
         if placement.load.health.record_success(0.0):
-            self._log.write(Event.ENDPOINT_RETURNED, endpoint=placement.endpoint.id)
-            # One whose answers were late or lost meanwhile has not started again.
-            if self._cold_rule is not None and placement.load.unreachable:
-                self._cold_rule.record_returned(placement.endpoint)
+            self._record_returned(placement)
         placement.load.unreachable = False
 
+    def _record_returned(self, placement: Placement) -> None:
+        self._log.write(Event.ENDPOINT_RETURNED, endpoint=placement.endpoint.id)
+        # One whose answers were late or lost meanwhile has not started again.
+        if self._cold_rule is not None and placement.load.unreachable:
+            self._cold_rule.record_returned(placement.endpoint)
+
     def record_inconclusive_end(self, placement: Placement) -> None:
         """Records the end of a request that says nothing about the endpoint's health."""
         placement.load.health.end_probe(asyncio.get_running_loop().time())
