--- a/wasabidrum/gateway/attempts_in_progress.py
+++ b/wasabidrum/gateway/attempts_in_progress.py
@@ -131,7 +131,7 @@
             placement = attempt.placement
             if attempt.waits_for_caller:
                 # The endpoint has sent more than the caller has read, and is not silent.
-                placement.load.record_progress(attempt.last_activity_at)
+                self._placer.record_progress(placement, attempt.last_activity_at)
             if not attempt.response_started:
                 self._placer.record_waiting(placement, attempt.last_activity_at)
             waiting = PlacedRequest(
@@ -145,6 +145,7 @@
                 ),
                 retired_seconds=now - self._retired_at.get(placement.endpoint.id, now),
                 caller_leaves_in=attempt.seconds_until_disconnect,
+                waited=loop_now - attempt.last_activity_at,
                 reserve=attempt.reserve_elsewhere,
                 waits_evacuated=self._state.evacuations.is_evacuated(placement.endpoint.data_centre)
                 and placement.load.reports_waiting(loop_now),
