A head that trickles in is no head whose endpoint is silent

Change: after 0.6 s a head is waited for only if nothing has arrived for 0.3 s, and until 1.7 s after the last byte.

--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -23,10 +23,12 @@
 # first of them are none. Over a link that loses packets, a segment is late by several hundred
 # milliseconds.
 HEAD_TIMEOUT_SECONDS = 0.6
-# What begins like a head may be one whose endpoint has fallen silent in the middle of it. A sound
-# one does so for a second or so, and a request that may run only once has no other answer.
+# What begins like a head and then pauses may be one whose endpoint has fallen silent in the middle
+# of it. A sound one does so for a second or so, and a request that may run only once has no other
+# answer. A head that trickles in without a pause is none.
 HEAD_START = b"HTTP/1."
-SILENT_HEAD_TIMEOUT_SECONDS = HEAD_TIMEOUT_SECONDS + 1.5
+SILENT_HEAD_PAUSE_SECONDS = 0.3
+SILENT_HEAD_SECONDS = 1.7
 # A reply takes up to twice the length of its body, and this much more. The frame of a chunk takes
 # six bytes, and each chunk as much processor time as a kilobyte: a reply of chunks of one byte
 # would keep the process busy for minutes before its body is too large.
@@ -70,11 +72,13 @@
       on_first_byte: Called with the beginning of what has arrived, and then replaced by None.
       ended_by_peer: Whether the other end has closed it in order.
       received: The bytes that have arrived, with heads and the frames of chunks.
+      received_at: When the last of them arrived, by the event loop's clock.
     """
 
     on_first_byte: collections.abc.Callable[[bytes], None] | None = None
     ended_by_peer = False
     received = 0
+    received_at = 0.0
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads what has arrived; see BaseIOStream."""
@@ -83,6 +87,7 @@
             self.ended_by_peer = True
         elif count:
             self.received += count
+            self.received_at = asyncio.get_running_loop().time()
         if count and self.on_first_byte is not None:
             report, self.on_first_byte = self.on_first_byte, None
             report(bytes(buf[: min(count, len(HEAD_START))]))
@@ -241,9 +246,20 @@
         self._room_waiter = None
 
     def _start_head_timer(self, beginning: bytes) -> None:
-        like_head = HEAD_START.startswith(beginning)
-        timeout = SILENT_HEAD_TIMEOUT_SECONDS if like_head else HEAD_TIMEOUT_SECONDS
-        self._head_timer = asyncio.get_running_loop().call_later(timeout, self._end_invalid)
+        on_timeout = self._end_invalid
+        if HEAD_START.startswith(beginning):
+            on_timeout = self._wait_for_silent_head
+        loop = asyncio.get_running_loop()
+        self._head_timer = loop.call_later(HEAD_TIMEOUT_SECONDS, on_timeout)
+
+    def _wait_for_silent_head(self) -> None:
+        """Waits on for a head if nothing of it has arrived lately."""
+        loop = asyncio.get_running_loop()
+        received_at = self._stream.received_at
+        if loop.time() - received_at < SILENT_HEAD_PAUSE_SECONDS:
+            self._end_invalid()
+            return
+        self._head_timer = loop.call_at(received_at + SILENT_HEAD_SECONDS, self._end_invalid)
 
     def _stop_head_timer(self) -> None:
         self._stream.on_first_byte = None
