A request that is read as the grace period ends is refused

What callers saw: a whole request that was read in the last iteration of the event loop before an entry ends got no answer, as its task was cancelled before its first step, where nothing answers for it. Found in the review, by reading.

Change: such a request has not run, and is refused (503, Retry-After).

--- a/tests/stop_between_requests_test.py
+++ b/tests/stop_between_requests_test.py
@@ -1,6 +1,7 @@
 """Requests that arrive on kept connections in the moment in which an entry stops."""
 
 import asyncio
+import collections.abc
 import re
 import unittest
 import unittest.mock
@@ -175,6 +176,24 @@
         self.assertEqual(self.answered["last"].status, 504)
         self.assertTrue(self.answered["last"].whole)
 
+    async def test_request_that_is_read_as_the_grace_period_ends(self) -> None:
+        """Guards against a request whose task is cancelled before its first step, and whose caller
+        is told nothing."""
+        start = self.daemon.tasks.start
+
+        def start_cancelled(name: str, work: collections.abc.Coroutine) -> asyncio.Task:
+            task = start(name, work)
+            if name == "request":
+                task.cancel()
+            return task
+
+        with unittest.mock.patch.object(
+            type(self.daemon.tasks), "start", side_effect=start_cancelled
+        ):
+            async with asyncio.timeout(5.0):
+                await self.ask(*await self.connect(), "last")
+        self.assertEqual(self.answered["last"].status, 503)
+
     async def test_half_a_request_does_not_hold_up_the_stop(self) -> None:
         """Guards against an entry that waits for callers who never send the rest of a request."""
         for sent in (b"POST /safe/a HT", b"POST /safe/a HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"):
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -112,8 +112,13 @@
         """Starts to serve the request, which has now been received completely."""
         self._connection.set_close_callback(self.on_disconnect)
         self._task = self._gateway.tasks.start("request", self._run())
-        # Also if it is cancelled before it has begun to run.
-        self._task.add_done_callback(lambda task: self._buffers.close())
+        self._task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        self._buffers.close()
+        if task.cancelled() and not self._completed and not self._connection.stream.closed():
+            # The entry has ended before the task could begin.
+            self._send_error(leaving_error())
 
     def refuse_part(self) -> bytes:
         """See RefusesPart."""
