The log names requests that cross the close of their connection

What operators saw: nothing of such a request but a count, so that a record with its id could not be matched.

Change: request_refused, code connection_closed, status 408, with the request's id.

--- a/tests/ending_ports_test.py
+++ b/tests/ending_ports_test.py
@@ -19,6 +19,7 @@
 from wasabidrum.config.settings import EndpointSettings, PlatformSettings, Settings
 from wasabidrum.entry import daemon as own_entry
 from wasabidrum.gateway import daemon as gateway
+from wasabidrum.observe import event_log
 from wasabidrum.sidecar import daemon as own_sidecar
 from wasabidrum.sidecar.deployed import make_deployed_sidecar
 from wasabidrum.weights.chunk_member import CHUNK_PORT_OFFSET
@@ -369,6 +370,13 @@
 class GatewayCallersTest(GatewayCase, EndingPortsTests, SlowBodyTests, CrossingTests):
     """The port for callers."""
 
+    async def test_request_that_crosses_the_close_of_its_connection(self) -> None:
+        """See CrossingTests; also guards against such a request that no line of the log names."""
+        with unittest.mock.patch.object(event_log.EventLog, "write") as log:
+            await super().test_request_that_crosses_the_close_of_its_connection()
+        codes = [call.kwargs.get("code") for call in log.call_args_list]
+        self.assertIn("connection_closed", codes)
+
     def find_targets(self) -> dict[int, str]:
         return {self.deployment.callers.port: "/safe/a"}
 
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -66,6 +66,7 @@
         # Whether an endpoint may have received the request.
         self._forwarded = False
         # Whether a response was passed on to the connection, and whether all of it was.
+        self._part_refused = False
         self._response_begun = False
         self._response_ended = False
         # The configuration in force when its head was read.
@@ -120,8 +121,20 @@
             # The entry has ended before the task could begin.
             self._send_error(leaving_error())
 
+    def record_crossed(
+        self, start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+    ) -> None:
+        """See NotesCrossing."""
+        if self._part_refused:
+            return
+        self._started_at = asyncio.get_running_loop().time()
+        self._head = heads.read_request(start_line, headers)
+        message = "the connection was closed as the request came"
+        self._log_error(CodedError("connection_closed", message, 408))
+
     def refuse_part(self) -> bytes:
         """See RefusesPart."""
+        self._part_refused = True
         if self._head is None:
             self._started_at = asyncio.get_running_loop().time()
         error = leaving_error()
--- a/wasabidrum/wire/watched_request.py
+++ b/wasabidrum/wire/watched_request.py
@@ -14,6 +14,16 @@
         """Records that the request is refused, and returns the whole response."""
 
 
+@typing.runtime_checkable
+class NotesCrossing(typing.Protocol):
+    """A request delegate that notes a request that came after the word of the close."""
+
+    def record_crossed(
+        self, start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+    ) -> None:
+        """Records that the request was answered with the server's response for idle connections."""
+
+
 class WatchedRequest(httputil.HTTPMessageDelegate):
     """Passes a request on to its delegate, and notes how much of it was received.
 
@@ -76,6 +86,8 @@
         if self._refused:
             self.begun_after_refusal = True
             self.input_at = self.begun_at
+            if isinstance(self.delegate, NotesCrossing):
+                self.delegate.record_crossed(start_line, headers)
             return None
         self._passed_on = True
         return self.delegate.headers_received(start_line, headers)
