Logs tell a caller's deadline from its route's time-out

The line of a request that failed because its time was up holds the seconds that it had and its route's time-out as of when it was accepted, beside the attempts and the events passed on. A stream that is cut at a time-out that a configuration has shortened could not be told from one that is cut at its caller's deadline. Changes no behaviour.

--- a/tests/configuration_under_requests_test.py
+++ b/tests/configuration_under_requests_test.py
@@ -286,6 +286,17 @@
         (end,) = (line for line in lines if line["event"] == "request_done")
         self.assertEqual((end["head_revision"], end["revision"]), (1, 2))
 
+    async def test_log_of_a_request_whose_time_is_up(self) -> None:
+        """Guards against a log that does not tell a caller's deadline from a route's time-out."""
+        for number, deadline_ms in enumerate((300, 20_000)):
+            request_id = f"placed-{number}"
+            await self.fleet.ask(
+                0, SERVICE, "safe", request_id, KEY, seconds=15.0, deadline_ms=deadline_ms
+            )
+            lines = self.gateway.log.buffer.find(request_id)
+            (end,) = (line for line in lines if line["event"] == "request_failed")
+            self.assertEqual((end["allowed"], end["timeout"]), (min(deadline_ms, 9000) / 1000, 9.0))
+
     async def test_storm_that_holds_up_the_event_loop(self) -> None:
         """The same under a configuration each 50 ms, each of which holds up the event loop."""
         decode = published_records.decode_configuration
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -407,13 +407,18 @@
     def _give_up(self, error: AttemptError) -> None:
         """Ends the request after its last attempt has failed."""
         facts = {"events": self._progress.event_count, "attempts": self._history.sends}
+        late = self._call.seconds_left <= MIN_USEFUL_SECONDS
+        if late:
+            # The shorter one of the caller's deadline and the route's timeout, and the latter.
+            allowed = self._call.deadline - self._call.arrived_at
+            facts |= {"allowed": round(allowed, 3), "timeout": self._call.route.timeout}
+        self._exchange.add_log_facts(**facts)
         if self._exchange.streaming:
-            self._exchange.abort_stream(error.code, **facts)
+            self._exchange.abort_stream(error.code)
             return
         if error.reply is not None and error.end is AttemptEnd.FAILED:
-            self._exchange.send_reply(error.reply, **facts)
+            self._exchange.send_reply(error.reply)
             return
-        late = self._call.seconds_left <= MIN_USEFUL_SECONDS
         status = self._history.final_status(late)
         outcome = Outcome.UNKNOWN if self._history.may_have_run else Outcome.NOT_RUN
         retry = self._retry_after_not_run() if outcome is Outcome.NOT_RUN else None
