--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -128,6 +128,7 @@
             lambda: self.requests.count,
         )
         add("requests_waiting", "Requests that wait for their turn.", lambda: scheduler.waiting)
+        add("endpoints_resting", "Endpoints that want no requests.", lambda: scheduler.resting)
         add("endpoints_known", "Endpoints in this entry's table.", lambda: len(self.table.views))
         add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
 
@@ -148,7 +149,7 @@
             end_internal_connections(internal),
         )
         for server in self._servers:
-            server.counts.write(self.log, server.port, late)
+            server.counts.write(self.log, server.port, late, server.count_closes())
         await self.tasks.cancel_all()
         await self.node.stop()
         self.log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -25,6 +25,7 @@
 from ..weights.weights_relay import make_weights_relay
 from ..wire import http_client
 from ..wire.ending_server import (
+    IDLE_RESPONSE,
     INTERNAL_SECONDS,
     MAX_UNUSED_BODY_BYTES,
     EndingServer,
@@ -247,6 +248,7 @@
             "end",
             server.count_closes,
         )
+        server.idle_response = IDLE_RESPONSE
         server.timeouts.find_published = lambda: self._caller_limits.idle_timeout
         self._listen(server, deployment.callers)
         arguments = {"gateway": self}
@@ -305,7 +307,7 @@
         )
         for server in self._servers:
             late = spent - LOAD_BALANCER_DELAY_SECONDS
-            server.counts.write(self.log, server.port, late)
+            server.counts.write(self.log, server.port, late, server.count_closes())
         await self.tasks.cancel_all()
         await self.peers.stop()
         self.log.write(Event.DAEMON_STOPPED, in_progress=self.requests.count)
--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -20,6 +20,7 @@
     """
 
     __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
+    __slots__ += ("_crossed", "_ended_idle", "_may_end_answer", "_stage", "_close_fd")
 
     def __init__(self, stream: iostream.IOStream, accepted_at: float) -> None:
         """Creates a connection.
@@ -33,6 +34,14 @@
         self._accepted_at = accepted_at
         self._requests = 0
         self._lingers_since: float | None = None
+        self._crossed = False
+        self._ended_idle = False
+        # Whether the close may be the end of the last answer.
+        self._may_end_answer = False
+        self._stage = CloseStage.UNREAD
+        self._close_fd = stream.close_fd
+        # A handler may go on to answer after the close, and seem to have answered before it.
+        stream.close_fd = self._record_close
 
     @property
     def is_open(self) -> bool:
@@ -51,12 +60,17 @@
 
     @property
     def close_stage(self) -> CloseStage:
-        """What has become of its latest request."""
-        request = self.latest
-        if request is None:
-            return CloseStage.UNREAD
-        state = LatestRequest(self.has_part, request.received, request.answered, request.finished)
-        return connection_close.close_stage(state)
+        """What had become of its latest request when it was closed."""
+        if self._ended_idle:
+            return CloseStage.ANSWERED if self.has_crossed else CloseStage.UNREAD
+        return self._stage
+
+    @property
+    def has_crossed(self) -> bool:
+        """Whether a request came after the connection was closed as one that waits for it."""
+        if not self._ended_idle:
+            return False
+        return self._crossed or self.latest.begun_after_refusal or self.has_part
 
     @property
     def is_unanswered(self) -> bool:
@@ -65,6 +79,11 @@
 
     def add_request(self, request: WatchedRequest) -> None:
         """Records that another request is waited for."""
+        if self.latest is not None and self._stream.closed():
+            # The loop of a connection that was closed under an answer goes on to the next request.
+            return
+        self._crossed = self.has_crossed
+        self._may_end_answer = self.latest is not None and self.latest.ends_with_connection
         self.latest = request
         self._requests += 1
 
@@ -95,27 +114,57 @@
         if isinstance(request.delegate, RefusesPart):
             response = request.delegate.refuse_part()
         self._stream.write(response)
-        self.linger(now)
+        self.linger(CloseCause.SERVER_ENDS, now)
 
-    def linger(self, now: float) -> None:
+    def end_waiting(self, response: bytes, cause: CloseCause, now: float) -> None:
+        """Closes a connection that waits for a request, and answers one that crosses the close.
+
+        Args:
+          response: What its caller reads as the answer to such a request, or to the part that it
+            has sent, and otherwise as the reason of the close; empty to close it at once.
+        """
+        if not response or self._may_end_answer:
+            self.close(cause)
+            return
+        self._ended_idle = not self.has_part
+        self._stream.write(response)
+        if self._stream.writing():
+            # Its caller reads nothing, or its TLS handshake is not complete.
+            self.close(cause)
+            return
+        self.linger(cause, now)
+
+    def linger(self, cause: CloseCause, now: float) -> None:
         """Closes the connection for writing once its answer is sent; reads on, and discards."""
+        self.close_cause = cause
         self.latest.refuse()
         self._lingers_since = now
         self.update(now)
 
     def update(self, now: float) -> None:
         """Closes the connection if it has lingered long enough."""
-        if self._lingers_since is None or not self.is_open or self._stream.writing():
+        if self._lingers_since is None or not self.is_open:
+            return
+        if self._stream.writing():
+            if connection_end.has_lingered_long(self._lingers_since, now):
+                self._stream.close()
             return
         if connection_end.has_lingered(self._lingers_since, self.latest.input_at, now):
-            self.close(CloseCause.SERVER_ENDS)
+            self._stream.close()
             return
         try:
             # Of the socket itself: a TLS socket would give up its session, and with it the reading.
             socket.socket.shutdown(self._stream.socket, socket.SHUT_WR)
         except OSError:
             # The caller has reset the connection, or the system knows no half-closed ones.
-            self.close(CloseCause.SERVER_ENDS)
+            self._stream.close()
+
+    def _record_close(self) -> None:
+        if (request := self.latest) is not None:
+            self._stage = connection_close.close_stage(
+                LatestRequest(self.has_part, request.received, request.answered, request.finished)
+            )
+        self._close_fd()
 
     def close(self, cause: CloseCause) -> None:
         """Closes the connection."""
--- a/wasabidrum/wire/watched_request.py
+++ b/wasabidrum/wire/watched_request.py
@@ -21,8 +21,11 @@
       delegate: Receives the request.
       begun_at: When its head was received, by the event loop's clock; None before.
       received: Whether it was received completely.
-      input_at: When a part of its body was last received after it was refused, by the event
-        loop's clock.
+      begun_after_refusal: Whether its head was received after it was refused.
+      ends_with_connection: Whether its answer may end only with the connection, as one without a
+        length does in HTTP/1.0.
+      input_at: When its head or a part of its body was last received after it was refused, by the
+        event loop's clock.
     """
 
     def __init__(
@@ -31,8 +34,10 @@
         self.delegate = delegate
         self.begun_at: float | None = None
         self.received = False
+        self.ends_with_connection = False
         self.input_at = 0.0
         self._connection = connection
+        self.begun_after_refusal = False
         self._passed_on = False
         self._refused = False
 
@@ -46,6 +51,11 @@
         """Whether a response was begun."""
         return self._refused or self._connection._response_start_line is not None
 
+    @property
+    def refused(self) -> bool:
+        """Whether what is received of it from now on is discarded."""
+        return self._refused
+
     @property
     def finished(self) -> bool:
         """Whether its response was passed on completely, or it was refused."""
@@ -62,7 +72,10 @@
     ) -> object:
         """See HTTPMessageDelegate."""
         self.begun_at = asyncio.get_running_loop().time()
+        self.ends_with_connection = start_line.version == "HTTP/1.0"
         if self._refused:
+            self.begun_after_refusal = True
+            self.input_at = self.begun_at
             return None
         self._passed_on = True
         return self.delegate.headers_received(start_line, headers)
