Only what was sent nowhere waits at an endpoint that is silent for a moment

A request that one endpoint had refused was sent to one that had just been found silent, and got 502, outcome unknown, 2.8 s later, where the refusal had told that it had not run. Found by endpoint_rest_test.test_reserved_place_at_an_engine_that_asks_for_rest, red since requests wait at such endpoints.

First sends may wait there; what was sent before may not, as it has an answer to come or can be refused.

--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -69,6 +69,8 @@
         whether the forecast is short, medium or long.
       refused_share: Fraction of recent requests that were refused.
       moved: Whether the request was recalled from another endpoint.
+      may_wait: It may be sent to an endpoint that is silent for a moment if nobody else can take
+        it. One that was sent before gets its answer from that attempt, or can be refused.
       caller_leaves_in: Seconds until the caller gives up.
       rank: The request's place in engines' queues; None where these have no order.
     """
@@ -80,6 +82,7 @@
     corrections: Corrections = ()
     refused_share: float = 0.0
     moved: bool = False
+    may_wait: bool = False
     caller_leaves_in: float = float("inf")
     rank: int | None = None
 
@@ -156,7 +159,7 @@
     # repeated while a healthy endpoint is available, and never one that was moved: it has
     # already waited at a stalled endpoint.
     pool = healthy if demand.moved or (demand.non_repeatable and healthy) else available
-    if not pool and not demand.moved:
+    if not pool and demand.may_wait:
         pool = [c for c in candidates if c.load.health.is_briefly_silent(now)]
     known = len(candidates)
     if not pool:
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -299,6 +299,7 @@
             corrections=traffic.bias(rank).corrections(now),
             refused_share=refused_share,
             moved=moved,
+            may_wait=not moved and not tried,
             caller_leaves_in=seconds_until_disconnect,
             rank=rank,
         )
