A request stays at its silent endpoint until another one has begun to answer it

A stream at an endpoint that was silent for a moment was reset there before the other endpoint had taken it. Where that one refused it, broke off or was silent as well, the caller's stream was cut, and a safe request got 502 or 504, although the first endpoint went on a second later.

A request that would have been recalled for its endpoint's silence is now sent to the reserved one beside the first (Forwarding.start_successor). Whichever has something to pass on first claims the request and ends the other; a failed successor is recorded as any failed attempt, and leaves the first as it was. Room, retry and the number of runs are counted as before, and what may run once is never sent twice. Recalls for other reasons close the connection at once, as before.

silent_moments_test: 9 of 9 cases (streams of engines and of a plain service, safe requests; others that refuse, break off or are silent) were red before, three tests; green now. The test of a reserved place at an engine that asks for rest took the reset of the first connection for the moment between reservation and sending. That moment is now the opening of the second connection, so the test holds that up instead; its checks are the same, and it is red without the check before sending.

--- a/tests/endpoint_rest_test.py
+++ b/tests/endpoint_rest_test.py
@@ -467,31 +467,33 @@
         self.assertEqual(self.new.runs["r1"], 1)
 
     async def test_reserved_place_at_an_engine_that_asks_for_rest(self) -> None:
-        """Guards against a request that is recalled from a silent engine, and sent to the one at
-        which it had a place before that one asked for rest."""
+        """Guards against a request that is sent from a silent engine to the one at which it had a
+        place before that one asked for rest."""
         self.old.handler = StartsWhenWoken()
         waiting = self.ask("r1")
         await self.fleet.wait_until(lambda: bool(self.old.received))
         await self.register(self.new, 1)
-        abort, recalled = EndpointConnection.abort, []
+        connect, opening, opens = endpoint_connection.connect, [], asyncio.Event()
 
-        def abort_later(connection: EndpointConnection) -> None:
-            recalled.append(connection)
+        async def connect_later(host, port, *more) -> EndpointConnection:
+            if port == self.new.port and not opening:
+                opening.append(port)
+                await opens.wait()
+            return await connect(host, port, *more)
 
-        with mock.patch.object(EndpointConnection, "abort", abort_later):
-            await self.fleet.wait_until(lambda: bool(recalled))
+        with mock.patch.object(endpoint_connection, "connect", connect_later):
+            await self.fleet.wait_until(lambda: bool(opening))
             self.new.handler = refuse_for(REST)
             refused = await self.ask("r2")
-        third = await self.fleet.add_endpoint("third", ENGINE_SERVICE)
-        third.handler = stream_events(1, 5)
-        await self.register(third, 1)
-        listed = self.gateway.state.endpoints
-        await self.fleet.wait_until(
-            lambda: any(e.id == "third" and e.weights for e in listed.endpoints)
-        )
-        for connection in recalled:
-            abort(connection)
-        reply = await waiting
+            third = await self.fleet.add_endpoint("third", ENGINE_SERVICE)
+            third.handler = stream_events(1, 5)
+            await self.register(third, 1)
+            listed = self.gateway.state.endpoints
+            await self.fleet.wait_until(
+                lambda: any(e.id == "third" and e.weights for e in listed.endpoints)
+            )
+            opens.set()
+            reply = await waiting
         self.assertEqual((refused.status, reply.status), (503, 200))
         received = [request.headers[names.REQUEST_ID.lower()] for request in self.new.received]
         self.assertEqual((received, third.runs["r1"]), (["r2"], 1))
--- a/tests/leaving_endpoints_test.py
+++ b/tests/leaving_endpoints_test.py
@@ -390,7 +390,7 @@
         """Guards against a request that is recalled from a silent endpoint, and sent to a place
         that was reserved for it before the announcement."""
         await self.list(self.other)
-        reserve, moved = Forwarding._reserve_elsewhere, []
+        reserve, moved = Forwarding.reserve_elsewhere, []
         other = self.other
 
         def reserve_and_hear(forwarding, placement) -> bool:
@@ -411,7 +411,7 @@
         await self.fleet.store.put(names.CONFIGURATION_KEY, configuration)
         await self.fleet.wait_until(lambda: self.gateway.state.version == 8)
         await self.unlist(self.leaver)
-        with mock.patch.object(Forwarding, "_reserve_elsewhere", reserve_and_hear):
+        with mock.patch.object(Forwarding, "reserve_elsewhere", reserve_and_hear):
             waiting = self.ask(seconds=8.0, deadline_ms=4000)
             await self.fleet.wait_until(lambda: other.received)
             await self.list(self.leaver)
--- a/tests/silent_moments_test.py
+++ b/tests/silent_moments_test.py
@@ -15,7 +15,9 @@
     ReceivedRequest,
     Reply,
     make_configuration,
+    refuse,
     response_head,
+    run_and_reset,
 )
 from tests.paused_clock import PausedClockCase
 from wasabidrum.config.deployment import Bounds
@@ -251,6 +253,48 @@
         await self.play(self.fleet.endpoints)
         self.check()
 
+    async def ask_one_that_nobody_else_can_answer(self, service: str, kind: str, other) -> None:
+        """Silences the endpoint that works on a request, while all others have another handler."""
+        endpoints = [each for each in self.fleet.endpoints if each.service == service]
+        asking = asyncio.ensure_future(self.ask(service, kind))
+        await self.fleet.wait_until(lambda: any(endpoint.received for endpoint in endpoints))
+        await asyncio.sleep(2.5 * EVENT_SECONDS if kind == "streaming" else 0.0)
+        for endpoint in endpoints:
+            if endpoint.received:
+                endpoint.fall_silent(SILENT_SECONDS)
+            else:
+                endpoint.handler = other
+        await asking
+
+    async def assert_answered_although(self, other) -> None:
+        """Checks that a request of each kind gets its answer from the endpoint that was silent."""
+        for service, kind in ((ENGINES, "streaming"), (PLAIN, "streaming"), (QUICK, "safe")):
+            with self.subTest(service=service, kind=kind):
+                await self.ask_one_that_nobody_else_can_answer(service, kind, other)
+                asked = self.asked[-1]
+                reply = asked.reply
+                self.assertEqual((reply.status, reply.whole), (200, True))
+                self.assertEqual(reply.body, asked.expected)
+                endpoints = [each for each in self.fleet.endpoints if each.service == service]
+                self.assertGreater(sum(len(each.received) for each in endpoints), 1)
+
+    async def test_answer_that_others_refuse_to_give(self) -> None:
+        """Guards against an answer that is given up at a silent endpoint before another one has
+        begun it, and is lost because that one refuses it."""
+        await self.assert_answered_although(refuse)
+
+    async def test_answer_that_others_break_off(self) -> None:
+        """Guards against the same where the other one ends."""
+        await self.assert_answered_although(run_and_reset)
+
+    async def test_answer_at_which_others_are_silent(self) -> None:
+        """Guards against the same where the other one is silent as well, and is for longer."""
+
+        async def be_silent(endpoint, request, writer) -> None:
+            await asyncio.sleep(TIMEOUT_SECONDS)
+
+        await self.assert_answered_although(be_silent)
+
     async def test_engines_are_back_in_use_with_their_first_event(self) -> None:
         """Guards against endpoints that take no requests until one of their streams has ended."""
         playing = asyncio.ensure_future(self.play(self.fleet.endpoints, last=0.0))
--- a/wasabidrum/decisions/request_recall.py
+++ b/wasabidrum/decisions/request_recall.py
@@ -12,9 +12,10 @@
   have started without a visible sign, so its caller gets the outcome "unknown", never "not run".
   A request that may run only once and is answered in one piece stays, because it cannot be known
   whether it has started.
-- A request at a stalled endpoint continues at another one, if it may run again and if a slot at
-  another endpoint and a retry can be reserved for it. If it were recalled with nowhere to go, its
-  caller would lose an answer that may arrive a moment later. Without a reservation, each of many
+- A request at a stalled endpoint is sent to another one as well, if it may run again and if a slot
+  at another endpoint and a retry can be reserved for it. It is recalled once the other one has
+  something of an answer: that one may refuse it, end or be silent too, and its caller would lose an
+  answer that may arrive a moment later. Without a reservation, each of many
   requests that are recalled at the same time would count on the same slot.
 - A request that waits at an endpoint in an evacuated data centre moves to another one, if that has
   a slot for it and a retry can be reserved. Only streams can be seen not to have started, and only
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -1,7 +1,6 @@
 """One attempt: sends a request to one endpoint and passes the reply on to the caller."""
 
 import asyncio
-import collections.abc
 import contextlib
 import typing
 
@@ -68,10 +67,27 @@
         self.reply = reply
 
 
+class AttemptOwner(typing.Protocol):
+    """What an attempt asks of the request that it serves."""
+
+    def may_send(self) -> bool:
+        """Returns whether the parts of the prompt still allow to send the request."""
+
+    def reserve_elsewhere(self, placement: Placement) -> bool:
+        """Reserves another endpoint and a retry; returns whether both were free."""
+
+    def start_successor(self) -> None:
+        """Sends the request to the reserved endpoint as well."""
+
+    def claim(self, attempt: "Attempt") -> None:
+        """Ends all other attempts, because this one has something to pass on."""
+
+
 class Attempt:
     """Sends a request to one endpoint.
 
     Attributes:
+      placed_in: The revision of the part guard in which the request was placed.
       number: The number of the attempt among those of its request that were sent, from one.
       started_at: When the request was placed, by the event loop's clock.
     """
@@ -85,10 +101,9 @@
         "_first_event_received",
     )
     __slots__ += (
-        "_may_send",
         "_connection",
         "_recall_reason",
-        "_reserve",
+        "_owner",
         "_last_activity_at",
         "_sent_at",
         "_head_at",
@@ -96,6 +111,7 @@
         "_limit_logged",
         "_stopped_at",
         "number",
+        "placed_in",
         "started_at",
     )
 
@@ -107,8 +123,7 @@
         progress: StreamProgress,
         placement: Placement,
         number: int,
-        reserve: collections.abc.Callable[[Placement], bool],
-        may_send: collections.abc.Callable[[], bool],
+        owner: AttemptOwner,
     ) -> None:
         self._exchange = exchange
         self._gateway = gateway
@@ -118,8 +133,7 @@
         self._first_event_received = False
         self._connection: EndpointConnection | None = None
         self._recall_reason: RecallReason | None = None
-        self._reserve = reserve
-        self._may_send = may_send
+        self._owner = owner
         # Both by the event loop's clock; None before.
         self._sent_at: float | None = None
         self._head_at: float | None = None
@@ -128,6 +142,7 @@
         # When the endpoint stops work on the request before its caller's deadline.
         self._stopped_at = float("inf")
         self.number = number
+        self.placed_in = gateway.part_guard.revision
         self.started_at = self._last_activity_at = asyncio.get_running_loop().time()
 
     @property
@@ -181,10 +196,23 @@
 
     def reserve_elsewhere(self) -> bool:
         """Reserves a place for the request at another endpoint; returns whether there is one."""
-        return self._recall_reason is None and self._reserve(self._placement)
+        return self._recall_reason is None and self._owner.reserve_elsewhere(self._placement)
 
     def recall(self, reason: RecallReason) -> None:
-        """Withdraws the request from its endpoint; see AttemptsInProgress."""
+        """Withdraws the request from its endpoint; see AttemptsInProgress.
+
+        A silent endpoint keeps it until another one has begun to answer.
+        """
+        if reason is RecallReason.ENDPOINT_SILENT:
+            self._owner.start_successor()
+        else:
+            self._withdraw(reason)
+
+    def supersede(self) -> None:
+        """Withdraws the request from its endpoint because another one answers it."""
+        self._withdraw(RecallReason.ENDPOINT_SILENT)
+
+    def _withdraw(self, reason: RecallReason) -> None:
         self._recall_reason = reason
         self._log_limit(reason.value)
         if self._connection is not None:
@@ -257,6 +285,7 @@
         placement.load.record_run(asyncio.get_running_loop().time() - sent_at)
         if self._exchange.streaming:
             raise AttemptError(AttemptEnd.LOST, "not_a_stream")
+        self._claim()
         self._exchange.send_reply(reply, endpoint=placement.endpoint.id, attempts=self.number)
 
     def _check_may_send(self) -> None:
@@ -285,7 +314,7 @@
         placement = self._placement
         if gateway.placer.refusing_rule(placement.endpoint, self._call.scope, placement.placed_at):
             raise AttemptError(AttemptEnd.NOT_SENT, RULED_OUT_CODE)
-        if not self._may_send():
+        if not self._owner.may_send():
             raise AttemptError(AttemptEnd.NOT_SENT, BLOCKED_CODE)
 
     async def _send_held_body(self, connection: EndpointConnection) -> ReplyHead:
@@ -457,12 +486,14 @@
                 raise AttemptError(AttemptEnd.LOST, "answer_broken") from error
             if not events.count:
                 continue
+            self._claim()
             await self._record_events(head)
             self._progress.last_event_id = events.last_event_id or self._progress.last_event_id
             self._progress.event_count += events.count
             await self._exchange.write_events(events.content)
         if buffer.incomplete:
             raise AttemptError(AttemptEnd.LOST, "stream_cut")
+        self._claim()
         if not self._exchange.streaming:
             await self._exchange.start_stream(head)
         first = self._progress.first_event_at - self._exchange.started_at
@@ -473,6 +504,16 @@
             attempts=self.number,
         )
 
+    def _claim(self) -> None:
+        """Makes this the only attempt, before it passes something on.
+
+        Raises:
+          AttemptError: Another one is.
+        """
+        if self._recall_reason is RecallReason.ENDPOINT_SILENT:
+            raise AttemptError(AttemptEnd.LOST, self._recall_reason.value)
+        self._owner.claim(self)
+
     async def _record_events(self, head: ReplyHead) -> None:
         """Records that events arrived; with the first of all, starts the caller's stream."""
         loop = asyncio.get_running_loop()
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -1,8 +1,12 @@
 """Forwards one request to an endpoint, and to another one where a retry is safe and useful."""
 
 import asyncio
+import collections.abc
+import dataclasses
 import typing
 
+from tornado import iostream
+
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
 from ..core.request_head import RequestHead
@@ -43,6 +47,25 @@
 CONNECTION_LOSS_CODES = frozenset(("answer_lost", "answer_cut", "stream_cut"))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Successor:
+    """An attempt that runs beside another one, and follows it if that one ends first."""
+
+    attempt: Attempt
+    task: "asyncio.Task[AttemptError | iostream.StreamClosedError | None]"
+
+    async def ended(self) -> None:
+        """Waits until it has passed on its reply.
+
+        Raises:
+          AttemptError: There was no reply that can be passed on.
+          StreamClosedError: The caller has disconnected.
+        """
+        error = await self.task
+        if error is not None:
+            raise error
+
+
 class Forwarding:
     """Forwards one request, with retries at other endpoints where that is safe and useful."""
 
@@ -76,6 +99,9 @@
         self._test_open = False
         # Where the next attempt goes, reserved when the last one was recalled from its endpoint.
         self._reserved: Placement | None = None
+        self._attempt: Attempt | None = None
+        # Runs beside the attempt while the endpoint of that one is silent.
+        self._successor: Successor | None = None
         caller = self._call.workspace or head.key
         self._fingerprint = poison.fingerprint_of_parts(
             head.method, head.host, head.target, caller, body
@@ -109,6 +135,7 @@
             self._record_refused(error)
             raise
         finally:
+            self._abandon_successor()
             self._release_reservation()
             if self._use is not None:
                 self._use.record_end(self._progress.event_count)
@@ -125,47 +152,29 @@
         failure = ""
         head, guard = self._call.head, self._gateway.part_guard
         while True:
-            placement = self._place(failure)
-            if placement is None:
-                self._exchange.abort_stream(failure, events=self._progress.event_count)
-                return
-            number = self._history.sends + 1
-            placed_in = guard.revision
-            attempt = Attempt(
-                self._exchange,
-                self._gateway,
-                self._call,
-                self._progress,
-                placement,
-                number,
-                self._reserve_elsewhere,
-                self._may_send,
-            )
+            running: collections.abc.Awaitable[None]
+            if self._successor is not None:
+                self._attempt, running = self._successor.attempt, self._successor.ended()
+                self._successor = None
+            else:
+                placement = self._place(failure)
+                if placement is None:
+                    self._exchange.abort_stream(failure, events=self._progress.event_count)
+                    return
+                self._attempt = self._make_attempt(placement)
+                running = self._attempt.run()
+            attempt = self._attempt
             try:
-                await attempt.run()
+                await running
                 self._gateway.poison_guard.clear(self._fingerprint)
                 self._test_open = False
                 guard.record_answer(head.shared_parts, head.request_id)
                 return
             except AttemptError as error:
                 failure = error.code
-                self._history.record(error.end)
-                self._record_failed_attempt(placement, attempt, error)
-                if error.code in CONNECTION_LOSS_CODES or error.code == "timeout":
-                    self._test_open = False
-                if error.code in CONNECTION_LOSS_CODES:
-                    endpoint = placement.endpoint.id
-                    guard.record_crash(
-                        head.shared_parts,
-                        placed_in,
-                        endpoint,
-                        head.request_id,
-                        self._home_regions,
-                    )
-                    # The caller may come back to any entry within milliseconds.
-                    if self._is_blocked() or not guard.allows(head.shared_parts):
-                        await self._gateway.peers.flush_suspects()
-                self._tried_endpoints |= {placement.endpoint.id}
+                await self._record_end(attempt, error)
+                if self._successor is not None:
+                    continue
                 caller_leaving = attempt.recall_reason is RecallReason.CALLER_LEAVING
                 # What did not reach an endpoint is no retry.
                 unsent = error.code in UNWANTED_CODES and not attempt.sent
@@ -173,6 +182,81 @@
                     self._give_up(error)
                     return
 
+    def _make_attempt(self, placement: Placement) -> Attempt:
+        return Attempt(
+            self._exchange,
+            self._gateway,
+            self._call,
+            self._progress,
+            placement,
+            self._history.sends + 1,
+            self,
+        )
+
+    async def _record_end(self, attempt: Attempt, error: AttemptError) -> None:
+        """Records the end of an attempt that has brought no reply."""
+        head, guard = self._call.head, self._gateway.part_guard
+        self._history.record(error.end)
+        self._record_failed_attempt(attempt.placement, attempt, error)
+        endpoint = attempt.placement.endpoint.id
+        self._tried_endpoints |= {endpoint}
+        if error.code in CONNECTION_LOSS_CODES or error.code == "timeout":
+            self._test_open = False
+        if error.code in CONNECTION_LOSS_CODES:
+            parts, regions = head.shared_parts, self._home_regions
+            guard.record_crash(parts, attempt.placed_in, endpoint, head.request_id, regions)
+            # The caller may come back to any entry within milliseconds.
+            if self._is_blocked() or not guard.allows(parts):
+                await self._gateway.peers.flush_suspects()
+
+    def start_successor(self) -> None:
+        """Sends the request to the endpoint that was reserved for it, beside the present attempt.
+
+        The present one goes on: its endpoint may be silent for a moment only, and the other one may
+        refuse the request, end or be silent as well. The first that has something to pass on ends
+        the other; see claim.
+        """
+        if not self._reservation_holds():
+            self._release_reservation()
+            return
+        placement, self._reserved = self._reserved, None
+        self._log_placement(placement, RecallReason.ENDPOINT_SILENT.value)
+        attempt = self._make_attempt(placement)
+        task = self._gateway.tasks.start("request", self._run_beside(attempt))
+        self._successor = Successor(attempt, task)
+
+    async def _run_beside(
+        self, attempt: Attempt
+    ) -> AttemptError | iostream.StreamClosedError | None:
+        """Runs a successor; returns how it failed, if the attempt before has ended by then."""
+        try:
+            await attempt.run()
+        except iostream.StreamClosedError as error:
+            return error
+        except AttemptError as error:
+            if self._successor is None or self._successor.attempt is not attempt:
+                return error
+            self._successor = None
+            await self._record_end(attempt, error)
+        return None
+
+    def claim(self, attempt: Attempt) -> None:
+        """Ends the other attempt, if there is one, because this one has something to pass on."""
+        if self._successor is None:
+            return
+        if self._successor.attempt is attempt:
+            self._attempt.supersede()
+            return
+        successor = self._successor.attempt
+        self._abandon_successor()
+        self._history.record(AttemptEnd.LOST if successor.sent else AttemptEnd.NOT_SENT)
+        self._tried_endpoints |= {successor.placement.endpoint.id}
+
+    def _abandon_successor(self) -> None:
+        if self._successor is not None:
+            self._successor.task.cancel()
+            self._successor = None
+
     def _check_poison(self) -> None:
         """Refuses a request that is known to crash endpoints.
 
@@ -224,12 +308,7 @@
         """
         left = self._call.seconds_left
         placer = self._gateway.placer
-        reserved = self._reserved.endpoint if self._reserved is not None else None
-        if reserved is not None and (
-            self._gateway.state.endpoints.is_leaving(reserved)
-            or placer.rest_seconds_left(reserved)
-            or placer.refusing_rule(reserved, self._call.scope)
-        ):
+        if not self._reservation_holds():
             self._release_reservation()
         if self._reserved is not None:
             placement, self._reserved = self._reserved, None
@@ -319,7 +398,18 @@
             self._gateway.usage.position_of(call.workspace),
         )
 
-    def _reserve_elsewhere(self, placement: Placement) -> bool:
+    def _reservation_holds(self) -> bool:
+        """Returns whether the reserved endpoint, if there is one, may still be sent to."""
+        if self._reserved is None:
+            return True
+        endpoint, placer = self._reserved.endpoint, self._gateway.placer
+        return not (
+            self._gateway.state.endpoints.is_leaving(endpoint)
+            or placer.rest_seconds_left(endpoint)
+            or placer.refusing_rule(endpoint, self._call.scope)
+        )
+
+    def reserve_elsewhere(self, placement: Placement) -> bool:
         """Reserves another endpoint and a retry for a request; returns whether both were free.
 
         Both are counted at once, so that requests recalled at the same moment are not all
@@ -329,6 +419,8 @@
           placement: Where the request waits now.
         """
         placer = self._gateway.placer
+        if self._successor is not None:
+            return False
         if not self._history.allows_retry_of_running() or not self._may_retry():
             return False
         reserved = placer.placement_for(
@@ -366,7 +458,7 @@
             return self._testing and guard.were_answered(parts)
         return self._testing and end is AttemptEnd.NOT_SENT
 
-    def _may_send(self) -> bool:
+    def may_send(self) -> bool:
         """Returns whether the parts of the prompt still allow to send the request."""
         guard, head = self._gateway.part_guard, self._call.head
         if self._testing and not self._test_begun:
