request_placed tells when a request is placed under another rank than its own, and why

No line of the entries told which, since only refusals tell placed_as_rank.

Change: request_placed has rank, placed_as_rank and the admitted shares where the two ranks differ.

--- a/wasabidrum/decisions/admission_order.py
+++ b/wasabidrum/decisions/admission_order.py
@@ -115,6 +115,12 @@
         """Returns the share of the requests of each rank that was refused lately."""
         return {r: round(refused_share([c], now), 3) for r, c in sorted(self._recent.items())}
 
+    def admitted_shares(self, rank: int, now: float) -> tuple[float, float]:
+        """Returns which share of the requests of a rank, and of all, was admitted lately."""
+        own = [count for known, count in self._long.items() if known == rank]
+        every = list(self._long.values())
+        return tuple(1.0 - refused_share(counts, now) for counts in (own, every))
+
     def admission_rank(self, rank: int, now: float) -> int:
         """Returns the rank as which a request is placed: the first if its own gets too little."""
         known = self._long.get(rank)
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -400,6 +400,7 @@
             in_progress=placement.load.own_requests,
             after=failure,
             retries_left=round(self._gateway.placer.retries_left(self._service), 2),
+            **self._gateway.placer.orders.raised_facts(self._service, call.scope, placement.rank),
         )
 
     def _give_up(self, error: AttemptError) -> None:
--- a/wasabidrum/gateway/service_orders.py
+++ b/wasabidrum/gateway/service_orders.py
@@ -111,6 +111,22 @@
                 refused_shares=order.refused_shares(now),
             )
 
+    def raised_facts(
+        self, service: str, scope: RequestScope, placed_as: int | None
+    ) -> dict[str, object]:
+        """Returns why a request is placed under another rank than its own; empty if it is not."""
+        rank = self.rank(scope, service)
+        if rank == placed_as:
+            return {}
+        now = asyncio.get_running_loop().time()
+        own, every = self._order(service).admitted_shares(rank, now)
+        return {
+            "rank": rank,
+            "placed_as_rank": placed_as,
+            "admitted_share": round(own, 3),
+            "admitted_share_of_all": round(every, 3),
+        }
+
     def facts(self, service: str, scope: RequestScope) -> dict[str, object]:
         """Returns what the order of its service says about a request, for its log line."""
         rank = self.rank(scope, service)
