A download that fails is not taken for a cancelled one

Cause: before Python 3.12 a task group that fails while it waits for its tasks leaves its own task marked as cancelled. VersionDownload.run asked for that mark.

Change: callers run the download in a task of its own, and are cancelled if, and only if, somebody cancels them. The mark stays with the download's task, so that waiting.wait_for in its caller's does not see it either.

--- a/wasabidrum/core/waiting.py
+++ b/wasabidrum/core/waiting.py
@@ -1,4 +1,4 @@
-"""Waits that do not lose a cancellation."""
+"""A wait with a timeout that does not lose a cancellation."""
 
 import asyncio
 import collections.abc
@@ -7,16 +7,6 @@
 Result = typing.TypeVar("Result")
 
 
-def raise_if_cancelled() -> None:
-    """Raises a cancellation of this task that was requested and has been dropped.
-
-    Raises:
-      asyncio.CancelledError: The task was cancelled.
-    """
-    if asyncio.current_task().cancelling():
-        raise asyncio.CancelledError
-
-
 async def wait_for(awaitable: collections.abc.Awaitable[Result], seconds: float) -> Result:
     """Returns the result of an awaitable within some seconds, as asyncio.wait_for does.
 
@@ -33,4 +23,5 @@
     try:
         return await asyncio.wait_for(awaitable, seconds)
     finally:
-        raise_if_cancelled()
+        if asyncio.current_task().cancelling():
+            raise asyncio.CancelledError
--- a/wasabidrum/weights/engine_configurator.py
+++ b/wasabidrum/weights/engine_configurator.py
@@ -60,7 +60,7 @@
             parts[index] = content
 
         missing = list(range(len(manifest.chunks)))
-        await VersionDownload(self._distributor, plan, manifest, missing, deliver).run()
+        await VersionDownload(self._distributor, plan, manifest, missing, deliver).run_in_own_task()
         content = b"".join(parts[index] for index in missing)
         await self._guard.confirm()
         await self._engine.load_adapter(name, root, content, self._follower.revision)
--- a/wasabidrum/weights/staged_version.py
+++ b/wasabidrum/weights/staged_version.py
@@ -110,7 +110,9 @@
         self._distributor.store.set_wanted(frozenset(pieces.digests))
         every_index = list(range(len(pieces.digests)))
         missing = len(every_index) - len(self._staged)
-        await VersionDownload(self._distributor, plan, self._manifest, every_index, self._put).run()
+        await VersionDownload(
+            self._distributor, plan, self._manifest, every_index, self._put
+        ).run_in_own_task()
         return missing
 
     def complete_layer(self, layers: int) -> int | None:
--- a/wasabidrum/weights/version_download.py
+++ b/wasabidrum/weights/version_download.py
@@ -4,7 +4,6 @@
 import collections
 import collections.abc
 
-from ..core import waiting
 from ..core.manifest import Manifest, decode_manifest
 from ..decisions.chunk_plan import ChunkPlan
 from ..decisions.inbound_rate_limit import ON_TIME_SECONDS
@@ -81,6 +80,21 @@
         for index in missing:
             self._places.setdefault(manifest.chunks[index], []).append(index)
 
+    async def run_in_own_task(self) -> None:
+        """Runs the download so that its caller is cancelled if, and only if, somebody cancels it.
+
+        A task group raises the errors of its tasks in place of its own cancellation. A caller that
+        survives errors would then try again, and nobody would cancel it once more. Before Python
+        3.12 a group that has failed may also leave its task marked as cancelled.
+        """
+        running = asyncio.ensure_future(self.run())
+        try:
+            await asyncio.wait((running,))
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+        running.result()
+
     async def run(self) -> None:
         """Returns once every missing chunk has been delivered."""
         store = self._distributor.store
@@ -98,16 +112,6 @@
                 from_origin.append(digest)
             else:
                 from_regions.append(digest)
-        try:
-            await self._fetch_all(from_origin, from_regions, from_peers)
-        finally:
-            # A task group raises the errors of its tasks in place of its own cancellation. A caller
-            # that survives errors would then try again, and nobody would cancel it once more.
-            waiting.raise_if_cancelled()
-
-    async def _fetch_all(
-        self, from_origin: list[str], from_regions: list[str], from_peers: list[str]
-    ) -> None:
         # Three separate queues: in a single one, chunks that peers wait for would queue behind
         # chunks that this sidecar waits for, and the delay would spread through the fleet.
         async with asyncio.TaskGroup() as group:
--- a/wasabidrum/weights/version_download_test.py
+++ b/wasabidrum/weights/version_download_test.py
@@ -115,12 +115,15 @@
 
 
 class FailingDistributor(SlowDistributor):
-    """Never returns a chunk; a fetch fails at the moment at which it is cancelled."""
+    """Never returns a chunk; a fetch fails after some time, or when it is cancelled."""
+
+    seconds = 3600.0
 
     async def fetch(self, plan: ChunkPlan, digest: str) -> bytes:
-        """Raises CodedError once cancelled."""
+        """Raises CodedError."""
         try:
-            await asyncio.sleep(3600.0)
+            await asyncio.sleep(self.seconds)
+            raise CodedError("engine_error", "the engine has failed", 502)
         except asyncio.CancelledError:
             raise CodedError("peer_unreachable", "the connection has failed", 502) from None
 
@@ -136,12 +139,24 @@
         plan = ChunkPlan("root", manifest.chunks, {"w": "rift-a"})
         distributor = FailingDistributor(contents, random.Random(1))
         download = VersionDownload(distributor, plan, manifest, list(range(9)), mock.AsyncMock())
-        running = asyncio.ensure_future(download.run())
+        running = asyncio.ensure_future(download.run_in_own_task())
         await asyncio.sleep(0.01)
         running.cancel()
         with self.assertRaises(asyncio.CancelledError):
             await running
 
+    async def test_download_that_fails_does_not_seem_cancelled(self) -> None:
+        """Guards against a sidecar that gives a version up for ever because its engine has died."""
+        contents = {digest_of(bytes([n])): bytes([n]) for n in range(9)}
+        manifest = Manifest(1, 9, tuple(contents))
+        plan = ChunkPlan("root", manifest.chunks, {"w": "rift-a"})
+        distributor = FailingDistributor(contents, random.Random(1))
+        distributor.seconds = ORIGIN_FIRST_SECONDS + 0.1
+        download = VersionDownload(distributor, plan, manifest, list(range(9)), mock.AsyncMock())
+        with self.assertRaises(ExceptionGroup):
+            await download.run_in_own_task()
+        self.assertEqual(asyncio.current_task().cancelling(), 0)
+
 
 class RecordingDistributor(SlowDistributor):
     """Records which fetches were started; origin fetches block until the origin answers."""
--- a/wasabidrum/weights/version_manager.py
+++ b/wasabidrum/weights/version_manager.py
@@ -181,7 +181,7 @@
             await self._engine.put_chunk(version, index, content)
             self.chunks_held += 1
 
-        await VersionDownload(distributor, plan, manifest, missing, deliver).run()
+        await VersionDownload(distributor, plan, manifest, missing, deliver).run_in_own_task()
         self._log.write(Event.VERSION_STAGED, version=version, chunks=len(missing))
 
     async def _send_stage(self, version: str, manifest: Manifest) -> list[int]:
--- a/wasabidrum/weights/weights_relay.py
+++ b/wasabidrum/weights/weights_relay.py
@@ -315,7 +315,7 @@
         download = VersionDownload(
             self._distributor, plan, manifest, missing, ignore_chunk, origin_first=False
         )
-        await download.run()
+        await download.run_in_own_task()
         self._progress.complete = True
         self._log.write(Event.VERSION_RELAYED, version=pieces.version, chunks=len(missing))
 
