--- a/wasabidrum/decisions/request_recall.py
+++ b/wasabidrum/decisions/request_recall.py
@@ -38,7 +38,9 @@
 from .endpoint_health import MAX_SOUND_SILENCE_SECONDS, is_silent
 
 BOUND_MARGIN_SECONDS = 0.4
+# An entry hears of a leaving a few tenths of a second after it was announced.
 RETIRED_MARGIN_SECONDS = 0.7
+SOUND_RETIRED_MARGIN_SECONDS = 0.55
 STALL_FACTOR = 3.0
 # Minimum time to start a request under load: one pass that reads a prompt, and the round trip.
 MIN_START_SECONDS = 0.3
@@ -107,7 +109,7 @@
         return RecallReason.ENDPOINT_SILENT
     retired = request.retired_seconds >= drain - RETIRED_MARGIN_SECONDS
     if request.waited < MAX_SOUND_SILENCE_SECONDS:
-        retired = request.retired_seconds >= drain - BOUND_MARGIN_SECONDS
+        retired = request.retired_seconds >= drain - SOUND_RETIRED_MARGIN_SECONDS
     if retired and request.repeatable and not request.begun:
         return RecallReason.ENDPOINT_RETIRED
     return None
