--- a/wasabidrum/platform/heads.py
+++ b/wasabidrum/platform/heads.py
@@ -24,8 +24,9 @@
     )
 )
 PROMPT_PART = re.compile(r"\s*([0-9a-fA-F]{1,64}):[0-9]{1,12}\s*")
-# Parts beyond these are not read, which bounds what a request can make an entry remember.
+# The interpreter refuses to read numbers of thousands of digits.
 MAX_DIGITS = 15
+# Parts beyond these are not read, which bounds what a request can make an entry remember.
 MAX_SHARED_PARTS = 32
 # Headers that are not copied from the caller. write_forwarded sets them where they apply, except
 # Authorization: it holds the caller's key, which endpoints must not see.
--- a/wasabidrum/scripts/daemon.py
+++ b/wasabidrum/scripts/daemon.py
@@ -37,11 +37,7 @@
         )
     await daemon.start()
     await ended.wait()
-    try:
-        await daemon.stop()
-    except Exception as error:
-        log.write(Event.STOP_FAILED, reason=repr(error)[:300])
-        raise
+    await stop(daemon, log)
     if identity is not None:
         watching.cancel()
 
@@ -54,15 +50,32 @@
         log.write(Event.CERTIFICATES_IN_FORCE)
 
 
-class DeployedDaemon(typing.Protocol):
+class StoppableDaemon(typing.Protocol):
+    """A daemon that can be stopped."""
+
+    async def stop(self) -> None:
+        """Stops gracefully."""
+
+
+async def stop(daemon: StoppableDaemon, log: EventLog) -> None:
+    """Stops a daemon gracefully, and logs an error that ends the stop.
+
+    Raises:
+      Exception: The stop has failed.
+    """
+    try:
+        await daemon.stop()
+    except Exception as error:
+        log.write(Event.STOP_FAILED, reason=repr(error)[:300])
+        raise
+
+
+class DeployedDaemon(StoppableDaemon, typing.Protocol):
     """A daemon whose settings the platform provides."""
 
     async def start(self) -> None:
         """Starts to listen and to work."""
 
-    async def stop(self) -> None:
-        """Stops gracefully."""
-
     def reload(self, deployment: Deployment) -> list[str]:
         """Applies new settings; returns the names of those that changed."""
 
@@ -83,11 +96,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload_deployment, daemon, log)
     await daemon.start()
     await ended.wait()
-    try:
-        await daemon.stop()
-    except Exception as error:
-        log.write(Event.STOP_FAILED, reason=repr(error)[:300])
-        raise
+    await stop(daemon, log)
 
 
 def reload_deployment(daemon: DeployedDaemon, log: EventLog) -> None:
