A connection that is closed is not kept in memory by its stream

The method that takes the stage at the close referred from the stream to the connection and back, so that each of them had to wait for the garbage collector.

--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -20,7 +20,7 @@
     """
 
     __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
-    __slots__ += ("_crossed", "_ended_idle", "_may_end_answer", "_stage", "_close_fd")
+    __slots__ += ("_crossed", "_ended_idle", "_may_end_answer", "_stage")
 
     def __init__(self, stream: iostream.IOStream, accepted_at: float) -> None:
         """Creates a connection.
@@ -39,7 +39,6 @@
         # Whether the close may be the end of the last answer.
         self._may_end_answer = False
         self._stage = CloseStage.UNREAD
-        self._close_fd = stream.close_fd
         # A handler may go on to answer after the close, and seem to have answered before it.
         stream.close_fd = self._record_close
 
@@ -164,7 +163,9 @@
             self._stage = connection_close.close_stage(
                 LatestRequest(self.has_part, request.received, request.answered, request.finished)
             )
-        self._close_fd()
+        # The stream's own method again, so that the two do not keep each other in memory.
+        del self._stream.close_fd
+        self._stream.close_fd()
 
     def close(self, cause: CloseCause) -> None:
         """Closes the connection."""
