--- a/wasabidrum/decisions/connection_close.py
+++ b/wasabidrum/decisions/connection_close.py
@@ -1,4 +1,4 @@
-"""Tells how far the latest request on a connection had come when the connection was closed.
+"""Classifies how a connection was closed, and how far its latest request had come by then.
 
 Load pattern: thousands of kept connections are closed a day, nearly all of them between two
 requests. One that is closed with a request that was received in part or whole leaves its caller
