--- a/review/rig.py
+++ b/review/rig.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 import json
 import os
 import pathlib
@@ -25,6 +26,8 @@
 RUN = ("-m", "wasabidrum.scripts.daemon", "--deployed")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LONGEST_SECONDS = 112.0
+# Three check-ins.
+LAPSE_SECONDS = 3.6
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 # As DEPLOY.md shows them.
 BOUNDS = {
@@ -127,17 +130,28 @@
         return [json.loads(line) for line in text.splitlines() if mark in line]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instance:
+    """An engine, and the sidecar beside it."""
+
+    engine: Daemon
+    sidecar: Daemon
+
+
 class Rig:
     """The store, the daemons and the record of one play."""
 
     def __init__(self, record: Record, folder: pathlib.Path, zones: dict[str, str]) -> None:
         self.record = record
         self.folder = folder
+        # How many entries the settings name as seeds, three at most.
+        self.seeds = 3
         self.zones = zones
         self.store = FakeStore()
         self.first_port = free_ports(PORTS)
         self.entries: list[Daemon] = []
         self.daemons: list[Daemon] = []
+        self.instances: list[Instance] = []
         self.servers: list[httpserver.HTTPServer] = []
 
     async def publish(self, key: str, value: object, note: str = "") -> float:
@@ -156,7 +170,7 @@
             "region": self.zones[zone],
             "zones": self.zones,
             "internalPorts": [first, first + 2],
-            "seeds": [f"127.0.1.{n}:{first + CONTROL}" for n in (1, 2, 3)],
+            "seeds": [f"127.0.1.{n + 1}:{first + CONTROL}" for n in range(self.seeds)],
             "bootstrap": True,
             "limits": {"cpuShare": 0.8, "cores": 1, "memoryMb": 300, "linkMbps": 1000.0},
             "bounds": BOUNDS,
@@ -180,6 +194,37 @@
         self.daemons.append(entry)
         return entry
 
+    def add_instance(self, zone: str, service: str, figures: dict, holds: int) -> "Instance":
+        """Adds an engine, a stand-in of the project, and its sidecar; neither has started."""
+        number, first = len(self.instances) + 1, self.first_port
+        host = f"127.0.2.{number}"
+        command = ("-m", "standins.platform_engine", "--host", host, "--id", f"i-{number:04x}")
+        command += ("--port", str(first + WORKER), "--service", service, "--zone", zone)
+        command += ("--store", f"{HOST}:{self.store.port}", "--figures", json.dumps(figures))
+        engine = Daemon(
+            f"engine-{number}", host, (*command, "--holds", str(holds)), {}, self.folder
+        )
+        own = {
+            "machineClass": "side",
+            "serves": ["side"],
+            "listen": {},
+            "app": f"{host}:{first + WORKER}",
+            "service": service,
+            "limits": {"cpuShare": 0.645, "cores": 2, "memoryMb": 168, "linkMbps": 4.7},
+        }
+        name = f"sidecar-{number}"
+        sidecar = Daemon(name, host, RUN, self.settings(name, host, zone, own), self.folder)
+        instance = Instance(engine, sidecar)
+        self.instances.append(instance)
+        self.daemons += [engine, sidecar]
+        return instance
+
+    async def expire_entries(self) -> None:
+        """Removes the entries of engines that are silent for three check-ins, forever."""
+        while True:
+            await asyncio.sleep(0.2)
+            await self.store.expire(LAPSE_SECONDS)
+
     async def is_ready(self, entry: Daemon) -> bool:
         """Asks an entry, as the platform does, whether it is ready."""
         try:
@@ -219,6 +264,52 @@
         self.store.stop()
 
 
+class StorePath:
+    """The way of one machine to the store, which can be cut: connections are then refused."""
+
+    def __init__(self, rig: Rig, host: str) -> None:
+        self._rig = rig
+        self._host = host
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.port = 0
+
+    async def open(self) -> None:
+        """Listens, at the same port each time."""
+        self._server = await asyncio.start_server(self._connect, self._host, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def cut(self) -> None:
+        """Resets all connections, and refuses new ones until it is opened again."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            there = await asyncio.open_connection(HOST, self._rig.store.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        ends = {writer, there[1]}
+        self._writers |= ends
+        try:
+            await asyncio.gather(pass_on(reader, there[1]), pass_on(there[0], writer))
+        finally:
+            for end in ends:
+                end.close()
+            self._writers -= ends
+
+
+async def pass_on(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Passes bytes on until the connection ends."""
+    with contextlib.suppress(OSError):
+        while content := await reader.read(65_536):
+            writer.write(content)
+            await writer.drain()
+        writer.close()
+
+
 class PlainHandler(web.RequestHandler):
     """Runs a request of a plain worker."""
 
