--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,6 +10,8 @@
 HOSTNAME = "tally.example"
 KEY = "jnbanfqasnmgkcuyj8pj"
 INTERVAL_SECONDS = 0.05
+# From the unreadable entry to the new configuration.
+GAP_SECONDS = 0.1
 # A JSON object whose one field is not closed; about 2 KB, of the 1 MB that a value may have.
 UNREADABLE = b'{"labels":' + b"[" * 2000
 APPLY_SECONDS = BOUNDS["configApplyMs"] / 1000.0
@@ -21,7 +23,13 @@
     common = {"host": HOSTNAME, "timeoutMs": 800, "targetLatencyMs": 100, "priority": 2}
     routes = [
         {"name": "charge", "prefix": "/charge/", "type": "unsafe", "maxAttempts": 1},
-        {"name": "balance", "prefix": "/balance/", "type": "safe", "maxAttempts": 2},
+        {
+            "name": "balance",
+            "prefix": "/balance/",
+            "type": "safe",
+            "maxAttempts": 2,
+            "public": True,
+        },
     ]
     services = [
         {"name": name, "healthPath": "/healthz", "maxConnections": 96}
@@ -48,7 +56,7 @@
 
     async def send(request: str, entry_number: int, charge: bool) -> None:
         target = f"/charge/{request}" if charge else f"/balance/{request}"
-        headers = {"Authorization": f"Bearer {KEY}"}
+        headers = {"Authorization": f"Bearer {KEY}"} if charge else {}
         body = b"copies=3" if charge else None
         entry = rig.entries[entry_number]
         answers.append(await ask(rig, entry, request, target, HOSTNAME, headers, body))
@@ -85,7 +93,7 @@
     await asyncio.sleep(STABLE_SECONDS + 2.0)
     if TROUBLE:
         await rig.publish("servers/x-1", UNREADABLE, "an unreadable entry")
-    await asyncio.sleep(0.5)
+    await asyncio.sleep(GAP_SECONDS)
     content = configuration(7, "tally-new")
     acknowledged = await rig.publish(names.CONFIGURATION_KEY, content, "version 7, to tally-new")
     await asyncio.sleep(REMOVED_AFTER_SECONDS)
