An unreadable item of the store no longer ends what entries learn of it

Cause: the decoder raises RecursionError, which the code that reads the store did not expect. It ended the tasks "store" and "relay" of every entry, and nothing began them again. task_failed names both tasks and the error.

Change: core/decoding.py raises whatever happens while bytes of others are decoded as one type of error, at all places that read the store, entries, sidecars, engines, the origin and callers. An item that can be read and not applied is left out (item_failed). Tasks that are to run for as long as the daemon begin anew after an error. Unreadable items are logged once a write.

--- a/wasabidrum/config/bundle.py
+++ b/wasabidrum/config/bundle.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..core.config_value import ConfigValue
+from ..core.decoding import decoding
 from ..core.errors import CodedError
 from ..core.fleet import Fleet, FleetRevision
 from .bundle_check import check_bundle
@@ -38,13 +39,11 @@
     """
     if len(content) > MAX_VALUE_BYTES:
         raise CodedError("configuration_too_large", f"{len(content)} bytes", 503)
-    try:
+    with decoding("configuration_invalid"):
         if content.lstrip()[:1] == b"{":
             bundle = msgspec.json.decode(content, type=Bundle)
         else:
             bundle = msgspec.convert(read_yaml_value(content), Bundle)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
-        raise CodedError("configuration_invalid", str(error)) from error
     if bundle.schema != SCHEMA:
         raise CodedError("configuration_schema", f"schema {bundle.schema} is not {SCHEMA}")
     return bundle
--- a/wasabidrum/core/manifest.py
+++ b/wasabidrum/core/manifest.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from .decoding import decode_json
 from .digest import Digest, digest_of
 from .engine_report import PieceList
 from .errors import CodedError
@@ -60,10 +61,7 @@
     """
     if digest_of(content) != root:
         raise CodedError("manifest_corrupt", "the manifest does not match its root digest")
-    try:
-        manifest = msgspec.json.decode(content, type=Manifest)
-    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
-        raise CodedError("manifest_invalid", str(error)) from error
+    manifest = decode_json(content, Manifest, "manifest_invalid")
     expected = -(-manifest.total_bytes // manifest.chunk_bytes)
     if expected != len(manifest.chunks):
         raise CodedError("manifest_invalid", "the sizes do not agree with the chunk count")
--- a/wasabidrum/decisions/evacuations.py
+++ b/wasabidrum/decisions/evacuations.py
@@ -16,8 +16,10 @@
 import collections.abc
 import dataclasses
 import enum
+import typing
 
-import msgspec
+from ..core.decoding import decode_json
+from ..core.errors import CodedError
 
 RESTORED_GRACE_SECONDS = 1.5
 
@@ -168,6 +170,6 @@
 def is_json_object(value: bytes) -> bool:
     """Returns whether a value is a JSON object."""
     try:
-        return isinstance(msgspec.json.decode(value), dict)
-    except (msgspec.MsgspecError, RecursionError):
+        return isinstance(decode_json(value, typing.Any, "value_unreadable"), dict)
+    except CodedError:
         return False
--- a/wasabidrum/endpoints/http_model_engine.py
+++ b/wasabidrum/endpoints/http_model_engine.py
@@ -5,6 +5,7 @@
 import msgspec
 from tornado import httpclient
 
+from ..core.decoding import decode_json
 from ..core.errors import CodedError
 from ..core.load import Load
 from ..core.manifest import Manifest
@@ -13,6 +14,7 @@
 from ..wire.retry_after import read_rest
 from .generate_request import GenerateRequest
 
+UNREADABLE_CODE = "engine_unreadable"
 ORDER_TIMEOUT_SECONDS = 30.0
 CHUNK_TIMEOUT_SECONDS = 60.0
 MAX_GENERATION_SECONDS = 900.0
@@ -49,7 +51,7 @@
         """See ModelEngine."""
         order = {"version": version, "manifest": manifest, "fence": fence}
         body = await self._post_order("/v1/orders/stage", order)
-        return msgspec.json.decode(body, type=MissingChunks).missing
+        return decode_json(body, MissingChunks, UNREADABLE_CODE, 502, Outcome.FAILED).missing
 
     async def put_chunk(self, version: str, index: int, content: bytes) -> None:
         """See ModelEngine."""
@@ -109,7 +111,7 @@
     async def _get(self, path: str, kind: type) -> object:
         request = httpclient.HTTPRequest(self._url + path, request_timeout=ORDER_TIMEOUT_SECONDS)
         response = self._check(await http_client.fetch(self._client, request, "engine"))
-        return msgspec.json.decode(response.body, type=kind)
+        return decode_json(response.body, kind, UNREADABLE_CODE, 502, Outcome.FAILED)
 
     async def _post_order(self, path: str, order: object) -> bytes:
         response = await http_client.post_json(
--- a/wasabidrum/entry/chat_handler.py
+++ b/wasabidrum/entry/chat_handler.py
@@ -1,7 +1,6 @@
 """Serves chat completions, as one response or as server-sent events."""
 
-import msgspec
-
+from ..core.decoding import decode_json
 from .chat_body import ChatBody
 from .completion_body import CompletionBody
 from .model_handler import ModelHandler
@@ -14,7 +13,7 @@
 
     def decode_body(self) -> CompletionBody:
         """Decodes the body and returns it as a completion request."""
-        return msgspec.json.decode(self.body, type=ChatBody).as_completion()
+        return decode_json(self.body, ChatBody, "body_invalid", 400).as_completion()
 
     def choice(self, text: str, reason: str | None, complete: bool) -> dict[str, object]:
         """Returns the single choice of a chat response or of one of its events."""
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -102,14 +102,14 @@
         self._listen(server, listen.http_port)
         self._http_port = server.port
         if self._settings.control == "service":
-            self.tasks.start("configuration", self.follower.run())
-            self.tasks.start("endpoints", self.table.run())
+            self.tasks.keep_running("configuration", self.follower.run)
+            self.tasks.keep_running("endpoints", self.table.run)
         else:
             await self.node.start()
             watcher = EndpointWatcher(
                 self._settings, self.node, self.table, self.follower, self.log
             )
-            self.tasks.start("endpoints", watcher.run())
+            self.tasks.keep_running("endpoints", watcher.run)
         self.log.write(
             Event.DAEMON_STARTED,
             role="entry",
--- a/wasabidrum/entry/endpoint_table.py
+++ b/wasabidrum/entry/endpoint_table.py
@@ -5,10 +5,10 @@
 import contextlib
 import dataclasses
 
-import msgspec
 from tornado import httpclient
 
 from ..core.boot_clock import boot_seconds
+from ..core.decoding import decode_json
 from ..core.errors import CodedError
 from ..core.instance import Instance, InstanceRole, InstanceState
 from ..core.status import Status
@@ -217,8 +217,8 @@
         request = httpclient.HTTPRequest(view.url + "/internal/status", request_timeout=timeout)
         try:
             response = await http_client.fetch(self._client, request, "status")
-            view.update_status(msgspec.json.decode(response.body, type=Status))
-        except (CodedError, msgspec.MsgspecError) as error:
+            view.update_status(decode_json(response.body, Status, "status_unreadable"))
+        except CodedError as error:
             raise CodedError("status_unread", str(error), 502) from error
 
     async def _poll(self, view: EndpointView) -> None:
--- a/wasabidrum/entry/key_handler.py
+++ b/wasabidrum/entry/key_handler.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..core.decoding import decode_json
 from ..core.errors import CodedError
 from ..decisions.idempotency_key import MAX_LIFETIME_SECONDS
 from ..observe.event import Event
@@ -31,10 +32,7 @@
     async def respond(self) -> None:
         """Validates the body and responds with a new key."""
         caller = self.caller
-        try:
-            body = msgspec.json.decode(self.body, type=KeyBody)
-        except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
-            raise CodedError("body_invalid", str(error), 400) from error
+        body = decode_json(self.body, KeyBody, "body_invalid", 400)
         if body.service not in caller.revision.fleet.workspaces[caller.workspace].services:
             raise CodedError("service_unknown", "unknown service", 404)
         key = await self.entry.services.keys.issue_or_wait(
--- a/wasabidrum/entry/model_handler.py
+++ b/wasabidrum/entry/model_handler.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..core.decoding import decode_json
 from ..core.errors import CodedError
 from ..wire import headers
 from .caller_handler import CallerHandler
@@ -27,15 +28,12 @@
 
     def decode_body(self) -> CompletionBody:
         """Decodes the body."""
-        return msgspec.json.decode(self.body, type=CompletionBody)
+        return decode_json(self.body, CompletionBody, "body_invalid", 400)
 
     async def respond(self) -> None:
         """Validates the body, generates the text and responds."""
         caller = self.caller
-        try:
-            completion = self.decode_body()
-        except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
-            raise CodedError("body_invalid", str(error), 400) from error
+        completion = self.decode_body()
         if completion.model not in caller.revision.fleet.workspaces[caller.workspace].models:
             raise CodedError("model_unknown", "unknown model", 404)
         batches = self.entry.models.generate(
--- a/wasabidrum/entry/placement.py
+++ b/wasabidrum/entry/placement.py
@@ -3,9 +3,10 @@
 import asyncio
 import typing
 
-import msgspec
 from tornado import httputil
 
+from ..core.decoding import decode_json
+from ..core.errors import CodedError
 from ..core.status import Status
 from ..decisions.endpoint_state import EndpointState
 from ..wire import headers
@@ -71,8 +72,8 @@
         if encoded_status is None:
             return
         try:
-            status = msgspec.json.decode(encoded_status, type=Status)
-        except msgspec.MsgspecError:
+            status = decode_json(encoded_status, Status, "status_unreadable")
+        except CodedError:
             return
         self._owner.record_status(status)
         rest = read_decimal(head.get(headers.ENDPOINT_REST, ""))
--- a/wasabidrum/entry/token_stream_reader.py
+++ b/wasabidrum/entry/token_stream_reader.py
@@ -4,10 +4,12 @@
 
 import msgspec
 
+from ..core.decoding import decode_json
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
 
 MAX_LINE_BYTES = 65_536
+BROKEN_CODE = "answer_broken"
 
 
 class EngineEvent(msgspec.Struct, frozen=True):
@@ -107,12 +109,9 @@
     Raises:
       CodedError: The line is not a valid event.
     """
-    try:
-        return msgspec.json.decode(line, type=EngineEvent)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise broken_answer(str(error)) from error
+    return decode_json(line, EngineEvent, BROKEN_CODE, 502, Outcome.FAILED)
 
 
 def broken_answer(message: str) -> CodedError:
     """Returns the error for a stream that violates the protocol."""
-    return CodedError("answer_broken", message, 502, Outcome.FAILED)
+    return CodedError(BROKEN_CODE, message, 502, Outcome.FAILED)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -269,13 +269,13 @@
             Address(deployment.host, relay_port),
         )
         await self.peers.start()
-        self.tasks.start("store", self._follower.run())
-        self.tasks.start("ticks", self._follower.run_ticks())
-        self.tasks.start("loads", self._load_watcher.run())
-        self.tasks.start("weights", self._relay.run())
+        self.tasks.keep_running("store", self._follower.run)
+        self.tasks.keep_running("ticks", self._follower.run_ticks)
+        self.tasks.keep_running("loads", self._load_watcher.run)
+        self.tasks.keep_running("weights", self._relay.run)
         if deployment.shares_room:
-            self.tasks.start("usage", self._usage_exchange.run())
-        self.tasks.start("attempts", self.attempts.run())
+            self.tasks.keep_running("usage", self._usage_exchange.run)
+        self.tasks.keep_running("attempts", self.attempts.run)
         self.log.write(Event.DAEMON_STARTED, role="entry", caller_port=deployment.callers.port)
 
     def reload(self, deployment: Deployment) -> list[str]:
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -228,9 +228,9 @@
         sockets = netutil.bind_sockets(self._own_address[1], self._own_address[0])
         self._server = server.Server([EntryService(self)], codec=CODEC)
         await self._server.start(sock=sockets[0])
-        self._tasks.start("meet", self._run_gossip())
-        self._tasks.start("demand", self._run_demand())
-        self._tasks.start("relay", self._run_store_relay())
+        self._tasks.keep_running("meet", self._run_gossip)
+        self._tasks.keep_running("demand", self._run_demand)
+        self._tasks.keep_running("relay", self._run_store_relay)
 
     async def stop(self) -> None:
         """Stops listening."""
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -13,6 +13,7 @@
 
 from ..config.deployment import Bounds
 from ..core.boot_clock import boot_seconds
+from ..core.decoding import describe
 from ..core.errors import CodedError
 from ..core.listed_endpoint import ListedEndpoint
 from ..core.placing_limit import PlacingLimit
@@ -36,6 +37,9 @@
 MAX_REPORTED_SECONDS = 1e6
 # The workspaces that one line names.
 MAX_LOGGED_WORKSPACES = 16
+MAX_LOGGED_CHARACTERS = 300
+# The items of which is known that they were logged as left out.
+MAX_REFUSED_ITEMS = 1024
 
 EndpointListener = collections.abc.Callable[[ListedEndpoint, ListedEndpoint | None, float], None]
 
@@ -66,6 +70,7 @@
         "_items",
         "_reported_versions",
         "_configuration_content",
+        "_refused",
     )
     __slots__ += ("routes", "endpoints", "lease", "outages", "epoch", "revision")
     __slots__ += ("evacuations", "_regions", "restored_at")
@@ -91,6 +96,8 @@
         # The newest version of each model that other processes have reported.
         self._reported_versions: dict[str, int] = {}
         self._items = KeptItems()
+        # The revisions of the items that were last left out.
+        self._refused: dict[str, int] = {}
         self.epoch = 0
         self.revision = 0
         # Whether this process asks the store itself, and since when it waits for an answer; failed
@@ -328,14 +335,24 @@
         )
         self.restored_at = boot_seconds()
         self._items.clear()
+        self._refused.clear()
         self.endpoints.begin_epoch(now)
         self.evacuations.begin_epoch(boot_seconds())
 
     def apply_change(
         self, change: StoreChange, now: float, not_before: float = float("-inf")
     ) -> None:
-        """Applies one changed or removed item; see apply_changes."""
+        """Applies one changed or removed item; see apply_changes.
+
+        An item that cannot be applied is left out, and does not hold up the others.
+        """
         self._items.add(change)
+        try:
+            self._apply(change, now, not_before)
+        except Exception as error:
+            self._refuse(change, Event.ITEM_FAILED, describe(error), key=change.key)
+
+    def _apply(self, change: StoreChange, now: float, not_before: float) -> None:
         kind = kind_of(change.key)
         if kind is ItemKind.ENDPOINT:
             endpoint_id = published_records.endpoint_id_of(change.key)
@@ -347,6 +364,17 @@
         elif kind is ItemKind.EVACUATION:
             self._apply_evacuation(change, max(not_before, self.lease.confirmed_at))
 
+    def _refuse(self, change: StoreChange, event: Event, reason: str, **facts: object) -> None:
+        """Logs that an item is left out, once for each time that it was written.
+
+        Other entries tell of the item again, and a snapshot lists it again.
+        """
+        if self._refused.get(change.key) != change.revision:
+            self._refused[change.key] = change.revision
+            if len(self._refused) > MAX_REFUSED_ITEMS:
+                del self._refused[next(iter(self._refused))]
+            self._log.write(event, reason=reason[:MAX_LOGGED_CHARACTERS], **facts)
+
     def expire_items(self, now: float) -> None:
         """Removes what was kept over a store outage and was not written again, and lists endpoints
         that need not be withheld any longer."""
@@ -483,9 +511,7 @@
         try:
             model, version = published_records.decode_version(change.value or b"")
         except CodedError as error:
-            self._log.write(
-                Event.REVISION_REFUSED, revision=change.revision, reason=str(error)[:300]
-            )
+            self._refuse(change, Event.REVISION_REFUSED, str(error), revision=change.revision)
             return
         floor = self._version_floors.setdefault(model, VersionFloor(self._bounds.version))
         now = boot_seconds()
@@ -512,9 +538,7 @@
         except CodedError as error:
             # Anyone may write a registration. One that cannot be decoded names no address to send
             # to, and must not affect the others.
-            self._log.write(
-                Event.ENDPOINT_UNREADABLE, endpoint=endpoint_id, reason=str(error)[:300]
-            )
+            self._refuse(change, Event.ENDPOINT_UNREADABLE, str(error), endpoint=endpoint_id)
             return
         before = self.endpoints.get(endpoint_id)
         if change.revision > self.endpoints.revision_of(endpoint_id):
--- a/wasabidrum/gateway/report_receiver.py
+++ b/wasabidrum/gateway/report_receiver.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from ..core.decoding import decoding
+from ..core.errors import CodedError
 from ..core.load_report import LoadReport
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -49,8 +51,9 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """See asyncio.DatagramProtocol."""
         try:
-            report = self._decoder.decode(data)
-        except msgspec.MsgspecError as error:
+            with decoding("report_unreadable"):
+                report = self._decoder.decode(data)
+        except CodedError as error:
             self._log_once(addr[0], f"unreadable: {error}")
             return
         if report.host != addr[0]:
--- a/wasabidrum/gateway/usage_exchange.py
+++ b/wasabidrum/gateway/usage_exchange.py
@@ -9,10 +9,9 @@
 import collections.abc
 import random
 
-import msgspec
-
 from ..config.deployment import Deployment
 from ..core.boot_clock import boot_seconds
+from ..core.errors import CodedError
 from ..decisions.report_turns import ReportTurns
 from ..decisions.workspace_shares import WorkspaceShares
 from ..observe.event import Event
@@ -81,7 +80,7 @@
         """See asyncio.DatagramProtocol."""
         try:
             report = entry_messages.read_use_report(data)
-        except msgspec.MsgspecError as error:
+        except CodedError as error:
             self._log_once(addr[0], f"unreadable: {error}")
             return
         if report.host != addr[0]:
--- a/wasabidrum/peers/configuration_follower.py
+++ b/wasabidrum/peers/configuration_follower.py
@@ -7,6 +7,7 @@
 from ..config.bundle import render_site
 from ..core.boot_clock import boot_seconds
 from ..core.config_value import ConfigValue
+from ..core.decoding import decoding
 from ..core.errors import CodedError
 from ..core.fleet import FleetRevision
 from ..decisions.revision_tracker import ClaimVerdict, RevisionTracker
@@ -169,7 +170,8 @@
     Raises:
       CodedError: The value is invalid.
     """
-    revision = render_site(value, site)
+    with decoding("configuration_invalid"):
+        revision = render_site(value, site)
     return revision, compressed or zlib.compress(value.content, COMPRESSION_LEVEL)
 
 
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..core.decoding import decoding
 from ..core.errors import CodedError
 from ..core.part_report import PartReport
 from ..core.workspace_use import UseReport
@@ -194,10 +195,8 @@
     Raises:
       CodedError: The bytes are not valid.
     """
-    try:
+    with decoding("peer_unreadable", 502):
         return msgspec.msgpack.decode(unpack_bytes(packed), type=tuple[PeerChange, ...])
-    except msgspec.MsgspecError as error:
-        raise CodedError("peer_unreadable", f"packed changes: {error}", 502) from error
 
 
 def pack_bytes(content: bytes) -> bytes:
@@ -259,6 +258,7 @@
     """Returns the report of use in a datagram.
 
     Raises:
-      msgspec.MsgspecError: The bytes are not valid.
+      CodedError: The bytes are not valid.
     """
-    return msgspec.msgpack.decode(content, type=UseReport)
+    with decoding("report_unreadable"):
+        return msgspec.msgpack.decode(content, type=UseReport)
--- a/wasabidrum/peers/message_codec.py
+++ b/wasabidrum/peers/message_codec.py
@@ -5,6 +5,8 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from ..core.decoding import describe
+
 # The overhead of a message: gRPC's length prefix and the header of the HTTP/2 frame.
 MESSAGE_FRAME_BYTES = 14
 # The receiver acknowledges each message with two HTTP/2 window updates.
@@ -50,4 +52,7 @@
         decoder = self._decoders.get(message_type)
         if decoder is None:
             decoder = self._decoders[message_type] = msgspec.msgpack.Decoder(message_type)
-        return decoder.decode(data)
+        try:
+            return decoder.decode(data)
+        except Exception as error:
+            raise msgspec.DecodeError(describe(error)) from error
--- a/wasabidrum/peers/outbound_links.py
+++ b/wasabidrum/peers/outbound_links.py
@@ -129,6 +129,11 @@
                 refused = True
             except peer_client.STREAM_ERRORS:
                 pass
+            except Exception as error:
+                # Without its task the instance would not be watched again.
+                asyncio.get_running_loop().call_exception_handler(
+                    {"message": f"the stream to {instance.name} failed", "exception": error}
+                )
             outbound.link = None
             self._on_lost(instance.name, refused)
             if link.status is not None:
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -122,7 +122,7 @@
         self.peer_port = sockets[0].getsockname()[1]
         self._server = server.Server([PeerService(self)], codec=CODEC)
         await self._server.start(sock=sockets[0], ssl=tls.server_context())
-        self._tasks.start("peers", self._run())
+        self._tasks.keep_running("peers", self._begin)
 
     async def stop(self) -> None:
         """Cancels the tasks and closes all links."""
@@ -230,7 +230,8 @@
         peers that answered."""
         return await self._verifier.verify(self.plan.parents(self._settings.name))
 
-    async def _run(self) -> None:
+    async def _begin(self) -> None:
+        """Reads the list and asks peers, then starts what runs for as long as the daemon."""
         await self.member_list.read()
         self._make_plan(asyncio.get_running_loop().time())
         if not await self.verify() and not self._follower.revision:
@@ -239,7 +240,10 @@
             self._log.write(
                 Event.CONFIGURATION_ALONE, reason="no peer answered; using the service's answer"
             )
-        self._tasks.start("list", self.member_list.run())
+        self._tasks.keep_running("list", self.member_list.run)
+        self._tasks.keep_running("ticks", self._run_ticks)
+
+    async def _run_ticks(self) -> None:
         while True:
             self._tick()
             await asyncio.sleep(TICK_SECONDS)
--- a/wasabidrum/peers/service_reader.py
+++ b/wasabidrum/peers/service_reader.py
@@ -63,8 +63,9 @@
         self._member_list.set_reads_often(reads)
         if reads:
             self._log.write(Event.READER_STARTED, alone=disconnected)
-            work = self._follower.run(READER_WATCH_SECONDS)
-            self._reading = self._tasks.start("configuration", work)
+            self._reading = self._tasks.keep_running(
+                "configuration", lambda: self._follower.run(READER_WATCH_SECONDS)
+            )
         elif self._reading is not None:
             self._log.write(Event.READER_STOPPED)
             self._reading.cancel()
--- a/wasabidrum/platform/boot_settings.py
+++ b/wasabidrum/platform/boot_settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..config.deployment import Address, Bounds, Deployment
+from ..core.decoding import decoding
 from ..core.errors import CodedError
 from . import names
 
@@ -85,11 +86,9 @@
     Raises:
       CodedError: It is invalid.
     """
-    try:
+    with decoding("settings_invalid"):
         wire = msgspec.json.decode(content, type=WireSettings)
         return to_deployment(wire)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise CodedError("settings_invalid", str(error)) from error
 
 
 def to_deployment(wire: WireSettings) -> Deployment:
--- a/wasabidrum/platform/engine_client.py
+++ b/wasabidrum/platform/engine_client.py
@@ -4,6 +4,7 @@
 from tornado import httpclient
 
 from ..config.deployment import Address
+from ..core.decoding import decode_json
 from ..core.engine_report import EngineReport
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
@@ -83,10 +84,7 @@
         status, body = await self._reports.get(names.REPORT_PATH, REQUEST_TIMEOUT_SECONDS)
         if status != 200:
             raise CodedError("engine_error", f"{names.REPORT_PATH}: status {status}", 502)
-        try:
-            wire = msgspec.json.decode(body, type=WireReport)
-        except msgspec.MsgspecError as error:
-            raise CodedError("engine_unreadable", str(error), 502) from error
+        wire = decode_json(body, WireReport, "engine_unreadable", 502)
         held = wire.models[0] if wire.models else None
         whole = held is not None and holds_all_layers(wire.layers, held.version, layers)
         return EngineReport(
@@ -103,10 +101,7 @@
     async def staged(self, model: str) -> tuple[int, ...]:
         """Returns the numbers of the pieces in the staging area."""
         body = await self._get(names.STAGE_GET_PATH + model)
-        try:
-            return msgspec.json.decode(body, type=WireStaged).held
-        except msgspec.MsgspecError as error:
-            raise CodedError("engine_unreadable", str(error), 502) from error
+        return decode_json(body, WireStaged, "engine_unreadable", 502).held
 
     async def read_piece(self, model: str, number: int) -> bytes | None:
         """Returns a piece from the staging area, or None where the engine does not give it."""
--- a/wasabidrum/platform/http_instance_directory.py
+++ b/wasabidrum/platform/http_instance_directory.py
@@ -1,8 +1,8 @@
 """HTTP client of the platform's list of instances."""
 
-import msgspec
 from tornado import httpclient
 
+from ..core.decoding import decode_json
 from ..core.errors import CodedError
 from ..core.instance import InstanceList
 from ..wire import http_client
@@ -27,10 +27,7 @@
             raise CodedError(
                 "instances_unreadable", f"the instance list answered status {response.code}", 503
             )
-        try:
-            return msgspec.json.decode(response.body, type=InstanceList)
-        except msgspec.MsgspecError as error:
-            raise CodedError("instances_unreadable", str(error), 503) from error
+        return decode_json(response.body, InstanceList, "instances_unreadable", 503)
 
 
 def make_instance_directory(client: httpclient.AsyncHTTPClient, url: str) -> HttpInstanceDirectory:
--- a/wasabidrum/platform/origin_client.py
+++ b/wasabidrum/platform/origin_client.py
@@ -3,6 +3,7 @@
 import msgspec
 from tornado import httpclient
 
+from ..core.decoding import decode_json
 from ..core.engine_report import PieceList
 from ..core.errors import CodedError
 from ..wire import http_client
@@ -49,10 +50,7 @@
         body = await self._get(
             f"{names.MANIFEST_PATH}{model}{query}", LIST_TIMEOUT_SECONDS, MAX_LIST_BYTES
         )
-        try:
-            wire = msgspec.json.decode(body, type=WireManifest)
-        except msgspec.MsgspecError as error:
-            raise CodedError("source_unreadable", str(error), 503) from error
+        wire = decode_json(body, WireManifest, "source_unreadable", 503)
         pieces = PieceList(model, wire.version, wire.chunkBytes, wire.digests)
         self.add_list(pieces)
         return pieces
--- a/wasabidrum/platform/published_records.py
+++ b/wasabidrum/platform/published_records.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..core.decoding import decode_json, decoding
 from ..core.errors import CodedError
 from ..core.listed_endpoint import ListedEndpoint
 from ..core.published import (
@@ -77,7 +78,7 @@
     Raises:
       CodedError: It is invalid.
     """
-    try:
+    with decoding("configuration_invalid"):
         wire = msgspec.json.decode(content, type=WireConfiguration)
         return PublishedConfiguration(
             version=wire.version,
@@ -88,8 +89,6 @@
                 WorkspaceKeys(t.name, t.apiKeys, t.priority, t.allowedRegions) for t in wire.tenants
             ),
         )
-    except (msgspec.MsgspecError, KeyError, ValueError) as error:
-        raise CodedError("configuration_invalid", repr(error)) from error
 
 
 def configuration_version(changes: collections.abc.Iterable[StoreChange]) -> int:
@@ -113,10 +112,7 @@
     Raises:
       CodedError: The value is invalid.
     """
-    try:
-        wire = msgspec.json.decode(content, type=WireVersion)
-    except msgspec.MsgspecError as error:
-        raise CodedError("version_invalid", str(error)) from error
+    wire = decode_json(content, WireVersion, "version_invalid")
     return wire.model, wire.version
 
 
@@ -131,12 +127,10 @@
     Raises:
       CodedError: A field is missing, has the wrong type or an unknown value.
     """
-    try:
+    with decoding("endpoint_invalid"):
         wire = msgspec.json.decode(content, type=WireEndpoint)
         address = parse_address(wire.address)
         leaving = LEAVING_BY_STATE[wire.state]
-    except (msgspec.MsgspecError, KeyError, ValueError) as error:
-        raise CodedError("endpoint_invalid", repr(error)) from error
     held = wire.models[0] if wire.models else None
     return ListedEndpoint(
         id=endpoint_id,
--- a/wasabidrum/platform/store_client.py
+++ b/wasabidrum/platform/store_client.py
@@ -1,7 +1,6 @@
 """HTTP client of the platform's key-value store, which can only be read and watched."""
 
 import base64
-import binascii
 import enum
 import typing
 import urllib.parse
@@ -10,6 +9,7 @@
 from tornado import httpclient
 
 from ..config.deployment import Address
+from ..core.decoding import decode_json
 from ..core.errors import CodedError
 from ..core.store_change import NO_EPOCH, StoreChange, StoreReading
 from ..wire import http_client
@@ -153,10 +153,7 @@
     Raises:
       CodedError: It is invalid.
     """
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
-        raise CodedError("store_unreadable", str(error), 503) from error
+    return decode_json(body, kind, "store_unreadable", 503)
 
 
 def to_change(item: WireItem) -> StoreChange:
@@ -166,7 +163,7 @@
     """
     try:
         value = base64.b64decode(item.value, validate=True)
-    except binascii.Error:
+    except ValueError:
         value = b""
     return StoreChange(item.key, item.revision, None if item.deleted else value)
 
--- a/wasabidrum/scripts/fleet_client.py
+++ b/wasabidrum/scripts/fleet_client.py
@@ -6,9 +6,9 @@
 import typing
 import urllib.parse
 
-import msgspec
 from tornado import httpclient
 
+from ..core.decoding import decode_json, decoding
 from ..core.errors import CodedError
 from ..core.instance import Instance, InstanceList
 from ..core.status import Status
@@ -82,18 +82,19 @@
         try:
             response = await http_client.fetch(self._client, request, instance.name)
             return read(response.body) if response.code == 200 else None
-        except (CodedError, msgspec.MsgspecError):
+        except CodedError:
             return None
 
 
 def read_json(kind: type[Answer]) -> collections.abc.Callable[[bytes], Answer]:
     """Returns a function that decodes a JSON body to a type."""
-    return lambda body: msgspec.json.decode(body, type=kind)
+    return lambda body: decode_json(body, kind, "answer_unreadable")
 
 
 def read_origin_bytes(body: bytes) -> float:
     """Returns the bytes fetched from the origin, from the metrics text of a daemon."""
-    for line in body.decode().splitlines():
-        if line.startswith('wasabidrum_weight_bytes_total{source="origin"}'):
-            return float(line.rsplit(" ", 1)[1])
+    with decoding("answer_unreadable"):
+        for line in body.decode().splitlines():
+            if line.startswith('wasabidrum_weight_bytes_total{source="origin"}'):
+                return float(line.rsplit(" ", 1)[1])
     return 0.0
--- a/wasabidrum/sidecar/call_handlers.py
+++ b/wasabidrum/sidecar/call_handlers.py
@@ -6,6 +6,7 @@
 import msgspec
 from tornado import iostream, web
 
+from ..core.decoding import decode_json
 from ..core.errors import CodedError
 from ..core.outcome import Outcome
 from ..decisions import poison
@@ -72,11 +73,10 @@
         with self.sidecar.requests.track():
             try:
                 self.check_taking_work()
-                generate_request = msgspec.json.decode(self.request.body, type=GenerateRequest)
+                body = self.request.body
+                generate_request = decode_json(body, GenerateRequest, "attempt_invalid", 400)
                 self._prompt = generate_request.prompt
                 await self.run(generate_request)
-            except msgspec.MsgspecError as error:
-                self.refuse(CodedError("attempt_invalid", str(error), 400))
             except CodedError as error:
                 error = self.record_engine_loss(error)
                 if self._headers_written:
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -112,13 +112,13 @@
         self._server.leaving_response = make_leaving_response()
         self._server.add_sockets(netutil.bind_sockets(listen.http_port, listen.host))
         if self._settings.control == "service":
-            self.tasks.start("configuration", self.follower.run())
-            self.tasks.start("membership", self._listed.run())
+            self.tasks.keep_running("configuration", self.follower.run)
+            self.tasks.keep_running("membership", self._listed.run)
         else:
             await self.node.start()
         if self.weights is not None:
             self.weights.start(self.tasks)
-            self.tasks.start("load", self._read_load())
+            self.tasks.keep_running("load", self._read_load)
         self._log.write(
             Event.DAEMON_STARTED,
             role="sidecar",
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -95,11 +95,13 @@
         self._listen(make_chunk_routes(self._distributor, self._readings), CHUNK_PORT_OFFSET)
         self._listen(make_routes(self._log), METRICS_PORT_OFFSET)
         await self._load_service.start()
-        self._tasks.start("engine", self._controller.watch())
-        self._tasks.start("listed", self._listed.run())
-        self._tasks.start("members", self._listed.refresh_members(self._needs_weights))
-        self._tasks.start("versions", self._controller.run())
-        self._tasks.start("retirement", self._controller.retire_old_weights())
+        self._tasks.keep_running("engine", self._controller.watch)
+        self._tasks.keep_running("listed", self._listed.run)
+        self._tasks.keep_running(
+            "members", lambda: self._listed.refresh_members(self._needs_weights)
+        )
+        self._tasks.keep_running("versions", self._controller.run)
+        self._tasks.keep_running("retirement", self._controller.retire_old_weights)
         self._log.write(
             Event.DAEMON_STARTED, role="sidecar", port=first + CHUNK_PORT_OFFSET, host=host
         )
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -73,6 +73,8 @@
         self._listed: tuple[ListedMember, ...] = ()
         self._known = False
         self._named_at: dict[int, float] = {}
+        # The revisions of the registrations that were last found unreadable, by endpoint.
+        self._unreadable: dict[str, int] = {}
         self.wanted = 0
         self.model = ""
         self.layers = 0
@@ -331,6 +333,7 @@
     async def _read_members(self) -> None:
         reading = await self._store.read(KeyPrefix.ENDPOINTS)
         members = []
+        unreadable = {}
         for change in reading.changes:
             endpoint_id = published_records.endpoint_id_of(change.key)
             try:
@@ -338,12 +341,15 @@
                     endpoint_id, change.value or b"", lambda service: self.layers
                 )
             except CodedError as error:
-                self._log.write(
-                    Event.ENDPOINT_UNREADABLE, endpoint=endpoint_id, reason=str(error)[:200]
-                )
+                unreadable[endpoint_id] = change.revision
+                if self._unreadable.get(endpoint_id) != change.revision:
+                    self._log.write(
+                        Event.ENDPOINT_UNREADABLE, endpoint=endpoint_id, reason=str(error)[:200]
+                    )
                 continue
             if endpoint.service == self._deployment.service:
                 members.append(to_member(endpoint))
+        self._unreadable = unreadable
         self._set_members(tuple(members))
 
     def _set_members(self, members: tuple[ListedMember, ...]) -> None:
--- a/wasabidrum/weights/shared_readings.py
+++ b/wasabidrum/weights/shared_readings.py
@@ -17,6 +17,7 @@
 import msgspec
 from tornado import httpclient, web
 
+from ..core.decoding import decode_json
 from ..core.engine_report import PieceList
 from ..core.errors import CodedError
 from ..decisions.chunk_plan import rank_names
@@ -185,8 +186,8 @@
                 )
                 if response.code == STATUS_MISSING:
                     continue
-                return msgspec.json.decode(response.body, type=kind)
-            except (CodedError, msgspec.MsgspecError) as error:
+                return decode_json(response.body, kind, "reading_unreadable")
+            except CodedError as error:
                 self._log.write(Event.PEER_SILENT, peer=peer.name, reason=str(error)[:120])
         return None
 
--- a/wasabidrum/weights/sidecar_weights.py
+++ b/wasabidrum/weights/sidecar_weights.py
@@ -58,8 +58,8 @@
 
     def start(self, tasks: BackgroundTasks) -> None:
         """Starts the background tasks."""
-        tasks.start("clock", self.guard.run())
-        tasks.start("versions", self.manager.run())
+        tasks.keep_running("clock", self.guard.run)
+        tasks.keep_running("versions", self.manager.run)
 
     def complete_status(self, status: Status) -> Status:
         """Returns a copy of a status with the fields about weights filled in."""
--- a/wasabidrum/weights/status_client.py
+++ b/wasabidrum/weights/status_client.py
@@ -3,9 +3,9 @@
 import asyncio
 import collections.abc
 
-import msgspec
 from tornado import httpclient
 
+from ..core.decoding import decode_json
 from ..core.errors import CodedError
 from ..core.status import Status
 from ..peers.membership import Membership
@@ -60,8 +60,8 @@
         request = httpclient.HTTPRequest(url + "/internal/status", request_timeout=TIMEOUT_SECONDS)
         try:
             response = await http_client.fetch(self._client, request, url, MAX_STATUS_BYTES)
-            status = msgspec.json.decode(response.body, type=Status)
-        except (CodedError, msgspec.MsgspecError):
+            status = decode_json(response.body, Status, "status_unreadable")
+        except CodedError:
             pause = min(MAX_PAUSE_SECONDS, 2 * pause)
             self._backoffs[url] = (asyncio.get_running_loop().time() + pause, pause)
             return None
--- a/wasabidrum/weights/version_manager.py
+++ b/wasabidrum/weights/version_manager.py
@@ -62,24 +62,28 @@
         revision = 0
         target: Target | None = None
         work: asyncio.Task | None = None
-        while True:
-            current = await self._follower.wait_after(revision)
-            revision = current.revision
-            wanted = find_target(current, self._name)
-            self._distributor.chunk_requester.revision = revision
-            self._distributor.pacer.links = current.fleet.links
-            # Most revisions do not change this target. Restarting on each of them would keep a
-            # large version from completing while the configuration keeps changing.
-            if wanted == target:
-                continue
+        try:
+            while True:
+                current = await self._follower.wait_after(revision)
+                revision = current.revision
+                wanted = find_target(current, self._name)
+                self._distributor.chunk_requester.revision = revision
+                self._distributor.pacer.links = current.fleet.links
+                # Most revisions do not change this target. Restarting on each of them would keep
+                # a large version from completing while the configuration keeps changing.
+                if wanted == target:
+                    continue
+                if work is not None:
+                    await self._cancel_work(work, target, wanted)
+                if target is None or wanted is None or target.spec != wanted.spec:
+                    self._gate.reset(revision)
+                    self._distributor.begin_version()
+                target = wanted
+                self._distributor.store.chunks_unknown = target is not None
+                work = asyncio.ensure_future(self._reconcile_forever(target)) if target else None
+        finally:
             if work is not None:
-                await self._cancel_work(work, target, wanted)
-            if target is None or wanted is None or target.spec != wanted.spec:
-                self._gate.reset(revision)
-                self._distributor.begin_version()
-            target = wanted
-            self._distributor.store.chunks_unknown = target is not None
-            work = asyncio.ensure_future(self._reconcile_forever(target)) if target else None
+                work.cancel()
 
     async def _cancel_work(self, work: asyncio.Task, target: Target, wanted: Target | None) -> None:
         work.cancel()
