Listed holders of a version are not waited for, so that no wait is a circle

Cause: entries asked the sidecars that the list named as holders of the version, as it was before the loss; the sidecars asked the entries. Each answered that the piece was coming. An entry read the list once a download, and a peer was passed over for 4 s after 12 s of waiting, so that with two holders the origin was never asked. A line added where a peer is passed over showed it: 14 from entries about listed sidecars, 217 the other way round.

Change: listed holders are asked for what they have. They may answer that a piece is coming in the first three seconds of a version only. Entries follow the list while they download. chunk_lacking says who was passed over, and whether the list named it. The same stood between sidecars without entries.

The modules of weights are green.

--- a/wasabidrum/decisions/chunk_source_choice.py
+++ b/wasabidrum/decisions/chunk_source_choice.py
@@ -8,9 +8,13 @@
 
 A sidecar asks only instances that are ahead of it in the common order (regions first, then places
 within a region), whatever it has observed itself, so that sidecars cannot wait for each other in
-a cycle. A sidecar with no usable instance ahead of it brings the chunk into the region: it first
-probes the peers that may already hold the chunk, and only then fetches it from the origin, after
-a delay that grows with its distance from the front of the order.
+a cycle. Peers that are listed as holders of the version are asked wherever they are in that order,
+and are therefore not waited for: the list may be out of date, and a peer that lacks the chunk may
+be waiting for the one that asks.
+
+A sidecar with no usable instance ahead of it brings the chunk into the region: it first probes the
+peers that may already hold the chunk, and only then fetches it from the origin, after a delay that
+grows with its distance from the front of the order.
 """
 
 import collections.abc
@@ -41,11 +45,14 @@
       peer: The peer to ask; empty for a fetch from the origin.
       delay: Seconds to wait before a fetch from the origin; zero for the instance that the plan
         names to fetch the chunk.
+      is_holder: Whether the peer is asked because it is listed as a holder of the version, and not
+        because it is ahead in the common order.
     """
 
     kind: FetchStepKind
     peer: str = ""
     delay: float = 0.0
+    is_holder: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -71,6 +71,7 @@
     CHUNK_RECEIVED = 3022
     OLD_WEIGHTS_RETIRED = 3023
     PLACING_LIMIT_SET = 3024
+    CHUNK_LACKING = 3025
 
     # 4000: configuration and membership.
     REVISION_IN_FORCE = 4001
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -32,6 +32,9 @@
 UNKNOWN_WAIT_SECONDS = 0.5
 # Full waits for a chunk after which a peer that is itself waiting for it is skipped.
 WAITS_BEFORE_SKIP = 4
+# For how long after the start of a version a listed holder may answer that a chunk is coming. It
+# may have started as well, and not know yet what its engine holds.
+HOLDERS_SETTLING_SECONDS = 3.0
 # Rounds of probes before a fetch from the origin, if some engine already serves the version.
 PROBE_ROUNDS_WHEN_ACTIVE = 4
 # How long after the start of a version a process assumes that peers know it.
@@ -88,7 +91,7 @@
         "_begun_at",
         "_serial_requests",
     )
-    __slots__ += ("_in_progress",)
+    __slots__ += ("_in_progress", "_logged_lacking")
 
     def __init__(
         self,
@@ -112,6 +115,8 @@
         self._begun_at = 0.0
         self._serial_requests = asyncio.Lock()
         self._in_progress = in_progress
+        # The peers whose lack of a chunk of this version was logged.
+        self._logged_lacking: set[str] = set()
 
     @property
     def late_seconds(self) -> float:
@@ -234,7 +239,9 @@
             return content
         index = plan.index_of(digest)
         step = self._find_step(plan, index, digest)
-        if step.kind is FetchStepKind.FROM_PEER:
+        if step.is_holder:
+            content = await self._request_from_listed(step.peer, digest, max_hold)
+        elif step.kind is FetchStepKind.FROM_PEER:
             content = await self._request_from(step.peer, digest, attempts, max_hold)
         else:
             content = await self._fetch_into_region(plan, index, digest, step, attempts.rounds)
@@ -248,10 +255,7 @@
     ) -> bytes | None:
         hold = min(self._hold_seconds(), max_hold)
         asked_at = self._now()
-        async with self._request_slot():
-            content, state = await self.chunk_requester.request_chunk(
-                peer, digest, hold, self._inbound_rate(peer)
-            )
+        content, state = await self._request(peer, digest, hold)
         # Counted from the first request, because there are pauses between short ones.
         if attempts.waiting_since is None:
             attempts.waiting_since = asked_at
@@ -261,9 +265,51 @@
         if state is ChunkState.LACKING or (state is ChunkState.COMING and stuck):
             # A peer that only waits itself is skipped too, because its path to the chunk
             # may be cut while another path works.
-            self.chunk_requester.health.record_lack(peer, digest, self._now())
+            self._record_lack(peer, digest, state, self._now() - asked_at, listed=False)
+        return content
+
+    async def _request_from_listed(self, peer: str, digest: str, max_hold: float) -> bytes | None:
+        """Requests a chunk from a listed holder; one that does not have it is passed over.
+
+        After a loss of power the list still names engines that have nothing any more, and their
+        sidecars wait for the process that asks.
+        """
+        asked_at = self._now()
+        settling = max(0.0, self._begun_at + HOLDERS_SETTLING_SECONDS - asked_at)
+        hold = min(self._hold_seconds(), max_hold)
+        content, state = await self._request(peer, digest, min(hold, settling))
+        if state is ChunkState.DRAWING and not settling:
+            # It waits for the origin and for nobody else.
+            content, state = await self._request(peer, digest, hold)
+        elapsed = self._now() - asked_at
+        if state is ChunkState.LACKING or (state is ChunkState.COMING and elapsed >= settling):
+            self._record_lack(peer, digest, state, elapsed, listed=True)
         return content
 
+    async def _request(
+        self, peer: str, digest: str, hold: float
+    ) -> tuple[bytes | None, ChunkState | None]:
+        async with self._request_slot():
+            return await self.chunk_requester.request_chunk(
+                peer, digest, hold, self._inbound_rate(peer)
+            )
+
+    def _record_lack(
+        self, peer: str, digest: str, state: ChunkState, seconds: float, listed: bool
+    ) -> None:
+        """Passes a peer over for a chunk, and logs the first of each version that it lacks."""
+        self.chunk_requester.health.record_lack(peer, digest, self._now())
+        if peer not in self._logged_lacking:
+            self._logged_lacking.add(peer)
+            self._log.write(
+                Event.CHUNK_LACKING,
+                chunk=digest,
+                peer=peer,
+                state=state.value,
+                listed=listed,
+                seconds=round(seconds, 3),
+            )
+
     async def prefetch(
         self,
         digests: collections.abc.Iterable[str],
@@ -298,6 +344,7 @@
     def begin_version(self) -> None:
         """Resets the state that belongs to the previous target version."""
         self._requested.clear()
+        self._logged_lacking.clear()
         self._begun_at = self._now()
 
     def record_request(self) -> None:
@@ -381,7 +428,7 @@
             self.chunk_requester.holders, requester.name, digest, usable
         )
         if holder:
-            return FetchStep(FetchStepKind.FROM_PEER, holder)
+            return FetchStep(FetchStepKind.FROM_PEER, holder, is_holder=True)
         return chunk_source_choice.find_step(plan, requester, index, usable)
 
     def _store_chunk(self, plan: ChunkPlan, index: int, digest: str, content: bytes) -> None:
--- a/wasabidrum/weights/weights_relay.py
+++ b/wasabidrum/weights/weights_relay.py
@@ -268,6 +268,18 @@
         self._members_inputs = known
         self._members.update((e for e in registry.endpoints if e.service == service), relays)
         self._distributor.chunk_requester.relays = frozenset(relays)
+        self._update_holders()
+
+    def _update_holders(self) -> None:
+        """Applies which sidecars are listed with the version that this relay fetches.
+
+        Once all processes have started again, the list names the engines as they were before until
+        they have registered anew.
+        """
+        if self._pieces is not None:
+            holders = self._members.holders(self._pieces.version, self._deployment.region)
+            self._distributor.chunk_requester.holders = holders
+            self._distributor.active_elsewhere = bool(holders)
 
     async def _retry_forever(self, target: RelayTarget) -> None:
         self._readings.named_for = lambda: self._state.newest_seconds(target.setting.model)
@@ -289,8 +301,7 @@
     async def _fetch_share(self, target: RelayTarget) -> None:
         pieces = await self._read_pieces(target)
         region, name = self._deployment.region, self._deployment.host
-        self._distributor.chunk_requester.holders = self._members.holders(pieces.version, region)
-        self._distributor.active_elsewhere = bool(self._distributor.chunk_requester.holders)
+        self._update_holders()
         manifest = manifest_of(pieces)
         origin_region = self._deployment.region_of.get(target.setting.origin_data_centre, "")
         members = self._members
