A wrong list of a version's pieces is found by its pieces, and corrected

Cause: the list of pieces was read once, kept for as long as the version was wanted and handed to all sidecars. Pieces are verified by the list, and nothing verified the list, nor that it was of the version asked for.

Change: a list of another version, model, number or size of pieces, or with digests that are none, is no list. When a piece from the origin does not match, the list is read again, and replaced where it states the digest of what came; digests whose content is held stay. Two equal readings prove nothing, content that has the digest does. Sidecars learn of a correction with the members. The order of processes no longer hangs on the digests. list_read_again says what came and whether the list states it.

--- a/tests/fake_engines.py
+++ b/tests/fake_engines.py
@@ -51,10 +51,7 @@
             return
         if self.request.path.startswith(names.MANIFEST_PATH):
             origin.lists += 1
-            digests = [digest_of_piece(version, number) for number in range(PIECES)]
-            self.write(
-                {"model": MODEL, "version": version, "chunkBytes": PIECE_BYTES, "digests": digests}
-            )
+            self.write(origin.next_list(version))
             return
         number = int(self.get_query_argument("num"))
         if origin.refuses_pieces or number >= origin.pieces_available:
@@ -79,6 +76,8 @@
         self.sent = 0
         self.lists = 0
         self.corrupt_every = 0
+        # What the next lists have in place of what they should, one after the other.
+        self.spoiled_lists: list[dict] = []
         self.port = 0
         self._count = 0
         self._server: httpserver.HTTPServer | None = None
@@ -93,6 +92,15 @@
         self._count += 1
         return bool(self.corrupt_every) and self._count % self.corrupt_every == 0
 
+    def next_list(self, version: int) -> dict:
+        """Returns the list of a version's pieces as it is sent next."""
+        digests = [digest_of_piece(version, number) for number in range(PIECES)]
+        spoiled = self.spoiled_lists.pop(0) if self.spoiled_lists else {}
+        for number, digest in spoiled.get("digests", {}).items():
+            digests[number] = digest
+        content = {"model": MODEL, "version": version, "chunkBytes": PIECE_BYTES}
+        return content | spoiled | {"digests": digests}
+
     def start(self) -> None:
         """Listens."""
         self._server, self.port = serve([(r"/.*", OriginHandler, {"origin": self})], "127.0.0.1", 0)
@@ -164,6 +172,10 @@
         self._puts = 0
         self._server: httpserver.HTTPServer | None = None
 
+    def serves(self, version: int) -> bool:
+        """Returns whether it holds all layers of a version."""
+        return self.version == version and len(self.layers) == LAYERS
+
     def set_version(self, version: int) -> None:
         """Sets the version that the engine serves, and stages its pieces."""
         self.version = version
@@ -260,6 +272,7 @@
         await self.store.start()
         self.origin.start()
         engine = {"layers": LAYERS, "models": [{"name": MODEL}], "chunks": PIECES, "slots": 16}
+        engine["chunkBytes"] = PIECE_BYTES
         services = [
             {"name": SERVICE, "engine": engine},
             {"name": "weights", "origin": f"127.0.0.1:{self.origin.port}", "zone": "rift-a"},
--- a/tests/power_loss_test.py
+++ b/tests/power_loss_test.py
@@ -59,7 +59,7 @@
     async def check_recovers(self) -> None:
         """Checks that all engines have their weights in time."""
         async with asyncio.timeout(RECOVERY_SECONDS):
-            while any(engine.version != 1 for engine in self.fleet.engines):
+            while not all(engine.serves(1) for engine in self.fleet.engines):
                 await asyncio.sleep(0.02)
         self.assertEqual([engine.wrong_loads for engine in self.fleet.engines], [0] * 3)
 
--- a/wasabidrum/core/engine_report.py
+++ b/wasabidrum/core/engine_report.py
@@ -28,9 +28,23 @@
 
 
 class PieceList(msgspec.Struct, frozen=True):
-    """The digests of the pieces of a version, in order."""
+    """The digests of the pieces of a version, in order.
+
+    Attributes:
+      corrections: How often digests were replaced because content had shown that they were wrong.
+    """
 
     model: str
     version: int
     piece_bytes: int
     digests: tuple[str, ...]
+    corrections: int = 0
+
+    @property
+    def order_subject(self) -> str:
+        """The subject by which processes are ordered for this version.
+
+        It does not depend on the digests, so that the order is the same at processes that have
+        corrected the list and at those that have not.
+        """
+        return f"{self.model}/{self.version}"
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -72,6 +72,7 @@
     OLD_WEIGHTS_RETIRED = 3023
     PLACING_LIMIT_SET = 3024
     CHUNK_LACKING = 3025
+    LIST_READ_AGAIN = 3026
 
     # 4000: configuration and membership.
     REVISION_IN_FORCE = 4001
--- a/wasabidrum/platform/origin_client.py
+++ b/wasabidrum/platform/origin_client.py
@@ -4,6 +4,7 @@
 from tornado import httpclient
 
 from ..core.decoding import decode_json
+from ..core.digest import Digest
 from ..core.engine_report import PieceList
 from ..core.errors import CodedError
 from ..wire import http_client
@@ -23,7 +24,7 @@
     model: str
     version: int
     chunkBytes: int  # noqa: N815
-    digests: tuple[str, ...]
+    digests: tuple[Digest, ...]
 
 
 class OriginClient:
@@ -44,16 +45,16 @@
         """Returns the list of a version's pieces; version zero means the newest.
 
         Raises:
-          CodedError: The origin did not answer with a list.
+          CodedError: The origin did not answer with a list of that version.
         """
         query = f"?version={version}" if version else ""
         body = await self._get(
             f"{names.MANIFEST_PATH}{model}{query}", LIST_TIMEOUT_SECONDS, MAX_LIST_BYTES
         )
         wire = decode_json(body, WireManifest, "source_unreadable", 503)
-        pieces = PieceList(model, wire.version, wire.chunkBytes, wire.digests)
-        self.add_list(pieces)
-        return pieces
+        if wire.model != model or (version and wire.version != version):
+            raise CodedError("source_unreadable", "a list of another version", 503)
+        return PieceList(model, wire.version, wire.chunkBytes, wire.digests)
 
     def add_list(self, pieces: PieceList) -> None:
         """Registers the pieces of a list, so that fetch finds them by their digests."""
--- a/wasabidrum/weights/chunk_store.py
+++ b/wasabidrum/weights/chunk_store.py
@@ -14,10 +14,11 @@
       fetching_from_origin: The digests of the chunks that are being fetched from the origin.
       chunks_unknown: Whether a version is wanted whose chunk list is not known yet, so that any
         chunk may turn out to be expected.
+      withdrawn: Digests that a corrected list of a version no longer has.
     """
 
     __slots__ = ("_limit", "_contents", "_held", "_wanted", "_waiters", "_bytes", "expected")
-    __slots__ += ("fetching_from_origin", "chunks_unknown")
+    __slots__ += ("fetching_from_origin", "chunks_unknown", "withdrawn")
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
@@ -29,6 +30,7 @@
         self.expected: set[str] = set()
         self.fetching_from_origin: set[str] = set()
         self.chunks_unknown = True
+        self.withdrawn: set[str] = set()
 
     @property
     def size(self) -> int:
@@ -71,6 +73,11 @@
         """Returns whether a chunk belongs to an active or wanted version."""
         return digest in self._wanted
 
+    def withdraw(self, digests: collections.abc.Iterable[str]) -> None:
+        """Records that there is no content with some digests; ends the waits for them."""
+        self.withdrawn.update(digests)
+        self.wake_all()
+
     def record_served(self, digest: str) -> None:
         """Records that a peer has fetched a chunk."""
         if held := self._held.get(digest):
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -22,7 +22,7 @@
 from .chunk_state import ChunkState
 from .chunk_store import ChunkStore
 from .link_pacer import LinkPacer
-from .origin_fetcher import OriginFetcher
+from .origin_fetcher import CorruptContentError, OriginFetcher
 from .transfer_counts import TransferCounts
 
 # A sidecar that has received no request yet assumes that peers don't know it, ranks itself last and
@@ -81,11 +81,14 @@
         requesters would skip this process for seconds.
       active_elsewhere: Whether the version is known to be active on some engine, so that peers
         hold it.
+      on_corrupt_draw: Called with the digest of a chunk that was asked of the origin, and with that
+        of what came instead. A CodedError that it raises ends the download.
     """
 
     __slots__ = ("_settings", "_origin", "_log", "chunk_requester", "store", "pacer", "counts")
     __slots__ += (
         "active_elsewhere",
+        "on_corrupt_draw",
         "learns_versions_late",
         "_requested",
         "_begun_at",
@@ -111,6 +114,7 @@
         self.chunk_requester = ChunkRequester(settings, membership, client, self.counts, log)
         self.learns_versions_late = False
         self.active_elsewhere = False
+        self.on_corrupt_draw = ignore_corrupt_draw
         self._requested = asyncio.Event()
         self._begun_at = 0.0
         self._serial_requests = asyncio.Lock()
@@ -139,6 +143,8 @@
             return ChunkState.HELD
         if digest in self.store.fetching_from_origin:
             return ChunkState.DRAWING
+        if digest in self.store.withdrawn:
+            return ChunkState.LACKING
         # A requester with a newer configuration may need a chunk that this process will need in a
         # moment. LACKING would send it to the origin for a chunk that is about to arrive here.
         behind = requester_revision > self.chunk_requester.revision
@@ -344,6 +350,7 @@
     def begin_version(self) -> None:
         """Resets the state that belongs to the previous target version."""
         self._requested.clear()
+        self.store.withdrawn.clear()
         self._logged_lacking.clear()
         self._begun_at = self._now()
 
@@ -483,6 +490,8 @@
             if not logged:
                 logged = True
                 self._log.write(Event.CHUNK_DRAW_FAILED, chunk=digest, code=failure.code)
+            if isinstance(failure, CorruptContentError):
+                await self.on_corrupt_draw(digest, failure.actual)
             left = pause_ends - self._now()
             refused = failure.code == "source_unreachable"
             await asyncio.sleep(max(0.0, min(left, ORIGIN_RETRY_SECONDS) if refused else left))
@@ -535,3 +544,7 @@
                     content, _ = await self.chunk_requester.request_chunk(name, digest)
                     return True, content
         return False, None
+
+
+async def ignore_corrupt_draw(digest: str, actual: str) -> None:
+    """The default on_corrupt_draw callback; does nothing."""
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -22,6 +22,7 @@
 from ..platform.origin_client import OriginClient
 from .distributor import Distributor
 from .listed_engines import ListedEngines
+from .piece_lists import make_piece_lists
 from .shared_readings import SharedReadings, VersionReading
 from .staged_version import StagedVersion
 
@@ -70,6 +71,7 @@
         """
         self._engine = engine
         self._origin = origin
+        self._lists = make_piece_lists(origin, log)
         self._distributor = distributor
         self._listed = listed
         self._readings = readings
@@ -79,9 +81,10 @@
         # See StagedVersion.
         self._staging_area = asyncio.Lock()
         self._engine_up = asyncio.Event()
-        # The lists of versions that were prefetched and are not staged yet.
+        # The lists of versions that are not staged yet: prefetched, or corrected.
         self._pieces: dict[int, PieceList] = {}
         self._logged_reason = ""
+        self._work: asyncio.Task[None] | None = None
         self._staging_version = 0
         self._accepted = 0
         self._awaits_turn = False
@@ -94,6 +97,8 @@
         self.retirement = WeightsRetirement(bound)
         listed.on_members = self._update_holders
         listed.on_relays = self._update_relays
+        listed.on_list = self._update_list
+        distributor.on_corrupt_draw = self._correct_list
 
     async def watch(self) -> None:
         """Polls the engine's report, forever."""
@@ -125,7 +130,7 @@
         while True:
             chosen = version
             self._restart_progress()
-            work = asyncio.ensure_future(self._retry_forever(version))
+            work = self._work = asyncio.ensure_future(self._retry_forever(version))
             try:
                 while not work.done() and chosen == version:
                     # Peers may request pieces of a newer version, whose list is not known yet.
@@ -397,11 +402,55 @@
             self._origin.add_list(shared.pieces)
         else:
             await self._listed.read_members()
-            pieces = await self._origin.read_list(self._listed.model, wanted)
+            pieces = await self._lists.read(self._readings.setting, wanted)
             shared = VersionReading(pieces, self._listed.listed)
         await self._readings.keep_version(shared)
         return shared.pieces
 
+    async def _correct_list(self, digest: str, actual: str) -> None:
+        """Corrects the list of pieces, if that is why a piece from the origin does not match it.
+
+        Raises:
+          CodedError: The list was corrected, so that the download has to begin anew.
+        """
+        store = self._distributor.store
+
+        def find_known() -> PieceList | None:
+            staged = self._staged.get(self._staging_version)
+            return staged.pieces if staged is not None else None
+
+        corrected = await self._lists.correct(
+            find_known, self._readings.setting, digest, actual, lambda d: store.get(d) is not None
+        )
+        if corrected is None:
+            return
+        await self._replace_list(corrected)
+        raise CodedError("list_corrected", "the list of pieces was corrected", 503)
+
+    async def _update_list(self, version: int, corrections: int) -> None:
+        """Takes over a list that a relay has corrected more often than this process."""
+        staged = self._staged.get(version)
+        if staged is None or staged.share >= 1.0 or corrections <= staged.pieces.corrections:
+            return
+        reading = await self._listed.read_version(version)
+        if reading is None or reading.pieces.corrections <= staged.pieces.corrections:
+            return
+        self._origin.add_list(reading.pieces)
+        await self._replace_list(reading.pieces)
+        if self._work is not None and version == self._staging_version:
+            self._work.cancel()
+
+    async def _replace_list(self, pieces: PieceList) -> None:
+        """Replaces the list of a version; what is staged of it is compared anew."""
+        replaced = self._staged.pop(pieces.version, None)
+        self._pieces[pieces.version] = pieces
+        if not self._listed.wanted:
+            self._pieces[0] = pieces
+        if replaced is not None:
+            withdrawn = set(replaced.pieces.digests) - set(pieces.digests)
+            self._distributor.store.withdraw(withdrawn)
+        await self._readings.keep_version(VersionReading(pieces, self._listed.listed))
+
     async def _load(self, staged: StagedVersion, version: int) -> None:
         try:
             async with self._staging_area:
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -25,6 +25,7 @@
     MAX_PEERS_QUERIED,
     EngineSetting,
     ListedMember,
+    MembersReading,
     SharedReadings,
     VersionReading,
     readers_before,
@@ -55,6 +56,8 @@
       relays_known: Set once the first relay is known.
       on_members: Called after a periodic read of the members while the engine lacks its weights.
       on_relays: Called after the relays were updated.
+      on_list: Called with the version whose list of pieces a relay follows, and how often that has
+        corrected it, while the engine lacks its weights.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         self._started_at = boot_seconds()
         self.on_members = ignore_update
         self.on_relays = ignore_update
+        self.on_list = ignore_list
 
     @property
     def members(self) -> list[MemberView]:
@@ -263,11 +267,13 @@
         while True:
             await asyncio.sleep(MEMBERS_SECONDS)
             if lacking():
-                await self.read_members()
+                reading = await self.read_members()
                 self.on_members()
+                if reading is not None:
+                    await self.on_list(reading.version, reading.corrections)
 
-    async def read_members(self) -> None:
-        """Reads the members; keeps the known ones if that fails.
+    async def read_members(self) -> MembersReading | None:
+        """Reads the members, and returns what a relay answered; keeps the known ones if that fails.
 
         Relays of this region know them, and a hundred sidecars that lack a version would each read
         several pages from the store.
@@ -275,14 +281,15 @@
         own = self._deployment
         near = [name for name, region in self.relays.items() if region == own.region]
         asked = rank_names(own.host, near)[:MAX_PEERS_QUERIED]
-        members = await self._readings.request_members([self._relays[name] for name in asked])
-        if members:
-            self._set_members(members)
-            return
+        reading = await self._readings.request_members([self._relays[name] for name in asked])
+        if reading is not None and reading.members:
+            self._set_members(reading.members)
+            return reading
         try:
             await self._read_members()
         except CodedError as error:
             self._log.write(Event.LIST_UNREACHABLE, reason=str(error)[:200])
+        return None
 
     async def read_version(self, version: int) -> VersionReading | None:
         """Returns a version reading from a peer of the region, or None; updates the members."""
@@ -400,8 +407,20 @@
     if own is None or origin is None or not own.models:
         return None
     host, port = origin.origin
-    return EngineSetting(own.models[0], own.engine.layers, host, port, origin.data_centre)
+    return EngineSetting(
+        own.models[0],
+        own.engine.layers,
+        host,
+        port,
+        origin.data_centre,
+        own.engine.chunk_count,
+        own.engine.chunk_bytes,
+    )
 
 
 def ignore_update() -> None:
     """Default callback that does nothing."""
+
+
+async def ignore_list(version: int, corrections: int) -> None:
+    """The default on_list callback; does nothing."""
--- a/wasabidrum/weights/origin_fetcher.py
+++ b/wasabidrum/weights/origin_fetcher.py
@@ -7,6 +7,20 @@
 from ..platform.blob_source import BlobSource
 
 
+class CorruptContentError(CodedError):
+    """The last source asked sent other content than was asked for.
+
+    Attributes:
+      actual: The digest of what it sent.
+    """
+
+    __slots__ = ("actual",)
+
+    def __init__(self, digest: str, actual: str) -> None:
+        super().__init__("chunk_corrupt", f"{digest} does not match the content received", 503)
+        self.actual = actual
+
+
 class OriginFetcher:
     """Tries the sources in order, and skips one until the time in its Retry-After header."""
 
@@ -35,9 +49,8 @@
                 if error.retry_after is not None:
                     self._busy_until[place] = loop.time() + error.retry_after
                 continue
-            if digest_of(content) == digest:
+            actual = digest_of(content)
+            if actual == digest:
                 return content
-            failure = CodedError(
-                "chunk_corrupt", f"{digest} does not match the content received", 503
-            )
+            failure = CorruptContentError(digest, actual)
         raise failure
--- a/wasabidrum/weights/shared_readings.py
+++ b/wasabidrum/weights/shared_readings.py
@@ -50,6 +50,8 @@
 
     Attributes:
       origin_data_centre: Empty if it is not published.
+      piece_count: The number of pieces of each version; zero if it is not published.
+      piece_bytes: The size of each piece; zero if it is not published.
     """
 
     model: str
@@ -57,6 +59,8 @@
     origin_host: str
     origin_port: int
     origin_data_centre: str = ""
+    piece_count: int = 0
+    piece_bytes: int = 0
 
 
 class ListedMember(msgspec.Struct, frozen=True):
@@ -87,9 +91,16 @@
 
 
 class MembersReading(msgspec.Struct, frozen=True):
-    """The current members, from a process that always knows them."""
+    """The current members, from a process that always knows them.
+
+    Attributes:
+      version: The version whose list of pieces it follows; zero if none.
+      corrections: How often it has corrected that list.
+    """
 
     members: tuple[ListedMember, ...]
+    version: int = 0
+    corrections: int = 0
 
 
 class SharedReadings:
@@ -131,7 +142,7 @@
     async def find(self, name: str) -> EngineSetting | VersionReading | MembersReading | None:
         """Returns a reading by its path name, or None if it is not available in time."""
         if name == MEMBERS:
-            return MembersReading(self.list_members()) if self.list_members is not None else None
+            return self._members_reading()
         try:
             async with asyncio.timeout(MAX_HOLD_SECONDS), self._changed:
                 await self._changed.wait_for(lambda: self._is_settled(name))
@@ -143,6 +154,14 @@
             return None
         return VersionReading(self.version.pieces, self._fresh_members(), self.named_for())
 
+    def _members_reading(self) -> MembersReading | None:
+        if self.list_members is None:
+            return None
+        if self.version is None:
+            return MembersReading(self.list_members())
+        pieces = self.version.pieces
+        return MembersReading(self.list_members(), pieces.version, pieces.corrections)
+
     def _fresh_members(self) -> tuple[ListedMember, ...]:
         if self.list_members is not None:
             return self.list_members()
@@ -168,10 +187,9 @@
         """
         return await self._request(peers, str(version), VersionReading, VERSION_SECONDS)
 
-    async def request_members(self, peers: list[MemberView]) -> tuple[ListedMember, ...] | None:
+    async def request_members(self, peers: list[MemberView]) -> MembersReading | None:
         """Returns the members from the first peer that always knows them, or None."""
-        reading = await self._request(peers, MEMBERS, MembersReading, VERSION_SECONDS)
-        return reading.members if reading is not None else None
+        return await self._request(peers, MEMBERS, MembersReading, VERSION_SECONDS)
 
     async def _request(self, peers: list[MemberView], name: str, kind: type, seconds: float):
         for peer in peers:
@@ -186,7 +204,10 @@
                 )
                 if response.code == STATUS_MISSING:
                     continue
-                return decode_json(response.body, kind, "reading_unreadable")
+                reading = decode_json(response.body, kind, "reading_unreadable")
+                if kind is VersionReading and self.setting is not None:
+                    check_list(reading.pieces, self.setting)
+                return reading
             except CodedError as error:
                 self._log.write(Event.PEER_SILENT, peer=peer.name, reason=str(error)[:120])
         return None
@@ -209,6 +230,26 @@
         self.write(msgspec.json.encode(reading))
 
 
+def check_list(pieces: PieceList, setting: EngineSetting) -> None:
+    """Checks a list of pieces against what is published of all versions.
+
+    Raises:
+      CodedError: It is not a list of the pieces of a version of this model.
+    """
+    count, size = len(pieces.digests), pieces.piece_bytes
+    if (
+        pieces.model != setting.model
+        or pieces.version < 1
+        or count != (setting.piece_count or count)
+        or size != (setting.piece_bytes or size)
+    ):
+        raise CodedError(
+            "list_invalid",
+            f"a list of {count} pieces of {size} bytes of version {pieces.version}",
+            503,
+        )
+
+
 def readers_before(
     subject: str,
     own: str,
--- a/wasabidrum/weights/staged_version.py
+++ b/wasabidrum/weights/staged_version.py
@@ -4,7 +4,7 @@
 
 from ..core.digest import digest_of
 from ..core.engine_report import PieceList
-from ..core.manifest import manifest_of, root_of
+from ..core.manifest import manifest_of
 from ..decisions.chunk_plan import ChunkPlan
 from ..platform.engine_client import EngineClient, pieces_of_layer
 from .distributor import Distributor
@@ -15,12 +15,11 @@
     """One version that is being staged for one engine.
 
     Attributes:
-      root: Digest of the version's manifest, the same at every sidecar.
       progressed_at: When a new piece last arrived, by the event loop's clock.
     """
 
     __slots__ = ("_engine", "_distributor", "_pieces", "_manifest", "_staged", "_area")
-    __slots__ += ("root", "progressed_at")
+    __slots__ += ("progressed_at",)
 
     def __init__(
         self,
@@ -40,7 +39,6 @@
         self._distributor = distributor
         self._pieces = pieces
         self._manifest = manifest_of(pieces)
-        self.root = root_of(self._manifest)
         self._staged: set[int] = set()
         self.progressed_at = 0.0
 
@@ -49,6 +47,11 @@
         """The version number."""
         return self._pieces.version
 
+    @property
+    def pieces(self) -> PieceList:
+        """The list of the pieces."""
+        return self._pieces
+
     @property
     def byte_count(self) -> int:
         """The size of all pieces in bytes."""
@@ -98,7 +101,7 @@
         # leave that region.
         fetching_region = origin_region if relays else ""
         plan = ChunkPlan(
-            self.root,
+            pieces.order_subject,
             pieces.digests,
             region_of,
             fetching_region,
--- a/wasabidrum/weights/weights_relay.py
+++ b/wasabidrum/weights/weights_relay.py
@@ -19,7 +19,7 @@
 from ..core.engine_report import PieceList
 from ..core.errors import CodedError
 from ..core.fleet import LinkSpec
-from ..core.manifest import manifest_of, root_of
+from ..core.manifest import manifest_of
 from ..core.published import PublishedConfiguration
 from ..decisions.chunk_plan import ChunkPlan
 from ..decisions.endpoint_registry import EndpointRegistry
@@ -34,6 +34,7 @@
 from .distributor import Distributor
 from .listed_engines import find_setting
 from .origin_fetcher import OriginFetcher
+from .piece_lists import make_piece_lists
 from .relay_members import RelayMembers
 from .shared_readings import (
     MAX_PEERS_QUERIED,
@@ -132,6 +133,7 @@
         self._find_links = find_links
         self._log = log
         self._origin = make_origin_client(client)
+        self._lists = make_piece_lists(self._origin, log)
         self._members = RelayMembers(deployment.region_of, deployment.first_port)
         self._readings = SharedReadings(client, log)
         self._readings.list_members = lambda: self._members.listed
@@ -144,6 +146,7 @@
             log,
         )
         self._distributor.learns_versions_late = True
+        self._distributor.on_corrupt_draw = self._correct_list
         self._distributor.pacer.links = LinkSpec(weights_fraction_instance=LINK_FRACTION)
         self._pieces: PieceList | None = None
         # The list of a version that was named while an older one is still being fetched.
@@ -205,7 +208,7 @@
 
     async def _read_next_pieces(self, current: RelayTarget, version: int) -> None:
         try:
-            self._next_pieces = await self._origin.read_list(current.setting.model, version)
+            self._next_pieces = await self._lists.read(current.setting, version)
         except CodedError as error:
             # It is read again when the version becomes the current one.
             self._log.write(Event.VERSION_FAILED, version=version, reason=str(error)[:300])
@@ -306,7 +309,7 @@
         origin_region = self._deployment.region_of.get(target.setting.origin_data_centre, "")
         members = self._members
         plan = ChunkPlan(
-            root_of(manifest),
+            pieces.order_subject,
             pieces.digests,
             members.region_of,
             origin_region,
@@ -345,7 +348,7 @@
         pieces = await self._request_pieces(first_peers, wanted)
         if pieces is None:
             try:
-                pieces = await self._origin.read_list(target.setting.model, wanted)
+                pieces = await self._lists.read(target.setting, wanted)
             except CodedError:
                 # Sidecars may know the list too, and the origin may be down for a long time.
                 near = [m for m in members if m.instance.region == own.region]
@@ -355,6 +358,24 @@
                     raise
         return await self._keep_pieces(pieces, wanted)
 
+    async def _correct_list(self, digest: str, actual: str) -> None:
+        """Corrects the list of pieces, if that is why a piece from the origin does not match it.
+
+        Raises:
+          CodedError: The list was corrected, so that the download has to begin anew.
+        """
+        store, setting = self._distributor.store, self._readings.setting
+        known = self._pieces
+        corrected = await self._lists.correct(
+            lambda: self._pieces, setting, digest, actual, lambda d: store.get(d) is not None
+        )
+        if corrected is None:
+            return
+        self._pieces = corrected
+        store.withdraw(set(known.digests) - set(corrected.digests))
+        await self._readings.keep_version(VersionReading(corrected))
+        raise CodedError("list_corrected", "the list of pieces was corrected", 503)
+
     def _readers_before(self, target: RelayTarget, version: int) -> list[MemberView]:
         own, members = self._deployment, self._members
         subject = f"{target.setting.model}/{version}"
