Only an entry's own calls show that the store was away

Cause: what a reader said of its own failed calls counted at its followers as an outage of the store, in which registrations lapse. A removal then kept the endpoint for 1.8 s, behind up to 0.9 s in which the reader had held the question. A line added where an endpoint is kept showed it: 8 of 11 removals, each with the reader's failure and none of its own.

Change: peers' failures keep no endpoint; failed or overdue calls of this process do. An entry whose readers fail asks the store a question that is answered at once. Entries that learn of changes from others answer their followers at once. endpoint_kept says for how long and why.

--- a/tests/store_readers_test.py
+++ b/tests/store_readers_test.py
@@ -14,6 +14,7 @@
 from wasabidrum.core.boot_clock import boot_seconds
 from wasabidrum.gateway.daemon import Gateway
 from wasabidrum.platform import names
+from wasabidrum.wire import http_client
 
 ENTRIES = 5
 READERS = 2
@@ -198,6 +199,47 @@
         for gateway in self.all:
             self.assertIsNotNone(gateway.state.endpoints.get("a"))
 
+    @contextlib.asynccontextmanager
+    async def cut_off_from_store(self, entries: list[Gateway]):
+        """Cuts some entries off from the store in the block, and lets them settle afterwards."""
+        urls = [entry._follower._store._url for entry in entries]
+        for entry in entries:
+            entry._follower._store._url = UNREACHABLE
+        yield
+        for entry, url in zip(entries, urls, strict=True):
+            entry._follower._store._url = url
+        await asyncio.sleep(BOUNDS.settling + 1.0)
+
+    async def check_leaves_in_time(self, cut: list[Gateway], phase: float) -> None:
+        """Checks that an endpoint that leaves is unlisted in time at all entries not cut off.
+
+        Args:
+          phase: How long before some entries are cut off, which is a moment before it leaves.
+        """
+        endpoint = await self.fleet.add_endpoint("c", "tally")
+        await asyncio.sleep(1.0 + phase)
+        in_touch = [entry for entry in self.all if entry not in cut]
+        async with self.cut_off_from_store(cut):
+            # The watch in progress is cut as well.
+            for entry in cut:
+                entry._follower._store._client.close()
+                entry._follower._store._client = http_client.make_client()
+            await asyncio.sleep(0.1)
+            await self.fleet.store.delete(names.ENDPOINT_PREFIX + endpoint.id)
+            await asyncio.sleep(BOUNDS.drain - APPLY_SECONDS)
+            late = [e.log.name for e in in_touch if e.state.endpoints.get(endpoint.id) is not None]
+            self.assertEqual(late, [], f"phase {phase}")
+
+    async def test_endpoint_leaves_while_a_reader_is_cut_off(self) -> None:
+        """Guards against followers that take their reader's failed calls for an outage."""
+        for phase in range(6):
+            await self.check_leaves_in_time(self.all[: phase % READERS + 1][-1:], phase * 0.2)
+
+    async def test_endpoint_leaves_while_both_readers_are_cut_off(self) -> None:
+        """Guards against the same where all readers report failures and the store is sound."""
+        for phase in range(6):
+            await self.check_leaves_in_time(self.all[:READERS], phase * 0.2)
+
     async def test_large_configuration_is_passed_on_whole(self) -> None:
         """Guards against changes that are lost or mixed up because they are sent compressed."""
         self.version += 2
--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -6,7 +6,8 @@
 be refused until they have registered again, which takes up to two seconds. An endpoint that
 disappears around an outage therefore stays in routing for that grace period, and is removed
 afterwards unless it has registered again. One that disappears while the store works is removed
-at once; otherwise it would get requests after it has left.
+at once; otherwise it would get requests after it has left. What counts as an outage is what this
+process's own calls have shown: another process that reports failures may alone be cut off.
 
 A store that is restored from a copy gives out its revisions again, so that a registration of the
 new epoch may have a lower one than what it follows. What the copy lacks counts as lapsed in an
@@ -198,6 +199,14 @@
         missing = [endpoint_id for endpoint_id in self._endpoints if endpoint_id not in listed]
         return [endpoint_id for endpoint_id in missing if self._handle_missing(endpoint_id, now)]
 
+    def kept_for(self, endpoint_id: str, now: float) -> float:
+        """Returns for how long an endpoint without a registration is kept; zero if it is not."""
+        return max(0.0, self._grace_ends_at.get(endpoint_id, now) - now)
+
+    def failed_ago(self, now: float) -> float:
+        """Returns the seconds since the store could not be reached; infinite if it always was."""
+        return now - self._store_failed_at
+
     def expire(self, now: float) -> list[str]:
         """Removes the endpoints whose grace period has ended; returns their ids."""
         expired = [name for name, end in self._grace_ends_at.items() if now >= end]
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -302,7 +302,7 @@
         )
 
     def answer_followers(self) -> None:
-        """Answers the entries that wait here for an answer of the store."""
+        """Answers the entries that wait here for an answer of the store, or for changes."""
         self._evidence.set()
         self._evidence = asyncio.Event()
 
@@ -598,13 +598,16 @@
         # Changes of a later epoch follow on nothing that is known here.
         up_to_date = up_to_date and (reply.whole or reply.epoch == self._state.epoch)
         if up_to_date:
-            if reply.failed_ago < float("inf"):
-                self._state.endpoints.record_store_failure(now - reply.failed_ago)
+            if state.is_store_overdue(boot_seconds()):
+                state.endpoints.record_store_failure(now)
+            known = state.position
             try:
                 self._apply_changes(reply, now)
             except CodedError as error:
                 self._log.write(Event.PEER_SILENT, peer=address[0], reason=str(error)[:120])
                 return None
+            if state.position > known:
+                self.answer_followers()
         # After the changes, because only a version that they have named can be dated.
         for named in reply.named:
             self._state.record_reported_version(
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -26,6 +26,7 @@
 from ..decisions.home_regions import find_faults
 from ..decisions.route_table import RouteTable
 from ..decisions.store_outage import StoreOutages
+from ..decisions.store_readers import MAX_LATE_SECONDS
 from ..decisions.version_floor import BeginLimit, VersionFloor
 from ..observe.event import Event
 from ..observe.event_log import EventLog
@@ -75,6 +76,7 @@
     __slots__ += ("routes", "endpoints", "lease", "outages", "epoch", "revision")
     __slots__ += ("evacuations", "_regions", "restored_at")
     __slots__ += ("store_failed_at", "_store_asked", "_store_owes_since", "on_endpoint")
+    __slots__ += ("_store_due_at",)
 
     def __init__(
         self,
@@ -104,6 +106,7 @@
         # calls do not end the wait.
         self._store_asked = False
         self._store_owes_since: float | None = None
+        self._store_due_at = float("inf")
         self.store_failed_at = float("-inf")
         self.restored_at = float("-inf")
         # As the operator wrote it, for other entries.
@@ -129,11 +132,21 @@
         """The configuration in force; None before the first."""
         return self.routes.configuration if self.routes else None
 
-    def record_store_asked(self, now: float) -> None:
-        """Records that a question is sent to the store, by the boot clock."""
+    @property
+    def is_store_asked(self) -> bool:
+        """Whether this process asks the store itself, and does not follow another one."""
+        return self._store_asked
+
+    def record_store_asked(self, now: float, wait: float) -> None:
+        """Records that a question is sent to the store, by the boot clock.
+
+        Args:
+          wait: For how many seconds the store may hold it.
+        """
         self._store_asked = True
         if self._store_owes_since is None:
             self._store_owes_since = now
+            self._store_due_at = now + wait + MAX_LATE_SECONDS
 
     def record_store_answered(self) -> None:
         """Records that the store answered."""
@@ -156,6 +169,10 @@
         self._store_asked = False
         self._store_owes_since = None
 
+    def is_store_overdue(self, now: float) -> bool:
+        """Returns whether a question of this process to the store should have been answered."""
+        return self._store_owes_since is not None and now >= self._store_due_at
+
     def store_waiting_seconds(self, now: float) -> float:
         """Returns for how long the store has owed an answer; infinite if it is not asked."""
         if not self._store_asked:
@@ -297,6 +314,9 @@
         }
         for endpoint_id in self.endpoints.apply_listing(listed, now):
             self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="not listed")
+        for endpoint in list(self.endpoints.endpoints):
+            if endpoint.id not in listed:
+                self._log_kept(endpoint.id, now)
         self._apply_evacuation_listing(reading)
         self._items.apply_listing({change.key for change in reading.changes}, reading.revision)
         self.revision = reading.revision if begins_epoch else max(self.revision, reading.revision)
@@ -530,6 +550,7 @@
         if change.value is None:
             if self.endpoints.apply_removal(endpoint_id, change.revision, now):
                 self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="removed")
+            self._log_kept(endpoint_id, now)
             return
         try:
             endpoint = published_records.decode_endpoint(
@@ -549,6 +570,17 @@
         elif self.endpoints.is_withheld(endpoint_id) and not was_withheld:
             self._log.write(Event.ENDPOINT_WITHHELD, endpoint=endpoint_id)
 
+    def _log_kept(self, endpoint_id: str, now: float) -> None:
+        """Logs that an endpoint whose registration is gone is kept for a moment, if it is."""
+        kept_for = self.endpoints.kept_for(endpoint_id, now)
+        if kept_for > 0.0:
+            self._log.write(
+                Event.ENDPOINT_KEPT,
+                endpoint=endpoint_id,
+                seconds=round(kept_for, 3),
+                failed_ago=round(min(self.endpoints.failed_ago(now), MAX_REPORTED_SECONDS), 3),
+            )
+
     def _log_listed(self, endpoint: ListedEndpoint) -> None:
         self._log.write(
             Event.ENDPOINT_LISTED,
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -96,12 +96,14 @@
         asked_at = self._asked_at = boot_seconds()
         self._stalled = False
         state = self._state
-        state.record_store_asked(asked_at)
+        # After the readers have failed, the first question is answered at once if the store is up.
+        wait = WATCH_SECONDS if state.is_store_asked else 0.0
+        state.record_store_asked(asked_at, wait)
         position = state.position
         if not position.revision or self._history_lost:
             reading = await self._read_snapshot(position)
         else:
-            reading = await self._watch_changes(position, asked_at)
+            reading = await self._watch_changes(position, asked_at, wait)
         if reading is None:
             return
         state.record_evidence(asked_at)
@@ -124,26 +126,26 @@
         self._history_lost = False
         return reading
 
-    async def _watch_changes(self, position: StorePosition, asked_at: float) -> StoreReading | None:
+    async def _watch_changes(
+        self, position: StorePosition, asked_at: float, wait: float
+    ) -> StoreReading | None:
         """Waits for changes after a position and applies them; returns None if they do not follow.
 
         A single watch returns changes of configuration, versions and endpoints in order.
         """
-        reading = await self._store.watch(KeyPrefix.ALL, position.revision, WATCH_SECONDS)
+        reading = await self._store.watch(KeyPrefix.ALL, position.revision, wait)
         self._record_answer()
         self._detect_stall()
         if not self._continues(reading, position):
             await self._handle_outdated(reading)
             return None
         answered_at = boot_seconds()
-        not_before = earliest_change_at(asked_at, answered_at, WATCH_SECONDS, self._stalled)
+        not_before = earliest_change_at(asked_at, answered_at, wait, self._stalled)
         not_before = max(not_before, self._unchanged_until)
         self._state.apply_changes(reading, asyncio.get_running_loop().time(), not_before)
         self._unchanged_until = asked_at
         if not reading.changes:
-            self._unchanged_until = unchanged_until(
-                asked_at, answered_at, WATCH_SECONDS, self._stalled
-            )
+            self._unchanged_until = unchanged_until(asked_at, answered_at, wait, self._stalled)
         return reading
 
     def _continues(self, reading: StoreReading, asked: StorePosition) -> bool:
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -119,6 +119,7 @@
     STORE_ANSWER_OUTDATED = 4043
     ENDPOINT_WITHHELD = 4044
     ITEM_FAILED = 4045
+    ENDPOINT_KEPT = 4046
 
     # 5000: calls with idempotency keys, and streams that are resumed on another endpoint.
     CALL_STARTED = 5001
--- a/wasabidrum/peers/entry_messages.py
+++ b/wasabidrum/peers/entry_messages.py
@@ -157,7 +157,7 @@
       waiting_for: For how many seconds the store has owed the responder an answer; infinite if it
         does not ask the store itself.
       failed_ago: Seconds since a call of the responder to the store last failed; infinite if none
-        did.
+        did. Only earlier releases read it.
       packed: The changes, compressed, where the field changes is empty for their size.
       answer_gaps: The spans in which no answered call to the store was sent, as far as the
         responder knows: the seconds since each started and ended.
