An answer without a length that is reset is not taken for whole

Other operators report a 200 with an empty or short body, framed as whole, from a worker that stops in its answer's head and closes. Here heads that are cut are errors at every client: shown by tests that were green before. The same symptom came from a reset behind a head without a length, in our own dialect: a service's half answer reached its caller as whole.

Cause: the HTTP library ends such an answer where its connection ends, however that is. The gateway's connections knew the difference.

Change: wire/whole_answer_client.py, for all who use the HTTP client: an answer without a length whose connection was reset is an error, of which it is not known whether the request ran; so is an interim head alone.

Ten modules beside are green.

--- a/wasabidrum/wire/http_client.py
+++ b/wasabidrum/wire/http_client.py
@@ -16,6 +16,7 @@
 from ..core.outcome import Outcome
 from . import tls
 from .numeric_resolver import NumericResolver
+from .whole_answer_client import FIRST_FINAL_STATUS, make_whole_answer_client
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 MAX_CLIENTS = 10_000
@@ -35,8 +36,7 @@
 
 def make_client() -> httpclient.AsyncHTTPClient:
     """Returns a client that opens a connection per request, so that responses cannot cross."""
-    return httpclient.AsyncHTTPClient(
-        force_instance=True,
+    return make_whole_answer_client(
         max_clients=MAX_CLIENTS,
         max_body_size=MAX_BODY_BYTES,
         resolver=NumericResolver(),
@@ -134,7 +134,8 @@
 
     def on_header_line(line: str) -> None:
         stream.on_header_line(line)
-        if not line.strip() and not head_arrived.done():
+        # The head of an interim answer is followed by another one.
+        if not line.strip() and stream.status >= FIRST_FINAL_STATUS and not head_arrived.done():
             head_arrived.set_result(None)
 
     def finish(done: asyncio.Future[httpclient.HTTPResponse]) -> None:
