--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -20,6 +20,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 import msgspec
 
@@ -193,10 +194,21 @@
         self._withheld.pop(endpoint_id, None)
         return self._handle_missing(endpoint_id, now)
 
-    def apply_listing(self, listed: collections.abc.Collection[str], now: float) -> list[str]:
-        """Applies the store's complete list of ids; returns those that were removed at once."""
-        self._withheld = {key: each for key, each in self._withheld.items() if key in listed}
-        missing = [endpoint_id for endpoint_id in self._endpoints if endpoint_id not in listed]
+    def apply_listing(
+        self, listed: collections.abc.Collection[str], now: float, revision: float = math.inf
+    ) -> list[str]:
+        """Applies the store's complete list of ids; returns those that were removed at once.
+
+        Args:
+          revision: The list's revision. It says nothing of later registrations, which another
+            process may have told of while the list was read.
+        """
+
+        def is_missing(endpoint_id: str) -> bool:
+            return endpoint_id not in listed and self.revision_of(endpoint_id) <= revision
+
+        self._withheld = {k: each for k, each in self._withheld.items() if not is_missing(k)}
+        missing = [endpoint_id for endpoint_id in self._endpoints if is_missing(endpoint_id)]
         return [endpoint_id for endpoint_id in missing if self._handle_missing(endpoint_id, now)]
 
     def kept_for(self, endpoint_id: str, now: float) -> float:
--- a/wasabidrum/gateway/kept_items.py
+++ b/wasabidrum/gateway/kept_items.py
@@ -37,8 +37,12 @@
                 self._history_start = max(self._history_start, self._items.pop(oldest).revision)
 
     def apply_listing(self, listed: collections.abc.Collection[str], revision: int) -> None:
-        """Forgets what a snapshot of a revision does not list."""
-        self._items = {key: item for key, item in self._items.items() if key in listed}
+        """Forgets what a snapshot of a revision does not list, save for later items."""
+        self._items = {
+            key: item
+            for key, item in self._items.items()
+            if key in listed or item.revision > revision
+        }
         self._history_start = revision
 
     def all(self) -> list[StoreChange]:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -312,7 +312,7 @@
             for change in reading.changes
             if kind_of(change.key) is ItemKind.ENDPOINT
         }
-        for endpoint_id in self.endpoints.apply_listing(listed, now):
+        for endpoint_id in self.endpoints.apply_listing(listed, now, reading.revision):
             self._log.write(Event.ENDPOINT_UNLISTED, endpoint=endpoint_id, reason="not listed")
         for endpoint in list(self.endpoints.endpoints):
             if endpoint.id not in listed:
--- a/wasabidrum/gateway/published_state_test.py
+++ b/wasabidrum/gateway/published_state_test.py
@@ -26,8 +26,8 @@
         self.assertEqual(state.oldest_to_place("m", 0.0), 0)
 
 
-class RestoredStoreTest(unittest.TestCase):
-    """An endpoint that is registered when the store comes back from a copy."""
+class ListedEndpointCase(unittest.TestCase):
+    """An endpoint that is registered."""
 
     def setUp(self) -> None:
         log = EventLog(logbook.Logger("test", level=logbook.CRITICAL), "test")
@@ -46,6 +46,10 @@
         change = StoreChange(names.ENDPOINT_PREFIX + "a", revision, content)
         return StoreReading((change,), revision, epoch)
 
+
+class RestoredStoreTest(ListedEndpointCase):
+    """An endpoint that is registered when the store comes back from a copy."""
+
     def test_registration_that_is_as_before_is_not_new(self) -> None:
         """Guards against endpoints that count as cold again because a copy lists them."""
         self.state.apply_snapshot(self.read(2, 3, slots=4), 20.0)
@@ -60,3 +64,20 @@
         whole, changes = self.state.changes_after(StorePosition(1, 9))
         self.assertEqual((whole, [change.revision for change in changes]), (True, [3]))
         self.assertEqual(self.state.changes_after(StorePosition(3, 1)), (False, []))
+
+
+class OlderSnapshotTest(ListedEndpointCase):
+    """A snapshot that was begun before another entry told of a later change."""
+
+    def test_later_registration_stays(self) -> None:
+        """Guards against an endpoint that is unlisted because it registered during the read."""
+        self.state.apply_changes(self.read(1, 12, slots=5), 11.0)
+        self.state.apply_snapshot(StoreReading((), 10, 1), 12.0)
+        self.assertEqual(self.state.endpoints.get("a").slots, 5)
+        whole, changes = self.state.changes_after(StorePosition(1, 10))
+        self.assertEqual([change.revision for change in changes], [12])
+
+    def test_endpoint_that_the_snapshot_lacks_is_unlisted(self) -> None:
+        """Guards against endpoints that have left while changes were missed."""
+        self.state.apply_snapshot(StoreReading((), 10, 1), 12.0)
+        self.assertIsNone(self.state.endpoints.get("a"))
