A port that is none makes a registration unreadable

Callers could see: 502 for every request that is placed at a registration of another writer with a port over 65535, without another try (seen by the review, not on anybody's machines).

Cause: int() takes more than ports, and to connect there raises OverflowError, which the attempt did not expect: the request ended as one whose fate is unknown, and the endpoint stayed the least loaded one.

Change: a port is 1 to 65535 in plain digits.

--- a/tests/unreadable_items_test.py
+++ b/tests/unreadable_items_test.py
@@ -73,6 +73,17 @@
         await asyncio.sleep(APPLY_SECONDS)
         await self.check_applies_changes()
 
+    async def test_endpoint_with_a_port_that_is_none(self) -> None:
+        """Guards against requests that are lost at an endpoint which no connection can reach."""
+        for number, address in enumerate(("127.0.0.1:65536", "127.0.0.1:0", "..:80")):
+            await self.fleet.store.put(
+                f"{names.ENDPOINT_PREFIX}none-{number}", self.old.entry(address=address)
+            )
+        await asyncio.sleep(APPLY_SECONDS)
+        asked = (self.fleet.ask(0, "old", "unsafe", f"{n:08x}", body=b"%d" % n) for n in range(20))
+        replies = await asyncio.gather(*asked)
+        self.assertEqual([reply.status for reply in replies], [200] * 20)
+
     async def test_item_that_cannot_be_applied(self) -> None:
         """Guards against an error behind the decoder that holds up all later changes."""
 
--- a/wasabidrum/platform/boot_settings.py
+++ b/wasabidrum/platform/boot_settings.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import re
 
 import msgspec
 
@@ -10,6 +11,8 @@
 from ..core.errors import CodedError
 from . import names
 
+PORT = re.compile("[0-9]{1,5}")
+MAX_PORT = 65_535
 # The contract under which workspaces share what is too little for all of them.
 SHARED_ROOM_CONTRACT = "pressure"
 
@@ -143,6 +146,6 @@
       ValueError: It has another form.
     """
     host, _, port = text.rpartition(":")
-    if not host:
-        raise ValueError(f"{text!r} is not HOST:PORT")
+    if not host or PORT.fullmatch(port) is None or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{text[:100]!r} is not HOST:PORT")
     return Address(host, int(port))
--- a/wasabidrum/platform/published_records_test.py
+++ b/wasabidrum/platform/published_records_test.py
@@ -115,6 +115,12 @@
             with self.assertRaises(CodedError):
                 endpoint_with(**facts)
 
+    def test_port_that_is_none_raises_an_error(self) -> None:
+        """Guards against an endpoint that is listed and that nobody can connect to."""
+        for port in ("65536", "0", "-1", "+80", "8_0", " 80", "\u0664", ""):
+            with self.subTest(port=port), self.assertRaises(CodedError):
+                endpoint_with(address=f"10.0.0.9:{port}")
+
     @SETTINGS
     @hypothesis.given(strategies.binary(max_size=200))
     def test_arbitrary_bytes_raise_at_most_a_coded_error(self, content: bytes) -> None:
