The soak of restorations has another writer's unreadable items

Real entry processes, whose store another writer leaves items in that nobody can read, and removes some of them, beside restorations, stops, suspensions, new configurations and endpoints that leave.

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -22,6 +22,13 @@
 
 HOST = "127.0.0.1"
 PORTS_OF_ONE = 6
+# Items of the store that another writer has left and that nobody can read.
+UNREADABLE_ITEMS = {
+    names.ENDPOINT_PREFIX + "nested": b'{"labels":' + b"[" * 2000,
+    names.ENDPOINT_PREFIX + "bytes": b"\xff\xfe\x00",
+    names.VERSION_PREFIX + "nested": b'{"model":' + b"[" * 2000,
+    names.EVACUATION_PREFIX + "rift-a": b'{"since":' + b"[" * 2000,
+}
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/store_restored_soak.py
+++ b/tests/store_restored_soak.py
@@ -1,4 +1,5 @@
-"""Real entry processes before a store that comes back from copies some seconds old.
+"""Real entry processes before a store that comes back from copies some seconds old, and in which
+another writer leaves items that nobody can read.
 
 The schedule follows from the seed: `python -m tests.store_restored_soak --seed 7 --seeds 50`.
 What processes do meanwhile is not replayed, so a fault may need several plays of its seed.
@@ -17,7 +18,13 @@
 from standins.key_value_store import StoreCopy
 from tests.endpoint_notices_soak import EndpointNoticesSoak, key_of, run_of
 from tests.entry_stops_soak import SERVICE, Connection, Series, main, request_of
-from tests.fake_platform import FakeEndpoint, Reply, make_configuration, read_reply
+from tests.fake_platform import (
+    UNREADABLE_ITEMS,
+    FakeEndpoint,
+    Reply,
+    make_configuration,
+    read_reply,
+)
 from wasabidrum.config.deployment import Bounds
 from wasabidrum.platform import names
 
@@ -50,11 +57,13 @@
         self._configuration: dict = {}
         self._probes = 0
         self.older_answers: list[str] = []
+        self.strangers = 0
 
     def _series(self) -> list[Series]:
         series = [self._play_stops, self._play_changes, self._play_suspensions]
         series += [self._play_leavings, self._play_leavings, self._play_leavings]
-        return [*series, self._play_copies, self._play_restorations, self._play_probes]
+        series += [self._play_copies, self._play_restorations, self._play_probes]
+        return [*series, self._play_strangers]
 
     @property
     def _now(self) -> float:
@@ -157,6 +166,18 @@
                 await asyncio.sleep(rng.uniform(0.0, 0.5))
             await self._write_again(rng)
 
+    async def _play_strangers(self, rng: random.Random) -> None:
+        """Lets another writer leave items that nobody can read, and remove some of them."""
+        while not self._ends:
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            key, content = rng.choice(list(UNREADABLE_ITEMS.items()))
+            if rng.random() < 0.3:
+                await self._fleet.store.delete(key)
+            else:
+                self.strangers += 1
+                self._record_played(f"unreadable {key}")
+                await self._fleet.store.put(key, content)
+
     async def _write_again(self, rng: random.Random) -> None:
         """Writes what the operator and the endpoints had written and the copy lacks."""
         await asyncio.sleep(rng.uniform(0.0, 0.5))
@@ -228,6 +249,7 @@
             "restorations": len(self._away),
             "leavings": sum(map(bool, (*self._left_at.values(), *self._removed_at.values()))),
             "probes": self._probes,
+            "strangers": self.strangers,
             "late_arrivals": late,
             "older_answers": self.older_answers,
         }
--- a/tests/store_restored_soak_test.py
+++ b/tests/store_restored_soak_test.py
@@ -22,6 +22,7 @@
     def test_new_configurations(self) -> None:
         """Guards against entries that go on with an older configuration than was accepted."""
         self.assertGreater(self.figures["probes"], 0)
+        self.assertGreater(self.figures["strangers"], 0)
         self.assert_kept("older_answers")
 
     def test_callers_are_served(self) -> None:
--- a/tests/unreadable_items_test.py
+++ b/tests/unreadable_items_test.py
@@ -4,17 +4,10 @@
 
 from standins.key_value_store import StoreView
 from tests.fake_engines import EngineFleet
-from tests.fake_platform import PlatformFleet, make_configuration
+from tests.fake_platform import UNREADABLE_ITEMS, PlatformFleet, make_configuration
 from tests.paused_clock import PausedClockCase
 from wasabidrum.platform import names
 
-NESTED = b"[" * 2000
-UNREADABLE = {
-    names.ENDPOINT_PREFIX + "nested": b'{"labels":' + NESTED,
-    names.ENDPOINT_PREFIX + "bytes": b"\xff\xfe\x00",
-    names.VERSION_PREFIX + "nested": b'{"model":' + NESTED,
-    names.EVACUATION_PREFIX + "rift-a": b'{"since":' + NESTED,
-}
 APPLY_SECONDS = 2.0
 VERSION_SECONDS = 8.0
 
@@ -51,7 +44,7 @@
 
     async def test_configuration_after_items_that_nobody_can_read(self) -> None:
         """Guards against one unreadable item that ends what an entry learns of the store."""
-        for key, content in UNREADABLE.items():
+        for key, content in UNREADABLE_ITEMS.items():
             await self.fleet.store.put(key, content)
         await asyncio.sleep(APPLY_SECONDS)
         await self.check_applies_changes()
@@ -60,14 +53,14 @@
         """Guards against an unreadable item that ends the exchange between entries."""
         self.view.fail("busy")
         await asyncio.sleep(APPLY_SECONDS)
-        for key, content in UNREADABLE.items():
+        for key, content in UNREADABLE_ITEMS.items():
             await self.fleet.store.put(key, content)
         await asyncio.sleep(APPLY_SECONDS)
         await self.check_applies_changes()
 
     async def test_entry_that_starts_beside_unreadable_items(self) -> None:
         """Guards against an unreadable item in the first snapshot."""
-        for key, content in UNREADABLE.items():
+        for key, content in UNREADABLE_ITEMS.items():
             await self.fleet.store.put(key, content)
         await self.fleet.restart_gateway(0)
         await asyncio.sleep(APPLY_SECONDS)
@@ -106,7 +99,7 @@
         fleet = EngineFleet()
         await fleet.start()
         self.addAsyncCleanup(fleet.stop)
-        for key, content in UNREADABLE.items():
+        for key, content in UNREADABLE_ITEMS.items():
             await fleet.store.put(key, content)
         await fleet.name_version(2)
         engine = await fleet.add_engine(1)
