--- a/wasabidrum/entry/endpoint_watcher.py
+++ b/wasabidrum/entry/endpoint_watcher.py
@@ -61,6 +61,7 @@
     async def run(self) -> None:
         """Keeps the subset and its streams up to date until cancelled."""
         loop = asyncio.get_running_loop()
+        # The links of an earlier run are closed.
         self._chosen_for_state = (-1, -1)
         try:
             while True:
--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -40,8 +40,14 @@
 # How long sent data may stay unacknowledged. An endpoint that has become unreachable closes
 # nothing, and without this limit its connection would hang until the request's deadline.
 TCP_USER_TIMEOUT_MS = 2000
-# An address that is none raises errors of its own.
-CONNECT_ERRORS = (OSError, TimeoutError, OverflowError, ValueError)
+# The last two are raised for a host or a port that is none.
+CONNECT_ERRORS = (
+    OSError,
+    TimeoutError,
+    iostream.StreamClosedError,
+    OverflowError,
+    ValueError,
+)
 
 
 class PartKind(enum.Enum):
@@ -369,7 +375,7 @@
     stream = ReplyStream(sock, max_buffer_size=budget.largest_answer)
     try:
         await waiting.wait_for(stream.connect((host, port)), timeout)
-    except (*CONNECT_ERRORS, iostream.StreamClosedError) as error:
+    except CONNECT_ERRORS as error:
         stream.close()
         refused = isinstance(getattr(error, "real_error", error), ConnectionRefusedError)
         code = "endpoint_down" if refused else "endpoint_unreachable"
--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -598,6 +598,7 @@
         # Changes of a later epoch follow on nothing that is known here.
         up_to_date = up_to_date and (reply.whole or reply.epoch == self._state.epoch)
         if up_to_date:
+            # What the other entry says of its own calls shows nothing: it alone may be cut off.
             if state.is_store_overdue(boot_seconds()):
                 state.endpoints.record_store_failure(now)
             known = state.position
--- a/wasabidrum/gateway/load_watcher.py
+++ b/wasabidrum/gateway/load_watcher.py
@@ -100,6 +100,7 @@
     async def run(self) -> None:
         """Watches until cancelled."""
         loop = asyncio.get_running_loop()
+        # The links of an earlier run are closed.
         self._linked_for = (-1, -1)
         await self._receiver.start(self._deployment.host, self._deployment.first_port)
         try:
--- a/wasabidrum/gateway/published_state.py
+++ b/wasabidrum/gateway/published_state.py
@@ -39,7 +39,7 @@
 # The workspaces that one line names.
 MAX_LOGGED_WORKSPACES = 16
 MAX_LOGGED_CHARACTERS = 300
-# The items of which is known that they were logged as left out.
+# Beyond this number the items that were left out first may be logged again.
 MAX_REFUSED_ITEMS = 1024
 
 EndpointListener = collections.abc.Callable[[ListedEndpoint, ListedEndpoint | None, float], None]
@@ -98,7 +98,7 @@
         # The newest version of each model that other processes have reported.
         self._reported_versions: dict[str, int] = {}
         self._items = KeptItems()
-        # The revisions of the items that were last left out.
+        # The revision under which each item was last left out, by key.
         self._refused: dict[str, int] = {}
         self.epoch = 0
         self.revision = 0
--- a/wasabidrum/platform/origin_client.py
+++ b/wasabidrum/platform/origin_client.py
@@ -44,6 +44,8 @@
     async def read_list(self, model: str, version: int) -> PieceList:
         """Returns the list of a version's pieces; version zero means the newest.
 
+        Its pieces can be fetched once the list is added with add_list.
+
         Raises:
           CodedError: The origin did not answer with a list of that version.
         """
--- a/wasabidrum/weights/distributor.py
+++ b/wasabidrum/weights/distributor.py
@@ -60,7 +60,8 @@
       waiting_since: When a peer was first asked in vain since one was last skipped, by the event
         loop's clock; None if none was.
       rounds: The attempts without a peer to ask.
-      skips_peers: Whether the next attempt is at the origin, whichever peers there are.
+      skips_peers: Whether the next attempt asks who holds or draws the chunk now, and else the
+        origin, whoever is ahead in the order.
     """
 
     __slots__ = ("waiting_since", "rounds", "skips_peers")
@@ -269,8 +270,8 @@
             attempts.waiting_since = asked_at
         stuck = self._now() - attempts.waiting_since >= WAITS_BEFORE_SKIP * self._hold_seconds()
         if stuck:
-            # Processes whose lists of members differ may wait for each other. Each of them asks the
-            # origin from time to time, so that such a wait ends.
+            # Processes whose lists of members differ may wait for each other. Each of them leaves
+            # the order from time to time, so that such a wait ends.
             attempts.waiting_since = None
             attempts.skips_peers = content is None
         if state is ChunkState.LACKING or (state is ChunkState.COMING and stuck):
