--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -428,7 +428,7 @@
         raise CodedError("list_corrected", "the list of pieces was corrected", 503)
 
     async def _update_list(self, version: int, corrections: int) -> None:
-        """Takes over a list that a relay has corrected more often than this process."""
+        """Replaces the list by that of a relay which has corrected it more often."""
         staged = self._staged.get(version)
         if staged is None or staged.share >= 1.0 or corrections <= staged.pieces.corrections:
             return
