An attempt that is abandoned before it began gives its place back

Callers could see: an endpoint that looks fuller with each second attempt that was ended in the turn in which it was started (seen by the review by reading, not on anybody's machines).

Cause: the place is given back where an attempt ends, and a task that is cancelled before its first step never gets there.

Change: whoever abandons such an attempt gives its place back.

Measured: the new test of silent_endpoint_test is red without the change (8 of 8 places kept) and green with it, as are the module's other seven.

--- a/tests/silent_endpoint_test.py
+++ b/tests/silent_endpoint_test.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from tests.fake_platform import FakeEndpoint, ReceivedRequest, Reply, response_head
 from tests.version_bound_test import StartsWhenWoken, VersionBoundCase
 from wasabidrum.config.deployment import Bounds
+from wasabidrum.gateway.forwarding import Forwarding
 from wasabidrum.platform import names
 
 EVENTS = 5
@@ -85,6 +87,25 @@
         replies = await self.ask_while_one_stalls(StartsWhenWoken())
         self.assertEqual([reply.whole for reply in replies], [True] * len(replies))
 
+    async def test_successor_that_is_abandoned_at_once_gives_its_place_back(self) -> None:
+        """Guards against engines that look ever fuller, as places of abandoned attempts remain."""
+        start = Forwarding.start_successor
+        abandoned = 0
+
+        def start_and_abandon(forwarding: Forwarding) -> None:
+            nonlocal abandoned
+            start(forwarding)
+            abandoned += forwarding._successor is not None
+            forwarding._abandon_successor()
+
+        with mock.patch.object(Forwarding, "start_successor", start_and_abandon):
+            self.old.handler = stop_midway
+            await asyncio.gather(*(self.ask(f"r{number}") for number in range(8)))
+        self.assertGreater(abandoned, 0)
+        placer = self.gateway.placer
+        loads = [placer.load_of(each) for each in self.gateway.state.endpoints.endpoints]
+        self.assertEqual([load.own_requests for load in loads], [0] * len(loads))
+
     async def test_stream_of_suspended_engine_is_resumed_elsewhere(self) -> None:
         """An engine is suspended in the middle of a stream, with the connection open. Its caller
         would give up after two seconds without an event, although another engine can resume after
--- a/wasabidrum/gateway/attempt.py
+++ b/wasabidrum/gateway/attempt.py
@@ -90,6 +90,7 @@
       placed_in: The revision of the part guard in which the request was placed.
       number: The number of the attempt among those of its request that were sent, from one.
       started_at: When the request was placed, by the event loop's clock.
+      has_begun: Whether it runs or has run. It gives its place at the endpoint back when it ends.
     """
 
     __slots__ = (
@@ -115,6 +116,7 @@
         "number",
         "placed_in",
         "started_at",
+        "has_begun",
     )
 
     def __init__(
@@ -149,6 +151,7 @@
         self.number = number
         self.placed_in = gateway.part_guard.revision
         self.started_at = self._last_activity_at = asyncio.get_running_loop().time()
+        self.has_begun = False
 
     @property
     def placement(self) -> Placement:
@@ -229,6 +232,7 @@
         Raises:
           AttemptError: There was no reply that can be passed on.
         """
+        self.has_begun = True
         placement = self._placement
         prompt = self._call.head.prompt_tokens
         self._gateway.attempts.add(self)
--- a/wasabidrum/gateway/forwarding.py
+++ b/wasabidrum/gateway/forwarding.py
@@ -251,9 +251,13 @@
         self._tried_endpoints |= {successor.placement.endpoint.id}
 
     def _abandon_successor(self) -> None:
-        if self._successor is not None:
-            self._successor.task.cancel()
-            self._successor = None
+        successor, self._successor = self._successor, None
+        if successor is None:
+            return
+        successor.task.cancel()
+        if not successor.attempt.has_begun:
+            # A task that is cancelled before its first step does not run the attempt's end.
+            self._release(successor.attempt.placement)
 
     def _check_poison(self) -> None:
         """Refuses a request that is known to crash endpoints.
@@ -433,11 +437,15 @@
     def _release_reservation(self) -> None:
         """Releases a reserved place that was not used, as when the caller disconnected."""
         if self._reserved is not None:
-            rank = self._reserved.rank or 0
-            self._reserved.load.record_ended(self._call.head.prompt_tokens, False, rank)
-            self._gateway.placer.record_inconclusive_end(self._reserved)
+            self._release(self._reserved)
             self._reserved = None
 
+    def _release(self, placement: Placement) -> None:
+        """Gives a place at an endpoint back to which nothing was sent."""
+        rank = placement.rank or 0
+        placement.load.record_ended(self._call.head.prompt_tokens, False, rank)
+        self._gateway.placer.record_inconclusive_end(placement)
+
     def _claim_retry(self, error: AttemptError) -> bool:
         return self._history.allows_retry() and self._may_retry(error.end) and self._spend_retry()
 
