Deaths are learned from an entry that knows of them

Callers could see: a request that crashes endpoints is not blocked by entries that have started together, although a third knows it (seen by the review by reading, not on anybody's machines).

Cause: the first entry that answered was taken to know of all deaths before, also one that had just started.

Change: an entry asks on until one answers that does not ask itself; each is heard once, so that what was cleared does not come back.

--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -138,8 +138,11 @@
         self._pending_suspects: dict[tuple[str, str, Regions], list[str]] = {}
         # Prompt parts whose new state is to be reported.
         self._pending_parts: set[str] = set()
-        # Whether another entry has told of the endpoints that died before this process started.
-        self._knows_deaths = False
+        # Whether this process knows of the endpoints that died before it started: there were none,
+        # or an entry has told of them that knew them itself.
+        self._knows_deaths = deployment.first_start
+        # The entries that have told of deaths so far.
+        self._told_deaths_by: set[HostPort] = set()
         # Whether EVIDENCE_RELAYED was logged since the evidence was last fresh.
         self._relay_logged = False
         # Returns the demands of this entry by service, set by its owner.
@@ -430,7 +433,7 @@
         while True:
             # What was counted for parts before this process started has expired by then.
             if boot_seconds() - self._started_at > crashing_parts.LIFETIME_SECONDS:
-                self._parts.informed = True
+                self._parts.informed = self._knows_deaths = True
             for address in self._roster.choose(1, boot_seconds(), self._rng):
                 await self._exchange(address)
             await asyncio.sleep(EXCHANGE_INTERVAL_SECONDS * self._rng.uniform(0.7, 1.0))
@@ -442,7 +445,7 @@
         reply = await self._call(address, entry_messages.MEET_PATH, message, Meet)
         if reply is not None:
             self._record_known(reply)
-            self._record_deaths(reply)
+            self._record_deaths(address, reply)
 
     async def _run_demand(self) -> None:
         """Keeps this entry's demands, and tells its data centre at once when they change."""
@@ -477,11 +480,13 @@
         demands = tuple(ServiceDemand(service, rate) for service, rate in told.per_second.items())
         return msgspec.structs.replace(entry, demands=demands, demands_age=now - told.told_at)
 
-    def _record_deaths(self, reply: Meet) -> None:
-        # Only once: what this entry has cleared since must not come back from the others.
-        if self._knows_deaths:
+    def _record_deaths(self, address: HostPort, reply: Meet) -> None:
+        # Each entry is heard once: what this one has cleared since must not come back.
+        if self._knows_deaths or address in self._told_deaths_by:
             return
-        self._knows_deaths = True
+        self._told_deaths_by.add(address)
+        # One that asks for deaths itself may know of none, as it has started too.
+        self._knows_deaths = not reply.wants_deaths
         now = asyncio.get_running_loop().time()
         for death in reply.deaths:
             self._guard.record_told_death(
