A list of pieces that does not fit makes a sidecar read the setting again

Callers could have seen: after an operator changes the published number or size of pieces, engines of running sidecars get no further version.

Cause: checks lists against what is published, and a sidecar reads that once. Found in the last reading of the change, not on any machine.

--- a/tests/spoiled_lists_test.py
+++ b/tests/spoiled_lists_test.py
@@ -4,6 +4,7 @@
 
 from tests.fake_engines import PIECE_BYTES, EngineFleet, digest_of_piece
 from tests.paused_clock import PausedClockCase
+from wasabidrum.platform import names
 
 RECOVERY_SECONDS = 12.0
 
@@ -74,6 +75,39 @@
         await self.check_loads()
 
 
+class PublishedPiecesTest(PausedClockCase):
+    """A configuration that changes the published size of pieces while sidecars run."""
+
+    async def check_loads(self, entries: int) -> None:
+        """Checks that an engine gets a version whose pieces have the size published last."""
+        fleet = EngineFleet()
+        await fleet.start()
+        self.addAsyncCleanup(fleet.stop)
+        engine = fleet.configuration["services"][0]["engine"]
+        engine["chunkBytes"] = 2 * PIECE_BYTES
+        fleet.configuration["version"] = 2
+        await fleet.store.put(names.CONFIGURATION_KEY, fleet.configuration)
+        for _ in range(entries):
+            await fleet.add_entry()
+        engines = [await fleet.add_engine(1) for _ in range(2)]
+        await asyncio.sleep(3.0)
+        engine["chunkBytes"] = PIECE_BYTES
+        fleet.configuration["version"] = 3
+        await fleet.store.put(names.CONFIGURATION_KEY, fleet.configuration)
+        await fleet.name_version(2)
+        async with asyncio.timeout(RECOVERY_SECONDS):
+            while not all(each.serves(2) for each in engines):
+                await asyncio.sleep(0.02)
+
+    async def test_size_that_changes_at_sidecars(self) -> None:
+        """Guards against sidecars that refuse all lists by a size that is no longer published."""
+        await self.check_loads(entries=0)
+
+    async def test_size_that_changes_behind_entries(self) -> None:
+        """Guards against the same where entries have the list."""
+        await self.check_loads(entries=1)
+
+
 class SpoiledListsAtSidecarsTest(SpoiledListsTest):
     """The same without entries: a sidecar reads the list for all."""
 
--- a/wasabidrum/weights/engine_controller.py
+++ b/wasabidrum/weights/engine_controller.py
@@ -23,7 +23,7 @@
 from .distributor import Distributor
 from .listed_engines import ListedEngines
 from .piece_lists import make_piece_lists
-from .shared_readings import SharedReadings, VersionReading
+from .shared_readings import LIST_INVALID, SharedReadings, VersionReading
 from .staged_version import StagedVersion
 
 # Interval between reports; the engine runs on the same instance.
@@ -402,7 +402,13 @@
             self._origin.add_list(shared.pieces)
         else:
             await self._listed.read_members()
-            pieces = await self._lists.read(self._readings.setting, wanted)
+            try:
+                pieces = await self._lists.read(self._readings.setting, wanted)
+            except CodedError as error:
+                if error.code == LIST_INVALID:
+                    # What is published may have changed since this process read it.
+                    await self._listed.refresh_setting()
+                raise
             shared = VersionReading(pieces, self._listed.listed)
         await self._readings.keep_version(shared)
         return shared.pieces
--- a/wasabidrum/weights/listed_engines.py
+++ b/wasabidrum/weights/listed_engines.py
@@ -87,6 +87,7 @@
         self._relay_versions: dict[str, str] = {}
         self.relays_known = asyncio.Event()
         self._started_at = boot_seconds()
+        self._setting_read_at = float("-inf")
         self.on_members = ignore_update
         self.on_relays = ignore_update
         self.on_list = ignore_list
@@ -312,21 +313,33 @@
 
     async def _read_all(self) -> StoreReading:
         await self._read_members()
-        setting = self._readings.setting
-        if setting is None:
-            peers = self._readers_before(self._deployment.service)
-            setting = await self._readings.request_setting(peers)
-            if setting is None:
-                setting = await self._read_setting()
-            await self._readings.keep_setting(setting)
-        self.model = setting.model
-        self.layers = setting.layers
+        if self._readings.setting is None:
+            await self._update_setting()
         reading = await self._store.read(KeyPrefix.VERSIONS)
         for change in reading.changes:
             await self._record_version(change)
         self._known = True
         return reading
 
+    async def refresh_setting(self) -> None:
+        """Reads the engine setting again, unless it was read a moment ago.
+
+        Raises:
+          CodedError: Neither a peer nor the store answered with it.
+        """
+        if boot_seconds() - self._setting_read_at >= MEMBERS_SECONDS:
+            await self._update_setting()
+
+    async def _update_setting(self) -> None:
+        self._setting_read_at = boot_seconds()
+        peers = self._readers_before(self._deployment.service)
+        setting = await self._readings.request_setting(peers)
+        if setting is None:
+            setting = await self._read_setting()
+        await self._readings.keep_setting(setting)
+        self.model = setting.model
+        self.layers = setting.layers
+
     async def _read_setting(self) -> EngineSetting:
         reading = await self._store.read(KeyPrefix.CONFIGURATION)
         for change in reading.changes:
--- a/wasabidrum/weights/shared_readings.py
+++ b/wasabidrum/weights/shared_readings.py
@@ -43,6 +43,8 @@
 # The path name of the latest version that a peer knows.
 LATEST = "0"
 MEMBERS = "members"
+# The code of an error about a list that is not of the pieces published for its model.
+LIST_INVALID = "list_invalid"
 
 
 class EngineSetting(msgspec.Struct, frozen=True):
@@ -244,7 +246,7 @@
         or size != (setting.piece_bytes or size)
     ):
         raise CodedError(
-            "list_invalid",
+            LIST_INVALID,
             f"a list of {count} pieces of {size} bytes of version {pieces.version}",
             503,
         )
