--- a/bench/deployed_fleet.py
+++ b/bench/deployed_fleet.py
@@ -138,12 +138,15 @@
         first_port: int,
         bounds: Bounds,
         root: pathlib.Path = ROOT,
+        limits: dict[str, float] | None = None,
     ) -> None:
         """Creates a fleet without processes.
 
         Args:
           root: The checkout that entries and sidecars run from.
+          limits: What the platform states of each instance's resources, beside the usual.
         """
+        self._limits = limits or {}
         self._store = store
         self._folder = folder
         self._first_port = first_port
@@ -170,6 +173,7 @@
         settings = {
             "serves": ["front", "control"],
             "machineClass": "front",
+            "limits": self._limits,
             "listen": {
                 "front": f"{host}:{first + CALLERS}",
                 "ready": f"{host}:{first + READINESS}",
@@ -190,7 +194,7 @@
             "machineClass": "side",
             "app": f"{host}:{self._first_port + ENGINE}",
             "service": SERVICE,
-            "limits": {"linkMbps": SIDECAR_LINK_MBIT, "memoryMb": 168},
+            "limits": {"linkMbps": SIDECAR_LINK_MBIT, "memoryMb": 168} | self._limits,
         }
         sidecar = self._make_daemon(f"sidecar-{number}", host, zone, settings)
         command = ["standins.platform_engine", "--host", host, "--id", engine_id]
--- a/bench/real_processes.py
+++ b/bench/real_processes.py
@@ -76,6 +76,7 @@
         folder: pathlib.Path,
         root: pathlib.Path = ROOT,
         bounds: Bounds | None = None,
+        limits: dict[str, float] | None = None,
     ) -> None:
         self._seed = seed
         self._folder = folder
@@ -86,7 +87,7 @@
         self.origin = WeightsOrigin(MODEL, PIECES, PIECE_BYTES, make_limiter_mbit(ORIGIN_MBIT))
         self._origin_server: httpserver.HTTPServer | None = None
         self._first_port = free_ports(PORTS_OF_ONE)
-        self.fleet = DeployedFleet(self._store, folder, self._first_port, self.bounds, root)
+        self.fleet = DeployedFleet(self._store, folder, self._first_port, self.bounds, root, limits)
         self.callers = Callers(self.fleet, self._rng_of("callers"), per_second)
         self._per_second = per_second
         # Daemons that a series has taken, so that no other one signals them meanwhile.
--- a/wasabidrum/config/deployment.py
+++ b/wasabidrum/config/deployment.py
@@ -59,6 +59,8 @@
       last_port: The last one.
       seeds: Addresses of some entries for initial contact; some may no longer exist.
       link_mbit: The rate of the instance's link in each direction.
+      memory_mb: The memory of the instance that the process may use, in megabytes of 10^6 bytes.
+      descriptors: The most file descriptors that it may have open.
       store: The address of the platform's store.
       endpoint: The address of the endpoint beside a sidecar.
       service: The service of that endpoint.
@@ -83,6 +85,7 @@
     seeds: tuple[Address, ...] = ()
     link_mbit: float = 1000.0
     memory_mb: int = 300
+    descriptors: int = 1024
     endpoint: Address | None = None
     service: str = ""
     first_start: bool = False
--- a/wasabidrum/config/settings.py
+++ b/wasabidrum/config/settings.py
@@ -9,6 +9,8 @@
 Positive = typing.Annotated[float, msgspec.Meta(gt=0.0)]
 NotNegative = typing.Annotated[float, msgspec.Meta(ge=0.0)]
 Size = typing.Annotated[int, msgspec.Meta(ge=1)]
+MemoryMegabytes = typing.Annotated[int, msgspec.Meta(ge=64)]
+Descriptors = typing.Annotated[int, msgspec.Meta(ge=128)]
 
 
 class ListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -66,6 +68,8 @@
       link_mbit: The rate of the instance's link in each direction, in megabits per second.
       weights_from: "peers"; "origin" and "chain" are simple baselines for benchmarks.
       chunk_memory_bytes: The most memory that a sidecar uses for chunks to serve to its peers.
+      memory_mb: The memory of the instance that this process may use, in megabytes of 10^6 bytes.
+      descriptors: The most file descriptors that it may have open.
       drain_seconds: How long a graceful shutdown waits for requests in progress.
       log_file: The file for log lines; empty for standard error.
       tls: Mutual TLS between the fleet's processes; disabled where absent.
@@ -84,6 +88,8 @@
     link_mbit: Positive = 1000.0
     weights_from: typing.Literal["peers", "origin", "chain"] = "peers"
     chunk_memory_bytes: Size = 268_435_456
+    memory_mb: MemoryMegabytes = 1024
+    descriptors: Descriptors = 4096
     drain_seconds: NotNegative = 60.0
     log_file: str = ""
     tls: TlsSettings | None = None
--- a/wasabidrum/platform/boot_settings.py
+++ b/wasabidrum/platform/boot_settings.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import re
+import typing
 
 import msgspec
 
@@ -15,6 +16,8 @@
 MAX_PORT = 65_535
 # The contract under which workspaces share what is too little for all of them.
 SHARED_ROOM_CONTRACT = "pressure"
+MemoryMegabytes = typing.Annotated[float, msgspec.Meta(ge=64.0)]
+Descriptors = typing.Annotated[int, msgspec.Meta(ge=128)]
 
 
 class WireBounds(msgspec.Struct, frozen=True):
@@ -37,7 +40,8 @@
 class WireLimits(msgspec.Struct, frozen=True):
     """The resources that this process may use on its instance."""
 
-    memoryMb: float = 300.0  # noqa: N815
+    memoryMb: MemoryMegabytes = 300.0  # noqa: N815
+    maxFds: Descriptors = 1024  # noqa: N815
     linkMbps: float = 1000.0  # noqa: N815
 
 
@@ -132,6 +136,7 @@
         seeds=tuple(parse_address(seed) for seed in wire.seeds),
         link_mbit=wire.limits.linkMbps,
         memory_mb=int(wire.limits.memoryMb),
+        descriptors=wire.limits.maxFds,
         endpoint=parse_address(wire.app) if wire.app else None,
         service=wire.service,
         first_start=wire.bootstrap,
