--- a/tests/run.py
+++ b/tests/run.py
@@ -3,7 +3,8 @@
 Each file gets a fresh interpreter, so that a task, socket or patched clock leaked by one
 cannot change the result of another. Tests listed in KNOWN-RED.txt are run and printed, and
 counted by themselves: they are neither passed nor failed. Files named on the command line run
-in this process, and there a red test fails the run whether it is listed or not.
+in this process, and there a red test fails the run whether it is listed or not. The files under
+tests/crowds/ run one at a time after all others, as what they start fills a process to its limits.
 """
 
 import concurrent.futures
@@ -12,7 +13,7 @@
 import subprocess
 import sys
 import unittest
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from . import process_log
@@ -54,6 +55,12 @@
     return [".".join(path.relative_to(ROOT).with_suffix("").parts) for path in paths]
 
 
+def find_crowd_modules() -> list[str]:
+    """Returns the dotted names of the test files beside which nothing else runs."""
+    paths = sorted(ROOT.glob("tests/crowds/*_test.py"))
+    return [".".join(path.relative_to(ROOT).with_suffix("").parts) for path in paths]
+
+
 def id_of(test: unittest.TestCase) -> str:
     """Returns the id of a test, or for a subtest the id of the enclosing test."""
     return getattr(test, "test_case", test).id()
@@ -106,16 +113,24 @@
     return 1 if total.failed or total.known_red or not total.passed else 0
 
 
+def report(names: Sequence[str], runs: Iterable[tuple[Counts, str]]) -> Counts:
+    """Prints the result of each file as it comes, and the output of red ones; returns the sums."""
+    total = Counts()
+    for name, (counts, output) in zip(names, runs, strict=True):
+        total = total.add(counts)
+        print(f"{name}: {counts.passed} passed, {counts.failed} failed", flush=True)
+        if counts.failed or counts.known_red:
+            print(output, flush=True)
+    return total
+
+
 def run_all() -> int:
     """Runs all test files in processes of their own; returns 1 where an unlisted test is red."""
-    total = Counts()
     names = find_test_modules()
     with concurrent.futures.ThreadPoolExecutor(FILES_AT_ONCE) as pool:
-        for name, (counts, output) in zip(names, pool.map(run_module, names), strict=True):
-            total = total.add(counts)
-            print(f"{name}: {counts.passed} passed, {counts.failed} failed", flush=True)
-            if counts.failed or counts.known_red:
-                print(output, flush=True)
+        total = report(names, pool.map(run_module, names))
+    crowds = find_crowd_modules()
+    total = total.add(report(crowds, map(run_module, crowds)))
     print(f"known red: {total.known_red}")
     print(f"{total.passed} passed, {total.failed} failed")
     return 1 if total.failed or not total.passed else 0
