--- a/wasabidrum/decisions/connection_close.py
+++ b/wasabidrum/decisions/connection_close.py
@@ -10,11 +10,16 @@
 
 
 class CloseCause(enum.Enum):
-    """Why a connection was closed. OTHER is its caller, its request's handler or a library."""
+    """Why a connection was closed.
+
+    NO_ROOM is for another one, or at once, as the server had as many as it may have. OTHER is its
+    caller, its request's handler or a library.
+    """
 
     IDLE_LIMIT = "idle_limit"
     BODY_LIMIT = "body_limit"
     CALLER_GONE = "caller_gone"
+    NO_ROOM = "no_room"
     SERVER_ENDS = "server_ends"
     OTHER = "other"
 
--- a/wasabidrum/entry/caller_routes.py
+++ b/wasabidrum/entry/caller_routes.py
@@ -46,6 +46,8 @@
     leaving = "this entry is shutting down"
     late = "the connection was closed before the request came whole"
     server.leaving_response = make_refusal(503, "Service Unavailable", "entry_leaving", leaving)
+    full = "this entry has as many connections as it may have"
+    server.full_response = make_refusal(503, "Service Unavailable", "entry_full", full)
     server.idle_response = make_refusal(408, "Request Timeout", "request_late", late)
     return server
 
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -22,6 +22,7 @@
 from ..platform.http_instance_directory import make_instance_directory
 from ..wire import http_client, tls
 from ..wire.ending_server import EndingServer, end_internal_connections
+from ..wire.process_limits import find_process_limits
 from .caller_routes import make_caller_server
 from .endpoint_table import EndpointTable
 from .endpoint_watcher import EndpointWatcher
@@ -33,6 +34,9 @@
 # Until a load balancer notices, it keeps sending requests here; closing the port at once would
 # reset those connections and tell the callers nothing.
 LEAVING_NOTICE_SECONDS = 1.0
+# The part of the accepted connections that each port may have.
+CALLERS_SHARE = 0.7
+HTTP_SHARE = 0.12
 
 
 class StatusHandler(web.RequestHandler):
@@ -53,6 +57,7 @@
 
     def __init__(self, settings: Settings, log: EventLog) -> None:
         self._settings = settings
+        self._process_limits = find_process_limits(settings.memory_mb, settings.descriptors)
         self._incarnation = make_incarnation()
         self._sequence = 0
         self.requests = RequestsInProgress()
@@ -97,9 +102,9 @@
         )
         listen = self._settings.listen
         self._caller_server = make_caller_server(self)
-        self._listen(self._caller_server, listen.caller_port)
+        self._listen(self._caller_server, listen.caller_port, CALLERS_SHARE)
         server = EndingServer(internal, ssl_options=tls.server_context())
-        self._listen(server, listen.http_port)
+        self._listen(server, listen.http_port, HTTP_SHARE)
         self._http_port = server.port
         if self._settings.control == "service":
             self.tasks.keep_running("configuration", self.follower.run)
@@ -129,6 +134,12 @@
         )
         add("requests_waiting", "Requests that wait for their turn.", lambda: scheduler.waiting)
         add("endpoints_resting", "Endpoints that want no requests.", lambda: scheduler.resting)
+        self.log.metrics.add_counter(
+            "connections_closed",
+            "Connections of callers that were closed, by why and by what became of their request.",
+            "end",
+            lambda: self._caller_server.count_closes(),
+        )
         add("endpoints_known", "Endpoints in this entry's table.", lambda: len(self.table.views))
         add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
 
@@ -177,8 +188,9 @@
             reads_service=self.node.reads_service,
         )
 
-    def _listen(self, server: EndingServer, port: int) -> None:
+    def _listen(self, server: EndingServer, port: int, share: float) -> None:
         server.log = self.log
+        server.max_connections = self._process_limits.share_of_connections(share)
         server.add_sockets(netutil.bind_sockets(port, self._settings.listen.host))
         self._servers.append(server)
 
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -31,6 +31,7 @@
     EndingServer,
     end_internal_connections,
 )
+from ..wire.process_limits import find_process_limits
 from .attempts_in_progress import AttemptsInProgress
 from .cold_endpoint_rule import ColdEndpointRule
 from .entry_peers import EntryPeers
@@ -64,6 +65,11 @@
 # instead of the request being refused.
 READ_HEAD_FACTOR = 2
 READ_BODY_FACTOR = 4
+# The part of the accepted connections that each port may have.
+CALLERS_SHARE = 0.68
+CHUNKS_SHARE = 0.12
+READINESS_SHARE = 0.04
+METRICS_SHARE = 0.04
 
 
 class CallerServerDelegate(httputil.HTTPServerConnectionDelegate):
@@ -103,6 +109,7 @@
 
     def __init__(self, deployment: Deployment, log: EventLog) -> None:
         self._deployment = deployment
+        self._process_limits = find_process_limits(deployment.memory_mb, deployment.descriptors)
         self._servers: list[EndingServer] = []
         self._caller_server: PacedServer | None = None
         self.log = log
@@ -250,23 +257,29 @@
         )
         server.idle_response = IDLE_RESPONSE
         server.timeouts.find_published = lambda: self._caller_limits.idle_timeout
-        self._listen(server, deployment.callers)
+        self._listen(server, deployment.callers, CALLERS_SHARE)
         arguments = {"gateway": self}
         ready = web.Application(
             [(names.READY_PATH, ReadyHandler, arguments)], log_function=lambda handler: None
         )
-        self._listen(EndingServer(ready, max_body_size=MAX_UNUSED_BODY_BYTES), deployment.readiness)
+        self._listen(
+            EndingServer(ready, max_body_size=MAX_UNUSED_BODY_BYTES),
+            deployment.readiness,
+            READINESS_SHARE,
+        )
         metrics = web.Application(make_routes(self.log), log_function=lambda handler: None)
         metrics_port = deployment.first_port + METRICS_PORT_OFFSET
         self._listen(
             EndingServer(metrics, max_body_size=MAX_UNUSED_BODY_BYTES),
             Address(deployment.host, metrics_port),
+            METRICS_SHARE,
         )
         relay = web.Application(self._relay.routes, log_function=lambda handler: None)
         relay_port = deployment.first_port + CHUNK_PORT_OFFSET
         self._listen(
             EndingServer(relay, max_body_size=MAX_UNUSED_BODY_BYTES),
             Address(deployment.host, relay_port),
+            CHUNKS_SHARE,
         )
         await self.peers.start()
         self.tasks.keep_running("store", self._follower.run)
@@ -413,8 +426,9 @@
         )
         add("leaving", "One while this daemon takes no new work.", lambda: self.shutting_down)
 
-    def _listen(self, server: EndingServer, address: Address) -> None:
+    def _listen(self, server: EndingServer, address: Address, share: float) -> None:
         server.log = self.log
+        server.max_connections = self._process_limits.share_of_connections(share)
         server.add_sockets(netutil.bind_sockets(address.port, address.host))
         self._servers.append(server)
 
--- a/wasabidrum/gateway/paced_server.py
+++ b/wasabidrum/gateway/paced_server.py
@@ -67,6 +67,17 @@
         """Whether connections were accepted that are not being read yet."""
         return bool(self._waiting) or super().has_unstarted
 
+    @property
+    def connection_count(self) -> int:
+        """The number of accepted connections that are open."""
+        return super().connection_count + len(self._waiting)
+
+    @property
+    def _is_full(self) -> bool:
+        return super()._is_full or (
+            bool(self._waiting) and self.connection_count >= self.max_connections
+        )
+
     @property
     def unread_count(self) -> int:
         """The number of connections that were accepted and from which nothing was ever read."""
--- a/wasabidrum/observe/event_log.py
+++ b/wasabidrum/observe/event_log.py
@@ -12,9 +12,18 @@
 from .metrics import Metrics
 from .nonblocking_output import NonBlockingOutput
 
-# Rate-limited events: successful requests, with one or two lines each, and messages of libraries,
-# whose number has no other bound.
-ROUTINE_EVENTS = frozenset((Event.REQUEST_PLACED, Event.REQUEST_DONE, Event.LIBRARY_MESSAGE))
+# Rate-limited events: successful requests, with one or two lines each, messages of libraries, and
+# what anybody who connects can bring about without a request, whose number has no other bound.
+ROUTINE_EVENTS = frozenset(
+    (
+        Event.REQUEST_PLACED,
+        Event.REQUEST_DONE,
+        Event.LIBRARY_MESSAGE,
+        Event.CONNECTION_REFUSED,
+        Event.CONNECTION_GAVE_WAY,
+        Event.ANSWERS_UNREAD,
+    )
+)
 
 
 class OutputHandler(logbook.Handler):
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -34,6 +34,7 @@
 from ..weights.sidecar_weights import SidecarWeights, make_sidecar_weights
 from ..wire import headers, http_client, tls
 from ..wire.ending_server import EndingServer, end_internal_connections
+from ..wire.process_limits import find_process_limits
 from ..wire.raw_response import make_response
 from . import call_handlers
 from .attempt_registry import AttemptRegistry
@@ -43,6 +44,8 @@
 LEAVING_NOTICE_SECONDS = 2.0
 # For how long a leaving instance still accepts calls with new idempotency keys issued for it.
 NEW_KEYS_GRACE_SECONDS = 1.5
+# The part of the accepted connections that the HTTP port may have.
+HTTP_SHARE = 0.7
 
 
 class Sidecar:
@@ -50,6 +53,7 @@
 
     def __init__(self, settings: Settings, log: EventLog) -> None:
         self._settings = settings
+        self._process_limits = find_process_limits(settings.memory_mb, settings.descriptors)
         self._log = log
         self._client = http_client.make_client()
         self._incarnation = make_incarnation()
@@ -109,6 +113,7 @@
         listen = self._settings.listen
         self._server = EndingServer(application, ssl_options=tls.server_context())
         self._server.log = self._log
+        self._server.max_connections = self._process_limits.share_of_connections(HTTP_SHARE)
         self._server.leaving_response = make_leaving_response()
         self._server.add_sockets(netutil.bind_sockets(listen.http_port, listen.host))
         if self._settings.control == "service":
@@ -132,6 +137,12 @@
         add("revision", "The configuration revision in force here.", lambda: self.follower.revision)
         add("requests_in_progress", "Requests at the endpoint.", lambda: self.requests.count)
         add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
+        self._log.metrics.add_counter(
+            "connections_closed",
+            "Connections that were closed, by why and by what became of their request.",
+            "end",
+            lambda: self._server.count_closes() if self._server else {},
+        )
         if self.weights is None:
             return
         manager, counts = self.weights.manager, self.weights.distributor.counts
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -31,9 +31,13 @@
 from ..weights.shared_readings import SharedReadings
 from ..wire import http_client
 from ..wire.ending_server import MAX_UNUSED_BODY_BYTES, EndingServer, end_internal_connections
+from ..wire.process_limits import find_process_limits
 from .load_service import LoadService
 
 METRICS_PORT_OFFSET = 2
+# The part of the accepted connections that each port may have.
+CHUNKS_SHARE = 0.45
+METRICS_SHARE = 0.1
 # The fraction of the instance's link that weights may use while its engine serves requests. A
 # version takes two seconds at the full link rate and must be in force within eight, of which
 # switching takes two or three. The rest of the link is kept free so that the engine's events are
@@ -46,6 +50,7 @@
 
     def __init__(self, deployment: Deployment, log: EventLog) -> None:
         self._deployment = deployment
+        self._process_limits = find_process_limits(deployment.memory_mb, deployment.descriptors)
         self._log = log
         self._servers: list[EndingServer] = []
         self._tasks = BackgroundTasks(self._report_failure)
@@ -92,8 +97,10 @@
     async def start(self) -> None:
         """Starts the servers and the background tasks."""
         host, first = self._deployment.host, self._deployment.first_port
-        self._listen(make_chunk_routes(self._distributor, self._readings), CHUNK_PORT_OFFSET)
-        self._listen(make_routes(self._log), METRICS_PORT_OFFSET)
+        self._listen(
+            make_chunk_routes(self._distributor, self._readings), CHUNK_PORT_OFFSET, CHUNKS_SHARE
+        )
+        self._listen(make_routes(self._log), METRICS_PORT_OFFSET, METRICS_SHARE)
         await self._load_service.start()
         self._tasks.keep_running("engine", self._controller.watch)
         self._tasks.keep_running("listed", self._listed.run)
@@ -185,10 +192,11 @@
         report = self._controller.report
         return report is not None and (not report.weights or report.weights < self._listed.wanted)
 
-    def _listen(self, routes: list[tuple], offset: int) -> None:
+    def _listen(self, routes: list[tuple], offset: int, share: float) -> None:
         application = web.Application(routes, log_function=lambda handler: None)
         server = EndingServer(application, max_body_size=MAX_UNUSED_BODY_BYTES)
         server.log = self._log
+        server.max_connections = self._process_limits.share_of_connections(share)
         address = Address(self._deployment.host, self._deployment.first_port + offset)
         server.add_sockets(netutil.bind_sockets(address.port, address.host))
         self._servers.append(server)
--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import math
 import socket
 
@@ -10,11 +11,12 @@
 from tornado.log import gen_log
 
 from ..core.requests_in_progress import RequestsInProgress
-from ..decisions import connection_close
+from ..decisions import connection_close, giving_way
 from ..decisions.connection_close import CloseCause, CloseStage
 from ..decisions.connection_end import Step
 from ..observe.event import Event
 from ..observe.event_log import EventLog
+from .accepting import Acceptor, bound_receive_buffer
 from .connection_counts import ConnectionCounts
 from .listening_socket import drop_handshakes
 from .raw_response import make_response
@@ -39,6 +41,9 @@
 LEAVING_RESPONSE = make_response(
     503, "Service Unavailable", httputil.HTTPHeaders({"Retry-After": "1"}), b""
 )
+# The answer to whoever connects when there is no room: a request that was sent has not been read.
+FULL_RESPONSE = LEAVING_RESPONSE
+MAX_CONNECTIONS = 1_000
 
 
 class EndingServer(httpserver.HTTPServer):
@@ -55,6 +60,8 @@
       port: The port that it listens on; zero before it does.
       leaving_response: The answer to a request that was received in part when the server ends,
         unless the request's delegate words its own.
+      max_connections: How many accepted connections it has open at most.
+      full_response: The answer to whoever connects when it has no room for another connection.
       idle_response: What is sent on a connection that is closed while it waits for a request, or
         for the rest of one whose time is up, so that a request that crosses the close is answered;
         empty to send nothing.
@@ -76,7 +83,9 @@
         self.closes: collections.Counter[tuple[CloseCause, CloseStage]] = collections.Counter()
         self.log: EventLog | None = None
         self.port = 0
+        self.max_connections = MAX_CONNECTIONS
         self.leaving_response = LEAVING_RESPONSE
+        self.full_response = FULL_RESPONSE
         self.idle_response = b""
 
     @property
@@ -84,6 +93,19 @@
         """Whether connections were accepted that are not being read yet."""
         return any(c.is_open and c.latest is None for c in self._served.values())
 
+    @property
+    def connection_count(self) -> int:
+        """The number of accepted connections that are open."""
+        return sum(connection.is_open for connection in self._served.values())
+
+    @property
+    def _is_full(self) -> bool:
+        # Connections that were closed are forgotten in a later iteration of the event loop.
+        return (
+            len(self._served) >= self.max_connections
+            and self.connection_count >= self.max_connections
+        )
+
     @property
     def unread_count(self) -> int:
         """The number of connections that were accepted and from which nothing was ever read."""
@@ -97,7 +119,47 @@
         """Starts to accept connections; see TCPServer."""
         sockets = list(sockets)
         self.port = sockets[0].getsockname()[1]
-        super().add_sockets(sockets)
+        for sock in sockets:
+            bound_receive_buffer(sock)
+            self._sockets[sock.fileno()] = sock
+            self._handlers[sock.fileno()] = Acceptor(sock, self._accept).stop
+
+    def _accept(self, connection: socket.socket, address: tuple) -> None:
+        if self._is_full and not self._end_for_another():
+            self._refuse_connection(connection)
+            return
+        self._handle_connection(connection, address)
+
+    def _end_for_another(self) -> bool:
+        """Ends a connection that gives way to a new one; returns whether there was one."""
+        now = asyncio.get_running_loop().time()
+        connections = [each for each in self._served.values() if each.is_open]
+        holdings = [each.holding(now) for each in connections]
+        index = giving_way.connection_to_end(holdings)
+        if index is None:
+            return False
+        held = holdings[index]
+        self._log_end(Event.CONNECTION_GAVE_WAY, stage=held.stage.name.lower(), age=held.age)
+        connections[index].end_at_once(self.idle_response, CloseCause.NO_ROOM)
+        return True
+
+    def _refuse_connection(self, connection: socket.socket) -> None:
+        """Answers what a client may have sent on a connection that is not begun, and closes it."""
+        self.closes[CloseCause.NO_ROOM, CloseStage.UNREAD] += 1
+        self._log_end(Event.CONNECTION_REFUSED, connections=self.connection_count)
+        with connection, contextlib.suppress(OSError):
+            connection.setblocking(False)
+            if self.ssl_options is None:
+                connection.send(self.full_response)
+                connection.shutdown(socket.SHUT_WR)
+                # Closed with unread data it would be reset, and the answer with it.
+                connection.recv(MAX_UNUSED_BODY_BYTES)
+
+    def _log_end(self, event: Event, age: float | None = None, **facts: object) -> None:
+        if age is not None:
+            facts["age"] = round(age, 2)
+        if self.log:
+            self.log.write(event, port=self.port, **facts)
 
     def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
         """Starts an accepted connection; see TCPServer."""
--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -1,5 +1,6 @@
 """A connection of a server, from its acceptance to its end."""
 
+import asyncio
 import select
 import socket
 
@@ -8,6 +9,7 @@
 from ..decisions import connection_close, connection_end
 from ..decisions.connection_close import CloseCause, CloseStage, LatestRequest
 from ..decisions.connection_end import ConnectionState, Step
+from ..decisions.giving_way import Holding, Stage
 from .watched_request import RefusesPart, WatchedRequest
 
 
@@ -20,7 +22,7 @@
     """
 
     __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
-    __slots__ += ("_crossed", "_ended_idle", "_may_end_answer", "_stage")
+    __slots__ += ("_crossed", "_ended_idle", "_may_end_answer", "_stage", "_stage_began_at")
 
     def __init__(self, stream: iostream.IOStream, accepted_at: float) -> None:
         """Creates a connection.
@@ -39,8 +41,12 @@
         # Whether the close may be the end of the last answer.
         self._may_end_answer = False
         self._stage = CloseStage.UNREAD
+        # When the first byte of the latest request came, or when the connection began to wait for
+        # it.
+        self._stage_began_at = accepted_at
         # A handler may go on to answer after the close, and seem to have answered before it.
         stream.close_fd = self._record_close
+        stream.read_from_fd = self._read_from_fd
 
     @property
     def is_open(self) -> bool:
@@ -76,6 +82,25 @@
         """Whether it is open for an answer."""
         return self.is_open and self._lingers_since is None
 
+    def holding(self, now: float) -> Holding:
+        """Returns what it holds."""
+        stage, age = self._find_stage(), now - self._stage_began_at
+        return Holding(stage, 0, age)
+
+    def _find_stage(self) -> Stage:
+        if self.has_part or self._lingers_since is not None:
+            complete = self._lingers_since is None and self.latest.received
+            return Stage.ANSWERING if complete else Stage.RECEIVING
+        return Stage.IDLE if self._requests > 1 else Stage.UNUSED
+
+    def _read_from_fd(self, buffer: bytearray | memoryview) -> int | None:
+        """Notes what is received; see BaseIOStream."""
+        is_first = not self.has_part
+        count = type(self._stream).read_from_fd(self._stream, buffer)
+        if count and is_first:
+            self._stage_began_at = asyncio.get_running_loop().time()
+        return count
+
     def add_request(self, request: WatchedRequest) -> None:
         """Records that another request is waited for."""
         if self.latest is not None and self._stream.closed():
@@ -85,6 +110,8 @@
         self._may_end_answer = self.latest is not None and self.latest.ends_with_connection
         self.latest = request
         self._requests += 1
+        if self._requests > 1:
+            self._stage_began_at = asyncio.get_running_loop().time()
 
     def next_step(self, now: float) -> Step:
         """Returns what is due now that the server ends."""
@@ -133,6 +160,20 @@
             return
         self.linger(cause, now)
 
+    def end_at_once(self, response: bytes, cause: CloseCause) -> None:
+        """Closes the connection, whatever its caller does, and frees its descriptor.
+
+        Args:
+          response: Sent before, if that can be done without waiting; what was received of a
+            request is not served.
+        """
+        if self.latest is not None:
+            self._ended_idle = not self.has_part
+            self.latest.refuse()
+            if response and not self._may_end_answer:
+                self._stream.write(response)
+        self.close(cause)
+
     def linger(self, cause: CloseCause, now: float) -> None:
         """Closes the connection for writing once its answer is sent; reads on, and discards."""
         self.close_cause = cause
@@ -163,8 +204,9 @@
             self._stage = connection_close.close_stage(
                 LatestRequest(self.has_part, request.received, request.answered, request.finished)
             )
-        # The stream's own method again, so that the two do not keep each other in memory.
+        # The stream's own methods again, so that the two do not keep each other in memory.
         del self._stream.close_fd
+        del self._stream.read_from_fd
         self._stream.close_fd()
 
     def close(self, cause: CloseCause) -> None:
