--- a/wasabidrum/gateway/entry_peers.py
+++ b/wasabidrum/gateway/entry_peers.py
@@ -10,7 +10,6 @@
 import random
 
 import msgspec
-from grpclib import server
 from tornado import netutil
 
 from ..config.deployment import Address, Deployment
@@ -39,6 +38,7 @@
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from ..peers import entry_messages, peer_client
+from ..peers.bounded_server import BoundedServer
 from ..peers.entry_messages import (
     Acknowledgement,
     ChangesReply,
@@ -52,7 +52,7 @@
     SuspectDeath,
     SuspectsReport,
 )
-from ..peers.peer_client import CODEC
+from ..wire.process_limits import find_process_limits
 from .entry_service import EntryService
 from .published_state import PublishedState
 from .reader_following import WATCH_SECONDS
@@ -92,6 +92,8 @@
 DEMAND_CHECK_SECONDS = 0.5
 DEMAND_TELL_SECONDS = 1.0
 MAX_TOLD_AT_ONCE = 4
+# The part of the accepted connections that the port may have.
+CONNECTIONS_SHARE = 0.12
 
 
 class EntryPeers:
@@ -130,7 +132,8 @@
         self._settled_at = (
             boot_seconds() + ROSTER_SETTLING_SECONDS if deployment.first_start else 0.0
         )
-        self._server: server.Server | None = None
+        self._process_limits = find_process_limits(deployment.memory_mb, deployment.descriptors)
+        self._server: BoundedServer | None = None
         # Set, and replaced by another, at each answer of the store.
         self._evidence = asyncio.Event()
         # Fingerprints of requests that are to be reported as suspects, by endpoint, its run and the
@@ -229,8 +232,14 @@
     async def start(self) -> None:
         """Opens the listening port and starts the background tasks."""
         sockets = netutil.bind_sockets(self._own_address[1], self._own_address[0])
-        self._server = server.Server([EntryService(self)], codec=CODEC)
-        await self._server.start(sock=sockets[0])
+        limits = self._process_limits
+        self._server = BoundedServer(
+            [EntryService(self)],
+            limits.share_of_connections(CONNECTIONS_SHARE),
+            limits.message_bytes,
+            self._log,
+        )
+        await self._server.start(sockets[0])
         self._tasks.keep_running("meet", self._run_gossip)
         self._tasks.keep_running("demand", self._run_demand)
         self._tasks.keep_running("relay", self._run_store_relay)
--- a/wasabidrum/peers/peer_node.py
+++ b/wasabidrum/peers/peer_node.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 
-from grpclib import server
 from tornado import netutil
 
 from ..config.settings import Settings
@@ -20,6 +19,8 @@
 from ..observe.event_log import EventLog
 from ..platform.instance_directory import InstanceDirectory
 from ..wire import tls
+from ..wire.process_limits import find_process_limits
+from .bounded_server import BoundedServer
 from .claim_fetcher import ClaimFetcher
 from .configuration_follower import ConfigurationFollower
 from .control_report import ControlReport
@@ -37,6 +38,8 @@
 
 TICK_SECONDS = 0.25
 GOSSIP_SILENCE_SECONDS = 3.0
+# The part of the accepted connections that the peer port may have.
+CONNECTIONS_SHARE = 0.18
 
 
 class PeerNode:
@@ -69,7 +72,7 @@
         self._inbound: set[PeerLink] = set()
         self._outbound = OutboundLinks(self, True, GOSSIP_SILENCE_SECONDS, self.suspect)
         self._fetcher = ClaimFetcher(follower)
-        self._server: server.Server | None = None
+        self._server: BoundedServer | None = None
         self._last_pushed: tuple[object, ...] = ()
         self.peer_port = 0
         self.table = MemberTable(settings.name)
@@ -120,8 +123,14 @@
         listen = self._settings.listen
         sockets = netutil.bind_sockets(listen.peer_port, listen.host)
         self.peer_port = sockets[0].getsockname()[1]
-        self._server = server.Server([PeerService(self)], codec=CODEC)
-        await self._server.start(sock=sockets[0], ssl=tls.server_context())
+        limits = find_process_limits(self._settings.memory_mb, self._settings.descriptors)
+        self._server = BoundedServer(
+            [PeerService(self)],
+            limits.share_of_connections(CONNECTIONS_SHARE),
+            limits.message_bytes,
+            self._log,
+        )
+        await self._server.start(sockets[0], tls.server_context())
         self._tasks.keep_running("peers", self._begin)
 
     async def stop(self) -> None:
--- a/wasabidrum/sidecar/load_service.py
+++ b/wasabidrum/sidecar/load_service.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 
-from grpclib import server
 from tornado import netutil
 
 from ..config.deployment import Deployment
@@ -11,7 +10,7 @@
 from ..core.status import Status
 from ..decisions.member_update import MemberUpdate
 from ..observe.event_log import EventLog
-from ..peers.peer_client import CODEC
+from ..peers.bounded_server import BoundedServer
 from ..peers.peer_link import PeerLink
 from ..peers.peer_messages import (
     ConfigurationReply,
@@ -21,8 +20,12 @@
     Push,
 )
 from ..peers.peer_service import PeerService
+from ..wire.process_limits import find_process_limits
 from .report_sender import ReportSender
 
+# The part of the accepted connections that the port may have.
+CONNECTIONS_SHARE = 0.45
+
 
 class LoadService:
     """Owns the peer port of a sidecar and the streams of the entries that watch it.
@@ -43,7 +46,8 @@
         self._deployment = deployment
         self._own_status = own_status
         self._inbound: set[PeerLink] = set()
-        self._server: server.Server | None = None
+        self._server: BoundedServer | None = None
+        self._log = log
         self._sender = ReportSender(deployment.host, log)
         self._relays: dict[PeerLink, Status] = {}
         self.on_relays: collections.abc.Callable[[list[Status]], None] = ignore_relays
@@ -64,8 +68,14 @@
         """Starts the gRPC server and opens the socket for reports."""
         await self._sender.start()
         sockets = netutil.bind_sockets(self._deployment.first_port, self._deployment.host)
-        self._server = server.Server([PeerService(self)], codec=CODEC)
-        await self._server.start(sock=sockets[0])
+        limits = find_process_limits(self._deployment.memory_mb, self._deployment.descriptors)
+        self._server = BoundedServer(
+            [PeerService(self)],
+            limits.share_of_connections(CONNECTIONS_SHARE),
+            limits.message_bytes,
+            self._log,
+        )
+        await self._server.start(sockets[0])
 
     async def stop(self) -> None:
         """Closes all streams, the server and the socket."""
