--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -137,8 +137,9 @@
         await self._writable.wait()
 
     def leave(self) -> None:
-        """Ends the connection."""
-        self._transport.abort()
+        """Ends the connection if it is open."""
+        if not self.closed.is_set():
+            self._transport.abort()
 
 
 class Crowd:
--- a/wasabidrum/decisions/buffer_budget.py
+++ b/wasabidrum/decisions/buffer_budget.py
@@ -12,6 +12,8 @@
 those that were admitted.
 """
 
+from .giving_way import SMALL_BYTES
+
 BYTES_PER_MEGABYTE = 1_000_000
 # The part of a process's memory for buffers. The rest is for the interpreter with its modules, the
 # configuration, and the pieces of weights that an entry passes on.
@@ -24,6 +26,11 @@
 # What a request takes beside its body and its answer: two connections, their tasks and headers.
 # An estimate.
 REQUEST_BYTES = 32_768
+# Large requests are admitted only below this fraction of the limit, with their own bytes, so that
+# they never take what those of a usual size need.
+LARGE_FRACTION = 0.5
+# How often a body is held at the most: by its request, and by the write to an endpoint.
+BODY_COPIES = 2
 # Each answer may be read ahead of its caller by this fraction of what is free.
 READ_AHEAD_FRACTION = 1.0 / 64.0
 MIN_READ_AHEAD_BYTES = 16_384
@@ -62,6 +69,12 @@
         self._refusing = self._used >= fraction * self._limit
         return self._refusing
 
+    def admits(self, body_bytes: int) -> bool:
+        """Returns whether a request with a body that was received whole is admitted now."""
+        if body_bytes <= SMALL_BYTES or not self._used:
+            return not self.refusing
+        return self._used + BODY_COPIES * body_bytes <= LARGE_FRACTION * self._limit
+
     @property
     def exceeded(self) -> bool:
         """Whether no more may be buffered, even for requests that were admitted."""
--- a/wasabidrum/entry/caller_handler.py
+++ b/wasabidrum/entry/caller_handler.py
@@ -44,7 +44,7 @@
         self.caller: CallerRequest | None = None
         self.body = b""
         self.running: asyncio.Task | None = None
-        self._parts: list[bytes] = []
+        self._received_body = bytearray()
         self._received = 0
         self._refused = False
         self._body_timer: asyncio.TimerHandle | None = None
@@ -81,10 +81,10 @@
         try:
             self.check_body_length(self._received)
         except CodedError as error:
-            self._parts.clear()
+            self._received_body = bytearray()
             self.refuse_early(error)
             return
-        self._parts.append(chunk)
+        self._received_body += chunk
 
     def check_body_length(self, length: int) -> None:
         """Checks the length of a body against the configured limit.
@@ -134,7 +134,7 @@
         self._body_timer.cancel()
         if self._refused:
             return
-        self.body = b"".join(self._parts)
+        self.body, self._received_body = bytes(self._received_body), bytearray()
         self.running = asyncio.ensure_future(respond())
         try:
             with self.entry.requests.track():
@@ -229,7 +229,9 @@
             )
 
     def on_connection_close(self) -> None:
-        """Cancels the work for a caller that disconnected."""
+        """Cancels the work for a caller that disconnected, or whose request is refused."""
+        self.on_finish()
+        self._received_body = bytearray()
         if self.running is not None:
             self.running.cancel()
             workspace = self.caller.workspace if self.caller else ""
--- a/wasabidrum/entry/caller_routes.py
+++ b/wasabidrum/entry/caller_routes.py
@@ -19,6 +19,8 @@
 # An idle connection, or one whose request head arrives slower than this, is closed.
 IDLE_CONNECTION_SECONDS = 60.0
 MAX_HEAD_BYTES = 16_384
+# As it was received, decoded, encoded for a sidecar, and on its way there.
+WHOLE_COPIES = 4
 
 
 def make_caller_server(entry: CallerHandlerOwner) -> EndingServer:
@@ -48,6 +50,9 @@
     server.leaving_response = make_refusal(503, "Service Unavailable", "entry_leaving", leaving)
     full = "this entry has as many connections as it may have"
     server.full_response = make_refusal(503, "Service Unavailable", "entry_full", full)
+    memory = "this entry holds too much of other requests"
+    server.memory_response = make_refusal(503, "Service Unavailable", "memory_short", memory)
+    server.whole_copies = WHOLE_COPIES
     server.idle_response = make_refusal(408, "Request Timeout", "request_late", late)
     return server
 
--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -23,6 +23,7 @@
 from ..wire import http_client, tls
 from ..wire.ending_server import EndingServer, end_internal_connections
 from ..wire.process_limits import find_process_limits
+from ..wire.request_room import RequestRoom
 from .caller_routes import make_caller_server
 from .endpoint_table import EndpointTable
 from .endpoint_watcher import EndpointWatcher
@@ -57,7 +58,9 @@
 
     def __init__(self, settings: Settings, log: EventLog) -> None:
         self._settings = settings
-        self._process_limits = find_process_limits(settings.memory_mb, settings.descriptors)
+        limits = find_process_limits(settings.memory_mb, settings.descriptors)
+        self._process_limits = limits
+        self._request_room = RequestRoom(limits.unfinished_bytes, limits.whole_bytes)
         self._incarnation = make_incarnation()
         self._sequence = 0
         self.requests = RequestsInProgress()
@@ -132,6 +135,22 @@
             "Requests of callers begun and not ended.",
             lambda: self.requests.count,
         )
+        add(
+            "unfinished_request_bytes",
+            "Held of requests that were not received whole.",
+            lambda: self._request_room.unfinished,
+        )
+        add(
+            "whole_request_bytes",
+            "Held of requests that were received whole and are not answered yet.",
+            lambda: self._request_room.whole,
+        )
+        self.log.metrics.add_counter(
+            "requests_gave_way",
+            "Requests that were refused because requests held too much.",
+            "room",
+            lambda: {"requests": self._request_room.gave_way},
+        )
         add("requests_waiting", "Requests that wait for their turn.", lambda: scheduler.waiting)
         add("endpoints_resting", "Endpoints that want no requests.", lambda: scheduler.resting)
         self.log.metrics.add_counter(
@@ -190,6 +209,7 @@
 
     def _listen(self, server: EndingServer, port: int, share: float) -> None:
         server.log = self.log
+        server.room = self._request_room
         server.max_connections = self._process_limits.share_of_connections(share)
         server.add_sockets(netutil.bind_sockets(port, self._settings.listen.host))
         self._servers.append(server)
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -32,6 +32,7 @@
     end_internal_connections,
 )
 from ..wire.process_limits import find_process_limits
+from ..wire.request_room import RequestRoom
 from .attempts_in_progress import AttemptsInProgress
 from .cold_endpoint_rule import ColdEndpointRule
 from .entry_peers import EntryPeers
@@ -109,7 +110,9 @@
 
     def __init__(self, deployment: Deployment, log: EventLog) -> None:
         self._deployment = deployment
-        self._process_limits = find_process_limits(deployment.memory_mb, deployment.descriptors)
+        limits = find_process_limits(deployment.memory_mb, deployment.descriptors)
+        self._process_limits = limits
+        self._request_room = RequestRoom(limits.unfinished_bytes, limits.whole_bytes)
         self._servers: list[EndingServer] = []
         self._caller_server: PacedServer | None = None
         self.log = log
@@ -122,10 +125,10 @@
         self.state = PublishedState(deployment.bounds, log, deployment.region_of)
         store = make_store_client(client, deployment.store)
         self.poison_guard = PoisonGuard()
-        self._limits = limits = StatedLimits(random.Random())
+        self._limits = StatedLimits(random.Random())
         parts = CrashingParts()
         self.peers = EntryPeers(
-            deployment, self.state, self.poison_guard, parts, self.tasks, log, limits
+            deployment, self.state, self.poison_guard, parts, self.tasks, log, self._limits
         )
         self.part_guard = PartGuard(parts, self.peers, log)
         readers = ReaderFollower(self.peers, self.state, deployment.bounds, log)
@@ -152,7 +155,7 @@
             deployment.data_centre,
             deployment.bounds,
             self.peers,
-            limits,
+            self._limits,
             deployment.first_start and not self.peers.has_seeds,
             rules,
             self.cold_rule,
@@ -348,6 +351,17 @@
             "Buffered for callers and from endpoints, with an allowance for each request.",
             lambda: self.buffers.used,
         )
+        add(
+            "unfinished_request_bytes",
+            "Held of requests that were not received whole.",
+            lambda: self._request_room.unfinished,
+        )
+        self.log.metrics.add_counter(
+            "requests_gave_way",
+            "Requests that were refused because requests held too much.",
+            "room",
+            lambda: {"requests": self._request_room.gave_way},
+        )
         add(
             "buffered_bytes_limit",
             "The most that may be buffered.",
@@ -428,6 +442,7 @@
 
     def _listen(self, server: EndingServer, address: Address, share: float) -> None:
         server.log = self.log
+        server.room = self._request_room
         server.max_connections = self._process_limits.share_of_connections(share)
         server.add_sockets(netutil.bind_sockets(address.port, address.host))
         self._servers.append(server)
--- a/wasabidrum/gateway/endpoint_connection.py
+++ b/wasabidrum/gateway/endpoint_connection.py
@@ -29,6 +29,8 @@
 HEAD_START = b"HTTP/1."
 SILENT_HEAD_PAUSE_SECONDS = 0.3
 SILENT_HEAD_SECONDS = 1.7
+# A longer body is not joined to its head, which would copy it.
+MAX_JOINED_BYTES = 65_536
 # A reply takes up to twice the length of its body, and this much more. The frame of a chunk takes
 # six bytes, and each chunk as much processor time as a kilobyte: a reply of chunks of one byte
 # would keep the process busy for minutes before its body is too large.
@@ -163,6 +165,10 @@
         if hold_body:
             self._request, self._held_body = connection, body
             connection.write_headers(start, headers)
+        elif len(body) > MAX_JOINED_BYTES:
+            connection.write_headers(start, headers)
+            connection.write(body)
+            connection.finish()
         else:
             connection.write_headers(start, headers, body)
             connection.finish()
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -11,10 +11,12 @@
 from ..core.outcome import Outcome
 from ..core.request_head import ReplyHead, RequestHead
 from ..core.request_scope import RequestScope
-from ..decisions.buffer_budget import REQUEST_BYTES, BufferAccount
+from ..decisions.buffer_budget import BODY_COPIES, REQUEST_BYTES, BufferAccount
+from ..decisions.connection_close import CloseCause
 from ..observe.event import Event
 from ..platform import heads
 from ..wire.raw_response import make_response
+from ..wire.served_connection import FIELD_BYTES
 from .complete_reply import CompleteReply
 from .forwarding import Forwarding
 
@@ -48,7 +50,7 @@
     def __init__(self, gateway: "Gateway", connection: httputil.HTTPConnection) -> None:
         self._gateway = gateway
         self._connection = connection
-        self._body_chunks: list[bytes] = []
+        self._body = bytearray()
         self._body_size = 0
         # The largest that a configuration has allowed since the head was read. One that comes
         # meanwhile must not take away what the caller was promised, nor parts of the body.
@@ -95,26 +97,45 @@
         self._body_limit = self._gateway.body_limit
         self._connection.set_max_body_size(self._gateway.read_body_bytes)
         self._lacks_memory = self._gateway.lacks_memory
-        self._buffers.add(REQUEST_BYTES)
+        self._buffers.add(REQUEST_BYTES + FIELD_BYTES * len(headers))
 
     def data_received(self, chunk: bytes) -> None:
         """Buffers a part of the body, up to the body limit."""
         self._body_size += len(chunk)
         self._body_limit = max(self._body_limit, self._gateway.body_limit)
         self._too_large = self._too_large or self._body_size > self._body_limit
-        self._lacks_memory = self._lacks_memory or self._gateway.buffers.exceeded
-        if self._lacks_memory or self._too_large:
-            self._body_chunks.clear()
+        if self.discards_body:
+            self._body = bytearray()
             return
-        self._body_chunks.append(chunk)
-        self._buffers.add(len(chunk))
+        # Until it is whole, its server counts what it holds.
+        self._body += chunk
+
+    @property
+    def discards_body(self) -> bool:
+        """See DiscardsBody."""
+        return self._lacks_memory or self._too_large
 
     def finish(self) -> None:
         """Starts to serve the request, which has now been received completely."""
+        self._admit_body()
         self._connection.set_close_callback(self.on_disconnect)
         self._task = self._gateway.tasks.start("request", self._run())
         self._task.add_done_callback(self._on_task_done)
 
+    def _admit_body(self) -> None:
+        if self.discards_body:
+            return
+        if not self._gateway.buffers.admits(len(self._body)):
+            self._lacks_memory = True
+            self._body = bytearray()
+            return
+        self._buffers.add(BODY_COPIES * len(self._body))
+
+    def _take_body(self) -> bytes:
+        """Returns the body, which this exchange does not hold any more."""
+        body, self._body = bytes(self._body), bytearray()
+        return body
+
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._buffers.close()
         if task.cancelled() and not self._completed and not self._connection.stream.closed():
@@ -132,12 +153,12 @@
         message = "the connection was closed as the request came"
         self._log_error(CodedError("connection_closed", message, 408))
 
-    def refuse_part(self) -> bytes:
+    def refuse_part(self, cause: CloseCause) -> bytes:
         """See RefusesPart."""
         self._part_refused = True
         if self._head is None:
             self._started_at = asyncio.get_running_loop().time()
-        error = leaving_error()
+        error = memory_error() if cause is CloseCause.NO_ROOM else leaving_error()
         self._log_error(error)
         headers, body = self._error_response(error)
         return make_response(error.http_status, STATUS_REASONS[error.http_status], headers, body)
@@ -145,6 +166,7 @@
     def on_connection_close(self) -> None:
         """Handles a disconnect before the request was received completely."""
         self._buffers.close()
+        self._body = bytearray()
         self.on_disconnect()
 
     def on_disconnect(self) -> None:
@@ -187,8 +209,7 @@
         if not self._gateway.accepts_requests:
             raise leaving_error()
         if self._lacks_memory:
-            message = "this entry has no memory left for more requests"
-            raise CodedError("memory_short", message, 503, retry_after=MEMORY_RETRY_SECONDS)
+            raise memory_error()
         state = self._gateway.state
         routes = state.routes
         if routes is None:
@@ -214,7 +235,7 @@
             self.add_log_facts(workspace=workspace.name)
         self._forwarded = True
         await Forwarding(
-            self, self._gateway, head, RequestScope(route, workspace), b"".join(self._body_chunks)
+            self, self._gateway, head, RequestScope(route, workspace), self._take_body()
         ).run()
 
     @property
@@ -391,6 +412,12 @@
     return CodedError("entry_leaving", message, 503, retry_after=SHUTDOWN_RETRY_SECONDS)
 
 
+def memory_error() -> CodedError:
+    """Returns the error for a request for which this entry has no memory."""
+    message = "this entry has no memory left for more requests"
+    return CodedError("memory_short", message, 503, retry_after=MEMORY_RETRY_SECONDS)
+
+
 def internal_error(forwarded: bool) -> CodedError:
     """Returns the error for a request that an unexpected error has interrupted.
 
--- a/wasabidrum/observe/event.py
+++ b/wasabidrum/observe/event.py
@@ -21,6 +21,7 @@
     CONNECTION_REFUSED = 1012
     CONNECTION_GAVE_WAY = 1013
     ANSWERS_UNREAD = 1014
+    REQUEST_GAVE_WAY = 1015
 
     # 2000: requests.
     REQUEST_PLACED = 2001
--- a/wasabidrum/observe/event_log.py
+++ b/wasabidrum/observe/event_log.py
@@ -22,6 +22,7 @@
         Event.CONNECTION_REFUSED,
         Event.CONNECTION_GAVE_WAY,
         Event.ANSWERS_UNREAD,
+        Event.REQUEST_GAVE_WAY,
     )
 )
 
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -36,6 +36,7 @@
 from ..wire.ending_server import EndingServer, end_internal_connections
 from ..wire.process_limits import find_process_limits
 from ..wire.raw_response import make_response
+from ..wire.request_room import RequestRoom
 from . import call_handlers
 from .attempt_registry import AttemptRegistry
 from .idempotent_calls import IdempotentCalls
@@ -46,6 +47,8 @@
 NEW_KEYS_GRACE_SECONDS = 1.5
 # The part of the accepted connections that the HTTP port may have.
 HTTP_SHARE = 0.7
+# As it was received, joined, decoded, and encoded for the endpoint.
+WHOLE_COPIES = 4
 
 
 class Sidecar:
@@ -53,7 +56,9 @@
 
     def __init__(self, settings: Settings, log: EventLog) -> None:
         self._settings = settings
-        self._process_limits = find_process_limits(settings.memory_mb, settings.descriptors)
+        limits = find_process_limits(settings.memory_mb, settings.descriptors)
+        self._process_limits = limits
+        self._request_room = RequestRoom(limits.unfinished_bytes, limits.whole_bytes)
         self._log = log
         self._client = http_client.make_client()
         self._incarnation = make_incarnation()
@@ -113,8 +118,11 @@
         listen = self._settings.listen
         self._server = EndingServer(application, ssl_options=tls.server_context())
         self._server.log = self._log
+        self._server.room = self._request_room
+        self._server.whole_copies = WHOLE_COPIES
+        self._server.memory_response = make_refusal("memory_short")
         self._server.max_connections = self._process_limits.share_of_connections(HTTP_SHARE)
-        self._server.leaving_response = make_leaving_response()
+        self._server.leaving_response = make_refusal("endpoint_leaving")
         self._server.add_sockets(netutil.bind_sockets(listen.http_port, listen.host))
         if self._settings.control == "service":
             self.tasks.keep_running("configuration", self.follower.run)
@@ -137,6 +145,22 @@
         add("revision", "The configuration revision in force here.", lambda: self.follower.revision)
         add("requests_in_progress", "Requests at the endpoint.", lambda: self.requests.count)
         add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
+        add(
+            "unfinished_request_bytes",
+            "Held of requests that were not received whole.",
+            lambda: self._request_room.unfinished,
+        )
+        add(
+            "whole_request_bytes",
+            "Held of requests that were received whole and are not answered yet.",
+            lambda: self._request_room.whole,
+        )
+        self._log.metrics.add_counter(
+            "requests_gave_way",
+            "Requests that were refused because requests held too much.",
+            "room",
+            lambda: {"requests": self._request_room.gave_way},
+        )
         self._log.metrics.add_counter(
             "connections_closed",
             "Connections that were closed, by why and by what became of their request.",
@@ -239,11 +263,11 @@
         self._log.write(Event.TASK_FAILED, task=name, reason=repr(error))
 
 
-def make_leaving_response() -> bytes:
-    """Returns the response to a request of which a sidecar that leaves has received a part."""
+def make_refusal(code: str) -> bytes:
+    """Returns the response to a request that is not served, of which a part was received."""
     fields = {
         headers.OUTCOME: Outcome.NOT_RUN.value,
-        headers.ERROR_CODE: "endpoint_leaving",
+        headers.ERROR_CODE: code,
         "Retry-After": "1",
     }
     return make_response(503, "Service Unavailable", httputil.HTTPHeaders(fields), b"")
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -32,6 +32,7 @@
 from ..wire import http_client
 from ..wire.ending_server import MAX_UNUSED_BODY_BYTES, EndingServer, end_internal_connections
 from ..wire.process_limits import find_process_limits
+from ..wire.request_room import RequestRoom
 from .load_service import LoadService
 
 METRICS_PORT_OFFSET = 2
@@ -50,7 +51,9 @@
 
     def __init__(self, deployment: Deployment, log: EventLog) -> None:
         self._deployment = deployment
-        self._process_limits = find_process_limits(deployment.memory_mb, deployment.descriptors)
+        limits = find_process_limits(deployment.memory_mb, deployment.descriptors)
+        self._process_limits = limits
+        self._request_room = RequestRoom(limits.unfinished_bytes, limits.whole_bytes)
         self._log = log
         self._servers: list[EndingServer] = []
         self._tasks = BackgroundTasks(self._report_failure)
@@ -196,6 +199,7 @@
         application = web.Application(routes, log_function=lambda handler: None)
         server = EndingServer(application, max_body_size=MAX_UNUSED_BODY_BYTES)
         server.log = self._log
+        server.room = self._request_room
         server.max_connections = self._process_limits.share_of_connections(share)
         address = Address(self._deployment.host, self._deployment.first_port + offset)
         server.add_sockets(netutil.bind_sockets(address.port, address.host))
--- a/wasabidrum/wire/accepting.py
+++ b/wasabidrum/wire/accepting.py
@@ -26,7 +26,7 @@
 class Acceptor:
     """Accepts the connections of one listening socket, until it is stopped."""
 
-    __slots__ = ("_socket", "_on_accept", "_retry")
+    __slots__ = ("_socket", "_descriptor", "_on_accept", "_retry", "_loop")
 
     def __init__(self, sock: socket.socket, on_accept: OnAccept) -> None:
         """Starts to accept.
@@ -36,15 +36,21 @@
           on_accept: Called with each connection and the address of its other end.
         """
         self._socket = sock
+        self._descriptor = sock.fileno()
         self._on_accept = on_accept
         self._retry: asyncio.TimerHandle | None = None
-        asyncio.get_running_loop().add_reader(sock, self._accept)
+        self._loop = asyncio.get_running_loop()
+        self._listen()
 
     def stop(self) -> None:
         """Accepts nothing more."""
-        asyncio.get_running_loop().remove_reader(self._socket)
         if self._retry is not None:
             self._retry.cancel()
+        if not self._loop.is_closed():
+            self._loop.remove_reader(self._descriptor)
+
+    def _listen(self) -> None:
+        self._loop.add_reader(self._descriptor, self._accept)
 
     def _accept(self) -> None:
         for _ in range(ACCEPTED_AT_ONCE):
@@ -66,6 +72,5 @@
                 return
 
     def _pause(self) -> None:
-        loop = asyncio.get_running_loop()
-        loop.remove_reader(self._socket)
-        self._retry = loop.call_later(RETRY_SECONDS, loop.add_reader, self._socket, self._accept)
+        self._loop.remove_reader(self._descriptor)
+        self._retry = self._loop.call_later(RETRY_SECONDS, self._listen)
--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -14,6 +14,7 @@
 from ..decisions import connection_close, giving_way
 from ..decisions.connection_close import CloseCause, CloseStage
 from ..decisions.connection_end import Step
+from ..decisions.giving_way import Holding
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .accepting import Acceptor, bound_receive_buffer
@@ -21,6 +22,7 @@
 from .listening_socket import drop_handshakes
 from .raw_response import make_response
 from .read_timer import ReadTimeouts, ReadTimer
+from .request_room import RequestRoom
 from .served_connection import ServedConnection
 from .watched_request import WatchedRequest
 
@@ -44,6 +46,12 @@
 # The answer to whoever connects when there is no room: a request that was sent has not been read.
 FULL_RESPONSE = LEAVING_RESPONSE
 MAX_CONNECTIONS = 1_000
+MAX_UNFINISHED_BYTES = 67_108_864
+MAX_WHOLE_BYTES = 268_435_456
+# In log lines: a request that was received whole.
+WHOLE = "whole"
+# What is read at once from a connection, and passed on of a body.
+READ_BYTES = 16_384
 
 
 class EndingServer(httpserver.HTTPServer):
@@ -62,6 +70,11 @@
         unless the request's delegate words its own.
       max_connections: How many accepted connections it has open at most.
       full_response: The answer to whoever connects when it has no room for another connection.
+      memory_response: The answer to a request that has to be refused for others, unless the
+        request's delegate words its own.
+      room: Counts what requests hold, of all servers of the process.
+      whole_copies: How often the bytes of a whole request are held until it is answered; zero if
+        something else counts them.
       idle_response: What is sent on a connection that is closed while it waits for a request, or
         for the rest of one whose time is up, so that a request that crosses the close is answered;
         empty to send nothing.
@@ -75,7 +88,7 @@
         **kwargs: object,
     ) -> None:
         """Initializes the server with the arguments of Tornado's HTTPServer."""
-        super().initialize(*args, **kwargs)
+        super().initialize(*args, chunk_size=READ_BYTES, **kwargs)
         self.timeouts = ReadTimeouts(idle_connection_timeout, body_timeout)
         self._timers: dict[iostream.IOStream, ReadTimer] = {}
         self._served: dict[iostream.IOStream, ServedConnection] = {}
@@ -86,6 +99,9 @@
         self.max_connections = MAX_CONNECTIONS
         self.leaving_response = LEAVING_RESPONSE
         self.full_response = FULL_RESPONSE
+        self.memory_response = FULL_RESPONSE
+        self.room = RequestRoom(MAX_UNFINISHED_BYTES, MAX_WHOLE_BYTES)
+        self.whole_copies = 0
         self.idle_response = b""
 
     @property
@@ -119,9 +135,10 @@
         """Starts to accept connections; see TCPServer."""
         sockets = list(sockets)
         self.port = sockets[0].getsockname()[1]
+        super().add_sockets(sockets)
         for sock in sockets:
             bound_receive_buffer(sock)
-            self._sockets[sock.fileno()] = sock
+            self._handlers[sock.fileno()]()
             self._handlers[sock.fileno()] = Acceptor(sock, self._accept).stop
 
     def _accept(self, connection: socket.socket, address: tuple) -> None:
@@ -163,19 +180,27 @@
 
     def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
         """Starts an accepted connection; see TCPServer."""
-        self._served[stream] = ServedConnection(stream, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._served[stream] = ServedConnection(
+            stream, now, self.room, self.whole_copies, self._refuse_unfinished
+        )
         super().handle_stream(stream, address)
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> WatchedRequest:
         """See HTTPServerConnectionDelegate."""
-        request = WatchedRequest(super().start_request(server_conn, request_conn), request_conn)
         stream = server_conn.stream
-        self._served[stream].add_request(request)
+        connection = self._served[stream]
+        request = WatchedRequest(
+            super().start_request(server_conn, request_conn),
+            request_conn,
+            connection.hold_head,
+            lambda: self._admit_whole(connection),
+        )
+        connection.add_request(request)
         if stream in self._timers:
             self._timers[stream].cancel()
-        connection = self._served[stream]
         self._timers[stream] = ReadTimer(
             stream, request, self.timeouts, lambda cause: self._end_waiting(connection, cause)
         )
@@ -189,9 +214,31 @@
             timer.cancel()
         super().on_close(server_conn)
 
+    def _refuse_unfinished(self, connection: ServedConnection, holding: Holding) -> None:
+        stage, held = holding.stage.name.lower(), holding.held
+        self._log_end(Event.REQUEST_GAVE_WAY, stage=stage, age=holding.age, held=held)
+        self._refuse_for_room(connection)
+
+    def _admit_whole(self, connection: ServedConnection) -> bool:
+        """Returns whether there is room for a request that was received whole, or refuses it."""
+        if connection.hold_whole():
+            return True
+        self._log_end(Event.REQUEST_GAVE_WAY, stage=WHOLE, held=self.room.whole)
+        self._refuse_for_room(connection)
+        return False
+
+    def _refuse_for_room(self, connection: ServedConnection) -> None:
+        now = asyncio.get_running_loop().time()
+        connection.refuse(self.memory_response, now, CloseCause.NO_ROOM)
+        self._linger(connection)
+
     def _end_waiting(self, connection: ServedConnection, cause: CloseCause) -> None:
+        connection.end_waiting(self.idle_response, cause, asyncio.get_running_loop().time())
+        self._linger(connection)
+
+    def _linger(self, connection: ServedConnection) -> None:
+        """Closes a connection once its last answer was sent and its caller has had it."""
         loop = asyncio.get_running_loop()
-        connection.end_waiting(self.idle_response, cause, loop.time())
 
         def update() -> None:
             connection.update(loop.time())
@@ -264,7 +311,7 @@
         for connection in list(self._served.values()):
             if connection.next_step(now) is Step.REFUSE:
                 self.counts.partial += 1
-                connection.refuse(self.leaving_response, now)
+                connection.refuse(self.leaving_response, now, CloseCause.SERVER_ENDS)
 
     def _close_idle_connections(self) -> bool:
         """Closes the connections that wait for a request, or for the rest of one.
--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -1,6 +1,7 @@
 """A connection of a server, from its acceptance to its end."""
 
 import asyncio
+import collections.abc
 import select
 import socket
 
@@ -10,8 +11,12 @@
 from ..decisions.connection_close import CloseCause, CloseStage, LatestRequest
 from ..decisions.connection_end import ConnectionState, Step
 from ..decisions.giving_way import Holding, Stage
+from .request_room import RequestRoom
 from .watched_request import RefusesPart, WatchedRequest
 
+# What a field of a head takes once it is parsed, beside its bytes.
+FIELD_BYTES = 256
+
 
 class ServedConnection:
     """Ends one connection without leaving a request that was read unanswered.
@@ -23,13 +28,32 @@
 
     __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
     __slots__ += ("_crossed", "_ended_idle", "_may_end_answer", "_stage", "_stage_began_at")
-
-    def __init__(self, stream: iostream.IOStream, accepted_at: float) -> None:
+    __slots__ += ("_room", "_copies", "_held", "_whole", "_on_give_way")
+
+    def __init__(
+        self,
+        stream: iostream.IOStream,
+        accepted_at: float,
+        room: RequestRoom,
+        copies: int,
+        on_give_way: collections.abc.Callable[["ServedConnection", Holding], None],
+    ) -> None:
         """Creates a connection.
 
         Args:
           accepted_at: When it was accepted, by the event loop's clock.
+          room: Counts what its requests hold.
+          copies: How often the bytes of a whole request are held until it is answered; zero if
+            something else counts them.
+          on_give_way: Called when its request has to be refused for others.
         """
+        self._room = room
+        self._copies = copies
+        self._on_give_way = on_give_way
+        # What was received of the latest request and is kept, in bytes.
+        self._held = 0
+        # What it holds since it was received whole.
+        self._whole = 0
         self.latest: WatchedRequest | None = None
         self.close_cause = CloseCause.OTHER
         self._stream = stream
@@ -85,7 +109,41 @@
     def holding(self, now: float) -> Holding:
         """Returns what it holds."""
         stage, age = self._find_stage(), now - self._stage_began_at
-        return Holding(stage, 0, age)
+        return Holding(stage, self._held, age)
+
+    def give_way(self, holding: Holding) -> None:
+        """See HoldsRequest."""
+        self._discard()
+        self._on_give_way(self, holding)
+
+    def _hold(self, count: int) -> None:
+        if self.latest.received:
+            return
+        if self.latest.discards:
+            self._discard()
+            return
+        self._held += count
+        self._room.grow(self, count)
+
+    def _discard(self) -> None:
+        """Takes the latest request from the accounts."""
+        self._room.release(self, self._held)
+        self._held = 0
+        self._room.release_whole(self._whole)
+        self._whole = 0
+
+    def hold_head(self, fields: int) -> None:
+        """Counts the fields of a head that was received."""
+        self._hold(fields * FIELD_BYTES)
+
+    def hold_whole(self) -> bool:
+        """Counts the latest request as received whole; returns whether there is room for it."""
+        size = self._held * self._copies
+        self._discard()
+        if not self._room.admit_whole(size):
+            return False
+        self._whole = size
+        return True
 
     def _find_stage(self) -> Stage:
         if self.has_part or self._lingers_since is not None:
@@ -97,8 +155,11 @@
         """Notes what is received; see BaseIOStream."""
         is_first = not self.has_part
         count = type(self._stream).read_from_fd(self._stream, buffer)
-        if count and is_first:
-            self._stage_began_at = asyncio.get_running_loop().time()
+        if count:
+            if is_first:
+                self._stage_began_at = asyncio.get_running_loop().time()
+            if self.latest is not None:
+                self._hold(count)
         return count
 
     def add_request(self, request: WatchedRequest) -> None:
@@ -112,6 +173,10 @@
         self._requests += 1
         if self._requests > 1:
             self._stage_began_at = asyncio.get_running_loop().time()
+        self._discard()
+        # What came behind the request before.
+        if unread := self._stream._read_buffer_size:
+            self._hold(unread)
 
     def next_step(self, now: float) -> Step:
         """Returns what is due now that the server ends."""
@@ -129,18 +194,18 @@
         )
         return connection_end.next_step(state)
 
-    def refuse(self, response: bytes, now: float) -> None:
+    def refuse(self, response: bytes, now: float, cause: CloseCause) -> None:
         """Answers a request that was received in part.
 
         Args:
           response: The response, unless the request's delegate has its own.
         """
         request = self.latest
-        request.refuse()
         if isinstance(request.delegate, RefusesPart):
-            response = request.delegate.refuse_part()
+            response = request.delegate.refuse_part(cause)
+        request.abandon()
         self._stream.write(response)
-        self.linger(CloseCause.SERVER_ENDS, now)
+        self.linger(cause, now)
 
     def end_waiting(self, response: bytes, cause: CloseCause, now: float) -> None:
         """Closes a connection that waits for a request, and answers one that crosses the close.
@@ -204,6 +269,7 @@
             self._stage = connection_close.close_stage(
                 LatestRequest(self.has_part, request.received, request.answered, request.finished)
             )
+        self._discard()
         # The stream's own methods again, so that the two do not keep each other in memory.
         del self._stream.close_fd
         del self._stream.read_from_fd
