--- a/tests/crowds/deployed_case.py
+++ b/tests/crowds/deployed_case.py
@@ -17,7 +17,6 @@
 MEGABYTE = 1_000_000
 MEMORY_MB = 128
 DESCRIPTORS = 300
-LIMITS = {"memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS}
 # Offsets of the ports among daemons.
 PEERS, CHUNKS, METRICS = 0, 1, 2
 # As the platform has it unless a configuration says otherwise.
@@ -29,13 +28,22 @@
 
 
 class DeployedCase(unittest.IsolatedAsyncioTestCase):
-    """One entry, one engine with its sidecar, and the watches over both daemons."""
+    """One entry, one engine with its sidecar, and the watches over both daemons.
+
+    Attributes:
+      memory_mb: The memory of each instance, as its settings state it.
+      descriptors: The descriptors that each daemon may have open, as they state it.
+    """
+
+    memory_mb = MEMORY_MB
+    descriptors = DESCRIPTORS
 
     async def asyncSetUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.addCleanup(process_log.keep_folder, pathlib.Path(folder.name))
-        self.run_of = RealProcesses(SEED, 1, 1, 1.0, pathlib.Path(folder.name), limits=LIMITS)
+        limits = {"memoryMb": self.memory_mb, "maxFds": self.descriptors}
+        self.run_of = RealProcesses(SEED, 1, 1, 1.0, pathlib.Path(folder.name), limits=limits)
         self.addAsyncCleanup(self.run_of._stop)
         await self.run_of._start()
         self.first_port = self.run_of._first_port
@@ -85,8 +93,8 @@
         served = await self.ask()
         watch.sample()
         self.assertTrue(daemon.alive)
-        self.assertLess(watch.held_bytes, MEMORY_MB * MEGABYTE)
-        self.assertLessEqual(watch.descriptors, DESCRIPTORS)
+        self.assertLess(watch.held_bytes, self.memory_mb * MEGABYTE)
+        self.assertLessEqual(watch.descriptors, self.descriptors)
         self.assertEqual(served, "200")
 
     @contextlib.asynccontextmanager
--- a/tests/crowds/deployed_entry_test.py
+++ b/tests/crowds/deployed_entry_test.py
@@ -22,6 +22,8 @@
 SHORT_BYTES = 64
 PIECE_BYTES = 4096
 FIELD_HEADS = 230
+CHUNKED_BODIES = 400
+CHUNKS_OF_A_BODY = 60_000
 IDLE_CONNECTIONS = 400
 PIPELINING = 160
 PIPELINED_BYTES = 8_000_000
@@ -86,5 +88,24 @@
             crowd.join_messages(entry_messages.MEET_PATH, MESSAGES)
 
 
+class BusyEntryCrowdTest(DeployedCase):
+    """A crowd that needs much processor time for little memory."""
+
+    memory_mb = 300
+    descriptors = 1500
+
+    async def test_chunks_of_one_byte(self) -> None:
+        """Guards against an event loop that does nothing but parse the chunks of bodies."""
+        head = request_head(0).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        chunks = b"1\r\nx\r\n" * CHUNKS_OF_A_BODY
+
+        def parts(number: int):
+            yield head
+            yield from pieces_of(chunks, PIECE_BYTES)
+
+        async with self.beside_crowd(self.entry, CALLERS) as crowd:
+            crowd.join(parts, CHUNKED_BODIES)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wasabidrum/wire/request_room.py
+++ b/wasabidrum/wire/request_room.py
@@ -5,6 +5,7 @@
 
 from ..decisions import giving_way
 from ..decisions.giving_way import SMALL_BYTES, Holding
+from .parsing_turns import ParsingTurns
 
 # Large requests may take this fraction of the room for whole ones, so that others never wait for
 # them.
@@ -27,6 +28,7 @@
     Attributes:
       unfinished: Bytes of those that were not received whole.
       whole: Bytes of those that were, and have no answer yet.
+      turns: Shares the event loop among connections that take long to parse.
       gave_way: How many were refused to make room for others, or because there was none.
     """
 
@@ -40,6 +42,7 @@
         self.unfinished = 0
         self.whole = 0
         self.gave_way = 0
+        self.turns = ParsingTurns()
         self._max_unfinished = max_unfinished
         self._max_whole = max_whole
         self._holders: dict[HoldsRequest, None] = {}
--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -11,6 +11,7 @@
 from ..decisions.connection_close import CloseCause, CloseStage, LatestRequest
 from ..decisions.connection_end import ConnectionState, Step
 from ..decisions.giving_way import Holding, Stage
+from .parsing_turns import FREE_HEAD_LINES, LINES_PER_TURN
 from .request_room import RequestRoom
 from .watched_request import RefusesPart, WatchedRequest
 
@@ -28,7 +29,7 @@
 
     __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
     __slots__ += ("_crossed", "_ended_idle", "_may_end_answer", "_stage", "_stage_began_at")
-    __slots__ += ("_room", "_copies", "_held", "_whole", "_on_give_way")
+    __slots__ += ("_room", "_copies", "_held", "_whole", "_on_give_way", "_chunk_lines")
 
     def __init__(
         self,
@@ -48,6 +49,7 @@
           on_give_way: Called when its request has to be refused for others.
         """
         self._room = room
+        self._chunk_lines = 0
         self._copies = copies
         self._on_give_way = on_give_way
         # What was received of the latest request and is kept, in bytes.
@@ -71,6 +73,8 @@
         # A handler may go on to answer after the close, and seem to have answered before it.
         stream.close_fd = self._record_close
         stream.read_from_fd = self._read_from_fd
+        stream.read_until = self._read_chunk_line
+        stream.read_until_regex = self._read_head
 
     @property
     def is_open(self) -> bool:
@@ -162,6 +166,30 @@
                 self._hold(count)
         return count
 
+    async def _read_head(self, regex: bytes, max_bytes: int) -> bytes:
+        """Returns a head when it is to be parsed; see BaseIOStream.read_until_regex."""
+        stream = self._stream
+        head = await type(stream).read_until_regex(stream, regex, max_bytes)
+        lines = head.count(b"\n")
+        if lines > FREE_HEAD_LINES:
+            await self._room.turns.wait(lines)
+        return head
+
+    def _read_chunk_line(
+        self, delimiter: bytes, max_bytes: int
+    ) -> collections.abc.Awaitable[bytes]:
+        """Returns the line before a chunk, at times only in a turn; see BaseIOStream.read_until."""
+        stream = self._stream
+        self._chunk_lines += 1
+        if self._chunk_lines % LINES_PER_TURN:
+            return type(stream).read_until(stream, delimiter, max_bytes)
+
+        async def read_in_turn() -> bytes:
+            await self._room.turns.wait(LINES_PER_TURN)
+            return await type(stream).read_until(stream, delimiter, max_bytes)
+
+        return read_in_turn()
+
     def add_request(self, request: WatchedRequest) -> None:
         """Records that another request is waited for."""
         if self.latest is not None and self._stream.closed():
@@ -273,6 +301,8 @@
         # The stream's own methods again, so that the two do not keep each other in memory.
         del self._stream.close_fd
         del self._stream.read_from_fd
+        del self._stream.read_until
+        del self._stream.read_until_regex
         self._stream.close_fd()
 
     def close(self, cause: CloseCause) -> None:
