--- a/wasabidrum/decisions/connection_close.py
+++ b/wasabidrum/decisions/connection_close.py
@@ -17,6 +17,7 @@
     """
 
     IDLE_LIMIT = "idle_limit"
+    HEAD_LIMIT = "head_limit"
     BODY_LIMIT = "body_limit"
     CALLER_GONE = "caller_gone"
     NO_ROOM = "no_room"
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -260,6 +260,7 @@
         )
         server.idle_response = IDLE_RESPONSE
         server.timeouts.find_published = lambda: self._caller_limits.idle_timeout
+        server.timeouts.find_head = lambda: self._caller_limits.header_timeout
         self._listen(server, deployment.callers, CALLERS_SHARE)
         arguments = {"gateway": self}
         ready = web.Application(
--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -182,7 +182,12 @@
         """Starts an accepted connection; see TCPServer."""
         now = asyncio.get_running_loop().time()
         self._served[stream] = ServedConnection(
-            stream, now, self.room, self.whole_copies, self._refuse_unfinished
+            stream,
+            now,
+            self.room,
+            self.whole_copies,
+            self._refuse_unfinished,
+            self._look_at_head,
         )
         super().handle_stream(stream, address)
 
@@ -214,6 +219,11 @@
             timer.cancel()
         super().on_close(server_conn)
 
+    def _look_at_head(self, connection: ServedConnection) -> None:
+        # What came behind a request is known before the next one has a timer.
+        if timer := self._timers.get(connection.stream):
+            timer.look_again()
+
     def _refuse_unfinished(self, connection: ServedConnection, holding: Holding) -> None:
         stage, held = holding.stage.name.lower(), holding.held
         self._log_end(Event.REQUEST_GAVE_WAY, stage=stage, age=holding.age, held=held)
--- a/wasabidrum/wire/read_timer.py
+++ b/wasabidrum/wire/read_timer.py
@@ -19,15 +19,18 @@
     """For how long a server waits for its callers, in seconds.
 
     Attributes:
-      head: From the end of the last request to the end of the next one's head.
+      idle: From the end of the last request to the first byte of the next one.
       body: From the end of a request's head to the end of its body.
       find_published: Returns for how long callers are told that idle connections stay open, which
         is kept if it is longer than the server's own time.
+      find_head: Returns the time from the first byte of a head to its end; with None, the head
+        counts as a part of the idle time.
     """
 
-    head: float
+    idle: float
     body: float
     find_published: collections.abc.Callable[[], float] = float
+    find_head: collections.abc.Callable[[], float | None] = lambda: None
 
 
 class ReadTimer:
@@ -61,15 +64,31 @@
 
     @property
     def _due(self) -> float:
-        begun_at = self._request.begun_at
-        if begun_at is None:
-            return self._began + max(self._timeouts.head, self._timeouts.find_published())
-        return begun_at + self._timeouts.body
+        request, timeouts = self._request, self._timeouts
+        if request.begun:
+            return request.begun_at + timeouts.body
+        limit = timeouts.find_head()
+        if request.read_since is not None and limit is not None:
+            return request.read_since + limit
+        return self._began + max(timeouts.idle, timeouts.find_published())
+
+    @property
+    def _cause(self) -> CloseCause:
+        if self._request.begun:
+            return CloseCause.BODY_LIMIT
+        if self._request.read_since is not None and self._timeouts.find_head() is not None:
+            return CloseCause.HEAD_LIMIT
+        return CloseCause.IDLE_LIMIT
 
     def cancel(self) -> None:
         """Ends the waiting."""
         self._handle.cancel()
 
+    def look_again(self) -> None:
+        """Looks again when it is due now, as the first byte of a head has come."""
+        self._handle.cancel()
+        self._handle = asyncio.get_running_loop().call_at(self._due, self._look)
+
     def _look(self) -> None:
         if self._request.refused or self._request.received or self._stream.closed():
             return
@@ -80,7 +99,6 @@
         if loop.time() < due:
             self._handle = loop.call_at(due, self._look)
         elif self._stream.reading() and not has_input(self._stream.socket):
-            begun = self._request.begun
-            self._end(CloseCause.BODY_LIMIT if begun else CloseCause.IDLE_LIMIT)
+            self._end(self._cause)
         else:
             self._handle = loop.call_later(LOOK_AGAIN_SECONDS, self._look)
--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -29,7 +29,15 @@
 
     __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
     __slots__ += ("_crossed", "_ended_idle", "_may_end_answer", "_stage", "_stage_began_at")
-    __slots__ += ("_room", "_copies", "_held", "_whole", "_on_give_way", "_chunk_lines")
+    __slots__ += (
+        "_room",
+        "_copies",
+        "_held",
+        "_whole",
+        "_on_give_way",
+        "_on_first_byte",
+        "_chunk_lines",
+    )
 
     def __init__(
         self,
@@ -38,6 +46,7 @@
         room: RequestRoom,
         copies: int,
         on_give_way: collections.abc.Callable[["ServedConnection", Holding], None],
+        on_first_byte: collections.abc.Callable[["ServedConnection"], None],
     ) -> None:
         """Creates a connection.
 
@@ -47,11 +56,13 @@
           copies: How often the bytes of a whole request are held until it is answered; zero if
             something else counts them.
           on_give_way: Called when its request has to be refused for others.
+          on_first_byte: Called when the first byte of a request was read.
         """
         self._room = room
         self._chunk_lines = 0
         self._copies = copies
         self._on_give_way = on_give_way
+        self._on_first_byte = on_first_byte
         # What was received of the latest request and is kept, in bytes.
         self._held = 0
         # What it holds since it was received whole.
@@ -86,6 +97,11 @@
         """Whether nothing of a request was ever read from it."""
         return self._requests < 2 and not self.has_part
 
+    @property
+    def stream(self) -> iostream.IOStream:
+        """The stream of its bytes."""
+        return self._stream
+
     @property
     def has_part(self) -> bool:
         """Whether a part of a request was read, or all of it."""
@@ -160,12 +176,21 @@
         is_first = not self.has_part
         count = type(self._stream).read_from_fd(self._stream, buffer)
         if count:
+            now = asyncio.get_running_loop().time()
             if is_first:
-                self._stage_began_at = asyncio.get_running_loop().time()
+                self._stage_began_at = now
             if self.latest is not None:
+                self._note_read(now)
                 self._hold(count)
         return count
 
+    def _note_read(self, now: float) -> None:
+        request = self.latest
+        request.read_at = now
+        if request.read_since is None:
+            request.read_since = now
+            self._on_first_byte(self)
+
     async def _read_head(self, regex: bytes, max_bytes: int) -> bytes:
         """Returns a head when it is to be parsed; see BaseIOStream.read_until_regex."""
         stream = self._stream
@@ -204,6 +229,7 @@
         self._discard()
         # What came behind the request before.
         if unread := self._stream._read_buffer_size:
+            self._note_read(asyncio.get_running_loop().time())
             self._hold(unread)
 
     def next_step(self, now: float) -> Step:
--- a/wasabidrum/wire/watched_request.py
+++ b/wasabidrum/wire/watched_request.py
@@ -49,6 +49,8 @@
     Attributes:
       delegate: Receives the request.
       begun_at: When its head was received, by the event loop's clock; None before.
+      read_since: When its first byte was read, by the event loop's clock; None before.
+      read_at: When something of it was last read, likewise.
       received: Whether it was received completely.
       begun_after_refusal: Whether its head was received after it was refused.
       ends_with_connection: Whether its answer may end only with the connection, as one without a
@@ -72,6 +74,8 @@
         """
         self.delegate = delegate
         self.begun_at: float | None = None
+        self.read_since: float | None = None
+        self.read_at = 0.0
         self.received = False
         self.ends_with_connection = False
         self.input_at = 0.0
