--- a/tests/caller_times_test.py
+++ b/tests/caller_times_test.py
@@ -63,6 +63,20 @@
             self.sock.send(self.head[20:] + b"x" * PIECES)
             self.assertIn(b" 200 ", await self.receive())
 
+    async def test_slow_upload_in_calm(self) -> None:
+        """Guards against an honest caller on a slow link whose body is given up after 30 s."""
+        self.sock.send(self.head)
+        for _ in range(PIECES):
+            await asyncio.sleep(PAUSE_SECONDS)
+            self.sock.send(b"x")
+        self.assertIn(b" 200 ", await self.receive())
+
+    async def test_body_that_stands_still(self) -> None:
+        """Guards against a connection that is held for ever by a body that does not go on."""
+        self.sock.send(self.head + b"x")
+        async with asyncio.timeout(10 * PAUSE_SECONDS):
+            self.assertIn(b" 408 ", await self.loop.sock_recv(self.sock, 9999))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/wasabidrum/wire/read_timer.py
+++ b/wasabidrum/wire/read_timer.py
@@ -20,7 +20,7 @@
 
     Attributes:
       idle: From the end of the last request to the first byte of the next one.
-      body: From the end of a request's head to the end of its body.
+      body: From one part of a body to the next.
       find_published: Returns for how long callers are told that idle connections stay open, which
         is kept if it is longer than the server's own time.
       find_head: Returns the time from the first byte of a head to its end; with None, the head
@@ -66,7 +66,7 @@
     def _due(self) -> float:
         request, timeouts = self._request, self._timeouts
         if request.begun:
-            return request.begun_at + timeouts.body
+            return max(request.begun_at, request.read_at) + timeouts.body
         limit = timeouts.find_head()
         if request.read_since is not None and limit is not None:
             return request.read_since + limit
