--- a/wasabidrum/decisions/endpoint_choice.py
+++ b/wasabidrum/decisions/endpoint_choice.py
@@ -142,7 +142,7 @@
     # Even below its number of slots, an endpoint that runs fewer requests is preferred, because
     # some endpoints slow down under load.
     busy = work.requests / max(1, candidate.endpoint.slots)
-    return load.run_seconds * (1.0 + turns + 0.5 * min(1.0, busy))
+    return load.run_seconds(now) * (1.0 + turns + 0.5 * min(1.0, busy))
 
 
 def choose(
--- a/wasabidrum/decisions/endpoint_load.py
+++ b/wasabidrum/decisions/endpoint_load.py
@@ -28,6 +28,11 @@
 MAX_UNREPORTED = 64
 SAMPLE_WEIGHT = 1.0 / 16.0
 INITIAL_RUN_SECONDS = 0.03
+# What is known of how long requests run holds for so long without one, and is then worth half after
+# each half-life. Only answers move the estimate, and one that is too high has everybody refused who
+# could bring an answer.
+RUN_MEMORY_SECONDS = 5.0
+RUN_HALF_LIFE_SECONDS = 1.0
 
 
 class EndpointLoad:
@@ -39,14 +44,13 @@
       held_tokens: Prompt tokens of all of this entry's requests in progress there.
       failures: Recent failure rate there.
       lateness: How much later than forecast requests have recently started there.
-      run_seconds: Average time for a request of a plain service.
       asks_for_body: Whether it asks for the body of a request whose head announces one (100
         Continue); None while that is not known.
       reported_at: When a report arrived last that says that it answers.
       unreachable: Whether no connection could be opened since it last answered a request.
     """
 
-    __slots__ = ("health", "own_requests", "unread_tokens", "failures", "run_seconds", "lateness")
+    __slots__ = ("health", "own_requests", "unread_tokens", "failures", "lateness")
     __slots__ += (
         "_other_requests",
         "_report_received_at",
@@ -56,7 +60,7 @@
         "_unreported_sends",
     )
     __slots__ += ("_silent_since", "asks_for_body", "reported_at", "held_tokens", "_unbegun")
-    __slots__ += ("unreachable",)
+    __slots__ += ("unreachable", "_run_seconds", "_used_at")
 
     def __init__(self, rng: random.Random) -> None:
         self.health = EndpointHealth(rng)
@@ -67,7 +71,9 @@
         self.lateness = RecentLateness()
         # Time from which silence counts while this entry has requests there.
         self._silent_since = 0.0
-        self.run_seconds = INITIAL_RUN_SECONDS
+        self._run_seconds = INITIAL_RUN_SECONDS
+        # When a request was last placed there or has ended.
+        self._used_at = 0.0
         self.asks_for_body: bool | None = None
         self.unreachable = False
         self.reported_at = float("-inf")
@@ -91,6 +97,8 @@
             there, silence counts only after that time; reading a long prompt takes a second.
           rank: Its place in the engine's queue, zero for the most urgent.
         """
+        self._run_seconds = self.run_seconds(now)
+        self._used_at = now
         if not self.own_requests:
             self._silent_since = now + forecast
         self.own_requests += 1
@@ -121,6 +129,7 @@
           failed: Whether it failed in a way that the endpoint may have caused.
         """
         self.failures.record(failed, now)
+        self._used_at = now
         if not failed:
             self.record_progress(now)
 
@@ -138,7 +147,19 @@
 
     def record_run(self, seconds: float) -> None:
         """Records how long a complete answer of a plain service took."""
-        self.run_seconds += SAMPLE_WEIGHT * (seconds - self.run_seconds)
+        self._run_seconds += SAMPLE_WEIGHT * (seconds - self._run_seconds)
+
+    def run_seconds(self, now: float) -> float:
+        """Returns the average time for a request of a plain service.
+
+        Args:
+          now: By the event loop's clock.
+        """
+        excess = self._run_seconds - INITIAL_RUN_SECONDS
+        if self.own_requests or excess <= 0.0:
+            return self._run_seconds
+        unused = max(0.0, now - self._used_at - RUN_MEMORY_SECONDS)
+        return INITIAL_RUN_SECONDS + excess * 0.5 ** (unused / RUN_HALF_LIFE_SECONDS)
 
     def record_report(
         self, running: int, queued: int, pace: float, now: float, lag: float = 0.0
--- a/wasabidrum/gateway/placement.py
+++ b/wasabidrum/gateway/placement.py
@@ -426,7 +426,7 @@
         for endpoint in self._listed(service):
             if self.rest_seconds_left(endpoint) <= seconds + RETURN_SECONDS:
                 slots = max(1, endpoint.slots if figures is None else figures.slots)
-                run = self.load_of(endpoint).run_seconds
+                run = self.load_of(endpoint).run_seconds(asyncio.get_running_loop().time())
                 run = run_seconds(figures, slots) if figures is not None else run
                 served_per_second += slots / max(run, MIN_RUN_SECONDS)
         interval = self._peer_entries.count / max(served_per_second, MIN_SERVED_PER_SECOND)
@@ -537,7 +537,7 @@
                 continue
             near = endpoint.data_centre == self._data_centre
             first = figures is None or endpoint.id in self._preferred
-            self._check_silence(endpoint, load, one_pass or load.run_seconds, now)
+            self._check_silence(endpoint, load, one_pass or load.run_seconds(now), now)
             cold = self._cold_rule is not None and self._cold_rule.is_cold(endpoint)
             found.append(Candidate(endpoint, load, near, first, late, cold))
         return found
@@ -647,7 +647,7 @@
         now = asyncio.get_running_loop().time()
         figures = self._state.engine_figures(placement.endpoint.service)
         one_pass = 0.0 if figures is None else pass_seconds(figures, figures.slots)
-        usual = one_pass or placement.load.run_seconds
+        usual = one_pass or placement.load.run_seconds(now)
         self._check_silence(placement.endpoint, placement.load, usual, now)
         # Only the requests in progress show that an endpoint has stalled. If they were moved
         # while it still counts as healthy, nothing would show it any more, and new requests would
