--- a/wasabidrum/decisions/admission_queue.py
+++ b/wasabidrum/decisions/admission_queue.py
@@ -110,7 +110,8 @@
         if self._limit <= 0.0:
             return Refusal("no_endpoint", "no endpoint can answer now", 1.0)
         run = self.run_seconds(ticket.cost)
-        if now + run > ticket.deadline:
+        # Only the end of a request moves the estimate, so that one is let through if none runs.
+        if self._running and now + run > ticket.deadline:
             ticket.state = TicketState.ENDED
             return Refusal(
                 "deadline_too_short", f"would miss its deadline: it would run for {run:.2f} s", 1.0
--- a/wasabidrum/decisions/admission_queue_test.py
+++ b/wasabidrum/decisions/admission_queue_test.py
@@ -21,6 +21,27 @@
 )
 
 
+class RunTimeTest(unittest.TestCase):
+    """What is known of how long requests run."""
+
+    def test_one_goes_through_where_none_runs(self) -> None:
+        """Guards against callers who are refused for ever: the estimate by which they would miss
+        their deadlines is moved only by a request that ends."""
+        queue = AdmissionQueue()
+        queue.set_limit(4.0)
+        slow = Ticket("slow", "w", 0, 1.0, 1.0, 100.0)
+        self.assertIsNone(queue.offer(slow, 0.0))
+        queue.end(slow, 60.0, 1.0)
+        first, second = (Ticket(name, "w", 0, 1.0, 1.0, 65.0) for name in ("first", "second"))
+        self.assertIsNone(queue.offer(first, 60.0))
+        self.assertEqual(queue.offer(second, 60.0).code, "deadline_too_short")
+        for number in range(100):
+            queue.end(first, first.started_at + 0.1, 1.0)
+            first = Ticket(f"r{number}", "w", 0, 1.0, 1.0, 65.0)
+            self.assertIsNone(queue.offer(first, 61.0))
+        self.assertIsNone(queue.offer(second, 61.0))
+
+
 class InterleavingTest(unittest.TestCase):
     """Any interleaving of arrivals, ends, cancellations, expiries and limit changes."""
 
