--- a/wasabidrum/wire/accepting.py
+++ b/wasabidrum/wire/accepting.py
@@ -26,7 +26,7 @@
 class Acceptor:
     """Accepts the connections of one listening socket, until it is stopped."""
 
-    __slots__ = ("_socket", "_descriptor", "_on_accept", "_retry", "_loop")
+    __slots__ = ("_socket", "_descriptor", "_on_accept", "_retry", "_loop", "_stopped")
 
     def __init__(self, sock: socket.socket, on_accept: OnAccept) -> None:
         """Starts to accept.
@@ -40,10 +40,14 @@
         self._on_accept = on_accept
         self._retry: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
+        self._stopped = False
         self._listen()
 
     def stop(self) -> None:
-        """Accepts nothing more."""
+        """Accepts nothing more; its descriptor may be another one's afterwards."""
+        if self._stopped:
+            return
+        self._stopped = True
         if self._retry is not None:
             self._retry.cancel()
         if not self._loop.is_closed():
@@ -68,7 +72,7 @@
                 self._pause()
                 return
             self._on_accept(connection, address)
-            if self._socket.fileno() < 0:
+            if self._stopped:
                 return
 
     def _pause(self) -> None:
