--- a/tests/store_restored_test.py
+++ b/tests/store_restored_test.py
@@ -289,6 +289,27 @@
         await asyncio.sleep(1.0)
         self.assertEqual(self.leaving_at(self.first), [False] * self.entries)
 
+    async def test_removal_told_while_everything_is_read(self) -> None:
+        """Guards against an endpoint that has left and is listed for good: a reader's own snapshot
+        was read before the removal, of which another entry has told it meanwhile."""
+        reader = self.all[0]
+        store = reader._follower._store
+
+        async def read_slowly(prefix: str) -> object:
+            reading = await store.read(prefix)
+            await asyncio.sleep(1.0)
+            return reading
+
+        slow_store = mock.Mock(watch=store.watch, read=read_slowly)
+        async with self.lost():
+            await self.write_others(30)
+        with mock.patch.object(reader._follower, "_store", slow_store):
+            await asyncio.sleep(0.4)
+            await self.store.delete(names.ENDPOINT_PREFIX + self.first.id)
+            # Until everything is read, and what a grace period may take after that.
+            await asyncio.sleep(1.0 + 2 * BOUNDS.drain)
+            self.assertEqual(self.leaving_at(self.first), [True] * self.entries)
+
     async def test_configuration_that_the_copy_lacks(self) -> None:
         """Guards against an accepted configuration, and a revoked key with it, that comes back."""
         async with self.lost():
--- a/wasabidrum/decisions/endpoint_registry.py
+++ b/wasabidrum/decisions/endpoint_registry.py
@@ -163,8 +163,11 @@
 
     def apply(self, endpoint: ListedEndpoint, revision: int) -> bool:
         """Applies a registration; returns whether it changed the endpoint."""
-        if revision <= self._revisions.get(endpoint.id, 0):
+        known = self._revisions.get(endpoint.id, 0)
+        if revision == known:
             self._grace_ends_at.pop(endpoint.id, None)
+        if revision <= known:
+            # One that is older than a removal says nothing against it.
             return False
         is_first = endpoint.id not in self._revisions
         self._revisions[endpoint.id] = revision
--- a/wasabidrum/gateway/store_follower.py
+++ b/wasabidrum/gateway/store_follower.py
@@ -121,6 +121,14 @@
         if NO_EPOCH < reading.epoch < self._state.epoch:
             await self._handle_outdated(reading)
             return None
+        if reading.epoch == self._state.epoch and reading.revision < self._state.revision:
+            # Another entry has told of this epoch meanwhile, and of removals that the snapshot does
+            # not have. What follows on that is watched from here.
+            self._log.write(
+                Event.STORE_ANSWER_OUTDATED, epoch=reading.epoch, held_epoch=self._state.epoch
+            )
+            self._history_lost = False
+            return None
         self._log_snapshot(reading)
         self._state.apply_snapshot(reading, asyncio.get_running_loop().time())
         self._history_lost = False
