--- a/wasabidrum/decisions/admission_queue.py
+++ b/wasabidrum/decisions/admission_queue.py
@@ -23,6 +23,8 @@
 RESERVED_FRACTION = 0.1
 SAMPLE_WEIGHT = 1.0 / 16.0
 MAX_WAITING = 2000
+# For how long an estimate holds that no request moves.
+ESTIMATE_MEMORY_SECONDS = 5.0
 WAIT_MARGIN = 0.8
 MIN_EXPECTED_WAIT_SECONDS = 0.02
 MIN_CORRECTION = 0.5
@@ -37,11 +39,14 @@
 
     __slots__ = ("_queues", "_limit", "_running", "_seconds_per_cost", "_wait_ends", "_order")
     __slots__ += ("_reserved_fraction", "_shares", "_mean_run_seconds", "_wait_correction")
+    __slots__ += ("_used_at",)
 
     def __init__(self, reserved_fraction: float = RESERVED_FRACTION) -> None:
         self._reserved_fraction = reserved_fraction
         self._shares = FairShare()
         self._mean_run_seconds = 0.0
+        # When a request last started or ended.
+        self._used_at = 0.0
         self._wait_correction = 1.0
         self._queues = tuple(FairQueue() for _ in range(PRIORITY_CLASSES))
         self._limit = 0.0
@@ -110,8 +115,7 @@
         if self._limit <= 0.0:
             return Refusal("no_endpoint", "no endpoint can answer now", 1.0)
         run = self.run_seconds(ticket.cost)
-        # Only the end of a request moves the estimate, so that one is let through if none runs.
-        if self._running and now + run > ticket.deadline:
+        if now + run > ticket.deadline and not self._is_estimate_old(now):
             ticket.state = TicketState.ENDED
             return Refusal(
                 "deadline_too_short", f"would miss its deadline: it would run for {run:.2f} s", 1.0
@@ -135,6 +139,11 @@
         heapq.heappush(self._wait_ends, (ticket.wait_ends_at, next(self._order), ticket))
         return None
 
+    def _is_estimate_old(self, now: float) -> bool:
+        # Only the end of a request moves the estimate, and one that is too high has everybody
+        # refused who could correct it.
+        return not self._running and now - self._used_at > ESTIMATE_MEMORY_SECONDS
+
     def grant(self, now: float) -> list[Ticket]:
         """Starts waiting requests while there is room; returns those that were started."""
         granted = []
@@ -180,6 +189,7 @@
             self._leave_queue(ticket, now)
         elif ticket.state is TicketState.RUNNING:
             self._running -= 1
+            self._used_at = now
             self._shares.change(ticket.workspace, ticket.share, -1, 0, now)
             if cost is not None:
                 self._update_run_time(max(cost, 1.0), now - ticket.started_at)
@@ -202,7 +212,7 @@
 
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.state = TicketState.RUNNING
-        ticket.started_at = now
+        ticket.started_at = self._used_at = now
         self._running += 1
         self._shares.change(ticket.workspace, ticket.share, 1, 0, now)
         ticket.over_share = self._shares.is_over(ticket.workspace, self._limit, now)
