--- a/wasabidrum/decisions/buffer_budget.py
+++ b/wasabidrum/decisions/buffer_budget.py
@@ -69,9 +69,15 @@
         self._refusing = self._used >= fraction * self._limit
         return self._refusing
 
-    def admits(self, body_bytes: int) -> bool:
-        """Returns whether a request with a body that was received whole is admitted now."""
-        if body_bytes <= SMALL_BYTES or not self._used:
+    def admits(self, body_bytes: int, own_bytes: int = 0) -> bool:
+        """Returns whether a request with a body that was received whole is admitted now.
+
+        One that is alone is admitted whatever it holds, so that every legal body is served in calm.
+
+        Args:
+          own_bytes: What the request has in the budget without its body.
+        """
+        if body_bytes <= SMALL_BYTES or self._used <= own_bytes:
             return not self.refusing
         return self._used + BODY_COPIES * body_bytes <= LARGE_FRACTION * self._limit
 
--- a/wasabidrum/gateway/exchange.py
+++ b/wasabidrum/gateway/exchange.py
@@ -125,7 +125,7 @@
     def _admit_body(self) -> None:
         if self.discards_body:
             return
-        if not self._gateway.buffers.admits(len(self._body)):
+        if not self._gateway.buffers.admits(len(self._body), self._buffers.held):
             self._lacks_memory = True
             self._body = bytearray()
             return
--- a/wasabidrum/wire/request_room.py
+++ b/wasabidrum/wire/request_room.py
@@ -10,6 +10,8 @@
 # Large requests may take this fraction of the room for whole ones, so that others never wait for
 # them.
 LARGE_FRACTION = 0.5
+# A request that is alone may take so many times the room.
+ALONE_FACTOR = 2
 
 
 class HoldsRequest(typing.Protocol):
@@ -51,7 +53,7 @@
         """Counts bytes of an unfinished request; requests give way if there are too many."""
         self.unfinished += count
         self._holders[holder] = None
-        while self.unfinished > self._max_unfinished:
+        while self.unfinished > self._allowed:
             now = asyncio.get_running_loop().time()
             holders = list(self._holders)
             holdings = [each.holding(now) for each in holders]
@@ -61,6 +63,11 @@
             if holders[index] is holder:
                 return
 
+    @property
+    def _allowed(self) -> int:
+        # A body of legal size that is alone is served in calm, also where it exceeds the room.
+        return self._max_unfinished * (ALONE_FACTOR if len(self._holders) == 1 else 1)
+
     def release(self, holder: HoldsRequest, count: int) -> None:
         """Takes an unfinished request from the account.
 
