--- a/wasabidrum/decisions/connection_close.py
+++ b/wasabidrum/decisions/connection_close.py
@@ -22,6 +22,7 @@
     CALLER_GONE = "caller_gone"
     NO_ROOM = "no_room"
     SERVER_ENDS = "server_ends"
+    UNREAD = "unread"
     OTHER = "other"
 
 
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -31,6 +31,7 @@
     EndingServer,
     end_internal_connections,
 )
+from ..wire.parsing_turns import METRICS_LINES
 from ..wire.process_limits import find_process_limits
 from ..wire.request_room import RequestRoom
 from .attempts_in_progress import AttemptsInProgress
@@ -273,8 +274,10 @@
         )
         metrics = web.Application(make_routes(self.log), log_function=lambda handler: None)
         metrics_port = deployment.first_port + METRICS_PORT_OFFSET
+        metrics_server = EndingServer(metrics, max_body_size=MAX_UNUSED_BODY_BYTES)
+        metrics_server.head_lines = METRICS_LINES
         self._listen(
-            EndingServer(metrics, max_body_size=MAX_UNUSED_BODY_BYTES),
+            metrics_server,
             Address(deployment.host, metrics_port),
             METRICS_SHARE,
         )
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -31,6 +31,7 @@
 from ..weights.shared_readings import SharedReadings
 from ..wire import http_client
 from ..wire.ending_server import MAX_UNUSED_BODY_BYTES, EndingServer, end_internal_connections
+from ..wire.parsing_turns import HEAD_LINES, METRICS_LINES
 from ..wire.process_limits import find_process_limits
 from ..wire.request_room import RequestRoom
 from .load_service import LoadService
@@ -199,6 +200,7 @@
         application = web.Application(routes, log_function=lambda handler: None)
         server = EndingServer(application, max_body_size=MAX_UNUSED_BODY_BYTES)
         server.log = self._log
+        server.head_lines = METRICS_LINES if offset == METRICS_PORT_OFFSET else HEAD_LINES
         server.room = self._request_room
         server.max_connections = self._process_limits.share_of_connections(share)
         address = Address(self._deployment.host, self._deployment.first_port + offset)
--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -20,6 +20,7 @@
 from .accepting import Acceptor, bound_receive_buffer
 from .connection_counts import ConnectionCounts
 from .listening_socket import drop_handshakes
+from .parsing_turns import HEAD_LINES
 from .raw_response import make_response
 from .read_timer import ReadTimeouts, ReadTimer
 from .request_room import RequestRoom
@@ -50,6 +51,10 @@
 MAX_WHOLE_BYTES = 268_435_456
 # In log lines: a request that was received whole.
 WHOLE = "whole"
+# How often connections are looked through for clients who read nothing, and after which time those
+# are closed.
+SWEEP_SECONDS = 5.0
+UNREAD_SECONDS = 40.0
 # What is read at once from a connection, and passed on of a body.
 READ_BYTES = 16_384
 
@@ -75,6 +80,7 @@
       room: Counts what requests hold, of all servers of the process.
       whole_copies: How often the bytes of a whole request are held until it is answered; zero if
         something else counts them.
+      head_lines: What the head of a request counts at least where connections take turns.
       idle_response: What is sent on a connection that is closed while it waits for a request, or
         for the rest of one whose time is up, so that a request that crosses the close is answered;
         empty to send nothing.
@@ -102,6 +108,7 @@
         self.memory_response = FULL_RESPONSE
         self.room = RequestRoom(MAX_UNFINISHED_BYTES, MAX_WHOLE_BYTES)
         self.whole_copies = 0
+        self.head_lines = HEAD_LINES
         self.idle_response = b""
 
     @property
@@ -141,6 +148,21 @@
             self._handlers[sock.fileno()]()
             self._handlers[sock.fileno()] = Acceptor(sock, self._accept).stop
 
+        self._sweep_later()
+
+    def _sweep_later(self) -> None:
+        asyncio.get_running_loop().call_later(SWEEP_SECONDS, self._end_unread)
+
+    def _end_unread(self) -> None:
+        """Closes the connections whose clients have stopped to read what they are sent."""
+        now = asyncio.get_running_loop().time()
+        for connection in list(self._served.values()):
+            if connection.unread_seconds(now) >= UNREAD_SECONDS:
+                self._log_end(Event.ANSWERS_UNREAD, unsent=connection.unsent_bytes)
+                connection.close(CloseCause.UNREAD)
+        if self._served or not self._stopped:
+            self._sweep_later()
+
     def _accept(self, connection: socket.socket, address: tuple) -> None:
         if self._is_full and not self._end_for_another():
             self._refuse_connection(connection)
@@ -186,6 +208,7 @@
             now,
             self.room,
             self.whole_copies,
+            self.head_lines,
             self._refuse_unfinished,
             self._look_at_head,
         )
--- a/wasabidrum/wire/request_room_test.py
+++ b/wasabidrum/wire/request_room_test.py
@@ -1,6 +1,7 @@
 """Requests that hold too much together, and who gives way."""
 
 import asyncio
+import socket
 import unittest
 from unittest import mock
 
@@ -8,6 +9,7 @@
 
 from ..decisions.giving_way import SMALL_BYTES
 from ..observe.event import Event
+from . import ending_server
 from .ending_server import EndingServer
 from .request_room import LARGE_FRACTION, RequestRoom
 from .watched_request import WatchedRequest
@@ -16,6 +18,7 @@
 ROOM_BYTES = 400_000
 BODY_BYTES = 150_000
 SECONDS = 5.0
+LARGE_BYTES = 16_000_000
 
 
 class LengthHandler(web.RequestHandler):
@@ -122,6 +125,36 @@
         self.room.release_whole(size)
 
 
+class UnreadAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A client that reads nothing of a large answer."""
+
+    @mock.patch.object(ending_server, "SWEEP_SECONDS", 0.05)
+    @mock.patch.object(ending_server, "UNREAD_SECONDS", 0.3)
+    async def test_connection_is_closed(self) -> None:
+        """Guards against connections and answers that are held for ever at ports whose handlers
+        wait for nobody."""
+
+        class LargeHandler(web.RequestHandler):
+            def get(self) -> None:
+                self.write(bytes(LARGE_BYTES))
+
+        application = web.Application([(r"/", LargeHandler)], log_function=lambda handler: None)
+        server = EndingServer(application)
+        server.log = mock.Mock()
+        server.add_sockets(netutil.bind_sockets(0, HOST))
+        self.addCleanup(server.stop)
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect((HOST, server.port))
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        async with asyncio.timeout(SECONDS):
+            while not server.log.write.called:
+                await asyncio.sleep(0.01)
+        self.assertEqual(server.log.write.call_args_list[0].args[0], Event.ANSWERS_UNREAD)
+        self.assertEqual(server.connection_count, 0)
+
+
 class SmallPiecesTest(unittest.TestCase):
     """A body that comes a few bytes at a time."""
 
--- a/wasabidrum/wire/served_connection.py
+++ b/wasabidrum/wire/served_connection.py
@@ -11,7 +11,7 @@
 from ..decisions.connection_close import CloseCause, CloseStage, LatestRequest
 from ..decisions.connection_end import ConnectionState, Step
 from ..decisions.giving_way import Holding, Stage
-from .parsing_turns import FREE_HEAD_LINES, LINES_PER_TURN
+from .parsing_turns import LINES_PER_TURN
 from .request_room import RequestRoom
 from .watched_request import RefusesPart, WatchedRequest
 
@@ -29,15 +29,8 @@
 
     __slots__ = ("latest", "close_cause", "_stream", "_accepted_at", "_requests", "_lingers_since")
     __slots__ += ("_crossed", "_ended_idle", "_may_end_answer", "_stage", "_stage_began_at")
-    __slots__ += (
-        "_room",
-        "_copies",
-        "_held",
-        "_whole",
-        "_on_give_way",
-        "_on_first_byte",
-        "_chunk_lines",
-    )
+    __slots__ += ("_room", "_copies", "_held", "_whole", "_on_give_way", "_on_first_byte")
+    __slots__ += ("_chunk_lines", "_head_lines", "_sent", "_sent_at")
 
     def __init__(
         self,
@@ -45,6 +38,7 @@
         accepted_at: float,
         room: RequestRoom,
         copies: int,
+        head_lines: int,
         on_give_way: collections.abc.Callable[["ServedConnection", Holding], None],
         on_first_byte: collections.abc.Callable[["ServedConnection"], None],
     ) -> None:
@@ -55,12 +49,16 @@
           room: Counts what its requests hold.
           copies: How often the bytes of a whole request are held until it is answered; zero if
             something else counts them.
+          head_lines: What the head of a request counts at least among turns, in lines.
           on_give_way: Called when its request has to be refused for others.
           on_first_byte: Called when the first byte of a request was read.
         """
         self._room = room
         self._chunk_lines = 0
         self._copies = copies
+        self._head_lines = head_lines
+        self._sent = 0
+        self._sent_at = accepted_at
         self._on_give_way = on_give_way
         self._on_first_byte = on_first_byte
         # What was received of the latest request and is kept, in bytes.
@@ -131,6 +129,18 @@
         stage, age = self._find_stage(), now - self._stage_began_at
         return Holding(stage, self._held, age)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """What was written to it and the kernel has not taken yet."""
+        return len(self._stream._write_buffer)
+
+    def unread_seconds(self, now: float) -> float:
+        """Returns for how long nothing that was written could be sent, as seen at these calls."""
+        sent = self._stream._total_write_done_index
+        if not self.is_open or not self._stream.writing() or sent != self._sent:
+            self._sent, self._sent_at = sent, now
+        return now - self._sent_at
+
     def give_way(self, holding: Holding) -> None:
         """See HoldsRequest."""
         self._discard()
@@ -195,9 +205,7 @@
         """Returns a head when it is to be parsed; see BaseIOStream.read_until_regex."""
         stream = self._stream
         head = await type(stream).read_until_regex(stream, regex, max_bytes)
-        lines = head.count(b"\n")
-        if lines > FREE_HEAD_LINES:
-            await self._room.turns.wait(lines)
+        await self._room.turns.wait(max(self._head_lines, head.count(b"\n")))
         return head
 
     def _read_chunk_line(
