--- a/wasabidrum/entry/daemon.py
+++ b/wasabidrum/entry/daemon.py
@@ -24,6 +24,7 @@
 from ..wire.ending_server import EndingServer, end_internal_connections
 from ..wire.process_limits import find_process_limits
 from ..wire.request_room import RequestRoom
+from ..wire.room_metrics import add_room_metrics
 from .caller_routes import make_caller_server
 from .endpoint_table import EndpointTable
 from .endpoint_watcher import EndpointWatcher
@@ -135,22 +136,7 @@
             "Requests of callers begun and not ended.",
             lambda: self.requests.count,
         )
-        add(
-            "unfinished_request_bytes",
-            "Held of requests that were not received whole.",
-            lambda: self._request_room.unfinished,
-        )
-        add(
-            "whole_request_bytes",
-            "Held of requests that were received whole and are not answered yet.",
-            lambda: self._request_room.whole,
-        )
-        self.log.metrics.add_counter(
-            "requests_gave_way",
-            "Requests that were refused because requests held too much.",
-            "room",
-            lambda: {"requests": self._request_room.gave_way},
-        )
+        add_room_metrics(self.log.metrics, self._request_room)
         add("requests_waiting", "Requests that wait for their turn.", lambda: scheduler.waiting)
         add("endpoints_resting", "Endpoints that want no requests.", lambda: scheduler.resting)
         self.log.metrics.add_counter(
--- a/wasabidrum/gateway/daemon.py
+++ b/wasabidrum/gateway/daemon.py
@@ -34,6 +34,7 @@
 from ..wire.parsing_turns import METRICS_LINES
 from ..wire.process_limits import find_process_limits
 from ..wire.request_room import RequestRoom
+from ..wire.room_metrics import add_room_metrics
 from .attempts_in_progress import AttemptsInProgress
 from .cold_endpoint_rule import ColdEndpointRule
 from .entry_peers import EntryPeers
@@ -355,17 +356,7 @@
             "Buffered for callers and from endpoints, with an allowance for each request.",
             lambda: self.buffers.used,
         )
-        add(
-            "unfinished_request_bytes",
-            "Held of requests that were not received whole.",
-            lambda: self._request_room.unfinished,
-        )
-        self.log.metrics.add_counter(
-            "requests_gave_way",
-            "Requests that were refused because requests held too much.",
-            "room",
-            lambda: {"requests": self._request_room.gave_way},
-        )
+        add_room_metrics(self.log.metrics, self._request_room)
         add(
             "buffered_bytes_limit",
             "The most that may be buffered.",
--- a/wasabidrum/sidecar/daemon.py
+++ b/wasabidrum/sidecar/daemon.py
@@ -37,6 +37,7 @@
 from ..wire.process_limits import find_process_limits
 from ..wire.raw_response import make_response
 from ..wire.request_room import RequestRoom
+from ..wire.room_metrics import add_room_metrics
 from . import call_handlers
 from .attempt_registry import AttemptRegistry
 from .idempotent_calls import IdempotentCalls
@@ -145,22 +146,7 @@
         add("revision", "The configuration revision in force here.", lambda: self.follower.revision)
         add("requests_in_progress", "Requests at the endpoint.", lambda: self.requests.count)
         add("leaving", "One while this daemon takes no new work.", lambda: self.leaving)
-        add(
-            "unfinished_request_bytes",
-            "Held of requests that were not received whole.",
-            lambda: self._request_room.unfinished,
-        )
-        add(
-            "whole_request_bytes",
-            "Held of requests that were received whole and are not answered yet.",
-            lambda: self._request_room.whole,
-        )
-        self._log.metrics.add_counter(
-            "requests_gave_way",
-            "Requests that were refused because requests held too much.",
-            "room",
-            lambda: {"requests": self._request_room.gave_way},
-        )
+        add_room_metrics(self._log.metrics, self._request_room)
         self._log.metrics.add_counter(
             "connections_closed",
             "Connections that were closed, by why and by what became of their request.",
--- a/wasabidrum/sidecar/deployed.py
+++ b/wasabidrum/sidecar/deployed.py
@@ -34,6 +34,7 @@
 from ..wire.parsing_turns import HEAD_LINES, METRICS_LINES
 from ..wire.process_limits import find_process_limits
 from ..wire.request_room import RequestRoom
+from ..wire.room_metrics import add_room_metrics
 from .load_service import LoadService
 
 METRICS_PORT_OFFSET = 2
@@ -94,6 +95,7 @@
             "How fast weights may come here beside requests, by what came through lately.",
             lambda: self._distributor.chunk_requester.inbound_limit.rate,
         )
+        add_room_metrics(log.metrics, self._request_room)
         self._load_service.on_relays = self._listed.set_relays
         self._load_service.on_entry = self._record_entry
         self._load_service.on_entry_disconnected = self._controller.retirement.forget
