--- a/wasabidrum/wire/ending_server.py
+++ b/wasabidrum/wire/ending_server.py
@@ -14,7 +14,7 @@
 from ..decisions import connection_close, giving_way
 from ..decisions.connection_close import CloseCause, CloseStage
 from ..decisions.connection_end import Step
-from ..decisions.giving_way import Holding
+from ..decisions.giving_way import Holding, Stage
 from ..observe.event import Event
 from ..observe.event_log import EventLog
 from .accepting import Acceptor, bound_receive_buffer
@@ -24,7 +24,7 @@
 from .raw_response import make_response
 from .read_timer import ReadTimeouts, ReadTimer
 from .request_room import RequestRoom
-from .served_connection import ServedConnection
+from .served_connection import ServedConnection, has_input
 from .watched_request import WatchedRequest
 
 # Shorter than Tornado's own time-out, which is left at its default of an hour.
@@ -47,6 +47,8 @@
 # The answer to whoever connects when there is no room: a request that was sent has not been read.
 FULL_RESPONSE = LEAVING_RESPONSE
 MAX_CONNECTIONS = 1_000
+# How many connections are looked at for one that gives way and on which nothing has come.
+MAX_TRIES = 8
 MAX_UNFINISHED_BYTES = 67_108_864
 MAX_WHOLE_BYTES = 268_435_456
 # In log lines: a request that was received whole.
@@ -173,14 +175,19 @@
         """Ends a connection that gives way to a new one; returns whether there was one."""
         now = asyncio.get_running_loop().time()
         connections = [each for each in self._served.values() if each.is_open]
-        holdings = [each.holding(now) for each in connections]
-        index = giving_way.connection_to_end(holdings)
-        if index is None:
-            return False
-        held = holdings[index]
-        self._log_end(Event.CONNECTION_GAVE_WAY, stage=held.stage.name.lower(), age=held.age)
-        connections[index].end_at_once(self.idle_response, CloseCause.NO_ROOM)
-        return True
+        for _ in range(MAX_TRIES):
+            holdings = [each.holding(now) for each in connections]
+            index = giving_way.connection_to_end(holdings)
+            if index is None:
+                return False
+            connection, held = connections.pop(index), holdings[index]
+            # Its client has sent a request that was not read yet.
+            if held.stage is Stage.IDLE and has_input(connection.stream.socket):
+                continue
+            self._log_end(Event.CONNECTION_GAVE_WAY, stage=held.stage.name.lower(), age=held.age)
+            connection.end_at_once(self.idle_response, CloseCause.NO_ROOM)
+            return True
+        return False
 
     def _refuse_connection(self, connection: socket.socket) -> None:
         """Answers what a client may have sent on a connection that is not begun, and closes it."""
